Lay the skeleton: build, core, typed seams and the slot protocol

Cause: several hands are to build at once and need fixed seams. Aggregates are placed by slot rather than singly, so that an absent aggregate of a complete slot is known never to have existed.

--- /dev/null
+++ b/modules/lacewingmux_config/lacewingmux_config.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/*
+ * Module lacewingmux_config
+ *
+ * The operators' configuration: plans, allowances, routes and objectives as one checked document
+ * with a revision, the callers' keys as salted digests, and how a revision spreads over the VMs.
+ *
+ * Depends on: lacewingmux_core, lacewingmux_platform.
+ */
+
+#include "lacewingmux_config/documents/Allowance.h"
+#include "lacewingmux_config/documents/Configuration.h"
+#include "lacewingmux_config/documents/Route.h"
+#include "lacewingmux_config/documents/TeamPlan.h"
--- /dev/null
+++ b/modules/lacewingmux_peer/lacewingmux_peer.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/*
+ * Module lacewingmux_peer
+ *
+ * The protocol between the daemons: TCP frames that carry FlatBuffers, the handshake with
+ * version, zone and proof of the shared secret, and the links with their reconnection.
+ *
+ * Depends on: lacewingmux_core, Qt Network, FlatBuffers.
+ */
+
+#include "lacewingmux_peer/links/PeerHub.h"
+#include "lacewingmux_peer/messages/FrameKind.h"
+#include "lacewingmux_peer/messages/PeerFrame.h"
+#include "lacewingmux_peer/messages/VmDescriptor.h"
--- /dev/null
+++ b/modules/lacewingmux_peer/messages/FrameKind.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+
+namespace lacewingmux {
+
+/**
+    The kinds of frame between daemons. The payload of each kind is a FlatBuffers table of the
+    module named behind it; a daemon ignores kinds that it does not know.
+*/
+enum class FrameKind : std::uint16_t {
+    // lacewingmux_peer, both channels
+    Hello = 1,
+    HelloProof = 2,
+    Ping = 3,
+    Pong = 4,
+
+    // lacewingmux_zone, control channel
+    Heartbeat = 20,
+    HeartbeatReply = 21,
+    ViewAnnouncement = 22,
+    ViewRequest = 23,
+
+    // lacewingmux_zone, traffic channel
+    SlotSync = 30,
+    SlotSyncReply = 31,
+    SlotState = 32,
+    JournalAppend = 33,
+    JournalAck = 34,
+    JournalRefusal = 35,
+    SlotSurvey = 36,
+    SlotSurveyReply = 37,
+    CopyAppend = 40,
+    CopyAck = 41,
+    CopyFetch = 42,
+    CopyFetchReply = 43,
+
+    // lacewingmux_http, traffic channel
+    OwnerRequest = 60,
+    OwnerResponseHead = 61,
+    OwnerResponseChunk = 62,
+    OwnerResponseEnd = 63,
+    OwnerResponseError = 64,
+    OwnerRequestCancel = 65,
+
+    // lacewingmux_allowance, traffic channel
+    GrantRequest = 80,
+    GrantReply = 81,
+    PowerRequest = 82,
+    PowerReply = 83,
+    PowerRelease = 84,
+
+    // lacewingmux_allowance, control channel
+    DemandReport = 90,
+    ShareAnnouncement = 91,
+
+    // lacewingmux_config, control channel
+    ConfigurationAnnouncement = 100,
+    ConfigurationRequest = 101,
+    ConfigurationInForce = 102,
+
+    // lacewingmux_scheduling and lacewingmux_backend
+    QuarantineNotice = 110,
+    ReplicaReport = 111,
+
+    // lacewingmux_report, control channel
+    MetricsRequest = 120,
+    MetricsReply = 121
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_platform/lacewingmux_platform.h
@@ -0,0 +1,14 @@
+#pragma once
+
+/*
+ * Module lacewingmux_platform
+ *
+ * The platform's key-value store as the system sees it: compare-and-swap, leases and watches,
+ * its HTTP client and the budget of calls that each daemon keeps to.
+ *
+ * Depends on: lacewingmux_core, Qt Network.
+ */
+
+#include "lacewingmux_platform/store/CompareAndSwapResult.h"
+#include "lacewingmux_platform/store/PlatformStore.h"
+#include "lacewingmux_platform/store/StoreRecord.h"
--- /dev/null
+++ b/modules/lacewingmux_program/requests/HttpHeader.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <QByteArray>
+
+namespace lacewingmux {
+
+/** One header field of a request or answer. */
+struct HttpHeader
+{
+    QByteArray name;
+    QByteArray value;
+
+    friend bool operator==(const HttpHeader &, const HttpHeader &) = default;
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_zone/lacewingmux_zone.h
@@ -0,0 +1,16 @@
+#pragma once
+
+/*
+ * Module lacewingmux_zone
+ *
+ * Membership of an availability zone, the zone view with its epoch, the placement of slots on
+ * VMs, and the replication of each slot's journal from its owner to its backup.
+ *
+ * Depends on: lacewingmux_core, lacewingmux_platform, lacewingmux_peer.
+ */
+
+#include "lacewingmux_zone/journal/AggregateRecord.h"
+#include "lacewingmux_zone/journal/Journal.h"
+#include "lacewingmux_zone/views/FleetViews.h"
+#include "lacewingmux_zone/views/SlotPlacement.h"
+#include "lacewingmux_zone/views/ZoneView.h"
--- /dev/null
+++ b/modules/lacewingmux_zone/views/ZoneView.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "lacewingmux_core/ids/AggregateId.h"
+#include "lacewingmux_peer/messages/VmDescriptor.h"
+#include "lacewingmux_zone/views/SlotPlacement.h"
+
+#include <QString>
+
+#include <cstdint>
+#include <vector>
+
+namespace lacewingmux {
+
+/**
+    The live VMs of one availability zone under one epoch.
+
+    Immutable. Two views with the same zone and epoch are the same: the platform's store changes
+    a zone's record by compare-and-swap alone, one epoch at a time.
+*/
+class ZoneView
+{
+public:
+    ZoneView() = default;
+    ZoneView(QString viewZone, std::uint64_t viewEpoch, std::vector<VmDescriptor> viewMembers);
+
+    [[nodiscard]] const QString &zone() const noexcept
+    {
+        return this->viewZone;
+    }
+
+    /** Returns the epoch; 0 means that no view is known yet. */
+    [[nodiscard]] std::uint64_t epoch() const noexcept
+    {
+        return this->viewEpoch;
+    }
+
+    /** Returns the members, ordered by VM name. */
+    [[nodiscard]] const std::vector<VmDescriptor> &members() const noexcept
+    {
+        return this->viewMembers;
+    }
+
+    [[nodiscard]] bool contains(const VmIncarnation &vm) const;
+
+    /**
+        Returns the first and second member by rendezvous hash: the weight of a member for a slot
+        is the combined hash of its VM name and the slot, so a change of membership moves only the
+        slots of the VMs that came or went.
+    */
+    [[nodiscard]] SlotPlacement placement(SlotIndex slot) const;
+
+private:
+    QString viewZone;
+    std::uint64_t viewEpoch = 0;
+    std::vector<VmDescriptor> viewMembers;
+};
+
+} // namespace lacewingmux
