Build without precompiled headers so that work trees share the compiler cache

Cause: clang-tidy took GCC's precompiled header for its own and failed on every file; ccache could serve only the work tree that made the header. Ruled out: a second build folder for the linter.

--- a/cmake/LacewingmuxModule.cmake
+++ b/cmake/LacewingmuxModule.cmake
@@ -12,14 +12,6 @@
     target_include_directories(${name} PUBLIC
         "$<BUILD_INTERFACE:${CMAKE_CURRENT_SOURCE_DIR}>" "$<INSTALL_INTERFACE:include>")
     target_link_libraries(${name} PUBLIC Qt6::Core ${MODULE_DEPENDS} ${MODULE_LIBRARIES})
-    lacewingmux_precompile(${name})
-endfunction()
-
-# Precompiles the standard and Qt headers that nearly every file includes.
-function(lacewingmux_precompile target)
-    target_precompile_headers(${target} PRIVATE
-        <algorithm> <chrono> <functional> <map> <memory> <optional> <string> <unordered_map> <vector>
-        <QByteArray> <QJsonArray> <QJsonDocument> <QJsonObject> <QObject> <QString>)
 endfunction()
 
 # Adds one test executable from all sources of tests/<folder> and registers it with CTest.
@@ -35,7 +27,6 @@
     target_link_libraries(${name} PRIVATE ${TEST_LIBRARIES} criterion)
     target_compile_definitions(${name} PRIVATE
         LACEWINGMUX_BINARY_DIR="${CMAKE_BINARY_DIR}" LACEWINGMUX_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
-    lacewingmux_precompile(${name})
     if(TEST_DEPENDS)
         add_dependencies(${name} ${TEST_DEPENDS})
     endif()
@@ -55,5 +46,4 @@
     target_include_directories(${name} PRIVATE "${CMAKE_CURRENT_SOURCE_DIR}")
     target_link_libraries(${name} PRIVATE ${PROGRAM_LIBRARIES})
     set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/bin")
-    lacewingmux_precompile(${name})
 endfunction()
--- a/modules/lacewingmux_config/documents/Configuration.cpp
+++ b/modules/lacewingmux_config/documents/Configuration.cpp
@@ -1,5 +1,7 @@
 #include "lacewingmux_config/documents/Configuration.h"
 
+#include <algorithm>
+
 namespace lacewingmux {
 
 const Route *Configuration::route(const QString &name) const
--- a/modules/lacewingmux_core/logging/StructuredLog.cpp
+++ b/modules/lacewingmux_core/logging/StructuredLog.cpp
@@ -5,6 +5,7 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 
+#include <algorithm>
 #include <array>
 
 namespace lacewingmux {
--- a/modules/lacewingmux_core/time/ManualTimerService.cpp
+++ b/modules/lacewingmux_core/time/ManualTimerService.cpp
@@ -1,5 +1,6 @@
 #include "lacewingmux_core/time/ManualTimerService.h"
 
+#include <algorithm>
 #include <deque>
 
 namespace lacewingmux {
--- a/modules/lacewingmux_core/time/ManualTimerService.h
+++ b/modules/lacewingmux_core/time/ManualTimerService.h
@@ -43,7 +43,11 @@
     {
         SteadyTime due;
         std::uint64_t order;
-        auto operator<=>(const Key &) const = default;
+
+        friend bool operator<(const Key &left, const Key &right) noexcept
+        {
+            return left.due != right.due ? left.due < right.due : left.order < right.order;
+        }
     };
     struct State;
 
--- a/modules/lacewingmux_zone/views/ZoneView.cpp
+++ b/modules/lacewingmux_zone/views/ZoneView.cpp
@@ -2,6 +2,8 @@
 
 #include "lacewingmux_core/hashing/StableHash.h"
 
+#include <algorithm>
+
 namespace lacewingmux {
 
 ZoneView::ZoneView(QString zone, std::uint64_t epoch, std::vector<VmDescriptor> members)
