--- /dev/null
+++ b/modules/lacewingmux_zone/journal/InMemoryJournal.cpp
@@ -0,0 +1,159 @@
+#include "lacewingmux_zone/journal/InMemoryJournal.h"
+
+#include "lacewingmux_core/time/TimerService.h"
+
+#include <utility>
+
+namespace lacewingmux {
+
+namespace {
+
+bool isActive(SlotStatus status)
+{
+    return status == SlotStatus::Active || status == SlotStatus::ActiveIncomplete;
+}
+
+} // namespace
+
+InMemoryJournal::InMemoryJournal(TimerService &timerService)
+    : timers(timerService)
+{ }
+
+InMemoryJournal::~InMemoryJournal()
+{
+    *this->alive = false;
+}
+
+SlotStatus InMemoryJournal::status(SlotIndex slot) const
+{
+    return this->slots.at(slot).status;
+}
+
+void InMemoryJournal::append(const AggregateId &aggregate, const QByteArray &entry,
+                             Callback callback)
+{
+    this->submit(
+            aggregate.slot(),
+            [aggregate, entry](RecordMap &records) { records.append(aggregate, entry); },
+            std::move(callback));
+}
+
+void InMemoryJournal::replace(const AggregateId &aggregate, const QByteArray &entry,
+                              Callback callback)
+{
+    this->submit(
+            aggregate.slot(),
+            [aggregate, entry](RecordMap &records) { records.replace(aggregate, entry); },
+            std::move(callback));
+}
+
+void InMemoryJournal::remove(const AggregateId &aggregate, Callback callback)
+{
+    this->submit(
+            aggregate.slot(), [aggregate](RecordMap &records) { records.remove(aggregate); },
+            std::move(callback));
+}
+
+void InMemoryJournal::confirmOwnership(SlotIndex slot, Callback callback)
+{
+    this->submit(slot, {}, std::move(callback));
+}
+
+void InMemoryJournal::addActivationHandler(ActivationHandler handler)
+{
+    this->activationHandlers.push_back(handler);
+    this->timers.post([this, token = this->alive, added = std::move(handler)] {
+        if (!*token)
+            return;
+        for (SlotIndex slot = 0; slot < slotsPerZone; ++slot) {
+            if (isActive(this->slots[slot].status))
+                added(slot, this->slots[slot].records.toRecords());
+        }
+    });
+}
+
+void InMemoryJournal::addDeactivationHandler(DeactivationHandler handler)
+{
+    this->deactivationHandlers.push_back(std::move(handler));
+}
+
+void InMemoryJournal::stepDown(SlotIndex slot)
+{
+    if (this->slots.at(slot).status == SlotStatus::NotOwner)
+        return;
+    this->slots[slot].status = SlotStatus::NotOwner;
+    for (Waiting &entry : this->waiting) {
+        if (entry.slot == slot)
+            entry.outcome = AppendOutcome::SteppedDown;
+    }
+    for (const DeactivationHandler &handler : this->deactivationHandlers)
+        handler(slot);
+}
+
+void InMemoryJournal::stepDownAll()
+{
+    for (SlotIndex slot = 0; slot < slotsPerZone; ++slot)
+        this->stepDown(slot);
+}
+
+void InMemoryJournal::activate(SlotIndex slot, SlotStatus activeStatus)
+{
+    this->slots.at(slot).status = activeStatus;
+    const std::vector<AggregateRecord> held = this->slots[slot].records.toRecords();
+    for (const ActivationHandler &handler : this->activationHandlers)
+        handler(slot, held);
+}
+
+void InMemoryJournal::holdCommits()
+{
+    this->commitsHeld = true;
+}
+
+void InMemoryJournal::releaseCommits()
+{
+    this->commitsHeld = false;
+    this->scheduleCommit();
+}
+
+const RecordMap &InMemoryJournal::records(SlotIndex slot) const
+{
+    return this->slots.at(slot).records;
+}
+
+void InMemoryJournal::submit(SlotIndex slot, Change change, Callback callback)
+{
+    const bool owned = isActive(this->slots.at(slot).status);
+    const AppendOutcome outcome = owned ? AppendOutcome::Committed : AppendOutcome::SteppedDown;
+    this->waiting.push_back({slot, std::move(change), std::move(callback), outcome});
+    if (!this->commitsHeld)
+        this->scheduleCommit();
+}
+
+void InMemoryJournal::scheduleCommit()
+{
+    if (this->commitScheduled)
+        return;
+    this->commitScheduled = true;
+    this->timers.post([this, token = this->alive] {
+        if (*token)
+            this->commitWaiting();
+    });
+}
+
+void InMemoryJournal::commitWaiting()
+{
+    this->commitScheduled = false;
+    if (this->commitsHeld)
+        return;
+    const std::shared_ptr<bool> token = this->alive;
+    for (std::size_t due = this->waiting.size(); due > 0 && *token; --due) {
+        const Waiting entry = std::move(this->waiting.front());
+        this->waiting.pop_front();
+        if (entry.outcome == AppendOutcome::Committed && entry.change)
+            entry.change(this->slots[entry.slot].records);
+        if (entry.callback)
+            entry.callback(entry.outcome);
+    }
+}
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_zone/lacewingmux_zone.h
+++ b/modules/lacewingmux_zone/lacewingmux_zone.h
@@ -10,7 +10,9 @@
  */
 
 #include "lacewingmux_zone/journal/AggregateRecord.h"
+#include "lacewingmux_zone/journal/InMemoryJournal.h"
 #include "lacewingmux_zone/journal/Journal.h"
+#include "lacewingmux_zone/journal/RecordMap.h"
 #include "lacewingmux_zone/views/FleetViews.h"
 #include "lacewingmux_zone/views/SlotPlacement.h"
 #include "lacewingmux_zone/views/ZoneView.h"
