--- a/modules/lacewingmux_config/documents/Configuration.h
+++ b/modules/lacewingmux_config/documents/Configuration.h
@@ -2,6 +2,7 @@
 
 #include "lacewingmux_config/documents/Allowance.h"
 #include "lacewingmux_config/documents/Route.h"
+#include "lacewingmux_config/documents/ServiceLevelObjective.h"
 #include "lacewingmux_config/documents/TeamPlan.h"
 
 #include <QString>
@@ -22,6 +23,7 @@
     std::vector<TeamPlan> plans;
     std::vector<Allowance> allowances;
     std::vector<Route> routes;
+    std::vector<ServiceLevelObjective> objectives;
     double sitePowerCapWatts = 0; ///< 0 means no cap
 
     /** Returns the route with the name, or null. */
--- a/modules/lacewingmux_config/lacewingmux_config.h
+++ b/modules/lacewingmux_config/lacewingmux_config.h
@@ -12,4 +12,5 @@
 #include "lacewingmux_config/documents/Allowance.h"
 #include "lacewingmux_config/documents/Configuration.h"
 #include "lacewingmux_config/documents/Route.h"
+#include "lacewingmux_config/documents/ServiceLevelObjective.h"
 #include "lacewingmux_config/documents/TeamPlan.h"
