Add an in-memory network of peer hubs for tests

The parts on top of the peer links need cuts, delays, pauses and kills within one thread and under manual time.

--- a/modules/lacewingmux_peer/lacewingmux_peer.h
+++ b/modules/lacewingmux_peer/lacewingmux_peer.h
@@ -9,6 +9,9 @@
  * Depends on: lacewingmux_core, Qt Network, FlatBuffers.
  */
 
+#include "lacewingmux_peer/links/FrameDispatch.h"
+#include "lacewingmux_peer/links/InMemoryPeerHub.h"
+#include "lacewingmux_peer/links/InMemoryPeerNetwork.h"
 #include "lacewingmux_peer/links/PeerHub.h"
 #include "lacewingmux_peer/messages/FrameKind.h"
 #include "lacewingmux_peer/messages/PeerFrame.h"
