Add an in-memory platform store for the tests

Cause: parts that read, write or watch the platform's store need one in their tests that can be down, slow, cut off from one client, or lose the reply of a write that took effect.

Change: KeyValueTable holds revisions, leases and history without transport, so that the stand-in program can use the same rules; InMemoryStoreServer adds the faults and InMemoryPlatformStore is one client of it, driven by the timer service.

Conclusion: tests/platform covers racing writers, a lost reply, an outage, a cut with compaction and a lapsed lease.

--- a/modules/lacewingmux_platform/lacewingmux_platform.h
+++ b/modules/lacewingmux_platform/lacewingmux_platform.h
@@ -9,6 +9,12 @@
  * Depends on: lacewingmux_core, Qt Network.
  */
 
+#include "lacewingmux_platform/memory/InMemoryPlatformStore.h"
+#include "lacewingmux_platform/memory/InMemoryStoreServer.h"
+#include "lacewingmux_platform/memory/KeyValueEvent.h"
+#include "lacewingmux_platform/memory/KeyValueTable.h"
+#include "lacewingmux_platform/memory/KeyValueWrite.h"
 #include "lacewingmux_platform/store/CompareAndSwapResult.h"
+#include "lacewingmux_platform/store/KeyRange.h"
 #include "lacewingmux_platform/store/PlatformStore.h"
 #include "lacewingmux_platform/store/StoreRecord.h"
--- /dev/null
+++ b/modules/lacewingmux_platform/memory/KeyValueEvent.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "lacewingmux_platform/store/StoreRecord.h"
+
+#include <cstdint>
+
+namespace lacewingmux {
+
+/** One change of one key. A deleted key has an empty value and createRevision 0. */
+struct KeyValueEvent
+{
+    std::int64_t revision = 0;
+    bool deleted = false;
+    StoreRecord record;
+};
+
+} // namespace lacewingmux
