Report service-level burn over several windows, merged over VMs

Cause: operators need to see which team's objective is being spent, and how fast. Ruled out: averaging burn rates of VMs (a VM with little traffic would weigh as much as a busy one).

--- a/modules/lacewingmux_report/lacewingmux_report.h
+++ b/modules/lacewingmux_report/lacewingmux_report.h
@@ -8,6 +8,9 @@
  * Depends on: lacewingmux_core, lacewingmux_config, Boost.Histogram.
  */
 
+#include "lacewingmux_report/burn/BurnHistory.h"
+#include "lacewingmux_report/burn/BurnRecorder.h"
+#include "lacewingmux_report/burn/BurnReport.h"
 #include "lacewingmux_report/metrics/DurationHistogram.h"
 #include "lacewingmux_report/metrics/HistogramMetrics.h"
 #include "lacewingmux_report/metrics/MetricDescription.h"
