Add a settings reader that reports every fault with its path

Settings and configuration documents have to be checked whole, with unknown fields as faults. The reader also notes each field it was asked for, so that documentation can be checked against it.

--- a/modules/lacewingmux_core/lacewingmux_core.h
+++ b/modules/lacewingmux_core/lacewingmux_core.h
@@ -4,7 +4,8 @@
  * Module lacewingmux_core
  *
  * Identifiers, the closed list of error kinds with its table of answers, the timer service,
- * structured logging and the interface through which every module records metrics.
+ * structured logging, the reader of JSON settings and the interface through which every module
+ * records metrics.
  *
  * Depends on: Qt Core, glog.
  */
@@ -21,6 +22,9 @@
 #include "lacewingmux_core/logging/StructuredLog.h"
 #include "lacewingmux_core/metrics/IgnoringMetricsRecorder.h"
 #include "lacewingmux_core/metrics/MetricsRecorder.h"
+#include "lacewingmux_core/settings/FieldRules.h"
+#include "lacewingmux_core/settings/SettingsFindings.h"
+#include "lacewingmux_core/settings/SettingsReader.h"
 #include "lacewingmux_core/time/ManualTimerService.h"
 #include "lacewingmux_core/time/QtTimerService.h"
 #include "lacewingmux_core/time/TimerService.h"
--- a/modules/lacewingmux_peer/links/InMemoryPeerNetwork.cpp
+++ b/modules/lacewingmux_peer/links/InMemoryPeerNetwork.cpp
@@ -115,7 +115,7 @@
 
 void InMemoryPeerNetwork::remove(InMemoryPeerHub *hub)
 {
-    const VmIncarnation gone = hub->self();
+    const VmIncarnation &gone = hub->self();
     this->hubs.erase(gone);
     std::vector<Route> broken;
     for (const auto &[pair, link] : this->links) {
