Work out the placement of a view's slots once

Change: the view keeps owner and backup of its 256 slots. Ruled out: caching only the name hashes, still linear in the members.

--- a/modules/lacewingmux_zone/views/ZoneView.cpp
+++ b/modules/lacewingmux_zone/views/ZoneView.cpp
@@ -15,6 +15,13 @@
               [](const VmDescriptor &left, const VmDescriptor &right) {
                   return left.incarnation < right.incarnation;
               });
+
+    std::vector<std::uint64_t> memberHashes;
+    memberHashes.reserve(this->viewMembers.size());
+    for (const VmDescriptor &member : this->viewMembers)
+        memberHashes.push_back(stableHash(member.incarnation.vm.toUtf8()));
+    for (SlotIndex slot = 0; slot < slotsPerZone; ++slot)
+        this->holders[slot] = holdersOf(slot, memberHashes);
 }
 
 bool ZoneView::contains(const VmIncarnation &vm) const
@@ -25,30 +32,36 @@
 
 SlotPlacement ZoneView::placement(SlotIndex slot) const
 {
-    const VmIncarnation *first = nullptr;
-    const VmIncarnation *second = nullptr;
-    std::uint64_t firstWeight = 0;
-    std::uint64_t secondWeight = 0;
-    for (const VmDescriptor &member : this->viewMembers) {
-        const std::uint64_t weight =
-                combineHashes(stableHash(member.incarnation.vm.toUtf8()), slot);
-        if (first == nullptr || weight > firstWeight) {
-            second = first;
-            secondWeight = firstWeight;
-            first = &member.incarnation;
-            firstWeight = weight;
-        } else if (second == nullptr || weight > secondWeight) {
-            second = &member.incarnation;
-            secondWeight = weight;
+    const Holders &slotHolders = this->holders.at(slot);
+    return SlotPlacement{this->memberAt(slotHolders.owner), this->memberAt(slotHolders.backup)};
+}
+
+ZoneView::Holders ZoneView::holdersOf(SlotIndex slot,
+                                      const std::vector<std::uint64_t> &memberHashes)
+{
+    Holders result;
+    std::uint64_t ownerWeight = 0;
+    std::uint64_t backupWeight = 0;
+    for (std::size_t index = 0; index < memberHashes.size(); ++index) {
+        const std::uint64_t weight = combineHashes(memberHashes[index], slot);
+        if (result.owner == nobody || weight > ownerWeight) {
+            result.backup = result.owner;
+            backupWeight = ownerWeight;
+            result.owner = static_cast<std::uint16_t>(index);
+            ownerWeight = weight;
+        } else if (result.backup == nobody || weight > backupWeight) {
+            result.backup = static_cast<std::uint16_t>(index);
+            backupWeight = weight;
         }
     }
+    return result;
+}
 
-    SlotPlacement placement;
-    if (first != nullptr)
-        placement.owner = *first;
-    if (second != nullptr)
-        placement.backup = *second;
-    return placement;
+std::optional<VmIncarnation> ZoneView::memberAt(std::uint16_t index) const
+{
+    if (index == nobody)
+        return std::nullopt;
+    return this->viewMembers[index].incarnation;
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_zone/views/ZoneView.h
+++ b/modules/lacewingmux_zone/views/ZoneView.h
@@ -6,7 +6,9 @@
 
 #include <QString>
 
+#include <array>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace lacewingmux {
@@ -50,9 +52,23 @@
     [[nodiscard]] SlotPlacement placement(SlotIndex slot) const;
 
 private:
+    /** Indices of a slot's owner and backup in the member list. */
+    struct Holders
+    {
+        std::uint16_t owner = nobody;
+        std::uint16_t backup = nobody;
+    };
+
+    static constexpr std::uint16_t nobody = 0xffff;
+
+    [[nodiscard]] static Holders holdersOf(SlotIndex slot,
+                                           const std::vector<std::uint64_t> &memberHashes);
+    [[nodiscard]] std::optional<VmIncarnation> memberAt(std::uint16_t index) const;
+
     QString viewZone;
     std::uint64_t viewEpoch = 0;
     std::vector<VmDescriptor> viewMembers;
+    std::array<Holders, slotsPerZone> holders{}; ///< worked out once, read for every request
 };
 
 } // namespace lacewingmux
