Add the scheduling decisions beside their naive versions

Cause: the dispatcher, the benchmarks and the experiment need the decisions as pure objects. Change: WorkQueue (start-time fair queueing between teams, least attained service with ageing within a team), ReplicaChooser with ReplicaLoad and PrefixDirectory, PrefixRetention, Quarantine, RetryBudget and AdmissionControl, with FirstComeQueue, LeastReportedLoad and FixedRetention as naive twins.

--- /dev/null
+++ b/modules/lacewingmux_scheduling/lacewingmux_scheduling.h
@@ -0,0 +1,33 @@
+#pragma once
+
+/*
+ * Module lacewingmux_scheduling
+ *
+ * The decisions about order, replicas, prefixes and protection, as pure objects: time and
+ * randomness are passed in, so that the daemon, the tests, the benchmarks and the experiment use
+ * the very same ones. The folder naive holds the plain version of each, to measure against.
+ *
+ * Depends on: lacewingmux_core.
+ */
+
+#include "lacewingmux_scheduling/naive/FirstComeQueue.h"
+#include "lacewingmux_scheduling/naive/FixedRetention.h"
+#include "lacewingmux_scheduling/naive/LeastReportedLoad.h"
+#include "lacewingmux_scheduling/prefixes/PauseEstimator.h"
+#include "lacewingmux_scheduling/prefixes/PrefixRetention.h"
+#include "lacewingmux_scheduling/prefixes/RetentionAction.h"
+#include "lacewingmux_scheduling/protection/AdmissionControl.h"
+#include "lacewingmux_scheduling/protection/Quarantine.h"
+#include "lacewingmux_scheduling/protection/RetryBudget.h"
+#include "lacewingmux_scheduling/queue/WorkItem.h"
+#include "lacewingmux_scheduling/queue/WorkQueue.h"
+#include "lacewingmux_scheduling/queue/WorkQueueSettings.h"
+#include "lacewingmux_scheduling/replicas/LoadReport.h"
+#include "lacewingmux_scheduling/replicas/PrefixDirectory.h"
+#include "lacewingmux_scheduling/replicas/PrefixLocation.h"
+#include "lacewingmux_scheduling/replicas/ReplicaChoice.h"
+#include "lacewingmux_scheduling/replicas/ReplicaChooser.h"
+#include "lacewingmux_scheduling/replicas/ReplicaChooserSettings.h"
+#include "lacewingmux_scheduling/replicas/ReplicaDescriptor.h"
+#include "lacewingmux_scheduling/replicas/ReplicaLoad.h"
+#include "lacewingmux_scheduling/replicas/ReplicaState.h"
--- /dev/null
+++ b/modules/lacewingmux_scheduling/naive/FirstComeQueue.cpp
@@ -0,0 +1,26 @@
+#include "lacewingmux_scheduling/naive/FirstComeQueue.h"
+
+namespace lacewingmux {
+
+void FirstComeQueue::push(const WorkItem &item)
+{
+    this->items.emplace(++this->arrivals, item);
+    this->arrivalOf.emplace(item.id, this->arrivals);
+}
+
+const WorkItem *FirstComeQueue::next() const
+{
+    return this->items.empty() ? nullptr : &this->items.begin()->second;
+}
+
+bool FirstComeQueue::take(std::uint64_t id)
+{
+    const auto found = this->arrivalOf.find(id);
+    if (found == this->arrivalOf.end())
+        return false;
+    this->items.erase(found->second);
+    this->arrivalOf.erase(found);
+    return true;
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_scheduling/protection/Quarantine.cpp
@@ -0,0 +1,98 @@
+#include "lacewingmux_scheduling/protection/Quarantine.h"
+
+#include <algorithm>
+
+namespace lacewingmux {
+
+namespace {
+
+constexpr std::size_t crashesToQuarantine = 2;
+
+} // namespace
+
+Quarantine::Quarantine(const QuarantineSettings &quarantineSettings)
+    : settings(quarantineSettings)
+{ }
+
+bool Quarantine::record(const CrashCoincidence &coincidence, SteadyTime now)
+{
+    this->makeRoom(now);
+    Entry &entry = this->entries[coincidence.contentDigest];
+    if (entry.expiry <= now)
+        entry.crashes.clear();
+    const bool known = std::find(entry.crashes.begin(), entry.crashes.end(), coincidence.crash)
+                       != entry.crashes.end();
+    if (known || entry.crashes.size() >= crashesToQuarantine)
+        return false;
+    entry.crashes.push_back(coincidence.crash);
+    entry.expiry =
+            now
+            + (entry.crashes.size() < crashesToQuarantine ? this->settings.suspicionTimeout
+                                                          : this->settings.quarantineTimeout);
+    this->byExpiry.emplace_back(entry.expiry, coincidence.contentDigest);
+    return true;
+}
+
+void Quarantine::completed(const QByteArray &contentDigest)
+{
+    const auto found = this->entries.find(contentDigest);
+    if (found != this->entries.end() && found->second.crashes.size() < crashesToQuarantine)
+        this->entries.erase(found);
+}
+
+QuarantineVerdict Quarantine::verdict(const QByteArray &contentDigest, SteadyTime now) const
+{
+    const Entry *entry = this->liveEntry(contentDigest, now);
+    if (!entry)
+        return QuarantineVerdict::Clear;
+    return entry->crashes.size() < crashesToQuarantine ? QuarantineVerdict::Suspect
+                                                       : QuarantineVerdict::Quarantined;
+}
+
+std::chrono::milliseconds Quarantine::retryAfter(const QByteArray &contentDigest,
+                                                 SteadyTime now) const
+{
+    if (this->verdict(contentDigest, now) != QuarantineVerdict::Quarantined)
+        return std::chrono::milliseconds(0);
+    return std::chrono::ceil<std::chrono::milliseconds>(this->entries.at(contentDigest).expiry
+                                                        - now);
+}
+
+std::vector<CrashCoincidence> Quarantine::coincidences(SteadyTime now) const
+{
+    std::vector<CrashCoincidence> held;
+    for (const auto &[digest, entry] : this->entries) {
+        if (entry.expiry <= now)
+            continue;
+        for (const QString &crash : entry.crashes)
+            held.push_back({digest, crash});
+    }
+    return held;
+}
+
+const Quarantine::Entry *Quarantine::liveEntry(const QByteArray &contentDigest,
+                                               SteadyTime now) const
+{
+    const auto found = this->entries.find(contentDigest);
+    const bool live = found != this->entries.end() && found->second.expiry > now;
+    return live ? &found->second : nullptr;
+}
+
+void Quarantine::makeRoom(SteadyTime now)
+{
+    while (!this->byExpiry.empty()) {
+        const auto &[expiry, digest] = this->byExpiry.front();
+        const auto found = this->entries.find(digest);
+        const bool current = found != this->entries.end() && found->second.expiry == expiry;
+        const bool full =
+                this->entries.size() >= this->settings.maximumEntries
+                || this->byExpiry.size() > crashesToQuarantine * this->settings.maximumEntries;
+        if (current && expiry > now && !full)
+            return;
+        if (current)
+            this->entries.erase(found);
+        this->byExpiry.pop_front();
+    }
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_scheduling/replicas/ReplicaChooser.cpp
@@ -0,0 +1,198 @@
+#include "lacewingmux_scheduling/replicas/ReplicaChooser.h"
+
+#include <algorithm>
+
+namespace lacewingmux {
+
+ReplicaChooser::ReplicaChooser(const ReplicaChooserSettings &chooserSettings)
+    : settings(chooserSettings)
+{ }
+
+void ReplicaChooser::setReplica(const ReplicaDescriptor &descriptor)
+{
+    const auto [found, added] = this->replicas.try_emplace(descriptor.name);
+    Replica &replica = found->second;
+    replica.descriptor = descriptor;
+    replica.descriptor.capacity = std::max(1, descriptor.capacity);
+    if (added)
+        this->link(replica);
+    else
+        this->refresh(replica);
+}
+
+void ReplicaChooser::removeReplica(const QString &name)
+{
+    const auto found = this->replicas.find(name);
+    if (found == this->replicas.end())
+        return;
+    if (found->second.state == ReplicaState::Serving)
+        this->unlink(found->second);
+    this->replicas.erase(found);
+}
+
+void ReplicaChooser::setState(const QString &name, ReplicaState state)
+{
+    const auto found = this->replicas.find(name);
+    if (found == this->replicas.end() || found->second.state == state)
+        return;
+    if (found->second.state == ReplicaState::Serving)
+        this->unlink(found->second);
+    found->second.state = state;
+    if (state == ReplicaState::Serving)
+        this->link(found->second);
+}
+
+void ReplicaChooser::reportLoad(const QString &name, const LoadReport &report)
+{
+    const auto found = this->replicas.find(name);
+    if (found == this->replicas.end())
+        return;
+    found->second.load.report(report);
+    this->refresh(found->second);
+}
+
+void ReplicaChooser::started(const QString &name, SteadyTime now, bool suspect)
+{
+    const auto found = this->replicas.find(name);
+    if (found == this->replicas.end())
+        return;
+    found->second.load.started(now);
+    found->second.suspects += suspect ? 1 : 0;
+    this->refresh(found->second);
+}
+
+void ReplicaChooser::finished(const QString &name, SteadyTime now, bool suspect)
+{
+    const auto found = this->replicas.find(name);
+    if (found == this->replicas.end())
+        return;
+    found->second.load.finished(now);
+    if (suspect)
+        found->second.suspects = std::max(0, found->second.suspects - 1);
+    this->refresh(found->second);
+}
+
+std::optional<ReplicaChoice> ReplicaChooser::choose(const ChoiceRequest &request,
+                                                    std::mt19937_64 &random) const
+{
+    const Replica *best = this->prefixHolder(request);
+    const auto weigh = [this, &best, &request](const Replica *candidate) {
+        if (candidate && (!best || this->cost(request, *candidate) < this->cost(request, *best)))
+            best = candidate;
+    };
+    if (this->settings.twoChoices) {
+        weigh(this->drawn(request, random));
+        weigh(this->drawn(request, random));
+    }
+    if (!best || !this->settings.twoChoices)
+        weigh(this->leastLoaded(request));
+    if (!best)
+        return std::nullopt;
+    ReplicaChoice choice{best->descriptor.name, 0};
+    if (request.prefix && request.prefix->replica == choice.replica)
+        choice.expectedCachedTokens = std::min(request.prefix->tokens, request.prefixTokens);
+    return choice;
+}
+
+int ReplicaChooser::estimatedSequences(const QString &name) const
+{
+    const auto found = this->replicas.find(name);
+    return found == this->replicas.end() ? 0 : found->second.load.estimate();
+}
+
+double ReplicaChooser::loadFractionOf(const Replica &replica) const
+{
+    const int sequences =
+            this->settings.correctReports ? replica.load.estimate() : replica.load.reported();
+    return static_cast<double>(sequences) / replica.descriptor.capacity;
+}
+
+bool ReplicaChooser::allowed(const ChoiceRequest &request, const Replica &replica) const
+{
+    if (replica.state != ReplicaState::Serving || replica.loadFraction >= 1)
+        return false;
+    if (request.suspect && replica.suspects > 0)
+        return false;
+    return std::find(request.excluded.begin(), request.excluded.end(), replica.descriptor.name)
+           == request.excluded.end();
+}
+
+const ReplicaChooser::Replica *ReplicaChooser::prefixHolder(const ChoiceRequest &request) const
+{
+    if (!this->settings.prefixAffinity || !request.prefix)
+        return nullptr;
+    const auto found = this->replicas.find(request.prefix->replica);
+    if (found == this->replicas.end() || !this->allowed(request, found->second))
+        return nullptr;
+    const double bound = this->meanLoadFraction() + this->settings.affinityLoadMargin;
+    return found->second.loadFraction <= bound ? &found->second : nullptr;
+}
+
+const ReplicaChooser::Replica *ReplicaChooser::drawn(const ChoiceRequest &request,
+                                                     std::mt19937_64 &random) const
+{
+    if (this->serving.empty())
+        return nullptr;
+    std::uniform_int_distribution<std::size_t> index(0, this->serving.size() - 1);
+    const Replica *replica = this->serving[index(random)];
+    return this->allowed(request, *replica) ? replica : nullptr;
+}
+
+const ReplicaChooser::Replica *ReplicaChooser::leastLoaded(const ChoiceRequest &request) const
+{
+    // Only excluded replicas and those with a suspect are passed over, so the walk is short.
+    for (const auto &[fraction, name] : this->byLoad) {
+        if (fraction >= 1)
+            return nullptr;
+        const Replica &replica = this->replicas.at(name);
+        if (this->allowed(request, replica))
+            return &replica;
+    }
+    return nullptr;
+}
+
+double ReplicaChooser::cost(const ChoiceRequest &request, const Replica &replica) const
+{
+    double cached = 0;
+    if (this->settings.prefixAffinity && request.prefix
+        && request.prefix->replica == replica.descriptor.name)
+        cached = request.prefix->confidence
+                 * static_cast<double>(std::min(request.prefix->tokens, request.prefixTokens));
+    return static_cast<double>(request.prefixTokens) - cached
+           + replica.loadFraction * static_cast<double>(this->settings.fullLoadPenaltyTokens);
+}
+
+double ReplicaChooser::meanLoadFraction() const
+{
+    return this->serving.empty()
+                   ? 0
+                   : this->loadFractionSum / static_cast<double>(this->serving.size());
+}
+
+void ReplicaChooser::link(Replica &replica)
+{
+    replica.loadFraction = this->loadFractionOf(replica);
+    replica.servingIndex = this->serving.size();
+    this->serving.push_back(&replica);
+    this->byLoad.emplace(replica.loadFraction, replica.descriptor.name);
+    this->loadFractionSum += replica.loadFraction;
+}
+
+void ReplicaChooser::unlink(Replica &replica)
+{
+    this->byLoad.erase({replica.loadFraction, replica.descriptor.name});
+    this->loadFractionSum -= replica.loadFraction;
+    this->serving.back()->servingIndex = replica.servingIndex;
+    std::swap(this->serving[replica.servingIndex], this->serving.back());
+    this->serving.pop_back();
+}
+
+void ReplicaChooser::refresh(Replica &replica)
+{
+    if (replica.state != ReplicaState::Serving)
+        return;
+    this->unlink(replica);
+    this->link(replica);
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_scheduling/replicas/ReplicaChooser.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_scheduling/replicas/LoadReport.h"
+#include "lacewingmux_scheduling/replicas/ReplicaChoice.h"
+#include "lacewingmux_scheduling/replicas/ReplicaChooserSettings.h"
+#include "lacewingmux_scheduling/replicas/ReplicaDescriptor.h"
+#include "lacewingmux_scheduling/replicas/ReplicaLoad.h"
+#include "lacewingmux_scheduling/replicas/ReplicaState.h"
+
+#include <QHash>
+#include <QString>
+
+#include <optional>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace lacewingmux {
+
+/**
+    Decides which replica of one pool runs a call. Every VM has its own and decides alone.
+
+    The replica that holds the program's prefix is weighed against two drawn at random: the tokens
+    that would have to be computed, plus a penalty for load, decide. The holder takes part only
+    while its load is at most the pool's mean plus a margin. Drawing two at random instead of
+    taking the least loaded keeps VMs with the same lagging reports from piling onto one replica
+    (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001). When neither
+    drawn replica has room the least loaded one is looked at, so that room is never overlooked.
+
+    Loads are kept in order, so a choice costs at most the logarithm of the pool.
+    Pure: it reads no clock and draws from the generator it is given.
+*/
+class ReplicaChooser
+{
+public:
+    using SteadyTime = TimerService::SteadyTime;
+
+    explicit ReplicaChooser(const ReplicaChooserSettings &chooserSettings = {});
+    ReplicaChooser(const ReplicaChooser &) = delete;
+    ReplicaChooser &operator=(const ReplicaChooser &) = delete;
+
+    /** Adds a replica as serving, or changes the capacity of a known one. */
+    void setReplica(const ReplicaDescriptor &descriptor);
+
+    /** Forgets a replica. */
+    void removeReplica(const QString &name);
+
+    /** Changes whether a replica may receive new calls. Unknown names are ignored. */
+    void setState(const QString &name, ReplicaState state);
+
+    /** Takes a load report. Unknown names are ignored. */
+    void reportLoad(const QString &name, const LoadReport &report);
+
+    /** Notes that an own call was sent to the replica; suspect as in its ChoiceRequest. */
+    void started(const QString &name, SteadyTime now, bool suspect = false);
+
+    /** Notes that an own call ended, however it did. */
+    void finished(const QString &name, SteadyTime now, bool suspect = false);
+
+    /** Chooses a replica with room, or nothing when none of those allowed has any. */
+    [[nodiscard]] std::optional<ReplicaChoice> choose(const ChoiceRequest &request,
+                                                      std::mt19937_64 &random) const;
+
+    /** Returns the estimated sequences at the replica; 0 for an unknown name. */
+    [[nodiscard]] int estimatedSequences(const QString &name) const;
+
+    /** Returns how many replicas serve. */
+    [[nodiscard]] std::size_t servingCount() const noexcept
+    {
+        return this->serving.size();
+    }
+
+private:
+    struct Replica
+    {
+        ReplicaDescriptor descriptor;
+        ReplicaState state = ReplicaState::Serving;
+        ReplicaLoad load;
+        int suspects = 0;
+        std::size_t servingIndex = 0; ///< into serving, meaningful while it serves
+        double loadFraction = 0;      ///< as it stands in byLoad
+    };
+
+    [[nodiscard]] double loadFractionOf(const Replica &replica) const;
+    [[nodiscard]] bool allowed(const ChoiceRequest &request, const Replica &replica) const;
+    [[nodiscard]] const Replica *prefixHolder(const ChoiceRequest &request) const;
+    [[nodiscard]] const Replica *drawn(const ChoiceRequest &request, std::mt19937_64 &random) const;
+    [[nodiscard]] const Replica *leastLoaded(const ChoiceRequest &request) const;
+    [[nodiscard]] double cost(const ChoiceRequest &request, const Replica &replica) const;
+    [[nodiscard]] double meanLoadFraction() const;
+    void link(Replica &replica);
+    void unlink(Replica &replica);
+    void refresh(Replica &replica);
+
+    ReplicaChooserSettings settings;
+    std::unordered_map<QString, Replica> replicas;
+    std::vector<Replica *> serving;
+    std::set<std::pair<double, QString>> byLoad; ///< serving replicas by load fraction
+    double loadFractionSum = 0;                  ///< over the serving replicas
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_scheduling/replicas/ReplicaLoad.cpp
@@ -0,0 +1,45 @@
+#include "lacewingmux_scheduling/replicas/ReplicaLoad.h"
+
+#include <algorithm>
+
+namespace lacewingmux {
+
+namespace {
+
+constexpr std::size_t maximumChangesKept = 256;
+
+} // namespace
+
+void ReplicaLoad::started(SteadyTime now)
+{
+    this->note(now, this->own + 1);
+}
+
+void ReplicaLoad::finished(SteadyTime now)
+{
+    this->note(now, std::max(0, this->own - 1));
+}
+
+void ReplicaLoad::report(const LoadReport &report)
+{
+    if (report.measuredAt < this->lastReport.measuredAt)
+        return;
+    this->lastReport = report;
+    while (!this->changes.empty() && this->changes.front().at <= report.measuredAt) {
+        this->ownAtOldest = this->changes.front().ownAfter;
+        this->changes.pop_front();
+    }
+    this->foreign = std::max(0, report.sequences - this->ownAtOldest);
+}
+
+void ReplicaLoad::note(SteadyTime now, int ownAfter)
+{
+    this->own = ownAfter;
+    this->changes.push_back({now, ownAfter});
+    if (this->changes.size() <= maximumChangesKept)
+        return;
+    this->ownAtOldest = this->changes.front().ownAfter;
+    this->changes.pop_front();
+}
+
+} // namespace lacewingmux
