Publish two buckets a decade and build a series' labels once

Change: the text joins five bins into a bucket and builds the label text once for each series. Full bins still travel in the JSON form that percentiles are merged from. Ruled out: leaving out empty buckets, which makes series come and go for monitoring.

--- a/modules/lacewingmux_report/metrics/PrometheusText.cpp
+++ b/modules/lacewingmux_report/metrics/PrometheusText.cpp
@@ -16,7 +16,8 @@
     return result;
 }
 
-QByteArray labelText(const std::vector<MetricLabel> &labels, const QByteArray &extra = {})
+/** Returns the labels without their braces. */
+QByteArray labelText(const std::vector<MetricLabel> &labels)
 {
     QByteArray result;
     for (const MetricLabel &label : labels) {
@@ -24,9 +25,12 @@
             result += ',';
         result += label.name.toUtf8() + "=\"" + escaped(label.value) + '"';
     }
-    if (!extra.isEmpty())
-        result += (result.isEmpty() ? "" : ",") + extra;
-    return result.isEmpty() ? result : '{' + result + '}';
+    return result;
+}
+
+QByteArray inBraces(const QByteArray &labels)
+{
+    return labels.isEmpty() ? labels : '{' + labels + '}';
 }
 
 QByteArray number(double value)
@@ -34,9 +38,26 @@
     return QByteArray::number(value, 'g', 12);
 }
 
-QByteArray secondsText(std::chrono::microseconds duration)
+/** The upper edge of a published bucket and the bins that fall into it. */
+struct PublishedBucket
 {
-    return number(std::chrono::duration<double>(duration).count());
+    QByteArray edge;    ///< in seconds, as the text shows it
+    std::size_t endBin; ///< index behind its last bin
+};
+
+/** Bins joined into one published bucket: two buckets a decade, 16 lines for a series. */
+constexpr std::size_t binsPerBucket = 5;
+
+std::vector<PublishedBucket> makeBuckets()
+{
+    const std::vector<DurationHistogram::Bin> bins = DurationHistogram().bins();
+    std::vector<PublishedBucket> buckets;
+    for (std::size_t index = 0; index + 1 < bins.size(); index += binsPerBucket) {
+        const std::chrono::duration<double> edge = bins[index].upperEdge;
+        buckets.push_back({number(edge.count()), index + 1});
+    }
+    buckets.push_back({"+Inf", bins.size()});
+    return buckets;
 }
 
 void writeHead(QByteArray &text, const QString &name, const char *type)
@@ -54,23 +75,29 @@
     for (const auto &[name, family] : families) {
         writeHead(text, name, type);
         for (const auto &series : family)
-            text += name.toUtf8() + labelText(series.labels) + ' ' + number(series.value) + '\n';
+            text += name.toUtf8() + inBraces(labelText(series.labels)) + ' ' + number(series.value)
+                    + '\n';
     }
 }
 
 void writeHistogram(QByteArray &text, const QByteArray &name,
                     const MetricsSnapshot::Series<DurationHistogram> &series)
 {
+    static const std::vector<PublishedBucket> buckets = makeBuckets();
+    const QByteArray labels = labelText(series.labels);
+    const QByteArray start = name + "_bucket{" + labels + (labels.isEmpty() ? "le=\"" : ",le=\"");
+    const std::vector<DurationHistogram::Bin> bins = series.value.bins();
     std::uint64_t cumulative = 0;
-    for (const DurationHistogram::Bin &bin : series.value.bins()) {
-        cumulative += bin.count;
-        const bool overflow = bin.upperEdge == std::chrono::microseconds::max();
-        const QByteArray edge = overflow ? QByteArray("+Inf") : secondsText(bin.upperEdge);
-        text += name + "_bucket" + labelText(series.labels, "le=\"" + edge + '"') + ' '
+    std::size_t bin = 0;
+    for (const PublishedBucket &bucket : buckets) {
+        for (; bin < bucket.endBin; ++bin)
+            cumulative += bins[bin].count;
+        text += start + bucket.edge + "\"} "
                 + QByteArray::number(static_cast<qulonglong>(cumulative)) + '\n';
     }
-    text += name + "_sum" + labelText(series.labels) + ' ' + secondsText(series.value.sum()) + '\n';
-    text += name + "_count" + labelText(series.labels) + ' '
+    const std::chrono::duration<double> sum = series.value.sum();
+    text += name + "_sum" + inBraces(labels) + ' ' + number(sum.count()) + '\n';
+    text += name + "_count" + inBraces(labels) + ' '
             + QByteArray::number(static_cast<qulonglong>(series.value.count())) + '\n';
 }
 
