Link daemons over TCP with mutual proof, TLS and bounded buffers

Frames carry a length and a verified envelope; both ends prove the shared secret over fresh nonces. Whoever wants a peer dials it, since a joining VM is unknown to the members; of two simultaneous links the one dialled by the lower incarnation stays.

Ruled out: closing a link inside send(), because link handlers would run inside the calls of the parts that are sending; judging silence by elapsed time, which blames peers after one's own pause.

--- a/modules/lacewingmux_peer/lacewingmux_peer.h
+++ b/modules/lacewingmux_peer/lacewingmux_peer.h
@@ -9,10 +9,19 @@
  * Depends on: lacewingmux_core, Qt Network, FlatBuffers.
  */
 
+#include "lacewingmux_peer/framing/FrameCodec.h"
+#include "lacewingmux_peer/framing/FrameDecoder.h"
+#include "lacewingmux_peer/handshake/PeerHandshake.h"
 #include "lacewingmux_peer/links/FrameDispatch.h"
 #include "lacewingmux_peer/links/InMemoryPeerHub.h"
 #include "lacewingmux_peer/links/InMemoryPeerNetwork.h"
 #include "lacewingmux_peer/links/PeerHub.h"
+#include "lacewingmux_peer/links/PeerHubSettings.h"
+#include "lacewingmux_peer/links/PeerLink.h"
+#include "lacewingmux_peer/links/ReconnectBackoff.h"
+#include "lacewingmux_peer/links/TcpPeerHub.h"
+#include "lacewingmux_peer/links/TlsFileSet.h"
 #include "lacewingmux_peer/messages/FrameKind.h"
+#include "lacewingmux_peer/messages/PeerChannel.h"
 #include "lacewingmux_peer/messages/PeerFrame.h"
 #include "lacewingmux_peer/messages/VmDescriptor.h"
