--- a/modules/lacewingmux_http/server/CallerConnection.cpp
+++ b/modules/lacewingmux_http/server/CallerConnection.cpp
@@ -240,6 +240,7 @@
 void CallerConnection::refuse(const LacewingmuxError &error)
 {
     this->server.countRefusal(error.kind());
+    this->refused = true;
     this->phase = Phase::InputClosed;
     this->requestStarted.reset();
     this->input.clear();
@@ -256,10 +257,10 @@
     this->input.clear();
     this->forgetAnswers();
     this->closingSince = this->server.timerService().now();
-    if (this->requestComplete)
-        this->socket->disconnectFromHost();
-    else
+    if (this->refused)
         this->socket->readAll();
+    else
+        this->socket->disconnectFromHost();
 }
 
 void CallerConnection::forgetAnswers()
--- a/modules/lacewingmux_http/server/CallerConnection.h
+++ b/modules/lacewingmux_http/server/CallerConnection.h
@@ -83,6 +83,7 @@
     qint64 bodyBytesFed = 0;
     bool requestComplete = false;
     bool processing = false;
+    bool refused = false; ///< the caller may still be sending what is not wanted
     std::optional<TimerService::SteadyTime> requestStarted;
     std::optional<TimerService::SteadyTime> closingSince;
     TimerService::SteadyTime lastActivity;
--- a/modules/lacewingmux_http/server/ParserSocket.cpp
+++ b/modules/lacewingmux_http/server/ParserSocket.cpp
@@ -31,7 +31,7 @@
 
 qint64 ParserSocket::bytesAvailable() const
 {
-    return QIODevice::bytesAvailable() + this->readable.size();
+    return QTcpSocket::bytesAvailable() + this->readable.size();
 }
 
 bool ParserSocket::isSequential() const
