--- a/modules/lacewingmux_peer/handshake/PeerHandshake.cpp
+++ b/modules/lacewingmux_peer/handshake/PeerHandshake.cpp
@@ -71,7 +71,8 @@
 } // namespace
 
 PeerHandshake::PeerHandshake(Role ownRole, QString fleetName, VmIncarnation ownIncarnation,
-                             PeerChannel ownChannel, QByteArray sharedSecret, QByteArray ownNonce)
+                             PeerChannel ownChannel, QByteArray sharedSecret,
+                             const QByteArray &ownNonce)
     : role(ownRole)
     , fleet(std::move(fleetName))
     , own(std::move(ownIncarnation))
--- a/modules/lacewingmux_peer/handshake/PeerHandshake.h
+++ b/modules/lacewingmux_peer/handshake/PeerHandshake.h
@@ -34,7 +34,7 @@
     enum class Role : std::uint8_t { Dialler, Acceptor };
 
     PeerHandshake(Role ownRole, QString fleetName, VmIncarnation ownIncarnation,
-                  PeerChannel ownChannel, QByteArray sharedSecret, QByteArray ownNonce);
+                  PeerChannel ownChannel, QByteArray sharedSecret, const QByteArray &ownNonce);
 
     /** Returns a nonce from the system's secure generator. */
     [[nodiscard]] static QByteArray makeNonce();
--- a/modules/lacewingmux_peer/links/PeerHubSettings.h
+++ b/modules/lacewingmux_peer/links/PeerHubSettings.h
@@ -25,9 +25,10 @@
     QByteArray sharedSecret;                       ///< may be empty when TLS is set
     std::optional<QSslConfiguration> tls; ///< certificate, key and authority; both ends verify
 
-    qsizetype frameLimitBytes = 16 * 1024 * 1024;
-    qsizetype sendBufferLimitBytes = 64 * 1024 * 1024; ///< a link that would pass it is closed
-    int handshakeLimit = 256; ///< connections that may be in their handshake at once
+    qsizetype frameLimitBytes = qsizetype{16} * 1024 * 1024;
+    qsizetype sendBufferLimitBytes =
+            qsizetype{64} * 1024 * 1024; ///< a link that would pass it is closed
+    int handshakeLimit = 256;            ///< connections that may be in their handshake at once
     std::chrono::milliseconds handshakeTimeout{5000};
     std::chrono::milliseconds pingInterval{1000};
     int missedPingLimit = 3; ///< silent ping intervals after which a link is dead
--- a/tests/peer/FrameDecoderTest.cpp
+++ b/tests/peer/FrameDecoderTest.cpp
@@ -41,8 +41,8 @@
 Test(FrameDecoder, joinsFramesThatArriveInPieces)
 {
     QByteArray bytes;
-    for (std::uint64_t number = 0; number < 20; ++number)
-        bytes += encodeFrame(sampleFrame(number, static_cast<qsizetype>(number * 7)));
+    for (qsizetype number = 0; number < 20; ++number)
+        bytes += encodeFrame(sampleFrame(static_cast<std::uint64_t>(number), number * 7));
     for (const qsizetype piece : {1, 3, 64, 100000}) {
         FrameDecoder decoder(testLimitBytes);
         bool refused = false;
@@ -50,7 +50,7 @@
         cr_assert_not(refused);
         cr_assert_eq(frames.size(), 20);
         cr_assert_eq(frames[19].correlation, 19);
-        cr_assert_eq(frames[19].payload.size(), 19 * 7);
+        cr_assert_eq(frames[19].payload.size(), 133);
     }
 }
 
--- a/tests/peer/TcpPeerHubTest.cpp
+++ b/tests/peer/TcpPeerHubTest.cpp
@@ -204,13 +204,13 @@
     const EventLoop loop;
     QtTimerService timers;
     PeerHubSettings firstSettings = settingsOf("vm-1");
-    firstSettings.sendBufferLimitBytes = 1024 * 1024;
+    firstSettings.sendBufferLimitBytes = qsizetype{1024} * 1024;
     Node first(firstSettings, timers);
     Node second(settingsOf("vm-2"), timers);
     second.hub->setPeers({descriptorOf(*first.hub)});
     cr_assert(loop.waitFor([&] { return first.linkedTo(second); }));
     int sent = 0;
-    while (first.send(second, 1, 64 * 1024))
+    while (first.send(second, 1, 65536))
         ++sent;
     cr_assert_lt(sent, 17);
     cr_assert(first.linkedTo(second), "the link must not close within a send");
