--- a/standins/deployment/TcpRelay.cpp
+++ b/standins/deployment/TcpRelay.cpp
@@ -2,10 +2,13 @@
 
 #include "lacewingmux_core/errors/LacewingmuxError.h"
 
+#include <utility>
+
 namespace lacewingmux::standin {
 
-TcpRelay::TcpRelay(std::uint16_t target)
-    : targetPort(target)
+TcpRelay::TcpRelay(const QHostAddress &targetHost, std::uint16_t port)
+    : target(targetHost)
+    , targetPort(port)
 {
     if (!this->server.listen(QHostAddress::LocalHost))
         throw LacewingmuxError(ErrorKind::InternalError, QStringLiteral("the relay can't listen: ")
@@ -24,27 +27,30 @@
     return this->server.serverPort();
 }
 
-void TcpRelay::setTargetPort(std::uint16_t newTargetPort)
+void TcpRelay::cut()
 {
-    this->targetPort = newTargetPort;
+    this->cutSources([](const QHostAddress &) { return true; });
 }
 
-void TcpRelay::cut()
+void TcpRelay::cutSources(std::function<bool(const QHostAddress &source)> newIsCutSource)
 {
-    this->cutNow = true;
+    this->isCutSource = std::move(newIsCutSource);
 }
 
 void TcpRelay::mend()
 {
-    this->cutNow = false;
+    this->isCutSource = nullptr;
     const std::vector<Pair> current = this->pairs;
     for (const Pair &pair : current) {
         if (!pair.near || !pair.far)
             continue;
+        if (pair.near->state() == QAbstractSocket::UnconnectedState) {
+            this->end(pair);
+            continue;
+        }
         if (pair.far->state() == QAbstractSocket::UnconnectedState)
-            pair.far->connectToHost(QHostAddress(QHostAddress::LocalHost), this->targetPort);
-        this->pass(pair.near, pair.far);
-        this->pass(pair.far, pair.near);
+            pair.far->connectToHost(this->target, this->targetPort);
+        this->pass(pair);
     }
 }
 
@@ -65,40 +71,62 @@
 void TcpRelay::accept()
 {
     while (QTcpSocket *near = this->server.nextPendingConnection()) {
-        auto *far = new QTcpSocket(&this->server);
         std::erase_if(this->pairs, [](const Pair &pair) { return !pair.near || !pair.far; });
-        this->pairs.push_back({near, far});
-        this->connectPair(near, far);
-        this->connectPair(far, near);
-        if (!this->cutNow)
-            far->connectToHost(QHostAddress(QHostAddress::LocalHost), this->targetPort);
+        const Pair pair{near->peerAddress(), near, new QTcpSocket(&this->server)};
+        this->pairs.push_back(pair);
+        this->follow(pair);
+        if (!this->isCut(pair))
+            pair.far->connectToHost(this->target, this->targetPort);
     }
 }
 
-void TcpRelay::connectPair(QTcpSocket *from, QTcpSocket *to)
+void TcpRelay::follow(const Pair &pair)
 {
-    QObject::connect(from, &QTcpSocket::readyRead, to, [this, from, to] { this->pass(from, to); });
-    QObject::connect(from, &QTcpSocket::connected, to, [this, from, to] { this->pass(to, from); });
-    QObject::connect(from, &QTcpSocket::disconnected, to, [this, from, to] {
-        this->pass(from, to);
-        if (!this->cutNow)
-            to->disconnectFromHost();
-        from->deleteLater();
-        to->deleteLater();
-    });
-    QObject::connect(from, &QTcpSocket::errorOccurred, to, [this, from, to] {
-        if (from->state() != QAbstractSocket::UnconnectedState || this->cutNow)
-            return;
-        to->disconnectFromHost();
-        from->deleteLater();
-    });
+    for (QTcpSocket *socket : {pair.near.data(), pair.far.data()}) {
+        QObject::connect(socket, &QTcpSocket::readyRead, socket,
+                         [this, pair] { this->pass(pair); });
+        QObject::connect(socket, &QTcpSocket::connected, socket,
+                         [this, pair] { this->pass(pair); });
+        QObject::connect(socket, &QTcpSocket::disconnected, socket, [this, pair] {
+            this->pass(pair);
+            if (!this->isCut(pair))
+                this->end(pair);
+        });
+        QObject::connect(socket, &QTcpSocket::errorOccurred, socket, [this, pair] {
+            const bool refused = pair.far && pair.far->state() == QAbstractSocket::UnconnectedState;
+            if (refused && !this->isCut(pair))
+                this->end(pair);
+        });
+    }
 }
 
-void TcpRelay::pass(QTcpSocket *from, QTcpSocket *to)
+void TcpRelay::end(const Pair &pair)
 {
-    if (this->cutNow || to->state() != QAbstractSocket::ConnectedState)
+    for (QTcpSocket *socket : {pair.near.data(), pair.far.data()}) {
+        if (socket == nullptr)
+            continue;
+        socket->disconnectFromHost();
+        socket->deleteLater();
+    }
+}
+
+void TcpRelay::pass(const Pair &pair)
+{
+    if (!pair.near || !pair.far || this->isCut(pair))
         return;
-    to->write(from->readAll());
+    this->passOn(pair.near, pair.far);
+    this->passOn(pair.far, pair.near);
+}
+
+void TcpRelay::passOn(QTcpSocket *from, QTcpSocket *to)
+{
+    if (to->state() == QAbstractSocket::ConnectedState && from->bytesAvailable() > 0)
+        to->write(from->readAll());
+}
+
+bool TcpRelay::isCut(const Pair &pair) const
+{
+    return this->isCutSource && this->isCutSource(pair.source);
 }
 
 } // namespace lacewingmux::standin
--- a/standins/deployment/TcpRelay.h
+++ b/standins/deployment/TcpRelay.h
@@ -6,22 +6,24 @@
 #include <QTcpSocket>
 
 #include <cstdint>
+#include <functional>
 #include <vector>
 
 namespace lacewingmux::standin {
 
 /**
-    Passes TCP connections on to a port on loopback, and can be cut.
+    Passes TCP connections on to a target on loopback, and can be cut.
 
-    While cut, its connections pass nothing in either direction and new ones are taken and left
-    waiting, as on a network that drops packets; mending it passes on what has been held back. So a
-    cut looks like silence to both sides, not like a refusal.
+    A connection that is cut passes nothing in either direction and a new one is taken and left
+    waiting, as on a network that drops packets; mending passes on what has been held back. So a cut
+    looks like silence to both sides, not like a refusal. A cut may concern some sources only: each
+    daemon of a deployment dials from an address of its own.
 */
 class TcpRelay
 {
 public:
     /** Starts to listen on a port of the system's choice. Throws when that fails. */
-    explicit TcpRelay(std::uint16_t targetPort);
+    TcpRelay(const QHostAddress &targetHost, std::uint16_t targetPort);
     ~TcpRelay();
     TcpRelay(const TcpRelay &) = delete;
     TcpRelay &operator=(const TcpRelay &) = delete;
@@ -29,37 +31,37 @@
     /** Returns the port that stands in for the target. */
     [[nodiscard]] std::uint16_t port() const;
 
-    /** Sets where new connections go, for a target that started again on another port. */
-    void setTargetPort(std::uint16_t newTargetPort);
-
-    /** Stops passing bytes on. */
+    /** Stops passing bytes of any source. */
     void cut();
 
+    /** Stops passing bytes of the sources for which the function returns true. */
+    void cutSources(std::function<bool(const QHostAddress &source)> isCutSource);
+
     /** Passes bytes on again, also those held back. */
     void mend();
 
     /** Ends all connections at once, as a reset does. */
     void reset();
 
-    [[nodiscard]] bool isCut() const
-    {
-        return this->cutNow;
-    }
-
 private:
     struct Pair
     {
+        QHostAddress source;
         QPointer<QTcpSocket> near;
         QPointer<QTcpSocket> far;
     };
 
     void accept();
-    void pass(QTcpSocket *from, QTcpSocket *to);
-    void connectPair(QTcpSocket *from, QTcpSocket *to);
+    void pass(const Pair &pair);
+    void passOn(QTcpSocket *from, QTcpSocket *to);
+    void end(const Pair &pair);
+    void follow(const Pair &pair);
+    [[nodiscard]] bool isCut(const Pair &pair) const;
 
     QTcpServer server;
+    QHostAddress target;
     std::uint16_t targetPort;
-    bool cutNow = false;
+    std::function<bool(const QHostAddress &source)> isCutSource;
     std::vector<Pair> pairs;
 };
 
--- a/tests/deployment/TcpRelayTest.cpp
+++ b/tests/deployment/TcpRelayTest.cpp
@@ -23,7 +23,8 @@
             QObject::connect(socket, &QTcpSocket::readyRead, socket,
                              [socket] { socket->write(socket->readAll()); });
         });
-        this->relay = std::make_unique<TcpRelay>(this->server.serverPort());
+        this->relay = std::make_unique<TcpRelay>(QHostAddress(QHostAddress::LocalHost),
+                                                 this->server.serverPort());
         this->client.connectToHost(QHostAddress(QHostAddress::LocalHost), this->relay->port());
     }
 
