--- a/modules/lacewingmux_program/dispatch/CallDispatcher.h
+++ b/modules/lacewingmux_program/dispatch/CallDispatcher.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <utility>
 
 namespace lacewingmux {
 
@@ -49,6 +50,24 @@
     /** Tells that a program pauses between calls, so its prefix may be kept, exported or dropped.
      */
     virtual void programPaused(const QString &program, std::int64_t prefixTokens) = 0;
+
+    /** Sets who is told, on the owner's thread, when all engines have let go of an ended program.
+     */
+    void setReleaseHandler(std::function<void(const QString &program)> handler)
+    {
+        this->releaseHandler = std::move(handler);
+    }
+
+protected:
+    /** To be called once no engine holds memory of the program that programEnded named. */
+    void confirmRelease(const QString &program) const
+    {
+        if (this->releaseHandler)
+            this->releaseHandler(program);
+    }
+
+private:
+    std::function<void(const QString &program)> releaseHandler;
 };
 
 } // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_program/events/CallReleased.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "lacewingmux_core/errors/Executed.h"
+#include "lacewingmux_program/events/EventTime.h"
+#include "lacewingmux_program/events/SubAgentOpened.h"
+
+#include <cstdint>
+
+namespace lacewingmux {
+
+/**
+    A call ended without an outcome and may be tried again under its number: it did not run, or it
+    is idempotent and failed.
+*/
+struct CallReleased
+{
+    AgentIndex agent = 0;
+    std::uint32_t number = 0;
+    Executed executed = Executed::No; ///< whether the run that failed may have taken effect
+    std::int64_t chargedTokens = 0;   ///< what the failed run is known to have used
+    EventTime at;
+
+    friend bool operator==(const CallReleased &, const CallReleased &) = default;
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_program/events/PackedBytes.cpp
@@ -0,0 +1,35 @@
+#include "lacewingmux_program/events/PackedBytes.h"
+
+namespace lacewingmux {
+
+namespace {
+
+constexpr qsizetype shortestCompressedBytes = 256;
+constexpr int compressionLevel = 1; ///< of zlib, from 1 (fast) to 9 (small)
+
+} // namespace
+
+PackedBytes PackedBytes::pack(const QByteArray &bytes)
+{
+    if (bytes.size() < shortestCompressedBytes)
+        return fromStored(bytes, false);
+    const QByteArray smaller = qCompress(bytes, compressionLevel);
+    if (smaller.isEmpty() || smaller.size() >= bytes.size())
+        return fromStored(bytes, false);
+    return fromStored(smaller, true);
+}
+
+PackedBytes PackedBytes::fromStored(const QByteArray &stored, bool isStoredCompressed)
+{
+    PackedBytes packed;
+    packed.storedBytes = stored;
+    packed.compressed = isStoredCompressed;
+    return packed;
+}
+
+QByteArray PackedBytes::unpack() const
+{
+    return this->compressed ? qUncompress(this->storedBytes) : this->storedBytes;
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_program/owner/CallRun.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "lacewingmux_program/dispatch/CallDispatcher.h"
+#include "lacewingmux_program/requests/FinalEventHold.h"
+#include "lacewingmux_program/requests/OwnerService.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace lacewingmux {
+
+/** A call between its claim and the commit of its outcome, with the callers that wait for it. */
+struct CallRun
+{
+    std::uint64_t serial = 0; ///< tells this run from an earlier one of the same call
+    bool resumed = false;     ///< whether an earlier owner may have run it
+    std::optional<DispatchHandle> dispatch;
+    std::optional<ErrorKind> cancelReason; ///< set when it was to end before it was dispatched
+    std::vector<OwnerRequestHandle> waiters;
+    std::optional<OwnerRequestHandle> streamer; ///< the waiter that sees chunks as they arrive
+    FinalEventHold finalEvent;
+    bool streamed = false;     ///< whether the streamer has seen a chunk
+    bool streamBroken = false; ///< whether a retry began after chunks were shown
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_program/owner/KeyedRequests.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "lacewingmux_program/claims/RequestClaim.h"
+#include "lacewingmux_program/owner/CallRun.h"
+#include "lacewingmux_program/owner/OutsideRequest.h"
+
+#include <QHash>
+#include <QString>
+
+#include <array>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace lacewingmux {
+
+/**
+    Runs non-idempotent requests outside programs, each at most once: its claim is committed before
+    it is dispatched, and its answer is recorded for those who send it again.
+*/
+class KeyedRequests
+{
+public:
+    explicit KeyedRequests(OwnerContext &ownerContext);
+    KeyedRequests(const KeyedRequests &) = delete;
+    KeyedRequests &operator=(const KeyedRequests &) = delete;
+    ~KeyedRequests();
+
+    /** Handles a request whose idempotency key has its home on this VM. */
+    void handle(OwnerRequestHandle handle);
+
+    /** Takes a claim as the journal has it, and settles one that an earlier owner left open. */
+    void restore(const AggregateRecord &record);
+
+    void loseSlot(SlotIndex slot);
+
+    /** Ends the runs that came with the key, as far as they may be ended. */
+    void withdrawKey(const QString &keyId);
+
+    /** Forgets claims whose retention has passed. */
+    void sweep();
+
+    [[nodiscard]] std::size_t size() const noexcept;
+
+private:
+    struct Entry
+    {
+        RequestClaim claim;
+        std::optional<CallRun> run;
+        DispatchRequest dispatch; ///< meaningful until it is dispatched
+    };
+    using Entries = std::unordered_map<QString, Entry>;
+
+    [[nodiscard]] Entry *find(const AggregateId &id);
+    [[nodiscard]] Entry *findRun(const AggregateId &id, std::uint64_t serial);
+    void follow(OwnerRequestHandle handle, const AggregateId &id, const CallCommand &command);
+    void start(OwnerRequestHandle handle, const AggregateId &id, const CallCommand &command,
+               const CallStarted &event);
+    void dispatch(const AggregateId &id, std::uint64_t serial);
+    void finish(const AggregateId &id, std::uint64_t serial, const DispatchResult &result);
+    void settle(const AggregateId &id, std::uint64_t serial, const DispatchResult &result);
+    void schedule(const AggregateId &id, const RequestClaim &claim);
+
+    OwnerContext &context;
+    std::array<Entries, slotsPerZone> slots;
+    std::set<std::pair<EventTime, AggregateId>> expiries;
+    std::uint64_t nextSerial = 1;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< ends late callbacks with this
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_program/owner/OwnedSlots.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "lacewingmux_program/events/ProgramEvent.h"
+#include "lacewingmux_zone/journal/Journal.h"
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace lacewingmux {
+
+/**
+    The slots that this VM owns, as seen by the owner of their aggregates.
+
+    Wraps the journal so that nothing decided under one ownership takes effect under another: a
+    continuation runs only when its entry is committed and the slot has not been lost since. A loss
+    is reported once, whether the journal told of it or an append stepped down.
+*/
+class OwnedSlots
+{
+public:
+    using Continuation = std::function<void()>;
+
+    explicit OwnedSlots(Journal &replicatedJournal);
+    OwnedSlots(const OwnedSlots &) = delete;
+    OwnedSlots &operator=(const OwnedSlots &) = delete;
+    ~OwnedSlots();
+
+    std::function<void(SlotIndex slot, const std::vector<AggregateRecord> &records)> onActivated;
+    std::function<void(SlotIndex slot)> onLost;
+
+    /** Tells whether the slot is active here and its aggregates have been rebuilt. */
+    [[nodiscard]] bool isOwned(SlotIndex slot) const;
+
+    /** Tells whether an aggregate that the slot lacks is known never to have existed. */
+    [[nodiscard]] bool isComplete(SlotIndex slot) const;
+
+    void append(const AggregateId &aggregate, const QByteArray &entry, Continuation committed);
+    void replace(const AggregateId &aggregate, const QByteArray &entry, Continuation committed);
+    void remove(const AggregateId &aggregate, Continuation committed);
+
+    /** Runs the continuation once the backup has confirmed that this VM owns the slot. */
+    void confirm(SlotIndex slot, Continuation confirmed);
+
+private:
+    struct Slot
+    {
+        bool owned = false;
+        std::uint64_t generation = 0; ///< grows with each change of ownership
+    };
+
+    [[nodiscard]] Journal::Callback guard(SlotIndex slot, Continuation continuation);
+    void activate(SlotIndex slot, const std::vector<AggregateRecord> &records);
+    void lose(SlotIndex slot);
+
+    Journal &journal;
+    std::array<Slot, slotsPerZone> slots;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< ends late callbacks with this
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_program/owner/OwnerContext.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "lacewingmux_core/errors/LacewingmuxError.h"
+#include "lacewingmux_program/events/EventTime.h"
+#include "lacewingmux_program/owner/OwnedSlots.h"
+#include "lacewingmux_program/owner/OwnerEnvironment.h"
+#include "lacewingmux_program/owner/ProgramRepository.h"
+#include "lacewingmux_program/owner/RequestTable.h"
+#include "lacewingmux_program/programs/RecordedCall.h"
+
+namespace lacewingmux {
+
+struct Allowance;
+
+/** What the parts of a ProgramOwner share: the slots, the requests and the programs. */
+class OwnerContext
+{
+public:
+    explicit OwnerContext(OwnerEnvironment ownerEnvironment);
+    OwnerContext(const OwnerContext &) = delete;
+    OwnerContext &operator=(const OwnerContext &) = delete;
+
+    [[nodiscard]] EventTime now() const;
+
+    /** Returns what the team's plan may use; the defaults for a team that is unknown by now. */
+    [[nodiscard]] Allowance allowanceOf(const QString &team) const;
+
+    /** Takes an event into a program and appends it to the journal. */
+    void record(Program &program, const ProgramEvent &event, OwnedSlots::Continuation committed);
+
+    /**
+        Refuses a request. Where the error promises "not run" for a request that may have been sent
+        before, the promise is given only after the backup has confirmed the ownership.
+    */
+    void refuse(OwnerRequestHandle handle, const LacewingmuxError &error);
+
+    /** Answers with the outcome of a call. */
+    void answer(OwnerRequestHandle handle, const RecordedCall &call);
+
+    OwnerEnvironment environment;
+    OwnedSlots slots;
+    RequestTable requests;
+    ProgramRepository programs;
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_program/owner/ProgramCalls.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "lacewingmux_program/owner/CallRun.h"
+#include "lacewingmux_program/owner/OwnerContext.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <tuple>
+
+namespace lacewingmux {
+
+struct DispatchRequest;
+
+/**
+    Runs the numbered calls of the programs: claims each in the journal, dispatches it once that is
+    committed, records its outcome and answers once that is committed too. Calls that came too
+    early wait for those before them.
+*/
+class ProgramCalls
+{
+public:
+    explicit ProgramCalls(OwnerContext &ownerContext);
+    ProgramCalls(const ProgramCalls &) = delete;
+    ProgramCalls &operator=(const ProgramCalls &) = delete;
+    ~ProgramCalls();
+
+    /** Called when a call reached a limit that ends the program. */
+    std::function<void(Program &program, ErrorKind reason)> onLimitReached;
+
+    /** Called when the program changed, so that its next deadline may have. */
+    std::function<void(Program &program)> onChanged;
+
+    /** Called when the call of an agent that has ended came to rest. */
+    std::function<void(Program &program)> onSettledAfterEnd;
+
+    /** Handles a request for a numbered call. */
+    void call(OwnerRequestHandle handle, Program &program);
+
+    /** Handles a request for the outcome of a call. */
+    void fetch(OwnerRequestHandle handle, Program &program);
+
+    /** Goes on after a takeover: settles what may have run and dispatches what is idempotent. */
+    void resume(Program &program);
+
+    /** Ends the calls of the agents that have ended, and looks again at those that wait. */
+    void cancelEnded(Program &program, ErrorKind reason);
+
+    /** Forgets the runs and the queues of a slot that is lost. */
+    void loseSlot(SlotIndex slot);
+
+    /** Ends the runs that came with the key, as far as they may be ended. */
+    void withdrawKey(const QString &keyId);
+
+    /** Returns how many calls are between their claim and the commit of their outcome. */
+    [[nodiscard]] std::size_t runCount() const noexcept
+    {
+        return this->runs.size();
+    }
+
+    /** Returns how many callers wait for an earlier call. */
+    [[nodiscard]] std::size_t queuedCount() const noexcept;
+
+private:
+    struct AgentKey
+    {
+        QString root;
+        AgentIndex agent = 0;
+
+        friend bool operator<(const AgentKey &left, const AgentKey &right) noexcept
+        {
+            return std::tie(left.root, left.agent) < std::tie(right.root, right.agent);
+        }
+    };
+    struct CallKey
+    {
+        QString root;
+        AgentIndex agent = 0;
+        std::uint32_t number = 0;
+
+        friend bool operator<(const CallKey &left, const CallKey &right) noexcept
+        {
+            return std::tie(left.root, left.agent, left.number)
+                   < std::tie(right.root, right.agent, right.number);
+        }
+    };
+    using Queue = std::multimap<std::uint32_t, OwnerRequestHandle>;
+
+    [[nodiscard]] CallCommand parse(const OwnerRequest &request, const Program &program) const;
+    void follow(OwnerRequestHandle handle, Program &program, const CallCommand &command);
+    void refuse(OwnerRequestHandle handle, const Program &program, AgentIndex agent,
+                std::uint32_t number, const LacewingmuxError &error);
+    void start(OwnerRequestHandle handle, Program &program, const CallStarted &event);
+    void enqueue(OwnerRequestHandle handle, const AgentKey &agent, std::uint32_t number);
+    void join(OwnerRequestHandle handle, Program &program, AgentIndex agent, std::uint32_t number);
+    void dispatch(const CallKey &key, std::uint64_t serial);
+    [[nodiscard]] DispatchRequest dispatchRequest(const Program &program, const CallStarted &start,
+                                                  bool stream) const;
+    [[nodiscard]] DispatchListener listener(const CallKey &key, std::uint64_t serial);
+    void showChunk(const CallKey &key, std::uint64_t serial, const QByteArray &chunk);
+    void finish(const CallKey &key, std::uint64_t serial, DispatchResult result);
+    void settle(const CallKey &key, std::uint64_t serial, const DispatchResult &result);
+    void answerWaiters(const CallRun &run, const RecordedCall &call);
+    void releaseWaiters(const CallRun &run, const CallKey &key, const DispatchResult &result);
+    void wake(const AgentKey &agent);
+    void cancel(const CallKey &key, CallRun &run, ErrorKind reason);
+    [[nodiscard]] CallRun *findRun(const CallKey &key, std::uint64_t serial);
+
+    OwnerContext &context;
+    std::map<CallKey, CallRun> runs;
+    std::map<AgentKey, Queue> queues;
+    std::uint64_t nextSerial = 1;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< ends late callbacks with this
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_program/owner/ProgramLifecycle.cpp
@@ -0,0 +1,247 @@
+#include "lacewingmux_program/owner/ProgramLifecycle.h"
+
+#include "lacewingmux_config/documents/Configuration.h"
+#include "lacewingmux_core/errors/ErrorTable.h"
+#include "lacewingmux_core/ids/MintedId.h"
+#include "lacewingmux_core/logging/StructuredLog.h"
+#include "lacewingmux_core/metrics/MetricsRecorder.h"
+#include "lacewingmux_program/dispatch/CallDispatcher.h"
+#include "lacewingmux_program/events/EventCodec.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <algorithm>
+
+namespace lacewingmux {
+
+namespace {
+
+constexpr int maximumMintingTries = 64 * slotsPerZone;
+constexpr int releaseRetentions = 4; ///< after so many, an unconfirmed release is given up
+constexpr int statusCreated = 201;
+constexpr int statusOk = 200;
+
+QByteArray toBody(const QJsonObject &object)
+{
+    return QJsonDocument(object).toJson(QJsonDocument::Compact);
+}
+
+const std::vector<HttpHeader> &jsonHeaders()
+{
+    static const std::vector<HttpHeader> headers{
+            {QByteArrayLiteral("Content-Type"), QByteArrayLiteral("application/json")}};
+    return headers;
+}
+
+bool isReleased(const Program &program)
+{
+    return std::all_of(program.agents().begin(), program.agents().end(),
+                       [](const Agent &agent) { return agent.memoryReleased; });
+}
+
+} // namespace
+
+ProgramLifecycle::ProgramLifecycle(OwnerContext &ownerContext)
+    : context(ownerContext)
+{ }
+
+void ProgramLifecycle::open(OwnerRequestHandle handle)
+{
+    PendingRequest *pending = this->context.requests.find(handle);
+    const auto &configuration = this->context.environment.configuration;
+    const QString team = pending->request.team;
+    const Allowance *allowance = configuration ? configuration->allowanceOf(team) : nullptr;
+    if (allowance == nullptr)
+        throw LacewingmuxError(ErrorKind::NotPermitted,
+                               QStringLiteral("programs are opened by teams that have a plan"));
+    ProgramOpened opened;
+    opened.program =
+            this->mintId([this](SlotIndex slot) { return this->context.slots.isOwned(slot); });
+    opened.team = team;
+    opened.keyId = pending->request.keyId;
+    opened.budgetTokens = allowance->programBudgetTokens;
+    opened.turnLimit = allowance->programTurnLimit;
+    opened.timeout = allowance->programTimeout;
+    opened.idleTimeout = allowance->programIdleTimeout;
+    opened.at = this->context.now();
+    const QByteArray entry = encodeEvents({opened});
+    const auto aggregate = programAggregate(opened.program);
+    pending->slot = aggregate->slot();
+    this->changed(this->context.programs.open(opened, entry));
+    this->context.slots.append(*aggregate, entry, [this, handle, id = opened.program] {
+        this->context.requests.respond(handle, statusCreated, jsonHeaders(),
+                                       toBody({{QStringLiteral("program"), id}}));
+    });
+}
+
+void ProgramLifecycle::openSubAgent(OwnerRequestHandle handle, Program &program,
+                                    const QString &parentId)
+{
+    const SlotIndex slot = programAggregate(program.opening().program)->slot();
+    const AgentIndex parent = program.agentOf(parentId).value_or(0);
+    const QString id = this->mintId([slot](SlotIndex candidate) { return candidate == slot; });
+    const SubAgentOpened event = program.decideSubAgent(id, parent, this->context.now());
+    this->context.record(program, event, [this, handle, id, parentId] {
+        this->context.requests.respond(
+                handle, statusCreated, jsonHeaders(),
+                toBody({{QStringLiteral("program"), id}, {QStringLiteral("parent"), parentId}}));
+    });
+    this->changed(program);
+}
+
+void ProgramLifecycle::end(OwnerRequestHandle handle, Program &program)
+{
+    const QString id = this->context.requests.find(handle)->request.programId;
+    const auto answer = [this, handle, id] {
+        this->context.requests.respond(
+                handle, statusOk, jsonHeaders(),
+                toBody({{QStringLiteral("program"), id}, {QStringLiteral("ended"), true}}));
+    };
+    const AgentIndex agent = program.agentOf(id).value_or(0);
+    if (program.agents()[agent].endReason)
+        this->context.slots.confirm(programAggregate(id)->slot(), answer);
+    else
+        this->endAgent(program, agent, ErrorKind::ProgramEnded, answer);
+}
+
+void ProgramLifecycle::endProgram(Program &program, ErrorKind reason)
+{
+    if (!program.hasEnded())
+        this->endAgent(program, 0, reason, {});
+}
+
+void ProgramLifecycle::endAgent(Program &program, AgentIndex agent, ErrorKind reason,
+                                OwnedSlots::Continuation committed)
+{
+    const QString root = program.opening().program;
+    const auto ended = [this, root, reason, next = std::move(committed)] {
+        if (Program *found = this->context.programs.find(root, this->context.now())) {
+            if (this->onEnded)
+                this->onEnded(*found, reason);
+            this->releaseMemory(*found);
+            this->changed(*found);
+        }
+        if (next)
+            next();
+    };
+    this->context.record(program, ProgramEnded{agent, reason, this->context.now()}, ended);
+    this->changed(program);
+    this->context.environment.metrics.count(
+            "lacewingmux_programs_ended_total",
+            {{QStringLiteral("team"), program.opening().team},
+             {QStringLiteral("reason"), QString::fromLatin1(answerFor(reason).name)}},
+            1);
+}
+
+void ProgramLifecycle::resume(Program &program)
+{
+    this->releaseMemory(program);
+    this->changed(program);
+}
+
+void ProgramLifecycle::releaseMemory(const Program &program)
+{
+    std::vector<QString> ids;
+    for (const Agent &agent : program.agents()) {
+        if (agent.endReason && !agent.memoryReleased && !agent.isRunning())
+            ids.push_back(agent.id);
+    }
+    for (const QString &id : ids)
+        this->context.environment.dispatcher.programEnded(id);
+}
+
+void ProgramLifecycle::memoryReleased(const QString &programId)
+{
+    const auto aggregate = programAggregate(programId);
+    if (!aggregate || !this->context.slots.isOwned(aggregate->slot()))
+        return;
+    Program *program = this->context.programs.find(programId, this->context.now());
+    if (program == nullptr)
+        return;
+    const AgentIndex agent = program->agentOf(programId).value_or(0);
+    if (!program->agents()[agent].endReason || program->agents()[agent].memoryReleased)
+        return;
+    this->context.record(*program, MemoryReleased{agent, this->context.now()}, {});
+    this->changed(*program);
+}
+
+void ProgramLifecycle::changed(Program &program)
+{
+    if (!program.hasEnded()) {
+        this->context.programs.schedule(program, program.deadline());
+        return;
+    }
+    this->context.programs.schedule(program, this->nextLookAtEnded(program));
+    if (!program.isRunning() && isReleased(program)
+        && this->context.programs.entryCount(program) > 1)
+        this->compact(program);
+}
+
+void ProgramLifecycle::compact(Program &program)
+{
+    const QByteArray entry = encodeEvents(program.compactEvents());
+    this->context.programs.compact(program, entry);
+    this->context.slots.replace(*programAggregate(program.opening().program), entry, {});
+}
+
+EventTime ProgramLifecycle::nextLookAtEnded(const Program &program) const
+{
+    const auto retention = this->context.environment.settings.endedProgramRetention;
+    EventTime due = program.endedAt() + retention;
+    while (due <= this->context.now())
+        due += std::max<std::chrono::seconds>(retention, std::chrono::seconds(1));
+    return due;
+}
+
+void ProgramLifecycle::sweep()
+{
+    const EventTime now = this->context.now();
+    for (const QString &id : this->context.programs.due(now)) {
+        if (Program *program = this->context.programs.find(id, now))
+            this->expire(*program);
+    }
+    this->context.programs.unload(now - this->context.environment.settings.unloadAfter);
+}
+
+void ProgramLifecycle::expire(Program &program)
+{
+    const EventTime now = this->context.now();
+    if (!program.hasEnded()) {
+        if (program.decideExpiry(now))
+            this->endProgram(program, ErrorKind::ProgramTimeout);
+        else
+            this->changed(program);
+        return;
+    }
+    const auto retention = this->context.environment.settings.endedProgramRetention;
+    const bool givenUp = now >= program.endedAt() + releaseRetentions * retention;
+    if (program.isRunning() || (!isReleased(program) && !givenUp)) {
+        this->releaseMemory(program);
+        this->changed(program);
+        return;
+    }
+    const QString id = program.opening().program;
+    if (!isReleased(program))
+        LogEvent(LogSeverity::Warning, "programReleaseUnconfirmed").field("program", id);
+    this->context.programs.schedule(program, std::nullopt);
+    this->context.slots.remove(*programAggregate(id),
+                               [this, id] { this->context.programs.remove(id); });
+}
+
+QString ProgramLifecycle::mintId(const std::function<bool(SlotIndex)> &accepts)
+{
+    const OwnerEnvironment &environment = this->context.environment;
+    const std::uint64_t epoch = environment.zoneEpoch ? environment.zoneEpoch() : 0;
+    for (int tries = 0; tries < maximumMintingTries; ++tries) {
+        const MintedId id(environment.self.zone, epoch, environment.self.vm,
+                          environment.self.incarnation, this->nextSerial++);
+        const QString text = id.toString();
+        if (accepts(AggregateId(AggregateKind::Program, environment.self.zone, text).slot()))
+            return text;
+    }
+    throw LacewingmuxError(ErrorKind::OwnerUnavailable,
+                           QStringLiteral("this VM owns no slot that a program may have"));
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_program/owner/ProgramOwner.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "lacewingmux_program/owner/KeyedRequests.h"
+#include "lacewingmux_program/owner/OneShotRequests.h"
+#include "lacewingmux_program/owner/OwnerContext.h"
+#include "lacewingmux_program/owner/ProgramCalls.h"
+#include "lacewingmux_program/owner/ProgramLifecycle.h"
+#include "lacewingmux_program/requests/OwnerService.h"
+
+#include <memory>
+
+namespace lacewingmux {
+
+class Configuration;
+
+/**
+    Owns the programs and claims of the slots that this VM has, on one traffic thread.
+
+    Whatever it decides is appended to the journal first; a call is dispatched, and an answer given,
+    only once that entry is committed. Its aggregates are rebuilt from the journal when a slot
+    becomes active here and dropped when it is lost.
+*/
+class ProgramOwner final : public OwnerService
+{
+public:
+    explicit ProgramOwner(OwnerEnvironment ownerEnvironment);
+    ~ProgramOwner() override;
+
+    /** Sets the configuration in force for what is decided from now on. */
+    void setConfiguration(std::shared_ptr<const Configuration> configuration);
+
+    OwnerRequestHandle handle(const OwnerRequest &request, ResponseSink sink) override;
+    void callerGone(OwnerRequestHandle request) override;
+    void withdrawKey(const QString &keyId) override;
+
+    /** Returns how many programs are kept here, running, idle and ended. */
+    [[nodiscard]] std::size_t programCount() const noexcept
+    {
+        return this->context.programs.size();
+    }
+
+    /** Returns how many of them are held in their rebuilt form. */
+    [[nodiscard]] std::size_t loadedProgramCount() const noexcept
+    {
+        return this->context.programs.loadedCount();
+    }
+    [[nodiscard]] std::size_t claimCount() const noexcept
+    {
+        return this->keyedRequests.size();
+    }
+
+    /** Returns how many calls and requests are running: a planned stop waits until it is zero. */
+    [[nodiscard]] std::size_t runningCount() const noexcept
+    {
+        return this->calls.runCount() + this->oneShots.runCount();
+    }
+    [[nodiscard]] std::size_t pendingRequestCount() const noexcept
+    {
+        return this->context.requests.size();
+    }
+
+private:
+    void wire();
+    void process(OwnerRequestHandle handle);
+    void processProgramRequest(OwnerRequestHandle handle, const QString &programId);
+    void processOutsideRequest(OwnerRequestHandle handle);
+    [[nodiscard]] Program &programFor(PendingRequest &pending, const QString &programId);
+    void sendHistory(OwnerRequestHandle handle, const QString &programId);
+    void timedOut(OwnerRequestHandle handle);
+    void activateSlot(const std::vector<AggregateRecord> &records);
+    void loseSlot(SlotIndex slot);
+
+    OwnerContext context;
+    ProgramCalls calls;
+    ProgramLifecycle lifecycle;
+    OneShotRequests oneShots;
+    KeyedRequests keyedRequests;
+    TimerSubscription sweepTimer;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< ends posted calls with this
+};
+
+} // namespace lacewingmux
