--- /dev/null
+++ b/modules/lacewingmux_allowance/aggregates/TeamAllowance.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "lacewingmux_allowance/shares/ShareHolding.h"
+
+#include <QByteArray>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+namespace lacewingmux {
+
+/** A team's rate and burst, over the whole fleet or over one zone. */
+struct RateAndBurst
+{
+    double tokensPerSecond = 0;
+    double burstTokens = 0;
+
+    friend bool operator==(const RateAndBurst &, const RateAndBurst &) = default;
+};
+
+/** A batch of tokens granted to a front. */
+struct TokenGrant
+{
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0; ///< 0 when the allowance is empty
+};
+
+/**
+    A zone's share of one team's rate and burst: a token bucket whose tokens are granted in batches.
+
+    A granted token may be used until it lapses, so at any moment level + outstanding is at most the
+    burst share. A window that starts at that moment sees at most those tokens and what accrues
+    within it: burst + rate * length, for every window. See docs/design/allowances.md.
+
+    Pure: time is passed in and must not run backwards.
+*/
+class TeamAllowance
+{
+public:
+    using Time = std::chrono::steady_clock::time_point;
+
+    /** Makes the allowance of a team that never had one in this zone; its level starts full. */
+    [[nodiscard]] static TeamAllowance fresh(Time now);
+
+    /**
+        Makes the allowance after a takeover: the level of the last journal entry, nothing for the
+        time since, and every token that was outstanding then counted as granted now. Returns
+        nothing when the entry is damaged.
+    */
+    [[nodiscard]] static std::optional<TeamAllowance> recovered(const QByteArray &entry, Time now);
+
+    /**
+        Makes the allowance of a slot whose state was lost: empty, and without accrual until every
+        token that may have been granted has lapsed. Its share must be learnt from a fenced record.
+    */
+    [[nodiscard]] static TeamAllowance afterLoss(Time now);
+
+    /** Sets the team's rate and burst over the whole fleet; a lower burst takes effect at once. */
+    void setWhole(const RateAndBurst &fleetLimits, Time now);
+
+    /** Learns the zone's share from a share record. */
+    void learnShare(const ShareCounters &recorded, Time now);
+
+    /** Gives up parts of the share, at most those held; returns how many. */
+    std::uint64_t giveParts(std::uint64_t parts, Time now);
+
+    /** Tells whether no token is outstanding beyond the burst share, so that given parts are free.
+     */
+    [[nodiscard]] bool isWithinShare(Time now);
+
+    /**
+        Grants the tokens needed as far as the level reaches, and towards those wanted only a part
+        of what is left, so that a stock at one front doesn't starve the others.
+    */
+    [[nodiscard]] TokenGrant grant(std::uint32_t needed, std::uint32_t wanted, Time now);
+
+    /** Ends a grant before it lapses and puts its unused tokens back. Unknown ids are ignored. */
+    void settle(std::uint64_t grantId, std::uint32_t unused, Time now);
+
+    /** Returns how long until a whole token can be granted; noTokenHorizon at most. */
+    [[nodiscard]] std::chrono::microseconds untilNextToken(Time now);
+
+    /** Returns the tokens that can be granted now. */
+    [[nodiscard]] double level(Time now);
+
+    /** Returns the tokens granted that may still be used. */
+    [[nodiscard]] std::uint64_t outstanding(Time now);
+
+    [[nodiscard]] const ShareHolding &share() const noexcept
+    {
+        return this->holding;
+    }
+
+    /** Returns the zone's share of rate and burst. */
+    [[nodiscard]] RateAndBurst limits() const noexcept;
+
+    /** Returns the whole state as a journal entry. */
+    [[nodiscard]] QByteArray toEntry() const;
+
+    /** The longest wait that is reported for a token. */
+    static constexpr std::chrono::seconds noTokenHorizon{5};
+
+private:
+    struct Outstanding
+    {
+        std::uint64_t id;
+        std::uint32_t tokens;
+        Time lapsesAt;
+    };
+
+    explicit TeamAllowance(Time now);
+
+    void fillOnce() noexcept;
+    void accrue(Time now);
+    void accrueUntil(Time moment);
+    void capLevel() noexcept;
+    [[nodiscard]] std::optional<Time> capAllowsTokenAt(Time now) const;
+
+    ShareHolding holding;
+    RateAndBurst whole;
+    double currentLevel = 0;
+    bool fillWhenKnown = false; ///< a fresh allowance fills up once share and limits are known
+    std::uint64_t outstandingTokens = 0;
+    std::deque<Outstanding> grants; ///< in the order in which they lapse
+    std::uint64_t nextGrantId = 1;
+    Time accruedUntil;
+};
+
+} // namespace lacewingmux
