Grant rate, burst and power from zone-owned allowances

Cause: no team may get above its rate and burst over the whole fleet, and few may be refused within it, with no decision of the platform's store on the path of a request.

--- /dev/null
+++ b/modules/lacewingmux_allowance/admission/TeamAdmission.cpp
@@ -0,0 +1,303 @@
+#include "lacewingmux_allowance/admission/TeamAdmission.h"
+
+#include "lacewingmux_allowance/admission/AdmissionTimes.h"
+#include "lacewingmux_allowance/aggregates/TokenTimes.h"
+#include "lacewingmux_allowance/messages/GrantCodec.h"
+#include "lacewingmux_allowance/owner/AllowanceOwner.h"
+#include "lacewingmux_allowance/shares/ShareItem.h"
+#include "lacewingmux_config/documents/Configuration.h"
+#include "lacewingmux_core/errors/ErrorTable.h"
+#include "lacewingmux_core/hashing/StableHash.h"
+#include "lacewingmux_core/metrics/MetricsRecorder.h"
+#include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_peer/links/PeerHub.h"
+#include "lacewingmux_zone/views/FleetViews.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace lacewingmux {
+
+namespace {
+
+constexpr std::chrono::milliseconds demandDecayTime{1000};
+
+} // namespace
+
+TeamAdmission::Team::Team()
+    : demand(demandDecayTime)
+{ }
+
+TeamAdmission::TeamAdmission(PeerHub &trafficHub, AllowanceOwner &ownAllowances,
+                             TimerService &timerService, MetricsRecorder &metricsRecorder)
+    : hub(trafficHub)
+    , owner(ownAllowances)
+    , timers(timerService)
+    , metrics(metricsRecorder)
+    , ownZone(trafficHub.self().zone)
+    , alive(std::make_shared<bool>(true))
+{
+    this->hub.setHandler(
+            FrameKind::GrantReply,
+            [this, token = this->alive](const VmIncarnation &sender, const PeerFrame &frame) {
+                const auto reply = decodeGrantReply(frame.payload);
+                if (*token && reply)
+                    this->deliver(sender, frame.correlation, *reply);
+            });
+    this->giveBackTimer = this->timers.every(giveBackInterval, [this] { this->giveBack(); });
+}
+
+TeamAdmission::~TeamAdmission()
+{
+    *this->alive = false;
+}
+
+void TeamAdmission::admit(const QString &name, Callback callback)
+{
+    if (!this->configuration || this->configuration->allowanceOf(name) == nullptr) {
+        callback({false, ErrorKind::NotPermitted, std::chrono::milliseconds(0)});
+        return;
+    }
+    const Time now = this->timers.now();
+    Team &team = this->teams[name];
+    team.demand.add(1, now);
+    if (team.waiters.empty() && team.pocket.take(now)) {
+        callback({true, ErrorKind::RateLimited, std::chrono::milliseconds(0)});
+        this->keepStock(name, team);
+        return;
+    }
+    team.waiters.push_back({std::move(callback), now + admissionWait});
+    if (team.waiters.size() > maxWaitingRequests) {
+        const Waiter last = std::move(team.waiters.back());
+        team.waiters.pop_back();
+        this->refuse(last, team);
+        return;
+    }
+    this->pump(name, team);
+}
+
+void TeamAdmission::adoptConfiguration(std::shared_ptr<const Configuration> accepted)
+{
+    this->configuration = std::move(accepted);
+}
+
+void TeamAdmission::adoptViews(std::shared_ptr<const FleetViews> fleetViews)
+{
+    this->views = std::move(fleetViews);
+}
+
+void TeamAdmission::setBorrowing(bool allowed)
+{
+    this->borrowing = allowed;
+}
+
+void TeamAdmission::pump(const QString &name, Team &team)
+{
+    this->admitWaiting(team);
+    this->refuseOverdue(team);
+    if (!team.waiters.empty() && !team.currentAsk)
+        this->askFor(name, team, static_cast<std::uint32_t>(team.waiters.size()));
+}
+
+void TeamAdmission::admitWaiting(Team &team)
+{
+    const Time now = this->timers.now();
+    while (!team.waiters.empty() && team.pocket.take(now)) {
+        const Waiter waiter = std::move(team.waiters.front());
+        team.waiters.pop_front();
+        waiter.callback({true, ErrorKind::RateLimited, std::chrono::milliseconds(0)});
+    }
+}
+
+void TeamAdmission::askFor(const QString &name, Team &team, std::uint32_t needed)
+{
+    const std::vector<QString> zones = this->zonesInOrder(name);
+    while (const auto zone = team.hints.choose(zones, this->timers.now())) {
+        if (this->ask(name, team, *zone, needed))
+            return;
+        team.hints.noteUnavailable(*zone, this->timers.now() + wrongOwnerPause);
+    }
+    this->refuseWaiting(team);
+}
+
+bool TeamAdmission::ask(const QString &name, Team &team, const QString &zone, std::uint32_t needed)
+{
+    const std::uint32_t stock = zone == this->ownZone ? stockFor(team, this->timers.now()) : 0;
+    const auto correlation = this->send(
+            name, zone, {name, needed, needed + stock, team.pocket.takeSettlements(zone)});
+    if (!correlation)
+        return false;
+    team.currentAsk = correlation;
+    team.askTimer = this->timers.after(grantAskTimeout, [this, name, asked = *correlation] {
+        this->handleTimeout(name, asked);
+    });
+    return true;
+}
+
+std::optional<std::uint64_t> TeamAdmission::send(const QString &name, const QString &zone,
+                                                 const GrantRequest &request)
+{
+    const auto target = this->views ? this->views->ownerOf(ShareItem::team(name).aggregateIn(zone))
+                                    : std::nullopt;
+    if (!target)
+        return std::nullopt;
+    const std::uint64_t correlation = this->nextCorrelation++;
+    // The tokens expire by this moment, taken before anything is sent.
+    this->asks[correlation] = {name, zone, *target, request.needed, this->timers.now()};
+    if (*target == this->hub.self()) {
+        this->sendLocally(request, correlation);
+        return correlation;
+    }
+    if (this->hub.send(*target, {FrameKind::GrantRequest, 0, correlation, encode(request)}))
+        return correlation;
+    this->asks.erase(correlation);
+    return std::nullopt;
+}
+
+void TeamAdmission::sendLocally(const GrantRequest &request, std::uint64_t correlation)
+{
+    // Posted, so that a reply never arrives within the call that asked for it.
+    this->timers.post([this, token = this->alive, request, correlation] {
+        if (!*token)
+            return;
+        const VmIncarnation self = this->hub.self();
+        this->owner.requestGrant(self, request,
+                                 [this, token, self, correlation](const auto &reply) {
+                                     if (*token)
+                                         this->deliver(self, correlation, reply);
+                                 });
+    });
+}
+
+void TeamAdmission::deliver(const VmIncarnation &sender, std::uint64_t correlation,
+                            const GrantReply &reply)
+{
+    const auto found = this->asks.find(correlation);
+    if (found == this->asks.end() || !(found->second.owner == sender))
+        return;
+    const Ask ask = found->second;
+    this->asks.erase(found);
+    Team &team = this->teams[ask.team];
+    if (team.currentAsk == correlation) {
+        team.currentAsk.reset();
+        team.askTimer.cancel();
+    }
+    this->noteReply(team, ask, reply);
+    this->pump(ask.team, team);
+}
+
+void TeamAdmission::noteReply(Team &team, const Ask &ask, const GrantReply &reply)
+{
+    const Time now = this->timers.now();
+    if (reply.outcome != GrantOutcome::Answered) {
+        team.hints.noteUnavailable(ask.zone, now + wrongOwnerPause);
+        return;
+    }
+    team.pocket.add(ask.zone, reply.grantId, reply.tokens, ask.sentAt + tokenLifetime, now);
+    if (reply.tokens < ask.needed)
+        team.hints.noteEmpty(ask.zone, now + reply.nextToken);
+    else if (ask.needed > 0)
+        team.hints.noteGranted(ask.zone);
+}
+
+void TeamAdmission::handleTimeout(const QString &name, std::uint64_t correlation)
+{
+    Team &team = this->teams[name];
+    if (team.currentAsk != correlation)
+        return;
+    team.currentAsk.reset();
+    const auto ask = this->asks.find(correlation);
+    if (ask != this->asks.end())
+        team.hints.noteUnavailable(ask->second.zone, this->timers.now() + silentOwnerPause);
+    this->pump(name, team);
+}
+
+void TeamAdmission::refuseWaiting(Team &team)
+{
+    const std::deque<Waiter> refused = std::exchange(team.waiters, {});
+    for (const Waiter &waiter : refused)
+        this->refuse(waiter, team);
+}
+
+void TeamAdmission::refuse(const Waiter &waiter, const Team &team)
+{
+    using std::chrono::milliseconds;
+    const auto untilToken = team.hints.untilToken(this->timers.now());
+    AdmissionDecision decision;
+    decision.refusal = untilToken ? ErrorKind::RateLimited : ErrorKind::OwnerUnavailable;
+    decision.retryAfter =
+            untilToken ? std::max(milliseconds(1), std::chrono::ceil<milliseconds>(*untilToken))
+                       : answerFor(ErrorKind::OwnerUnavailable).defaultRetryAfter;
+    waiter.callback(decision);
+}
+
+void TeamAdmission::refuseOverdue(Team &team)
+{
+    const Time now = this->timers.now();
+    while (!team.waiters.empty() && team.waiters.front().deadline <= now) {
+        const Waiter waiter = std::move(team.waiters.front());
+        team.waiters.pop_front();
+        this->refuse(waiter, team);
+    }
+}
+
+void TeamAdmission::keepStock(const QString &name, Team &team)
+{
+    const Time now = this->timers.now();
+    const std::uint32_t stock = stockFor(team, now);
+    if (team.currentAsk || team.pocket.available(now) * 2 >= stock)
+        return;
+    if (!team.hints.choose({this->ownZone}, now))
+        return;
+    if (!this->ask(name, team, this->ownZone, 0))
+        team.hints.noteUnavailable(this->ownZone, now + wrongOwnerPause);
+}
+
+void TeamAdmission::giveBack()
+{
+    const Time now = this->timers.now();
+    for (auto &[name, team] : this->teams) {
+        team.pocket.giveBackExpiring(now + giveBackAhead, now);
+        for (const QString &zone : team.pocket.zonesOwedTokens())
+            (void)this->send(name, zone, {name, 0, 0, team.pocket.takeSettlements(zone)});
+    }
+    this->forgetOldAsks();
+}
+
+void TeamAdmission::forgetOldAsks()
+{
+    const Time oldest = this->timers.now() - tokenLifetime;
+    std::erase_if(this->asks, [oldest](const auto &entry) { return entry.second.sentAt < oldest; });
+}
+
+std::vector<QString> TeamAdmission::zonesInOrder(const QString &name) const
+{
+    std::vector<QString> zones;
+    if (!this->views)
+        return zones;
+    if (this->borrowing) {
+        for (const auto &[zone, view] : this->views->views()) {
+            if (zone != this->ownZone)
+                zones.push_back(zone);
+        }
+    }
+    // Each front starts with another zone, so that borrowers spread.
+    const auto weight = [this, &name](const QString &zone) {
+        return combineHashes(stableHash((name + this->hub.self().vm).toUtf8()),
+                             stableHash(zone.toUtf8()));
+    };
+    std::sort(zones.begin(), zones.end(), [&weight](const QString &left, const QString &right) {
+        return weight(left) < weight(right);
+    });
+    zones.insert(zones.begin(), this->ownZone);
+    return zones;
+}
+
+std::uint32_t TeamAdmission::stockFor(const Team &team, Time now)
+{
+    const double seconds = std::chrono::duration<double>(stockAhead).count();
+    return static_cast<std::uint32_t>(std::floor(team.demand.perSecond(now) * seconds));
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_allowance/admission/ZonePower.cpp
@@ -0,0 +1,187 @@
+#include "lacewingmux_allowance/admission/ZonePower.h"
+
+#include "lacewingmux_allowance/aggregates/PowerTimes.h"
+#include "lacewingmux_allowance/messages/GrantCodec.h"
+#include "lacewingmux_allowance/owner/AllowanceOwner.h"
+#include "lacewingmux_allowance/shares/ShareItem.h"
+#include "lacewingmux_config/documents/Configuration.h"
+#include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_peer/links/PeerHub.h"
+#include "lacewingmux_zone/views/FleetViews.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingmux {
+
+namespace {
+
+constexpr std::chrono::milliseconds reservationWait{250};
+constexpr std::chrono::milliseconds requestTimeout{200};
+constexpr std::chrono::milliseconds refreshInterval{100};
+constexpr std::chrono::milliseconds renewInterval = powerLease / 3;
+
+/** A front asks for this part of its use ahead of need. */
+constexpr double stockPart = 0.1;
+
+/** Absorbs rounding of sums of watts. */
+constexpr double wattTolerance = 1e-6;
+
+} // namespace
+
+ZonePower::ZonePower(PeerHub &trafficHub, AllowanceOwner &ownAllowances, TimerService &timerService)
+    : hub(trafficHub)
+    , owner(ownAllowances)
+    , timers(timerService)
+    , alive(std::make_shared<bool>(true))
+{
+    this->hub.setHandler(FrameKind::PowerReply,
+                         [this, token = this->alive](const auto &sender, const auto &frame) {
+                             const auto reply = decodePowerReply(frame.payload);
+                             if (*token && reply)
+                                 this->deliver(sender, *reply);
+                         });
+    this->refreshTimer = this->timers.every(refreshInterval, [this] { this->refresh(); });
+}
+
+ZonePower::~ZonePower()
+{
+    *this->alive = false;
+}
+
+void ZonePower::reserve(double watts, Callback callback)
+{
+    if (this->configuration && this->configuration->sitePowerCapWatts <= 0) {
+        callback(PowerReservation(0, nullptr));
+        return;
+    }
+    if (this->waiters.empty() && this->canStart(watts)) {
+        callback(this->start(watts));
+        return;
+    }
+    this->waiters.push_back({watts, std::move(callback), this->timers.now() + reservationWait});
+    if (!this->pending)
+        this->ask((this->inUse + this->waitingWatts()) * (1 + stockPart));
+}
+
+void ZonePower::adoptConfiguration(std::shared_ptr<const Configuration> accepted)
+{
+    this->configuration = std::move(accepted);
+}
+
+void ZonePower::adoptViews(std::shared_ptr<const FleetViews> fleetViews)
+{
+    this->views = std::move(fleetViews);
+}
+
+double ZonePower::watts() const noexcept
+{
+    return this->inUse;
+}
+
+bool ZonePower::canStart(double watts) const
+{
+    return this->grantedUntil && this->timers.now() < *this->grantedUntil
+           && this->inUse + watts <= this->granted + wattTolerance;
+}
+
+PowerReservation ZonePower::start(double watts)
+{
+    this->inUse += watts;
+    return {watts, [this, token = this->alive](double released) {
+                if (*token)
+                    this->release(released);
+            }};
+}
+
+double ZonePower::waitingWatts() const
+{
+    double total = 0;
+    for (const Waiter &waiter : this->waiters)
+        total += waiter.watts;
+    return total;
+}
+
+void ZonePower::release(double watts)
+{
+    this->inUse = std::max(0.0, this->inUse - watts);
+    this->serveWaiting();
+}
+
+void ZonePower::serveWaiting()
+{
+    while (!this->waiters.empty() && this->canStart(this->waiters.front().watts)) {
+        const Waiter waiter = std::move(this->waiters.front());
+        this->waiters.pop_front();
+        waiter.callback(this->start(waiter.watts));
+    }
+}
+
+void ZonePower::refuseWaiting(bool overdueOnly)
+{
+    const Time now = this->timers.now();
+    while (!this->waiters.empty() && (!overdueOnly || this->waiters.front().deadline <= now)) {
+        const Waiter waiter = std::move(this->waiters.front());
+        this->waiters.pop_front();
+        waiter.callback(std::nullopt);
+    }
+}
+
+void ZonePower::ask(double totalWatts)
+{
+    const AggregateId aggregate = ShareItem::power().aggregateIn(this->hub.self().zone);
+    const auto target = this->views ? this->views->ownerOf(aggregate) : std::nullopt;
+    const PowerRequest request{++this->lastSequence, totalWatts};
+    // A lower holding is in force here before the owner can hear of it.
+    this->granted = std::min(this->granted, totalWatts);
+    this->pending = Request{request.sequence, this->timers.now()};
+    if (!target)
+        return;
+    if (!(*target == this->hub.self())) {
+        (void)this->hub.send(*target,
+                             {FrameKind::PowerRequest, 0, request.sequence, encode(request)});
+        return;
+    }
+    // Posted, so that a reply never arrives within the call that asked for it.
+    this->timers.post([this, token = this->alive, self = *target, request] {
+        if (!*token)
+            return;
+        this->owner.requestPower(self, request, [this, token, self](const PowerReply &reply) {
+            if (*token)
+                this->deliver(self, reply);
+        });
+    });
+}
+
+void ZonePower::deliver(const VmIncarnation &, const PowerReply &reply)
+{
+    if (!this->pending || reply.sequence != this->pending->sequence)
+        return;
+    const Request request = *this->pending;
+    this->pending.reset();
+    if (reply.outcome == GrantOutcome::NotOwner)
+        return;
+    this->granted = reply.grantedWatts;
+    this->grantedUntil = request.sentAt + powerLease;
+    this->serveWaiting();
+    // What the owner could not grant now is refused at once: the cap is reached.
+    this->refuseWaiting(false);
+}
+
+void ZonePower::refresh()
+{
+    const Time now = this->timers.now();
+    this->refuseWaiting(true);
+    if (this->pending && now - this->pending->sentAt < requestTimeout)
+        return;
+    const double needed = (this->inUse + this->waitingWatts()) * (1 + stockPart);
+    const bool isShort = !this->waiters.empty();
+    const bool unanswered = this->pending.has_value();
+    const bool due = this->grantedUntil && now >= *this->grantedUntil - powerLease + renewInterval
+                     && (this->granted > 0 || this->inUse > 0);
+    const bool surplus = this->granted > needed + wattTolerance;
+    if (isShort || unanswered || due || surplus)
+        this->ask(needed);
+}
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_allowance/aggregates/PowerAllowance.cpp
+++ b/modules/lacewingmux_allowance/aggregates/PowerAllowance.cpp
@@ -58,7 +58,7 @@
 {
     Held &held = this->heldByVm[holder];
     if (sequence < held.sequence)
-        return held.watts;
+        return this->usableWatts(held);
     held.sequence = sequence;
     held.watts = std::min(held.watts, std::max(0.0, totalWatts));
     if (this->blockedUntil && now >= *this->blockedUntil)
@@ -67,7 +67,15 @@
         const double freeWatts = std::max(0.0, this->limitWatts() - this->heldWatts());
         held.watts += std::clamp(totalWatts - held.watts, 0.0, freeWatts);
     }
-    return held.watts;
+    return this->usableWatts(held);
+}
+
+double PowerAllowance::usableWatts(const Held &held) const noexcept
+{
+    const double heldInAll = this->heldWatts();
+    if (heldInAll <= this->limitWatts() || heldInAll <= 0)
+        return held.watts;
+    return held.watts * this->limitWatts() / heldInAll;
 }
 
 void PowerAllowance::holderLeft(const VmIncarnation &holder, Time leftAt)
--- a/modules/lacewingmux_allowance/aggregates/PowerAllowance.h
+++ b/modules/lacewingmux_allowance/aggregates/PowerAllowance.h
@@ -46,8 +46,9 @@
     std::uint64_t giveParts(std::uint64_t parts);
 
     /**
-        Sets what a VM holds: lowers it at once, raises it as far as power is free. Returns what
-        the VM holds then. A request older than the last one changes nothing.
+        Sets what a VM holds: lowers it at once, raises it as far as power is free. Returns up to
+        which power the VM may start sequences: what it holds, or its part of a cap that has been
+        lowered below what is held. A request older than the last one changes nothing.
     */
     double request(const VmIncarnation &holder, std::uint64_t sequence, double totalWatts,
                    Time now);
@@ -86,6 +87,8 @@
         std::optional<Time> leftAt;
     };
 
+    [[nodiscard]] double usableWatts(const Held &held) const noexcept;
+
     ShareHolding holding;
     double capWatts = 0;
     std::map<VmIncarnation, Held> heldByVm;
--- a/modules/lacewingmux_allowance/aggregates/TeamAllowance.cpp
+++ b/modules/lacewingmux_allowance/aggregates/TeamAllowance.cpp
@@ -29,23 +29,25 @@
 
 } // namespace
 
-TeamAllowance::TeamAllowance(Time now)
-    : accruedUntil(now)
+TeamAllowance::TeamAllowance(std::uint64_t firstGrantId, Time now)
+    : nextGrantId(firstGrantId)
+    , accruedUntil(now)
 { }
 
-TeamAllowance TeamAllowance::fresh(Time now)
+TeamAllowance TeamAllowance::fresh(std::uint64_t firstGrantId, Time now)
 {
-    TeamAllowance allowance(now);
+    TeamAllowance allowance(firstGrantId, now);
     allowance.fillWhenKnown = true;
     return allowance;
 }
 
-std::optional<TeamAllowance> TeamAllowance::recovered(const QByteArray &entry, Time now)
+std::optional<TeamAllowance> TeamAllowance::recovered(const QByteArray &entry,
+                                                      std::uint64_t firstGrantId, Time now)
 {
     const auto *table = verifiedTable<fb::TeamAllowanceEntry>(entry);
     if (table == nullptr)
         return std::nullopt;
-    TeamAllowance allowance(now);
+    TeamAllowance allowance(firstGrantId, now);
     if (table->share() != nullptr)
         allowance.holding = ShareHolding(countersFrom(*table->share()));
     allowance.currentLevel = std::max(0.0, table->level());
@@ -58,9 +60,9 @@
     return allowance;
 }
 
-TeamAllowance TeamAllowance::afterLoss(Time now)
+TeamAllowance TeamAllowance::afterLoss(std::uint64_t firstGrantId, Time now)
 {
-    return TeamAllowance(now + tokenOutstandingTime);
+    return {firstGrantId, now + tokenOutstandingTime};
 }
 
 void TeamAllowance::setWhole(const RateAndBurst &fleetLimits, Time now)
@@ -91,7 +93,7 @@
 {
     this->accrue(now);
     return static_cast<double>(this->outstandingTokens)
-            <= this->limits().burstTokens + roundingTolerance;
+           <= this->limits().burstTokens + roundingTolerance;
 }
 
 TokenGrant TeamAllowance::grant(std::uint32_t needed, std::uint32_t wanted, Time now)
@@ -135,9 +137,8 @@
     const double missingSeconds = (1 - this->currentLevel) / share.tokensPerSecond;
     const double startSeconds = std::max(0.0, secondsBetween(now, this->accruedUntil));
     const double capSeconds = secondsBetween(now, *capAllows);
-    const double seconds =
-            std::min(std::max(startSeconds + missingSeconds, capSeconds),
-                     std::chrono::duration<double>(noTokenHorizon).count());
+    const double seconds = std::min(std::max(startSeconds + missingSeconds, capSeconds),
+                                    std::chrono::duration<double>(noTokenHorizon).count());
     return microseconds(static_cast<std::int64_t>(std::ceil(seconds * 1e6)));
 }
 
@@ -162,9 +163,8 @@
 QByteArray TeamAllowance::toEntry() const
 {
     flatbuffers::FlatBufferBuilder builder;
-    const auto share = this->holding.isKnown()
-            ? countersInto(builder, this->holding.counters())
-            : flatbuffers::Offset<fb::ShareCounters>();
+    const auto share = this->holding.isKnown() ? countersInto(builder, this->holding.counters())
+                                               : flatbuffers::Offset<fb::ShareCounters>();
     builder.Finish(fb::CreateTeamAllowanceEntry(builder, share, this->currentLevel,
                                                 this->outstandingTokens));
     return bytesOf(builder);
@@ -206,8 +206,7 @@
 
 void TeamAllowance::capLevel() noexcept
 {
-    const double room =
-            this->limits().burstTokens - static_cast<double>(this->outstandingTokens);
+    const double room = this->limits().burstTokens - static_cast<double>(this->outstandingTokens);
     this->currentLevel = std::clamp(this->currentLevel, 0.0, std::max(0.0, room));
 }
 
--- a/modules/lacewingmux_allowance/aggregates/TeamAllowance.h
+++ b/modules/lacewingmux_allowance/aggregates/TeamAllowance.h
@@ -41,21 +41,26 @@
 public:
     using Time = std::chrono::steady_clock::time_point;
 
-    /** Makes the allowance of a team that never had one in this zone; its level starts full. */
-    [[nodiscard]] static TeamAllowance fresh(Time now);
+    /**
+        Makes the allowance of a team that never had one in this zone; its level starts full.
+        Grants are numbered from firstGrantId, which no other owner of the team may use, so that a
+        settlement meant for an earlier owner settles nothing here.
+    */
+    [[nodiscard]] static TeamAllowance fresh(std::uint64_t firstGrantId, Time now);
 
     /**
         Makes the allowance after a takeover: the level of the last journal entry, nothing for the
         time since, and every token that was outstanding then counted as granted now. Returns
         nothing when the entry is damaged.
     */
-    [[nodiscard]] static std::optional<TeamAllowance> recovered(const QByteArray &entry, Time now);
+    [[nodiscard]] static std::optional<TeamAllowance>
+    recovered(const QByteArray &entry, std::uint64_t firstGrantId, Time now);
 
     /**
         Makes the allowance of a slot whose state was lost: empty, and without accrual until every
         token that may have been granted has lapsed. Its share must be learnt from a fenced record.
     */
-    [[nodiscard]] static TeamAllowance afterLoss(Time now);
+    [[nodiscard]] static TeamAllowance afterLoss(std::uint64_t firstGrantId, Time now);
 
     /** Sets the team's rate and burst over the whole fleet; a lower burst takes effect at once. */
     void setWhole(const RateAndBurst &fleetLimits, Time now);
@@ -110,7 +115,7 @@
         Time lapsesAt;
     };
 
-    explicit TeamAllowance(Time now);
+    TeamAllowance(std::uint64_t firstGrantId, Time now);
 
     void fillOnce() noexcept;
     void accrue(Time now);
@@ -124,7 +129,7 @@
     bool fillWhenKnown = false; ///< a fresh allowance fills up once share and limits are known
     std::uint64_t outstandingTokens = 0;
     std::deque<Outstanding> grants; ///< in the order in which they lapse
-    std::uint64_t nextGrantId = 1;
+    std::uint64_t nextGrantId;
     Time accruedUntil;
 };
 
--- /dev/null
+++ b/modules/lacewingmux_allowance/owner/AllowanceOwner.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "lacewingmux_allowance/aggregates/DecayingRate.h"
+#include "lacewingmux_allowance/aggregates/PowerAllowance.h"
+#include "lacewingmux_allowance/aggregates/TeamAllowance.h"
+#include "lacewingmux_allowance/messages/GrantMessages.h"
+#include "lacewingmux_allowance/owner/CommitBatch.h"
+#include "lacewingmux_allowance/owner/ItemDemand.h"
+#include "lacewingmux_core/ids/VmIncarnation.h"
+#include "lacewingmux_core/time/TimerSubscription.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace lacewingmux {
+
+class Configuration;
+class FleetViews;
+class Journal;
+class MetricsRecorder;
+class PeerHub;
+class ShareTable;
+class TimerService;
+struct AggregateRecord;
+struct PeerFrame;
+
+/**
+    Owns the allowances in the slots that this VM owns, on the traffic thread.
+
+    It answers the requests of fronts, its own VM's included, and sends a grant only once the
+    journal has committed the debit. The share keeper lowers and learns shares through it.
+*/
+class AllowanceOwner
+{
+public:
+    using GrantCallback = std::function<void(const GrantReply &)>;
+    using PowerCallback = std::function<void(const PowerReply &)>;
+
+    AllowanceOwner(Journal &ownJournal, PeerHub &trafficHub, TimerService &timerService,
+                   MetricsRecorder &metricsRecorder);
+    ~AllowanceOwner();
+    AllowanceOwner(const AllowanceOwner &) = delete;
+    AllowanceOwner &operator=(const AllowanceOwner &) = delete;
+
+    /** Adopts a configuration, unless a higher revision is already in force here. */
+    void adoptConfiguration(std::shared_ptr<const Configuration> configuration);
+
+    /** Adopts the views; power of VMs that left is taken back after the longest run time. */
+    void adoptViews(std::shared_ptr<const FleetViews> fleetViews);
+
+    /** Adopts the zone's shares as read from the share records; counters never fall. */
+    void adoptShares(std::shared_ptr<const ShareTable> shareTable);
+
+    /** Grants tokens to a front; calls back after the commit, at once when there is none. */
+    void requestGrant(const VmIncarnation &front, const GrantRequest &request,
+                      GrantCallback callback);
+
+    /** Sets what a VM of this zone holds of the power; calls back after the commit. */
+    void requestPower(const VmIncarnation &holder, const PowerRequest &request,
+                      PowerCallback callback);
+
+    /**
+        Stops using parts of a share. The gift appears in demands() once it is committed and no
+        token of it can still be in use; only then may it be written to the share record.
+    */
+    void giveParts(const ShareItem &item, std::uint64_t parts);
+
+    /** Learns the share of an item whose journal was lost, from a record read behind a fence. */
+    void learnFenced(const ShareItem &item, const ShareCounters &recorded);
+
+    /** Returns demand and share of every item that this VM owns. */
+    [[nodiscard]] std::vector<ItemDemand> demands();
+
+private:
+    using Time = std::chrono::steady_clock::time_point;
+
+    struct OwnedTeam
+    {
+        TeamAllowance allowance;
+        DecayingRate demand;
+        std::uint64_t settledGiven = 0; ///< given, and surely out of use
+        bool shareLost = false;
+    };
+    struct OwnedPower
+    {
+        PowerAllowance allowance;
+        double wantedWatts = 0; ///< what the last requests asked for beyond what is held
+        std::uint64_t settledGiven = 0;
+        bool shareLost = false;
+    };
+
+    struct UnsettledGift
+    {
+        ShareItem item;
+        std::uint64_t given = 0; ///< the counter that is journaled
+        Time settledAt;          ///< when the tokens that were outstanding then have lapsed
+    };
+
+    void registerHandlers();
+    void activate(SlotIndex slot, const std::vector<AggregateRecord> &records);
+    void recover(const AggregateRecord &record, bool complete);
+    void deactivate(SlotIndex slot);
+    [[nodiscard]] bool owns(const AggregateId &aggregate, bool &complete) const;
+    [[nodiscard]] OwnedTeam *ownedTeam(const QString &team);
+    [[nodiscard]] OwnedPower *ownedPower();
+    void prepare(const QString &team, OwnedTeam &owned) const;
+    void prepare(OwnedPower &owned) const;
+    void commit(const ShareItem &item, CommitBatch::Callback callback);
+    [[nodiscard]] QByteArray entryOf(const ShareItem &item) const;
+    void settleLater(const ShareItem &item, std::uint64_t given);
+    void settleDueGifts();
+    [[nodiscard]] ItemDemand demandOf(const QString &team, const OwnedTeam &owned) const;
+    [[nodiscard]] ItemDemand demandOf(const OwnedPower &owned) const;
+    void markHolders();
+    void takeBackPower();
+    [[nodiscard]] std::uint64_t firstGrantId() const;
+    [[nodiscard]] std::chrono::milliseconds powerHoldTime() const;
+    void handleGrantRequest(const VmIncarnation &sender, const PeerFrame &frame);
+    void handlePowerRequest(const VmIncarnation &sender, const PeerFrame &frame);
+
+    Journal &journal;
+    PeerHub &hub;
+    TimerService &timers;
+    MetricsRecorder &metrics;
+    const QString zone;
+    CommitBatch batch;
+    std::shared_ptr<const Configuration> configuration;
+    std::shared_ptr<const FleetViews> views;
+    std::shared_ptr<const ShareTable> shares;
+    std::chrono::milliseconds longestCall{0}; ///< longest call timeout of any revision seen
+    std::map<QString, OwnedTeam> teams;
+    std::optional<OwnedPower> power;
+    std::vector<UnsettledGift> unsettledGifts;
+    TimerSubscription takeBackTimer;
+    std::shared_ptr<bool> alive; ///< ends posted calls with this
+};
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_allowance/shares/ShareCounters.h
+++ b/modules/lacewingmux_allowance/shares/ShareCounters.h
@@ -10,9 +10,9 @@
 /**
     One zone's share of a team's allowance, or of the power cap, as three counters of parts.
 
-    The counters of a zone only grow: received by the compare-and-swap with which another zone gives,
-    given by this zone alone. So an old copy of received is never too high, and an owner that counts
-    a gift as given before it is written never uses more than the store grants to its zone.
+    The counters of a zone only grow: received by the compare-and-swap with which another zone
+   gives, given by this zone alone. So an old copy of received is never too high, and an owner that
+   counts a gift as given before it is written never uses more than the store grants to its zone.
 */
 struct ShareCounters
 {
--- /dev/null
+++ b/tests/allowance/support/AllowanceFleet.cpp
@@ -0,0 +1,220 @@
+#include "allowance/support/AllowanceFleet.h"
+
+#include <algorithm>
+
+namespace lacewingmux::test {
+
+namespace {
+
+constexpr std::chrono::milliseconds detectionTime{1500};
+constexpr std::chrono::milliseconds catchUpTime{150};
+
+} // namespace
+
+AllowanceFleet::AllowanceFleet(FleetPlan fleetPlan)
+    : plan(std::move(fleetPlan))
+    , random(this->plan.seed)
+    , network(this->timers)
+{
+    this->network.setDeliveryDelay(std::chrono::milliseconds(1));
+    this->network.setDetectionDelay(std::chrono::milliseconds(1000));
+    auto first = std::make_shared<Configuration>();
+    first->revision = 1;
+    first->sitePowerCapWatts = this->plan.sitePowerCapWatts;
+    first->allowances = this->plan.allowances;
+    for (const Allowance &allowance : this->plan.allowances)
+        first->plans.push_back({allowance.plan, allowance.plan});
+    this->configuration = first;
+
+    for (int zone = 0; zone < this->plan.zones; ++zone) {
+        const QString name = zoneName(zone);
+        this->domains[name] = std::make_shared<JournalDomain>(this->timers, this->random());
+        std::vector<VmDescriptor> members;
+        for (int index = 0; index < this->plan.vmsPerZone; ++index) {
+            this->makeVm(zone, index);
+            members.push_back(this->descriptorOf(this->vms.back()->incarnation));
+        }
+        this->views[name] = std::make_shared<const ZoneView>(name, 1, members);
+        this->domains[name]->adopt(*this->views[name]);
+    }
+    this->setConfiguration(this->configuration);
+    this->giveEqualShares();
+    this->learnViewsEverywhere();
+    this->advance(std::chrono::milliseconds(20));
+}
+
+AllowanceFleet::~AllowanceFleet() = default;
+
+QString AllowanceFleet::zoneName(int zone)
+{
+    return QStringLiteral("zone-%1").arg(zone);
+}
+
+void AllowanceFleet::makeVm(int zone, int index)
+{
+    auto vm = std::make_unique<FleetVm>();
+    const QString name = QStringLiteral("vm-%1-%2").arg(zone).arg(index);
+    vm->incarnation = {name, zoneName(zone), 1};
+    vm->timers = std::make_unique<PausableTimers>(this->timers);
+    vm->hub = this->network.makeHub(vm->incarnation);
+    vm->journal = std::make_unique<ModelJournal>(this->domains.at(zoneName(zone)), vm->incarnation,
+                                                 *vm->timers);
+    vm->owner =
+            std::make_unique<AllowanceOwner>(*vm->journal, *vm->hub, *vm->timers, this->metrics);
+    vm->admission =
+            std::make_unique<TeamAdmission>(*vm->hub, *vm->owner, *vm->timers, this->metrics);
+    vm->admission->setBorrowing(this->plan.borrowing);
+    vm->power = std::make_unique<ZonePower>(*vm->hub, *vm->owner, *vm->timers);
+    this->incarnations[this->vms.size()] = vm->incarnation;
+    this->vms.push_back(std::move(vm));
+}
+
+void AllowanceFleet::giveEqualShares()
+{
+    auto table = std::make_shared<ShareTable>();
+    const ShareCounters equal{wholeParts / static_cast<std::uint64_t>(this->plan.zones), 0, 0};
+    for (const TeamPlan &team : this->configuration->plans)
+        table->countersByItem[ShareItem::team(team.team)] = equal;
+    table->countersByItem[ShareItem::power()] = equal;
+    for (const auto &vm : this->vms)
+        vm->owner->adoptShares(table);
+}
+
+void AllowanceFleet::request(std::size_t vm, const QString &team)
+{
+    const auto arrivedAt = this->timers.now();
+    this->vms.at(vm)->admission->admit(
+            team, [this, arrivedAt, team](const AdmissionDecision &decision) {
+                this->events.push_back({arrivedAt, this->timers.now(), team, decision.admitted,
+                                        decision.refusal == ErrorKind::RateLimited});
+            });
+}
+
+void AllowanceFleet::advance(std::chrono::milliseconds duration)
+{
+    this->timers.advance(duration);
+}
+
+void AllowanceFleet::kill(std::size_t vm)
+{
+    if (!this->vms.at(vm))
+        return;
+    const VmIncarnation incarnation = this->vms[vm]->incarnation;
+    this->vms[vm].reset();
+    this->pending.push_back(this->timers.after(
+            detectionTime, [this, incarnation] { this->dropFromView(incarnation); }));
+}
+
+void AllowanceFleet::pause(std::size_t vm)
+{
+    FleetVm &stopped = *this->vms.at(vm);
+    stopped.paused = true;
+    stopped.timers->pause();
+    this->network.pause(stopped.incarnation.vm);
+    this->pending.push_back(
+            this->timers.after(detectionTime, [this, vm, incarnation = stopped.incarnation] {
+                if (this->vms[vm] && this->vms[vm]->paused)
+                    this->dropFromView(incarnation);
+            }));
+}
+
+void AllowanceFleet::resume(std::size_t vm)
+{
+    FleetVm &stopped = *this->vms.at(vm);
+    stopped.paused = false;
+    this->network.resume(stopped.incarnation.vm);
+    stopped.timers->resume();
+    this->pending.push_back(this->timers.after(catchUpTime, [this, vm] {
+        if (this->vms[vm])
+            this->learnViews(*this->vms[vm]);
+    }));
+}
+
+void AllowanceFleet::cutZone(int zone)
+{
+    QStringList inside;
+    QStringList outside;
+    for (const auto &[index, incarnation] : this->incarnations)
+        (incarnation.zone == zoneName(zone) ? inside : outside).append(incarnation.vm);
+    this->network.cutGroups(inside, outside);
+}
+
+void AllowanceFleet::healZones()
+{
+    this->network.healAll();
+}
+
+void AllowanceFleet::setConfiguration(const std::shared_ptr<const Configuration> &accepted)
+{
+    this->configuration = accepted;
+    for (const auto &vm : this->vms) {
+        if (!vm)
+            continue;
+        vm->owner->adoptConfiguration(accepted);
+        vm->admission->adoptConfiguration(accepted);
+        vm->power->adoptConfiguration(accepted);
+    }
+}
+
+std::vector<std::size_t> AllowanceFleet::running(int zone) const
+{
+    std::vector<std::size_t> found;
+    for (std::size_t index = 0; index < this->vms.size(); ++index) {
+        const FleetVm *vm = this->vms[index].get();
+        if (vm != nullptr && !vm->paused && vm->incarnation.zone == zoneName(zone))
+            found.push_back(index);
+    }
+    return found;
+}
+
+std::vector<std::size_t> AllowanceFleet::running() const
+{
+    std::vector<std::size_t> found;
+    for (std::size_t index = 0; index < this->vms.size(); ++index) {
+        if (this->vms[index] && !this->vms[index]->paused)
+            found.push_back(index);
+    }
+    return found;
+}
+
+void AllowanceFleet::dropFromView(const VmIncarnation &vm)
+{
+    const ZoneView &before = *this->views.at(vm.zone);
+    std::vector<VmDescriptor> members;
+    for (const VmDescriptor &member : before.members()) {
+        if (!(member.incarnation == vm))
+            members.push_back(member);
+    }
+    if (members.empty() || members.size() == before.members().size())
+        return;
+    this->views[vm.zone] = std::make_shared<const ZoneView>(vm.zone, before.epoch() + 1, members);
+    this->domains.at(vm.zone)->adopt(*this->views[vm.zone]);
+    this->learnViewsEverywhere();
+}
+
+void AllowanceFleet::learnViews(FleetVm &vm)
+{
+    const auto fleet = std::make_shared<const FleetViews>(this->views);
+    vm.hub->setPeers(fleet->allMembers());
+    vm.journal->learn(*this->views.at(vm.incarnation.zone));
+    vm.owner->adoptViews(fleet);
+    vm.admission->adoptViews(fleet);
+    vm.power->adoptViews(fleet);
+}
+
+void AllowanceFleet::learnViewsEverywhere()
+{
+    for (const auto &vm : this->vms) {
+        if (vm && !vm->paused)
+            this->learnViews(*vm);
+    }
+}
+
+VmDescriptor AllowanceFleet::descriptorOf(const VmIncarnation &vm) const
+{
+    VmDescriptor descriptor;
+    descriptor.incarnation = vm;
+    return descriptor;
+}
+
+} // namespace lacewingmux::test
--- /dev/null
+++ b/tests/allowance/support/ModelJournal.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include "lacewingmux_core/ids/VmIncarnation.h"
+#include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_zone/journal/Journal.h"
+#include "lacewingmux_zone/views/ZoneView.h"
+
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace lacewingmux::test {
+
+class ModelJournal;
+
+/**
+    The replicated slots of one zone as its backups hold them: who may commit, and the entries.
+    A view change takes effect at once here; a VM that was replaced learns of it later.
+*/
+class JournalDomain
+{
+public:
+    JournalDomain(TimerService &sharedTimers, std::uint64_t seed)
+        : timers(sharedTimers)
+        , random(seed)
+    { }
+
+    /** Puts a view into force: the owners of its slots may commit from now on. */
+    void adopt(const ZoneView &view)
+    {
+        for (SlotIndex slot = 0; slot < slotsPerZone; ++slot)
+            this->owners.at(slot) = view.placement(slot).owner;
+    }
+
+    bool mayCommit(const VmIncarnation &vm, SlotIndex slot) const
+    {
+        return this->owners.at(slot) == vm;
+    }
+
+    /** An entry that the backup had received when its sender was replaced may be in the slot. */
+    bool keepsUnacknowledged()
+    {
+        return this->random() % 2 == 0;
+    }
+
+    TimerService &timers;
+    std::array<std::map<AggregateId, QByteArray>, slotsPerZone> records;
+
+private:
+    std::array<std::optional<VmIncarnation>, slotsPerZone> owners;
+    std::mt19937_64 random;
+};
+
+/** One VM's end of a JournalDomain. Commits take one millisecond. */
+class ModelJournal final : public Journal
+{
+public:
+    ModelJournal(std::shared_ptr<JournalDomain> sharedDomain, VmIncarnation ownIncarnation,
+                 TimerService &ownTimers)
+        : domain(std::move(sharedDomain))
+        , self(std::move(ownIncarnation))
+        , timers(ownTimers)
+    { }
+
+    ~ModelJournal() override
+    {
+        *this->alive = false;
+    }
+
+    SlotStatus status(SlotIndex slot) const override
+    {
+        return this->active.count(slot) > 0 ? this->activeStatus : SlotStatus::NotOwner;
+    }
+
+    void append(const AggregateId &aggregate, const QByteArray &entry, Callback callback) override
+    {
+        this->replace(aggregate, entry, std::move(callback));
+    }
+
+    void replace(const AggregateId &aggregate, const QByteArray &entry, Callback callback) override
+    {
+        // What has left for the backup takes effect there whatever becomes of the sender.
+        const SlotIndex slot = aggregate.slot();
+        auto outcome = std::make_shared<AppendOutcome>(AppendOutcome::SteppedDown);
+        const bool mine = this->active.count(slot) > 0;
+        this->arrivals.push_back(this->domain->timers.after(
+                std::chrono::milliseconds(1),
+                [domain = this->domain, self = this->self, slot, aggregate, entry, outcome, mine] {
+                    if (!mine || !domain->mayCommit(self, slot))
+                        return;
+                    domain->records.at(slot)[aggregate] = entry;
+                    *outcome = AppendOutcome::Committed;
+                }));
+        this->acks.push_back(this->timers.after(
+                std::chrono::milliseconds(2),
+                [callback = std::move(callback), outcome] { callback(*outcome); }));
+        if (this->acks.size() > 4096) {
+            this->acks.erase(this->acks.begin(), this->acks.begin() + 2048);
+            this->arrivals.erase(this->arrivals.begin(), this->arrivals.begin() + 2048);
+        }
+    }
+
+    void remove(const AggregateId &, Callback) override
+    { }
+    void confirmOwnership(SlotIndex, Callback) override
+    { }
+    void addActivationHandler(ActivationHandler handler) override
+    {
+        this->activationHandlers.push_back(std::move(handler));
+    }
+    void addDeactivationHandler(DeactivationHandler handler) override
+    {
+        this->deactivationHandlers.push_back(std::move(handler));
+    }
+
+    /** This VM learns of a view: it drops the slots it lost and activates those it gained. */
+    void learn(const ZoneView &view)
+    {
+        for (SlotIndex slot = 0; slot < slotsPerZone; ++slot) {
+            const bool mine = view.placement(slot).owner == this->self;
+            if (mine && this->active.insert(slot).second)
+                this->activate(slot);
+            else if (!mine && this->active.erase(slot) > 0)
+                this->deactivate(slot);
+        }
+    }
+
+    SlotStatus activeStatus = SlotStatus::Active; ///< what owned slots report
+
+private:
+    void activate(SlotIndex slot)
+    {
+        std::vector<AggregateRecord> records;
+        for (const auto &[id, entry] : this->domain->records.at(slot))
+            records.push_back({id, {entry}});
+        for (const auto &handler : this->activationHandlers)
+            handler(slot, records);
+    }
+    void deactivate(SlotIndex slot)
+    {
+        for (const auto &handler : this->deactivationHandlers)
+            handler(slot);
+    }
+
+    std::shared_ptr<JournalDomain> domain;
+    VmIncarnation self;
+    TimerService &timers;
+    std::set<SlotIndex> active;
+    std::vector<ActivationHandler> activationHandlers;
+    std::vector<DeactivationHandler> deactivationHandlers;
+    std::vector<TimerSubscription> arrivals;
+    std::vector<TimerSubscription> acks;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace lacewingmux::test
--- /dev/null
+++ b/tests/allowance/support/PausableTimers.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "lacewingmux_core/time/TimerService.h"
+
+#include <memory>
+#include <vector>
+
+namespace lacewingmux::test {
+
+/** The timers of one process that can be stopped: time goes on, callbacks wait. */
+class PausableTimers final : public TimerService
+{
+public:
+    explicit PausableTimers(TimerService &sharedTimers)
+        : shared(sharedTimers)
+    { }
+
+    SteadyTime now() const override
+    {
+        return this->shared.now();
+    }
+    WallTime wallNow() const override
+    {
+        return this->shared.wallNow();
+    }
+    TimerSubscription every(std::chrono::milliseconds interval,
+                            std::function<void()> callback) override
+    {
+        return this->shared.every(interval, this->guarded(std::move(callback), true));
+    }
+    TimerSubscription after(std::chrono::milliseconds delay,
+                            std::function<void()> callback) override
+    {
+        return this->shared.after(delay, this->guarded(std::move(callback), false));
+    }
+    void post(std::function<void()> callback) override
+    {
+        this->shared.post(this->guarded(std::move(callback), false));
+    }
+
+    void pause()
+    {
+        this->state->paused = true;
+    }
+
+    void resume()
+    {
+        this->state->paused = false;
+        const auto held = std::exchange(this->state->held, {});
+        for (const auto &callback : held)
+            callback();
+    }
+
+private:
+    struct State
+    {
+        bool paused = false;
+        std::vector<std::function<void()>> held;
+    };
+
+    std::function<void()> guarded(std::function<void()> callback, bool repeats)
+    {
+        return [weak = std::weak_ptr<State>(this->state), callback = std::move(callback), repeats] {
+            const auto locked = weak.lock();
+            if (!locked)
+                return;
+            if (!locked->paused)
+                callback();
+            else if (!repeats)
+                locked->held.push_back(callback);
+        };
+    }
+
+    TimerService &shared;
+    std::shared_ptr<State> state = std::make_shared<State>();
+};
+
+} // namespace lacewingmux::test
