--- a/modules/lacewingmux_http/lacewingmux_http.h
+++ b/modules/lacewingmux_http/lacewingmux_http.h
@@ -11,6 +11,18 @@
  * Qt HTTP Server, FlatBuffers.
  */
 
+#include "lacewingmux_http/front/AnswerRelay.h"
+#include "lacewingmux_http/front/AuthenticationResult.h"
+#include "lacewingmux_http/front/CredentialFilter.h"
+#include "lacewingmux_http/front/ForwardedHeaders.h"
+#include "lacewingmux_http/front/FrontHooks.h"
+#include "lacewingmux_http/front/FrontRequest.h"
+#include "lacewingmux_http/front/OperatorEndpoints.h"
+#include "lacewingmux_http/front/OperatorReply.h"
+#include "lacewingmux_http/front/OperatorRequest.h"
+#include "lacewingmux_http/front/RequestFront.h"
+#include "lacewingmux_http/front/RequestReader.h"
+#include "lacewingmux_http/front/SentRequests.h"
 #include "lacewingmux_http/server/CallerAnswer.h"
 #include "lacewingmux_http/server/CallerRequest.h"
 #include "lacewingmux_http/server/CallerServer.h"
