--- /dev/null
+++ b/programs/lacewingmuxd/main.cpp
@@ -0,0 +1,98 @@
+#include "lacewingmux_core/errors/LacewingmuxError.h"
+#include "lacewingmux_daemon/settings/DaemonSettingsReader.h"
+
+#include <QCoreApplication>
+
+#include <cxxopts.hpp>
+
+#include <exception>
+#include <iostream>
+
+/*
+ * The daemon of one entry VM.
+ *
+ * Exit codes: 0 after a planned stop, or when the check, the help or the version was all that was
+ * asked for; 1 when the daemon could not start or had to end; 2 when the command line is wrong;
+ * 3 when the settings hold faults.
+ */
+
+namespace {
+
+using namespace lacewingmux;
+
+enum ExitCode { StoppedAsPlanned = 0, Failed = 1, WrongCommandLine = 2, FaultySettings = 3 };
+
+cxxopts::Options describeOptions()
+{
+    cxxopts::Options options("lacewingmuxd", "Schedules agent programs on one entry VM.");
+    auto add = options.add_options();
+    add("config", "settings file, JSON", cxxopts::value<std::string>());
+    add("check-config", "check the settings, print every fault, and end");
+    add("describe-settings", "print each field of the settings as a table, and end");
+    add("version", "print the version, and end");
+    add("help", "print this text, and end");
+    return options;
+}
+
+void describeSettings()
+{
+    std::cout << "| field | type | range | default | meaning |\n|---|---|---|---|---|\n";
+    for (const SettingsField &field : DaemonSettingsReader::fields())
+        std::cout << field.toTableRow().toStdString() << '\n';
+}
+
+int runWithSettings(const cxxopts::ParseResult &arguments)
+{
+    const QString path = QString::fromStdString(arguments["config"].as<std::string>());
+    SettingsFindings findings;
+    const DaemonSettings settings = DaemonSettingsReader::readFile(path, findings);
+    if (!findings.faults.empty()) {
+        std::cerr << findings.faultText().toStdString() << '\n';
+        return FaultySettings;
+    }
+    if (arguments.count("check-config") > 0) {
+        std::cout << "settings are sound: " << settings.vm.toStdString() << " in "
+                  << settings.zone.toStdString() << '\n';
+        return StoppedAsPlanned;
+    }
+    return Failed;
+}
+
+int run(int argc, char **argv)
+{
+    cxxopts::Options options = describeOptions();
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") > 0) {
+        std::cout << options.help();
+        return StoppedAsPlanned;
+    }
+    if (arguments.count("version") > 0) {
+        std::cout << "lacewingmuxd " LACEWINGMUX_VERSION "\n";
+        return StoppedAsPlanned;
+    }
+    if (arguments.count("describe-settings") > 0) {
+        describeSettings();
+        return StoppedAsPlanned;
+    }
+    if (arguments.count("config") == 0) {
+        std::cerr << "--config is missing\n" << options.help();
+        return WrongCommandLine;
+    }
+    return runWithSettings(arguments);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        const QCoreApplication application(argc, argv);
+        return run(argc, argv);
+    } catch (const cxxopts::exceptions::exception &error) {
+        std::cerr << error.what() << '\n';
+        return WrongCommandLine;
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << '\n';
+        return Failed;
+    }
+}
--- a/tests/daemon/DaemonSettingsReaderTest.cpp
+++ b/tests/daemon/DaemonSettingsReaderTest.cpp
@@ -34,7 +34,8 @@
     return findings;
 }
 
-QJsonObject with(QJsonObject document, const char *object, const char *field, const QJsonValue &value)
+QJsonObject with(QJsonObject document, const char *object, const char *field,
+                 const QJsonValue &value)
 {
     QJsonObject inner = document.value(QLatin1String(object)).toObject();
     inner.insert(QLatin1String(field), value);
