Move conserved shares between zones by demand

Cause: equal static shares refuse a zone's callers while other zones idle.

Change: ShareKeeper writes gifts in two steps: the owner journals what it gives and waits until no token of it can be in use, then one compare-and-swap raises the giver's and the receiver's counters in one record. Counters only grow, so an old copy is never too high; the record carries the giver's epoch, so an owner that was replaced can't write. ShareMovement decides, with static shares as its naive twin.

Conclusion: tests over a modelled fleet with the in-memory store pass, lost replies included.

--- a/modules/lacewingmux_allowance/messages/allowance_generated.h
+++ b/modules/lacewingmux_allowance/messages/allowance_generated.h
@@ -55,8 +55,8 @@
 struct ShareAnnouncement;
 struct ShareAnnouncementBuilder;
 
-struct ItemDemand;
-struct ItemDemandBuilder;
+struct ItemNeed;
+struct ItemNeedBuilder;
 
 struct DemandReport;
 struct DemandReportBuilder;
@@ -714,7 +714,8 @@
   typedef ZoneShareBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ZONE = 4,
-    VT_COUNTERS = 6
+    VT_COUNTERS = 6,
+    VT_EPOCH = 8
   };
   const flatbuffers::String *zone() const {
     return GetPointer<const flatbuffers::String *>(VT_ZONE);
@@ -722,12 +723,16 @@
   const lacewingmux::fb::ShareCounters *counters() const {
     return GetPointer<const lacewingmux::fb::ShareCounters *>(VT_COUNTERS);
   }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ZONE) &&
            verifier.VerifyString(zone()) &&
            VerifyOffsetRequired(verifier, VT_COUNTERS) &&
            verifier.VerifyTable(counters()) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            verifier.EndTable();
   }
 };
@@ -742,6 +747,9 @@
   void add_counters(flatbuffers::Offset<lacewingmux::fb::ShareCounters> counters) {
     fbb_.AddOffset(ZoneShare::VT_COUNTERS, counters);
   }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(ZoneShare::VT_EPOCH, epoch, 0);
+  }
   explicit ZoneShareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -758,8 +766,10 @@
 inline flatbuffers::Offset<ZoneShare> CreateZoneShare(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
-    flatbuffers::Offset<lacewingmux::fb::ShareCounters> counters = 0) {
+    flatbuffers::Offset<lacewingmux::fb::ShareCounters> counters = 0,
+    uint64_t epoch = 0) {
   ZoneShareBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
   builder_.add_counters(counters);
   builder_.add_zone(zone);
   return builder_.Finish();
@@ -768,12 +778,14 @@
 inline flatbuffers::Offset<ZoneShare> CreateZoneShareDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *zone = nullptr,
-    flatbuffers::Offset<lacewingmux::fb::ShareCounters> counters = 0) {
+    flatbuffers::Offset<lacewingmux::fb::ShareCounters> counters = 0,
+    uint64_t epoch = 0) {
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   return lacewingmux::fb::CreateZoneShare(
       _fbb,
       zone__,
-      counters);
+      counters,
+      epoch);
 }
 
 struct ItemShares FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -859,18 +871,13 @@
 struct ShareRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ShareRecordBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_FENCE = 4,
-    VT_ITEMS = 6
+    VT_ITEMS = 4
   };
-  uint64_t fence() const {
-    return GetField<uint64_t>(VT_FENCE, 0);
-  }
   const flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::ItemShares>> *items() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::ItemShares>> *>(VT_ITEMS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_FENCE, 8) &&
            VerifyOffset(verifier, VT_ITEMS) &&
            verifier.VerifyVector(items()) &&
            verifier.VerifyVectorOfTables(items()) &&
@@ -882,9 +889,6 @@
   typedef ShareRecord Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_fence(uint64_t fence) {
-    fbb_.AddElement<uint64_t>(ShareRecord::VT_FENCE, fence, 0);
-  }
   void add_items(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::ItemShares>>> items) {
     fbb_.AddOffset(ShareRecord::VT_ITEMS, items);
   }
@@ -901,22 +905,18 @@
 
 inline flatbuffers::Offset<ShareRecord> CreateShareRecord(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t fence = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::ItemShares>>> items = 0) {
   ShareRecordBuilder builder_(_fbb);
-  builder_.add_fence(fence);
   builder_.add_items(items);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<ShareRecord> CreateShareRecordDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t fence = 0,
     const std::vector<flatbuffers::Offset<lacewingmux::fb::ItemShares>> *items = nullptr) {
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<lacewingmux::fb::ItemShares>>(*items) : 0;
   return lacewingmux::fb::CreateShareRecord(
       _fbb,
-      fence,
       items__);
 }
 
@@ -999,13 +999,13 @@
       record__);
 }
 
-struct ItemDemand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef ItemDemandBuilder Builder;
+struct ItemNeed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ItemNeedBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_KIND = 4,
     VT_NAME = 6,
-    VT_DEMAND = 8,
-    VT_PARTS = 10
+    VT_DEMAND_PARTS = 8,
+    VT_HELD_PARTS = 10
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -1013,78 +1013,78 @@
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
   }
-  double demand() const {
-    return GetField<double>(VT_DEMAND, 0.0);
+  double demand_parts() const {
+    return GetField<double>(VT_DEMAND_PARTS, 0.0);
   }
-  uint64_t parts() const {
-    return GetField<uint64_t>(VT_PARTS, 0);
+  uint64_t held_parts() const {
+    return GetField<uint64_t>(VT_HELD_PARTS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            VerifyOffsetRequired(verifier, VT_NAME) &&
            verifier.VerifyString(name()) &&
-           VerifyField<double>(verifier, VT_DEMAND, 8) &&
-           VerifyField<uint64_t>(verifier, VT_PARTS, 8) &&
+           VerifyField<double>(verifier, VT_DEMAND_PARTS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HELD_PARTS, 8) &&
            verifier.EndTable();
   }
 };
 
-struct ItemDemandBuilder {
-  typedef ItemDemand Table;
+struct ItemNeedBuilder {
+  typedef ItemNeed Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
   void add_kind(uint8_t kind) {
-    fbb_.AddElement<uint8_t>(ItemDemand::VT_KIND, kind, 0);
+    fbb_.AddElement<uint8_t>(ItemNeed::VT_KIND, kind, 0);
   }
   void add_name(flatbuffers::Offset<flatbuffers::String> name) {
-    fbb_.AddOffset(ItemDemand::VT_NAME, name);
+    fbb_.AddOffset(ItemNeed::VT_NAME, name);
   }
-  void add_demand(double demand) {
-    fbb_.AddElement<double>(ItemDemand::VT_DEMAND, demand, 0.0);
+  void add_demand_parts(double demand_parts) {
+    fbb_.AddElement<double>(ItemNeed::VT_DEMAND_PARTS, demand_parts, 0.0);
   }
-  void add_parts(uint64_t parts) {
-    fbb_.AddElement<uint64_t>(ItemDemand::VT_PARTS, parts, 0);
+  void add_held_parts(uint64_t held_parts) {
+    fbb_.AddElement<uint64_t>(ItemNeed::VT_HELD_PARTS, held_parts, 0);
   }
-  explicit ItemDemandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit ItemNeedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<ItemDemand> Finish() {
+  flatbuffers::Offset<ItemNeed> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<ItemDemand>(end);
-    fbb_.Required(o, ItemDemand::VT_NAME);
+    auto o = flatbuffers::Offset<ItemNeed>(end);
+    fbb_.Required(o, ItemNeed::VT_NAME);
     return o;
   }
 };
 
-inline flatbuffers::Offset<ItemDemand> CreateItemDemand(
+inline flatbuffers::Offset<ItemNeed> CreateItemNeed(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t kind = 0,
     flatbuffers::Offset<flatbuffers::String> name = 0,
-    double demand = 0.0,
-    uint64_t parts = 0) {
-  ItemDemandBuilder builder_(_fbb);
-  builder_.add_parts(parts);
-  builder_.add_demand(demand);
+    double demand_parts = 0.0,
+    uint64_t held_parts = 0) {
+  ItemNeedBuilder builder_(_fbb);
+  builder_.add_held_parts(held_parts);
+  builder_.add_demand_parts(demand_parts);
   builder_.add_name(name);
   builder_.add_kind(kind);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<ItemDemand> CreateItemDemandDirect(
+inline flatbuffers::Offset<ItemNeed> CreateItemNeedDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t kind = 0,
     const char *name = nullptr,
-    double demand = 0.0,
-    uint64_t parts = 0) {
+    double demand_parts = 0.0,
+    uint64_t held_parts = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
-  return lacewingmux::fb::CreateItemDemand(
+  return lacewingmux::fb::CreateItemNeed(
       _fbb,
       kind,
       name__,
-      demand,
-      parts);
+      demand_parts,
+      held_parts);
 }
 
 struct DemandReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1092,8 +1092,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ITEMS = 4
   };
-  const flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::ItemDemand>> *items() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::ItemDemand>> *>(VT_ITEMS);
+  const flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::ItemNeed>> *items() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::ItemNeed>> *>(VT_ITEMS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -1108,7 +1108,7 @@
   typedef DemandReport Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_items(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::ItemDemand>>> items) {
+  void add_items(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::ItemNeed>>> items) {
     fbb_.AddOffset(DemandReport::VT_ITEMS, items);
   }
   explicit DemandReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
@@ -1124,7 +1124,7 @@
 
 inline flatbuffers::Offset<DemandReport> CreateDemandReport(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::ItemDemand>>> items = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::ItemNeed>>> items = 0) {
   DemandReportBuilder builder_(_fbb);
   builder_.add_items(items);
   return builder_.Finish();
@@ -1132,8 +1132,8 @@
 
 inline flatbuffers::Offset<DemandReport> CreateDemandReportDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<lacewingmux::fb::ItemDemand>> *items = nullptr) {
-  auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<lacewingmux::fb::ItemDemand>>(*items) : 0;
+    const std::vector<flatbuffers::Offset<lacewingmux::fb::ItemNeed>> *items = nullptr) {
+  auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<lacewingmux::fb::ItemNeed>>(*items) : 0;
   return lacewingmux::fb::CreateDemandReport(
       _fbb,
       items__);
--- /dev/null
+++ b/modules/lacewingmux_allowance/shares/ShareKeeper.cpp
@@ -0,0 +1,339 @@
+#include "lacewingmux_allowance/shares/ShareKeeper.h"
+
+#include "lacewingmux_allowance/shares/ShareAnnouncement.h"
+#include "lacewingmux_config/documents/Configuration.h"
+#include "lacewingmux_core/hashing/StableHash.h"
+#include "lacewingmux_core/metrics/MetricsRecorder.h"
+#include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_peer/links/PeerHub.h"
+#include "lacewingmux_zone/views/FleetViews.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <set>
+#include <utility>
+
+namespace lacewingmux {
+
+namespace {
+
+constexpr std::chrono::milliseconds roundInterval{1000};
+
+/** How long a VM other than the first choice waits before it makes a missing item. */
+constexpr std::chrono::milliseconds creationPatience{3000};
+
+/** Writes of one VM in one round at most; what is left waits for the next. */
+constexpr std::size_t maxWritesPerRound = 4;
+
+} // namespace
+
+ShareKeeper::ShareKeeper(PlatformStore &platformStore, PeerHub &controlHub,
+                         TimerService &timerService, MetricsRecorder &metricsRecorder,
+                         ShareKeeperHooks ownerHooks, std::vector<QString> configuredZones)
+    : hub(controlHub)
+    , timers(timerService)
+    , metrics(metricsRecorder)
+    , hooks(std::move(ownerHooks))
+    , ownZone(controlHub.self().zone)
+    , zones(std::move(configuredZones))
+    , decision(&ShareMovement::decide)
+    , recordStore(platformStore,
+                  [this](const QByteArray &key, std::int64_t revision, const QByteArray &value) {
+                      this->handleLearned(key, revision, value);
+                  })
+    , alive(std::make_shared<bool>(true))
+{
+    this->registerHandlers();
+    this->roundTimer = this->timers.every(roundInterval, [this] { this->runRound(); });
+    this->recordStore.refresh();
+}
+
+ShareKeeper::~ShareKeeper()
+{
+    *this->alive = false;
+}
+
+void ShareKeeper::registerHandlers()
+{
+    this->hub.setHandler(FrameKind::ShareAnnouncement,
+                         [this, token = this->alive](const auto &, const auto &frame) {
+                             if (*token)
+                                 this->handleAnnouncement(frame);
+                         });
+    this->hub.setHandler(FrameKind::DemandReport,
+                         [this, token = this->alive](const auto &sender, const auto &frame) {
+                             if (*token)
+                                 this->handleDemandReport(sender, frame);
+                         });
+    this->hub.addLinkHandler([this, token = this->alive](const auto &peer, bool up) {
+        if (*token && up && peer.zone == this->ownZone)
+            this->announceAllTo(peer);
+    });
+}
+
+void ShareKeeper::adoptConfiguration(std::shared_ptr<const Configuration> accepted)
+{
+    this->configuration = std::move(accepted);
+}
+
+void ShareKeeper::adoptViews(std::shared_ptr<const FleetViews> fleetViews)
+{
+    this->views = std::move(fleetViews);
+    const auto view = this->views->view(this->ownZone);
+    this->recordStore.setWatching(view && !view->members().empty()
+                                  && view->members().front().incarnation == this->hub.self());
+}
+
+void ShareKeeper::setDecision(ShareDecision shareDecision)
+{
+    this->decision = std::move(shareDecision);
+}
+
+void ShareKeeper::runRound()
+{
+    this->recordStore.refresh();
+    this->hooks.collectDemands([this, token = this->alive](const std::vector<ItemDemand> &demands) {
+        if (*token)
+            this->considerItems(demands);
+    });
+}
+
+void ShareKeeper::considerItems(const std::vector<ItemDemand> &demands)
+{
+    this->needsByOwner.clear();
+    for (const ItemDemand &demand : demands)
+        this->consider(demand);
+    this->createMissing();
+    this->recordStore.writeEdits(maxWritesPerRound);
+    this->sendNeeds();
+}
+
+void ShareKeeper::consider(const ItemDemand &demand)
+{
+    const SharesByZone *shares = this->recordStore.book().find(demand.item);
+    if (shares == nullptr)
+        return;
+    const ShareItem item = demand.item;
+    if (demand.shareLost) {
+        this->considerLost(demand, *shares);
+        return;
+    }
+    const auto own = shares->find(this->ownZone);
+    const std::uint64_t written = own == shares->end() ? 0 : own->second.counters.given;
+    if (demand.settledGiven > written) {
+        this->recordStore.addEdit(
+                item,
+                [item, zone = this->ownZone, epoch = this->ownEpoch(), given = demand.settledGiven,
+                 receiver = this->receiverFor(item, *shares)](ShareRecord &record) {
+                    return record.applyGift(item, zone, epoch, given, receiver);
+                });
+    }
+    // One gift at a time: the next is decided once the last one stands in the record.
+    if (demand.share.given == written)
+        this->decideGift(demand, *shares);
+    this->reportNeed(demand, *shares);
+}
+
+void ShareKeeper::considerLost(const ItemDemand &demand, const SharesByZone &shares)
+{
+    // Once the record carries the epoch, no write of an earlier owner can succeed any more.
+    const std::uint64_t epoch = this->ownEpoch();
+    const auto own = shares.find(this->ownZone);
+    if (own != shares.end() && own->second.epoch == epoch) {
+        this->hooks.learnFenced(demand.item, own->second.counters);
+        return;
+    }
+    this->recordStore.addEdit(
+            demand.item, [item = demand.item, zone = this->ownZone, epoch](ShareRecord &record) {
+                return record.fence(item, zone, epoch);
+            });
+}
+
+void ShareKeeper::decideGift(const ItemDemand &demand, const SharesByZone &shares)
+{
+    ShareSituation situation{this->ownZone,
+                             demand.share.parts(),
+                             demand.demandParts,
+                             demand.wholeTokens,
+                             {},
+                             this->needs.needsOf(demand.item, this->timers.now())};
+    for (const auto &[zone, share] : shares)
+        situation.zones.push_back({zone, share.counters.parts()});
+    const auto gift = this->decision(situation);
+    if (!gift)
+        return;
+    this->metrics.count("lacewingmux_share_gifts_total", {}, 1);
+    this->hooks.giveParts(demand.item, gift->parts);
+}
+
+void ShareKeeper::reportNeed(const ItemDemand &demand, const SharesByZone &shares)
+{
+    if (!this->views || !ShareMovement::isNeedy(demand.demandParts, demand.share.parts()))
+        return;
+    for (const auto &[zone, share] : shares) {
+        if (zone == this->ownZone || share.counters.parts() == 0)
+            continue;
+        const auto owner = this->views->ownerOf(demand.item.aggregateIn(zone));
+        if (owner)
+            this->needsByOwner[*owner].push_back(
+                    {demand.item, demand.demandParts, demand.share.parts()});
+    }
+}
+
+void ShareKeeper::sendNeeds()
+{
+    for (const auto &[owner, itemNeeds] : this->needsByOwner)
+        (void)this->hub.send(owner, {FrameKind::DemandReport, 0, 0, encodeNeeds(itemNeeds)});
+}
+
+void ShareKeeper::createMissing()
+{
+    if (!this->recordStore.isComplete() || !this->configuration || !this->views)
+        return;
+    for (const ShareItem &item : this->configuredItems()) {
+        if (this->recordStore.book().find(item) != nullptr || !this->owns(item)
+            || !this->mayCreate(item))
+            continue;
+        const std::vector<QString> itemZones = this->zonesFor(item);
+        const std::size_t holders = this->holdersOf(item);
+        this->recordStore.addEdit(item, [item, itemZones, holders](ShareRecord &record) {
+            if (record.find(item) != nullptr)
+                return false;
+            record.create(item, itemZones, holders);
+            return true;
+        });
+    }
+}
+
+bool ShareKeeper::mayCreate(const ShareItem &item)
+{
+    const auto now = this->timers.now();
+    const auto since = this->missingSince.emplace(item, now).first->second;
+    return this->zonesFor(item).front() == this->ownZone || now - since >= creationPatience;
+}
+
+std::size_t ShareKeeper::holdersOf(const ShareItem &item) const
+{
+    // A share of less than one token of burst could never grant any.
+    const Allowance *allowance = item.kind == AggregateKind::TeamAllowance
+                                         ? this->configuration->allowanceOf(item.name)
+                                         : nullptr;
+    return allowance == nullptr
+                   ? std::numeric_limits<std::size_t>::max()
+                   : static_cast<std::size_t>(std::max(1.0, std::floor(allowance->burstRequests)));
+}
+
+std::vector<QString> ShareKeeper::zonesFor(const ShareItem &item) const
+{
+    std::set<QString> known(this->zones.begin(), this->zones.end());
+    known.insert(this->ownZone);
+    if (this->views) {
+        for (const auto &[zone, view] : this->views->views())
+            known.insert(zone);
+    }
+    std::vector<QString> ordered(known.begin(), known.end());
+    const auto weight = [&item](const QString &zone) {
+        return combineHashes(stableHash(item.name.toUtf8()), stableHash(zone.toUtf8()));
+    };
+    std::sort(ordered.begin(), ordered.end(), [&weight](const QString &left, const QString &right) {
+        return weight(left) < weight(right);
+    });
+    return ordered;
+}
+
+QString ShareKeeper::receiverFor(const ShareItem &item, const SharesByZone &shares) const
+{
+    const std::vector<ZoneNeed> itemNeeds = this->needs.needsOf(item, this->timers.now());
+    const auto neediest = std::max_element(
+            itemNeeds.begin(), itemNeeds.end(), [](const ZoneNeed &left, const ZoneNeed &right) {
+                return left.demandParts - static_cast<double>(left.heldParts)
+                       < right.demandParts - static_cast<double>(right.heldParts);
+            });
+    if (neediest != itemNeeds.end())
+        return neediest->zone;
+    const auto largest =
+            std::max_element(shares.begin(), shares.end(), [](const auto &left, const auto &right) {
+                return left.second.counters.parts() < right.second.counters.parts();
+            });
+    return largest == shares.end() ? this->ownZone : largest->first;
+}
+
+void ShareKeeper::handleLearned(const QByteArray &key, std::int64_t revision,
+                                const QByteArray &value)
+{
+    this->publishLater();
+    if (this->recordStore.isWatching())
+        this->announce(key, revision, value);
+}
+
+void ShareKeeper::publishLater()
+{
+    if (std::exchange(this->publishDue, true))
+        return;
+    this->timers.post([this, token = this->alive] {
+        if (!*token)
+            return;
+        this->publishDue = false;
+        this->hooks.publishShares(this->recordStore.book().tableOf(this->ownZone));
+    });
+}
+
+void ShareKeeper::announce(const QByteArray &key, std::int64_t revision, const QByteArray &value)
+{
+    const auto view = this->views ? this->views->view(this->ownZone) : nullptr;
+    if (!view)
+        return;
+    const PeerFrame frame{FrameKind::ShareAnnouncement, view->epoch(), 0,
+                          encodeAnnouncement({key, revision, value})};
+    for (const VmDescriptor &member : view->members()) {
+        if (!(member.incarnation == this->hub.self()))
+            (void)this->hub.send(member.incarnation, frame);
+    }
+}
+
+void ShareKeeper::announceAllTo(const VmIncarnation &peer)
+{
+    if (!this->recordStore.isWatching())
+        return;
+    for (const auto &[key, entry] : this->recordStore.book().entries()) {
+        (void)this->hub.send(peer, {FrameKind::ShareAnnouncement, this->ownEpoch(), 0,
+                                    encodeAnnouncement({key, entry.revision, entry.value})});
+    }
+}
+
+void ShareKeeper::handleAnnouncement(const PeerFrame &frame)
+{
+    const auto announced = decodeAnnouncement(frame.payload);
+    if (announced)
+        this->recordStore.learn(announced->key, announced->revision, announced->value);
+}
+
+void ShareKeeper::handleDemandReport(const VmIncarnation &sender, const PeerFrame &frame)
+{
+    for (const ItemNeed &need : decodeNeeds(frame.payload))
+        this->needs.note(sender.zone, need, this->timers.now());
+}
+
+std::uint64_t ShareKeeper::ownEpoch() const
+{
+    const auto view = this->views ? this->views->view(this->ownZone) : nullptr;
+    return view ? view->epoch() : 0;
+}
+
+bool ShareKeeper::owns(const ShareItem &item) const
+{
+    return this->views->ownerOf(item.aggregateIn(this->ownZone)) == this->hub.self();
+}
+
+std::vector<ShareItem> ShareKeeper::configuredItems() const
+{
+    std::vector<ShareItem> items;
+    for (const TeamPlan &plan : this->configuration->plans)
+        items.push_back(ShareItem::team(plan.team));
+    if (this->configuration->sitePowerCapWatts > 0)
+        items.push_back(ShareItem::power());
+    return items;
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_allowance/shares/ShareKeeper.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "lacewingmux_allowance/owner/ItemDemand.h"
+#include "lacewingmux_allowance/shares/NeedBook.h"
+#include "lacewingmux_allowance/shares/ShareMovement.h"
+#include "lacewingmux_allowance/shares/ShareRecordStore.h"
+#include "lacewingmux_core/ids/VmIncarnation.h"
+#include "lacewingmux_core/time/TimerSubscription.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace lacewingmux {
+
+class Configuration;
+class FleetViews;
+class MetricsRecorder;
+class PeerHub;
+class PlatformStore;
+class TimerService;
+struct PeerFrame;
+
+/** How the share keeper reaches the allowance owner of its VM, on the traffic thread. */
+struct ShareKeeperHooks
+{
+    using DemandCallback = std::function<void(std::vector<ItemDemand>)>;
+
+    /** Asks for AllowanceOwner::demands; calls back on the control thread. */
+    std::function<void(DemandCallback)> collectDemands;
+
+    /** Calls AllowanceOwner::giveParts. */
+    std::function<void(const ShareItem &, std::uint64_t parts)> giveParts;
+
+    /** Calls AllowanceOwner::learnFenced. */
+    std::function<void(const ShareItem &, const ShareCounters &)> learnFenced;
+
+    /** Calls AllowanceOwner::adoptShares. */
+    std::function<void(std::shared_ptr<const ShareTable>)> publishShares;
+};
+
+/**
+    Keeps the zones' shares of rates, bursts and power conserved in the platform's store, for the
+    items that this VM owns; on the control thread.
+
+    A gift has two steps. The owner journals that it has given, and waits until nothing of the gift
+    can be in use. Then one compare-and-swap raises the giver's and the receiver's counters in the
+    same record. Whoever owns the item then repeats the second step until the record shows it, so a
+    lost reply, a kill or a conflict between the steps neither doubles a gift nor loses it.
+
+    The first member of the zone's view watches the records and announces them to its zone.
+*/
+class ShareKeeper
+{
+public:
+    ShareKeeper(PlatformStore &platformStore, PeerHub &controlHub, TimerService &timerService,
+                MetricsRecorder &metricsRecorder, ShareKeeperHooks ownerHooks,
+                std::vector<QString> configuredZones);
+    ~ShareKeeper();
+    ShareKeeper(const ShareKeeper &) = delete;
+    ShareKeeper &operator=(const ShareKeeper &) = delete;
+
+    /** Adopts the configuration that names the teams and the power cap. */
+    void adoptConfiguration(std::shared_ptr<const Configuration> accepted);
+
+    /** Adopts the views that name owners and members. */
+    void adoptViews(std::shared_ptr<const FleetViews> fleetViews);
+
+    /** Replaces the decision about moving shares; for measurements. */
+    void setDecision(ShareDecision shareDecision);
+
+    /** Returns the records that this VM knows. */
+    [[nodiscard]] const ShareRecordBook &records() const noexcept
+    {
+        return this->recordStore.book();
+    }
+
+private:
+    void registerHandlers();
+    void runRound();
+    void considerItems(const std::vector<ItemDemand> &demands);
+    void consider(const ItemDemand &demand);
+    void considerLost(const ItemDemand &demand, const SharesByZone &shares);
+    void decideGift(const ItemDemand &demand, const SharesByZone &shares);
+    void reportNeed(const ItemDemand &demand, const SharesByZone &shares);
+    void sendNeeds();
+    void createMissing();
+    [[nodiscard]] bool mayCreate(const ShareItem &item);
+    [[nodiscard]] std::size_t holdersOf(const ShareItem &item) const;
+    [[nodiscard]] std::vector<QString> zonesFor(const ShareItem &item) const;
+    [[nodiscard]] QString receiverFor(const ShareItem &item, const SharesByZone &shares) const;
+    void handleLearned(const QByteArray &key, std::int64_t revision, const QByteArray &value);
+    void publishLater();
+    void announce(const QByteArray &key, std::int64_t revision, const QByteArray &value);
+    void announceAllTo(const VmIncarnation &peer);
+    void handleAnnouncement(const PeerFrame &frame);
+    void handleDemandReport(const VmIncarnation &sender, const PeerFrame &frame);
+    [[nodiscard]] std::uint64_t ownEpoch() const;
+    [[nodiscard]] bool owns(const ShareItem &item) const;
+    [[nodiscard]] std::vector<ShareItem> configuredItems() const;
+
+    PeerHub &hub;
+    TimerService &timers;
+    MetricsRecorder &metrics;
+    ShareKeeperHooks hooks;
+    const QString ownZone;
+    std::vector<QString> zones;
+    ShareDecision decision;
+    std::shared_ptr<const Configuration> configuration;
+    std::shared_ptr<const FleetViews> views;
+    ShareRecordStore recordStore;
+    NeedBook needs;
+    bool publishDue = false;
+    std::map<VmIncarnation, std::vector<ItemNeed>> needsByOwner;
+    std::map<ShareItem, std::chrono::steady_clock::time_point> missingSince;
+    TimerSubscription roundTimer;
+    std::shared_ptr<bool> alive; ///< ends callbacks of the hub and the owner with this
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_allowance/shares/ShareRecordBook.cpp
@@ -0,0 +1,42 @@
+#include "lacewingmux_allowance/shares/ShareRecordBook.h"
+
+namespace lacewingmux {
+
+bool ShareRecordBook::learn(const QByteArray &key, std::int64_t revision, const QByteArray &value)
+{
+    const auto known = this->entriesByKey.find(key);
+    if (revision <= 0 || (known != this->entriesByKey.end() && known->second.revision >= revision))
+        return false;
+    auto record = ShareRecord::decode(value);
+    if (!record)
+        return false;
+    this->entriesByKey[key] = {revision, value, std::move(*record)};
+    return true;
+}
+
+const ShareRecordBook::Entry &ShareRecordBook::entry(const QByteArray &key) const
+{
+    static const Entry absent;
+    const auto found = this->entriesByKey.find(key);
+    return found == this->entriesByKey.end() ? absent : found->second;
+}
+
+const SharesByZone *ShareRecordBook::find(const ShareItem &item) const
+{
+    return this->entry(ShareRecord::keyOf(item)).record.find(item);
+}
+
+std::shared_ptr<const ShareTable> ShareRecordBook::tableOf(const QString &zone) const
+{
+    auto table = std::make_shared<ShareTable>();
+    for (const auto &[key, entry] : this->entriesByKey) {
+        for (const auto &[item, shares] : entry.record.items()) {
+            const auto share = shares.find(zone);
+            table->countersByItem[item] =
+                    share == shares.end() ? ShareCounters() : share->second.counters;
+        }
+    }
+    return table;
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_allowance/shares/ShareRecordBook.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "lacewingmux_allowance/shares/ShareRecord.h"
+#include "lacewingmux_allowance/shares/ShareTable.h"
+
+#include <QByteArray>
+#include <QString>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+
+namespace lacewingmux {
+
+/** The share records that a VM knows, each at the highest revision it has heard of. */
+class ShareRecordBook
+{
+public:
+    struct Entry
+    {
+        std::int64_t revision = 0; ///< 0 for a record that is absent
+        QByteArray value;
+        ShareRecord record;
+    };
+
+    /** Learns a record; returns false when it is damaged or not newer than what is known. */
+    bool learn(const QByteArray &key, std::int64_t revision, const QByteArray &value);
+
+    /** Returns the entry of the key; an absent record has revision 0. */
+    [[nodiscard]] const Entry &entry(const QByteArray &key) const;
+
+    /** Returns the shares of the item, or null when no known record names it. */
+    [[nodiscard]] const SharesByZone *find(const ShareItem &item) const;
+
+    /** Returns the shares of one zone, for its owners. */
+    [[nodiscard]] std::shared_ptr<const ShareTable> tableOf(const QString &zone) const;
+
+    [[nodiscard]] const std::map<QByteArray, Entry> &entries() const noexcept
+    {
+        return this->entriesByKey;
+    }
+
+private:
+    std::map<QByteArray, Entry> entriesByKey;
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/tests/allowance/ShareKeeperTest.cpp
@@ -0,0 +1,99 @@
+#include "allowance/support/AllowanceFleet.h"
+
+#include <criterion/criterion.h>
+
+using namespace lacewingmux;
+using namespace lacewingmux::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const QString team = QStringLiteral("accra");
+
+Allowance accra(double rate, double burst)
+{
+    Allowance allowance;
+    allowance.plan = team;
+    allowance.requestsPerSecond = rate;
+    allowance.burstRequests = burst;
+    return allowance;
+}
+
+/** Returns the parts that the records give to the zone, as the VM knows them. */
+std::uint64_t partsOf(const AllowanceFleet &fleet, std::size_t vm, int zone)
+{
+    const SharesByZone *shares = fleet.vms.at(vm)->keeper->records().find(ShareItem::team(team));
+    if (shares == nullptr)
+        return 0;
+    const auto found = shares->find(AllowanceFleet::zoneName(zone));
+    return found == shares->end() ? 0 : found->second.counters.parts();
+}
+
+} // namespace
+
+Test(ShareKeeper, startsWithEqualSharesThatSumToTheWhole)
+{
+    AllowanceFleet fleet({3, 2, {accra(30, 30)}});
+    std::uint64_t sum = 0;
+    for (int zone = 0; zone < 3; ++zone) {
+        const std::uint64_t parts = partsOf(fleet, 5, zone);
+        cr_assert_leq(parts, wholeParts / 3 + 1);
+        sum += parts;
+    }
+    cr_assert_eq(sum, wholeParts);
+}
+
+Test(ShareKeeper, movesTheShareToTheZoneThatAsks)
+{
+    AllowanceFleet fleet({3, 2, {accra(30, 30)}});
+    for (int step = 0; step < 1500; ++step) {
+        fleet.request(static_cast<std::size_t>(step % 2), team);
+        fleet.advance(40ms);
+    }
+    cr_assert_gt(partsOf(fleet, 0, 0), wholeParts * 6 / 10, "%llu parts",
+                 static_cast<unsigned long long>(partsOf(fleet, 0, 0)));
+    cr_assert_leq(largestExcess(fleet.events, team, {30, 30}), 1e-6);
+}
+
+Test(ShareKeeper, aCutOffZoneKeepsItsShareAndTheOthersTheirs)
+{
+    AllowanceFleet fleet({3, 2, {accra(30, 30)}});
+    fleet.cutZone(2);
+    for (int step = 0; step < 500; ++step) {
+        fleet.request(static_cast<std::size_t>(step % 2), team);
+        fleet.advance(40ms);
+    }
+    cr_assert_geq(partsOf(fleet, 0, 2), wholeParts / 3);
+    std::size_t admittedBefore = fleet.events.size();
+    for (int step = 0; step < 10; ++step) {
+        fleet.request(4, team);
+        fleet.advance(200ms);
+    }
+    for (std::size_t index = admittedBefore; index < fleet.events.size(); ++index)
+        cr_assert(fleet.events[index].admitted);
+}
+
+Test(ShareKeeper, aLostReplyNeitherDoublesNorLosesAGift)
+{
+    AllowanceFleet fleet({3, 2, {accra(30, 30)}});
+    for (int step = 0; step < 1500; ++step) {
+        if (step % 25 == 0)
+            fleet.storeServer->loseWriteReplies(1);
+        fleet.request(static_cast<std::size_t>(step % 2), team);
+        fleet.advance(40ms);
+    }
+    fleet.advance(10s);
+    std::uint64_t sum = 0;
+    for (int zone = 0; zone < 3; ++zone)
+        sum += partsOf(fleet, 5, zone);
+    cr_assert_eq(sum, wholeParts);
+    cr_assert_gt(partsOf(fleet, 0, 0), wholeParts / 2);
+}
+
+Test(ShareKeeper, aBurstSmallerThanTheZonesIsHeldInWholeTokens)
+{
+    AllowanceFleet fleet({4, 2, {accra(10, 1)}});
+    fleet.request(0, team);
+    fleet.advance(300ms);
+    cr_assert(fleet.events.at(0).admitted);
+}
--- a/tests/allowance/support/AllowanceFleet.cpp
+++ b/tests/allowance/support/AllowanceFleet.cpp
@@ -15,7 +15,12 @@
     : plan(std::move(fleetPlan))
     , random(this->plan.seed)
     , network(this->timers)
+    , controlNetwork(this->timers)
+    , storeServer(std::make_shared<InMemoryStoreServer>(this->timers))
 {
+    this->storeServer->setDelay(std::chrono::milliseconds(4));
+    this->controlNetwork.setDeliveryDelay(std::chrono::milliseconds(1));
+    this->controlNetwork.setDetectionDelay(std::chrono::milliseconds(1000));
     this->network.setDeliveryDelay(std::chrono::milliseconds(1));
     this->network.setDetectionDelay(std::chrono::milliseconds(1000));
     auto first = std::make_shared<Configuration>();
@@ -38,9 +43,8 @@
         this->domains[name]->adopt(*this->views[name]);
     }
     this->setConfiguration(this->configuration);
-    this->giveEqualShares();
     this->learnViewsEverywhere();
-    this->advance(std::chrono::milliseconds(20));
+    this->advance(std::chrono::seconds(5)); // until the shares are made
 }
 
 AllowanceFleet::~AllowanceFleet() = default;
@@ -65,19 +69,29 @@
             std::make_unique<TeamAdmission>(*vm->hub, *vm->owner, *vm->timers, this->metrics);
     vm->admission->setBorrowing(this->plan.borrowing);
     vm->power = std::make_unique<ZonePower>(*vm->hub, *vm->owner, *vm->timers);
+    this->makeKeeper(*vm);
     this->incarnations[this->vms.size()] = vm->incarnation;
     this->vms.push_back(std::move(vm));
 }
 
-void AllowanceFleet::giveEqualShares()
+void AllowanceFleet::makeKeeper(FleetVm &vm)
 {
-    auto table = std::make_shared<ShareTable>();
-    const ShareCounters equal{wholeParts / static_cast<std::uint64_t>(this->plan.zones), 0, 0};
-    for (const TeamPlan &team : this->configuration->plans)
-        table->countersByItem[ShareItem::team(team.team)] = equal;
-    table->countersByItem[ShareItem::power()] = equal;
-    for (const auto &vm : this->vms)
-        vm->owner->adoptShares(table);
+    vm.controlHub = this->controlNetwork.makeHub(vm.incarnation);
+    vm.store = std::make_unique<InMemoryPlatformStore>(this->storeServer, vm.incarnation.vm);
+    AllowanceOwner &owner = *vm.owner;
+    ShareKeeperHooks hooks;
+    hooks.collectDemands = [&owner](const auto &callback) { callback(owner.demands()); };
+    hooks.giveParts = [&owner](const auto &item, auto parts) { owner.giveParts(item, parts); };
+    hooks.learnFenced = [&owner](const auto &item, const auto &counters) {
+        owner.learnFenced(item, counters);
+    };
+    hooks.publishShares = [&owner](auto table) { owner.adoptShares(std::move(table)); };
+    std::vector<QString> zones;
+    for (int zone = 0; zone < this->plan.zones; ++zone)
+        zones.push_back(zoneName(zone));
+    vm.keeper = std::make_unique<ShareKeeper>(*vm.store, *vm.controlHub, *vm.timers, this->metrics,
+                                              std::move(hooks), zones);
+    vm.keeper->setDecision(this->plan.decision);
 }
 
 void AllowanceFleet::request(std::size_t vm, const QString &team)
@@ -111,6 +125,7 @@
     stopped.paused = true;
     stopped.timers->pause();
     this->network.pause(stopped.incarnation.vm);
+    this->controlNetwork.pause(stopped.incarnation.vm);
     this->pending.push_back(
             this->timers.after(detectionTime, [this, vm, incarnation = stopped.incarnation] {
                 if (this->vms[vm] && this->vms[vm]->paused)
@@ -123,6 +138,7 @@
     FleetVm &stopped = *this->vms.at(vm);
     stopped.paused = false;
     this->network.resume(stopped.incarnation.vm);
+    this->controlNetwork.resume(stopped.incarnation.vm);
     stopped.timers->resume();
     this->pending.push_back(this->timers.after(catchUpTime, [this, vm] {
         if (this->vms[vm])
@@ -137,11 +153,17 @@
     for (const auto &[index, incarnation] : this->incarnations)
         (incarnation.zone == zoneName(zone) ? inside : outside).append(incarnation.vm);
     this->network.cutGroups(inside, outside);
+    this->controlNetwork.cutGroups(inside, outside);
+    for (const QString &vm : inside)
+        this->storeServer->setCut(vm, true);
 }
 
 void AllowanceFleet::healZones()
 {
     this->network.healAll();
+    this->controlNetwork.healAll();
+    for (const auto &[index, incarnation] : this->incarnations)
+        this->storeServer->setCut(incarnation.vm, false);
 }
 
 void AllowanceFleet::setConfiguration(const std::shared_ptr<const Configuration> &accepted)
@@ -153,6 +175,7 @@
         vm->owner->adoptConfiguration(accepted);
         vm->admission->adoptConfiguration(accepted);
         vm->power->adoptConfiguration(accepted);
+        vm->keeper->adoptConfiguration(accepted);
     }
 }
 
@@ -200,6 +223,8 @@
     vm.owner->adoptViews(fleet);
     vm.admission->adoptViews(fleet);
     vm.power->adoptViews(fleet);
+    vm.controlHub->setPeers(fleet->allMembers());
+    vm.keeper->adoptViews(fleet);
 }
 
 void AllowanceFleet::learnViewsEverywhere()
--- a/tests/allowance/support/AllowanceFleet.h
+++ b/tests/allowance/support/AllowanceFleet.h
@@ -9,6 +9,8 @@
 #include "lacewingmux_core/time/ManualTimerService.h"
 #include "lacewingmux_peer/links/InMemoryPeerNetwork.h"
 #include "lacewingmux_peer/links/PeerHub.h"
+#include "lacewingmux_platform/memory/InMemoryPlatformStore.h"
+#include "lacewingmux_platform/memory/InMemoryStoreServer.h"
 #include "lacewingmux_zone/views/FleetViews.h"
 
 #include <map>
@@ -26,6 +28,7 @@
     std::vector<Allowance> allowances; ///< one team for each, with the plan's name
     double sitePowerCapWatts = 0;
     bool borrowing = true;
+    ShareDecision decision = &ShareMovement::decide;
     std::uint64_t seed = 1;
 };
 
@@ -39,6 +42,9 @@
     std::unique_ptr<AllowanceOwner> owner;
     std::unique_ptr<TeamAdmission> admission;
     std::unique_ptr<ZonePower> power;
+    std::unique_ptr<PeerHub> controlHub;
+    std::unique_ptr<InMemoryPlatformStore> store;
+    std::unique_ptr<ShareKeeper> keeper;
     bool paused = false;
 };
 
@@ -66,11 +72,11 @@
     /** Lets a paused VM go on; it learns of the views it missed somewhat later. */
     void resume(std::size_t vm);
 
-    /** Cuts a zone off from the others. */
+    /** Cuts a zone off from the others and from the store. */
     void cutZone(int zone);
     void healZones();
 
-    /** Sets the shares of all zones in the records: parts by zone for one team. */
+    /** Puts a configuration into force on every VM. */
     void setConfiguration(const std::shared_ptr<const Configuration> &accepted);
 
     /** Returns the indices of the VMs of a zone that run. */
@@ -83,13 +89,15 @@
     ManualTimerService timers;
     std::mt19937_64 random;
     InMemoryPeerNetwork network;
+    InMemoryPeerNetwork controlNetwork;
+    std::shared_ptr<InMemoryStoreServer> storeServer;
     std::vector<std::unique_ptr<FleetVm>> vms; ///< null for a VM that was killed
     std::vector<AdmissionEvent> events;
     std::shared_ptr<const Configuration> configuration;
 
 private:
     void makeVm(int zone, int index);
-    void giveEqualShares();
+    void makeKeeper(FleetVm &vm);
     void dropFromView(const VmIncarnation &vm);
     void learnViews(FleetVm &vm);
     void learnViewsEverywhere();
