--- a/tests/daemon/DaemonSettingsReaderTest.cpp
+++ b/tests/daemon/DaemonSettingsReaderTest.cpp
@@ -62,7 +62,7 @@
     const DaemonSettings settings = DaemonSettingsReader::read(soundDocument, findings);
     cr_assert(findings.faults.empty(), "%s", qPrintable(findings.faultText()));
     cr_assert_eq(settings.peers.advertisedTrafficPort, 7401);
-    cr_assert_eq(settings.limits.bodyBytes, 8 * 1024 * 1024);
+    cr_assert_eq(settings.limits.bodyBytes, 8388608);
     cr_assert(settings.membership.heartbeatInterval == std::chrono::milliseconds(200));
 }
 
