Add the engine and service clients, which send each request at most once

Cause: QNetworkAccessManager sends a request again by itself when the server closes before it answers, also a POST and also on a new connection: a trial against a server that reads and closes counted 2 requests for one call. Change: every body is a SingleUseBody, which refuses to be rewound, so the second sending ends as ContentReSendError; bodies without content are covered too. Failures are told apart by what is certain. Streams pass on whole events once and are resumed at the engine. Ruled out: aborting on the requestSent signal, which comes from another thread after the fact; Connection: close alone, which does not stop the second sending. Conclusion: tests/backend counts the requests at a raw server, with and without a body.

--- /dev/null
+++ b/modules/lacewingmux_backend/clients/ConnectionPool.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <QUrl>
+
+#include <memory>
+
+class QNetworkAccessManager;
+
+namespace lacewingmux {
+
+/**
+    Network access managers for the exchanges of one thread.
+
+    A manager opens at most six connections to one server and queues the rest without limit, so
+    the pool keeps as many managers as the busiest server needs.
+*/
+class ConnectionPool
+{
+public:
+    ConnectionPool();
+    ~ConnectionPool();
+    ConnectionPool(const ConnectionPool &) = delete;
+    ConnectionPool &operator=(const ConnectionPool &) = delete;
+
+    /** Returns a manager with a connection to the server to spare. The connection counts as in
+        use until the pointer is released. */
+    [[nodiscard]] std::shared_ptr<QNetworkAccessManager> lease(const QUrl &server);
+
+    /** Returns a manager of its own, whose first request opens a new connection. */
+    [[nodiscard]] static std::shared_ptr<QNetworkAccessManager> fresh();
+
+private:
+    struct State;
+
+    std::shared_ptr<State> state; ///< shared with the leases, which may outlive the pool
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_backend/clients/EngineRun.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "lacewingmux_backend/clients/BackendCall.h"
+#include "lacewingmux_backend/clients/BackendRun.h"
+#include "lacewingmux_backend/clients/EventStreamReader.h"
+
+#include <memory>
+
+namespace lacewingmux {
+
+class ConnectionPool;
+class TimerService;
+
+/**
+    One chat completion at an engine.
+
+    A stream is passed on in whole events, each once. When its connection breaks, the stream is
+    resumed at the engine from the first event that is missing; nothing is run again. A stream
+    counts as whole only when its end mark has come.
+*/
+class EngineRun final : public BackendRun
+{
+public:
+    EngineRun(ConnectionPool &connectionPool, TimerService &timerService, BackendCall engineCall,
+              BackendRunListener runListener);
+    ~EngineRun() override;
+    EngineRun(const EngineRun &) = delete;
+    EngineRun &operator=(const EngineRun &) = delete;
+
+private:
+    void open(const BackendCall &call);
+    void resume();
+    void readStream(const QByteArray &bytes);
+    void takeEvent(const StreamEvent &event);
+    void exchangeFinished(const BackendAnswer &answer);
+    [[nodiscard]] bool canResume(const BackendAnswer &answer) const;
+    void finish(BackendAnswer answer);
+
+    ConnectionPool &connections;
+    TimerService &timers;
+    BackendCall call;
+    BackendRunListener listener;
+    std::chrono::steady_clock::time_point deadline;
+    std::unique_ptr<BackendRun> exchange;
+    EventStreamReader reader;
+    QByteArray streamed; ///< all events passed on
+    std::int64_t nextSequence = 0;
+    int resumptions = 0;
+    bool ended = false;       ///< the end mark has come
+    bool missedEvent = false; ///< an event was skipped, so the rest can't be passed on
+    BackendAnswer usage;      ///< only its token counts are used
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_backend/clients/EventStreamReader.cpp
@@ -0,0 +1,58 @@
+#include "lacewingmux_backend/clients/EventStreamReader.h"
+
+#include <QJsonDocument>
+#include <QList>
+
+namespace lacewingmux {
+
+namespace {
+
+constexpr char eventEnd[] = "\n\n";
+constexpr qsizetype eventEndLength = 2;
+constexpr char dataField[] = "data:";
+constexpr qsizetype dataFieldLength = 5;
+
+StreamEvent parseEvent(const QByteArray &bytes)
+{
+    StreamEvent event;
+    event.bytes = bytes;
+    QByteArray data;
+    const QList<QByteArray> lines = bytes.split('\n');
+    for (const QByteArray &line : lines) {
+        if (line.startsWith(dataField))
+            data += line.mid(dataFieldLength).trimmed();
+    }
+    event.isEnd = data == "[DONE]";
+    if (!event.isEnd)
+        event.json = QJsonDocument::fromJson(data).object();
+    return event;
+}
+
+} // namespace
+
+std::optional<std::int64_t> StreamEvent::sequence() const
+{
+    const QJsonValue value = this->json.value(QStringLiteral("sequence"));
+    if (!value.isDouble())
+        return std::nullopt;
+    return value.toInteger();
+}
+
+std::vector<StreamEvent> EventStreamReader::append(const QByteArray &bytes)
+{
+    this->pending += bytes;
+    this->pending.replace("\r\n", "\n");
+    std::vector<StreamEvent> events;
+    qsizetype start = 0;
+    for (;;) {
+        const qsizetype end = this->pending.indexOf(eventEnd, start);
+        if (end < 0)
+            break;
+        events.push_back(parseEvent(this->pending.mid(start, end + eventEndLength - start)));
+        start = end + eventEndLength;
+    }
+    this->pending.remove(0, start);
+    return events;
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_backend/clients/HttpExchange.cpp
@@ -0,0 +1,218 @@
+#include "lacewingmux_backend/clients/HttpExchange.h"
+
+#include "lacewingmux_backend/clients/ConnectionPool.h"
+#include "lacewingmux_backend/clients/ForwardedHeaders.h"
+#include "lacewingmux_backend/clients/SingleUseBody.h"
+#include "lacewingmux_core/time/TimerService.h"
+
+#include <QNetworkAccessManager>
+#include <QNetworkReply>
+#include <QNetworkRequest>
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingmux {
+
+namespace {
+
+constexpr std::chrono::milliseconds timeToConnect{2000};
+constexpr qint64 readBufferBytes = qint64{1024} * 1024;
+
+QNetworkRequest requestFor(const BackendCall &call)
+{
+    QUrl url = call.server;
+    const qsizetype queryStart = call.path.indexOf('?');
+    const QByteArray path = queryStart < 0 ? call.path : call.path.left(queryStart);
+    url.setPath(url.path() + QString::fromUtf8(path));
+    if (queryStart >= 0)
+        url.setQuery(QString::fromUtf8(call.path.mid(queryStart + 1)));
+
+    QNetworkRequest request(url);
+    request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
+    request.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
+    request.setAttribute(QNetworkRequest::CookieLoadControlAttribute, QNetworkRequest::Manual);
+    request.setAttribute(QNetworkRequest::CookieSaveControlAttribute, QNetworkRequest::Manual);
+    request.setAttribute(QNetworkRequest::AuthenticationReuseAttribute, QNetworkRequest::Manual);
+    request.setHeader(QNetworkRequest::ContentLengthHeader, call.body.size());
+    request.setHeader(QNetworkRequest::ContentTypeHeader, QByteArray("application/octet-stream"));
+    request.setRawHeader("User-Agent", "lacewingmux");
+    request.setRawHeader("Accept-Encoding", "identity");
+    for (const HttpHeader &header : call.headers) {
+        if (isForwardedToBackend(header.name))
+            request.setRawHeader(header.name, header.value);
+    }
+    if (!call.requestId.isEmpty())
+        request.setRawHeader("Lacewingmux-Request-Id", call.requestId.toUtf8());
+    if (!call.idempotent) {
+        request.setRawHeader("Connection", "close");
+        if (!request.hasRawHeader("Idempotency-Key"))
+            request.setRawHeader("Idempotency-Key", call.requestId.toUtf8());
+    }
+    return request;
+}
+
+/** Tells whether the error only stands for the status of a whole answer. */
+bool isStatusError(QNetworkReply::NetworkError error)
+{
+    const bool content = error >= QNetworkReply::ContentAccessDenied
+                         && error <= QNetworkReply::UnknownContentError
+                         && error != QNetworkReply::ContentReSendError;
+    const bool server = error >= QNetworkReply::InternalServerError
+                        && error <= QNetworkReply::UnknownServerError;
+    return content || server;
+}
+
+/** Tells whether the error means that no connection came about. */
+bool isConnectError(QNetworkReply::NetworkError error)
+{
+    return error == QNetworkReply::ConnectionRefusedError
+           || error == QNetworkReply::HostNotFoundError;
+}
+
+} // namespace
+
+HttpExchange::HttpExchange(ConnectionPool &connections, TimerService &timers,
+                           const BackendCall &call, BackendRunListener runListener)
+    : listener(std::move(runListener))
+    , requestId(call.requestId)
+    , maxAnswerBytes(call.maxAnswerBytes)
+    , manager(call.idempotent ? connections.lease(call.server) : ConnectionPool::fresh())
+{
+    this->send(call);
+    this->watch(timers, call);
+}
+
+HttpExchange::~HttpExchange()
+{
+    if (!this->reply)
+        return;
+    this->reply->disconnect();
+    this->reply->abort();
+    this->reply->deleteLater();
+}
+
+void HttpExchange::send(const BackendCall &call)
+{
+    this->body = new SingleUseBody(call.body);
+    this->reply = this->manager->sendCustomRequest(requestFor(call), call.method, this->body);
+    this->body->setParent(this->reply);
+    this->reply->setReadBufferSize(readBufferBytes);
+}
+
+void HttpExchange::watch(TimerService &timers, const BackendCall &call)
+{
+    QObject::connect(this->reply, &QNetworkReply::readyRead, this->reply,
+                     [this] { this->readBody(); });
+    // Queued, so that nothing finishes before the constructor returns.
+    QObject::connect(
+            this->reply, &QNetworkReply::finished, this->reply, [this] { this->finish(); },
+            Qt::QueuedConnection);
+    QObject::connect(this->reply, &QNetworkReply::requestSent, this->reply,
+                     [this] { this->connectTimeout.cancel(); });
+    this->timeout = timers.after(call.timeout, [this] { this->giveUp(BackendFailure::TimedOut); });
+    this->connectTimeout = timers.after(std::min(timeToConnect, call.timeout), [this] {
+        if (this->body->certainlyUnread())
+            this->giveUp(BackendFailure::NotSent);
+    });
+}
+
+void HttpExchange::readBody()
+{
+    if (this->givenUp != BackendFailure::None || !this->reply->isOpen())
+        return;
+    const QByteArray bytes = this->reply->readAll();
+    if (bytes.isEmpty())
+        return;
+    this->received += bytes;
+    if (this->received.size() > this->maxAnswerBytes) {
+        this->giveUp(BackendFailure::AnswerTooLarge);
+        return;
+    }
+    const int status = this->reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    if (this->listener.chunk && status == 200 && !this->markedAsAnothers())
+        this->listener.chunk(bytes);
+}
+
+void HttpExchange::giveUp(BackendFailure reason)
+{
+    if (!this->reply || this->reply->isFinished())
+        return;
+    this->givenUp = reason;
+    this->reply->abort();
+}
+
+void HttpExchange::finish()
+{
+    this->timeout.cancel();
+    this->connectTimeout.cancel();
+    const std::weak_ptr<char> alive = this->lifetime;
+    this->readBody();
+    if (alive.expired())
+        return; // the listener's chunk destroyed this exchange
+    const BackendAnswer answer = this->classify();
+    this->reply->disconnect();
+    this->reply->deleteLater();
+    this->reply.clear();
+    this->manager.reset();
+    const auto finished = std::move(this->listener.finished);
+    finished(answer);
+}
+
+BackendAnswer HttpExchange::classify()
+{
+    BackendAnswer answer;
+    answer.message = this->reply->errorString();
+    if (this->givenUp == BackendFailure::None && this->wholeAnswerCame()) {
+        this->readHead(answer);
+        answer.body = this->received;
+        if (this->markedAsAnothers()) {
+            answer.failure = BackendFailure::WrongAnswer;
+            answer.executed = Executed::Unknown;
+            answer.message = QStringLiteral("the answer is marked as another request's");
+        }
+        return answer;
+    }
+
+    const bool unsent = isConnectError(this->reply->error()) || this->body->certainlyUnread();
+    if (unsent)
+        answer.failure = BackendFailure::NotSent;
+    else if (this->givenUp != BackendFailure::None)
+        answer.failure = this->givenUp;
+    else
+        answer.failure = BackendFailure::ConnectionLost;
+    answer.executed = unsent ? Executed::No : Executed::Unknown;
+    return answer;
+}
+
+void HttpExchange::readHead(BackendAnswer &answer) const
+{
+    answer.httpStatus = this->reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    for (const auto &field : this->reply->rawHeaderPairs()) {
+        if (isForwardedToCaller(field.first))
+            answer.headers.push_back({field.first, field.second});
+    }
+}
+
+bool HttpExchange::wholeAnswerCame() const
+{
+    const int status = this->reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    const QNetworkReply::NetworkError error = this->reply->error();
+    if (status == 0 || (error != QNetworkReply::NoError && !isStatusError(error)))
+        return false;
+    // QNetworkAccessManager takes a body that ends before its length for a whole one.
+    const QVariant length = this->reply->header(QNetworkRequest::ContentLengthHeader);
+    const bool isHead =
+            this->reply->operation() == QNetworkAccessManager::HeadOperation
+            || this->reply->request().attribute(QNetworkRequest::CustomVerbAttribute).toByteArray()
+                       == "HEAD";
+    return isHead || !length.isValid() || length.toLongLong() == this->received.size();
+}
+
+bool HttpExchange::markedAsAnothers() const
+{
+    const QByteArray mark = this->reply->rawHeader("Lacewingmux-Request-Id");
+    return !mark.isEmpty() && mark != this->requestId.toUtf8();
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_backend/lacewingmux_backend.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/*
+ * Module lacewingmux_backend
+ *
+ * Everything between a cleared call and the backend server that runs it: HTTP clients for model
+ * engines and plain services, the registry of replicas, the dispatcher that queues calls and
+ * chooses replicas, and the orders that release engine memory.
+ *
+ * Depends on: lacewingmux_core, lacewingmux_platform, lacewingmux_peer, lacewingmux_zone,
+ * lacewingmux_program, lacewingmux_scheduling, lacewingmux_allowance.
+ */
+
+#include "lacewingmux_backend/clients/EngineClient.h"
+#include "lacewingmux_backend/clients/ServiceClient.h"
--- a/standins/engine/library/ContinuousBatch.cpp
+++ b/standins/engine/library/ContinuousBatch.cpp
@@ -37,6 +37,19 @@
     return false;
 }
 
+void ContinuousBatch::cancelProgram(const QString &program)
+{
+    std::vector<QString> requestIds;
+    for (const auto *line : {&this->waitingSequences, &this->runningSequences}) {
+        for (const auto &sequence : *line) {
+            if (sequence->program == program)
+                requestIds.push_back(sequence->requestId);
+        }
+    }
+    for (const QString &requestId : requestIds)
+        this->cancel(requestId);
+}
+
 void ContinuousBatch::setSlowFactor(int factor)
 {
     this->slowFactor = factor;
--- a/standins/engine/library/ContinuousBatch.h
+++ b/standins/engine/library/ContinuousBatch.h
@@ -29,6 +29,9 @@
     /** Ends a waiting or running sequence; returns false when there is none with the id. */
     bool cancel(const QString &requestId);
 
+    /** Ends all sequences of the program. */
+    void cancelProgram(const QString &program);
+
     /** Multiplies the time of each step. */
     void setSlowFactor(int factor);
 
--- a/standins/engine/library/EngineFaults.h
+++ b/standins/engine/library/EngineFaults.h
@@ -19,7 +19,7 @@
     int failOrders = 0;                ///< so many orders fail with status 500
     int loseOrderAnswers = 0;          ///< so many orders are carried out and not answered
     std::chrono::milliseconds delay{}; ///< waits before it sends a whole answer
-    QString crashOnText;               ///< a prompt that holds it ends the process
+    QString crashOnText{};             ///< a prompt that holds it ends the process
 
     /** Reads faults from JSON; a field left out is off. */
     [[nodiscard]] static EngineFaults fromJson(const QJsonObject &json);
--- a/standins/engine/library/EngineStandin.cpp
+++ b/standins/engine/library/EngineStandin.cpp
@@ -2,6 +2,7 @@
 
 #include <QJsonArray>
 #include <QJsonDocument>
+#include <QUuid>
 
 #include <algorithm>
 
@@ -89,6 +90,7 @@
 
 std::uint16_t EngineStandin::start(std::uint16_t port)
 {
+    this->instance = QUuid::createUuid().toString(QUuid::WithoutBraces);
     this->sampleLoad();
     this->loadTimer.start(std::max(this->settings.loadLag, std::chrono::milliseconds(1)));
     return this->server.start(port);
@@ -220,6 +222,10 @@
     const auto limit =
             body.value(QStringLiteral("max_tokens")).toInteger(this->settings.defaultOutputTokens);
     sequence->outputTokens = std::clamp<qint64>(limit, 1, this->settings.defaultOutputTokens);
+    if (!sequence->program.isEmpty() && this->endedPrograms.contains(sequence->program)) {
+        exchange->answer(410, QJsonObject{{QStringLiteral("error"), QStringLiteral("ended")}});
+        return;
+    }
     ++this->runsById[sequence->requestId];
     this->keep(sequence);
 
@@ -345,11 +351,8 @@
         exchange->answer(409, QJsonObject{{QStringLiteral("error"), QStringLiteral("fenced")}});
         return;
     }
-    if (json.value(QStringLiteral("order")).toString() == QStringLiteral("releaseProgram")) {
-        const QString program = json.value(QStringLiteral("program")).toString();
-        const std::int64_t freed = this->cache.release(program);
-        this->cacheEvents.add(QStringLiteral("released"), program, freed);
-    }
+    this->orderAboutProgram(json.value(QStringLiteral("order")).toString(),
+                            json.value(QStringLiteral("program")).toString());
     if (this->faults.loseOrderAnswers > 0) {
         --this->faults.loseOrderAnswers;
         exchange->abort();
@@ -358,6 +361,19 @@
     exchange->answer(200, QJsonObject{{QStringLiteral("done"), true}});
 }
 
+void EngineStandin::orderAboutProgram(const QString &kind, const QString &program)
+{
+    const bool ends = kind == QStringLiteral("endProgram");
+    if (!ends && kind != QStringLiteral("dropCache"))
+        return;
+    if (ends) {
+        this->endedPrograms.insert(program);
+        this->batch.cancelProgram(program);
+    }
+    const std::int64_t freed = this->cache.release(program);
+    this->cacheEvents.add(QStringLiteral("released"), program, freed);
+}
+
 void EngineStandin::exportCache(const StandinRequest &request, const Exchange &exchange) const
 {
     const QString program = request.json().value(QStringLiteral("program")).toString();
--- a/standins/engine/library/EngineStandin.h
+++ b/standins/engine/library/EngineStandin.h
@@ -10,6 +10,7 @@
 #include "server/StandinServer.h"
 
 #include <QHash>
+#include <QSet>
 
 #include <deque>
 #include <functional>
@@ -68,6 +69,7 @@
     void keep(const std::shared_ptr<Sequence> &sequence);
     void resume(const QString &requestId, const StandinRequest &request, const Exchange &exchange);
     void order(const StandinRequest &request, const Exchange &exchange);
+    void orderAboutProgram(const QString &kind, const QString &program);
     void exportCache(const StandinRequest &request, const Exchange &exchange) const;
     void importCache(const StandinRequest &request, const Exchange &exchange);
     void sampleLoad();
@@ -82,7 +84,9 @@
     StandinServer server;
     QTimer loadTimer;
     QJsonObject publishedLoad;
+    QString instance; ///< names this start of the engine
     QHash<QString, int> runsById;
+    QSet<QString> endedPrograms;
     std::deque<std::shared_ptr<Sequence>> recent;
     std::deque<QByteArray> recentHeads;
     std::shared_ptr<Sequence> swapSequence;
--- a/standins/service/library/ServiceFaults.h
+++ b/standins/service/library/ServiceFaults.h
@@ -13,7 +13,7 @@
     bool loseAnswer = false;           ///< runs the request, then cuts the connection
     bool duplicateAnswer = false;      ///< sends each answer twice
     std::chrono::milliseconds delay{}; ///< waits before it answers
-    QString crashOnText;               ///< a request whose body holds it ends the process
+    QString crashOnText{};             ///< a request whose body holds it ends the process
 };
 
 } // namespace lacewingmux::standin
--- /dev/null
+++ b/tests/backend/ClientTest.cpp
@@ -0,0 +1,308 @@
+#include "backend/support/EventLoop.h"
+#include "engine/library/EngineStandin.h"
+#include "lacewingmux_backend/clients/ConnectionPool.h"
+#include "lacewingmux_backend/clients/EngineClient.h"
+#include "lacewingmux_backend/clients/ServiceClient.h"
+#include "service/library/ServiceStandin.h"
+
+#include <QJsonDocument>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <criterion/criterion.h>
+
+using namespace lacewingmux;
+using namespace std::chrono_literals;
+
+namespace {
+
+QUrl loopback(std::uint16_t port)
+{
+    return QUrl(QStringLiteral("http://127.0.0.1:%1").arg(port));
+}
+
+/** A server that answers each new connection's first request as told, or just closes. */
+class RawServer
+{
+public:
+    explicit RawServer(QByteArray answerBytes)
+        : answer(std::move(answerBytes))
+    {
+        this->server.listen(QHostAddress::LocalHost);
+        QObject::connect(&this->server, &QTcpServer::newConnection, &this->server,
+                         [this] { this->accept(); });
+    }
+
+    QUrl url() const
+    {
+        return loopback(this->server.serverPort());
+    }
+
+    int requests = 0;
+
+private:
+    void accept()
+    {
+        QTcpSocket *socket = this->server.nextPendingConnection();
+        QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket] {
+            if (!socket->readAll().contains(" HTTP/1.1\r\n"))
+                return;
+            ++this->requests;
+            socket->write(this->answer);
+            socket->disconnectFromHost();
+        });
+    }
+
+    QTcpServer server;
+    QByteArray answer;
+};
+
+struct Fixture
+{
+    EventLoop loop;
+    ConnectionPool connections;
+    EngineClient engines{connections, loop.timers};
+    ServiceClient services{connections, loop.timers};
+    std::optional<BackendAnswer> answer;
+    QByteArray chunks;
+
+    BackendCall call(const QUrl &server, bool idempotent)
+    {
+        BackendCall made;
+        made.server = server;
+        made.method = "POST";
+        made.path = "/book?day=1";
+        made.body = "a truck visit";
+        made.requestId = QStringLiteral("r1");
+        made.idempotent = idempotent;
+        return made;
+    }
+
+    BackendCall chat(const QUrl &server, bool stream)
+    {
+        BackendCall made = this->call(server, true);
+        made.path = "/v1/chat/completions";
+        made.body = R"({"messages":[{"role":"user","content":"the coin box is stuck"}]})";
+        made.program = QStringLiteral("p1");
+        made.stream = stream;
+        return made;
+    }
+
+    BackendRunListener listener()
+    {
+        return {[this](const QByteArray &bytes) { this->chunks += bytes; },
+                [this](const BackendAnswer &result) { this->answer = result; }};
+    }
+
+    const BackendAnswer &finish(std::unique_ptr<BackendRun> run)
+    {
+        this->loop.waitUntil([this] { return this->answer.has_value(); }, "an answer");
+        run.reset();
+        return *this->answer;
+    }
+};
+
+} // namespace
+
+Test(ServiceClient, aConnectionClosedBeforeTheAnswerIsNeverSentAgain)
+{
+    for (const bool idempotent : {false, true}) {
+        Fixture f;
+        RawServer server("");
+        const auto &answer =
+                f.finish(f.services.start(f.call(server.url(), idempotent), f.listener()));
+        f.loop.runFor(100ms);
+        cr_assert(answer.failure == BackendFailure::ConnectionLost);
+        cr_assert(answer.executed == Executed::Unknown);
+        cr_assert_eq(server.requests, 1);
+    }
+}
+
+Test(ServiceClient, aRequestWithoutBodyIsNeverSentAgain)
+{
+    Fixture f;
+    RawServer server("");
+    BackendCall call = f.call(server.url(), false);
+    call.method = "DELETE";
+    call.body.clear();
+    const auto &answer = f.finish(f.services.start(call, f.listener()));
+    f.loop.runFor(100ms);
+    cr_assert(answer.executed == Executed::Unknown);
+    cr_assert_eq(server.requests, 1);
+}
+
+Test(ServiceClient, aRefusedConnectionIsCertainlyNotRun)
+{
+    Fixture f;
+    standin::ServiceStandin service;
+    const std::uint16_t port = service.start(0);
+    service.crash();
+    const auto &answer = f.finish(f.services.start(f.call(loopback(port), false), f.listener()));
+    cr_assert(answer.failure == BackendFailure::NotSent);
+    cr_assert(answer.executed == Executed::No);
+}
+
+Test(ServiceClient, aTruncatedAnswerIsNoAnswer)
+{
+    for (const char *cut : {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"}) {
+        Fixture f;
+        RawServer server(cut);
+        const auto &answer = f.finish(f.services.start(f.call(server.url(), true), f.listener()));
+        cr_assert(answer.failure == BackendFailure::ConnectionLost, "%s", cut);
+        cr_assert(answer.executed == Executed::Unknown);
+    }
+}
+
+Test(ServiceClient, anErrorStatusIsAWholeAnswer)
+{
+    for (const int status : {401, 404, 409, 500, 503}) {
+        Fixture f;
+        RawServer server("HTTP/1.1 " + QByteArray::number(status)
+                         + " No\r\nContent-Length: 4\r\n\r\nbody");
+        const auto &answer = f.finish(f.services.start(f.call(server.url(), false), f.listener()));
+        cr_assert(answer.completed(), "%d", status);
+        cr_assert_eq(answer.httpStatus, status);
+        cr_assert(answer.body == "body");
+    }
+}
+
+Test(ServiceClient, anAnswerOverItsBoundIsCutOff)
+{
+    Fixture f;
+    RawServer server("HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + QByteArray(5000, 'x'));
+    BackendCall call = f.call(server.url(), false);
+    call.maxAnswerBytes = 1000;
+    const auto &answer = f.finish(f.services.start(call, f.listener()));
+    cr_assert(answer.failure == BackendFailure::AnswerTooLarge);
+    cr_assert(answer.executed == Executed::Unknown);
+}
+
+Test(ServiceClient, credentialsAreNotSentOn)
+{
+    Fixture f;
+    standin::EngineStandin engine;
+    BackendCall call = f.chat(loopback(engine.start(0)), false);
+    call.headers = {{"Authorization", "Bearer top-secret"},
+                    {"X-Api-Key", "top-secret"},
+                    {"Cookie", "top-secret"},
+                    {"X-Trace", "visible"}};
+    f.finish(f.engines.start(call, f.listener()));
+    cr_assert(engine.hasSeen("visible"));
+    cr_assert_not(engine.hasSeen("top-secret"));
+}
+
+Test(ServiceClient, aHangingServiceTimesOutAndMayHaveRun)
+{
+    Fixture f;
+    standin::ServiceStandin service;
+    service.setFaults({.hang = true});
+    BackendCall call = f.call(loopback(service.start(0)), false);
+    call.timeout = 100ms;
+    const auto &answer = f.finish(f.services.start(call, f.listener()));
+    cr_assert(answer.failure == BackendFailure::TimedOut);
+    cr_assert(answer.executed == Executed::Unknown);
+    cr_assert_eq(service.runs(QStringLiteral("r1")), 1);
+}
+
+Test(EngineClient, answersPlainWithUsage)
+{
+    Fixture f;
+    standin::EngineStandin engine;
+    BackendCall call = f.chat(loopback(engine.start(0)), false);
+    call.maxOutputTokens = 3;
+    const auto &answer = f.finish(f.engines.start(call, f.listener()));
+    cr_assert(answer.completed());
+    cr_assert_eq(answer.httpStatus, 200);
+    cr_assert_eq(answer.inputTokens, 5);
+    cr_assert_eq(answer.outputTokens, 3);
+}
+
+Test(EngineClient, aStreamPassesOnEachEventOnce)
+{
+    Fixture f;
+    standin::EngineStandin engine;
+    const auto &answer =
+            f.finish(f.engines.start(f.chat(loopback(engine.start(0)), true), f.listener()));
+    cr_assert(answer.completed());
+    cr_assert_eq(answer.outputTokens, 16);
+    cr_assert_eq(answer.body.count("data: "), 18);
+    cr_assert(answer.body == f.chunks);
+}
+
+Test(EngineClient, aBrokenStreamIsResumedWithoutASecondRun)
+{
+    Fixture f;
+    standin::EngineStandin engine;
+    const QUrl url = loopback(engine.start(0));
+    engine.setFaults({.cutAfterTokens = 4});
+    const auto run = f.engines.start(f.chat(url, true), f.listener());
+    f.loop.waitUntil([&f] { return f.chunks.count("data: ") >= 4; }, "the cut");
+    engine.setFaults({});
+    f.loop.waitUntil([&f] { return f.answer.has_value(); }, "an answer");
+    cr_assert(f.answer->completed(), "%s", qPrintable(f.answer->message));
+    cr_assert_eq(f.answer->body.count("data: "), 18);
+    cr_assert_eq(engine.runs(QStringLiteral("r1")), 1);
+}
+
+Test(EngineClient, aStreamWhoseEngineDiesIsNotWhole)
+{
+    Fixture f;
+    standin::EngineStandin engine({.stepTime = 20ms});
+    const auto run = f.engines.start(f.chat(loopback(engine.start(0)), true), f.listener());
+    f.loop.waitUntil([&f] { return f.chunks.count("data: ") >= 2; }, "two events");
+    engine.crash();
+    f.loop.waitUntil([&f] { return f.answer.has_value(); }, "an answer");
+    cr_assert(f.answer->failure == BackendFailure::ConnectionLost);
+    cr_assert(f.answer->executed == Executed::Unknown);
+}
+
+Test(EngineClient, anotherRequestsAnswerIsNotTaken)
+{
+    Fixture f;
+    standin::EngineStandin engine;
+    const QUrl url = loopback(engine.start(0));
+    engine.setFaults({.duplicateAnswer = true});
+    f.finish(f.engines.start(f.chat(url, false), f.listener()));
+    engine.setFaults({});
+    f.answer.reset();
+    BackendCall second = f.chat(url, false);
+    second.requestId = QStringLiteral("r2");
+    const auto &answer = f.finish(f.engines.start(second, f.listener()));
+    const QJsonObject json = QJsonDocument::fromJson(answer.body).object();
+    cr_assert(!answer.completed()
+              || json.value(QStringLiteral("id")).toString() == second.requestId);
+}
+
+Test(EngineClient, ordersCarryTheirFencingNumber)
+{
+    Fixture f;
+    standin::EngineStandin engine;
+    const QUrl url = loopback(engine.start(0));
+    std::vector<OrderOutcome> outcomes;
+    const auto note = [&outcomes](OrderOutcome outcome) { outcomes.push_back(outcome); };
+    f.engines.order(url, {EngineOrderKind::LoadAdapter, QStringLiteral("a"), 5}, note);
+    f.loop.waitUntil([&outcomes] { return outcomes.size() == 1; }, "the first order");
+    f.engines.order(url, {EngineOrderKind::LoadAdapter, QStringLiteral("b"), 4}, note);
+    f.loop.waitUntil([&outcomes] { return outcomes.size() == 2; }, "the second order");
+    cr_assert(outcomes[0] == OrderOutcome::Done);
+    cr_assert(outcomes[1] == OrderOutcome::Fenced);
+}
+
+Test(EngineClient, cacheMovesByExportAndImport)
+{
+    Fixture f;
+    standin::EngineStandin from;
+    standin::EngineStandin to;
+    const QUrl fromUrl = loopback(from.start(0));
+    const QUrl toUrl = loopback(to.start(0));
+    f.finish(f.engines.start(f.chat(fromUrl, false), f.listener()));
+    bool imported = false;
+    f.engines.exportCache(fromUrl, QStringLiteral("p1"), [&](std::optional<QByteArray> bytes) {
+        cr_assert(bytes.has_value());
+        f.engines.importCache(toUrl, *bytes, [&imported](bool done) { imported = done; });
+    });
+    f.loop.waitUntil([&imported] { return imported; }, "the import");
+    cr_assert_gt(to.tokensHeldBy(QStringLiteral("p1")), 0);
+    cr_assert_eq(to.tokensHeldBy(QStringLiteral("p1")), from.tokensHeldBy(QStringLiteral("p1")));
+}
