--- a/tests/daemon/DaemonSettingsReaderTest.cpp
+++ b/tests/daemon/DaemonSettingsReaderTest.cpp
@@ -12,19 +12,27 @@
 
 namespace {
 
-const char *soundDocument = R"({
+/** Any file that is there. */
+const QString presentFile = QStringLiteral(LACEWINGMUX_SOURCE_DIR "/CMakeLists.txt");
+
+const char *const documentText = R"({
     "vm": "vm-1", "zone": "zone-a", "fleet": "co-centro", "zones": ["zone-a", "zone-b"],
     "callers": {"address": "127.0.0.1", "port": 8080},
     "operators": {"address": "127.0.0.1", "port": 8081},
     "peers": {"address": "127.0.0.1", "controlPort": 7400, "trafficPort": 7401,
               "seeds": [{"address": "127.0.0.2", "controlPort": 7400}],
-              "sharedSecretFile": "/dev/null"},
+              "sharedSecretFile": "FILE"},
     "store": {"endpoints": ["http://127.0.0.1:2379"]}
 })";
 
+QByteArray soundDocument()
+{
+    return QByteArray(documentText).replace("FILE", presentFile.toUtf8());
+}
+
 QJsonObject sound()
 {
-    return QJsonDocument::fromJson(soundDocument).object();
+    return QJsonDocument::fromJson(soundDocument()).object();
 }
 
 SettingsFindings check(const QJsonObject &document)
@@ -59,7 +67,7 @@
 Test(DaemonSettingsReader, acceptsASoundDocumentWithDefaults)
 {
     SettingsFindings findings;
-    const DaemonSettings settings = DaemonSettingsReader::read(soundDocument, findings);
+    const DaemonSettings settings = DaemonSettingsReader::read(soundDocument(), findings);
     cr_assert(findings.faults.empty(), "%s", qPrintable(findings.faultText()));
     cr_assert_eq(settings.peers.advertisedTrafficPort, 7401);
     cr_assert_eq(settings.limits.bodyBytes, 8388608);
@@ -88,8 +96,8 @@
     document.insert(QStringLiteral("peers"), peers);
     cr_assert(faultsAre(check(document), {"peers.sharedSecretFile"}));
 
-    const QJsonObject files{{QStringLiteral("certificateFile"), QStringLiteral("/dev/null")},
-                            {QStringLiteral("keyFile"), QStringLiteral("/dev/null")},
+    const QJsonObject files{{QStringLiteral("certificateFile"), presentFile},
+                            {QStringLiteral("keyFile"), presentFile},
                             {QStringLiteral("authorityFile"), QStringLiteral("/no/such/file")}};
     cr_assert(faultsAre(check(with(document, "peers", "tls", files)), {"peers.tls.authorityFile"}));
 }
