Add the HTTP store client and the store stand-in

Cause: the daemons and lacewingmuxctl reach the platform's store over the etcd v3 JSON gateway, and QNetworkAccessManager sends a POST again by itself when a connection closes before the answer. A compare-and-swap that was applied would then come back as a conflict.

Change: HttpPlatformStore sends every call with a body that can be read once only (SingleUseBody), so a second sending fails and the outcome is Unknown; NotSent is reported only when no byte of the body left. Ruled out: a fresh connection for each write (it is sent again there too), and a marker key in the transaction (another key to keep for each client).

--- /dev/null
+++ b/modules/lacewingmux_platform/client/SingleUseBody.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <QByteArray>
+#include <QIODevice>
+
+namespace lacewingmux {
+
+/**
+    The body of a request that may be sent only once.
+
+    QNetworkAccessManager sends a request again by itself when a connection closes before the
+    answer, which would apply a write twice or report the conflict of the second try. It has to
+    rewind the body for that, and this one can't be rewound, so the request fails instead.
+*/
+class SingleUseBody final : public QIODevice
+{
+public:
+    explicit SingleUseBody(QByteArray bodyContent);
+
+    /** Tells whether any byte was handed out; if not, nobody can have acted on the request. */
+    [[nodiscard]] bool wasRead() const noexcept
+    {
+        return this->position > 0;
+    }
+
+    [[nodiscard]] bool isSequential() const override;
+    [[nodiscard]] qint64 size() const override;
+    [[nodiscard]] qint64 bytesAvailable() const override;
+
+    /** Refuses. */
+    bool reset() override;
+
+protected:
+    qint64 readData(char *target, qint64 maximumSize) override;
+    qint64 writeData(const char *source, qint64 size) override;
+
+private:
+    QByteArray content;
+    qint64 position = 0;
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_platform/client/StoreAccess.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "lacewingmux_core/metrics/MetricsRecorder.h"
+#include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_platform/client/CallBudget.h"
+#include "lacewingmux_platform/client/PlatformStoreSettings.h"
+
+#include <QNetworkRequest>
+
+#include <cstddef>
+#include <random>
+
+namespace lacewingmux {
+
+/** What the calls and watches of one daemon share: endpoints, budget, metrics and randomness. */
+class StoreAccess
+{
+public:
+    StoreAccess(TimerService &timerService, MetricsRecorder &metricsRecorder,
+                PlatformStoreSettings storeSettings);
+    StoreAccess(const StoreAccess &) = delete;
+    StoreAccess &operator=(const StoreAccess &) = delete;
+
+    /** Takes one call out of the budget and counts it; returns false when the budget is spent. */
+    [[nodiscard]] bool takeCall(CallPriority priority, const char *path);
+
+    /** Returns the request for the path at the present endpoint. */
+    [[nodiscard]] QNetworkRequest request(const char *path) const;
+
+    /** Returns the number of the present endpoint. */
+    [[nodiscard]] std::size_t endpoint() const noexcept
+    {
+        return this->currentEndpoint;
+    }
+
+    /** Moves on to the next endpoint, if the one that failed is still the present one. */
+    void reportFailure(std::size_t failedEndpoint);
+
+    /** Returns a random number from 0 to 1. */
+    [[nodiscard]] double random();
+
+    [[nodiscard]] const PlatformStoreSettings &settings() const noexcept
+    {
+        return this->currentSettings;
+    }
+    [[nodiscard]] TimerService &timers() const noexcept
+    {
+        return this->timerService;
+    }
+
+private:
+    TimerService &timerService;
+    MetricsRecorder &metrics;
+    PlatformStoreSettings currentSettings;
+    CallBudget budget;
+    std::size_t currentEndpoint = 0;
+    std::mt19937_64 generator;
+};
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_platform/lacewingmux_platform.h
+++ b/modules/lacewingmux_platform/lacewingmux_platform.h
@@ -9,6 +9,12 @@
  * Depends on: lacewingmux_core, Qt Network.
  */
 
+#include "lacewingmux_platform/client/CallBudget.h"
+#include "lacewingmux_platform/client/HttpPlatformStore.h"
+#include "lacewingmux_platform/client/JitteredBackoff.h"
+#include "lacewingmux_platform/client/PlatformStoreSettings.h"
+#include "lacewingmux_platform/etcd/EtcdJson.h"
+#include "lacewingmux_platform/etcd/EtcdPaths.h"
 #include "lacewingmux_platform/memory/InMemoryPlatformStore.h"
 #include "lacewingmux_platform/memory/InMemoryStoreServer.h"
 #include "lacewingmux_platform/memory/KeyValueEvent.h"
--- a/modules/lacewingmux_platform/memory/InMemoryPlatformStore.cpp
+++ b/modules/lacewingmux_platform/memory/InMemoryPlatformStore.cpp
@@ -58,8 +58,11 @@
     const auto swap = [key, expectedModRevision, value, leaseId, result](KeyValueTable &table) {
         const std::optional<StoreRecord> before = table.find(key);
         const std::int64_t revision = before ? before->modRevision : 0;
-        const bool leaseHeld = leaseId == 0 || table.hasLease(leaseId);
-        if (revision != expectedModRevision || !leaseHeld) {
+        if (leaseId != 0 && !table.hasLease(leaseId)) {
+            *result = {CompareAndSwapOutcome::NotSent, std::nullopt};
+            return;
+        }
+        if (revision != expectedModRevision) {
             *result = {CompareAndSwapOutcome::Conflict, before};
             return;
         }
--- a/modules/lacewingmux_platform/memory/KeyValueTable.cpp
+++ b/modules/lacewingmux_platform/memory/KeyValueTable.cpp
@@ -34,6 +34,7 @@
         else
             removed += this->remove(step.keys);
     }
+    this->limitHistory();
     return removed;
 }
 
@@ -124,6 +125,12 @@
     return static_cast<std::int64_t>(doomed.size());
 }
 
+void KeyValueTable::limitHistory()
+{
+    if (this->history.size() > historyLimit)
+        this->compact(this->history[this->history.size() - historyLimit].revision);
+}
+
 void KeyValueTable::removeKeysOfLease(std::int64_t leaseId)
 {
     std::vector<KeyValueWrite> steps;
--- a/modules/lacewingmux_platform/memory/KeyValueTable.h
+++ b/modules/lacewingmux_platform/memory/KeyValueTable.h
@@ -26,6 +26,9 @@
 public:
     using Time = TimerService::SteadyTime;
 
+    /** How many changes are kept for watches; older ones are dropped as by compact(). */
+    static constexpr std::size_t historyLimit = 10'000;
+
     /** Returns the revision of the last write. */
     [[nodiscard]] std::int64_t revision() const noexcept
     {
@@ -79,6 +82,7 @@
     void put(const KeyValueWrite &step);
     std::int64_t remove(const KeyRange &keys);
     void removeKeysOfLease(std::int64_t leaseId);
+    void limitHistory();
 
     std::map<QByteArray, StoreRecord> records;
     std::deque<KeyValueEvent> history;
