Let the store stand-in's faults be set on its own port, and read revisions without values

Cause: a local deployment knows one port of the store and sets all faults at once; a poll that only asks whether something changed need not carry a value of up to a megabyte.

Change: 'down' breaks every call's connection, 'closed' closes the port (to be ended on the control port); PlatformStore::readRevision may leave values out, and the HTTP client does.

Conclusion: tests/store passes.

--- a/modules/lacewingmux_platform/client/HttpPlatformStore.cpp
+++ b/modules/lacewingmux_platform/client/HttpPlatformStore.cpp
@@ -93,17 +93,24 @@
 
 void HttpPlatformStore::readPrefix(const QByteArray &prefix, ReadCallback callback)
 {
-    this->readRange(KeyRange::withPrefix(prefix), std::move(callback));
+    this->readRange(EtcdJson::fromRange(KeyRange::withPrefix(prefix)), std::move(callback));
 }
 
 void HttpPlatformStore::read(const QByteArray &key, ReadCallback callback)
 {
-    this->readRange(KeyRange::single(key), std::move(callback));
+    this->readRange(EtcdJson::fromRange(KeyRange::single(key)), std::move(callback));
 }
 
-void HttpPlatformStore::readRange(const KeyRange &keys, ReadCallback callback)
+void HttpPlatformStore::readRevision(const QByteArray &key, ReadCallback callback)
 {
-    this->post(CallPriority::Ordinary, EtcdPaths::range, EtcdJson::fromRange(keys),
+    QJsonObject request = EtcdJson::fromRange(KeyRange::single(key));
+    request.insert(QStringLiteral("keys_only"), true);
+    this->readRange(request, std::move(callback));
+}
+
+void HttpPlatformStore::readRange(const QJsonObject &request, ReadCallback callback)
+{
+    this->post(CallPriority::Ordinary, EtcdPaths::range, request,
                [callback = std::move(callback)](const HttpCallResult &result) {
                    callback(recordsOf(result));
                });
--- a/modules/lacewingmux_platform/client/HttpPlatformStore.h
+++ b/modules/lacewingmux_platform/client/HttpPlatformStore.h
@@ -2,7 +2,6 @@
 
 #include "lacewingmux_platform/client/HttpCall.h"
 #include "lacewingmux_platform/client/StoreAccess.h"
-#include "lacewingmux_platform/store/KeyRange.h"
 #include "lacewingmux_platform/store/PlatformStore.h"
 
 #include <QJsonObject>
@@ -32,6 +31,7 @@
 
     void readPrefix(const QByteArray &prefix, ReadCallback callback) override;
     void read(const QByteArray &key, ReadCallback callback) override;
+    void readRevision(const QByteArray &key, ReadCallback callback) override;
     void compareAndSwap(const QByteArray &key, std::int64_t expectedModRevision,
                         const QByteArray &value, CompareAndSwapCallback callback,
                         std::int64_t leaseId = 0) override;
@@ -53,7 +53,7 @@
         HttpCall::Callback callback;
     };
 
-    void readRange(const KeyRange &keys, ReadCallback callback);
+    void readRange(const QJsonObject &request, ReadCallback callback);
     void post(CallPriority priority, const char *path, const QJsonObject &body,
               HttpCall::Callback callback);
     void start(const std::shared_ptr<Attempt> &attempt);
--- a/modules/lacewingmux_platform/store/PlatformStore.h
+++ b/modules/lacewingmux_platform/store/PlatformStore.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace lacewingmux {
@@ -49,6 +50,12 @@
     /** Reads one key; the list is empty when it is absent. */
     virtual void read(const QByteArray &key, ReadCallback callback) = 0;
 
+    /** Reads the revisions of one key, as read() does, but the value may be left empty. */
+    virtual void readRevision(const QByteArray &key, ReadCallback callback)
+    {
+        this->read(key, std::move(callback));
+    }
+
     /**
         Writes the value if the key's modRevision is still the expected one; 0 means absent.
         A leaseId other than 0 binds the key to that lease.
--- a/standins/store/StoreStandin.cpp
+++ b/standins/store/StoreStandin.cpp
@@ -37,13 +37,16 @@
 
 void StoreStandin::setFaults(const QJsonObject &object)
 {
-    const bool wasDown = this->faults.down;
-    if (const auto fault = this->faults.update(object))
-        throw LacewingmuxError(ErrorKind::MalformedRequest, *fault);
-    if (this->faults.down && !wasDown)
+    const bool wasClosed = this->faults.closed;
+    this->faults = StoreFaults::fromJson(object);
+    if (this->faults.closed && !wasClosed)
         this->serviceServer.stop();
-    if (!this->faults.down && wasDown)
+    if (!this->faults.closed && wasClosed)
         this->serviceServer.start(this->servicePort);
+    if (!this->faults.down)
+        return;
+    for (const auto &watch : this->watches)
+        watch->breakOff();
 }
 
 std::int64_t StoreStandin::calls(const QString &client, const QString &path) const
@@ -63,8 +66,14 @@
 void StoreStandin::handleCall(const QHttpServerRequest &request, QTcpSocket *socket)
 {
     const QString path = request.url().path();
+    if (path.startsWith(QLatin1String("/v1/standin/"))) {
+        this->handleControl(request, socket);
+        return;
+    }
     ++this->callsByClient[QString::fromUtf8(request.value("User-Agent"))][path];
-    if (this->faults.hanging)
+    if (this->faults.down)
+        socket->abort();
+    if (this->faults.down || this->faults.hanging)
         return;
     const QJsonDocument document = QJsonDocument::fromJson(request.body());
     if (!document.isObject()) {
@@ -74,8 +83,11 @@
     }
     const QPointer<QTcpSocket> guard(socket);
     this->later([this, path, body = document.object(), guard] {
-        if (!this->faults.down && !this->faults.hanging)
+        const bool stopped = this->faults.down || this->faults.closed || this->faults.hanging;
+        if (!stopped)
             this->applyCall(path, body, guard);
+        else if (guard && this->faults.down)
+            guard->abort();
     });
 }
 
--- a/standins/store/StoreStandin.h
+++ b/standins/store/StoreStandin.h
@@ -21,14 +21,15 @@
 
 /**
     The platform's key-value service in small: the subset of the etcd v3 JSON gateway that
-    lacewingmux uses on one port, and what tests need on a second one, the control port:
+    lacewingmux uses, and beside it what tests need:
 
-    - GET and POST /v1/standin/faults: see StoreFaults;
+    - GET and POST /v1/standin/faults: see StoreFaults; a POST sets all of them, {} ends them;
     - GET /v1/standin/calls: {"clients": {client: {path: count}}}, a client being the value of
       the header User-Agent; calls that a fault swallowed count too;
     - POST /v1/standin/compact: drops the history of changes.
 
-    The control port stays open while the store is down.
+    The service port serves both; the control port serves the latter alone and stays open when
+    the service port is told to close.
 */
 class StoreStandin
 {
@@ -49,7 +50,7 @@
         return this->controlPortNumber;
     }
 
-    /** Changes the faults, as POST /v1/standin/faults does. Throws LacewingmuxError. */
+    /** Sets all faults, as POST /v1/standin/faults does. Throws LacewingmuxError. */
     void setFaults(const QJsonObject &object);
 
     /** Returns how many calls came to the path from the client. */
--- a/standins/store/WatchStream.cpp
+++ b/standins/store/WatchStream.cpp
@@ -61,6 +61,12 @@
                 {QStringLiteral("events"), events}});
 }
 
+void WatchStream::breakOff()
+{
+    if (this->socket)
+        this->socket->abort();
+}
+
 bool WatchStream::isOver() const
 {
     return this->cancelled || this->socket.isNull()
--- a/standins/store/WatchStream.h
+++ b/standins/store/WatchStream.h
@@ -22,6 +22,9 @@
     /** Sends what changed since the last delivery, or cancels the watch when that is compacted. */
     void deliver(const KeyValueTable &table);
 
+    /** Breaks the connection without a word. */
+    void breakOff();
+
     /** Tells whether the watcher has gone or the watch was cancelled. */
     [[nodiscard]] bool isOver() const;
 
--- a/tests/store/HttpPlatformStoreTest.cpp
+++ b/tests/store/HttpPlatformStoreTest.cpp
@@ -110,6 +110,10 @@
     fixture.standin.setFaults({{QStringLiteral("hanging"), true}});
     cr_assert(fixture.swap(store, 0, "one").outcome == CompareAndSwapOutcome::Unknown);
     cr_assert_not(fixture.read(store).has_value());
+    fixture.standin.setFaults({{QStringLiteral("down"), true}});
+    cr_assert(fixture.swap(store, 0, "one").outcome == CompareAndSwapOutcome::Unknown);
+    fixture.standin.setFaults({});
+    cr_assert(fixture.read(store)->empty());
 }
 
 Test(HttpPlatformStore, callsOverTheBudgetAreNotMadeAndWritesKeepAReserve)
@@ -162,7 +166,7 @@
     });
     cr_assert(fixture.swap(store, 0, "one").outcome == CompareAndSwapOutcome::Applied);
     cr_assert(fixture.loop.until([&seen] { return seen.size() == 1; }));
-    fixture.standin.setFaults({{QStringLiteral("down"), true}});
+    fixture.standin.setFaults({{QStringLiteral("closed"), true}});
     const auto put = [&fixture](const QByteArray &name, const QByteArray &value) {
         fixture.standin.table().write(
                 {{KeyValueWrite::Kind::Put, KeyRange::single(name), value, 0}});
@@ -170,7 +174,7 @@
     put("lacewingmux/zones/b", "while down");
     fixture.standin.table().write({{KeyValueWrite::Kind::Remove, KeyRange::single(key), {}, 0}});
     fixture.standin.compact();
-    fixture.standin.setFaults({{QStringLiteral("down"), false}});
+    fixture.standin.setFaults({});
     cr_assert(fixture.loop.until([&seen] { return seen.size() >= 3; }));
     put("lacewingmux/zones/b", "afterwards");
     cr_assert(fixture.loop.until([&seen] { return seen.size() >= 4; }));
