--- a/modules/lacewingmux_peer/messages/FrameKind.h
+++ b/modules/lacewingmux_peer/messages/FrameKind.h
@@ -30,10 +30,13 @@
     JournalRefusal = 35,
     SlotSurvey = 36,
     SlotSurveyReply = 37,
+    SlotStateAck = 38,
+    SlotActivated = 39,
     CopyAppend = 40,
     CopyAck = 41,
     CopyFetch = 42,
     CopyFetchReply = 43,
+    SlotActivatedRequest = 44,
 
     // lacewingmux_http, traffic channel
     OwnerRequest = 60,
--- a/modules/lacewingmux_zone/journal/Journal.h
+++ b/modules/lacewingmux_zone/journal/Journal.h
@@ -20,7 +20,7 @@
 /** What this VM can say about an aggregate's slot. */
 enum class SlotStatus : std::uint8_t {
     NotOwner,        ///< another VM owns it, or none does
-    Recovering,      ///< this VM is the owner and is still collecting its state
+    Recovering,      ///< this VM is the owner and can't commit at present
     Active,          ///< this VM owns it with complete state: an aggregate it lacks never existed
     ActiveIncomplete ///< active after a loss: an aggregate it lacks may have existed
 };
@@ -46,6 +46,15 @@
 
     [[nodiscard]] virtual SlotStatus status(SlotIndex slot) const = 0;
 
+    /**
+        Returns the epoch from which an active slot is complete; 0 means from the start of the
+        zone. An aggregate of an earlier epoch that it lacks may have existed.
+    */
+    [[nodiscard]] virtual std::uint64_t completeSince(SlotIndex) const
+    {
+        return 0;
+    }
+
     /** Appends an entry; calls back once, never before it returns, in the order of the appends. */
     virtual void append(const AggregateId &aggregate, const QByteArray &entry,
                         Callback callback) = 0;
--- a/modules/lacewingmux_zone/journal/RecordMap.cpp
+++ b/modules/lacewingmux_zone/journal/RecordMap.cpp
@@ -17,6 +17,23 @@
     this->entriesByAggregate.erase(aggregate);
 }
 
+void RecordMap::apply(const JournalChange &change)
+{
+    switch (change.kind) {
+    case ChangeKind::Append:
+        this->append(change.aggregate, change.entry);
+        break;
+    case ChangeKind::Replace:
+        this->replace(change.aggregate, change.entry);
+        break;
+    case ChangeKind::Remove:
+        this->remove(change.aggregate);
+        break;
+    case ChangeKind::Confirm:
+        break;
+    }
+}
+
 void RecordMap::clear()
 {
     this->entriesByAggregate.clear();
--- a/modules/lacewingmux_zone/journal/RecordMap.h
+++ b/modules/lacewingmux_zone/journal/RecordMap.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lacewingmux_zone/journal/AggregateRecord.h"
+#include "lacewingmux_zone/journal/JournalChange.h"
 
 #include <map>
 #include <vector>
@@ -25,6 +26,9 @@
     /** Forgets the aggregate. */
     void remove(const AggregateId &aggregate);
 
+    /** Applies one journal entry. */
+    void apply(const JournalChange &change);
+
     /** Forgets everything. */
     void clear();
 
--- /dev/null
+++ b/modules/lacewingmux_zone/replication/Slot.cpp
@@ -0,0 +1,21 @@
+#include "lacewingmux_zone/replication/Slot.h"
+
+namespace lacewingmux {
+
+void Slot::beginView(const SlotPlacement &newPlacement)
+{
+    this->placement = newPlacement;
+    this->phase = SlotPhase::NotOwner;
+    this->survey.reset();
+    this->finding.reset();
+    this->lost = false;
+    this->stalled = false;
+    this->pulled = {};
+    this->pushed.reset();
+    this->keepOrder.reset();
+    this->installed = {};
+    this->served.reset();
+    this->progressAt = {};
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_zone/replication/SlotAssembly.cpp
@@ -0,0 +1,29 @@
+#include "lacewingmux_zone/replication/SlotAssembly.h"
+
+#include "lacewingmux_zone/replication/JournalMessages.h"
+
+#include <utility>
+
+namespace lacewingmux {
+
+bool SlotAssembly::add(const StatePiece &piece)
+{
+    if (piece.piece == 0)
+        *this = {};
+    if (piece.piece != this->expectedPiece || this->whole)
+        return false;
+    for (const AggregateRecord &record : piece.records) {
+        for (const QByteArray &entry : record.entries)
+            this->records.append(record.id, entry);
+    }
+    ++this->expectedPiece;
+    this->whole = piece.last;
+    return true;
+}
+
+RecordMap SlotAssembly::takeRecords()
+{
+    return std::exchange(this->records, {});
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_zone/replication/SlotHolder.cpp
@@ -0,0 +1,173 @@
+#include "lacewingmux_zone/replication/SlotHolder.h"
+
+#include "lacewingmux_zone/replication/JournalContext.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+
+namespace lacewingmux {
+
+SlotHolder::SlotHolder(JournalContext &journalContext)
+    : context(journalContext)
+{ }
+
+void SlotHolder::onSurvey(const VmIncarnation &owner, const std::vector<SlotIndex> &slots)
+{
+    for (const SlotIndex slot : slots) {
+        if (slot >= this->context.slots.size())
+            continue;
+        const SurveyAnswer answer{slot, this->context.slots[slot].position};
+        this->context.outbox.to(owner).answers.push_back(answer);
+    }
+}
+
+void SlotHolder::onStateRequests(const VmIncarnation &owner,
+                                 const std::vector<StateRequest> &requests)
+{
+    for (const StateRequest &request : requests) {
+        if (request.slot >= this->context.slots.size())
+            continue;
+        Slot &slot = this->context.slots[request.slot];
+        if (slot.placement.owner != owner || slot.position.activation != request.activation)
+            continue;
+        if (!slot.served || request.piece == 0)
+            slot.served = std::make_unique<SlotTransfer>(request.slot, slot.position, slot.records,
+                                                         this->context.settings.frameBytes);
+        const std::optional<StatePiece> piece = slot.served->piece(request.piece);
+        if (!piece)
+            continue;
+        this->context.outbox.to(owner).servedPieces.push_back(*piece);
+    }
+}
+
+void SlotHolder::onStatePieces(const VmIncarnation &owner, const std::vector<StatePiece> &pieces)
+{
+    for (const StatePiece &piece : pieces) {
+        if (!this->isBackupOf(owner, piece.slot))
+            continue;
+        Slot &slot = this->context.slots[piece.slot];
+        const StateAck ack =
+                piece.keep ? this->keepCopy(slot, piece) : this->takePiece(slot, piece);
+        this->context.outbox.to(owner).stateAcks.push_back(ack);
+    }
+}
+
+void SlotHolder::onAppends(const VmIncarnation &owner, const std::vector<AppendEntry> &entries)
+{
+    std::map<SlotIndex, bool> complete; // by slot: whether no entry was missing
+    for (const AppendEntry &entry : entries) {
+        if (this->context.faults.ignoreEpochFence && entry.activation < this->context.epoch()) {
+            this->acknowledgeWithoutFence(owner, entry);
+            continue;
+        }
+        if (!this->isBackupOf(owner, entry.slot))
+            continue;
+        Slot &slot = this->context.slots[entry.slot];
+        if (slot.position.activation != entry.activation)
+            continue;
+        const bool taken = this->takeEntry(slot, entry);
+        const auto [found, added] = complete.try_emplace(entry.slot, taken);
+        found->second = found->second && taken;
+    }
+    for (const auto &[index, whole] : complete) {
+        const SlotPosition &position = this->context.slots[index].position;
+        this->context.outbox.to(owner).appendAcks.push_back(
+                {index, !whole, position.activation, position.sequence});
+    }
+}
+
+void SlotHolder::onActivated(const VmIncarnation &owner,
+                             const std::vector<ActivatedSlot> &activated)
+{
+    for (const ActivatedSlot &news : activated) {
+        if (news.slot >= this->context.slots.size())
+            continue;
+        Slot &slot = this->context.slots[news.slot];
+        if (slot.placement.owner != owner || this->context.isHolder(slot))
+            continue;
+        if (news.activation <= slot.position.activation)
+            continue;
+        slot.records.clear();
+        slot.served.reset();
+        slot.position = {};
+        slot.position.newestActivation = news.activation;
+    }
+}
+
+void SlotHolder::askAboutOldCopies()
+{
+    for (SlotIndex index = 0; index < this->context.slots.size(); ++index) {
+        const Slot &slot = this->context.slots[index];
+        if (slot.position.activation == 0 || !slot.placement.owner || this->context.isHolder(slot))
+            continue;
+        this->context.outbox.to(*slot.placement.owner).activatedRequests.push_back(index);
+    }
+}
+
+bool SlotHolder::isRidOfOldCopies() const
+{
+    return std::all_of(this->context.slots.begin(), this->context.slots.end(),
+                       [this](const Slot &slot) {
+                           return slot.position.activation == 0 || this->context.isHolder(slot);
+                       });
+}
+
+bool SlotHolder::isBackupOf(const VmIncarnation &owner, SlotIndex slot) const
+{
+    if (slot >= this->context.slots.size())
+        return false;
+    const SlotPlacement &placement = this->context.slots[slot].placement;
+    return placement.owner == owner && placement.backup == this->context.self;
+}
+
+StateAck SlotHolder::takePiece(Slot &slot, const StatePiece &piece)
+{
+    const std::uint64_t epoch = this->context.epoch();
+    if (slot.position.activation == epoch)
+        return {piece.slot, 0, true, false, epoch, slot.position.sequence};
+    slot.installed.add(piece);
+    if (!slot.installed.isWhole())
+        return {piece.slot, slot.installed.nextPiece(), false, false, epoch, 0};
+    slot.records = slot.installed.takeRecords();
+    slot.position = piece.position;
+    slot.position.activation = epoch;
+    slot.position.newestActivation = epoch;
+    return {piece.slot, 0, true, false, epoch, slot.position.sequence};
+}
+
+StateAck SlotHolder::keepCopy(Slot &slot, const StatePiece &order)
+{
+    const std::uint64_t epoch = this->context.epoch();
+    if (slot.position.activation == epoch)
+        return {order.slot, 0, true, false, epoch, slot.position.sequence};
+    const bool same = slot.position.activation == order.keptActivation
+                      && slot.position.sequence == order.position.sequence;
+    if (!same)
+        return {order.slot, 0, false, true, epoch, 0};
+    slot.position = order.position;
+    slot.position.activation = epoch;
+    slot.position.newestActivation = epoch;
+    return {order.slot, 0, true, false, epoch, slot.position.sequence};
+}
+
+bool SlotHolder::takeEntry(Slot &slot, const AppendEntry &entry)
+{
+    const bool held = entry.sequence <= slot.position.sequence;
+    if (held && !this->context.faults.applyDuplicates)
+        return true;
+    const bool gap = entry.sequence > slot.position.sequence + 1;
+    if (gap && !this->context.faults.acceptGaps)
+        return false;
+    slot.records.apply(entry.change);
+    slot.position.sequence = std::max(slot.position.sequence, entry.sequence);
+    return true;
+}
+
+void SlotHolder::acknowledgeWithoutFence(const VmIncarnation &owner, const AppendEntry &entry)
+{
+    this->context.outbox.to(owner).appendAcks.push_back(
+            {entry.slot, false, entry.activation, entry.sequence});
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_zone/replication/SlotOwner.cpp
@@ -0,0 +1,339 @@
+#include "lacewingmux_zone/replication/SlotOwner.h"
+
+#include "lacewingmux_core/logging/StructuredLog.h"
+#include "lacewingmux_core/metrics/MetricsRecorder.h"
+#include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_peer/links/PeerHub.h"
+#include "lacewingmux_zone/replication/JournalContext.h"
+#include "lacewingmux_zone/views/ZoneView.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace lacewingmux {
+
+SlotOwner::SlotOwner(JournalContext &journalContext, Hooks ownerHooks)
+    : context(journalContext)
+    , hooks(std::move(ownerHooks))
+{ }
+
+SlotOwner::~SlotOwner()
+{
+    *this->alive = false;
+}
+
+void SlotOwner::beginView()
+{
+    this->waitingForTurn.clear();
+    this->transfers = 0;
+}
+
+void SlotOwner::recover(SlotIndex index)
+{
+    Slot &slot = this->context.slots[index];
+    slot.phase = SlotPhase::Surveying;
+    slot.survey = std::make_unique<SlotSurvey>(index, this->context.epoch(), this->context.history);
+    slot.survey->addAnswer(this->context.self, slot.position);
+    slot.finding = slot.survey->find();
+    if (this->context.faults.skipSurvey)
+        slot.finding = SlotSurvey::Finding{this->context.self, slot.position};
+    if (slot.exposed && !slot.finding)
+        this->stepDown(index);
+    this->ask(index);
+    this->advance(index);
+}
+
+void SlotOwner::stepDown(SlotIndex index)
+{
+    Slot &slot = this->context.slots[index];
+    if (!slot.exposed)
+        return;
+    slot.exposed = false;
+    const AppendOutcome outcome = this->context.faults.commitOnStepDown
+                                          ? AppendOutcome::Committed
+                                          : AppendOutcome::SteppedDown;
+    std::vector<AppendWindow::Pending> pending = slot.window.takeAll();
+    this->hooks.deactivated(index);
+    this->finish(std::move(pending), outcome);
+}
+
+void SlotOwner::onAnswers(const VmIncarnation &vm, const std::vector<SurveyAnswer> &answers)
+{
+    for (const SurveyAnswer &answer : answers) {
+        if (answer.slot >= this->context.slots.size())
+            continue;
+        Slot &slot = this->context.slots[answer.slot];
+        if (slot.phase != SlotPhase::Surveying)
+            continue;
+        slot.survey->addAnswer(vm, answer.position);
+        if (!slot.finding)
+            slot.finding = slot.survey->find();
+        this->advance(answer.slot);
+    }
+}
+
+void SlotOwner::onServedPieces(const VmIncarnation &holder, const std::vector<StatePiece> &pieces)
+{
+    for (const StatePiece &piece : pieces) {
+        if (piece.slot >= this->context.slots.size())
+            continue;
+        Slot &slot = this->context.slots[piece.slot];
+        const bool expected = slot.phase == SlotPhase::Pulling && slot.finding->holder == holder
+                              && piece.position.activation == slot.finding->position.activation;
+        if (!expected || !slot.pulled.add(piece))
+            continue;
+        if (!slot.pulled.isWhole()) {
+            this->resend(piece.slot);
+            continue;
+        }
+        slot.records = slot.pulled.takeRecords();
+        slot.position = piece.position;
+        slot.finding->holder = this->context.self;
+        slot.phase = SlotPhase::Surveying;
+        --this->transfers;
+        this->advance(piece.slot);
+        this->startWaiting();
+    }
+}
+
+void SlotOwner::onStateAcks(const VmIncarnation &backup, const std::vector<StateAck> &acks)
+{
+    for (const StateAck &ack : acks) {
+        if (ack.slot >= this->context.slots.size())
+            continue;
+        Slot &slot = this->context.slots[ack.slot];
+        if (slot.phase != SlotPhase::Activating || slot.placement.backup != backup
+            || ack.activation != this->context.epoch())
+            continue;
+        if (ack.installed) {
+            --this->transfers;
+            this->activate(ack.slot, ack.sequence);
+            this->startWaiting();
+        } else if (ack.refused && slot.keepOrder) {
+            this->pushWhole(ack.slot);
+        } else if (slot.pushed && slot.pushed->piece(ack.nextPiece)) {
+            this->resend(ack.slot);
+        }
+    }
+}
+
+void SlotOwner::onActivatedRequests(const VmIncarnation &holder,
+                                    const std::vector<SlotIndex> &slots)
+{
+    for (const SlotIndex index : slots) {
+        if (index >= this->context.slots.size())
+            continue;
+        const Slot &slot = this->context.slots[index];
+        if (slot.phase == SlotPhase::Active)
+            this->context.outbox.to(holder).activated.push_back({index, slot.position.activation});
+    }
+}
+
+void SlotOwner::advance(SlotIndex index)
+{
+    Slot &slot = this->context.slots[index];
+    if (slot.phase != SlotPhase::Surveying || !slot.finding)
+        return;
+    const std::optional<VmIncarnation> &backup = slot.placement.backup;
+    const bool local = this->hasLocalCopy(slot);
+    if (local && backup && !slot.survey->hasAnswered(*backup))
+        return;
+    if (local && !backup) {
+        this->activate(index, slot.position.sequence);
+        return;
+    }
+    slot.phase = SlotPhase::Waiting;
+    this->waitingForTurn.push_back(index);
+    this->startWaiting();
+}
+
+void SlotOwner::startWaiting()
+{
+    while (!this->waitingForTurn.empty()
+           && this->transfers < this->context.settings.concurrentTransfers) {
+        const SlotIndex index = this->waitingForTurn.front();
+        this->waitingForTurn.pop_front();
+        ++this->transfers;
+        if (this->hasLocalCopy(this->context.slots[index]))
+            this->push(index);
+        else
+            this->pull(index);
+    }
+}
+
+bool SlotOwner::hasLocalCopy(const Slot &slot) const
+{
+    if (slot.lost || !slot.finding->holder || slot.finding->holder == this->context.self)
+        return true;
+    return slot.position.activation == slot.finding->position.activation
+           && slot.position.sequence >= slot.finding->position.sequence;
+}
+
+std::vector<VmIncarnation> SlotOwner::asked(const Slot &slot) const
+{
+    if (slot.finding) {
+        if (slot.placement.backup)
+            return {*slot.placement.backup};
+        return {};
+    }
+    std::set<VmIncarnation> targets;
+    for (const VmDescriptor &member : this->context.view->members())
+        targets.insert(member.incarnation);
+    for (const VmIncarnation &holder : slot.survey->silentHolders())
+        targets.insert(holder);
+    return {targets.begin(), targets.end()};
+}
+
+void SlotOwner::ask(SlotIndex index)
+{
+    Slot &slot = this->context.slots[index];
+    slot.progressAt = this->context.timers.now();
+    for (const VmIncarnation &vm : this->asked(slot)) {
+        if (!slot.survey->hasAnswered(vm))
+            this->context.outbox.to(vm).surveys.push_back(index);
+    }
+}
+
+bool SlotOwner::isLost(const Slot &slot) const
+{
+    bool departed = false;
+    bool connected = false;
+    for (const VmIncarnation &vm : slot.survey->silentHolders()) {
+        if (this->context.view->contains(vm))
+            return false;
+        if (this->context.isReplaced(vm))
+            continue;
+        departed = true;
+        connected = connected || this->context.hub.isConnected(vm);
+    }
+    if (!departed)
+        return true;
+    const JournalSettings &settings = this->context.settings;
+    const auto patience = connected ? settings.departedConnectedTimeout : settings.departedTimeout;
+    return this->context.timers.now() - this->context.adoptedAt >= patience;
+}
+
+void SlotOwner::giveUp(SlotIndex index)
+{
+    Slot &slot = this->context.slots[index];
+    LogEvent(LogSeverity::Error, "slotStateLost")
+            .field("slot", static_cast<unsigned>(index))
+            .field("epoch", static_cast<quint64>(this->context.epoch()));
+    this->context.metrics.count("lacewingmux_slots_lost_total", {}, 1);
+    slot.lost = true;
+    slot.finding = SlotSurvey::Finding{};
+    this->ask(index);
+    this->advance(index);
+}
+
+void SlotOwner::pull(SlotIndex index)
+{
+    Slot &slot = this->context.slots[index];
+    slot.phase = SlotPhase::Pulling;
+    slot.pulled = {};
+    this->resend(index);
+}
+
+void SlotOwner::push(SlotIndex index)
+{
+    Slot &slot = this->context.slots[index];
+    const std::optional<SlotPosition> held = slot.survey->answer(*slot.placement.backup);
+    if (!held) { // the copy came from elsewhere, and the backup's turn to answer is still to come
+        --this->transfers;
+        slot.phase = SlotPhase::Surveying;
+        this->ask(index);
+        return;
+    }
+    const bool keeps = !slot.lost && held->activation > 0
+                       && held->activation == slot.position.activation
+                       && slot.window.covers(held->sequence, slot.position.sequence);
+    if (!keeps) {
+        this->pushWhole(index);
+        return;
+    }
+    slot.phase = SlotPhase::Activating;
+    slot.keepOrder = StatePiece{index, 0, true, true, held->activation, slot.position, {}};
+    slot.keepOrder->position.sequence = held->sequence;
+    this->resend(index);
+}
+
+void SlotOwner::pushWhole(SlotIndex index)
+{
+    Slot &slot = this->context.slots[index];
+    slot.phase = SlotPhase::Activating;
+    slot.keepOrder.reset();
+    SlotPosition position = slot.position;
+    if (slot.lost) {
+        position = {};
+        position.completeSince = this->context.faults.hideLoss ? 0 : this->context.epoch();
+    }
+    slot.pushed =
+            std::make_unique<SlotTransfer>(index, position, slot.lost ? RecordMap() : slot.records,
+                                           this->context.settings.frameBytes);
+    static_cast<void>(slot.pushed->piece(0));
+    this->resend(index);
+}
+
+void SlotOwner::resend(SlotIndex index)
+{
+    Slot &slot = this->context.slots[index];
+    slot.progressAt = this->context.timers.now();
+    switch (slot.phase) {
+    case SlotPhase::Surveying:
+        this->ask(index);
+        break;
+    case SlotPhase::Pulling:
+        this->context.outbox.to(*slot.finding->holder)
+                .requests.push_back(
+                        {index, slot.pulled.nextPiece(), slot.finding->position.activation});
+        break;
+    case SlotPhase::Activating:
+        this->context.outbox.to(*slot.placement.backup)
+                .pushedPieces.push_back(slot.keepOrder ? *slot.keepOrder : slot.pushed->current());
+        break;
+    case SlotPhase::NotOwner:
+    case SlotPhase::Waiting:
+    case SlotPhase::Active:
+        break;
+    }
+}
+
+void SlotOwner::activate(SlotIndex index, std::uint64_t backupSequence)
+{
+    Slot &slot = this->context.slots[index];
+    if (slot.lost) {
+        slot.records.clear();
+        slot.position = {};
+        slot.position.completeSince = this->context.faults.hideLoss ? 0 : this->context.epoch();
+    }
+    slot.position.activation = this->context.epoch();
+    slot.position.newestActivation = this->context.epoch();
+    slot.phase = SlotPhase::Active;
+    slot.stalled = false;
+    slot.survey.reset();
+    slot.pushed.reset();
+    slot.keepOrder.reset();
+    slot.window.resendAfter(backupSequence);
+    this->announce(index);
+    if (!slot.exposed) {
+        slot.exposed = true;
+        this->hooks.activated(index);
+    }
+    this->commitThrough(index, backupSequence);
+    this->sendUnsent(index);
+    this->hooks.progressed();
+}
+
+void SlotOwner::announce(SlotIndex index)
+{
+    const Slot &slot = this->context.slots[index];
+    for (const VmDescriptor &vm : this->context.history.allMembers()) {
+        const VmIncarnation &peer = vm.incarnation;
+        if (peer != this->context.self && slot.placement.backup != peer
+            && this->context.hub.isConnected(peer))
+            this->context.outbox.to(peer).activated.push_back({index, this->context.epoch()});
+    }
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_zone/replication/SlotOwnerAppends.cpp
@@ -0,0 +1,145 @@
+#include "lacewingmux_core/metrics/MetricsRecorder.h"
+#include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_zone/replication/JournalContext.h"
+#include "lacewingmux_zone/replication/SlotOwner.h"
+
+#include <chrono>
+#include <optional>
+#include <utility>
+
+// The part of SlotOwner that appends and commits, and its timer.
+
+namespace lacewingmux {
+
+void SlotOwner::append(SlotIndex index, const JournalChange &change, Journal::Callback callback)
+{
+    Slot &slot = this->context.slots[index];
+    slot.records.apply(change);
+    const std::uint64_t sequence = ++slot.position.sequence;
+    slot.window.push({sequence, change, std::move(callback), this->context.timers.now()});
+    if (slot.phase != SlotPhase::Active)
+        return; // sent once the slot is active in the view just adopted
+    this->sendUnsent(index);
+    if (!slot.placement.backup || this->context.faults.commitWithoutAck)
+        this->scheduleLoneCommit(index);
+}
+
+void SlotOwner::sendUnsent(SlotIndex index)
+{
+    Slot &slot = this->context.slots[index];
+    if (slot.phase != SlotPhase::Active)
+        return;
+    if (!slot.placement.backup) {
+        if (!slot.window.isEmpty())
+            this->scheduleLoneCommit(index);
+        return;
+    }
+    std::vector<AppendEntry> &appends = this->context.outbox.to(*slot.placement.backup).appends;
+    for (const AppendWindow::Pending *pending : slot.window.takeUnsent())
+        appends.push_back({index, slot.position.activation, pending->sequence, pending->change});
+}
+
+void SlotOwner::onAppendAcks(const VmIncarnation &backup, const std::vector<AppendAck> &acks)
+{
+    for (const AppendAck &ack : acks) {
+        if (ack.slot >= this->context.slots.size())
+            continue;
+        Slot &slot = this->context.slots[ack.slot];
+        if (slot.phase != SlotPhase::Active || slot.placement.backup != backup
+            || ack.activation != slot.position.activation)
+            continue;
+        this->commitThrough(ack.slot, ack.sequence);
+        if (ack.resend) {
+            slot.window.resendAfter(ack.sequence);
+            this->sendUnsent(ack.slot);
+        }
+    }
+}
+
+void SlotOwner::onLinkUp(const VmIncarnation &peer)
+{
+    for (SlotIndex index = 0; index < this->context.slots.size(); ++index) {
+        Slot &slot = this->context.slots[index];
+        if (slot.phase == SlotPhase::NotOwner)
+            continue;
+        if (slot.phase != SlotPhase::Active) {
+            this->resend(index);
+        } else if (slot.placement.backup == peer) {
+            slot.window.resendAfter(0);
+            this->sendUnsent(index);
+        }
+    }
+}
+
+void SlotOwner::tick()
+{
+    const auto now = this->context.timers.now();
+    for (SlotIndex index = 0; index < this->context.slots.size(); ++index) {
+        Slot &slot = this->context.slots[index];
+        if (slot.phase == SlotPhase::NotOwner)
+            continue;
+        this->markStalled(slot);
+        if (slot.phase == SlotPhase::Surveying && !slot.finding && this->isLost(slot)) {
+            this->giveUp(index);
+            continue;
+        }
+        if (now - slot.progressAt >= this->context.settings.retryInterval)
+            this->resend(index);
+    }
+}
+
+void SlotOwner::markStalled(Slot &slot) const
+{
+    const auto now = this->context.timers.now();
+    const auto limit = this->context.settings.stallTimeout;
+    const std::optional<TimerService::SteadyTime> oldest = slot.window.oldest();
+    const bool late = oldest && now - *oldest >= limit;
+    const bool recovering =
+            slot.phase != SlotPhase::Active && now - this->context.adoptedAt >= limit;
+    slot.stalled = late || recovering;
+}
+
+void SlotOwner::commitThrough(SlotIndex index, std::uint64_t sequence)
+{
+    Slot &slot = this->context.slots[index];
+    std::vector<AppendWindow::Pending> committed = slot.window.takeThrough(sequence);
+    if (committed.empty())
+        return;
+    slot.stalled = false;
+    const auto waited = this->context.timers.now() - committed.front().appendedAt;
+    this->context.metrics.observe("lacewingmux_journal_commit_seconds", {},
+                                  std::chrono::duration_cast<std::chrono::microseconds>(waited));
+    this->finish(std::move(committed), AppendOutcome::Committed);
+}
+
+void SlotOwner::scheduleLoneCommit(SlotIndex index)
+{
+    const bool first = this->loneCommits.empty();
+    this->loneCommits.push_back(index);
+    if (!first)
+        return;
+    this->context.timers.post([this, token = this->alive] {
+        if (*token)
+            this->commitAlone();
+    });
+}
+
+void SlotOwner::commitAlone()
+{
+    for (const SlotIndex index : std::exchange(this->loneCommits, {})) {
+        const Slot &slot = this->context.slots[index];
+        const bool alone = !slot.placement.backup || this->context.faults.commitWithoutAck;
+        if (slot.phase == SlotPhase::Active && alone)
+            this->commitThrough(index, slot.position.sequence);
+    }
+}
+
+void SlotOwner::finish(std::vector<AppendWindow::Pending> entries, AppendOutcome outcome)
+{
+    for (const AppendWindow::Pending &entry : entries) {
+        if (entry.callback)
+            entry.callback(outcome);
+    }
+}
+
+} // namespace lacewingmux
