Replicate slots from their owner to their backup, with a model check

Cause: the aggregates need one decider that survives the death of a VM, without a consensus group. Change: ReplicatedJournal with survey, transfer in pieces, activation, append and cumulative acknowledgement, epoch fence, resend after a broken link, confirmation, loss and drain. Ruled out: waiting for all members that held a slot (one holder that has adopted the view is enough), sequences that restart with each activation (equal copies could not be told), refusing frames of a later epoch (they are held until the view is adopted, which spares a retry at each view change).

--- a/modules/lacewingmux_zone/replication/JournalContext.h
+++ b/modules/lacewingmux_zone/replication/JournalContext.h
@@ -34,12 +34,19 @@
 
     std::shared_ptr<const ZoneView> view; ///< never null; epoch 0 before the first one
     ViewHistory history;
+    std::vector<VmIncarnation> knownPeers; ///< members of any known view, but for this VM
     TimerService::SteadyTime adoptedAt{};
     std::vector<Slot> slots;
     PeerOutbox outbox;
 
     [[nodiscard]] std::uint64_t epoch() const;
 
+    /** Takes over a newer view and what is known of earlier ones. */
+    void beginView(std::shared_ptr<const ZoneView> newView, const ViewHistory &earlier);
+
+    /** Returns who owns the slot and who backs it up in the current view. */
+    [[nodiscard]] SlotPlacement placement(SlotIndex slot) const;
+
     /** Tells whether this VM owns the slot or backs it up in the current view. */
     [[nodiscard]] bool isHolder(const Slot &slot) const;
 
--- a/modules/lacewingmux_zone/replication/JournalFaults.h
+++ b/modules/lacewingmux_zone/replication/JournalFaults.h
@@ -14,6 +14,7 @@
     bool acceptGaps = false;       ///< a backup applies entries whose predecessors are missing
     bool hideLoss = false;         ///< an owner calls a slot complete after its state was lost
     bool commitOnStepDown = false; ///< an owner that steps down calls its entries committed
+    bool actAlone = false;         ///< a VM takes itself for the only member of each view
     bool applyDuplicates = false;  ///< a backup applies an entry again that it holds already
 };
 
--- a/modules/lacewingmux_zone/replication/ReplicatedJournal.cpp
+++ b/modules/lacewingmux_zone/replication/ReplicatedJournal.cpp
@@ -5,7 +5,6 @@
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_peer/links/PeerHub.h"
 #include "lacewingmux_zone/replication/JournalCodec.h"
-#include "lacewingmux_zone/views/PlacementTable.h"
 #include "lacewingmux_zone/views/ZoneView.h"
 
 #include <algorithm>
@@ -83,16 +82,11 @@
     LogEvent(LogSeverity::Info, "journalViewAdopted")
             .field("epoch", static_cast<quint64>(view->epoch()))
             .field("members", static_cast<quint64>(view->members().size()));
-    this->context.history.merge(history);
-    this->context.history.add(view);
-    this->context.view = std::move(view);
-    this->context.adoptedAt = this->context.timers.now();
-    this->context.outbox.beginEpoch(this->epoch());
+    this->context.beginView(std::move(view), history);
     this->owner.beginView();
 
-    const PlacementTable &placements = *this->context.history.placements(this->epoch());
     for (SlotIndex index = 0; index < this->context.slots.size(); ++index) {
-        this->context.slots[index].beginView(placements.placement(index));
+        this->context.slots[index].beginView(this->context.placement(index));
         if (this->context.slots[index].placement.owner != this->context.self)
             this->owner.stepDown(index);
     }
--- a/modules/lacewingmux_zone/replication/SlotAssembly.cpp
+++ b/modules/lacewingmux_zone/replication/SlotAssembly.cpp
@@ -8,8 +8,6 @@
 
 bool SlotAssembly::add(const StatePiece &piece)
 {
-    if (piece.piece == 0)
-        *this = {};
     if (piece.piece != this->expectedPiece || this->whole)
         return false;
     for (const AggregateRecord &record : piece.records) {
--- a/modules/lacewingmux_zone/replication/SlotAssembly.h
+++ b/modules/lacewingmux_zone/replication/SlotAssembly.h
@@ -12,7 +12,7 @@
 class SlotAssembly
 {
 public:
-    /** Takes a piece; returns false when it isn't the next one. Piece 0 starts afresh. */
+    /** Takes a piece; returns false, and changes nothing, when it isn't the next one. */
     bool add(const StatePiece &piece);
 
     [[nodiscard]] std::uint32_t nextPiece() const noexcept
--- a/modules/lacewingmux_zone/replication/SlotOwner.cpp
+++ b/modules/lacewingmux_zone/replication/SlotOwner.cpp
@@ -1,7 +1,5 @@
 #include "lacewingmux_zone/replication/SlotOwner.h"
 
-#include "lacewingmux_core/logging/StructuredLog.h"
-#include "lacewingmux_core/metrics/MetricsRecorder.h"
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_peer/links/PeerHub.h"
 #include "lacewingmux_zone/replication/JournalContext.h"
@@ -112,7 +110,8 @@
             this->startWaiting();
         } else if (ack.refused && slot.keepOrder) {
             this->pushWhole(ack.slot);
-        } else if (slot.pushed && slot.pushed->piece(ack.nextPiece)) {
+        } else if (slot.pushed && ack.nextPiece == slot.pushed->current().piece + 1
+                   && slot.pushed->piece(ack.nextPiece)) {
             this->resend(ack.slot);
         }
     }
@@ -217,10 +216,6 @@
 void SlotOwner::giveUp(SlotIndex index)
 {
     Slot &slot = this->context.slots[index];
-    LogEvent(LogSeverity::Error, "slotStateLost")
-            .field("slot", static_cast<unsigned>(index))
-            .field("epoch", static_cast<quint64>(this->context.epoch()));
-    this->context.metrics.count("lacewingmux_slots_lost_total", {}, 1);
     slot.lost = true;
     slot.finding = SlotSurvey::Finding{};
     this->ask(index);
@@ -238,23 +233,17 @@
 void SlotOwner::push(SlotIndex index)
 {
     Slot &slot = this->context.slots[index];
-    const std::optional<SlotPosition> held = slot.survey->answer(*slot.placement.backup);
-    if (!held) { // the copy came from elsewhere, and the backup's turn to answer is still to come
-        --this->transfers;
-        slot.phase = SlotPhase::Surveying;
-        this->ask(index);
-        return;
-    }
-    const bool keeps = !slot.lost && held->activation > 0
-                       && held->activation == slot.position.activation
-                       && slot.window.covers(held->sequence, slot.position.sequence);
+    const SlotPosition held = slot.survey->answer(*slot.placement.backup).value();
+    const bool keeps = !slot.lost && held.activation > 0
+                       && held.activation == slot.position.activation
+                       && slot.window.covers(held.sequence, slot.position.sequence);
     if (!keeps) {
         this->pushWhole(index);
         return;
     }
     slot.phase = SlotPhase::Activating;
-    slot.keepOrder = StatePiece{index, 0, true, true, held->activation, slot.position, {}};
-    slot.keepOrder->position.sequence = held->sequence;
+    slot.keepOrder = StatePiece{index, 0, true, true, held.activation, slot.position, {}};
+    slot.keepOrder->position.sequence = held.sequence;
     this->resend(index);
 }
 
@@ -328,12 +317,27 @@
 void SlotOwner::announce(SlotIndex index)
 {
     const Slot &slot = this->context.slots[index];
-    for (const VmDescriptor &vm : this->context.history.allMembers()) {
-        const VmIncarnation &peer = vm.incarnation;
-        if (peer != this->context.self && slot.placement.backup != peer
-            && this->context.hub.isConnected(peer))
+    for (const VmIncarnation &peer : this->context.knownPeers) {
+        if (slot.placement.backup != peer && this->context.hub.isConnected(peer))
             this->context.outbox.to(peer).activated.push_back({index, this->context.epoch()});
     }
 }
 
+bool SlotOwner::concerns(const Slot &slot, const VmIncarnation &peer) const
+{
+    switch (slot.phase) {
+    case SlotPhase::Surveying:
+        return true;
+    case SlotPhase::Pulling:
+        return slot.finding->holder == peer;
+    case SlotPhase::Activating:
+    case SlotPhase::Active:
+        return slot.placement.backup == peer;
+    case SlotPhase::NotOwner:
+    case SlotPhase::Waiting:
+        return false;
+    }
+    return false;
+}
+
 } // namespace lacewingmux
--- a/modules/lacewingmux_zone/replication/SlotOwner.h
+++ b/modules/lacewingmux_zone/replication/SlotOwner.h
@@ -68,7 +68,9 @@
     [[nodiscard]] std::vector<VmIncarnation> asked(const Slot &slot) const;
     [[nodiscard]] bool hasLocalCopy(const Slot &slot) const;
     [[nodiscard]] bool isLost(const Slot &slot) const;
+    [[nodiscard]] bool concerns(const Slot &slot, const VmIncarnation &peer) const;
     void giveUp(SlotIndex index);
+    void reportLost(unsigned slots);
     void pull(SlotIndex index);
     void push(SlotIndex index);
     void pushWhole(SlotIndex index);
--- a/modules/lacewingmux_zone/replication/SlotOwnerAppends.cpp
+++ b/modules/lacewingmux_zone/replication/SlotOwnerAppends.cpp
@@ -1,3 +1,4 @@
+#include "lacewingmux_core/logging/StructuredLog.h"
 #include "lacewingmux_core/metrics/MetricsRecorder.h"
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_zone/replication/JournalContext.h"
@@ -60,20 +61,21 @@
 {
     for (SlotIndex index = 0; index < this->context.slots.size(); ++index) {
         Slot &slot = this->context.slots[index];
-        if (slot.phase == SlotPhase::NotOwner)
+        if (!this->concerns(slot, peer))
             continue;
         if (slot.phase != SlotPhase::Active) {
             this->resend(index);
-        } else if (slot.placement.backup == peer) {
-            slot.window.resendAfter(0);
-            this->sendUnsent(index);
+            continue;
         }
+        slot.window.resendAfter(0);
+        this->sendUnsent(index);
     }
 }
 
 void SlotOwner::tick()
 {
     const auto now = this->context.timers.now();
+    unsigned lost = 0;
     for (SlotIndex index = 0; index < this->context.slots.size(); ++index) {
         Slot &slot = this->context.slots[index];
         if (slot.phase == SlotPhase::NotOwner)
@@ -81,11 +83,21 @@
         this->markStalled(slot);
         if (slot.phase == SlotPhase::Surveying && !slot.finding && this->isLost(slot)) {
             this->giveUp(index);
-            continue;
-        }
-        if (now - slot.progressAt >= this->context.settings.retryInterval)
+            ++lost;
+        } else if (now - slot.progressAt >= this->context.settings.retryInterval) {
             this->resend(index);
+        }
     }
+    if (lost > 0)
+        this->reportLost(lost);
+}
+
+void SlotOwner::reportLost(unsigned slots)
+{
+    LogEvent(LogSeverity::Error, "slotStateLost")
+            .field("slots", slots)
+            .field("epoch", static_cast<quint64>(this->context.epoch()));
+    this->context.metrics.count("lacewingmux_slots_lost_total", {}, slots);
 }
 
 void SlotOwner::markStalled(Slot &slot) const
--- a/modules/lacewingmux_zone/replication/SlotSurvey.cpp
+++ b/modules/lacewingmux_zone/replication/SlotSurvey.cpp
@@ -1,10 +1,10 @@
 #include "lacewingmux_zone/replication/SlotSurvey.h"
 
-#include "lacewingmux_zone/views/PlacementTable.h"
 #include "lacewingmux_zone/views/ViewHistory.h"
 #include "lacewingmux_zone/views/ZoneView.h"
 
 #include <algorithm>
+#include <memory>
 #include <set>
 
 namespace lacewingmux {
@@ -60,8 +60,7 @@
 {
     std::set<VmIncarnation> silent;
     for (const auto &view : this->history.views()) {
-        const SlotPlacement &placed =
-                this->history.placements(view->epoch())->placement(this->slot);
+        const SlotPlacement placed = view->placement(this->slot);
         if (placed.owner && !this->hasAnswered(*placed.owner))
             silent.insert(*placed.owner);
         if (placed.backup && !this->hasAnswered(*placed.backup))
@@ -80,10 +79,10 @@
 
 bool SlotSurvey::isRuledOut(std::uint64_t otherEpoch) const
 {
-    const PlacementTable *table = this->history.placements(otherEpoch);
-    if (table == nullptr)
+    const std::shared_ptr<const ZoneView> view = this->history.view(otherEpoch);
+    if (!view)
         return false;
-    const SlotPlacement &placed = table->placement(this->slot);
+    const SlotPlacement placed = view->placement(this->slot);
     return (placed.owner && this->hasAnswered(*placed.owner))
            || (placed.backup && this->hasAnswered(*placed.backup));
 }
--- a/modules/lacewingmux_zone/views/ViewHistory.h
+++ b/modules/lacewingmux_zone/views/ViewHistory.h
@@ -1,17 +1,13 @@
 #pragma once
 
-#include "lacewingmux_core/ids/AggregateId.h"
-#include "lacewingmux_zone/views/SlotPlacement.h"
-
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <optional>
 #include <vector>
 
 namespace lacewingmux {
 
-class PlacementTable;
 class ZoneView;
 struct VmDescriptor;
 
@@ -31,10 +27,7 @@
     /** Adds all views of another history. */
     void merge(const ViewHistory &other);
 
-    /** Returns who held the slot in that epoch; null when that view isn't known. */
-    [[nodiscard]] const PlacementTable *placements(std::uint64_t epoch) const;
-
-    /** Returns the view of that epoch, or null. */
+    /** Returns the view of that epoch; null when it isn't known. */
     [[nodiscard]] std::shared_ptr<const ZoneView> view(std::uint64_t epoch) const;
 
     /** Returns all known views in order of their epochs. */
@@ -44,13 +37,7 @@
     [[nodiscard]] std::vector<VmDescriptor> allMembers() const;
 
 private:
-    struct Known
-    {
-        std::shared_ptr<const ZoneView> view;
-        std::shared_ptr<const PlacementTable> placements;
-    };
-
-    std::map<std::uint64_t, Known> knownByEpoch;
+    std::map<std::uint64_t, std::shared_ptr<const ZoneView>> viewsByEpoch;
 };
 
 } // namespace lacewingmux
--- /dev/null
+++ b/tests/zone/ReplicatedJournalModelTest.cpp
@@ -0,0 +1,121 @@
+#include "zone/model/ModelZone.h"
+
+#include <QtGlobal>
+
+#include <criterion/criterion.h>
+
+#include <cstdint>
+#include <string>
+
+using namespace lacewingmux;
+
+namespace {
+
+constexpr int schedules = 150; // LACEWINGMUX_MODEL_SCHEDULES sets another number
+constexpr int stepsPerSchedule = 5000;
+constexpr int schedulesToFindAFault = 300;
+
+struct Summary
+{
+    std::size_t effects = 0;
+    int incomplete = 0;
+};
+
+Summary runAll(ModelRules rules)
+{
+    Summary summary;
+    const int asked = qEnvironmentVariableIntValue("LACEWINGMUX_MODEL_SCHEDULES");
+    const auto last = static_cast<std::uint64_t>(asked > 0 ? asked : schedules);
+    for (std::uint64_t seed = 1; seed <= last; ++seed) {
+        ModelZone zone(seed, rules, {});
+        zone.run(stepsPerSchedule);
+        zone.settle();
+        const ModelChecks &result = zone.result();
+        cr_assert(result.violations().empty(), "seed %llu: %s",
+                  static_cast<unsigned long long>(seed), result.violations().front().c_str());
+        summary.effects += result.effectCount();
+        summary.incomplete += result.incompleteActivations();
+    }
+    cr_log_info("%zu effects, %d activations of incomplete slots", summary.effects,
+                summary.incomplete);
+    return summary;
+}
+
+/** Asserts that some schedule breaks an invariant when the fault is built in. */
+void findFault(const JournalFaults &faults, const std::string &expected)
+{
+    for (std::uint64_t seed = 1; seed <= schedulesToFindAFault; ++seed) {
+        ModelZone zone(seed, ModelRules::Rough, faults);
+        zone.run(stepsPerSchedule);
+        zone.settle();
+        for (const std::string &violation : zone.result().violations()) {
+            if (violation.find(expected) != std::string::npos) {
+                cr_log_info("seed %llu: %s", static_cast<unsigned long long>(seed),
+                            violation.c_str());
+                return;
+            }
+        }
+    }
+    cr_assert_fail("no schedule shows: %s", expected.c_str());
+}
+
+} // namespace
+
+Test(ReplicatedJournalModel, losesNothingWhileOneGoesAtATime)
+{
+    const Summary summary = runAll(ModelRules::OneAtATime);
+    cr_assert_gt(summary.effects, 1000U);
+    cr_assert_eq(summary.incomplete, 0);
+}
+
+Test(ReplicatedJournalModel, knowsItsLossesWhenAnythingGoes)
+{
+    const Summary summary = runAll(ModelRules::Rough);
+    cr_assert_gt(summary.effects, 1000U);
+    cr_assert_gt(summary.incomplete, 0);
+}
+
+Test(ReplicatedJournalModel, findsCommitsWithoutAcknowledgement)
+{
+    findFault({.commitWithoutAck = true}, "is lost");
+}
+
+Test(ReplicatedJournalModel, findsConfirmationsWithoutAcknowledgement)
+{
+    findFault({.commitWithoutAck = true}, "was confirmed");
+}
+
+Test(ReplicatedJournalModel, findsRunsBehindTheEpochFence)
+{
+    findFault({.ignoreEpochFence = true}, "ran twice");
+}
+
+Test(ReplicatedJournalModel, findsRecoveryWithoutSurvey)
+{
+    findFault({.skipSurvey = true}, "is lost");
+}
+
+Test(ReplicatedJournalModel, findsEntriesTakenBehindAGap)
+{
+    findFault({.acceptGaps = true}, "is lost");
+}
+
+Test(ReplicatedJournalModel, findsEntriesTakenTwice)
+{
+    findFault({.applyDuplicates = true}, "stands twice");
+}
+
+Test(ReplicatedJournalModel, findsLossesThatAreHidden)
+{
+    findFault({.hideLoss = true}, "is lost");
+}
+
+Test(ReplicatedJournalModel, findsEffectsOfAnOwnerThatSteppedDown)
+{
+    findFault({.commitOnStepDown = true}, "ran twice");
+}
+
+Test(ReplicatedJournalModel, findsTwoOwnersOfOneActivation)
+{
+    findFault({.actAlone = true}, "two owners");
+}
