--- a/standins/service/library/ServiceStandin.cpp
+++ b/standins/service/library/ServiceStandin.cpp
@@ -1,5 +1,6 @@
 #include "service/library/ServiceStandin.h"
 
+#include <QDateTime>
 #include <QTimer>
 
 #include <algorithm>
@@ -75,7 +76,8 @@
                          const std::shared_ptr<StandinExchange> &exchange)
 {
     const QString id = request.requestId();
-    this->recordedRuns.push_back({id, request.method, request.path, request.body});
+    this->recordedRuns.push_back(
+            {id, request.method, request.path, request.body, QDateTime::currentMSecsSinceEpoch()});
     if (!this->faults.crashOnText.isEmpty()
         && request.body.contains(this->faults.crashOnText.toUtf8())) {
         this->crash();
@@ -91,13 +93,17 @@
     }
     const int count = this->runs(id);
     QTimer::singleShot(this->faults.delay, &this->server,
-                       [this, id, count, exchange] { this->answer(id, count, *exchange); });
+                       [this, id, count, body = request.body, exchange] {
+                           this->answer(id, count, body, *exchange);
+                       });
 }
 
-void ServiceStandin::answer(const QString &requestId, int count, StandinExchange &exchange) const
+void ServiceStandin::answer(const QString &requestId, int count, const QByteArray &requestBody,
+                            StandinExchange &exchange) const
 {
     const QJsonObject body{{QStringLiteral("requestId"), requestId},
-                           {QStringLiteral("runs"), count}};
+                           {QStringLiteral("runs"), count},
+                           {QStringLiteral("echo"), QString::fromUtf8(requestBody)}};
     exchange.addHeader("Lacewingmux-Request-Id", requestId.toUtf8());
     exchange.answer(200, body);
     if (this->faults.duplicateAnswer)
@@ -111,7 +117,8 @@
         list.append(QJsonObject{{QStringLiteral("requestId"), run.requestId},
                                 {QStringLiteral("method"), QString::fromUtf8(run.method)},
                                 {QStringLiteral("path"), run.path},
-                                {QStringLiteral("body"), QString::fromUtf8(run.body)}});
+                                {QStringLiteral("body"), QString::fromUtf8(run.body)},
+                                {QStringLiteral("startedMs"), run.startedMilliseconds}});
     }
     return list;
 }
--- a/standins/service/library/ServiceStandin.h
+++ b/standins/service/library/ServiceStandin.h
@@ -46,12 +46,14 @@
         QByteArray method;
         QString path;
         QByteArray body;
+        qint64 startedMilliseconds; ///< since the Unix epoch
     };
 
     void handle(const StandinRequest &request, const std::shared_ptr<StandinExchange> &exchange);
     void handleControl(const StandinRequest &request, StandinExchange &exchange);
     void run(const StandinRequest &request, const std::shared_ptr<StandinExchange> &exchange);
-    void answer(const QString &requestId, int count, StandinExchange &exchange) const;
+    void answer(const QString &requestId, int count, const QByteArray &requestBody,
+                StandinExchange &exchange) const;
     [[nodiscard]] QJsonArray runsToJson() const;
 
     std::function<void()> crashAction;
