Forward requests to their owners and bring back one whole answer

Change: OwnerForwarder finds the owner through the views, asks it locally or over the traffic links and asks again, by the same id, when the owner was lost before its answer was shown; ForwardReceiver is the owner's end. AnswerAssembly takes pieces in their sequence alone and never shows two answers. Ruled out: skipping the bytes already shown and going on with the second answer; a model call that is run again by the heir need not give the same bytes.

--- a/modules/lacewingmux_http/lacewingmux_http.h
+++ b/modules/lacewingmux_http/lacewingmux_http.h
@@ -11,6 +11,14 @@
  * Qt HTTP Server, FlatBuffers.
  */
 
+#include "lacewingmux_http/forward/AnswerAssembly.h"
+#include "lacewingmux_http/forward/ForwardCodec.h"
+#include "lacewingmux_http/forward/ForwardMessages.h"
+#include "lacewingmux_http/forward/ForwardReceiver.h"
+#include "lacewingmux_http/forward/ForwarderSettings.h"
+#include "lacewingmux_http/forward/OwnerFinder.h"
+#include "lacewingmux_http/forward/OwnerForwarder.h"
+#include "lacewingmux_http/forward/RequestHome.h"
 #include "lacewingmux_http/front/AnswerRelay.h"
 #include "lacewingmux_http/front/AuthenticationResult.h"
 #include "lacewingmux_http/front/CredentialFilter.h"
