Measure the decisions against their naive versions on a virtual clock

Change: lacewingmux_experiment drives the decision objects in every VM of a simulated deployment, each VM alone with its own late reports, against naive versions; two workload files with the scenarios calm, surge and faults; table, JSON and SVG. A model with one central decider was ruled out: it would hide what decentralised decisions cost.

--- /dev/null
+++ b/modules/lacewingmux_experiment/results/ExperimentReport.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "lacewingmux_experiment/results/ScenarioResult.h"
+#include "lacewingmux_experiment/results/Spread.h"
+
+#include <QJsonObject>
+#include <QString>
+
+namespace lacewingmux::experiment {
+
+struct MeasureColumn;
+
+/** Shows the results of a scenario as a table in Markdown, as JSON and as a plot. */
+class ExperimentReport
+{
+public:
+    explicit ExperimentReport(const ScenarioResult &scenarioResult);
+
+    /** Returns a table with a row for each measure and a column for each policy: mean over the
+        seeds, least and greatest. */
+    [[nodiscard]] QString table() const;
+
+    /** Returns the same figures, and each seed's values. */
+    [[nodiscard]] QJsonObject json() const;
+
+    /** Returns an SVG plot of the ratios to naive, with the spread over the seeds. */
+    [[nodiscard]] QString plot() const;
+
+private:
+    [[nodiscard]] Spread figure(const MeasureColumn &column, const PolicyResult &policy) const;
+
+    const ScenarioResult &scenario;
+};
+
+} // namespace lacewingmux::experiment
--- a/modules/lacewingmux_scheduling/queue/WorkQueue.h
+++ b/modules/lacewingmux_scheduling/queue/WorkQueue.h
@@ -7,9 +7,9 @@
 #include <QHash>
 #include <QString>
 
-#include <compare>
 #include <cstdint>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 
@@ -75,7 +75,11 @@
         double virtualAttained = 0; ///< attained tokens plus ageing of the time of arrival
         std::uint64_t arrival = 0;
         std::uint64_t id = 0;
-        friend auto operator<=>(const Rank &, const Rank &) = default;
+        friend bool operator<(const Rank &left, const Rank &right)
+        {
+            return std::tie(left.virtualAttained, left.arrival)
+                   < std::tie(right.virtualAttained, right.arrival);
+        }
     };
     struct Team
     {
