--- a/cmake/LacewingmuxModule.cmake
+++ b/cmake/LacewingmuxModule.cmake
@@ -12,6 +12,7 @@
     target_include_directories(${name} PUBLIC
         "$<BUILD_INTERFACE:${CMAKE_CURRENT_SOURCE_DIR}>" "$<INSTALL_INTERFACE:include>")
     target_link_libraries(${name} PUBLIC Qt6::Core ${MODULE_DEPENDS} ${MODULE_LIBRARIES})
+    set_property(GLOBAL APPEND PROPERTY LACEWINGMUX_MODULES ${name})
 endfunction()
 
 # Adds one test executable from all sources of tests/<folder> and registers it with CTest.
