--- a/modules/lacewingmux_program/owner/KeyedRequests.cpp
+++ b/modules/lacewingmux_program/owner/KeyedRequests.cpp
@@ -2,6 +2,8 @@
 
 #include "lacewingmux_program/events/EventCodec.h"
 
+#include <algorithm>
+
 namespace lacewingmux {
 
 KeyedRequests::KeyedRequests(OwnerContext &ownerContext)
@@ -59,6 +61,7 @@
 void KeyedRequests::start(OwnerRequestHandle handle, const AggregateId &id,
                           const CallCommand &command, const CallStarted &event)
 {
+    this->context.checkNotDraining();
     PendingRequest *pending = this->context.requests.find(handle);
     pending->stage = RequestStage::Running;
     Entry &entry = this->slots.at(id.slot())[id.name()];
@@ -196,6 +199,16 @@
     return count;
 }
 
+std::size_t KeyedRequests::runCount() const noexcept
+{
+    std::size_t count = 0;
+    for (const Entries &entries : this->slots)
+        count += static_cast<std::size_t>(
+                std::count_if(entries.begin(), entries.end(),
+                              [](const auto &entry) { return entry.second.run.has_value(); }));
+    return count;
+}
+
 KeyedRequests::Entry *KeyedRequests::find(const AggregateId &id)
 {
     Entries &entries = this->slots.at(id.slot());
--- a/modules/lacewingmux_program/owner/KeyedRequests.h
+++ b/modules/lacewingmux_program/owner/KeyedRequests.h
@@ -43,6 +43,9 @@
 
     [[nodiscard]] std::size_t size() const noexcept;
 
+    /** Returns how many requests are between their claim and the commit of their outcome. */
+    [[nodiscard]] std::size_t runCount() const noexcept;
+
 private:
     struct Entry
     {
--- a/modules/lacewingmux_program/owner/OneShotRequests.cpp
+++ b/modules/lacewingmux_program/owner/OneShotRequests.cpp
@@ -17,6 +17,7 @@
 
 void OneShotRequests::run(OwnerRequestHandle handle, const CallCommand &command)
 {
+    this->context.checkNotDraining();
     PendingRequest *pending = this->context.requests.find(handle);
     auto program = this->openProgram(pending->request);
     CallCommand first = command;
--- a/modules/lacewingmux_program/owner/OwnerContext.cpp
+++ b/modules/lacewingmux_program/owner/OwnerContext.cpp
@@ -52,10 +52,18 @@
         return;
     }
     pending->stage = RequestStage::Deciding;
+    pending->refused = true;
     this->slots.confirm(*pending->slot,
                         [this, handle, error] { this->requests.fail(handle, error); });
 }
 
+void OwnerContext::checkNotDraining() const
+{
+    if (this->draining)
+        throw LacewingmuxError(ErrorKind::ShuttingDown,
+                               QStringLiteral("this VM hands its work over to another"));
+}
+
 void OwnerContext::answer(OwnerRequestHandle handle, const RecordedCall &call)
 {
     const CallFinished &finish = *call.finish;
--- a/modules/lacewingmux_program/owner/OwnerContext.h
+++ b/modules/lacewingmux_program/owner/OwnerContext.h
@@ -34,6 +34,9 @@
     */
     void refuse(OwnerRequestHandle handle, const LacewingmuxError &error);
 
+    /** Throws LacewingmuxError with ErrorKind::ShuttingDown while nothing new may start here. */
+    void checkNotDraining() const;
+
     /** Answers with the outcome of a call. */
     void answer(OwnerRequestHandle handle, const RecordedCall &call);
 
@@ -41,6 +44,7 @@
     OwnedSlots slots;
     RequestTable requests;
     ProgramRepository programs;
+    bool draining = false; ///< whether nothing new may start here
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_program/owner/ProgramCalls.cpp
+++ b/modules/lacewingmux_program/owner/ProgramCalls.cpp
@@ -39,7 +39,7 @@
 void ProgramCalls::call(OwnerRequestHandle handle, Program &program)
 {
     const PendingRequest *pending = this->context.requests.find(handle);
-    if (pending == nullptr)
+    if (pending == nullptr || pending->refused)
         return;
     try {
         this->follow(handle, program, this->parse(pending->request, program));
@@ -66,6 +66,7 @@
     const QString &root = program.opening().program;
     switch (decision.verdict) {
     case CallVerdict::Start:
+        this->context.checkNotDraining();
         this->start(handle, program, *decision.started);
         break;
     case CallVerdict::Wait:
--- a/modules/lacewingmux_program/owner/ProgramLifecycle.cpp
+++ b/modules/lacewingmux_program/owner/ProgramLifecycle.cpp
@@ -48,6 +48,7 @@
 
 void ProgramLifecycle::open(OwnerRequestHandle handle)
 {
+    this->context.checkNotDraining();
     PendingRequest *pending = this->context.requests.find(handle);
     const auto &configuration = this->context.environment.configuration;
     const QString team = pending->request.team;
--- a/modules/lacewingmux_program/owner/ProgramOwner.cpp
+++ b/modules/lacewingmux_program/owner/ProgramOwner.cpp
@@ -76,6 +76,11 @@
     this->context.environment.configuration = std::move(configuration);
 }
 
+void ProgramOwner::beginDraining()
+{
+    this->context.draining = true;
+}
+
 OwnerRequestHandle ProgramOwner::handle(const OwnerRequest &request, ResponseSink sink)
 {
     const OwnerRequestHandle handle = this->context.requests.add(request, std::move(sink));
@@ -187,7 +192,14 @@
 
 void ProgramOwner::callerGone(OwnerRequestHandle request)
 {
-    this->context.requests.drop(request);
+    PendingRequest *pending = this->context.requests.find(request);
+    if (pending == nullptr)
+        return;
+    const bool isCall = pending->request.operation == OwnerOperation::Call;
+    if (isCall && pending->stage != RequestStage::Running)
+        pending->sink = {};
+    else
+        this->context.requests.drop(request);
     this->oneShots.cancel(request, ErrorKind::CallerGone);
 }
 
--- a/modules/lacewingmux_program/owner/ProgramOwner.h
+++ b/modules/lacewingmux_program/owner/ProgramOwner.h
@@ -29,6 +29,12 @@
     /** Sets the configuration in force for what is decided from now on. */
     void setConfiguration(std::shared_ptr<const Configuration> configuration);
 
+    /**
+        Begins a planned stop: what runs goes on, and what is new is refused with
+        ErrorKind::ShuttingDown. The slots may be handed over once runningCount() is zero.
+    */
+    void beginDraining();
+
     OwnerRequestHandle handle(const OwnerRequest &request, ResponseSink sink) override;
     void callerGone(OwnerRequestHandle request) override;
     void withdrawKey(const QString &keyId) override;
@@ -52,7 +58,7 @@
     /** Returns how many calls and requests are running: a planned stop waits until it is zero. */
     [[nodiscard]] std::size_t runningCount() const noexcept
     {
-        return this->calls.runCount() + this->oneShots.runCount();
+        return this->calls.runCount() + this->oneShots.runCount() + this->keyedRequests.runCount();
     }
     [[nodiscard]] std::size_t pendingRequestCount() const noexcept
     {
