Keep callers' keys as salted digests in sharded records

Cause: callers present keys; operators give and withdraw them while traffic runs and race each other. Change: KeyText, KeyRecord, KeyShard (16 records, each with its own revision), KeyRing and KeyRegister over updateRecord, which settles a lost reply by reading. Ruled out: one record (1,300 teams with three keys each come near the store's megabyte), and slow key derivation (the secret has 256 random bits). Run: test_config, 6 tests pass, among them lost replies and two racing operators.

--- /dev/null
+++ b/modules/lacewingmux_config/keys/KeyRecord.cpp
@@ -0,0 +1,49 @@
+#include "lacewingmux_config/keys/KeyRecord.h"
+
+#include <QCryptographicHash>
+#include <QRandomGenerator>
+
+#include <array>
+
+namespace lacewingmux {
+
+namespace {
+
+QByteArray digestOf(const QByteArray &salt, const QByteArray &secret)
+{
+    return QCryptographicHash::hash(salt + secret, QCryptographicHash::Sha256);
+}
+
+QByteArray randomSalt()
+{
+    std::array<quint32, 4> words{};
+    QRandomGenerator::system()->fillRange(words.data(), static_cast<qsizetype>(words.size()));
+    return QByteArray(reinterpret_cast<const char *>(words.data()), sizeof(words));
+}
+
+bool equalInConstantTime(const QByteArray &left, const QByteArray &right)
+{
+    if (left.size() != right.size())
+        return false;
+    unsigned difference = 0;
+    for (qsizetype index = 0; index < left.size(); ++index)
+        difference |=
+                static_cast<unsigned char>(left[index]) ^ static_cast<unsigned char>(right[index]);
+    return difference == 0;
+}
+
+} // namespace
+
+KeyRecord KeyRecord::make(const QString &keyId, const QByteArray &secret, const QString &team,
+                          std::chrono::system_clock::time_point issued)
+{
+    const QByteArray salt = randomSalt();
+    return KeyRecord{keyId, team, salt, digestOf(salt, secret), issued, std::nullopt};
+}
+
+bool KeyRecord::matches(const QByteArray &secret) const
+{
+    return equalInConstantTime(this->digest, digestOf(this->salt, secret));
+}
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_config/lacewingmux_config.h
+++ b/modules/lacewingmux_config/lacewingmux_config.h
@@ -14,3 +14,5 @@
 #include "lacewingmux_config/documents/Route.h"
 #include "lacewingmux_config/documents/ServiceLevelObjective.h"
 #include "lacewingmux_config/documents/TeamPlan.h"
+#include "lacewingmux_config/keys/KeyRegister.h"
+#include "lacewingmux_config/keys/KeyRing.h"
--- a/modules/lacewingmux_platform/lacewingmux_platform.h
+++ b/modules/lacewingmux_platform/lacewingmux_platform.h
@@ -24,3 +24,4 @@
 #include "lacewingmux_platform/store/KeyRange.h"
 #include "lacewingmux_platform/store/PlatformStore.h"
 #include "lacewingmux_platform/store/StoreRecord.h"
+#include "lacewingmux_platform/update/RecordUpdate.h"
