--- a/modules/lacewingmux_scheduling/replicas/ReplicaChooser.cpp
+++ b/modules/lacewingmux_scheduling/replicas/ReplicaChooser.cpp
@@ -1,6 +1,7 @@
 #include "lacewingmux_scheduling/replicas/ReplicaChooser.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewingmux {
 
@@ -14,10 +15,11 @@
     Replica &replica = found->second;
     replica.descriptor = descriptor;
     replica.descriptor.capacity = std::max(1, descriptor.capacity);
-    if (added)
+    if (added) {
+        replica.number = ++this->replicasAdded;
         this->link(replica);
-    else
-        this->refresh(replica);
+    }
+    this->refresh(replica);
 }
 
 void ReplicaChooser::removeReplica(const QString &name)
@@ -141,12 +143,11 @@
 const ReplicaChooser::Replica *ReplicaChooser::leastLoaded(const ChoiceRequest &request) const
 {
     // Only excluded replicas and those with a suspect are passed over, so the walk is short.
-    for (const auto &[fraction, name] : this->byLoad) {
-        if (fraction >= 1)
+    for (const LoadKey &key : this->byLoad) {
+        if (key.fraction >= 1)
             return nullptr;
-        const Replica &replica = this->replicas.at(name);
-        if (this->allowed(request, replica))
-            return &replica;
+        if (this->allowed(request, *key.replica))
+            return key.replica;
     }
     return nullptr;
 }
@@ -174,13 +175,13 @@
     replica.loadFraction = this->loadFractionOf(replica);
     replica.servingIndex = this->serving.size();
     this->serving.push_back(&replica);
-    this->byLoad.emplace(replica.loadFraction, replica.descriptor.name);
+    replica.place = this->byLoad.insert({replica.loadFraction, replica.number, &replica}).first;
     this->loadFractionSum += replica.loadFraction;
 }
 
 void ReplicaChooser::unlink(Replica &replica)
 {
-    this->byLoad.erase({replica.loadFraction, replica.descriptor.name});
+    this->byLoad.erase(replica.place);
     this->loadFractionSum -= replica.loadFraction;
     this->serving.back()->servingIndex = replica.servingIndex;
     std::swap(this->serving[replica.servingIndex], this->serving.back());
@@ -191,8 +192,14 @@
 {
     if (replica.state != ReplicaState::Serving)
         return;
-    this->unlink(replica);
-    this->link(replica);
+    const double fraction = this->loadFractionOf(replica);
+    if (fraction == replica.loadFraction)
+        return;
+    auto node = this->byLoad.extract(replica.place);
+    node.value().fraction = fraction;
+    replica.place = this->byLoad.insert(std::move(node)).position;
+    this->loadFractionSum += fraction - replica.loadFraction;
+    replica.loadFraction = fraction;
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_scheduling/replicas/ReplicaChooser.h
+++ b/modules/lacewingmux_scheduling/replicas/ReplicaChooser.h
@@ -11,11 +11,12 @@
 #include <QHash>
 #include <QString>
 
+#include <cstdint>
 #include <optional>
 #include <random>
 #include <set>
+#include <tuple>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 namespace lacewingmux {
@@ -74,14 +75,30 @@
     }
 
 private:
+    struct Replica;
+
+    /** Place of a replica in the order of load. */
+    struct LoadKey
+    {
+        double fraction = 0;
+        std::uint64_t number = 0;
+        const Replica *replica = nullptr;
+        friend bool operator<(const LoadKey &left, const LoadKey &right)
+        {
+            return std::tie(left.fraction, left.number) < std::tie(right.fraction, right.number);
+        }
+    };
+
     struct Replica
     {
         ReplicaDescriptor descriptor;
+        std::uint64_t number = 0; ///< in the order of adding; decides between equal loads
         ReplicaState state = ReplicaState::Serving;
         ReplicaLoad load;
         int suspects = 0;
-        std::size_t servingIndex = 0; ///< into serving, meaningful while it serves
-        double loadFraction = 0;      ///< as it stands in byLoad
+        double loadFraction = 0;           ///< as it stands in byLoad
+        std::size_t servingIndex = 0;      ///< into serving, meaningful while it serves
+        std::set<LoadKey>::iterator place; ///< in byLoad, meaningful while it serves
     };
 
     [[nodiscard]] double loadFractionOf(const Replica &replica) const;
@@ -98,8 +115,9 @@
     ReplicaChooserSettings settings;
     std::unordered_map<QString, Replica> replicas;
     std::vector<Replica *> serving;
-    std::set<std::pair<double, QString>> byLoad; ///< serving replicas by load fraction
-    double loadFractionSum = 0;                  ///< over the serving replicas
+    std::set<LoadKey> byLoad;   ///< the serving replicas
+    double loadFractionSum = 0; ///< over the serving replicas
+    std::uint64_t replicasAdded = 0;
 };
 
 } // namespace lacewingmux
