--- a/modules/lacewingmux_config/keys/KeyRing.cpp
+++ b/modules/lacewingmux_config/keys/KeyRing.cpp
@@ -1,141 +1,59 @@
 #include "lacewingmux_config/keys/KeyRing.h"
 
-#include "lacewingmux_core/errors/LacewingmuxError.h"
-
-#include <QCryptographicHash>
-#include <QJsonArray>
-
-#include <algorithm>
+#include "lacewingmux_config/keys/KeyText.h"
 
 namespace lacewingmux {
 
-namespace {
-
-bool equalInConstantTime(const QByteArray &left, const QByteArray &right)
+std::shared_ptr<const KeyRing> KeyRing::withShard(const KeyShard &shard) const
 {
-    if (left.size() != right.size())
-        return false;
-    unsigned char difference = 0;
-    for (qsizetype index = 0; index < left.size(); ++index)
-        difference |= static_cast<unsigned char>(left[index] ^ right[index]);
-    return difference == 0;
-}
+    if (shard.revision <= this->revision(shard.index))
+        return nullptr;
 
-QJsonObject entryJson(const KeyEntry &entry)
-{
-    QJsonObject object{{QStringLiteral("id"), entry.keyId}, {QStringLiteral("team"), entry.team}};
-    if (entry.withdrawn) {
-        object.insert(QStringLiteral("withdrawn"), true);
-        return object;
-    }
-    object.insert(QStringLiteral("salt"), QString::fromLatin1(entry.salt.toBase64()));
-    object.insert(QStringLiteral("digest"), QString::fromLatin1(entry.digest.toBase64()));
-    return object;
-}
-
-KeyEntry entryOf(const QJsonObject &object)
-{
-    KeyEntry entry;
-    entry.keyId = object.value(QLatin1String("id")).toString();
-    entry.team = object.value(QLatin1String("team")).toString();
-    entry.withdrawn = object.value(QLatin1String("withdrawn")).toBool();
-    entry.salt = QByteArray::fromBase64(object.value(QLatin1String("salt")).toString().toLatin1());
-    entry.digest =
-            QByteArray::fromBase64(object.value(QLatin1String("digest")).toString().toLatin1());
-    const bool hasDigest = !entry.salt.isEmpty() && !entry.digest.isEmpty();
-    if (entry.keyId.isEmpty() || entry.team.isEmpty() || (!entry.withdrawn && !hasDigest))
-        throw LacewingmuxError(
-                ErrorKind::ConfigurationInvalid,
-                QStringLiteral("key \"%1\": expected id, team, salt and digest").arg(entry.keyId));
-    return entry;
-}
-
-} // namespace
-
-KeyRing::KeyRing(std::uint64_t revisionNumber, const QJsonObject &document)
-    : ringRevision(revisionNumber)
-{
-    for (const QJsonValue value : document.value(QLatin1String("keys")).toArray()) {
-        const KeyEntry entry = entryOf(value.toObject());
-        this->keys.insert(entry.keyId, entry);
+    auto ring = std::make_shared<KeyRing>();
+    ring->shards = this->shards;
+    ring->shards.at(static_cast<std::size_t>(shard.index)) = std::make_shared<KeyShard>(shard);
+    for (const auto &held : ring->shards) {
+        if (!held)
+            continue;
+        for (const KeyRecord &key : held->keys)
+            ring->keysById.insert(key.keyId, &key);
     }
+    return ring;
 }
 
-KeyVerdict KeyRing::authenticate(const QByteArray &presentedKey) const
+KeyVerdict KeyRing::authenticate(const QByteArray &presented) const
 {
-    const QByteArray prefix(textPrefix);
-    const qsizetype dot = presentedKey.indexOf('.');
-    if (!presentedKey.startsWith(prefix) || dot < 0)
+    const std::optional<KeyText> text = KeyText::parse(presented);
+    if (!text)
         return {};
-    const QString keyId = QString::fromLatin1(presentedKey.mid(prefix.size(), dot - prefix.size()));
-    const auto found = this->keys.constFind(keyId);
-    if (found == this->keys.constEnd())
+    const KeyRecord *key = this->keysById.value(text->keyId);
+    if (key == nullptr || !key->matches(text->secret))
         return {};
-    if (found->withdrawn)
-        return {KeyState::Withdrawn, found->team, keyId};
-    if (!equalInConstantTime(digest(found->salt, presentedKey.mid(dot + 1)), found->digest))
-        return {};
-    return {KeyState::Accepted, found->team, keyId};
-}
-
-bool KeyRing::accepts(const QString &keyId) const
-{
-    const auto found = this->keys.constFind(keyId);
-    return found != this->keys.constEnd() && !found->withdrawn;
-}
-
-std::vector<KeyEntry> KeyRing::entries() const
-{
-    std::vector<KeyEntry> sorted(this->keys.begin(), this->keys.end());
-    std::sort(sorted.begin(), sorted.end(),
-              [](const KeyEntry &left, const KeyEntry &right) { return left.keyId < right.keyId; });
-    return sorted;
+    return {key->withdrawn ? KeyStatus::Withdrawn : KeyStatus::Valid, key->team, key->keyId};
 }
 
-QStringList KeyRing::withdrawnSince(const KeyRing &earlier) const
+std::vector<QString> KeyRing::withdrawnIn(const KeyRing &newer) const
 {
-    QStringList gone;
-    for (const KeyEntry &entry : earlier.keys) {
-        if (!entry.withdrawn && !this->accepts(entry.keyId))
-            gone.append(entry.keyId);
+    std::vector<QString> result;
+    for (const KeyRecord *key : this->keysById) {
+        if (key->withdrawn)
+            continue;
+        const KeyRecord *now = newer.keysById.value(key->keyId);
+        if (now == nullptr || now->withdrawn)
+            result.push_back(key->keyId);
     }
-    gone.sort();
-    return gone;
-}
-
-QJsonObject KeyRing::documentWith(const KeyEntry &added) const
-{
-    std::vector<KeyEntry> all = this->entries();
-    all.push_back(added);
-    return toDocument(all);
-}
-
-QJsonObject KeyRing::documentWithout(const QString &keyId) const
-{
-    std::vector<KeyEntry> all = this->entries();
-    const auto found = std::find_if(all.begin(), all.end(), [&keyId](const KeyEntry &entry) {
-        return entry.keyId == keyId;
-    });
-    if (found == all.end())
-        throw LacewingmuxError(ErrorKind::ConfigurationInvalid,
-                               QStringLiteral("there is no key \"%1\"").arg(keyId));
-    found->withdrawn = true;
-    found->salt.clear();
-    found->digest.clear();
-    return toDocument(all);
+    return result;
 }
 
-QByteArray KeyRing::digest(const QByteArray &salt, const QByteArray &secret)
+std::uint64_t KeyRing::revision(int shardIndex) const
 {
-    return QCryptographicHash::hash(salt + secret, QCryptographicHash::Sha256);
+    const auto held = this->shard(shardIndex);
+    return held ? held->revision : 0;
 }
 
-QJsonObject KeyRing::toDocument(const std::vector<KeyEntry> &entries)
+std::shared_ptr<const KeyShard> KeyRing::shard(int shardIndex) const
 {
-    QJsonArray array;
-    for (const KeyEntry &entry : entries)
-        array.append(entryJson(entry));
-    return {{QStringLiteral("keys"), array}};
+    return this->shards.at(static_cast<std::size_t>(shardIndex));
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_config/keys/KeyVerdict.h
+++ b/modules/lacewingmux_config/keys/KeyVerdict.h
@@ -6,13 +6,13 @@
 
 namespace lacewingmux {
 
-/** What is known about a presented key. */
-enum class KeyState : std::uint8_t { Accepted, Withdrawn, Unknown };
+/** What is known of a presented key. */
+enum class KeyStatus : std::uint8_t { Valid, Unknown, Withdrawn };
 
-/** The state of a presented key and, when it is accepted, whose it is. */
+/** The verdict about a presented key; team and key id are empty for an unknown one. */
 struct KeyVerdict
 {
-    KeyState state = KeyState::Unknown;
+    KeyStatus status = KeyStatus::Unknown;
     QString team;
     QString keyId;
 };
--- a/modules/lacewingmux_config/lacewingmux_config.h
+++ b/modules/lacewingmux_config/lacewingmux_config.h
@@ -6,7 +6,7 @@
  * The operators' configuration: plans, allowances, routes and objectives as one checked document
  * with a revision, the callers' keys as salted digests, and how a revision spreads over the VMs.
  *
- * Depends on: lacewingmux_core, lacewingmux_platform.
+ * Depends on: lacewingmux_core, lacewingmux_platform, lacewingmux_peer, FlatBuffers.
  */
 
 #include "lacewingmux_config/documents/Allowance.h"
@@ -15,11 +15,7 @@
 #include "lacewingmux_config/documents/Route.h"
 #include "lacewingmux_config/documents/ServiceLevelObjective.h"
 #include "lacewingmux_config/documents/TeamPlan.h"
-#include "lacewingmux_config/keys/IssuedKey.h"
-#include "lacewingmux_config/keys/KeyEntry.h"
+#include "lacewingmux_config/keys/KeyRegister.h"
 #include "lacewingmux_config/keys/KeyRing.h"
-#include "lacewingmux_config/keys/KeyVerdict.h"
-#include "lacewingmux_config/records/RecordEditResult.h"
-#include "lacewingmux_config/records/RecordEditor.h"
-#include "lacewingmux_config/records/RecordKeys.h"
+#include "lacewingmux_config/records/ConfigurationRegister.h"
 #include "lacewingmux_config/records/RevisionedRecord.h"
--- a/modules/lacewingmux_platform/client/HttpPlatformStore.cpp
+++ b/modules/lacewingmux_platform/client/HttpPlatformStore.cpp
@@ -101,9 +101,9 @@
     this->readRange(EtcdJson::fromRange(KeyRange::single(key)), std::move(callback));
 }
 
-void HttpPlatformStore::readRevision(const QByteArray &key, ReadCallback callback)
+void HttpPlatformStore::readRevisions(const QByteArray &prefix, ReadCallback callback)
 {
-    QJsonObject request = EtcdJson::fromRange(KeyRange::single(key));
+    QJsonObject request = EtcdJson::fromRange(KeyRange::withPrefix(prefix));
     request.insert(QStringLiteral("keys_only"), true);
     this->readRange(request, std::move(callback));
 }
