--- a/tests/zone/model/ModelVm.cpp
+++ b/tests/zone/model/ModelVm.cpp
@@ -33,6 +33,8 @@
     const QByteArray entry = QByteArray::number(static_cast<qulonglong>(claim.claim));
     if (!active || this->known[claim.aggregate].contains(entry))
         return;
+    if (claim.mintedEpoch > this->journal.epoch())
+        return; // this VM lags behind the zone, and may have been replaced in that epoch
     if (claim.mintedEpoch < this->journal.completeSince(slot))
         return; // whether it ran before the loss is unknown
     this->known[claim.aggregate].insert(entry);
