--- a/modules/lacewingmux_zone/journal/InMemoryJournal.cpp
+++ b/modules/lacewingmux_zone/journal/InMemoryJournal.cpp
@@ -26,7 +26,7 @@
 
 SlotStatus InMemoryJournal::status(SlotIndex slot) const
 {
-    return this->slots.at(slot).status;
+    return this->slotStates.at(slot).status;
 }
 
 void InMemoryJournal::append(const AggregateId &aggregate, const QByteArray &entry,
@@ -66,8 +66,8 @@
         if (!*token)
             return;
         for (SlotIndex slot = 0; slot < slotsPerZone; ++slot) {
-            if (isActive(this->slots[slot].status))
-                added(slot, this->slots[slot].records.toRecords());
+            if (isActive(this->slotStates[slot].status))
+                added(slot, this->slotStates[slot].records.toRecords());
         }
     });
 }
@@ -79,9 +79,9 @@
 
 void InMemoryJournal::stepDown(SlotIndex slot)
 {
-    if (this->slots.at(slot).status == SlotStatus::NotOwner)
+    if (this->slotStates.at(slot).status == SlotStatus::NotOwner)
         return;
-    this->slots[slot].status = SlotStatus::NotOwner;
+    this->slotStates[slot].status = SlotStatus::NotOwner;
     for (Waiting &entry : this->waiting) {
         if (entry.slot == slot)
             entry.outcome = AppendOutcome::SteppedDown;
@@ -98,8 +98,8 @@
 
 void InMemoryJournal::activate(SlotIndex slot, SlotStatus activeStatus)
 {
-    this->slots.at(slot).status = activeStatus;
-    const std::vector<AggregateRecord> held = this->slots[slot].records.toRecords();
+    this->slotStates.at(slot).status = activeStatus;
+    const std::vector<AggregateRecord> held = this->slotStates[slot].records.toRecords();
     for (const ActivationHandler &handler : this->activationHandlers)
         handler(slot, held);
 }
@@ -117,12 +117,12 @@
 
 const RecordMap &InMemoryJournal::records(SlotIndex slot) const
 {
-    return this->slots.at(slot).records;
+    return this->slotStates.at(slot).records;
 }
 
 void InMemoryJournal::submit(SlotIndex slot, Change change, Callback callback)
 {
-    const bool owned = isActive(this->slots.at(slot).status);
+    const bool owned = isActive(this->slotStates.at(slot).status);
     const AppendOutcome outcome = owned ? AppendOutcome::Committed : AppendOutcome::SteppedDown;
     this->waiting.push_back({slot, std::move(change), std::move(callback), outcome});
     if (!this->commitsHeld)
@@ -150,7 +150,7 @@
         const Waiting entry = std::move(this->waiting.front());
         this->waiting.pop_front();
         if (entry.outcome == AppendOutcome::Committed && entry.change)
-            entry.change(this->slots[entry.slot].records);
+            entry.change(this->slotStates[entry.slot].records);
         if (entry.callback)
             entry.callback(entry.outcome);
     }
--- a/modules/lacewingmux_zone/journal/InMemoryJournal.h
+++ b/modules/lacewingmux_zone/journal/InMemoryJournal.h
@@ -74,7 +74,7 @@
     void commitWaiting();
 
     TimerService &timers;
-    std::array<Slot, slotsPerZone> slots;
+    std::array<Slot, slotsPerZone> slotStates;
     std::vector<ActivationHandler> activationHandlers;
     std::vector<DeactivationHandler> deactivationHandlers;
     std::deque<Waiting> waiting;
--- a/modules/lacewingmux_zone/replication/JournalContext.cpp
+++ b/modules/lacewingmux_zone/replication/JournalContext.cpp
@@ -20,7 +20,7 @@
     , settings(journalSettings)
     , faults(journalFaults)
     , view(std::make_shared<const ZoneView>())
-    , slots(journalSettings.slotCount)
+    , slotStates(journalSettings.slotCount)
     , outbox(peerHub, timerService, journalSettings.frameBytes)
 { }
 
--- a/modules/lacewingmux_zone/replication/JournalContext.h
+++ b/modules/lacewingmux_zone/replication/JournalContext.h
@@ -36,7 +36,7 @@
     ViewHistory history;
     std::vector<VmIncarnation> knownPeers; ///< members of any known view, but for this VM
     TimerService::SteadyTime adoptedAt{};
-    std::vector<Slot> slots;
+    std::vector<Slot> slotStates;
     PeerOutbox outbox;
 
     [[nodiscard]] std::uint64_t epoch() const;
--- a/modules/lacewingmux_zone/replication/ReplicatedJournal.cpp
+++ b/modules/lacewingmux_zone/replication/ReplicatedJournal.cpp
@@ -85,13 +85,13 @@
     this->context.beginView(std::move(view), history);
     this->owner.beginView();
 
-    for (SlotIndex index = 0; index < this->context.slots.size(); ++index) {
-        this->context.slots[index].beginView(this->context.placement(index));
-        if (this->context.slots[index].placement.owner != this->context.self)
+    for (SlotIndex index = 0; index < this->context.slotStates.size(); ++index) {
+        this->context.slotStates[index].beginView(this->context.placement(index));
+        if (this->context.slotStates[index].placement.owner != this->context.self)
             this->owner.stepDown(index);
     }
-    for (SlotIndex index = 0; index < this->context.slots.size(); ++index) {
-        if (this->context.slots[index].placement.owner == this->context.self)
+    for (SlotIndex index = 0; index < this->context.slotStates.size(); ++index) {
+        if (this->context.slotStates[index].placement.owner == this->context.self)
             this->owner.recover(index);
     }
     this->replayHeld();
@@ -112,7 +112,7 @@
 {
     const std::uint64_t current = this->epoch();
     return current > 0
-           && std::all_of(this->context.slots.begin(), this->context.slots.end(),
+           && std::all_of(this->context.slotStates.begin(), this->context.slotStates.end(),
                           [this, current](const Slot &slot) {
                               return !this->context.isHolder(slot)
                                      || slot.position.activation == current;
@@ -131,19 +131,19 @@
 
 const SlotPosition &ReplicatedJournal::position(SlotIndex slot) const
 {
-    return this->context.slots.at(slot).position;
+    return this->context.slotStates.at(slot).position;
 }
 
 const RecordMap &ReplicatedJournal::records(SlotIndex slot) const
 {
-    return this->context.slots.at(slot).records;
+    return this->context.slotStates.at(slot).records;
 }
 
 SlotStatus ReplicatedJournal::status(SlotIndex slot) const
 {
-    if (slot >= this->context.slots.size())
+    if (slot >= this->context.slotStates.size())
         return SlotStatus::NotOwner;
-    const Slot &state = this->context.slots[slot];
+    const Slot &state = this->context.slotStates[slot];
     if (state.phase == SlotPhase::NotOwner)
         return SlotStatus::NotOwner;
     if (!state.exposed || state.stalled)
@@ -153,7 +153,7 @@
 
 std::uint64_t ReplicatedJournal::completeSince(SlotIndex slot) const
 {
-    return this->context.slots.at(slot).position.completeSince;
+    return this->context.slotStates.at(slot).position.completeSince;
 }
 
 void ReplicatedJournal::append(const AggregateId &aggregate, const QByteArray &entry,
@@ -180,7 +180,7 @@
 
 void ReplicatedJournal::submit(SlotIndex slot, const JournalChange &change, Callback callback)
 {
-    if (slot < this->context.slots.size() && this->context.slots[slot].exposed) {
+    if (slot < this->context.slotStates.size() && this->context.slotStates[slot].exposed) {
         this->owner.append(slot, change, std::move(callback));
         return;
     }
@@ -196,9 +196,9 @@
     if (this->epoch() == 0)
         return;
     this->context.timers.post([this, token = this->alive, added = std::move(handler)] {
-        for (SlotIndex slot = 0; *token && slot < this->context.slots.size(); ++slot) {
-            if (this->context.slots[slot].exposed)
-                added(slot, this->context.slots[slot].records.toRecords());
+        for (SlotIndex slot = 0; *token && slot < this->context.slotStates.size(); ++slot) {
+            if (this->context.slotStates[slot].exposed)
+                added(slot, this->context.slotStates[slot].records.toRecords());
         }
     });
 }
@@ -210,7 +210,7 @@
 
 void ReplicatedJournal::tellActivated(SlotIndex slot)
 {
-    const std::vector<AggregateRecord> held = this->context.slots[slot].records.toRecords();
+    const std::vector<AggregateRecord> held = this->context.slotStates[slot].records.toRecords();
     for (const ActivationHandler &handler : this->activationHandlers)
         handler(slot, held);
 }
--- a/modules/lacewingmux_zone/replication/SlotHolder.cpp
+++ b/modules/lacewingmux_zone/replication/SlotHolder.cpp
@@ -15,9 +15,9 @@
 void SlotHolder::onSurvey(const VmIncarnation &owner, const std::vector<SlotIndex> &slots)
 {
     for (const SlotIndex slot : slots) {
-        if (slot >= this->context.slots.size())
+        if (slot >= this->context.slotStates.size())
             continue;
-        const SurveyAnswer answer{slot, this->context.slots[slot].position};
+        const SurveyAnswer answer{slot, this->context.slotStates[slot].position};
         this->context.outbox.to(owner).answers.push_back(answer);
     }
 }
@@ -26,9 +26,9 @@
                                  const std::vector<StateRequest> &requests)
 {
     for (const StateRequest &request : requests) {
-        if (request.slot >= this->context.slots.size())
+        if (request.slot >= this->context.slotStates.size())
             continue;
-        Slot &slot = this->context.slots[request.slot];
+        Slot &slot = this->context.slotStates[request.slot];
         if (slot.placement.owner != owner || slot.position.activation != request.activation)
             continue;
         if (!slot.served || request.piece == 0)
@@ -46,7 +46,7 @@
     for (const StatePiece &piece : pieces) {
         if (!this->isBackupOf(owner, piece.slot))
             continue;
-        Slot &slot = this->context.slots[piece.slot];
+        Slot &slot = this->context.slotStates[piece.slot];
         const StateAck ack =
                 piece.keep ? this->keepCopy(slot, piece) : this->takePiece(slot, piece);
         this->context.outbox.to(owner).stateAcks.push_back(ack);
@@ -63,7 +63,7 @@
         }
         if (!this->isBackupOf(owner, entry.slot))
             continue;
-        Slot &slot = this->context.slots[entry.slot];
+        Slot &slot = this->context.slotStates[entry.slot];
         if (slot.position.activation != entry.activation)
             continue;
         const bool taken = this->takeEntry(slot, entry);
@@ -71,7 +71,7 @@
         found->second = found->second && taken;
     }
     for (const auto &[index, whole] : complete) {
-        const SlotPosition &position = this->context.slots[index].position;
+        const SlotPosition &position = this->context.slotStates[index].position;
         this->context.outbox.to(owner).appendAcks.push_back(
                 {index, !whole, position.activation, position.sequence});
     }
@@ -81,9 +81,9 @@
                              const std::vector<ActivatedSlot> &activated)
 {
     for (const ActivatedSlot &news : activated) {
-        if (news.slot >= this->context.slots.size())
+        if (news.slot >= this->context.slotStates.size())
             continue;
-        Slot &slot = this->context.slots[news.slot];
+        Slot &slot = this->context.slotStates[news.slot];
         if (slot.placement.owner != owner || this->context.isHolder(slot))
             continue;
         if (news.activation <= slot.position.activation)
@@ -97,8 +97,8 @@
 
 void SlotHolder::askAboutOldCopies()
 {
-    for (SlotIndex index = 0; index < this->context.slots.size(); ++index) {
-        const Slot &slot = this->context.slots[index];
+    for (SlotIndex index = 0; index < this->context.slotStates.size(); ++index) {
+        const Slot &slot = this->context.slotStates[index];
         if (slot.position.activation == 0 || !slot.placement.owner || this->context.isHolder(slot))
             continue;
         this->context.outbox.to(*slot.placement.owner).activatedRequests.push_back(index);
@@ -107,7 +107,7 @@
 
 bool SlotHolder::isRidOfOldCopies() const
 {
-    return std::all_of(this->context.slots.begin(), this->context.slots.end(),
+    return std::all_of(this->context.slotStates.begin(), this->context.slotStates.end(),
                        [this](const Slot &slot) {
                            return slot.position.activation == 0 || this->context.isHolder(slot);
                        });
@@ -115,9 +115,9 @@
 
 bool SlotHolder::isBackupOf(const VmIncarnation &owner, SlotIndex slot) const
 {
-    if (slot >= this->context.slots.size())
+    if (slot >= this->context.slotStates.size())
         return false;
-    const SlotPlacement &placement = this->context.slots[slot].placement;
+    const SlotPlacement &placement = this->context.slotStates[slot].placement;
     return placement.owner == owner && placement.backup == this->context.self;
 }
 
--- a/modules/lacewingmux_zone/replication/SlotOwner.cpp
+++ b/modules/lacewingmux_zone/replication/SlotOwner.cpp
@@ -29,7 +29,7 @@
 
 void SlotOwner::recover(SlotIndex index)
 {
-    Slot &slot = this->context.slots[index];
+    Slot &slot = this->context.slotStates[index];
     slot.phase = SlotPhase::Surveying;
     slot.survey = std::make_unique<SlotSurvey>(index, this->context.epoch(), this->context.history);
     slot.survey->addAnswer(this->context.self, slot.position);
@@ -44,7 +44,7 @@
 
 void SlotOwner::stepDown(SlotIndex index)
 {
-    Slot &slot = this->context.slots[index];
+    Slot &slot = this->context.slotStates[index];
     if (!slot.exposed)
         return;
     slot.exposed = false;
@@ -59,9 +59,9 @@
 void SlotOwner::onAnswers(const VmIncarnation &vm, const std::vector<SurveyAnswer> &answers)
 {
     for (const SurveyAnswer &answer : answers) {
-        if (answer.slot >= this->context.slots.size())
+        if (answer.slot >= this->context.slotStates.size())
             continue;
-        Slot &slot = this->context.slots[answer.slot];
+        Slot &slot = this->context.slotStates[answer.slot];
         if (slot.phase != SlotPhase::Surveying)
             continue;
         slot.survey->addAnswer(vm, answer.position);
@@ -74,9 +74,9 @@
 void SlotOwner::onServedPieces(const VmIncarnation &holder, const std::vector<StatePiece> &pieces)
 {
     for (const StatePiece &piece : pieces) {
-        if (piece.slot >= this->context.slots.size())
+        if (piece.slot >= this->context.slotStates.size())
             continue;
-        Slot &slot = this->context.slots[piece.slot];
+        Slot &slot = this->context.slotStates[piece.slot];
         const bool expected = slot.phase == SlotPhase::Pulling && slot.finding->holder == holder
                               && piece.position.activation == slot.finding->position.activation;
         if (!expected || !slot.pulled.add(piece))
@@ -98,9 +98,9 @@
 void SlotOwner::onStateAcks(const VmIncarnation &backup, const std::vector<StateAck> &acks)
 {
     for (const StateAck &ack : acks) {
-        if (ack.slot >= this->context.slots.size())
+        if (ack.slot >= this->context.slotStates.size())
             continue;
-        Slot &slot = this->context.slots[ack.slot];
+        Slot &slot = this->context.slotStates[ack.slot];
         if (slot.phase != SlotPhase::Activating || slot.placement.backup != backup
             || ack.activation != this->context.epoch())
             continue;
@@ -121,9 +121,9 @@
                                     const std::vector<SlotIndex> &slots)
 {
     for (const SlotIndex index : slots) {
-        if (index >= this->context.slots.size())
+        if (index >= this->context.slotStates.size())
             continue;
-        const Slot &slot = this->context.slots[index];
+        const Slot &slot = this->context.slotStates[index];
         if (slot.phase == SlotPhase::Active)
             this->context.outbox.to(holder).activated.push_back({index, slot.position.activation});
     }
@@ -131,7 +131,7 @@
 
 void SlotOwner::advance(SlotIndex index)
 {
-    Slot &slot = this->context.slots[index];
+    Slot &slot = this->context.slotStates[index];
     if (slot.phase != SlotPhase::Surveying || !slot.finding)
         return;
     const std::optional<VmIncarnation> &backup = slot.placement.backup;
@@ -154,7 +154,7 @@
         const SlotIndex index = this->waitingForTurn.front();
         this->waitingForTurn.pop_front();
         ++this->transfers;
-        if (this->hasLocalCopy(this->context.slots[index]))
+        if (this->hasLocalCopy(this->context.slotStates[index]))
             this->push(index);
         else
             this->pull(index);
@@ -186,7 +186,7 @@
 
 void SlotOwner::ask(SlotIndex index)
 {
-    Slot &slot = this->context.slots[index];
+    Slot &slot = this->context.slotStates[index];
     slot.progressAt = this->context.timers.now();
     for (const VmIncarnation &vm : this->asked(slot)) {
         if (!slot.survey->hasAnswered(vm))
@@ -215,7 +215,7 @@
 
 void SlotOwner::giveUp(SlotIndex index)
 {
-    Slot &slot = this->context.slots[index];
+    Slot &slot = this->context.slotStates[index];
     slot.lost = true;
     slot.finding = SlotSurvey::Finding{};
     this->ask(index);
@@ -224,7 +224,7 @@
 
 void SlotOwner::pull(SlotIndex index)
 {
-    Slot &slot = this->context.slots[index];
+    Slot &slot = this->context.slotStates[index];
     slot.phase = SlotPhase::Pulling;
     slot.pulled = {};
     this->resend(index);
@@ -232,7 +232,7 @@
 
 void SlotOwner::push(SlotIndex index)
 {
-    Slot &slot = this->context.slots[index];
+    Slot &slot = this->context.slotStates[index];
     const SlotPosition held = slot.survey->answer(*slot.placement.backup).value();
     const bool keeps = !slot.lost && held.activation > 0
                        && held.activation == slot.position.activation
@@ -249,7 +249,7 @@
 
 void SlotOwner::pushWhole(SlotIndex index)
 {
-    Slot &slot = this->context.slots[index];
+    Slot &slot = this->context.slotStates[index];
     slot.phase = SlotPhase::Activating;
     slot.keepOrder.reset();
     SlotPosition position = slot.position;
@@ -266,7 +266,7 @@
 
 void SlotOwner::resend(SlotIndex index)
 {
-    Slot &slot = this->context.slots[index];
+    Slot &slot = this->context.slotStates[index];
     slot.progressAt = this->context.timers.now();
     switch (slot.phase) {
     case SlotPhase::Surveying:
@@ -290,7 +290,7 @@
 
 void SlotOwner::activate(SlotIndex index, std::uint64_t backupSequence)
 {
-    Slot &slot = this->context.slots[index];
+    Slot &slot = this->context.slotStates[index];
     if (slot.lost) {
         slot.records.clear();
         slot.position = {};
@@ -316,7 +316,7 @@
 
 void SlotOwner::announce(SlotIndex index)
 {
-    const Slot &slot = this->context.slots[index];
+    const Slot &slot = this->context.slotStates[index];
     for (const VmIncarnation &peer : this->context.knownPeers) {
         if (slot.placement.backup != peer && this->context.hub.isConnected(peer))
             this->context.outbox.to(peer).activated.push_back({index, this->context.epoch()});
--- a/modules/lacewingmux_zone/replication/SlotOwnerAppends.cpp
+++ b/modules/lacewingmux_zone/replication/SlotOwnerAppends.cpp
@@ -14,7 +14,7 @@
 
 void SlotOwner::append(SlotIndex index, const JournalChange &change, Journal::Callback callback)
 {
-    Slot &slot = this->context.slots[index];
+    Slot &slot = this->context.slotStates[index];
     slot.records.apply(change);
     const std::uint64_t sequence = ++slot.position.sequence;
     slot.window.push({sequence, change, std::move(callback), this->context.timers.now()});
@@ -27,7 +27,7 @@
 
 void SlotOwner::sendUnsent(SlotIndex index)
 {
-    Slot &slot = this->context.slots[index];
+    Slot &slot = this->context.slotStates[index];
     if (slot.phase != SlotPhase::Active)
         return;
     if (!slot.placement.backup) {
@@ -43,9 +43,9 @@
 void SlotOwner::onAppendAcks(const VmIncarnation &backup, const std::vector<AppendAck> &acks)
 {
     for (const AppendAck &ack : acks) {
-        if (ack.slot >= this->context.slots.size())
+        if (ack.slot >= this->context.slotStates.size())
             continue;
-        Slot &slot = this->context.slots[ack.slot];
+        Slot &slot = this->context.slotStates[ack.slot];
         if (slot.phase != SlotPhase::Active || slot.placement.backup != backup
             || ack.activation != slot.position.activation)
             continue;
@@ -59,8 +59,8 @@
 
 void SlotOwner::onLinkUp(const VmIncarnation &peer)
 {
-    for (SlotIndex index = 0; index < this->context.slots.size(); ++index) {
-        Slot &slot = this->context.slots[index];
+    for (SlotIndex index = 0; index < this->context.slotStates.size(); ++index) {
+        Slot &slot = this->context.slotStates[index];
         if (!this->concerns(slot, peer))
             continue;
         if (slot.phase != SlotPhase::Active) {
@@ -76,8 +76,8 @@
 {
     const auto now = this->context.timers.now();
     unsigned lost = 0;
-    for (SlotIndex index = 0; index < this->context.slots.size(); ++index) {
-        Slot &slot = this->context.slots[index];
+    for (SlotIndex index = 0; index < this->context.slotStates.size(); ++index) {
+        Slot &slot = this->context.slotStates[index];
         if (slot.phase == SlotPhase::NotOwner)
             continue;
         this->markStalled(slot);
@@ -113,7 +113,7 @@
 
 void SlotOwner::commitThrough(SlotIndex index, std::uint64_t sequence)
 {
-    Slot &slot = this->context.slots[index];
+    Slot &slot = this->context.slotStates[index];
     std::vector<AppendWindow::Pending> committed = slot.window.takeThrough(sequence);
     if (committed.empty())
         return;
@@ -139,7 +139,7 @@
 void SlotOwner::commitAlone()
 {
     for (const SlotIndex index : std::exchange(this->loneCommits, {})) {
-        const Slot &slot = this->context.slots[index];
+        const Slot &slot = this->context.slotStates[index];
         const bool alone = !slot.placement.backup || this->context.faults.commitWithoutAck;
         if (slot.phase == SlotPhase::Active && alone)
             this->commitThrough(index, slot.position.sequence);
--- a/tests/zone/model/ModelZone.h
+++ b/tests/zone/model/ModelZone.h
@@ -51,6 +51,7 @@
     void publish(std::vector<VmDescriptor> members);
     void teach(ModelVm &vm);
     [[nodiscard]] bool mayLoseOne() const;
+    [[nodiscard]] bool isAtRest() const;
     [[nodiscard]] ModelVm &anyVm();
     [[nodiscard]] ModelVm *find(const VmIncarnation &incarnation) const;
     [[nodiscard]] std::size_t below(std::size_t limit);
