--- a/modules/lacewingmux_backend/clients/EngineRun.cpp
+++ b/modules/lacewingmux_backend/clients/EngineRun.cpp
@@ -65,31 +65,33 @@
 
 void EngineRun::readStream(const QByteArray &bytes)
 {
+    QByteArray fresh;
     const std::vector<StreamEvent> events = this->reader.append(bytes);
-    const qsizetype before = this->streamed.size();
-    for (const StreamEvent &event : events)
-        this->takeEvent(event);
-    const QByteArray fresh = this->streamed.mid(before);
+    for (const StreamEvent &event : events) {
+        if (this->takeEvent(event))
+            fresh += event.bytes;
+    }
     if (!fresh.isEmpty() && this->listener.chunk)
         this->listener.chunk(fresh);
 }
 
-void EngineRun::takeEvent(const StreamEvent &event)
+bool EngineRun::takeEvent(const StreamEvent &event)
 {
     if (this->ended || this->missedEvent)
-        return;
+        return false;
     if (const auto sequence = event.sequence()) {
         if (*sequence < this->nextSequence)
-            return; // a duplicate
+            return false; // a duplicate
         if (*sequence > this->nextSequence) {
             this->missedEvent = true;
-            return;
+            return false;
         }
         ++this->nextSequence;
     }
     readUsage(event.json, this->usage);
+    this->whole.add(event.json);
     this->ended = event.isEnd;
-    this->streamed += event.bytes;
+    return true;
 }
 
 void EngineRun::exchangeFinished(const BackendAnswer &answer)
@@ -138,7 +140,8 @@
 void EngineRun::finish(BackendAnswer answer)
 {
     if (this->call.stream && answer.completed() && this->ended) {
-        answer.body = this->streamed;
+        answer.body = this->whole.body();
+        answer.headers = {{"Content-Type", "application/json"}};
         answer.inputTokens = this->usage.inputTokens;
         answer.cachedTokens = this->usage.cachedTokens;
         answer.outputTokens = this->usage.outputTokens;
--- a/modules/lacewingmux_backend/clients/EngineRun.h
+++ b/modules/lacewingmux_backend/clients/EngineRun.h
@@ -2,6 +2,7 @@
 
 #include "lacewingmux_backend/clients/BackendCall.h"
 #include "lacewingmux_backend/clients/BackendRun.h"
+#include "lacewingmux_backend/clients/CompletionAssembler.h"
 #include "lacewingmux_backend/clients/EventStreamReader.h"
 
 #include <memory>
@@ -16,7 +17,8 @@
 
     A stream is passed on in whole events, each once. When its connection breaks, the stream is
     resumed at the engine from the first event that is missing; nothing is run again. A stream
-    counts as whole only when its end mark has come.
+    counts as whole only when its end mark has come; its answer has the body that the completion
+    would have had unstreamed.
 */
 class EngineRun final : public BackendRun
 {
@@ -31,7 +33,7 @@
     void open(const BackendCall &call);
     void resume();
     void readStream(const QByteArray &bytes);
-    void takeEvent(const StreamEvent &event);
+    [[nodiscard]] bool takeEvent(const StreamEvent &event);
     void exchangeFinished(const BackendAnswer &answer);
     [[nodiscard]] bool canResume(const BackendAnswer &answer) const;
     void finish(BackendAnswer answer);
@@ -43,7 +45,7 @@
     std::chrono::steady_clock::time_point deadline;
     std::unique_ptr<BackendRun> exchange;
     EventStreamReader reader;
-    QByteArray streamed; ///< all events passed on
+    CompletionAssembler whole;
     std::int64_t nextSequence = 0;
     int resumptions = 0;
     bool ended = false;       ///< the end mark has come
--- /dev/null
+++ b/modules/lacewingmux_backend/clients/ReplicaProbe.cpp
@@ -0,0 +1,46 @@
+#include "lacewingmux_backend/clients/ReplicaProbe.h"
+
+#include "lacewingmux_backend/clients/HttpExchange.h"
+#include "lacewingmux_backend/replicas/ReplicaRecord.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <utility>
+
+namespace lacewingmux {
+
+namespace {
+
+ProbeResult resultOf(const BackendAnswer &answer)
+{
+    if (answer.failure == BackendFailure::NotSent)
+        return {ProbeOutcome::Refused, {}};
+    if (!answer.completed())
+        return {ProbeOutcome::Silent, {}};
+    const QJsonObject json = QJsonDocument::fromJson(answer.body).object();
+    return {ProbeOutcome::Alive, json.value(QStringLiteral("instance")).toString()};
+}
+
+} // namespace
+
+ReplicaProbe::ReplicaProbe(ConnectionPool &connections, TimerService &timers,
+                           const ReplicaRecord &replica, std::chrono::milliseconds timeout,
+                           std::function<void(const ProbeResult &)> callback)
+{
+    BackendCall call;
+    call.server = replica.url;
+    call.method = "GET";
+    call.path = replica.kind == RouteKind::ModelEngine ? "/v1/load" : "/healthz";
+    call.timeout = timeout;
+    call.maxAnswerBytes = std::int64_t{64} * 1024;
+    BackendRunListener listener;
+    listener.finished = [callback = std::move(callback)](const BackendAnswer &answer) {
+        callback(resultOf(answer));
+    };
+    this->run = std::make_unique<HttpExchange>(connections, timers, call, std::move(listener));
+}
+
+ReplicaProbe::~ReplicaProbe() = default;
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.cpp
@@ -0,0 +1,355 @@
+#include "lacewingmux_backend/dispatch/ReplicaDispatcher.h"
+
+#include "lacewingmux_allowance/admission/PowerGate.h"
+#include "lacewingmux_backend/dispatch/DispatchResults.h"
+#include "lacewingmux_core/errors/ErrorTable.h"
+#include "lacewingmux_core/logging/StructuredLog.h"
+#include "lacewingmux_core/metrics/MetricsRecorder.h"
+#include "lacewingmux_core/time/TimerService.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingmux {
+
+namespace {
+
+constexpr std::chrono::milliseconds powerRetryInterval{100};
+
+} // namespace
+
+ReplicaDispatcher::ReplicaDispatcher(const ReplicaDispatcherEnvironment &dispatcherEnvironment,
+                                     const ReplicaDispatcherSettings &dispatcherSettings)
+    : environment(dispatcherEnvironment)
+    , settings(dispatcherSettings)
+    , timers(dispatcherEnvironment.timers)
+    , random(dispatcherSettings.seed)
+    , engines(this->connections, this->timers)
+    , services(this->connections, this->timers)
+    , monitor(this->connections, this->timers, this->random,
+              {[this](const QString &replica) { this->refreshState(replica); },
+               [this](const QString &replica) {
+                   this->prefixes.forgetReplica(replica);
+                   this->memory.replicaRestarted(replica);
+               }})
+    , memory(this->connections, this->timers, this->random, dispatcherEnvironment.self,
+             [this](const QString &program) { this->confirmRelease(program); })
+{ }
+
+ReplicaDispatcher::~ReplicaDispatcher() = default;
+
+DispatchHandle ReplicaDispatcher::dispatch(const DispatchRequest &request,
+                                           DispatchListener listener)
+{
+    const DispatchHandle handle = ++this->lastHandle;
+    auto call = std::make_unique<DispatchedCall>();
+    call->handle = handle;
+    call->request = request;
+    call->listener = std::move(listener);
+    call->enqueuedAt = this->timers.now();
+    call->item = {handle,
+                  request.team,
+                  request.teamWeight,
+                  request.rootProgram,
+                  request.attainedTokens,
+                  std::max<std::int64_t>(1, request.maxOutputTokens)};
+    this->calls.emplace(handle, std::move(call));
+    this->timers.post([this, handle, alive = std::weak_ptr<char>(this->lifetime)] {
+        if (!alive.expired())
+            this->arrive(handle);
+    });
+    return handle;
+}
+
+void ReplicaDispatcher::cancel(DispatchHandle handle, ErrorKind reason)
+{
+    DispatchedCall *call = this->find(handle);
+    if (!call)
+        return;
+    const bool sent =
+            call->state == DispatchState::Running || call->state == DispatchState::Inquiring;
+    if (sent && !call->request.idempotent)
+        return;
+    if (call->state == DispatchState::Queued) {
+        this->pools.at(call->request.route).queue.remove(handle);
+    } else if (call->state == DispatchState::Running) {
+        call->run.reset();
+        if (call->replica.kind == RouteKind::ModelEngine)
+            this->engines.cancel(call->replica.url, call->request.requestId);
+        this->leaveReplica(*call);
+    } else if (call->state == DispatchState::Starting) {
+        this->leaveReplica(*call);
+    }
+    this->finish(handle, failedResult(reason, sent ? Executed::Unknown : Executed::No,
+                                      QStringLiteral("the call was cancelled")));
+}
+
+void ReplicaDispatcher::programEnded(const QString &program)
+{
+    for (const auto &entry : this->calls) {
+        if (entry.second->request.program == program)
+            entry.second->programEnded = true;
+    }
+    this->prefixes.forgetProgram(program);
+    this->memory.ended(program);
+}
+
+void ReplicaDispatcher::programPaused(const QString &program, std::int64_t prefixTokens)
+{
+    const auto prefix = this->prefixes.find(program);
+    if (prefix && !this->memory.paused(program, prefix->replica, prefixTokens))
+        this->prefixes.forgetProgram(program);
+}
+
+void ReplicaDispatcher::adoptReplicas(const std::shared_ptr<const ReplicaSet> &replicaSet)
+{
+    this->replicas = replicaSet;
+    this->monitor.adopt(*replicaSet);
+    this->memory.adoptReplicas(replicaSet);
+    for (auto &[route, pool] : this->pools) {
+        const std::set<QString> known = std::exchange(pool.replicas, {});
+        for (const QString &name : known) {
+            const ReplicaSnapshot *replica = replicaSet->find(name);
+            if (!replica || replica->record.route != route)
+                pool.chooser.removeReplica(name);
+        }
+    }
+    for (const ReplicaSnapshot &replica : replicaSet->replicas()) {
+        RoutePool &pool = this->pools[replica.record.route];
+        pool.replicas.insert(replica.record.name);
+        pool.chooser.setReplica({replica.record.name, replica.record.maxSequences});
+        if (replica.load)
+            pool.chooser.reportLoad(replica.record.name,
+                                    {replica.load->load.sequences(), replica.load->measuredAt});
+        this->refreshState(replica.record.name);
+    }
+    for (const auto &entry : this->pools)
+        this->schedulePump(entry.first);
+}
+
+void ReplicaDispatcher::learn(const CrashCoincidence &coincidence)
+{
+    this->quarantine.record(coincidence, this->timers.now());
+}
+
+std::vector<CrashCoincidence> ReplicaDispatcher::coincidences() const
+{
+    return this->quarantine.coincidences(this->timers.now());
+}
+
+void ReplicaDispatcher::arrive(DispatchHandle handle)
+{
+    DispatchedCall *call = this->find(handle);
+    if (!call)
+        return;
+    const auto found = this->pools.find(call->request.route);
+    if (found == this->pools.end() || !this->canServe(found->second)) {
+        this->finish(handle, failedResult(ErrorKind::BackendUnavailable, Executed::No,
+                                          QStringLiteral("the route has no backend server")));
+        return;
+    }
+    if (this->verdictOn(*call) == QuarantineVerdict::Quarantined) {
+        this->finish(handle, this->quarantinedResult(*call, Executed::No));
+        return;
+    }
+    RoutePool &pool = found->second;
+    const QString &team = call->request.team;
+    const QueueDecision decision = pool.admission.decide(
+            {pool.queue.teamSize(team), pool.queue.teamShare(team, call->request.teamWeight),
+             call->request.queueTimeout});
+    if (!decision.admitted) {
+        this->finish(handle, failedResult(ErrorKind::Overloaded, Executed::No,
+                                          QStringLiteral("the queue is longer than its timeout"),
+                                          decision.retryAfter));
+        return;
+    }
+    pool.retries.freshCall(this->timers.now());
+    this->memory.called(call->request.program, team, call->request.route);
+    this->enqueue(*call);
+}
+
+void ReplicaDispatcher::enqueue(DispatchedCall &call)
+{
+    const DispatchHandle handle = call.handle;
+    call.state = DispatchState::Queued;
+    call.queueTimeout = this->timers.after(call.request.queueTimeout,
+                                           [this, handle] { this->queueTimedOut(handle); });
+    this->pools.at(call.request.route).queue.push(call.item, call.enqueuedAt);
+    this->schedulePump(call.request.route);
+}
+
+void ReplicaDispatcher::queueTimedOut(DispatchHandle handle)
+{
+    DispatchedCall *call = this->find(handle);
+    if (!call || call->state != DispatchState::Queued)
+        return;
+    this->pools.at(call->request.route).queue.remove(handle);
+    const ErrorKind kind =
+            call->waitedForPower ? ErrorKind::PowerCapReached : ErrorKind::QueueTimeout;
+    // What was sent before and failed may have run; only idempotent calls come back here then.
+    const Executed executed = call->mayHaveRun ? Executed::Unknown : Executed::No;
+    this->finish(handle, failedResult(kind, executed, QStringLiteral("no replica had room")));
+}
+
+void ReplicaDispatcher::schedulePump(const QString &route)
+{
+    RoutePool &pool = this->pools.at(route);
+    if (std::exchange(pool.pumpScheduled, true))
+        return;
+    this->timers.post([this, route, alive = std::weak_ptr<char>(this->lifetime)] {
+        if (!alive.expired())
+            this->pump(route);
+    });
+}
+
+void ReplicaDispatcher::pump(const QString &route)
+{
+    RoutePool &pool = this->pools.at(route);
+    pool.pumpScheduled = false;
+    std::vector<DispatchHandle> parked;
+    while (!pool.waitsForPower && this->startNext(pool, parked)) { }
+    for (const DispatchHandle handle : parked) {
+        if (const DispatchedCall *call = this->find(handle))
+            pool.queue.push(call->item, call->enqueuedAt);
+    }
+}
+
+bool ReplicaDispatcher::startNext(RoutePool &pool, std::vector<DispatchHandle> &parked)
+{
+    const WorkItem *next = pool.queue.next();
+    if (!next)
+        return false;
+    DispatchedCall &call = *this->calls.at(next->id);
+    const QuarantineVerdict verdict = this->verdictOn(call);
+    if (verdict == QuarantineVerdict::Quarantined) {
+        pool.queue.remove(call.handle);
+        const Executed executed = call.mayHaveRun ? Executed::Unknown : Executed::No;
+        this->finish(call.handle, this->quarantinedResult(call, executed));
+        return true;
+    }
+    if (!this->canServe(pool)) {
+        pool.queue.remove(call.handle);
+        const Executed executed = call.mayHaveRun ? Executed::Unknown : Executed::No;
+        this->finish(call.handle, failedResult(ErrorKind::BackendUnavailable, executed,
+                                               QStringLiteral("the route has no backend server")));
+        return true;
+    }
+    call.suspect = verdict == QuarantineVerdict::Suspect;
+    if (const auto choice = this->choose(pool, call)) {
+        this->begin(pool, call, *choice);
+        return true;
+    }
+    if (!call.suspect && call.excluded.empty())
+        return false;
+    // It can't go where others can: it must not hold them up.
+    pool.queue.remove(call.handle);
+    parked.push_back(call.handle);
+    return true;
+}
+
+std::optional<ReplicaChoice> ReplicaDispatcher::choose(const RoutePool &pool,
+                                                       const DispatchedCall &call)
+{
+    ChoiceRequest request;
+    request.prefixTokens = call.request.prefixTokens;
+    request.prefix = this->prefixes.find(call.request.program);
+    request.suspect = call.suspect;
+    request.excluded = call.excluded;
+    const bool othersServe = pool.chooser.servingCount() > call.excluded.size();
+    if (!othersServe)
+        request.excluded.clear();
+    return pool.chooser.choose(request, this->random);
+}
+
+bool ReplicaDispatcher::canServe(const RoutePool &pool) const
+{
+    return std::any_of(pool.replicas.begin(), pool.replicas.end(), [this](const QString &name) {
+        const ReplicaSnapshot *replica = this->replicas->find(name);
+        return replica && !replica->leaving;
+    });
+}
+
+void ReplicaDispatcher::begin(RoutePool &pool, DispatchedCall &call, const ReplicaChoice &choice)
+{
+    const DispatchHandle handle = call.handle;
+    const TimerService::SteadyTime now = this->timers.now();
+    pool.queue.take(handle);
+    pool.admission.started(now, pool.queue.size() > 0);
+    pool.chooser.started(choice.replica, now, call.suspect);
+    call.state = DispatchState::Starting;
+    call.replica = this->replicas->find(choice.replica)->record;
+    call.expectedCachedTokens = choice.expectedCachedTokens;
+    if (!this->environment.power || call.replica.wattsPerSequence <= 0) {
+        this->powerDecided(handle, PowerReservation());
+        return;
+    }
+    this->environment.power->reserve(
+            call.replica.wattsPerSequence,
+            [this, handle, alive = std::weak_ptr<char>(this->lifetime)](
+                    std::optional<PowerReservation> reservation) {
+                if (!alive.expired())
+                    this->powerDecided(handle, std::move(reservation));
+            });
+}
+
+void ReplicaDispatcher::powerDecided(DispatchHandle handle,
+                                     std::optional<PowerReservation> reservation)
+{
+    DispatchedCall *call = this->find(handle);
+    if (!call || call->state != DispatchState::Starting)
+        return;
+    call->waitedForPower = !reservation.has_value();
+    if (!reservation) {
+        const QString route = call->request.route;
+        this->backToQueue(*call);
+        this->waitForPower(route);
+        return;
+    }
+    call->power = std::move(*reservation);
+    if (call->replica.kind == RouteKind::ModelEngine)
+        this->memory.prepare(call->request.program, call->replica,
+                             [this, handle] { this->send(handle); });
+    else
+        this->send(handle);
+}
+
+void ReplicaDispatcher::waitForPower(const QString &route)
+{
+    RoutePool &pool = this->pools.at(route);
+    pool.waitsForPower = true;
+    pool.powerRetry = this->timers.after(powerRetryInterval, [this, route] {
+        this->pools.at(route).waitsForPower = false;
+        this->schedulePump(route);
+    });
+}
+
+void ReplicaDispatcher::send(DispatchHandle handle)
+{
+    DispatchedCall *call = this->find(handle);
+    if (!call || call->state != DispatchState::Starting)
+        return;
+    const bool isEngine = call->replica.kind == RouteKind::ModelEngine;
+    call->queueTimeout.cancel();
+    call->state = DispatchState::Running;
+    call->startedAt = this->timers.now();
+    call->instance = this->monitor.instance(call->replica.name);
+    ++call->attempts;
+    if (isEngine)
+        this->memory.mayHold(call->request.program, call->replica.name);
+
+    BackendRunListener runListener;
+    if (call->request.stream)
+        runListener.chunk = call->listener.chunk;
+    runListener.finished = [this, handle](const BackendAnswer &answer) {
+        this->answered(handle, answer);
+    };
+    const BackendCall backendCall = backendCallFor(*call, this->settings.maxAnswerBytes);
+    call->run = isEngine ? this->engines.start(backendCall, std::move(runListener))
+                         : this->services.start(backendCall, std::move(runListener));
+    // The last step, since the listener may cancel the call.
+    const auto started = call->listener.started;
+    if (started)
+        started(QString(call->replica.name));
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_backend/dispatch/ReplicaDispatcherAnswers.cpp
@@ -0,0 +1,223 @@
+#include "lacewingmux_backend/clients/BackendAnswer.h"
+#include "lacewingmux_backend/dispatch/DispatchResults.h"
+#include "lacewingmux_backend/dispatch/ReplicaDispatcher.h"
+#include "lacewingmux_core/errors/ErrorTable.h"
+#include "lacewingmux_core/logging/StructuredLog.h"
+#include "lacewingmux_core/metrics/MetricsRecorder.h"
+#include "lacewingmux_core/time/TimerService.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingmux {
+
+void ReplicaDispatcher::answered(DispatchHandle handle, const BackendAnswer &answer)
+{
+    DispatchedCall *call = this->find(handle);
+    if (!call || call->state != DispatchState::Running)
+        return;
+    // Kept until this function returns, since the run is what calls it.
+    const auto finishedRun = std::move(call->run);
+    switch (answer.failure) {
+    case BackendFailure::None:
+        this->answeredWhole(*call, answer);
+        return;
+    case BackendFailure::ConnectionLost:
+        this->connectionLost(*call, answer);
+        return;
+    case BackendFailure::NotSent:
+        this->monitor.unreachable(call->replica.name);
+        break;
+    case BackendFailure::TimedOut:
+        this->monitor.timedOut(call->replica.name);
+        if (call->replica.kind == RouteKind::ModelEngine && call->request.idempotent)
+            this->engines.cancel(call->replica.url, call->request.requestId);
+        break;
+    case BackendFailure::AnswerTooLarge:
+    case BackendFailure::WrongAnswer:
+    case BackendFailure::Cancelled:
+        break;
+    }
+    this->leaveReplica(*call);
+    const bool notRun = answer.executed == Executed::No;
+    const bool mayHelp = notRun || answer.failure == BackendFailure::WrongAnswer;
+    if (!mayHelp || !this->sendAgain(*call, notRun))
+        this->finish(handle, lostResult(answer, call->request.idempotent));
+}
+
+void ReplicaDispatcher::answeredWhole(DispatchedCall &call, const BackendAnswer &answer)
+{
+    this->monitor.answered(call.replica.name);
+    this->leaveReplica(call);
+    if (isTransientStatus(answer.httpStatus) && this->sendAgain(call, false))
+        return;
+    if (!call.request.contentDigest.isEmpty())
+        this->quarantine.completed(call.request.contentDigest);
+    if (call.replica.kind == RouteKind::ModelEngine) {
+        const std::int64_t computed =
+                answer.inputTokens - answer.cachedTokens + answer.outputTokens;
+        this->pools.at(call.request.route).queue.settle(call.item, computed);
+        this->prefixes.observed(call.replica.name, call.expectedCachedTokens,
+                                answer.cachedTokens);
+        if (!call.programEnded && !call.request.program.isEmpty())
+            this->prefixes.served(call.request.program, call.replica.name,
+                                  answer.inputTokens + answer.outputTokens);
+    }
+    DispatchResult result = completedResult(answer);
+    result.queueTime = std::chrono::duration_cast<std::chrono::microseconds>(call.startedAt
+                                                                             - call.enqueuedAt);
+    result.runTime = std::chrono::duration_cast<std::chrono::microseconds>(this->timers.now()
+                                                                           - call.startedAt);
+    this->finish(call.handle, std::move(result));
+}
+
+void ReplicaDispatcher::connectionLost(DispatchedCall &call, const BackendAnswer &answer)
+{
+    this->leaveReplica(call);
+    call.state = DispatchState::Inquiring;
+    const DispatchHandle handle = call.handle;
+    this->monitor.inquire(call.replica.name, call.instance, [this, handle, answer](bool crashed) {
+        this->inquired(handle, answer, crashed);
+    });
+}
+
+void ReplicaDispatcher::inquired(DispatchHandle handle, const BackendAnswer &answer, bool crashed)
+{
+    DispatchedCall *call = this->find(handle);
+    if (!call || call->state != DispatchState::Inquiring)
+        return;
+    if (crashed)
+        this->recordCrash(*call);
+    if (this->verdictOn(*call) == QuarantineVerdict::Quarantined)
+        this->finish(handle, this->quarantinedResult(*call, Executed::Unknown));
+    else if (!this->sendAgain(*call, false))
+        this->finish(handle, lostResult(answer, call->request.idempotent));
+}
+
+void ReplicaDispatcher::recordCrash(const DispatchedCall &call)
+{
+    this->environment.metrics.count("lacewingmux_replica_crashes_total",
+                                    {{QStringLiteral("route"), call.request.route}}, 1);
+    if (call.request.contentDigest.isEmpty())
+        return;
+    const CrashCoincidence coincidence{
+            call.request.contentDigest,
+            call.replica.zone + u'/' + call.replica.name + u'#' + call.instance};
+    if (!this->quarantine.record(coincidence, this->timers.now()))
+        return;
+    LogEvent(LogSeverity::Warning, "replicaCrashed")
+            .field("replica", call.replica.name)
+            .field("request", call.request.requestId);
+    if (this->environment.coincidenceSeen)
+        this->environment.coincidenceSeen(coincidence);
+}
+
+bool ReplicaDispatcher::sendAgain(DispatchedCall &call, bool certainlyNotRun)
+{
+    const bool safe = certainlyNotRun || call.request.idempotent;
+    if (!safe || call.programEnded || call.attempts >= this->settings.maxAttempts)
+        return false;
+    RetryBudget &budget = this->pools.at(call.request.route).retries;
+    if (!certainlyNotRun && !budget.tryRetry(this->timers.now()))
+        return false;
+    call.mayHaveRun = call.mayHaveRun || !certainlyNotRun;
+    call.excluded.push_back(call.replica.name);
+    this->environment.metrics.count("lacewingmux_call_retries_total",
+                                    {{QStringLiteral("route"), call.request.route}}, 1);
+    this->pools.at(call.request.route).queue.settle(call.item, 0);
+    this->enqueue(call);
+    return true;
+}
+
+void ReplicaDispatcher::backToQueue(DispatchedCall &call)
+{
+    this->leaveReplica(call);
+    RoutePool &pool = this->pools.at(call.request.route);
+    pool.queue.settle(call.item, 0);
+    call.state = DispatchState::Queued;
+    pool.queue.push(call.item, call.enqueuedAt);
+}
+
+void ReplicaDispatcher::leaveReplica(DispatchedCall &call)
+{
+    call.power.release();
+    const QString route = call.request.route;
+    this->pools.at(route).chooser.finished(call.replica.name, this->timers.now(), call.suspect);
+    this->schedulePump(route);
+}
+
+void ReplicaDispatcher::finish(DispatchHandle handle, DispatchResult result)
+{
+    auto node = this->calls.extract(handle);
+    DispatchedCall &call = *node.mapped();
+    result.replica = call.replica.name;
+    result.zone = this->environment.self.zone;
+    this->recordMetrics(call, result);
+    // What the run left at the engine after the program's end is released as well.
+    if (call.programEnded && call.attempts > 0 && call.replica.kind == RouteKind::ModelEngine)
+        this->memory.ended(call.request.program);
+    this->timers.post([finished = std::move(call.listener.finished), result = std::move(result),
+                       alive = std::weak_ptr<char>(this->lifetime)] {
+        if (!alive.expired())
+            finished(result);
+    });
+}
+
+void ReplicaDispatcher::recordMetrics(const DispatchedCall &call, const DispatchResult &result)
+{
+    const QString outcome = result.completed
+            ? QStringLiteral("completed")
+            : QString::fromLatin1(answerFor(result.error).name);
+    const MetricLabel route{QStringLiteral("route"), call.request.route};
+    MetricsRecorder &metrics = this->environment.metrics;
+    metrics.count("lacewingmux_calls_total", {route, {QStringLiteral("outcome"), outcome}}, 1);
+    if (!result.completed)
+        return;
+    metrics.observe("lacewingmux_queue_seconds", {route}, result.queueTime);
+    metrics.observe("lacewingmux_run_seconds", {route}, result.runTime);
+    metrics.count("lacewingmux_input_tokens_total", {route},
+                  static_cast<double>(result.inputTokens));
+    metrics.count("lacewingmux_cached_tokens_total", {route},
+                  static_cast<double>(result.cachedTokens));
+}
+
+void ReplicaDispatcher::refreshState(const QString &name)
+{
+    const ReplicaSnapshot *replica = this->replicas->find(name);
+    if (!replica)
+        return;
+    const auto pool = this->pools.find(replica->record.route);
+    if (pool == this->pools.end())
+        return;
+    ReplicaState state = ReplicaState::Serving;
+    if (replica->leaving)
+        state = ReplicaState::Leaving;
+    else if (this->monitor.isBroken(name))
+        state = ReplicaState::Broken;
+    pool->second.chooser.setState(name, state);
+    this->schedulePump(replica->record.route);
+}
+
+QuarantineVerdict ReplicaDispatcher::verdictOn(const DispatchedCall &call) const
+{
+    if (call.request.contentDigest.isEmpty())
+        return QuarantineVerdict::Clear;
+    return this->quarantine.verdict(call.request.contentDigest, this->timers.now());
+}
+
+DispatchResult ReplicaDispatcher::quarantinedResult(const DispatchedCall &call,
+                                                    Executed executed) const
+{
+    return failedResult(
+            ErrorKind::Quarantined, executed,
+            QStringLiteral("the request crashed the backend servers that ran it"),
+            this->quarantine.retryAfter(call.request.contentDigest, this->timers.now()));
+}
+
+DispatchedCall *ReplicaDispatcher::find(DispatchHandle handle)
+{
+    const auto found = this->calls.find(handle);
+    return found == this->calls.end() ? nullptr : found->second.get();
+}
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_backend/lacewingmux_backend.h
+++ b/modules/lacewingmux_backend/lacewingmux_backend.h
@@ -13,3 +13,5 @@
 
 #include "lacewingmux_backend/clients/EngineClient.h"
 #include "lacewingmux_backend/clients/ServiceClient.h"
+#include "lacewingmux_backend/dispatch/ReplicaDispatcher.h"
+#include "lacewingmux_backend/replicas/ReplicaSet.h"
--- /dev/null
+++ b/modules/lacewingmux_backend/orders/CacheReleases.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "lacewingmux_backend/clients/EngineOrder.h"
+#include "lacewingmux_core/time/TimerSubscription.h"
+
+#include <QString>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace lacewingmux {
+
+class TimerService;
+
+/**
+    Keeps track of which engines may hold cached prefixes of which programs, and sees to it that
+    they let go.
+
+    An order is sent again, with exponential backoff, until the engine confirms it, or has
+    restarted or left, which clears its memory as well. An engine that knows no endProgram order
+    is given dropCache instead.
+*/
+class CacheReleases
+{
+public:
+    /** Sends one order about a program to a replica; calls back once, possibly at once. */
+    using SendOrder = std::function<void(const QString &replica, EngineOrderKind kind,
+                                         const QString &program,
+                                         std::function<void(OrderOutcome)> callback)>;
+    using Released = std::function<void(const QString &program)>;
+
+    /** The last parameter is told each ended program that no engine holds any more. */
+    CacheReleases(TimerService &timerService, std::mt19937_64 &randomSource, SendOrder orderSender,
+                  Released releasedHandler);
+    CacheReleases(const CacheReleases &) = delete;
+    CacheReleases &operator=(const CacheReleases &) = delete;
+
+    /** Notes that a call of the program was sent to the replica. Ends a drop that waits there. */
+    void mayHold(const QString &program, const QString &replica);
+
+    /**
+        Ends a program at every replica that may hold it. Where nothing is known of the program,
+        as after its owner's death, any replica may.
+    */
+    void end(const QString &program, const std::vector<QString> &allReplicas);
+
+    /** Drops the cached prefix of a program that goes on. */
+    void drop(const QString &program);
+
+    /** Notes that a replica restarted or left, and holds nothing any more. */
+    void replicaCleared(const QString &replica);
+
+    /** Returns the replicas that may hold the program's prefix. */
+    [[nodiscard]] std::vector<QString> holders(const QString &program) const;
+
+    /** Returns how many orders are not yet confirmed. */
+    [[nodiscard]] std::size_t unconfirmed() const noexcept
+    {
+        return this->orders.size();
+    }
+
+private:
+    struct OrderKey
+    {
+        QString program;
+        QString replica;
+
+        friend bool operator<(const OrderKey &left, const OrderKey &right) noexcept
+        {
+            return left.program != right.program ? left.program < right.program
+                                                 : left.replica < right.replica;
+        }
+    };
+    struct PendingOrder
+    {
+        EngineOrderKind kind = EngineOrderKind::DropCache;
+        std::uint64_t serial = 0; ///< tells it from an earlier order of the same key
+        bool endsProgram = false;
+        std::chrono::milliseconds backoff{0};
+        TimerSubscription retry;
+    };
+
+    void start(const OrderKey &key, bool endsProgram);
+    void send(const OrderKey &key);
+    void answered(const OrderKey &key, std::uint64_t serial, OrderOutcome outcome);
+    void sendLater(const OrderKey &key, PendingOrder &order);
+    void confirmed(const OrderKey &key);
+    void forgetHolder(const OrderKey &key);
+    [[nodiscard]] bool isEnding(const QString &program) const;
+
+    TimerService &timers;
+    std::mt19937_64 &random;
+    SendOrder sendOrder;
+    Released released;
+    std::uint64_t lastSerial = 0;
+    std::unordered_map<QString, std::set<QString>> holdersOf; ///< by program
+    std::map<OrderKey, PendingOrder> orders;
+    std::shared_ptr<char> lifetime = std::make_shared<char>();
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_backend/replicas/ReplicaHealth.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <chrono>
+
+namespace lacewingmux {
+
+/**
+    A circuit breaker for one replica: when it may receive work, and when to probe a broken one.
+
+    A refused connection or a crash breaks it at once, timeouts only after several in a row. A
+    broken replica is probed with exponential backoff and serves again after the first probe that
+    succeeds. Pure.
+*/
+class ReplicaHealth
+{
+public:
+    static constexpr int timeoutsToBreak = 3;
+    static constexpr std::chrono::milliseconds firstProbeDelay{100};
+    static constexpr std::chrono::milliseconds longestProbeDelay{5000};
+
+    [[nodiscard]] bool isBroken() const noexcept
+    {
+        return this->broken;
+    }
+
+    /** Notes that the replica could not be reached or died. */
+    void failed();
+
+    /** Notes that a call timed out there. */
+    void timedOut();
+
+    /** Notes that a call was answered. */
+    void answered();
+
+    /** Notes that a probe failed. */
+    void probeFailed();
+
+    /** Notes that a probe succeeded; the replica serves again. */
+    void probeSucceeded();
+
+    /** Returns how long to wait before the next probe, for a draw from 0 to 1: between half and
+        all of the backoff, so that the VMs' probes spread. */
+    [[nodiscard]] std::chrono::milliseconds probeDelay(double draw) const;
+
+private:
+    bool broken = false;
+    int timeoutsInARow = 0;
+    std::chrono::milliseconds backoff = firstProbeDelay;
+};
+
+} // namespace lacewingmux
