Dispatch calls to replicas with safe retries, quarantine and released memory

Cause: cleared calls need a queue, a replica, power and a truthful end, whatever fails. Change: ReplicaDispatcher runs the scheduling module's decisions over the clients. A lost connection is settled by asking the replica: a refusal or another start of its process is a crash. Only then is the request recorded for quarantine, and only what certainly was not run or is idempotent is sent again, under the route's retry budget. Suspects that find no replica apart from others are parked, so they hold nobody up. CacheReleases sends an ended program's release until each engine confirms; OrderIssuer holds orders to engines without fencing back by a lease.

--- a/modules/lacewingmux_backend/clients/CompletionAssembler.cpp
+++ b/modules/lacewingmux_backend/clients/CompletionAssembler.cpp
@@ -61,9 +61,8 @@
         if (field.key() != argumentsField)
             function.insert(field.key(), field.value());
     }
-    function.insert(argumentsField,
-                    function.value(argumentsField).toString()
-                            + functionDelta.value(argumentsField).toString());
+    function.insert(argumentsField, function.value(argumentsField).toString()
+                                            + functionDelta.value(argumentsField).toString());
     for (auto field = delta.begin(); field != delta.end(); ++field) {
         if (field.key() != functionField && field.key() != QStringLiteral("index"))
             toolCall.insert(field.key(), field.value());
--- a/modules/lacewingmux_backend/clients/EngineRun.cpp
+++ b/modules/lacewingmux_backend/clients/EngineRun.cpp
@@ -89,7 +89,7 @@
         ++this->nextSequence;
     }
     readUsage(event.json, this->usage);
-    this->whole.add(event.json);
+    this->assembler.add(event.json);
     this->ended = event.isEnd;
     return true;
 }
@@ -99,18 +99,18 @@
     this->exchange.reset();
     const bool isStream = this->call.stream && answer.httpStatus == httpOk;
     if (!this->call.stream || (answer.completed() && !isStream && this->resumptions == 0)) {
-        BackendAnswer whole = answer;
-        readUsage(QJsonDocument::fromJson(answer.body).object(), whole);
-        this->finish(whole);
+        BackendAnswer complete = answer;
+        readUsage(QJsonDocument::fromJson(answer.body).object(), complete);
+        this->finish(complete);
         return;
     }
     if (this->ended) {
         // The end mark makes the stream whole, even if the connection broke after it.
-        BackendAnswer whole = answer;
-        whole.failure = BackendFailure::None;
-        whole.executed = Executed::Yes;
-        whole.httpStatus = httpOk;
-        this->finish(whole);
+        BackendAnswer complete = answer;
+        complete.failure = BackendFailure::None;
+        complete.executed = Executed::Yes;
+        complete.httpStatus = httpOk;
+        this->finish(complete);
         return;
     }
     if (this->canResume(answer)) {
@@ -140,7 +140,7 @@
 void EngineRun::finish(BackendAnswer answer)
 {
     if (this->call.stream && answer.completed() && this->ended) {
-        answer.body = this->whole.body();
+        answer.body = this->assembler.body();
         answer.headers = {{"Content-Type", "application/json"}};
         answer.inputTokens = this->usage.inputTokens;
         answer.cachedTokens = this->usage.cachedTokens;
--- a/modules/lacewingmux_backend/clients/EngineRun.h
+++ b/modules/lacewingmux_backend/clients/EngineRun.h
@@ -45,7 +45,7 @@
     std::chrono::steady_clock::time_point deadline;
     std::unique_ptr<BackendRun> exchange;
     EventStreamReader reader;
-    CompletionAssembler whole;
+    CompletionAssembler assembler;
     std::int64_t nextSequence = 0;
     int resumptions = 0;
     bool ended = false;       ///< the end mark has come
--- a/modules/lacewingmux_backend/dispatch/DispatchResults.cpp
+++ b/modules/lacewingmux_backend/dispatch/DispatchResults.cpp
@@ -65,7 +65,7 @@
 bool isTransientStatus(int httpStatus)
 {
     return httpStatus == httpTooManyRequests || httpStatus == httpBadGateway
-            || httpStatus == httpServiceUnavailable || httpStatus == httpGatewayTimeout;
+           || httpStatus == httpServiceUnavailable || httpStatus == httpGatewayTimeout;
 }
 
 BackendCall backendCallFor(const DispatchedCall &call, std::int64_t maxAnswerBytes)
--- a/modules/lacewingmux_backend/dispatch/DispatchedCall.h
+++ b/modules/lacewingmux_backend/dispatch/DispatchedCall.h
@@ -15,11 +15,11 @@
 
 /** How far a dispatched call has come. */
 enum class DispatchState : std::uint8_t {
-    Arrived,   ///< not looked at yet
-    Queued,    ///< waits for a replica
-    Starting,  ///< a replica is chosen; power or an exported prefix is awaited
-    Running,   ///< sent to the replica
-    Inquiring  ///< its connection was lost, and the replica is asked whether it lives
+    Arrived,  ///< not looked at yet
+    Queued,   ///< waits for a replica
+    Starting, ///< a replica is chosen; power or an exported prefix is awaited
+    Running,  ///< sent to the replica
+    Inquiring ///< its connection was lost, and the replica is asked whether it lives
 };
 
 /** A call between its dispatch and its result. */
@@ -33,12 +33,12 @@
     TimerService::SteadyTime enqueuedAt;
     TimerService::SteadyTime startedAt; ///< of the present attempt
     TimerSubscription queueTimeout;
-    int attempts = 0;               ///< how often it was sent
-    std::vector<QString> excluded;  ///< replicas that failed it
-    bool suspect = false;           ///< ran at a crash, so it runs apart from other suspects
-    bool waitedForPower = false;    ///< the last thing it waited for was power
-    bool mayHaveRun = false;        ///< an earlier attempt may have run
-    bool programEnded = false;      ///< its program ended while it ran
+    TimerService::SteadyTime queueDeadline;
+    int attempts = 0;              ///< how often it was sent
+    std::vector<QString> excluded; ///< replicas that failed it
+    bool suspect = false;          ///< ran at a crash, so it runs apart from other suspects
+    bool waitedForPower = false;   ///< the last thing it waited for was power
+    bool mayHaveRun = false;       ///< an earlier attempt may have run
 
     ReplicaRecord replica; ///< of the present attempt
     QString instance;      ///< start of the replica's process when the attempt began
--- a/modules/lacewingmux_backend/dispatch/PausedPrefixes.h
+++ b/modules/lacewingmux_backend/dispatch/PausedPrefixes.h
@@ -4,6 +4,7 @@
 #include "lacewingmux_scheduling/prefixes/PrefixRetention.h"
 
 #include <QByteArray>
+#include <QHash>
 #include <QString>
 
 #include <cstdint>
--- a/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.cpp
+++ b/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.cpp
@@ -2,9 +2,6 @@
 
 #include "lacewingmux_allowance/admission/PowerGate.h"
 #include "lacewingmux_backend/dispatch/DispatchResults.h"
-#include "lacewingmux_core/errors/ErrorTable.h"
-#include "lacewingmux_core/logging/StructuredLog.h"
-#include "lacewingmux_core/metrics/MetricsRecorder.h"
 #include "lacewingmux_core/time/TimerService.h"
 
 #include <algorithm>
@@ -54,6 +51,8 @@
                   request.attainedTokens,
                   std::max<std::int64_t>(1, request.maxOutputTokens)};
     this->calls.emplace(handle, std::move(call));
+    if (!request.program.isEmpty())
+        ++this->activities[request.program].calls;
     this->timers.post([this, handle, alive = std::weak_ptr<char>(this->lifetime)] {
         if (!alive.expired())
             this->arrive(handle);
@@ -86,12 +85,12 @@
 
 void ReplicaDispatcher::programEnded(const QString &program)
 {
-    for (const auto &entry : this->calls) {
-        if (entry.second->request.program == program)
-            entry.second->programEnded = true;
-    }
     this->prefixes.forgetProgram(program);
-    this->memory.ended(program);
+    const auto activity = this->activities.find(program);
+    if (activity == this->activities.end())
+        this->memory.ended(program);
+    else
+        activity->second.ended = true;
 }
 
 void ReplicaDispatcher::programPaused(const QString &program, std::int64_t prefixTokens)
@@ -172,23 +171,23 @@
 {
     const DispatchHandle handle = call.handle;
     call.state = DispatchState::Queued;
-    call.queueTimeout = this->timers.after(call.request.queueTimeout,
-                                           [this, handle] { this->queueTimedOut(handle); });
+    call.queueDeadline = this->timers.now() + call.request.queueTimeout;
+    call.queueTimeout = this->timers.after(call.request.queueTimeout, [this, handle] {
+        DispatchedCall *late = this->find(handle);
+        if (late && late->state == DispatchState::Queued)
+            this->queueTimedOut(*late);
+    });
     this->pools.at(call.request.route).queue.push(call.item, call.enqueuedAt);
     this->schedulePump(call.request.route);
 }
 
-void ReplicaDispatcher::queueTimedOut(DispatchHandle handle)
+void ReplicaDispatcher::queueTimedOut(DispatchedCall &call)
 {
-    DispatchedCall *call = this->find(handle);
-    if (!call || call->state != DispatchState::Queued)
-        return;
-    this->pools.at(call->request.route).queue.remove(handle);
+    this->pools.at(call.request.route).queue.remove(call.handle);
     const ErrorKind kind =
-            call->waitedForPower ? ErrorKind::PowerCapReached : ErrorKind::QueueTimeout;
-    // What was sent before and failed may have run; only idempotent calls come back here then.
-    const Executed executed = call->mayHaveRun ? Executed::Unknown : Executed::No;
-    this->finish(handle, failedResult(kind, executed, QStringLiteral("no replica had room")));
+            call.waitedForPower ? ErrorKind::PowerCapReached : ErrorKind::QueueTimeout;
+    const Executed executed = call.mayHaveRun ? Executed::Unknown : Executed::No;
+    this->finish(call.handle, failedResult(kind, executed, QStringLiteral("no replica had room")));
 }
 
 void ReplicaDispatcher::schedulePump(const QString &route)
@@ -283,13 +282,12 @@
         this->powerDecided(handle, PowerReservation());
         return;
     }
-    this->environment.power->reserve(
-            call.replica.wattsPerSequence,
-            [this, handle, alive = std::weak_ptr<char>(this->lifetime)](
-                    std::optional<PowerReservation> reservation) {
-                if (!alive.expired())
-                    this->powerDecided(handle, std::move(reservation));
-            });
+    this->environment.power->reserve(call.replica.wattsPerSequence,
+                                     [this, handle, alive = std::weak_ptr<char>(this->lifetime)](
+                                             std::optional<PowerReservation> reservation) {
+                                         if (!alive.expired())
+                                             this->powerDecided(handle, std::move(reservation));
+                                     });
 }
 
 void ReplicaDispatcher::powerDecided(DispatchHandle handle,
@@ -303,6 +301,8 @@
         const QString route = call->request.route;
         this->backToQueue(*call);
         this->waitForPower(route);
+        if (this->timers.now() >= call->queueDeadline)
+            this->queueTimedOut(*call);
         return;
     }
     call->power = std::move(*reservation);
--- a/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.h
+++ b/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.h
@@ -13,6 +13,9 @@
 #include "lacewingmux_scheduling/protection/Quarantine.h"
 #include "lacewingmux_scheduling/replicas/PrefixDirectory.h"
 
+#include <QHash>
+#include <QString>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -95,9 +98,16 @@
     }
 
 private:
+    /** The calls of one program that wait or run here. */
+    struct ProgramActivity
+    {
+        int calls = 0;
+        bool ended = false; ///< its memory is to be released after the last call
+    };
+
     void arrive(DispatchHandle handle);
     void enqueue(DispatchedCall &call);
-    void queueTimedOut(DispatchHandle handle);
+    void queueTimedOut(DispatchedCall &call);
     void schedulePump(const QString &route);
     void pump(const QString &route);
     [[nodiscard]] bool startNext(RoutePool &pool, std::vector<DispatchHandle> &parked);
@@ -117,6 +127,8 @@
     void backToQueue(DispatchedCall &call);
     void leaveReplica(DispatchedCall &call);
     void finish(DispatchHandle handle, DispatchResult result);
+    void leaveProgram(const QString &program);
+    [[nodiscard]] bool hasEnded(const QString &program) const;
     void recordMetrics(const DispatchedCall &call, const DispatchResult &result);
     void refreshState(const QString &replica);
     [[nodiscard]] QuarantineVerdict verdictOn(const DispatchedCall &call) const;
@@ -138,6 +150,7 @@
     std::shared_ptr<const ReplicaSet> replicas = std::make_shared<ReplicaSet>();
     std::map<QString, RoutePool> pools; ///< by route
     std::unordered_map<DispatchHandle, std::unique_ptr<DispatchedCall>> calls;
+    std::unordered_map<QString, ProgramActivity> activities; ///< by program
     DispatchHandle lastHandle = 0;
     std::shared_ptr<char> lifetime = std::make_shared<char>();
 };
--- a/modules/lacewingmux_backend/dispatch/ReplicaDispatcherAnswers.cpp
+++ b/modules/lacewingmux_backend/dispatch/ReplicaDispatcherAnswers.cpp
@@ -57,15 +57,16 @@
         const std::int64_t computed =
                 answer.inputTokens - answer.cachedTokens + answer.outputTokens;
         this->pools.at(call.request.route).queue.settle(call.item, computed);
-        this->prefixes.observed(call.replica.name, call.expectedCachedTokens,
-                                answer.cachedTokens);
-        if (!call.programEnded && !call.request.program.isEmpty())
+        this->prefixes.observed(call.replica.name, call.expectedCachedTokens, answer.cachedTokens);
+        if (!call.request.program.isEmpty() && !this->hasEnded(call.request.program))
             this->prefixes.served(call.request.program, call.replica.name,
                                   answer.inputTokens + answer.outputTokens);
+    } else {
+        this->pools.at(call.request.route).queue.settle(call.item, 1);
     }
     DispatchResult result = completedResult(answer);
-    result.queueTime = std::chrono::duration_cast<std::chrono::microseconds>(call.startedAt
-                                                                             - call.enqueuedAt);
+    result.queueTime =
+            std::chrono::duration_cast<std::chrono::microseconds>(call.startedAt - call.enqueuedAt);
     result.runTime = std::chrono::duration_cast<std::chrono::microseconds>(this->timers.now()
                                                                            - call.startedAt);
     this->finish(call.handle, std::move(result));
@@ -100,9 +101,9 @@
                                     {{QStringLiteral("route"), call.request.route}}, 1);
     if (call.request.contentDigest.isEmpty())
         return;
-    const CrashCoincidence coincidence{
-            call.request.contentDigest,
-            call.replica.zone + u'/' + call.replica.name + u'#' + call.instance};
+    const CrashCoincidence coincidence{call.request.contentDigest, call.replica.zone + u'/'
+                                                                           + call.replica.name
+                                                                           + u'#' + call.instance};
     if (!this->quarantine.record(coincidence, this->timers.now()))
         return;
     LogEvent(LogSeverity::Warning, "replicaCrashed")
@@ -115,7 +116,8 @@
 bool ReplicaDispatcher::sendAgain(DispatchedCall &call, bool certainlyNotRun)
 {
     const bool safe = certainlyNotRun || call.request.idempotent;
-    if (!safe || call.programEnded || call.attempts >= this->settings.maxAttempts)
+    if (!safe || this->hasEnded(call.request.program)
+        || call.attempts >= this->settings.maxAttempts)
         return false;
     RetryBudget &budget = this->pools.at(call.request.route).retries;
     if (!certainlyNotRun && !budget.tryRetry(this->timers.now()))
@@ -153,9 +155,7 @@
     result.replica = call.replica.name;
     result.zone = this->environment.self.zone;
     this->recordMetrics(call, result);
-    // What the run left at the engine after the program's end is released as well.
-    if (call.programEnded && call.attempts > 0 && call.replica.kind == RouteKind::ModelEngine)
-        this->memory.ended(call.request.program);
+    this->leaveProgram(call.request.program);
     this->timers.post([finished = std::move(call.listener.finished), result = std::move(result),
                        alive = std::weak_ptr<char>(this->lifetime)] {
         if (!alive.expired())
@@ -163,11 +163,27 @@
     });
 }
 
+void ReplicaDispatcher::leaveProgram(const QString &program)
+{
+    const auto activity = this->activities.find(program);
+    if (activity == this->activities.end() || --activity->second.calls > 0)
+        return;
+    const bool ended = activity->second.ended;
+    this->activities.erase(activity);
+    if (ended)
+        this->memory.ended(program);
+}
+
+bool ReplicaDispatcher::hasEnded(const QString &program) const
+{
+    const auto activity = this->activities.find(program);
+    return activity != this->activities.end() && activity->second.ended;
+}
+
 void ReplicaDispatcher::recordMetrics(const DispatchedCall &call, const DispatchResult &result)
 {
-    const QString outcome = result.completed
-            ? QStringLiteral("completed")
-            : QString::fromLatin1(answerFor(result.error).name);
+    const QString outcome = result.completed ? QStringLiteral("completed")
+                                             : QString::fromLatin1(answerFor(result.error).name);
     const MetricLabel route{QStringLiteral("route"), call.request.route};
     MetricsRecorder &metrics = this->environment.metrics;
     metrics.count("lacewingmux_calls_total", {route, {QStringLiteral("outcome"), outcome}}, 1);
--- a/modules/lacewingmux_backend/dispatch/ReplicaMonitor.cpp
+++ b/modules/lacewingmux_backend/dispatch/ReplicaMonitor.cpp
@@ -59,10 +59,12 @@
 
 void ReplicaMonitor::unreachable(const QString &replica)
 {
-    if (Watched *watched = this->find(replica)) {
-        watched->health.failed();
-        this->broke(*watched);
-    }
+    Watched *watched = this->find(replica);
+    if (!watched)
+        return;
+    const bool wasBroken = watched->health.isBroken();
+    watched->health.failed();
+    this->probeLater(*watched, wasBroken);
 }
 
 void ReplicaMonitor::timedOut(const QString &replica)
@@ -70,9 +72,10 @@
     Watched *watched = this->find(replica);
     if (!watched)
         return;
+    const bool wasBroken = watched->health.isBroken();
     watched->health.timedOut();
     if (watched->health.isBroken())
-        this->broke(*watched);
+        this->probeLater(*watched, wasBroken);
 }
 
 void ReplicaMonitor::answered(const QString &replica)
@@ -117,7 +120,7 @@
     // Nothing of the replica is touched any more: the callbacks may change everything.
     for (const Inquiry &inquiry : inquiries) {
         const bool restarted = !result.instance.isEmpty() && !inquiry.instanceBefore.isEmpty()
-                && result.instance != inquiry.instanceBefore;
+                               && result.instance != inquiry.instanceBefore;
         inquiry.callback(result.outcome == ProbeOutcome::Refused || restarted);
     }
 }
@@ -140,7 +143,7 @@
     if (wasBroken)
         watched.health.probeFailed();
     if (watched.health.isBroken())
-        this->broke(watched);
+        this->probeLater(watched, wasBroken);
 }
 
 void ReplicaMonitor::noteInstance(Watched &watched, const QString &instance,
@@ -154,15 +157,17 @@
         this->listener.restarted(watched.record.name);
 }
 
-void ReplicaMonitor::broke(Watched &watched)
+void ReplicaMonitor::probeLater(Watched &watched, bool wasBroken)
 {
-    LogEvent(LogSeverity::Warning, "replicaBroken").field("replica", watched.record.name);
     const double draw = std::uniform_real_distribution<double>(0, 1)(this->random);
     const QString name = watched.record.name;
     watched.nextProbe = this->timers.after(watched.health.probeDelay(draw), [this, name] {
         if (Watched *broken = this->find(name))
             this->probe(*broken);
     });
+    if (wasBroken)
+        return;
+    LogEvent(LogSeverity::Warning, "replicaBroken").field("replica", name);
     this->listener.healthChanged(name);
 }
 
--- a/modules/lacewingmux_backend/dispatch/ReplicaMonitor.h
+++ b/modules/lacewingmux_backend/dispatch/ReplicaMonitor.h
@@ -6,6 +6,7 @@
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_core/time/TimerSubscription.h"
 
+#include <QHash>
 #include <QString>
 
 #include <functional>
@@ -85,7 +86,7 @@
     void probed(const QString &replica, const ProbeResult &result);
     void noteHealth(Watched &watched, ProbeOutcome outcome);
     void noteInstance(Watched &watched, const QString &instance, TimerService::SteadyTime at);
-    void broke(Watched &watched);
+    void probeLater(Watched &watched, bool wasBroken);
     [[nodiscard]] Watched *find(const QString &replica);
 
     ConnectionPool &connections;
--- a/modules/lacewingmux_backend/orders/CacheReleases.cpp
+++ b/modules/lacewingmux_backend/orders/CacheReleases.cpp
@@ -97,12 +97,12 @@
     if (found == this->orders.end())
         return;
     const std::uint64_t serial = found->second.serial;
-    this->sendOrder(key.replica, found->second.kind, key.program,
-                    [this, alive = std::weak_ptr<char>(this->lifetime), key,
-                     serial](OrderOutcome outcome) {
-                        if (!alive.expired())
-                            this->answered(key, serial, outcome);
-                    });
+    this->sendOrder(
+            key.replica, found->second.kind, key.program,
+            [this, alive = std::weak_ptr<char>(this->lifetime), key, serial](OrderOutcome outcome) {
+                if (!alive.expired())
+                    this->answered(key, serial, outcome);
+            });
 }
 
 void CacheReleases::answered(const OrderKey &key, std::uint64_t serial, OrderOutcome outcome)
@@ -154,7 +154,7 @@
 {
     const auto first = this->orders.lower_bound({program, QString()});
     return first != this->orders.end() && first->first.program == program
-            && first->second.endsProgram;
+           && first->second.endsProgram;
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_backend/orders/CacheReleases.h
+++ b/modules/lacewingmux_backend/orders/CacheReleases.h
@@ -3,6 +3,7 @@
 #include "lacewingmux_backend/clients/EngineOrder.h"
 #include "lacewingmux_core/time/TimerSubscription.h"
 
+#include <QHash>
 #include <QString>
 
 #include <chrono>
@@ -31,9 +32,9 @@
 {
 public:
     /** Sends one order about a program to a replica; calls back once, possibly at once. */
-    using SendOrder = std::function<void(const QString &replica, EngineOrderKind kind,
-                                         const QString &program,
-                                         std::function<void(OrderOutcome)> callback)>;
+    using SendOrder =
+            std::function<void(const QString &replica, EngineOrderKind kind, const QString &program,
+                               std::function<void(OrderOutcome)> callback)>;
     using Released = std::function<void(const QString &program)>;
 
     /** The last parameter is told each ended program that no engine holds any more. */
--- a/modules/lacewingmux_backend/orders/OrderIssuer.cpp
+++ b/modules/lacewingmux_backend/orders/OrderIssuer.cpp
@@ -49,7 +49,7 @@
                        [this, now](const VmIncarnation &member) {
                            const auto found = this->acknowledgedAt.find(member);
                            return found != this->acknowledgedAt.end()
-                                   && now < found->second + this->settings.lease;
+                                  && now < found->second + this->settings.lease;
                        });
 }
 
--- a/modules/lacewingmux_backend/orders/OrderIssuer.h
+++ b/modules/lacewingmux_backend/orders/OrderIssuer.h
@@ -37,7 +37,8 @@
 public:
     using SteadyTime = TimerService::SteadyTime;
 
-    explicit OrderIssuer(VmIncarnation ownIncarnation, const OrderIssuerSettings &issuerSettings = {});
+    explicit OrderIssuer(VmIncarnation ownIncarnation,
+                         const OrderIssuerSettings &issuerSettings = {});
 
     /** Adopts a zone view; one with an epoch that is not higher changes nothing. */
     void adoptView(const ZoneView &view, SteadyTime now);
--- a/modules/lacewingmux_backend/orders/ProgramMemory.cpp
+++ b/modules/lacewingmux_backend/orders/ProgramMemory.cpp
@@ -85,8 +85,8 @@
                               std::function<void(OrderOutcome)> callback)
 {
     const ReplicaSnapshot *target = this->replicas->find(replica);
-    const bool allowed = target
-            && this->orderIssuer.mayIssue(target->record.checksFencing, this->timers.now());
+    const bool allowed =
+            target && this->orderIssuer.mayIssue(target->record.checksFencing, this->timers.now());
     if (!allowed) {
         callback(OrderOutcome::Unknown);
         return;
--- a/modules/lacewingmux_backend/replicas/ReplicaHealth.cpp
+++ b/modules/lacewingmux_backend/replicas/ReplicaHealth.cpp
@@ -37,9 +37,8 @@
 std::chrono::milliseconds ReplicaHealth::probeDelay(double draw) const
 {
     const double part = 0.5 + draw / 2;
-    return std::chrono::milliseconds(
-            static_cast<std::chrono::milliseconds::rep>(
-                    part * static_cast<double>(this->backoff.count())));
+    return std::chrono::milliseconds(static_cast<std::chrono::milliseconds::rep>(
+            part * static_cast<double>(this->backoff.count())));
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_backend/replicas/ReplicaSet.cpp
+++ b/modules/lacewingmux_backend/replicas/ReplicaSet.cpp
@@ -16,11 +16,10 @@
 
 const ReplicaSnapshot *ReplicaSet::find(const QString &name) const
 {
-    const auto found = std::lower_bound(
-            this->replicaList.begin(), this->replicaList.end(), name,
-            [](const ReplicaSnapshot &replica, const QString &wanted) {
-                return replica.record.name < wanted;
-            });
+    const auto found = std::lower_bound(this->replicaList.begin(), this->replicaList.end(), name,
+                                        [](const ReplicaSnapshot &replica, const QString &wanted) {
+                                            return replica.record.name < wanted;
+                                        });
     if (found == this->replicaList.end() || found->record.name != name)
         return nullptr;
     return &*found;
--- a/standins/engine/library/EngineStandin.cpp
+++ b/standins/engine/library/EngineStandin.cpp
@@ -5,6 +5,7 @@
 #include <QUuid>
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewingmux::standin {
 
@@ -49,6 +50,12 @@
                        {QStringLiteral("usage"), usageOf(sequence)}};
 }
 
+void sendAnswer(const Sequence &sequence, StandinExchange &exchange)
+{
+    exchange.addHeader("Lacewingmux-Request-Id", sequence.requestId.toUtf8());
+    exchange.answer(200, wholeAnswer(sequence));
+}
+
 QByteArray chunkOf(const Sequence &sequence, qint64 index)
 {
     const QString text = (index == 0 ? QString() : QStringLiteral(" ")) + sequence.output.at(index);
@@ -236,7 +243,6 @@
             this->crashAction();
         return;
     }
-    exchange->addHeader("Lacewingmux-Request-Id", sequence->requestId.toUtf8());
     if (body.value(QStringLiteral("stream")).toBool())
         this->stream(sequence, exchange, 0);
     else
@@ -247,6 +253,7 @@
 void EngineStandin::stream(const std::shared_ptr<Sequence> &sequence, const Exchange &exchange,
                            std::int64_t firstToken)
 {
+    exchange->addHeader("Lacewingmux-Request-Id", sequence->requestId.toUtf8());
     exchange->beginEvents();
     // Weak, or the sequence would keep itself alive through its own functions.
     const std::weak_ptr<Sequence> weak = sequence;
@@ -307,13 +314,12 @@
         return;
     }
     if (this->faults.swapAnswers) {
-        this->swapExchange->answer(200, wholeAnswer(*sequence));
-        exchange->answer(200, wholeAnswer(*this->swapSequence));
-        this->swapSequence.reset();
-        this->swapExchange.reset();
+        const auto other = std::exchange(this->swapSequence, nullptr);
+        sendAnswer(*sequence, *std::exchange(this->swapExchange, nullptr));
+        sendAnswer(*other, *exchange);
         return;
     }
-    exchange->answer(200, wholeAnswer(*sequence));
+    sendAnswer(*sequence, *exchange);
     if (this->faults.duplicateAnswer)
         exchange->answer(200, wholeAnswer(*sequence));
 }
--- /dev/null
+++ b/tests/backend/DispatcherFailureTest.cpp
@@ -0,0 +1,246 @@
+#include "backend/support/DispatcherFixture.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+
+#include <criterion/criterion.h>
+
+using namespace lacewingmux;
+using namespace std::chrono_literals;
+
+namespace {
+
+const QString crashText = QStringLiteral("zq-poison");
+
+standin::EngineSettings slowEngine()
+{
+    standin::EngineSettings settings;
+    settings.stepTime = 10ms;
+    return settings;
+}
+
+int totalRuns(const DispatcherFixture &f, const QString &requestId)
+{
+    int runs = 0;
+    for (const auto &engine : f.engines)
+        runs += engine->runs(requestId);
+    for (const auto &service : f.services)
+        runs += service->runs(requestId);
+    return runs;
+}
+
+} // namespace
+
+Test(ReplicaDispatcher, answersWithUsageAndReplica)
+{
+    DispatcherFixture f;
+    f.addEngine();
+    f.adopt();
+    const auto &result =
+            f.finish(f.dispatch(f.chat(QStringLiteral("r1"), QStringLiteral("hello"))));
+    cr_assert(result.completed);
+    cr_assert_eq(result.outputTokens, 16);
+    cr_assert(result.replica == QStringLiteral("e0"));
+    cr_assert(result.zone == QStringLiteral("zone-a"));
+}
+
+Test(ReplicaDispatcher, aReplicaKilledMidAnswerIsReplacedForAnIdempotentCall)
+{
+    DispatcherFixture f;
+    f.addEngine(slowEngine());
+    f.addEngine(slowEngine());
+    f.adopt();
+    const auto &call = f.dispatch(f.chat(QStringLiteral("r1"), QStringLiteral("hello")));
+    f.loop.waitUntil([&] { return totalRuns(f, QStringLiteral("r1")) == 1; }, "the first run");
+    f.engines[f.engines[0]->runs(QStringLiteral("r1")) == 1 ? 0 : 1]->crash();
+    cr_assert(f.finish(call).completed);
+    cr_assert_eq(call.startedAt.size(), 2);
+    cr_assert_neq(call.startedAt[0], call.startedAt[1]);
+    cr_assert_eq(f.coincidences.size(), 1);
+}
+
+Test(ReplicaDispatcher, aStreamWhoseEngineDiesStartsAgainAndEndsWhole)
+{
+    DispatcherFixture f;
+    f.addEngine(slowEngine());
+    f.addEngine(slowEngine());
+    f.adopt();
+    DispatchRequest request = f.chat(QStringLiteral("r1"), QStringLiteral("hello"));
+    request.stream = true;
+    const auto &call = f.dispatch(request);
+    f.loop.waitUntil([&call] { return call.chunks.count("data:") >= 2; }, "two events");
+    f.engines[f.engines[0]->runs(QStringLiteral("r1")) == 1 ? 0 : 1]->crash();
+    cr_assert(f.finish(call).completed);
+    cr_assert_eq(call.startedAt.size(), 2);
+    const QJsonObject body = QJsonDocument::fromJson(call.result->body).object();
+    cr_assert_eq(body.value(QStringLiteral("choices")).toArray().size(), 1);
+    cr_assert_eq(call.result->outputTokens, 16);
+}
+
+Test(ReplicaDispatcher, aLostAnswerOfANonIdempotentCallIsUnknownAndRunOnce)
+{
+    DispatcherFixture f;
+    standin::ServiceFaults faults;
+    faults.loseAnswer = true;
+    f.addService().setFaults(faults);
+    f.addService().setFaults(faults);
+    f.adopt();
+    const auto &result = f.finish(f.dispatch(f.booking(QStringLiteral("b1"))));
+    f.loop.runFor(200ms);
+    cr_assert_not(result.completed);
+    cr_assert(result.error == ErrorKind::ExecutionUnknown);
+    cr_assert(result.executed == Executed::Unknown);
+    cr_assert_eq(totalRuns(f, QStringLiteral("b1")), 1);
+}
+
+Test(ReplicaDispatcher, aNonIdempotentCallThatWasCertainlyNotRunGoesElsewhere)
+{
+    DispatcherFixture f;
+    f.addService();
+    f.addService();
+    f.adopt();
+    f.services[0]->crash();
+    for (int number = 0; number < 10; ++number) {
+        const QString id = QStringLiteral("b%1").arg(number);
+        cr_assert(f.finish(f.dispatch(f.booking(id))).completed);
+        cr_assert_eq(totalRuns(f, id), 1);
+    }
+}
+
+Test(ReplicaDispatcher, aHangingServiceEndsUnknownAfterTheRunTimeout)
+{
+    DispatcherFixture f;
+    standin::ServiceFaults faults;
+    faults.hang = true;
+    f.addService().setFaults(faults);
+    f.addService().setFaults(faults);
+    f.adopt();
+    DispatchRequest request = f.booking(QStringLiteral("b1"));
+    request.runTimeout = 100ms;
+    const auto &result = f.finish(f.dispatch(request));
+    f.loop.runFor(200ms);
+    cr_assert(result.error == ErrorKind::BackendTimeout);
+    cr_assert(result.executed == Executed::Unknown);
+    cr_assert_eq(totalRuns(f, QStringLiteral("b1")), 1);
+}
+
+Test(ReplicaDispatcher, aLeavingReplicaGetsNoNewWorkAndFinishesItsOwn)
+{
+    DispatcherFixture f;
+    f.addEngine(slowEngine());
+    f.adopt();
+    const auto &early = f.dispatch(f.chat(QStringLiteral("early"), QStringLiteral("hello")));
+    f.loop.waitUntil([&early] { return !early.startedAt.empty(); }, "the early call");
+    f.addEngine();
+    f.replica(QStringLiteral("e0")).leaving = true;
+    f.adopt();
+    for (int number = 0; number < 20; ++number) {
+        const auto &call =
+                f.dispatch(f.chat(QStringLiteral("r%1").arg(number), QStringLiteral("hello")));
+        cr_assert(f.finish(call).completed);
+        cr_assert(call.result->replica == QStringLiteral("e1"));
+    }
+    cr_assert(f.finish(early).completed);
+    cr_assert_eq(f.engines[0]->totalRuns(), 1);
+}
+
+Test(ReplicaDispatcher, aRouteWhoseReplicasAllLeaveRefusesAtOnce)
+{
+    DispatcherFixture f;
+    f.addEngine();
+    f.replica(QStringLiteral("e0")).leaving = true;
+    f.adopt();
+    const auto &result =
+            f.finish(f.dispatch(f.chat(QStringLiteral("r1"), QStringLiteral("hello"))));
+    cr_assert(result.error == ErrorKind::BackendUnavailable);
+    cr_assert(result.executed == Executed::No);
+    cr_assert_eq(f.engines[0]->totalRuns(), 0);
+}
+
+Test(ReplicaDispatcher, aPoisonousRequestIsQuarantinedAfterItsSecondCrashAndItsNeighboursFinish)
+{
+    DispatcherFixture f;
+    standin::EngineFaults faults;
+    faults.crashOnText = crashText;
+    for (int number = 0; number < 4; ++number)
+        f.addEngine(slowEngine()).setFaults(faults);
+    f.adopt();
+    std::vector<const ObservedCall *> neighbours;
+    for (int number = 0; number < 12; ++number) {
+        const QString id = QStringLiteral("n%1").arg(number);
+        neighbours.push_back(&f.dispatch(f.chat(id, QStringLiteral("neighbour ") + id)));
+    }
+    f.loop.waitUntil(
+            [&] {
+                return std::all_of(neighbours.begin(), neighbours.end(),
+                                   [](const auto *call) { return !call->startedAt.empty(); });
+            },
+            "the neighbours");
+    const auto &poison = f.dispatch(f.chat(QStringLiteral("p1"), crashText));
+    const auto &result = f.finish(poison);
+    cr_assert(result.error == ErrorKind::Quarantined);
+    cr_assert(result.executed == Executed::Unknown);
+    cr_assert_eq(poison.startedAt.size(), 2);
+    cr_assert_eq(totalRuns(f, QStringLiteral("p1")), 2);
+    for (const auto *neighbour : neighbours)
+        cr_assert(f.finish(*neighbour).completed, "%s",
+                  qPrintable(neighbour->result->errorMessage));
+
+    const auto &again = f.finish(f.dispatch(f.chat(QStringLiteral("p2"), crashText)));
+    cr_assert(again.error == ErrorKind::Quarantined);
+    cr_assert(again.executed == Executed::No);
+    cr_assert_eq(totalRuns(f, QStringLiteral("p2")), 0);
+}
+
+Test(ReplicaDispatcher, whatOtherVmsSawCrashIsRefusedHereToo)
+{
+    DispatcherFixture f;
+    f.addEngine();
+    f.adopt();
+    const DispatchRequest request = f.chat(QStringLiteral("p1"), crashText);
+    f.dispatcher.learn({request.contentDigest, QStringLiteral("zone-b/e7#1")});
+    f.dispatcher.learn({request.contentDigest, QStringLiteral("zone-b/e8#1")});
+    const auto &result = f.finish(f.dispatch(request));
+    cr_assert(result.error == ErrorKind::Quarantined);
+    cr_assert(result.executed == Executed::No);
+    cr_assert_eq(f.engines[0]->totalRuns(), 0);
+}
+
+Test(ReplicaDispatcher, answersSwappedByTheEngineReachNoOtherCall)
+{
+    DispatcherFixture f;
+    standin::EngineFaults faults;
+    faults.swapAnswers = true;
+    f.addEngine().setFaults(faults);
+    f.addEngine();
+    f.adopt();
+    std::vector<const ObservedCall *> calls;
+    for (int number = 0; number < 8; ++number) {
+        DispatchRequest request = f.chat(QStringLiteral("r%1").arg(number),
+                                         QStringLiteral("question-%1").arg(number));
+        request.runTimeout = 1s;
+        calls.push_back(&f.dispatch(request));
+    }
+    for (std::size_t number = 0; number < calls.size(); ++number) {
+        const DispatchResult &result = f.finish(*calls[number]);
+        cr_assert_eq(calls[number]->results, 1);
+        const QByteArray own = "answer-to-question-" + QByteArray::number(number);
+        cr_assert(!result.completed || result.body.contains(own + ' '));
+    }
+}
+
+Test(ReplicaDispatcher, aBrokenReplicaServesAgainWhenItIsBack)
+{
+    DispatcherFixture f;
+    f.addEngine();
+    f.adopt();
+    const auto port = static_cast<std::uint16_t>(f.replica(QStringLiteral("e0")).record.url.port());
+    f.engines[0]->crash();
+    const auto &call = f.dispatch(f.chat(QStringLiteral("r1"), QStringLiteral("hello")));
+    f.loop.waitUntil([&call] { return !call.startedAt.empty(); }, "the refused attempt");
+    f.loop.runFor(50ms);
+    cr_assert_not(call.result.has_value());
+    cr_assert_eq(f.engines[0]->start(port), port);
+    cr_assert(f.finish(call).completed);
+    cr_assert_eq(f.engines[0]->runs(QStringLiteral("r1")), 1);
+}
--- /dev/null
+++ b/tests/backend/support/DispatcherFixture.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "backend/support/EventLoop.h"
+#include "engine/library/EngineStandin.h"
+#include "lacewingmux_allowance/admission/PowerGate.h"
+#include "lacewingmux_backend/dispatch/ReplicaDispatcher.h"
+#include "lacewingmux_core/metrics/IgnoringMetricsRecorder.h"
+#include "service/library/ServiceStandin.h"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace lacewingmux {
+
+/** What a test sees of one dispatched call. */
+struct ObservedCall
+{
+    DispatchHandle handle = 0;
+    std::vector<QString> startedAt;
+    QByteArray chunks;
+    std::optional<DispatchResult> result;
+    int results = 0;
+};
+
+/** A dispatcher with replicas that are stand-ins within the test's own process. */
+class DispatcherFixture
+{
+public:
+    explicit DispatcherFixture(PowerGate *power = nullptr);
+    DispatcherFixture(const DispatcherFixture &) = delete;
+    DispatcherFixture &operator=(const DispatcherFixture &) = delete;
+
+    /** Starts an engine on the route "chat" under the name e0, e1 and so on. */
+    standin::EngineStandin &addEngine(const standin::EngineSettings &settings = {});
+
+    /** Starts a service on the route "book" under the name s0, s1 and so on. */
+    standin::ServiceStandin &addService();
+
+    /** Hands the replicas to the dispatcher, with the loads of now. */
+    void adopt();
+
+    /** Returns the snapshot of a replica, to be changed before adopt(). */
+    ReplicaSnapshot &replica(const QString &name);
+
+    static DispatchRequest chat(const QString &requestId, const QString &text,
+                                const QString &program = QString());
+    static DispatchRequest booking(const QString &requestId);
+
+    /** Dispatches a call and keeps what comes of it. */
+    ObservedCall &dispatch(const DispatchRequest &request);
+
+    /** Waits for the result of the call. */
+    const DispatchResult &finish(const ObservedCall &call);
+
+    EventLoop loop;
+    IgnoringMetricsRecorder metrics;
+    std::vector<CrashCoincidence> coincidences;
+    ReplicaDispatcher dispatcher;
+    std::vector<std::unique_ptr<standin::EngineStandin>> engines;
+    std::vector<std::unique_ptr<standin::ServiceStandin>> services;
+
+private:
+    void addReplica(const QString &name, std::uint16_t port, const QString &route, RouteKind kind);
+
+    std::vector<ReplicaSnapshot> snapshots;
+    std::vector<std::unique_ptr<ObservedCall>> calls;
+};
+
+} // namespace lacewingmux
