--- /dev/null
+++ b/modules/lacewingmux_backend/replicas/ReplicaRegistry.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "lacewingmux_backend/clients/ConnectionPool.h"
+#include "lacewingmux_backend/clients/EngineClient.h"
+#include "lacewingmux_backend/replicas/ReplicaSet.h"
+#include "lacewingmux_core/ids/VmIncarnation.h"
+#include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_platform/store/PlatformStore.h"
+
+#include <QHash>
+#include <QString>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace lacewingmux {
+
+class PeerHub;
+class ZoneView;
+struct PeerFrame;
+struct ReplicaLoadEntry;
+
+/** Parameters of a ReplicaRegistry. */
+struct ReplicaRegistrySettings
+{
+    std::chrono::milliseconds shortestPoll{250};  ///< between two reads of one replica's load
+    std::chrono::milliseconds pollPerReplica{10}; ///< a larger zone polls each replica more seldom
+    std::uint64_t seed = 0;                       ///< of the jitter
+};
+
+/** What a ReplicaRegistry works with; all of it outlives the registry. */
+struct ReplicaRegistryEnvironment
+{
+    TimerService &timers;
+    PlatformStore &store;
+    PeerHub *hub = nullptr; ///< control channel; null when the loads aren't shared
+    VmIncarnation self;
+    std::function<void(std::shared_ptr<const ReplicaSet>)> publish;
+};
+
+/**
+    Knows the replicas of this VM's zone; lives on the control thread.
+
+    It reads and watches the records under lacewingmux/backends/<zone>/ and the platform's list of
+    VMs. A replica whose VM is leaving, has gone or was taken off the list is published as leaving.
+    With the store down it goes on with what it knows; nothing is published before both were read
+    once. The load of each engine is read by one VM of
+    the zone, chosen by rendezvous hash, and told to the others; a VM that hears nothing of a
+   replica for a while reads it itself. Every change is published as an immutable ReplicaSet.
+*/
+class ReplicaRegistry
+{
+public:
+    explicit ReplicaRegistry(const ReplicaRegistryEnvironment &registryEnvironment,
+                             const ReplicaRegistrySettings &registrySettings = {});
+    ~ReplicaRegistry();
+    ReplicaRegistry(const ReplicaRegistry &) = delete;
+    ReplicaRegistry &operator=(const ReplicaRegistry &) = delete;
+
+    /** Begins to read, watch and poll. */
+    void start();
+
+    /** Takes the view of the own zone, which decides who reads whose load. */
+    void adoptView(std::shared_ptr<const ZoneView> zoneView);
+
+    /** Returns what was published last. */
+    [[nodiscard]] std::shared_ptr<const ReplicaSet> current() const
+    {
+        return this->published;
+    }
+
+private:
+    struct Known
+    {
+        ReplicaRecord record;
+        std::optional<MeasuredLoad> load;
+        TimerService::SteadyTime lastHeard; ///< of its load, from the replica or a peer
+        TimerSubscription nextPoll;
+    };
+
+    void readAll(const QByteArray &prefix, std::chrono::milliseconds retryDelay);
+    void watch(const QByteArray &prefix, std::int64_t afterRevision);
+    void take(const StoreRecord &change);
+    void takeReplica(const QString &name, const QByteArray &json);
+    void takeVm(const QString &vm, const QByteArray &json);
+    void pollLater(const QString &name);
+    void poll(const QString &name);
+    void loadRead(const QString &name, const std::optional<EngineLoad> &load);
+    [[nodiscard]] bool isPolledHere(const Known &replica) const;
+    [[nodiscard]] std::chrono::milliseconds pollInterval() const;
+    void shareLater(const QString &name);
+    void share();
+    void takeReport(const PeerFrame &frame);
+    void publishLater();
+    void publishNow();
+
+    ReplicaRegistryEnvironment environment;
+    ReplicaRegistrySettings settings;
+    TimerService &timers;
+    std::mt19937_64 random;
+    ConnectionPool connections;
+    EngineClient engines;
+    QByteArray replicaPrefix;
+    std::set<QByteArray> unread; ///< prefixes that were not yet read for the first time
+    std::map<QString, Known> replicas;
+    QHash<QString, bool> vmIsLeaving; ///< by VM
+    std::shared_ptr<const ZoneView> view;
+    std::map<QByteArray, std::unique_ptr<PlatformStore::Watch>> watches; ///< by prefix
+    std::map<QByteArray, TimerSubscription> readRetries;                 ///< by prefix
+    std::set<QString> unshared; ///< replicas whose load was read here and not yet told
+    TimerSubscription shareTimer;
+    TimerSubscription publishTimer;
+    bool publishPending = false;
+    bool sharePending = false;
+    std::shared_ptr<const ReplicaSet> published = std::make_shared<ReplicaSet>();
+    std::shared_ptr<char> lifetime = std::make_shared<char>();
+};
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_peer/messages/FrameKind.h
+++ b/modules/lacewingmux_peer/messages/FrameKind.h
@@ -65,6 +65,8 @@
     // lacewingmux_scheduling and lacewingmux_backend
     QuarantineNotice = 110,
     ReplicaReport = 111,
+    OrderLeaseRequest = 112, // without payload: the frame's epoch is what is to be acknowledged
+    OrderLeaseReply = 113,   // without payload: the frame's epoch is the replier's own
 
     // lacewingmux_report, control channel
     MetricsRequest = 120,
--- a/standins/engine/library/EngineStandin.cpp
+++ b/standins/engine/library/EngineStandin.cpp
@@ -161,6 +161,7 @@
     if (path == QStringLiteral("/v1/chat/completions")) {
         this->complete(request, exchange);
     } else if (path == QStringLiteral("/v1/load")) {
+        ++this->loadReadCount;
         exchange->answer(200, this->publishedLoad);
     } else if (path == QStringLiteral("/v1/cache/events")) {
         const auto after = request.query.queryItemValue(QStringLiteral("after")).toLongLong();
@@ -404,6 +405,7 @@
 void EngineStandin::sampleLoad()
 {
     this->publishedLoad = QJsonObject{
+            {QStringLiteral("instance"), this->instance},
             {QStringLiteral("running"), this->batch.running()},
             {QStringLiteral("waiting"), this->batch.waiting()},
             {QStringLiteral("cachedTokens"), static_cast<qint64>(this->cache.totalTokens())},
--- a/standins/engine/library/EngineStandin.h
+++ b/standins/engine/library/EngineStandin.h
@@ -46,6 +46,12 @@
     /** Returns how many requests were taken in altogether. */
     [[nodiscard]] int totalRuns() const;
 
+    /** Returns how often the load was read. */
+    [[nodiscard]] int loadReads() const noexcept
+    {
+        return this->loadReadCount;
+    }
+
     /** Returns the cached tokens that the program holds. */
     [[nodiscard]] std::int64_t tokensHeldBy(const QString &program) const;
 
@@ -86,6 +92,7 @@
     QJsonObject publishedLoad;
     QString instance; ///< names this start of the engine
     QHash<QString, int> runsById;
+    int loadReadCount = 0;
     QSet<QString> endedPrograms;
     std::deque<std::shared_ptr<Sequence>> recent;
     std::deque<QByteArray> recentHeads;
--- a/tests/backend/DispatcherFailureTest.cpp
+++ b/tests/backend/DispatcherFailureTest.cpp
@@ -244,3 +244,34 @@
     cr_assert(f.finish(call).completed);
     cr_assert_eq(f.engines[0]->runs(QStringLiteral("r1")), 1);
 }
+
+Test(ReplicaDispatcher, aLostAnswerOfALivingEngineIsNoCrash)
+{
+    DispatcherFixture f;
+    standin::EngineFaults faults;
+    faults.loseAnswer = true;
+    f.addEngine().setFaults(faults);
+    f.adopt();
+    const auto &call = f.dispatch(f.chat(QStringLiteral("r1"), QStringLiteral("hello")));
+    f.loop.waitUntil([&] { return f.engines[0]->runs(QStringLiteral("r1")) >= 2; }, "a retry");
+    f.engines[0]->setFaults({});
+    cr_assert(f.finish(call).completed);
+    cr_assert_eq(f.coincidences.size(), 0);
+}
+
+Test(ReplicaDispatcher, aCrashIsSeenThoughTheEngineIsBackAtOnce)
+{
+    DispatcherFixture f;
+    f.addEngine(slowEngine());
+    f.adopt();
+    f.replica(QStringLiteral("e0")).load =
+            MeasuredLoad{{0, 0, 0, 0, QStringLiteral("before the crash")}, f.loop.timers.now()};
+    f.adopt();
+    const auto port = static_cast<std::uint16_t>(f.replica(QStringLiteral("e0")).record.url.port());
+    const auto &call = f.dispatch(f.chat(QStringLiteral("r1"), QStringLiteral("hello")));
+    f.loop.waitUntil([&] { return f.engines[0]->totalRuns() == 1; }, "the run");
+    f.engines[0]->crash();
+    cr_assert_eq(f.engines[0]->start(port), port);
+    cr_assert(f.finish(call).completed);
+    cr_assert_eq(f.coincidences.size(), 1);
+}
