--- a/modules/lacewingmux_config/lacewingmux_config.h
+++ b/modules/lacewingmux_config/lacewingmux_config.h
@@ -19,3 +19,7 @@
 #include "lacewingmux_config/keys/KeyRing.h"
 #include "lacewingmux_config/records/ConfigurationRegister.h"
 #include "lacewingmux_config/records/RevisionedRecord.h"
+#include "lacewingmux_config/service/CallerAuthority.h"
+#include "lacewingmux_config/service/ConfigurationPeers.h"
+#include "lacewingmux_config/service/ConfigurationService.h"
+#include "lacewingmux_config/service/StoreContact.h"
