Guarantee each VM its even part of a saturated pool

Cause: with one team at five times its rate, calls of other teams waited for the queue timeout in VMs that had no call in flight: such a VM sees room only in a report, and the others fill it first. Change: while a VM has fewer calls in flight than the pool's capacity divided by the number of VMs, replicas take up to 1.5 times their capacity from it (ReplicaChooser::setSendingVms). Measures now also tell the 95th percentile of teams within their rate and of the time without tool pauses.

--- a/modules/lacewingmux_experiment/policy/ChooserHooks.cpp
+++ b/modules/lacewingmux_experiment/policy/ChooserHooks.cpp
@@ -23,6 +23,7 @@
     hooks.reportLoad = [chooser](const QString &name, const LoadReport &report) {
         chooser->reportLoad(name, report);
     };
+    hooks.setSendingVms = [](int) {};
     hooks.started = [](const QString &, TimerService::SteadyTime, bool) {};
     hooks.finished = hooks.started;
     hooks.choose = [chooser](const ChoiceRequest &,
@@ -50,6 +51,7 @@
     hooks.reportLoad = [chooser](const QString &name, const LoadReport &report) {
         chooser->reportLoad(name, report);
     };
+    hooks.setSendingVms = [chooser](int vms) { chooser->setSendingVms(vms); };
     hooks.started = [chooser](const QString &name, TimerService::SteadyTime now, bool suspect) {
         chooser->started(name, now, suspect);
     };
--- a/modules/lacewingmux_experiment/policy/ChooserHooks.h
+++ b/modules/lacewingmux_experiment/policy/ChooserHooks.h
@@ -20,6 +20,7 @@
     using SteadyTime = TimerService::SteadyTime;
 
     std::function<void(const ReplicaDescriptor &)> setReplica;
+    std::function<void(int vms)> setSendingVms;
     std::function<void(const QString &, ReplicaState)> setState;
     std::function<void(const QString &, const LoadReport &)> reportLoad;
     std::function<void(const QString &, SteadyTime now, bool suspect)> started;
--- a/modules/lacewingmux_experiment/results/MeasureColumn.cpp
+++ b/modules/lacewingmux_experiment/results/MeasureColumn.cpp
@@ -11,6 +11,10 @@
     };
     add(QStringLiteral("median"), true, [](const Measures &m) { return m.latency.median; });
     add(QStringLiteral("p95"), true, [](const Measures &m) { return m.latency.percentile95; });
+    add(QStringLiteral("p95 within rate"), true,
+        [](const Measures &m) { return m.latencyWithinRate.percentile95; });
+    add(QStringLiteral("p95 without pauses"), true,
+        [](const Measures &m) { return m.latencyWithoutPauses.percentile95; });
     for (std::size_t index = 0; index < workload.classes.size(); ++index) {
         const QString &name = workload.classes[index].name;
         add(name + QStringLiteral(" median"), true,
--- a/modules/lacewingmux_experiment/results/Measures.cpp
+++ b/modules/lacewingmux_experiment/results/Measures.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 using Filter = std::function<bool(const ProgramResult &)>;
+using Duration = std::function<double(const ProgramResult &)>;
 
 double makespanSeconds(const ProgramResult &program, const Workload &workload)
 {
@@ -25,12 +26,12 @@
     return sorted[static_cast<std::size_t>(std::lround(position))];
 }
 
-LatencyMeasure latencyOf(const RunResult &result, const Workload &workload, const Filter &filter)
+LatencyMeasure latencyOf(const RunResult &result, const Duration &duration, const Filter &filter)
 {
     std::vector<double> seconds;
     for (const ProgramResult &program : result.programs)
         if (!program.poisoned && filter(program))
-            seconds.push_back(makespanSeconds(program, workload));
+            seconds.push_back(duration(program));
     std::sort(seconds.begin(), seconds.end());
     return {quantile(seconds, 0.5), quantile(seconds, 0.95)};
 }
@@ -54,12 +55,26 @@
 Measures measure(const RunResult &result, const Workload &workload)
 {
     Measures measures;
-    measures.latency = latencyOf(result, workload, [](const ProgramResult &) { return true; });
+    const auto every = [](const ProgramResult &) { return true; };
+    const auto makespan = [&workload](const ProgramResult &program) {
+        return makespanSeconds(program, workload);
+    };
+    measures.latency = latencyOf(result, makespan, every);
     for (std::size_t index = 0; index < workload.classes.size(); ++index)
         measures.latencyOfClass.push_back(
-                latencyOf(result, workload, [index](const ProgramResult &program) {
+                latencyOf(result, makespan, [index](const ProgramResult &program) {
                     return program.classIndex == index;
                 }));
+    measures.latencyWithinRate =
+            latencyOf(result, makespan, [&workload](const ProgramResult &program) {
+                return workload.teams[program.teamIndex].name != workload.surgeTeam;
+            });
+    measures.latencyWithoutPauses = latencyOf(
+            result,
+            [&makespan](const ProgramResult &program) {
+                return makespan(program) - std::chrono::duration<double>(program.pauses).count();
+            },
+            every);
     measures.recomputedTokens = static_cast<double>(result.recomputedTokens);
     measures.pausedTokenSeconds = result.pausedTokenSeconds;
     measures.endedTokenSeconds = result.endedTokenSeconds;
--- a/modules/lacewingmux_experiment/results/Measures.h
+++ b/modules/lacewingmux_experiment/results/Measures.h
@@ -20,6 +20,8 @@
 {
     LatencyMeasure latency;                     ///< of all programs
     std::vector<LatencyMeasure> latencyOfClass; ///< in the workload's order
+    LatencyMeasure latencyWithinRate;           ///< of the programs of all teams but the surge team
+    LatencyMeasure latencyWithoutPauses;        ///< waiting and serving alone
     double recomputedTokens = 0;
     double pausedTokenSeconds = 0;
     double endedTokenSeconds = 0;
--- a/modules/lacewingmux_experiment/results/ProgramResult.h
+++ b/modules/lacewingmux_experiment/results/ProgramResult.h
@@ -14,6 +14,7 @@
     bool poisoned = false;
     std::chrono::microseconds makespan{0}; ///< to the end of the run when not completed
     std::chrono::microseconds alone{0};    ///< see latencyAlone()
+    std::chrono::microseconds pauses{0};   ///< of the makespan, the tool pauses
 };
 
 } // namespace lacewingmux::experiment
--- a/modules/lacewingmux_experiment/simulation/SimulatedVm.cpp
+++ b/modules/lacewingmux_experiment/simulation/SimulatedVm.cpp
@@ -33,6 +33,12 @@
     this->pools[pool].chooser.setReplica({replica.name(), capacity});
 }
 
+void SimulatedVm::setSendingVms(int vms)
+{
+    for (Pool &pool : this->pools)
+        pool.chooser.setSendingVms(vms);
+}
+
 void SimulatedVm::replicaRegistered(const SimulatedReplica &replica)
 {
     const std::size_t pool = this->replicas.at(replica.name()).pool;
--- a/modules/lacewingmux_experiment/simulation/SimulatedVm.h
+++ b/modules/lacewingmux_experiment/simulation/SimulatedVm.h
@@ -49,6 +49,9 @@
     /** Makes a replica known as serving. */
     void addReplica(std::size_t pool, SimulatedReplica &replica, int capacity);
 
+    /** Learns how many VMs send to the pools. */
+    void setSendingVms(int vms);
+
     /** Learns that a replica registered itself again. */
     void replicaRegistered(const SimulatedReplica &replica);
 
--- a/modules/lacewingmux_experiment/simulation/Simulation.cpp
+++ b/modules/lacewingmux_experiment/simulation/Simulation.cpp
@@ -54,6 +54,8 @@
             };
         }
     }
+    for (const auto &vm : this->vms)
+        vm->setSendingVms(static_cast<int>(this->vms.size()));
     for (std::size_t pool = 0; pool < this->workload.pools.size(); ++pool)
         for (int index = 0; index < this->workload.pools[pool].replicas; ++index)
             this->addReplica(pool, index);
@@ -212,9 +214,9 @@
         const ProgramPlan &plan = *program.plan;
         const auto makespan = std::chrono::duration_cast<std::chrono::microseconds>(
                 this->events.now() - program.startedAt);
-        this->result.programs.push_back({plan.classIndex, plan.teamIndex, false, plan.poisoned,
-                                         makespan,
-                                         latencyAlone(plan, this->workload.pools[plan.poolIndex])});
+        this->result.programs.push_back(
+                {plan.classIndex, plan.teamIndex, false, plan.poisoned, makespan,
+                 latencyAlone(plan, this->workload.pools[plan.poolIndex]), pausesOf(plan)});
     }
     return std::move(this->result);
 }
--- a/modules/lacewingmux_experiment/simulation/SimulationPrograms.cpp
+++ b/modules/lacewingmux_experiment/simulation/SimulationPrograms.cpp
@@ -126,9 +126,9 @@
     const ProgramPlan &plan = *program.plan;
     const auto makespan = std::chrono::duration_cast<std::chrono::microseconds>(
             this->events.now() - program.startedAt);
-    this->result.programs.push_back({plan.classIndex, plan.teamIndex, completed, plan.poisoned,
-                                     makespan,
-                                     latencyAlone(plan, this->workload.pools[plan.poolIndex])});
+    this->result.programs.push_back(
+            {plan.classIndex, plan.teamIndex, completed, plan.poisoned, makespan,
+             latencyAlone(plan, this->workload.pools[plan.poolIndex]), pausesOf(plan)});
 }
 
 SimulatedVm &Simulation::ownerOf(const ProgramRun &program)
--- a/modules/lacewingmux_experiment/workload/ProgramGenerator.cpp
+++ b/modules/lacewingmux_experiment/workload/ProgramGenerator.cpp
@@ -158,4 +158,12 @@
     return latency;
 }
 
+std::chrono::microseconds pausesOf(const ProgramPlan &program)
+{
+    std::chrono::microseconds pauses{0};
+    for (const TurnPlan &turn : program.turns)
+        pauses += turn.pauseAfter;
+    return pauses;
+}
+
 } // namespace lacewingmux::experiment
--- a/modules/lacewingmux_experiment/workload/ProgramGenerator.h
+++ b/modules/lacewingmux_experiment/workload/ProgramGenerator.h
@@ -39,4 +39,7 @@
 [[nodiscard]] std::chrono::microseconds latencyAlone(const ProgramPlan &program,
                                                      const PoolSpec &pool);
 
+/** Returns the pauses of the program's own turns. */
+[[nodiscard]] std::chrono::microseconds pausesOf(const ProgramPlan &program);
+
 } // namespace lacewingmux::experiment
--- a/modules/lacewingmux_scheduling/replicas/ReplicaChooser.cpp
+++ b/modules/lacewingmux_scheduling/replicas/ReplicaChooser.cpp
@@ -5,6 +5,13 @@
 
 namespace lacewingmux {
 
+namespace {
+
+/** Load, as a part of the capacity, up to which replicas take calls of a VM below its part. */
+constexpr double overshootLimit = 1.5;
+
+} // namespace
+
 ReplicaChooser::ReplicaChooser(const ReplicaChooserSettings &chooserSettings)
     : settings(chooserSettings)
 { }
@@ -13,13 +20,14 @@
 {
     const auto [found, added] = this->replicas.try_emplace(descriptor.name);
     Replica &replica = found->second;
+    if (added)
+        replica.number = ++this->replicasAdded;
+    else if (replica.state == ReplicaState::Serving)
+        this->unlink(replica);
     replica.descriptor = descriptor;
     replica.descriptor.capacity = std::max(1, descriptor.capacity);
-    if (added) {
-        replica.number = ++this->replicasAdded;
+    if (replica.state == ReplicaState::Serving)
         this->link(replica);
-    }
-    this->refresh(replica);
 }
 
 void ReplicaChooser::removeReplica(const QString &name)
@@ -29,6 +37,7 @@
         return;
     if (found->second.state == ReplicaState::Serving)
         this->unlink(found->second);
+    this->ownSequences -= found->second.load.ownSequences();
     this->replicas.erase(found);
 }
 
@@ -59,6 +68,7 @@
     if (found == this->replicas.end())
         return;
     found->second.load.started(now);
+    ++this->ownSequences;
     found->second.suspects += suspect ? 1 : 0;
     this->refresh(found->second);
 }
@@ -68,6 +78,7 @@
     const auto found = this->replicas.find(name);
     if (found == this->replicas.end())
         return;
+    this->ownSequences -= found->second.load.ownSequences() > 0 ? 1 : 0;
     found->second.load.finished(now);
     if (suspect)
         found->second.suspects = std::max(0, found->second.suspects - 1);
@@ -96,12 +107,24 @@
     return choice;
 }
 
+void ReplicaChooser::setSendingVms(int vms)
+{
+    this->sendingVms = std::max(1, vms);
+}
+
 int ReplicaChooser::estimatedSequences(const QString &name) const
 {
     const auto found = this->replicas.find(name);
     return found == this->replicas.end() ? 0 : found->second.load.estimate();
 }
 
+double ReplicaChooser::admissibleLoad() const
+{
+    const bool belowItsPart = this->ownSequences * this->sendingVms < this->servingCapacity;
+    return this->settings.guaranteedPart && belowItsPart && this->sendingVms > 1 ? overshootLimit
+                                                                                 : 1;
+}
+
 double ReplicaChooser::loadFractionOf(const Replica &replica) const
 {
     const int sequences =
@@ -111,7 +134,7 @@
 
 bool ReplicaChooser::allowed(const ChoiceRequest &request, const Replica &replica) const
 {
-    if (replica.state != ReplicaState::Serving || replica.loadFraction >= 1)
+    if (replica.state != ReplicaState::Serving || replica.loadFraction >= this->admissibleLoad())
         return false;
     if (request.suspect && replica.suspects > 0)
         return false;
@@ -144,7 +167,7 @@
 {
     // Only excluded replicas and those with a suspect are passed over, so the walk is short.
     for (const LoadKey &key : this->byLoad) {
-        if (key.fraction >= 1)
+        if (key.fraction >= this->admissibleLoad())
             return nullptr;
         if (this->allowed(request, *key.replica))
             return key.replica;
@@ -177,12 +200,14 @@
     this->serving.push_back(&replica);
     replica.place = this->byLoad.insert({replica.loadFraction, replica.number, &replica}).first;
     this->loadFractionSum += replica.loadFraction;
+    this->servingCapacity += replica.descriptor.capacity;
 }
 
 void ReplicaChooser::unlink(Replica &replica)
 {
     this->byLoad.erase(replica.place);
     this->loadFractionSum -= replica.loadFraction;
+    this->servingCapacity -= replica.descriptor.capacity;
     this->serving.back()->servingIndex = replica.servingIndex;
     std::swap(this->serving[replica.servingIndex], this->serving.back());
     this->serving.pop_back();
--- a/modules/lacewingmux_scheduling/replicas/ReplicaChooser.h
+++ b/modules/lacewingmux_scheduling/replicas/ReplicaChooser.h
@@ -65,6 +65,11 @@
     [[nodiscard]] std::optional<ReplicaChoice> choose(const ChoiceRequest &request,
                                                       std::mt19937_64 &random) const;
 
+    /** Tells how many VMs send to the pool, at least 1. While this VM has fewer calls in flight
+        than its even part of the pool's capacity, replicas take a little more than their capacity
+        from it. Otherwise a VM that has none in flight would never see room in a saturated pool. */
+    void setSendingVms(int vms);
+
     /** Returns the estimated sequences at the replica; 0 for an unknown name. */
     [[nodiscard]] int estimatedSequences(const QString &name) const;
 
@@ -101,6 +106,7 @@
         std::set<LoadKey>::iterator place; ///< in byLoad, meaningful while it serves
     };
 
+    [[nodiscard]] double admissibleLoad() const;
     [[nodiscard]] double loadFractionOf(const Replica &replica) const;
     [[nodiscard]] bool allowed(const ChoiceRequest &request, const Replica &replica) const;
     [[nodiscard]] const Replica *prefixHolder(const ChoiceRequest &request) const;
@@ -118,6 +124,9 @@
     std::set<LoadKey> byLoad;   ///< the serving replicas
     double loadFractionSum = 0; ///< over the serving replicas
     std::uint64_t replicasAdded = 0;
+    std::int64_t servingCapacity = 0; ///< sum over the serving replicas
+    std::int64_t ownSequences = 0;    ///< of this VM in the whole pool
+    int sendingVms = 1;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_scheduling/replicas/ReplicaChooserSettings.h
+++ b/modules/lacewingmux_scheduling/replicas/ReplicaChooserSettings.h
@@ -24,6 +24,9 @@
     /** Whether two replicas are drawn at random; without, the least loaded is taken, and VMs with
         the same reports pile onto it. */
     bool twoChoices = true;
+
+    /** Whether a VM below its even part of the pool may go beyond a replica's capacity. */
+    bool guaranteedPart = true;
 };
 
 } // namespace lacewingmux
--- a/tests/scheduling/ReplicaChooserTest.cpp
+++ b/tests/scheduling/ReplicaChooserTest.cpp
@@ -132,6 +132,24 @@
     }
 }
 
+Test(ReplicaChooser, aVmBelowItsPartIsServedByAPoolThatOthersFill)
+{
+    std::mt19937_64 random(5);
+    ReplicaChooser chooser;
+    addReplicas(chooser, 4, 8);
+    for (int index = 0; index < 4; ++index)
+        chooser.reportLoad(QString::number(index), {8, start});
+    cr_assert_not(chooser.choose({}, random).has_value());
+    chooser.setSendingVms(8);
+    int sent = 0;
+    while (const auto choice = chooser.choose({}, random)) {
+        chooser.started(choice->replica, start + 1s);
+        cr_assert_leq(chooser.estimatedSequences(choice->replica), 12);
+        ++sent;
+    }
+    cr_assert_eq(sent, 4 * 8 / 8, "its even part and no more, got %d", sent);
+}
+
 Test(ReplicaChooser, spreadsWorkBetterThanTheNaiveTwinWhileReportsLag)
 {
     std::mt19937_64 random(4);
