--- a/modules/lacewingmux_platform/client/HttpPlatformStore.h
+++ b/modules/lacewingmux_platform/client/HttpPlatformStore.h
@@ -31,7 +31,7 @@
 
     void readPrefix(const QByteArray &prefix, ReadCallback callback) override;
     void read(const QByteArray &key, ReadCallback callback) override;
-    void readRevision(const QByteArray &key, ReadCallback callback) override;
+    void readRevisions(const QByteArray &prefix, ReadCallback callback) override;
     void compareAndSwap(const QByteArray &key, std::int64_t expectedModRevision,
                         const QByteArray &value, CompareAndSwapCallback callback,
                         std::int64_t leaseId = 0) override;
