--- a/modules/lacewingmux_program/owner/OwnerContext.cpp
+++ b/modules/lacewingmux_program/owner/OwnerContext.cpp
@@ -42,7 +42,8 @@
     this->slots.append(*aggregate, entry, std::move(committed));
 }
 
-void OwnerContext::refuse(OwnerRequestHandle handle, const LacewingmuxError &error)
+void OwnerContext::refuse(OwnerRequestHandle handle, const LacewingmuxError &error,
+                          std::function<bool()> mayHaveRun)
 {
     PendingRequest *pending = this->requests.find(handle);
     if (pending == nullptr)
@@ -53,8 +54,11 @@
     }
     pending->stage = RequestStage::Deciding;
     pending->refused = true;
-    this->slots.confirm(*pending->slot,
-                        [this, handle, error] { this->requests.fail(handle, error); });
+    this->slots.confirm(*pending->slot, [this, handle, error, ran = std::move(mayHaveRun)] {
+        const Executed executed = ran && ran() ? Executed::Unknown : Executed::No;
+        this->requests.fail(handle, LacewingmuxError(error.kind(), error.message(), executed,
+                                                     error.retryAfter()));
+    });
 }
 
 void OwnerContext::checkNotDraining() const
--- a/modules/lacewingmux_program/owner/OwnerContext.h
+++ b/modules/lacewingmux_program/owner/OwnerContext.h
@@ -8,6 +8,8 @@
 #include "lacewingmux_program/owner/RequestTable.h"
 #include "lacewingmux_program/programs/RecordedCall.h"
 
+#include <functional>
+
 namespace lacewingmux {
 
 struct Allowance;
@@ -30,9 +32,12 @@
 
     /**
         Refuses a request. Where the error promises "not run" for a request that may have been sent
-        before, the promise is given only after the backup has confirmed the ownership.
+        before, the promise is given only after the backup has confirmed the ownership, and turns
+        into "unknown" where mayHaveRun says by then that the same call was started by another
+        request.
     */
-    void refuse(OwnerRequestHandle handle, const LacewingmuxError &error);
+    void refuse(OwnerRequestHandle handle, const LacewingmuxError &error,
+                std::function<bool()> mayHaveRun = {});
 
     /** Throws LacewingmuxError with ErrorKind::ShuttingDown while nothing new may start here. */
     void checkNotDraining() const;
--- a/modules/lacewingmux_program/owner/ProgramCalls.cpp
+++ b/modules/lacewingmux_program/owner/ProgramCalls.cpp
@@ -44,8 +44,7 @@
     try {
         this->follow(handle, program, this->parse(pending->request, program));
     } catch (const LacewingmuxError &error) {
-        const AgentIndex agent = program.agentOf(pending->request.programId).value_or(0);
-        this->refuse(handle, program, agent, pending->request.callNumber, error);
+        this->refuse(handle, error);
     }
 }
 
@@ -77,28 +76,36 @@
         this->join(handle, program, command.agent, command.number);
         break;
     case CallVerdict::Refuse:
-        this->refuse(handle, program, command.agent, command.number,
-                     LacewingmuxError(decision.refusal, decision.reason));
+        this->refuse(handle, LacewingmuxError(decision.refusal, decision.reason));
         if (decision.endProgram && this->onLimitReached)
             this->onLimitReached(program, *decision.endProgram);
         break;
     }
 }
 
-void ProgramCalls::refuse(OwnerRequestHandle handle, const Program &program, AgentIndex agent,
-                          std::uint32_t number, const LacewingmuxError &error)
+void ProgramCalls::refuse(OwnerRequestHandle handle, const LacewingmuxError &error)
 {
+    const PendingRequest *pending = this->context.requests.find(handle);
+    if (pending == nullptr)
+        return;
     this->context.environment.metrics.count(
             "lacewingmux_program_refusals_total",
-            {{QStringLiteral("team"), program.opening().team},
+            {{QStringLiteral("team"), pending->request.team},
              {QStringLiteral("kind"), QString::fromLatin1(answerFor(error.kind()).name)}},
             1);
-    const bool otherContent = error.kind() == ErrorKind::CallConflict;
-    if (otherContent || !program.mayHaveRun(agent, number))
+    if (error.kind() == ErrorKind::CallConflict) {
         this->context.refuse(handle, error);
-    else
-        this->context.refuse(handle, LacewingmuxError(error.kind(), error.message(),
-                                                      Executed::Unknown, error.retryAfter()));
+        return;
+    }
+    const auto mayHaveRun = [this, id = pending->request.programId,
+                             number = pending->request.callNumber] {
+        const Program *program = this->context.programs.find(id, this->context.now());
+        return program == nullptr || program->mayHaveRun(program->agentOf(id).value_or(0), number);
+    };
+    const Executed executed = mayHaveRun() ? Executed::Unknown : error.executed();
+    this->context.refuse(
+            handle, LacewingmuxError(error.kind(), error.message(), executed, error.retryAfter()),
+            mayHaveRun);
 }
 
 void ProgramCalls::start(OwnerRequestHandle handle, Program &program, const CallStarted &event)
@@ -126,8 +133,7 @@
         return this->context.requests.find(entry.second) == nullptr;
     });
     if (queue.size() >= maximumQueuedPerAgent) {
-        this->context.refuse(handle,
-                             LacewingmuxError(ErrorKind::CallOutOfOrder,
+        this->refuse(handle, LacewingmuxError(ErrorKind::CallOutOfOrder,
                                               QStringLiteral("too many calls wait already")));
         return;
     }
--- a/modules/lacewingmux_program/owner/ProgramCalls.h
+++ b/modules/lacewingmux_program/owner/ProgramCalls.h
@@ -40,6 +40,12 @@
     /** Handles a request for the outcome of a call. */
     void fetch(OwnerRequestHandle handle, Program &program);
 
+    /**
+        Refuses a request for a numbered call. "Not run" is said only when no request has started
+       the call, by the time that the backup has confirmed the ownership.
+    */
+    void refuse(OwnerRequestHandle handle, const LacewingmuxError &error);
+
     /** Goes on after a takeover: settles what may have run and dispatches what is idempotent. */
     void resume(Program &program);
 
@@ -88,8 +94,6 @@
 
     [[nodiscard]] CallCommand parse(const OwnerRequest &request, const Program &program) const;
     void follow(OwnerRequestHandle handle, Program &program, const CallCommand &command);
-    void refuse(OwnerRequestHandle handle, const Program &program, AgentIndex agent,
-                std::uint32_t number, const LacewingmuxError &error);
     void start(OwnerRequestHandle handle, Program &program, const CallStarted &event);
     void enqueue(OwnerRequestHandle handle, const AgentKey &agent, std::uint32_t number);
     void join(OwnerRequestHandle handle, Program &program, AgentIndex agent, std::uint32_t number);
--- a/modules/lacewingmux_program/owner/ProgramOwner.cpp
+++ b/modules/lacewingmux_program/owner/ProgramOwner.cpp
@@ -217,7 +217,7 @@
         const QString text = QStringLiteral("the key was withdrawn");
         pending->withdrawn = true;
         if (pending->stage == RequestStage::Queued)
-            this->context.refuse(handle, LacewingmuxError(ErrorKind::KeyWithdrawn, text));
+            this->calls.refuse(handle, LacewingmuxError(ErrorKind::KeyWithdrawn, text));
         else if (pending->begun)
             this->context.requests.fail(
                     handle, LacewingmuxError(ErrorKind::KeyWithdrawn, text, Executed::Unknown));
@@ -239,9 +239,9 @@
                                                      Executed::Unknown));
     } else if (stage == RequestStage::Queued) {
         this->context.requests.startTimeout(handle, graceAfterTimeout);
-        this->context.refuse(handle,
-                             LacewingmuxError(ErrorKind::CallOutOfOrder,
-                                              QStringLiteral("an earlier call did not finish")));
+        this->calls.refuse(handle,
+                           LacewingmuxError(ErrorKind::CallOutOfOrder,
+                                            QStringLiteral("an earlier call did not finish")));
     } else if (stage == RequestStage::Running) {
         this->context.requests.fail(
                 handle, LacewingmuxError(ErrorKind::BackendTimeout,
--- a/tests/program/FakeDispatcher.h
+++ b/tests/program/FakeDispatcher.h
@@ -22,6 +22,8 @@
     {
         const DispatchHandle handle = this->nextHandle++;
         this->sent.push_back({handle, request});
+        if (this->onDispatch)
+            this->onDispatch(this->sent.back());
         this->open[handle] = std::move(listener);
         return handle;
     }
@@ -77,6 +79,7 @@
         this->confirmRelease(program);
     }
 
+    std::function<void(const Sent &)> onDispatch;
     std::vector<Sent> sent;
     std::map<DispatchHandle, DispatchListener> open;
     std::map<DispatchHandle, ErrorKind> cancelled;
--- a/tests/program/OwnerBench.h
+++ b/tests/program/OwnerBench.h
@@ -11,6 +11,7 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -87,19 +88,24 @@
         this->timers.runPosted();
     }
 
-    std::shared_ptr<Received> ask(const OwnerRequest &request)
+    std::shared_ptr<Received> ask(const OwnerRequest &request,
+                                  const std::function<void(const Received &)> &onDone = {})
     {
         auto received = std::make_shared<Received>();
         ResponseSink sink;
         sink.begin = [received](int status, const auto &) { received->status = status; };
         sink.chunk = [received](const QByteArray &bytes) { received->body += bytes; };
-        sink.end = [received] {
+        sink.end = [received, onDone] {
             received->ended = true;
             ++received->terminations;
+            if (onDone)
+                onDone(*received);
         };
-        sink.fail = [received](const LacewingmuxError &error) {
+        sink.fail = [received, onDone](const LacewingmuxError &error) {
             received->error = error;
             ++received->terminations;
+            if (onDone)
+                onDone(*received);
         };
         this->lastHandle = this->owner->handle(request, std::move(sink));
         this->timers.runPosted();
