--- a/modules/lacewingmux_zone/lacewingmux_zone.h
+++ b/modules/lacewingmux_zone/lacewingmux_zone.h
@@ -13,6 +13,7 @@
 #include "lacewingmux_zone/journal/InMemoryJournal.h"
 #include "lacewingmux_zone/journal/Journal.h"
 #include "lacewingmux_zone/journal/RecordMap.h"
+#include "lacewingmux_zone/membership/ZoneMembership.h"
 #include "lacewingmux_zone/replication/JournalSettings.h"
 #include "lacewingmux_zone/replication/ReplicatedJournal.h"
 #include "lacewingmux_zone/views/FleetViews.h"
