--- a/modules/lacewingmux_platform/store/PlatformStore.h
+++ b/modules/lacewingmux_platform/store/PlatformStore.h
@@ -50,10 +50,10 @@
     /** Reads one key; the list is empty when it is absent. */
     virtual void read(const QByteArray &key, ReadCallback callback) = 0;
 
-    /** Reads the revisions of one key, as read() does, but the value may be left empty. */
-    virtual void readRevision(const QByteArray &key, ReadCallback callback)
+    /** Reads as readPrefix() does, but may leave the values empty: for asking what has changed. */
+    virtual void readRevisions(const QByteArray &prefix, ReadCallback callback)
     {
-        this->read(key, std::move(callback));
+        this->readPrefix(prefix, std::move(callback));
     }
 
     /**
