--- a/modules/lacewingmux_http/front/CredentialFilter.cpp
+++ b/modules/lacewingmux_http/front/CredentialFilter.cpp
@@ -57,11 +57,15 @@
 
 bool containsKey(const QByteArray &text, const std::vector<QByteArray> &keys)
 {
-    return std::any_of(keys.begin(), keys.end(), [&text](const QByteArray &key) {
+    const bool encoded = text.contains('%') || text.contains('+');
+    return std::any_of(keys.begin(), keys.end(), [&text, encoded](const QByteArray &key) {
         if (key.size() < shortestContainedKey)
             return text == key;
-        return text.contains(key) || QByteArray::fromPercentEncoding(text).contains(key)
-               || decoded(text).contains(key);
+        if (text.contains(key))
+            return true;
+        return encoded
+               && (QByteArray::fromPercentEncoding(text).contains(key)
+                   || decoded(text).contains(key));
     });
 }
 
