--- a/modules/lacewingmux_http/server/CallerAnswer.cpp
+++ b/modules/lacewingmux_http/server/CallerAnswer.cpp
@@ -23,11 +23,20 @@
            && httpStatus != notModified;
 }
 
-/** Line ends in a header would let one answer pass for two. */
-QByteArray singleLine(QByteArray text)
+bool isControl(char byte)
 {
-    text.replace('\r', ' ').replace('\n', ' ').replace('\0', ' ');
-    return text;
+    return byte == '\r' || byte == '\n' || byte == '\0';
+}
+
+/** Appends the text without line ends, which would let one answer pass for two. */
+void appendSingleLine(QByteArray &bytes, const QByteArray &text)
+{
+    if (std::none_of(text.begin(), text.end(), isControl)) {
+        bytes += text;
+        return;
+    }
+    for (const char byte : text)
+        bytes += isControl(byte) ? ' ' : byte;
 }
 
 bool isFraming(const QByteArray &name)
@@ -119,10 +128,18 @@
 {
     QByteArray bytes;
     bytes.reserve(512);
-    bytes += "HTTP/1.1 " + QByteArray::number(httpStatus) + ' ' + statusText(httpStatus) + "\r\n";
+    bytes += "HTTP/1.1 ";
+    bytes += QByteArray::number(httpStatus);
+    bytes += ' ';
+    bytes += statusText(httpStatus);
+    bytes += "\r\n";
     for (const HttpHeader &header : headers) {
-        if (!isFraming(header.name))
-            bytes += singleLine(header.name) + ": " + singleLine(header.value) + "\r\n";
+        if (isFraming(header.name))
+            continue;
+        appendSingleLine(bytes, header.name);
+        bytes += ": ";
+        appendSingleLine(bytes, header.value);
+        bytes += "\r\n";
     }
     bytes += framing;
     if (this->connection && this->connection->closesAfterNextAnswer())
--- a/modules/lacewingmux_http/server/RequestHead.cpp
+++ b/modules/lacewingmux_http/server/RequestHead.cpp
@@ -2,7 +2,7 @@
 
 #include "lacewingmux_core/errors/LacewingmuxError.h"
 
-#include <QList>
+#include <QByteArrayView>
 
 #include <algorithm>
 #include <optional>
@@ -18,40 +18,61 @@
     return {ErrorKind::MalformedRequest, message};
 }
 
-qint64 parseLength(const QByteArray &value)
+bool isName(QByteArrayView text, const char *name)
+{
+    return text.compare(name, Qt::CaseInsensitive) == 0;
+}
+
+qint64 parseLength(QByteArrayView value)
 {
     const bool digitsOnly = !value.isEmpty() && value.size() <= longestLengthDigits
                             && std::all_of(value.begin(), value.end(),
                                            [](char digit) { return digit >= '0' && digit <= '9'; });
     if (!digitsOnly)
         throw malformed(QStringLiteral("Content-Length is not a number"));
-    return value.toLongLong();
+    return value.toByteArray().toLongLong();
+}
+
+void readConnection(RequestHead &head, QByteArrayView value)
+{
+    const QByteArray options = value.toByteArray().toLower();
+    if (options.contains("close"))
+        head.keepAlive = false;
+    else if (options.contains("keep-alive"))
+        head.keepAlive = true;
 }
 
-void readField(RequestHead &head, std::optional<qint64> &length, const QByteArray &name,
-               const QByteArray &value)
+void readField(RequestHead &head, std::optional<qint64> &length, QByteArrayView name,
+               QByteArrayView value)
 {
-    if (name == "content-length") {
+    if (isName(name, "content-length")) {
         if (length.has_value())
             throw malformed(QStringLiteral("Content-Length is given twice"));
         length = parseLength(value);
-    } else if (name == "transfer-encoding") {
-        if (head.chunked || value.toLower() != "chunked")
+    } else if (isName(name, "transfer-encoding")) {
+        if (head.chunked || !isName(value, "chunked"))
             throw malformed(QStringLiteral("only the transfer encoding \"chunked\" is known"));
         head.chunked = true;
-    } else if (name == "expect") {
-        head.expectContinue = value.toLower() == "100-continue";
-    } else if (name == "connection") {
-        const QByteArray options = value.toLower();
-        if (options.contains("close"))
-            head.keepAlive = false;
-        else if (options.contains("keep-alive"))
-            head.keepAlive = true;
-    } else if (name == "upgrade" && value.toLower() == "websocket") {
+    } else if (isName(name, "expect")) {
+        head.expectContinue = isName(value, "100-continue");
+    } else if (isName(name, "connection")) {
+        readConnection(head, value);
+    } else if (isName(name, "upgrade") && isName(value, "websocket")) {
         throw malformed(QStringLiteral("WebSocket is not offered"));
     }
 }
 
+void readLine(RequestHead &head, std::optional<qint64> &length, QByteArrayView line)
+{
+    if (line.startsWith(' ') || line.startsWith('\t'))
+        throw malformed(QStringLiteral("a header is folded over lines"));
+    const qsizetype colon = line.indexOf(':');
+    if (colon < 0 && !line.trimmed().isEmpty())
+        throw malformed(QStringLiteral("a header has no colon"));
+    if (colon > 0)
+        readField(head, length, line.first(colon).trimmed(), line.sliced(colon + 1).trimmed());
+}
+
 } // namespace
 
 qsizetype RequestHead::lengthIn(const QByteArray &bytes)
@@ -72,20 +93,17 @@
 {
     RequestHead parsed;
     std::optional<qint64> length;
-    const QList<QByteArray> lines = head.split('\n');
-    if (lines.first().trimmed().endsWith("HTTP/1.0")) {
+    const QByteArrayView bytes(head);
+    qsizetype lineEnd = bytes.indexOf('\n');
+    if (bytes.first(std::max<qsizetype>(lineEnd, 0)).trimmed().endsWith("HTTP/1.0")) {
         parsed.chunkedAnswers = false;
         parsed.keepAlive = false;
     }
-    for (const QByteArray &line : lines.mid(1)) {
-        if (line.startsWith(' ') || line.startsWith('\t'))
-            throw malformed(QStringLiteral("a header is folded over lines"));
-        const qsizetype colon = line.indexOf(':');
-        if (colon < 0 && !line.trimmed().isEmpty())
-            throw malformed(QStringLiteral("a header has no colon"));
-        if (colon > 0)
-            readField(parsed, length, line.left(colon).trimmed().toLower(),
-                      line.mid(colon + 1).trimmed());
+    while (lineEnd >= 0) {
+        const qsizetype start = lineEnd + 1;
+        lineEnd = bytes.indexOf('\n', start);
+        if (lineEnd >= 0)
+            readLine(parsed, length, bytes.sliced(start, lineEnd - start));
     }
     if (length.has_value() && parsed.chunked)
         throw malformed(QStringLiteral("Content-Length and Transfer-Encoding exclude each other"));
--- a/modules/lacewingmux_http/server/StatusText.cpp
+++ b/modules/lacewingmux_http/server/StatusText.cpp
@@ -49,12 +49,12 @@
 
 } // namespace
 
-QByteArray statusText(int httpStatus)
+const char *statusText(int httpStatus)
 {
     const auto *const found = std::find_if(
             statusNames.begin(), statusNames.end(),
             [httpStatus](const StatusName &name) { return name.httpStatus == httpStatus; });
-    return found == statusNames.end() ? QByteArray("Status") : QByteArray(found->text);
+    return found == statusNames.end() ? "Status" : found->text;
 }
 
 std::vector<HttpHeader> errorHeaders(const LacewingmuxError &error)
--- a/modules/lacewingmux_http/server/StatusText.h
+++ b/modules/lacewingmux_http/server/StatusText.h
@@ -11,7 +11,7 @@
 class LacewingmuxError;
 
 /** Returns the reason phrase of an HTTP status, for example "Not Found". */
-[[nodiscard]] QByteArray statusText(int httpStatus);
+[[nodiscard]] const char *statusText(int httpStatus);
 
 /** Returns the headers of an error answer: its type and, where a retry makes sense, Retry-After. */
 [[nodiscard]] std::vector<HttpHeader> errorHeaders(const LacewingmuxError &error);
