Mend edges of callers' connections

Cause: a withdrawn key closed connections that other keys may share; a pipelined request that waited long was taken for a slow one; one large answer counted as one left unread; a caller that went in the middle of a chunk could end the relay that was in use. Ruled out: resuming the listener after the process ran out of descriptors; Qt 6.4.2 goes on accepting by itself (tests/http acceptsAgainAfterTheProcessRanOutOfDescriptors passes with and without).

--- a/modules/lacewingmux_http/front/AnswerRelay.cpp
+++ b/modules/lacewingmux_http/front/AnswerRelay.cpp
@@ -24,14 +24,17 @@
                 return header.name.compare("content-type", Qt::CaseInsensitive) == 0
                        && header.value.startsWith("text/event-stream");
             });
+    // Held here: the caller may turn out to be gone, which forgets the request and this relay.
+    const std::shared_ptr<CallerAnswer> held = this->target;
     if (this->stream)
-        this->target->begin(answerStatus, answerHeaders);
+        held->begin(answerStatus, answerHeaders);
 }
 
 void AnswerRelay::chunk(const QByteArray &bytes)
 {
+    const std::shared_ptr<CallerAnswer> held = this->target;
     if (this->stream)
-        this->target->chunk(bytes);
+        held->chunk(bytes);
     else
         this->body += bytes;
 }
--- a/modules/lacewingmux_http/front/RequestFront.cpp
+++ b/modules/lacewingmux_http/front/RequestFront.cpp
@@ -77,8 +77,6 @@
             concerned.push_back(number);
     }
     for (const RequestNumber number : concerned) {
-        if (OpenRequest *request = this->find(number))
-            request->relay.answer().closeAfterwards();
         this->refuse(number, LacewingmuxError(ErrorKind::KeyWithdrawn,
                                               QStringLiteral("the key was withdrawn")));
     }
--- a/modules/lacewingmux_http/front/RequestFront.h
+++ b/modules/lacewingmux_http/front/RequestFront.h
@@ -50,7 +50,10 @@
     /** Takes one request of a caller and answers it, now or later. */
     void handle(CallerRequest request, const std::shared_ptr<CallerAnswer> &answer);
 
-    /** Ends every open request and stream that came with the key, and their connections. */
+    /**
+        Ends every open request and stream that came with the key. Its connections go on, since
+        others may share them; each further request is checked anew.
+    */
     void withdrawKey(const QString &keyId);
 
     /** Makes /readyz answer 503 from now on; what is open goes on. */
--- a/modules/lacewingmux_http/server/CallerConnection.cpp
+++ b/modules/lacewingmux_http/server/CallerConnection.cpp
@@ -71,10 +71,12 @@
         return;
     if (this->socket->bytesToWrite() == 0)
         this->lastActivity = this->server.timerService().now();
+    if (this->socket->bytesToWrite() > this->server.limits().unsentAnswerBytes) {
+        this->socket->abort();
+        return;
+    }
     this->socket->write(bytes);
     this->socket->flush();
-    if (this->socket->bytesToWrite() > this->server.limits().unsentAnswerBytes)
-        this->socket->abort();
 }
 
 void CallerConnection::answerEnded()
@@ -155,7 +157,7 @@
     if (this->input.isEmpty())
         return false;
     if (!this->requestStarted.has_value())
-        this->requestStarted = this->lastActivity;
+        this->requestStarted = this->server.timerService().now();
 
     const ServerLimits &limits = this->server.limits();
     const qsizetype headLength = RequestHead::lengthIn(this->input);
--- a/modules/lacewingmux_http/server/CallerServer.cpp
+++ b/modules/lacewingmux_http/server/CallerServer.cpp
@@ -2,7 +2,6 @@
 
 #include "lacewingmux_core/errors/ErrorTable.h"
 #include "lacewingmux_core/errors/LacewingmuxError.h"
-#include "lacewingmux_core/logging/StructuredLog.h"
 #include "lacewingmux_core/metrics/MetricsRecorder.h"
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_http/server/CallerAnswer.h"
--- a/tests/http/CallerServerTest.cpp
+++ b/tests/http/CallerServerTest.cpp
@@ -8,6 +8,10 @@
 
 #include <criterion/criterion.h>
 
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <vector>
 
 using namespace lacewingmux;
@@ -265,3 +269,43 @@
     caller.send("abc");
     cr_assert(held.waitForRequests(1));
 }
+
+Test(CallerServer, cutsOffACallerThatDoesNotReadItsAnswer)
+{
+    HeldServer held;
+    RawCaller caller(held.port);
+    caller.stopReading();
+    caller.send("GET /a HTTP/1.1\r\n\r\n");
+    cr_assert(held.waitForRequests(1));
+    held.answers[0]->send(200, {}, QByteArray(40000000, 'x'));
+    turnLoop(50ms);
+    cr_assert_eq(held.server.connectionCount(), 1);
+    held.timers.advance(held.server.limits().stalledAnswer + 2s);
+    cr_assert(waitUntil([&held] { return held.server.connectionCount() == 0; }));
+}
+
+Test(CallerServer, acceptsAgainAfterTheProcessRanOutOfDescriptors)
+{
+    HeldServer held;
+    RawCaller first(held.port);
+    cr_assert(waitUntil([&held] { return held.server.connectionCount() == 1; }));
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = 100;
+    cr_assert_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
+    std::vector<int> fillers;
+    for (int filler = open("/dev/null", O_RDONLY); filler >= 0;
+         filler = open("/dev/null", O_RDONLY))
+        fillers.push_back(filler);
+    cr_assert_not(fillers.empty());
+    close(fillers.back()); // for the caller; none is left for the server's end
+    fillers.pop_back();
+    RawCaller second(held.port);
+    second.send("GET /a HTTP/1.1\r\n\r\n");
+    turnLoop(50ms);
+    cr_assert_eq(held.server.connectionCount(), 1);
+    for (const int filler : fillers)
+        close(filler);
+    held.timers.advance(1s);
+    cr_assert(held.waitForRequests(1));
+}
--- a/tests/http/HttpTestTools.cpp
+++ b/tests/http/HttpTestTools.cpp
@@ -56,6 +56,11 @@
     });
 }
 
+void RawCaller::stopReading()
+{
+    this->socket.setReadBufferSize(1);
+}
+
 void RawCaller::close()
 {
     this->socket.abort();
--- a/tests/http/HttpTestTools.h
+++ b/tests/http/HttpTestTools.h
@@ -36,6 +36,9 @@
     /** Waits until the received bytes contain the text. */
     [[nodiscard]] bool waitFor(const QByteArray &text);
     [[nodiscard]] bool waitForClose();
+
+    /** Leaves what comes in the network's buffers from now on. */
+    void stopReading();
     void close();
 
     [[nodiscard]] const QByteArray &received();
