--- a/modules/lacewingmux_scheduling/replicas/ReplicaChooser.cpp
+++ b/modules/lacewingmux_scheduling/replicas/ReplicaChooser.cpp
@@ -1,9 +1,17 @@
 #include "lacewingmux_scheduling/replicas/ReplicaChooser.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewingmux {
 
+namespace {
+
+/** Load, as a part of the capacity, up to which replicas take calls of a VM below its part. */
+constexpr double overshootLimit = 1.5;
+
+} // namespace
+
 ReplicaChooser::ReplicaChooser(const ReplicaChooserSettings &chooserSettings)
     : settings(chooserSettings)
 { }
@@ -12,12 +20,14 @@
 {
     const auto [found, added] = this->replicas.try_emplace(descriptor.name);
     Replica &replica = found->second;
+    if (added)
+        replica.number = ++this->replicasAdded;
+    else if (replica.state == ReplicaState::Serving)
+        this->unlink(replica);
     replica.descriptor = descriptor;
     replica.descriptor.capacity = std::max(1, descriptor.capacity);
-    if (added)
+    if (replica.state == ReplicaState::Serving)
         this->link(replica);
-    else
-        this->refresh(replica);
 }
 
 void ReplicaChooser::removeReplica(const QString &name)
@@ -27,6 +37,7 @@
         return;
     if (found->second.state == ReplicaState::Serving)
         this->unlink(found->second);
+    this->ownSequences -= found->second.load.ownSequences();
     this->replicas.erase(found);
 }
 
@@ -57,6 +68,7 @@
     if (found == this->replicas.end())
         return;
     found->second.load.started(now);
+    ++this->ownSequences;
     found->second.suspects += suspect ? 1 : 0;
     this->refresh(found->second);
 }
@@ -66,6 +78,7 @@
     const auto found = this->replicas.find(name);
     if (found == this->replicas.end())
         return;
+    this->ownSequences -= found->second.load.ownSequences() > 0 ? 1 : 0;
     found->second.load.finished(now);
     if (suspect)
         found->second.suspects = std::max(0, found->second.suspects - 1);
@@ -94,12 +107,24 @@
     return choice;
 }
 
+void ReplicaChooser::setSendingVms(int vms)
+{
+    this->sendingVms = std::max(1, vms);
+}
+
 int ReplicaChooser::estimatedSequences(const QString &name) const
 {
     const auto found = this->replicas.find(name);
     return found == this->replicas.end() ? 0 : found->second.load.estimate();
 }
 
+double ReplicaChooser::admissibleLoad() const
+{
+    const bool belowItsPart = this->ownSequences * this->sendingVms < this->servingCapacity;
+    return this->settings.guaranteedPart && belowItsPart && this->sendingVms > 1 ? overshootLimit
+                                                                                 : 1;
+}
+
 double ReplicaChooser::loadFractionOf(const Replica &replica) const
 {
     const int sequences =
@@ -109,7 +134,7 @@
 
 bool ReplicaChooser::allowed(const ChoiceRequest &request, const Replica &replica) const
 {
-    if (replica.state != ReplicaState::Serving || replica.loadFraction >= 1)
+    if (replica.state != ReplicaState::Serving || replica.loadFraction >= this->admissibleLoad())
         return false;
     if (request.suspect && replica.suspects > 0)
         return false;
@@ -141,12 +166,11 @@
 const ReplicaChooser::Replica *ReplicaChooser::leastLoaded(const ChoiceRequest &request) const
 {
     // Only excluded replicas and those with a suspect are passed over, so the walk is short.
-    for (const auto &[fraction, name] : this->byLoad) {
-        if (fraction >= 1)
+    for (const LoadKey &key : this->byLoad) {
+        if (key.fraction >= this->admissibleLoad())
             return nullptr;
-        const Replica &replica = this->replicas.at(name);
-        if (this->allowed(request, replica))
-            return &replica;
+        if (this->allowed(request, *key.replica))
+            return key.replica;
     }
     return nullptr;
 }
@@ -174,14 +198,16 @@
     replica.loadFraction = this->loadFractionOf(replica);
     replica.servingIndex = this->serving.size();
     this->serving.push_back(&replica);
-    this->byLoad.emplace(replica.loadFraction, replica.descriptor.name);
+    replica.place = this->byLoad.insert({replica.loadFraction, replica.number, &replica}).first;
     this->loadFractionSum += replica.loadFraction;
+    this->servingCapacity += replica.descriptor.capacity;
 }
 
 void ReplicaChooser::unlink(Replica &replica)
 {
-    this->byLoad.erase({replica.loadFraction, replica.descriptor.name});
+    this->byLoad.erase(replica.place);
     this->loadFractionSum -= replica.loadFraction;
+    this->servingCapacity -= replica.descriptor.capacity;
     this->serving.back()->servingIndex = replica.servingIndex;
     std::swap(this->serving[replica.servingIndex], this->serving.back());
     this->serving.pop_back();
@@ -191,8 +217,14 @@
 {
     if (replica.state != ReplicaState::Serving)
         return;
-    this->unlink(replica);
-    this->link(replica);
+    const double fraction = this->loadFractionOf(replica);
+    if (fraction == replica.loadFraction)
+        return;
+    auto node = this->byLoad.extract(replica.place);
+    node.value().fraction = fraction;
+    replica.place = this->byLoad.insert(std::move(node)).position;
+    this->loadFractionSum += fraction - replica.loadFraction;
+    replica.loadFraction = fraction;
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_scheduling/replicas/ReplicaChooser.h
+++ b/modules/lacewingmux_scheduling/replicas/ReplicaChooser.h
@@ -11,11 +11,12 @@
 #include <QHash>
 #include <QString>
 
+#include <cstdint>
 #include <optional>
 #include <random>
 #include <set>
+#include <tuple>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 namespace lacewingmux {
@@ -64,6 +65,11 @@
     [[nodiscard]] std::optional<ReplicaChoice> choose(const ChoiceRequest &request,
                                                       std::mt19937_64 &random) const;
 
+    /** Tells how many VMs send to the pool, at least 1. While this VM has fewer calls in flight
+        than its even part of the pool's capacity, replicas take a little more than their capacity
+        from it. Otherwise a VM that has none in flight would never see room in a saturated pool. */
+    void setSendingVms(int vms);
+
     /** Returns the estimated sequences at the replica; 0 for an unknown name. */
     [[nodiscard]] int estimatedSequences(const QString &name) const;
 
@@ -74,16 +80,33 @@
     }
 
 private:
+    struct Replica;
+
+    /** Place of a replica in the order of load. */
+    struct LoadKey
+    {
+        double fraction = 0;
+        std::uint64_t number = 0;
+        const Replica *replica = nullptr;
+        friend bool operator<(const LoadKey &left, const LoadKey &right)
+        {
+            return std::tie(left.fraction, left.number) < std::tie(right.fraction, right.number);
+        }
+    };
+
     struct Replica
     {
         ReplicaDescriptor descriptor;
+        std::uint64_t number = 0; ///< in the order of adding; decides between equal loads
         ReplicaState state = ReplicaState::Serving;
         ReplicaLoad load;
         int suspects = 0;
-        std::size_t servingIndex = 0; ///< into serving, meaningful while it serves
-        double loadFraction = 0;      ///< as it stands in byLoad
+        double loadFraction = 0;           ///< as it stands in byLoad
+        std::size_t servingIndex = 0;      ///< into serving, meaningful while it serves
+        std::set<LoadKey>::iterator place; ///< in byLoad, meaningful while it serves
     };
 
+    [[nodiscard]] double admissibleLoad() const;
     [[nodiscard]] double loadFractionOf(const Replica &replica) const;
     [[nodiscard]] bool allowed(const ChoiceRequest &request, const Replica &replica) const;
     [[nodiscard]] const Replica *prefixHolder(const ChoiceRequest &request) const;
@@ -98,8 +121,12 @@
     ReplicaChooserSettings settings;
     std::unordered_map<QString, Replica> replicas;
     std::vector<Replica *> serving;
-    std::set<std::pair<double, QString>> byLoad; ///< serving replicas by load fraction
-    double loadFractionSum = 0;                  ///< over the serving replicas
+    std::set<LoadKey> byLoad;   ///< the serving replicas
+    double loadFractionSum = 0; ///< over the serving replicas
+    std::uint64_t replicasAdded = 0;
+    std::int64_t servingCapacity = 0; ///< sum over the serving replicas
+    std::int64_t ownSequences = 0;    ///< of this VM in the whole pool
+    int sendingVms = 1;
 };
 
 } // namespace lacewingmux
