--- a/modules/lacewingmux_zone/replication/JournalSettings.h
+++ b/modules/lacewingmux_zone/replication/JournalSettings.h
@@ -18,7 +18,7 @@
     std::size_t frameBytes = SlotTransfer::pieceBytes;
 
     /** How many slots are transferred at a time. */
-    int concurrentTransfers = 32;
+    int concurrentTransfers = 16;
 
     /** After this long without progress a question or a piece is sent again. */
     std::chrono::milliseconds retryInterval{250};
--- a/modules/lacewingmux_zone/replication/ReplicatedJournal.cpp
+++ b/modules/lacewingmux_zone/replication/ReplicatedJournal.cpp
@@ -62,15 +62,15 @@
     }
     hub.setHandler(FrameKind::JournalRefusal,
                    [this](const VmIncarnation &, const PeerFrame &frame) {
-                       if (frame.epoch > this->epoch() && this->viewNeededHandler)
-                           this->viewNeededHandler(frame.epoch);
+                       if (frame.epoch > this->epoch())
+                           this->needView(frame.epoch);
                    });
     hub.addLinkHandler([this, token = this->alive](const VmIncarnation &peer, bool up) {
         if (*token && up)
             this->owner.onLinkUp(peer);
     });
     this->context.outbox.setFailureHandler(
-            [this](const VmIncarnation &peer) { this->failedPeers.push_back(peer); });
+            [this](const VmIncarnation &peer) { this->failedPeers.insert(peer); });
     this->tickSubscription = this->context.timers.every(this->context.settings.retryInterval,
                                                         [this] { this->tick(); });
 }
@@ -262,8 +262,16 @@
 {
     if (this->heldFrames.size() < this->context.settings.heldFrames)
         this->heldFrames.emplace_back(sender, frame);
+    this->needView(frame.epoch);
+}
+
+void ReplicatedJournal::needView(std::uint64_t neededView)
+{
+    if (neededView <= this->neededEpoch)
+        return;
+    this->neededEpoch = neededView;
     if (this->viewNeededHandler)
-        this->viewNeededHandler(frame.epoch);
+        this->viewNeededHandler(neededView);
 }
 
 void ReplicatedJournal::replayHeld()
@@ -311,6 +319,7 @@
 
 void ReplicatedJournal::tick()
 {
+    this->neededEpoch = 0;
     for (const VmIncarnation &peer : std::exchange(this->failedPeers, {})) {
         if (this->context.hub.isConnected(peer))
             this->owner.onLinkUp(peer);
--- a/modules/lacewingmux_zone/replication/ReplicatedJournal.h
+++ b/modules/lacewingmux_zone/replication/ReplicatedJournal.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -45,7 +46,8 @@
     */
     void adoptView(std::shared_ptr<const ZoneView> view, const ViewHistory &history);
 
-    /** Sets a handler told of an epoch that a peer has adopted and this VM hasn't. */
+    /** Sets a handler told, now and then, of an epoch that a peer has adopted and this VM hasn't.
+     */
     void setViewNeededHandler(EpochHandler handler);
 
     /** Sets a handler told when all slots of this VM have become active in an epoch. */
@@ -86,6 +88,7 @@
     void refuse(const VmIncarnation &sender, const PeerFrame &frame);
     void hold(const VmIncarnation &sender, const PeerFrame &frame);
     void replayHeld();
+    void needView(std::uint64_t neededView);
     void submit(SlotIndex slot, const JournalChange &change, Callback callback);
     void tellActivated(SlotIndex slot);
     void tellDeactivated(SlotIndex slot);
@@ -100,7 +103,8 @@
     EpochHandler viewNeededHandler;
     EpochHandler settledHandler;
     std::deque<HeldFrame> heldFrames;
-    std::vector<VmIncarnation> failedPeers;
+    std::set<VmIncarnation> failedPeers;
+    std::uint64_t neededEpoch = 0; ///< the highest that was asked for since the last tick
     std::uint64_t settledEpoch = 0;
     bool settledCheckScheduled = false;
     TimerSubscription tickSubscription;
--- a/modules/lacewingmux_zone/replication/SlotOwner.cpp
+++ b/modules/lacewingmux_zone/replication/SlotOwner.cpp
@@ -62,7 +62,7 @@
         if (answer.slot >= this->context.slotStates.size())
             continue;
         Slot &slot = this->context.slotStates[answer.slot];
-        if (slot.phase != SlotPhase::Surveying)
+        if (slot.phase == SlotPhase::NotOwner || !slot.survey)
             continue;
         slot.survey->addAnswer(vm, answer.position);
         if (!slot.finding)
--- /dev/null
+++ b/tests/zone/ReplicatedJournalTest.cpp
@@ -0,0 +1,258 @@
+#include "zone/JournalZone.h"
+
+#include <criterion/criterion.h>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+using namespace lacewingmux;
+using namespace std::chrono_literals;
+
+namespace {
+
+const QString a = QStringLiteral("a");
+const QString b = QStringLiteral("b");
+const QString c = QStringLiteral("c");
+
+AggregateId program(int number)
+{
+    return {AggregateKind::Program, QStringLiteral("z"), QString::number(number)};
+}
+
+/** Returns the entries of an aggregate in the journal's copy, with commas between. */
+QByteArray held(const ReplicatedJournal &journal, const AggregateId &aggregate)
+{
+    QByteArray text;
+    for (const QByteArray &entry : journal.records(aggregate.slot()).entries(aggregate))
+        text += text.isEmpty() ? entry : ',' + entry;
+    return text;
+}
+
+/** Appends through the owner, lets time pass, and returns what came of it; nothing if pending. */
+std::optional<AppendOutcome> appendTo(JournalZone &zone, const AggregateId &aggregate,
+                                      const QByteArray &entry)
+{
+    auto outcome = std::make_shared<std::optional<AppendOutcome>>();
+    zone.owner(aggregate.slot()).append(aggregate, entry, [outcome](AppendOutcome told) {
+        *outcome = told;
+    });
+    cr_assert(!outcome->has_value(), "called back before append returned");
+    zone.pass(10ms);
+    return *outcome;
+}
+
+void appendMany(JournalZone &zone, int count, const QByteArray &entry)
+{
+    for (int number = 0; number < count; ++number)
+        zone.owner(program(number).slot()).append(program(number), entry, {});
+    zone.pass(10ms);
+}
+
+void checkAllHold(JournalZone &zone, int count, const QByteArray &entry)
+{
+    for (int number = 0; number < count; ++number) {
+        const SlotIndex slot = program(number).slot();
+        cr_assert(zone.owner(slot).status(slot) == SlotStatus::Active);
+        cr_assert(held(zone.owner(slot), program(number)) == entry);
+        cr_assert(held(zone.backup(slot), program(number)) == entry);
+    }
+}
+
+} // namespace
+
+Test(ReplicatedJournal, commitsAloneInAViewOfOne)
+{
+    JournalZone zone;
+    zone.start(a);
+    zone.changeTo({a});
+    cr_assert(zone.journal(a).isSettled());
+    cr_assert(appendTo(zone, program(1), "x") == AppendOutcome::Committed);
+}
+
+Test(ReplicatedJournal, commitsOnceTheBackupHasTheEntry)
+{
+    JournalZone zone;
+    zone.start(a);
+    zone.start(b);
+    zone.changeTo({a, b});
+    cr_assert(appendTo(zone, program(1), "x") == AppendOutcome::Committed);
+    const SlotIndex slot = program(1).slot();
+    cr_assert_eq(zone.backup(slot).records(slot).entries(program(1)).size(), 1U);
+}
+
+Test(ReplicatedJournal, waitsThroughACutAndRefusesNewWorkMeanwhile)
+{
+    JournalZone zone;
+    zone.start(a);
+    zone.start(b);
+    zone.changeTo({a, b});
+    zone.network.cut(a, b);
+    const SlotIndex slot = program(1).slot();
+    std::vector<AppendOutcome> outcomes;
+    const auto note = [&outcomes](AppendOutcome outcome) { outcomes.push_back(outcome); };
+    zone.owner(slot).append(program(1), "x", note);
+    zone.owner(slot).append(program(1), "y", note);
+    zone.pass(3000ms);
+    cr_assert(outcomes.empty());
+    cr_assert(zone.owner(slot).status(slot) == SlotStatus::Recovering);
+    zone.network.healAll();
+    zone.pass(1000ms);
+    cr_assert_eq(outcomes.size(), 2U);
+    cr_assert(zone.owner(slot).status(slot) == SlotStatus::Active);
+    cr_assert(held(zone.backup(slot), program(1)) == "x,y");
+}
+
+Test(ReplicatedJournal, backupTakesOverAndTheReplacedOwnerStepsDown)
+{
+    JournalZone zone;
+    zone.start(a);
+    zone.start(b);
+    zone.changeTo({a, b});
+    const SlotIndex slot = program(1).slot();
+    const QString oldOwner = zone.view->placement(slot).owner->vm;
+    const QString survivor = zone.view->placement(slot).backup->vm;
+    cr_assert(appendTo(zone, program(1), "x") == AppendOutcome::Committed);
+
+    zone.publish({survivor});
+    zone.adopt(survivor); // the old owner doesn't know yet
+    std::vector<AppendOutcome> outcomes;
+    const auto note = [&outcomes](AppendOutcome outcome) { outcomes.push_back(outcome); };
+    zone.journal(oldOwner).append(program(1), "late", note);
+    zone.journal(oldOwner).confirmOwnership(slot, note);
+    zone.pass(500ms);
+    cr_assert(outcomes.empty());
+    cr_assert(zone.journal(survivor).status(slot) == SlotStatus::Active);
+    cr_assert_eq(zone.vms[survivor]->activated[slot].size(), 1U);
+    cr_assert(held(zone.journal(survivor), program(1)).startsWith("x"));
+
+    zone.adopt(oldOwner);
+    cr_assert((outcomes == std::vector{AppendOutcome::SteppedDown, AppendOutcome::SteppedDown}));
+    cr_assert(zone.journal(oldOwner).status(slot) == SlotStatus::NotOwner);
+}
+
+Test(ReplicatedJournal, asksForTheViewThatAPeerHasAdopted)
+{
+    JournalZone zone;
+    zone.start(a);
+    zone.start(b);
+    zone.changeTo({a, b});
+    std::uint64_t needed = 0;
+    const SlotIndex slot = program(1).slot();
+    const QString backup = zone.view->placement(slot).backup->vm;
+    zone.owner(slot).setViewNeededHandler([&needed](std::uint64_t epoch) { needed = epoch; });
+    ReplicatedJournal &oldOwner = zone.owner(slot);
+    zone.publish({backup});
+    zone.adopt(backup);
+    oldOwner.append(program(1), "late", {});
+    zone.pass(100ms);
+    cr_assert_eq(needed, 2U);
+}
+
+Test(ReplicatedJournal, movesLargeSlotsToAJoinerInPieces)
+{
+    JournalZone zone;
+    zone.start(a);
+    zone.start(b);
+    zone.changeTo({a, b});
+    const QByteArray entry(20'000, 'x');
+    appendMany(zone, 2000, entry);
+    zone.start(c);
+    zone.changeTo({a, b, c});
+    cr_assert(zone.journal(c).isSettled());
+    checkAllHold(zone, 2000, entry);
+}
+
+Test(ReplicatedJournal, needsNoTimerForAViewChangeWithoutLosses)
+{
+    JournalZone zone;
+    for (const QString &name : {a, b, c})
+        zone.start(name);
+    zone.changeTo({a, b});
+    zone.publish({a, b, c});
+    for (const QString &name : {a, b, c})
+        zone.adopt(name); // and no time passes
+    for (const QString &name : {a, b, c})
+        cr_assert(zone.journal(name).isSettled());
+}
+
+Test(ReplicatedJournal, handsOverBeforeAPlannedStop)
+{
+    JournalZone zone;
+    for (const QString &name : {a, b, c})
+        zone.start(name);
+    zone.changeTo({a, b, c});
+    appendMany(zone, 300, "x");
+    cr_assert(!zone.journal(c).isDrained());
+    zone.changeTo({a, b});
+    cr_assert(zone.journal(c).isDrained());
+    zone.kill(c);
+    checkAllHold(zone, 300, "x");
+}
+
+Test(ReplicatedJournal, keepsEntriesOfASlotWhoseOwnerStays)
+{
+    JournalZone zone;
+    zone.start(a);
+    zone.start(b);
+    zone.changeTo({a, b});
+    zone.network.cut(a, b);
+    const SlotIndex slot = program(1).slot();
+    ReplicatedJournal &owner = zone.owner(slot);
+    const QString ownerName = zone.view->placement(slot).owner->vm;
+    std::vector<AppendOutcome> outcomes;
+    owner.append(program(1), "x",
+                 [&outcomes](AppendOutcome outcome) { outcomes.push_back(outcome); });
+    zone.pass(100ms);
+    zone.changeTo({ownerName});
+    cr_assert((outcomes == std::vector{AppendOutcome::Committed}));
+    cr_assert(zone.vms[ownerName]->deactivated.empty());
+}
+
+Test(ReplicatedJournal, knowsThatItLostWhatBothHoldersTookWithThem)
+{
+    JournalZone zone;
+    zone.start(a);
+    zone.start(b);
+    zone.changeTo({a, b});
+    appendMany(zone, 10, "x");
+    zone.kill(a);
+    zone.kill(b);
+    zone.start(a);
+    zone.start(b);
+    zone.changeTo({a, b});
+    const SlotIndex slot = program(1).slot();
+    cr_assert(zone.owner(slot).status(slot) == SlotStatus::ActiveIncomplete);
+    cr_assert_eq(zone.owner(slot).completeSince(slot), 2U);
+    cr_assert(appendTo(zone, program(1), "y") == AppendOutcome::Committed);
+}
+
+Test(ReplicatedJournal, compactsAtOwnerAndBackup)
+{
+    JournalZone zone;
+    zone.start(a);
+    zone.start(b);
+    zone.changeTo({a, b});
+    const SlotIndex slot = program(1).slot();
+    appendMany(zone, 3, "x");
+    zone.owner(slot).replace(program(1), "whole", {});
+    zone.pass(10ms);
+    cr_assert(held(zone.backup(slot), program(1)) == "whole");
+    zone.owner(slot).remove(program(1), {});
+    zone.pass(10ms);
+    cr_assert(zone.backup(slot).records(slot).entries(program(1)).empty());
+}
+
+Test(ReplicatedJournal, survivesMalformedFrames)
+{
+    JournalZone zone;
+    zone.start(a);
+    zone.start(b);
+    zone.changeTo({a, b});
+    for (int kind = 30; kind <= 44; ++kind) {
+        const PeerFrame frame{static_cast<FrameKind>(kind), 1, 0, "garbage"};
+        zone.vms[a]->hub->send(zone.vms[b]->descriptor.incarnation, frame);
+    }
+    zone.pass(100ms);
+    cr_assert(appendTo(zone, program(1), "x") == AppendOutcome::Committed);
+}
