--- a/modules/lacewingmux_allowance/admission/AdmissionTimes.h
+++ b/modules/lacewingmux_allowance/admission/AdmissionTimes.h
@@ -26,6 +26,9 @@
 /** How often fronts look for tokens to give back. */
 inline constexpr std::chrono::milliseconds giveBackInterval{100};
 
+/** How long a front gathers reports of used tokens before it sends them. */
+inline constexpr std::chrono::milliseconds reportDelay{10};
+
 /** How many requests of one team may wait at a front. */
 inline constexpr std::size_t maxWaitingRequests = 256;
 
--- /dev/null
+++ b/modules/lacewingmux_allowance/admission/OwnerEstimates.cpp
@@ -0,0 +1,111 @@
+#include "lacewingmux_allowance/admission/OwnerEstimates.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lacewingmux {
+
+namespace {
+
+/** What a zone that never answered is taken to hold. */
+constexpr double unknownTokens = 1e6;
+
+/** Below this a zone isn't asked for a fraction. */
+constexpr double smallestFraction = 0.02;
+
+/** The own zone runs low below this part of its burst. */
+constexpr double lowFill = 0.3;
+
+/** Another zone is preferred when it is fuller by this part of its burst. */
+constexpr double fillAdvantage = 0.3;
+
+} // namespace
+
+void OwnerEstimates::noteLevel(const QString &zone, const ZoneLevel &level, Time now)
+{
+    this->estimateByZone[zone] = {level, now, std::nullopt};
+}
+
+void OwnerEstimates::noteUnavailable(const QString &zone, Time until)
+{
+    this->estimateByZone[zone].unavailableUntil = until;
+}
+
+std::optional<QString> OwnerEstimates::choose(const std::vector<QString> &zonesOwnFirst,
+                                              double missingTokens, Time now) const
+{
+    std::vector<QString> candidates;
+    double inAll = 0;
+    for (const QString &zone : zonesOwnFirst) {
+        const double tokens = this->isAvailable(zone, now) ? this->tokensAt(zone, now) : 0;
+        if (tokens < smallestFraction)
+            continue;
+        inAll += tokens;
+        candidates.push_back(zone);
+    }
+    if (candidates.empty() || inAll < missingTokens)
+        return std::nullopt;
+    const auto fullest =
+            std::max_element(candidates.begin(), candidates.end(),
+                             [this, now](const QString &left, const QString &right) {
+                                 return this->fillAt(left, now) < this->fillAt(right, now);
+                             });
+    const QString &own = zonesOwnFirst.front();
+    const double ownFill = this->fillAt(own, now);
+    const bool ownSuffices =
+            candidates.front() == own && this->tokensAt(own, now) >= missingTokens
+            && (ownFill >= lowFill || this->fillAt(*fullest, now) < ownFill + fillAdvantage);
+    return ownSuffices ? own : *fullest;
+}
+
+std::optional<std::chrono::milliseconds>
+OwnerEstimates::untilTokens(const std::vector<QString> &zones, double missingTokens, Time now) const
+{
+    double tokens = 0;
+    double tokensPerSecond = 0;
+    bool isKnown = false;
+    for (const QString &zone : zones) {
+        const auto found = this->estimateByZone.find(zone);
+        if (found == this->estimateByZone.end() || !found->second.level
+            || !this->isAvailable(zone, now))
+            continue;
+        isKnown = true;
+        tokens += this->tokensAt(zone, now);
+        tokensPerSecond += found->second.level->tokensPerSecond;
+    }
+    if (!isKnown)
+        return std::nullopt;
+    const double lacking = std::max(0.0, missingTokens - tokens);
+    if (lacking >= tokensPerSecond * std::chrono::duration<double>(longestWait).count())
+        return longestWait;
+    return std::chrono::milliseconds(
+            std::max<std::int64_t>(1, std::llround(std::ceil(lacking / tokensPerSecond * 1000))));
+}
+
+bool OwnerEstimates::isAvailable(const QString &zone, Time now) const
+{
+    const auto found = this->estimateByZone.find(zone);
+    return found == this->estimateByZone.end() || !found->second.unavailableUntil
+           || *found->second.unavailableUntil <= now;
+}
+
+double OwnerEstimates::tokensAt(const QString &zone, Time now) const
+{
+    const auto found = this->estimateByZone.find(zone);
+    if (found == this->estimateByZone.end() || !found->second.level)
+        return unknownTokens;
+    const ZoneLevel &level = *found->second.level;
+    const double seconds = std::chrono::duration<double>(now - found->second.notedAt).count();
+    return std::min(level.burstTokens, level.tokens + level.tokensPerSecond * seconds);
+}
+
+double OwnerEstimates::fillAt(const QString &zone, Time now) const
+{
+    const auto found = this->estimateByZone.find(zone);
+    if (found == this->estimateByZone.end() || !found->second.level)
+        return 1;
+    const double burst = found->second.level->burstTokens;
+    return burst > 0 ? this->tokensAt(zone, now) / burst : 0;
+}
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_allowance/admission/TeamAdmission.cpp
+++ b/modules/lacewingmux_allowance/admission/TeamAdmission.cpp
@@ -63,15 +63,16 @@
     Team &team = this->teams[name];
     team.demand.add(1, now);
     if (team.waiters.empty() && team.pocket.take(now)) {
-        callback({true, ErrorKind::RateLimited, std::chrono::milliseconds(0)});
+        this->reportSoon(name, team);
         this->keepStock(name, team);
+        callback({true, ErrorKind::RateLimited, std::chrono::milliseconds(0)});
         return;
     }
     team.waiters.push_back({std::move(callback), now + admissionWait});
     if (team.waiters.size() > maxWaitingRequests) {
         const Waiter last = std::move(team.waiters.back());
         team.waiters.pop_back();
-        this->refuse(last, team);
+        this->refuse(last, name, team);
         return;
     }
     this->pump(name, team);
@@ -95,9 +96,10 @@
 void TeamAdmission::pump(const QString &name, Team &team)
 {
     this->admitWaiting(team);
-    this->refuseOverdue(team);
+    this->refuseOverdue(name, team);
     if (!team.waiters.empty() && !team.currentAsk)
-        this->askFor(name, team, static_cast<std::uint32_t>(team.waiters.size()));
+        this->askForWaiting(name, team);
+    this->reportSoon(name, team);
 }
 
 void TeamAdmission::admitWaiting(Team &team)
@@ -110,20 +112,24 @@
     }
 }
 
-void TeamAdmission::askFor(const QString &name, Team &team, std::uint32_t needed)
+void TeamAdmission::askForWaiting(const QString &name, Team &team)
 {
+    const Time now = this->timers.now();
     const std::vector<QString> zones = this->zonesInOrder(name);
-    while (const auto zone = team.hints.choose(zones, this->timers.now())) {
+    const MicroTokens held = team.pocket.available(now);
+    const MicroTokens needed = team.waiters.size() * wholeToken - held;
+    const double missing = static_cast<double>(wholeToken - held) / wholeToken;
+    while (const auto zone = team.estimates.choose(zones, missing, now)) {
         if (this->ask(name, team, *zone, needed))
             return;
-        team.hints.noteUnavailable(*zone, this->timers.now() + wrongOwnerPause);
+        team.estimates.noteUnavailable(*zone, now + wrongOwnerPause);
     }
-    this->refuseWaiting(team);
+    this->refuseWaiting(name, team);
 }
 
-bool TeamAdmission::ask(const QString &name, Team &team, const QString &zone, std::uint32_t needed)
+bool TeamAdmission::ask(const QString &name, Team &team, const QString &zone, MicroTokens needed)
 {
-    const std::uint32_t stock = zone == this->ownZone ? stockFor(team, this->timers.now()) : 0;
+    const MicroTokens stock = zone == this->ownZone ? stockFor(team, this->timers.now()) : 0;
     const auto correlation = this->send(
             name, zone, {name, needed, needed + stock, team.pocket.takeSettlements(zone)});
     if (!correlation)
@@ -144,7 +150,7 @@
         return std::nullopt;
     const std::uint64_t correlation = this->nextCorrelation++;
     // The tokens expire by this moment, taken before anything is sent.
-    this->asks[correlation] = {name, zone, *target, request.needed, this->timers.now()};
+    this->asks[correlation] = {name, zone, *target, this->timers.now()};
     if (*target == this->hub.self()) {
         this->sendLocally(request, correlation);
         return correlation;
@@ -191,14 +197,11 @@
 {
     const Time now = this->timers.now();
     if (reply.outcome != GrantOutcome::Answered) {
-        team.hints.noteUnavailable(ask.zone, now + wrongOwnerPause);
+        team.estimates.noteUnavailable(ask.zone, now + wrongOwnerPause);
         return;
     }
-    team.pocket.add(ask.zone, reply.grantId, reply.tokens, ask.sentAt + tokenLifetime, now);
-    if (reply.tokens < ask.needed)
-        team.hints.noteEmpty(ask.zone, now + reply.nextToken);
-    else if (ask.needed > 0)
-        team.hints.noteGranted(ask.zone);
+    team.pocket.add(ask.zone, reply.grantId, reply.granted, ask.sentAt + tokenLifetime, now);
+    team.estimates.noteLevel(ask.zone, reply.level, now);
 }
 
 void TeamAdmission::handleTimeout(const QString &name, std::uint64_t correlation)
@@ -209,49 +212,48 @@
     team.currentAsk.reset();
     const auto ask = this->asks.find(correlation);
     if (ask != this->asks.end())
-        team.hints.noteUnavailable(ask->second.zone, this->timers.now() + silentOwnerPause);
+        team.estimates.noteUnavailable(ask->second.zone, this->timers.now() + silentOwnerPause);
     this->pump(name, team);
 }
 
-void TeamAdmission::refuseWaiting(Team &team)
+void TeamAdmission::refuseWaiting(const QString &name, Team &team)
 {
     const std::deque<Waiter> refused = std::exchange(team.waiters, {});
+    // Fractions that made no whole token go back at once, for others to add up.
+    team.pocket.giveBackExpiring(Time::max(), this->timers.now());
     for (const Waiter &waiter : refused)
-        this->refuse(waiter, team);
+        this->refuse(waiter, name, team);
 }
 
-void TeamAdmission::refuse(const Waiter &waiter, const Team &team)
+void TeamAdmission::refuse(const Waiter &waiter, const QString &name, const Team &team)
 {
-    using std::chrono::milliseconds;
-    const auto untilToken = team.hints.untilToken(this->timers.now());
+    const auto wait = team.estimates.untilTokens(this->zonesInOrder(name), 1, this->timers.now());
     AdmissionDecision decision;
-    decision.refusal = untilToken ? ErrorKind::RateLimited : ErrorKind::OwnerUnavailable;
-    decision.retryAfter =
-            untilToken ? std::max(milliseconds(1), std::chrono::ceil<milliseconds>(*untilToken))
-                       : answerFor(ErrorKind::OwnerUnavailable).defaultRetryAfter;
+    decision.refusal = wait ? ErrorKind::RateLimited : ErrorKind::OwnerUnavailable;
+    decision.retryAfter = wait ? *wait : answerFor(ErrorKind::OwnerUnavailable).defaultRetryAfter;
     waiter.callback(decision);
 }
 
-void TeamAdmission::refuseOverdue(Team &team)
+void TeamAdmission::refuseOverdue(const QString &name, Team &team)
 {
     const Time now = this->timers.now();
     while (!team.waiters.empty() && team.waiters.front().deadline <= now) {
         const Waiter waiter = std::move(team.waiters.front());
         team.waiters.pop_front();
-        this->refuse(waiter, team);
+        this->refuse(waiter, name, team);
     }
 }
 
 void TeamAdmission::keepStock(const QString &name, Team &team)
 {
     const Time now = this->timers.now();
-    const std::uint32_t stock = stockFor(team, now);
+    const MicroTokens stock = stockFor(team, now);
     if (team.currentAsk || team.pocket.available(now) * 2 >= stock)
         return;
-    if (!team.hints.choose({this->ownZone}, now))
+    if (!team.estimates.choose({this->ownZone}, 1, now))
         return;
     if (!this->ask(name, team, this->ownZone, 0))
-        team.hints.noteUnavailable(this->ownZone, now + wrongOwnerPause);
+        team.estimates.noteUnavailable(this->ownZone, now + wrongOwnerPause);
 }
 
 void TeamAdmission::giveBack()
@@ -259,12 +261,29 @@
     const Time now = this->timers.now();
     for (auto &[name, team] : this->teams) {
         team.pocket.giveBackExpiring(now + giveBackAhead, now);
-        for (const QString &zone : team.pocket.zonesOwedTokens())
-            (void)this->send(name, zone, {name, 0, 0, team.pocket.takeSettlements(zone)});
+        this->report(name, team);
     }
     this->forgetOldAsks();
 }
 
+void TeamAdmission::reportSoon(const QString &name, Team &team)
+{
+    if (team.reportDue || team.pocket.zonesOwedReports().empty())
+        return;
+    team.reportDue = true;
+    team.reportTimer = this->timers.after(reportDelay, [this, name] {
+        Team &reported = this->teams[name];
+        reported.reportDue = false;
+        this->report(name, reported);
+    });
+}
+
+void TeamAdmission::report(const QString &name, Team &team)
+{
+    for (const QString &zone : team.pocket.zonesOwedReports())
+        (void)this->send(name, zone, {name, 0, 0, team.pocket.takeSettlements(zone)});
+}
+
 void TeamAdmission::forgetOldAsks()
 {
     const Time oldest = this->timers.now() - tokenLifetime;
@@ -294,10 +313,10 @@
     return zones;
 }
 
-std::uint32_t TeamAdmission::stockFor(const Team &team, Time now)
+MicroTokens TeamAdmission::stockFor(const Team &team, Time now)
 {
     const double seconds = std::chrono::duration<double>(stockAhead).count();
-    return static_cast<std::uint32_t>(std::floor(team.demand.perSecond(now) * seconds));
+    return static_cast<MicroTokens>(std::floor(team.demand.perSecond(now) * seconds)) * wholeToken;
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_allowance/admission/TeamAdmission.h
+++ b/modules/lacewingmux_allowance/admission/TeamAdmission.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lacewingmux_allowance/admission/AdmissionGate.h"
-#include "lacewingmux_allowance/admission/OwnerHints.h"
+#include "lacewingmux_allowance/admission/OwnerEstimates.h"
 #include "lacewingmux_allowance/admission/TokenPocket.h"
 #include "lacewingmux_allowance/aggregates/DecayingRate.h"
 #include "lacewingmux_core/ids/VmIncarnation.h"
@@ -67,26 +67,27 @@
         Team();
 
         TokenPocket pocket;
-        OwnerHints hints;
+        OwnerEstimates estimates;
         DecayingRate demand;
         std::deque<Waiter> waiters;
         std::optional<std::uint64_t> currentAsk;
         TimerSubscription askTimer;
+        TimerSubscription reportTimer;
+        bool reportDue = false;
     };
     struct Ask
     {
         QString team;
         QString zone;
         VmIncarnation owner;
-        std::uint32_t needed = 0;
         Time sentAt;
     };
 
     void pump(const QString &name, Team &team);
     void admitWaiting(Team &team);
-    void askFor(const QString &name, Team &team, std::uint32_t needed);
+    void askForWaiting(const QString &name, Team &team);
     [[nodiscard]] bool ask(const QString &name, Team &team, const QString &zone,
-                           std::uint32_t needed);
+                           MicroTokens needed);
     [[nodiscard]] std::optional<std::uint64_t> send(const QString &name, const QString &zone,
                                                     const struct GrantRequest &request);
     void sendLocally(const struct GrantRequest &request, std::uint64_t correlation);
@@ -94,14 +95,16 @@
                  const struct GrantReply &reply);
     void noteReply(Team &team, const Ask &ask, const struct GrantReply &reply);
     void handleTimeout(const QString &name, std::uint64_t correlation);
-    void refuseWaiting(Team &team);
-    void refuse(const Waiter &waiter, const Team &team);
-    void refuseOverdue(Team &team);
+    void refuseWaiting(const QString &name, Team &team);
+    void refuse(const Waiter &waiter, const QString &name, const Team &team);
+    void refuseOverdue(const QString &name, Team &team);
     void keepStock(const QString &name, Team &team);
     void giveBack();
+    void reportSoon(const QString &name, Team &team);
+    void report(const QString &name, Team &team);
     void forgetOldAsks();
     [[nodiscard]] std::vector<QString> zonesInOrder(const QString &name) const;
-    [[nodiscard]] static std::uint32_t stockFor(const Team &team, Time now);
+    [[nodiscard]] static MicroTokens stockFor(const Team &team, Time now);
 
     PeerHub &hub;
     AllowanceOwner &owner;
--- a/modules/lacewingmux_allowance/admission/TokenPocket.cpp
+++ b/modules/lacewingmux_allowance/admission/TokenPocket.cpp
@@ -5,38 +5,41 @@
 
 namespace lacewingmux {
 
-void TokenPocket::add(const QString &zone, std::uint64_t grantId, std::uint32_t tokens,
+void TokenPocket::add(const QString &zone, std::uint64_t grantId, MicroTokens amount,
                       Time expiresAt, Time now)
 {
-    if (tokens == 0 || expiresAt <= now)
+    if (amount == 0 || expiresAt <= now)
         return;
     const auto position = std::upper_bound(
             this->grants.begin(), this->grants.end(), expiresAt,
             [](Time moment, const Grant &grant) { return moment < grant.expiresAt; });
-    this->grants.insert(position, {zone, grantId, tokens, expiresAt});
+    this->grants.insert(position, {zone, grantId, amount, expiresAt});
 }
 
 bool TokenPocket::take(Time now)
 {
-    this->dropExpired(now);
-    if (this->grants.empty())
+    if (this->available(now) < wholeToken)
         return false;
-    Grant &grant = this->grants.front();
-    --grant.left;
-    if (grant.left == 0) {
+    for (MicroTokens missing = wholeToken; missing > 0;) {
+        Grant &grant = this->grants.front();
+        const MicroTokens taken = std::min(missing, grant.left);
+        grant.left -= taken;
+        missing -= taken;
+        if (grant.left > 0)
+            continue;
         this->settlementsByZone[grant.zone].push_back({grant.id, 0});
         this->grants.pop_front();
     }
     return true;
 }
 
-std::uint32_t TokenPocket::available(Time now)
+MicroTokens TokenPocket::available(Time now)
 {
     this->dropExpired(now);
-    std::uint32_t tokens = 0;
+    MicroTokens amount = 0;
     for (const Grant &grant : this->grants)
-        tokens += grant.left;
-    return tokens;
+        amount += grant.left;
+    return amount;
 }
 
 void TokenPocket::giveBackExpiring(Time before, Time now)
@@ -59,14 +62,11 @@
     return settlements;
 }
 
-std::vector<QString> TokenPocket::zonesOwedTokens() const
+std::vector<QString> TokenPocket::zonesOwedReports() const
 {
     std::vector<QString> zones;
-    for (const auto &[zone, settlements] : this->settlementsByZone) {
-        if (std::any_of(settlements.begin(), settlements.end(),
-                        [](const Settlement &settlement) { return settlement.unused > 0; }))
-            zones.push_back(zone);
-    }
+    for (const auto &[zone, settlements] : this->settlementsByZone)
+        zones.push_back(zone);
     return zones;
 }
 
--- a/modules/lacewingmux_allowance/admission/TokenPocket.h
+++ b/modules/lacewingmux_allowance/admission/TokenPocket.h
@@ -25,14 +25,14 @@
     using Time = std::chrono::steady_clock::time_point;
 
     /** Adds a grant of the zone's owner; tokens that have expired already are dropped. */
-    void add(const QString &zone, std::uint64_t grantId, std::uint32_t tokens, Time expiresAt,
+    void add(const QString &zone, std::uint64_t grantId, MicroTokens amount, Time expiresAt,
              Time now);
 
-    /** Takes one token; returns false when none is valid. */
+    /** Takes one whole token, of several grants if need be; returns false when there is none. */
     [[nodiscard]] bool take(Time now);
 
-    /** Returns the valid tokens. */
-    [[nodiscard]] std::uint32_t available(Time now);
+    /** Returns what is valid. */
+    [[nodiscard]] MicroTokens available(Time now);
 
     /** Gives up the grants that expire before the moment, so that their tokens can be put back. */
     void giveBackExpiring(Time before, Time now);
@@ -40,15 +40,15 @@
     /** Returns what is to be reported to the zone's owner, and forgets it. */
     [[nodiscard]] std::vector<Settlement> takeSettlements(const QString &zone);
 
-    /** Returns the zones whose owners are owed unused tokens. */
-    [[nodiscard]] std::vector<QString> zonesOwedTokens() const;
+    /** Returns the zones whose owners are owed a report. */
+    [[nodiscard]] std::vector<QString> zonesOwedReports() const;
 
 private:
     struct Grant
     {
         QString zone;
         std::uint64_t id;
-        std::uint32_t left;
+        MicroTokens left;
         Time expiresAt;
     };
 
--- a/modules/lacewingmux_allowance/aggregates/TeamAllowance.cpp
+++ b/modules/lacewingmux_allowance/aggregates/TeamAllowance.cpp
@@ -14,12 +14,18 @@
 /** The part of the level, beyond what is needed at once, that one grant may take as a stock. */
 constexpr double stockPart = 0.25;
 
-/** Absorbs rounding when a level that should be whole is taken down to whole tokens. */
+/** Absorbs rounding when a level is taken down to millionths of a token. */
 constexpr double roundingTolerance = 1e-9;
 
-std::uint32_t wholeTokens(double level)
+MicroTokens microTokens(double tokens)
 {
-    return static_cast<std::uint32_t>(std::max(0.0, std::floor(level + roundingTolerance)));
+    return static_cast<MicroTokens>(
+            std::max(0.0, std::floor((tokens + roundingTolerance) * wholeToken)));
+}
+
+double tokensOf(MicroTokens amount)
+{
+    return static_cast<double>(amount) / wholeToken;
 }
 
 double secondsBetween(TeamAllowance::Time from, TeamAllowance::Time to)
@@ -51,11 +57,10 @@
     if (table->share() != nullptr)
         allowance.holding = ShareHolding(countersFrom(*table->share()));
     allowance.currentLevel = std::max(0.0, table->level());
-    allowance.outstandingTokens = table->outstanding();
-    if (allowance.outstandingTokens > 0) {
-        allowance.grants.push_back({allowance.nextGrantId++,
-                                    static_cast<std::uint32_t>(allowance.outstandingTokens),
-                                    now + tokenOutstandingTime});
+    allowance.outstandingAmount = table->outstanding();
+    if (allowance.outstandingAmount > 0) {
+        allowance.grants.push_back(
+                {allowance.nextGrantId++, allowance.outstandingAmount, now + tokenOutstandingTime});
     }
     return allowance;
 }
@@ -89,28 +94,23 @@
     return given;
 }
 
-bool TeamAllowance::isWithinShare(Time now)
-{
-    this->accrue(now);
-    return static_cast<double>(this->outstandingTokens)
-           <= this->limits().burstTokens + roundingTolerance;
-}
-
-TokenGrant TeamAllowance::grant(std::uint32_t needed, std::uint32_t wanted, Time now)
+TokenGrant TeamAllowance::grant(MicroTokens needed, MicroTokens wanted, Time now)
 {
     this->accrue(now);
-    std::uint32_t tokens = std::min(needed, wholeTokens(this->currentLevel));
-    const std::uint32_t stock = wanted > needed ? wanted - needed : 0;
-    tokens += std::min(stock, wholeTokens((this->currentLevel - tokens) * stockPart));
-    if (tokens == 0)
+    const MicroTokens available = microTokens(this->currentLevel);
+    MicroTokens amount = std::min(needed, available);
+    const MicroTokens stock = wanted > needed ? wanted - needed : 0;
+    const double rest = static_cast<double>(available - amount) * stockPart;
+    amount += std::min(stock, static_cast<MicroTokens>(rest));
+    if (amount == 0)
         return {};
-    this->currentLevel = std::max(0.0, this->currentLevel - tokens);
-    this->outstandingTokens += tokens;
-    this->grants.push_back({this->nextGrantId, tokens, now + tokenOutstandingTime});
-    return {this->nextGrantId++, tokens};
+    this->currentLevel = std::max(0.0, this->currentLevel - tokensOf(amount));
+    this->outstandingAmount += amount;
+    this->grants.push_back({this->nextGrantId, amount, now + tokenOutstandingTime});
+    return {this->nextGrantId++, amount};
 }
 
-void TeamAllowance::settle(std::uint64_t grantId, std::uint32_t unused, Time now)
+void TeamAllowance::settle(std::uint64_t grantId, MicroTokens unused, Time now)
 {
     this->accrue(now);
     const auto found =
@@ -118,40 +118,27 @@
                          [grantId](const Outstanding &grant) { return grant.id == grantId; });
     if (found == this->grants.end())
         return;
-    this->outstandingTokens -= found->tokens;
-    this->currentLevel += std::min(unused, found->tokens);
+    this->outstandingAmount -= found->amount;
+    this->currentLevel += tokensOf(std::min(unused, found->amount));
     this->grants.erase(found);
     this->capLevel();
 }
 
-std::chrono::microseconds TeamAllowance::untilNextToken(Time now)
+double TeamAllowance::level(Time now)
 {
-    using std::chrono::microseconds;
     this->accrue(now);
-    if (wholeTokens(this->currentLevel) > 0)
-        return microseconds(0);
-    const RateAndBurst share = this->limits();
-    const auto capAllows = this->capAllowsTokenAt(now);
-    if (share.tokensPerSecond <= 0 || !capAllows)
-        return noTokenHorizon;
-    const double missingSeconds = (1 - this->currentLevel) / share.tokensPerSecond;
-    const double startSeconds = std::max(0.0, secondsBetween(now, this->accruedUntil));
-    const double capSeconds = secondsBetween(now, *capAllows);
-    const double seconds = std::min(std::max(startSeconds + missingSeconds, capSeconds),
-                                    std::chrono::duration<double>(noTokenHorizon).count());
-    return microseconds(static_cast<std::int64_t>(std::ceil(seconds * 1e6)));
+    return this->currentLevel;
 }
 
-double TeamAllowance::level(Time now)
+MicroTokens TeamAllowance::outstanding(Time now)
 {
     this->accrue(now);
-    return this->currentLevel;
+    return this->outstandingAmount;
 }
 
-std::uint64_t TeamAllowance::outstanding(Time now)
+double TeamAllowance::outstandingTokens() const noexcept
 {
-    this->accrue(now);
-    return this->outstandingTokens;
+    return tokensOf(this->outstandingAmount);
 }
 
 RateAndBurst TeamAllowance::limits() const noexcept
@@ -166,7 +153,7 @@
     const auto share = this->holding.isKnown() ? countersInto(builder, this->holding.counters())
                                                : flatbuffers::Offset<fb::ShareCounters>();
     builder.Finish(fb::CreateTeamAllowanceEntry(builder, share, this->currentLevel,
-                                                this->outstandingTokens));
+                                                this->outstandingAmount));
     return bytesOf(builder);
 }
 
@@ -186,7 +173,7 @@
     // Step by step: a lapse makes room only from its own moment on.
     while (!this->grants.empty() && this->grants.front().lapsesAt <= now) {
         this->accrueUntil(this->grants.front().lapsesAt);
-        this->outstandingTokens -= this->grants.front().tokens;
+        this->outstandingAmount -= this->grants.front().amount;
         this->grants.pop_front();
     }
     this->accrueUntil(now);
@@ -206,21 +193,8 @@
 
 void TeamAllowance::capLevel() noexcept
 {
-    const double room = this->limits().burstTokens - static_cast<double>(this->outstandingTokens);
+    const double room = this->limits().burstTokens - this->outstandingTokens();
     this->currentLevel = std::clamp(this->currentLevel, 0.0, std::max(0.0, room));
 }
 
-std::optional<TeamAllowance::Time> TeamAllowance::capAllowsTokenAt(Time now) const
-{
-    double room = this->limits().burstTokens - static_cast<double>(this->outstandingTokens);
-    if (room + roundingTolerance >= 1)
-        return now;
-    for (const Outstanding &grant : this->grants) {
-        room += grant.tokens;
-        if (room + roundingTolerance >= 1)
-            return grant.lapsesAt;
-    }
-    return std::nullopt;
-}
-
 } // namespace lacewingmux
--- a/modules/lacewingmux_allowance/aggregates/TeamAllowance.h
+++ b/modules/lacewingmux_allowance/aggregates/TeamAllowance.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lacewingmux_allowance/messages/GrantMessages.h"
 #include "lacewingmux_allowance/shares/ShareHolding.h"
 
 #include <QByteArray>
@@ -24,7 +25,7 @@
 struct TokenGrant
 {
     std::uint64_t id = 0;
-    std::uint32_t tokens = 0; ///< 0 when the allowance is empty
+    MicroTokens amount = 0; ///< 0 when the allowance is empty
 };
 
 /**
@@ -71,27 +72,21 @@
     /** Gives up parts of the share, at most those held; returns how many. */
     std::uint64_t giveParts(std::uint64_t parts, Time now);
 
-    /** Tells whether no token is outstanding beyond the burst share, so that given parts are free.
-     */
-    [[nodiscard]] bool isWithinShare(Time now);
-
     /**
-        Grants the tokens needed as far as the level reaches, and towards those wanted only a part
-        of what is left, so that a stock at one front doesn't starve the others.
+        Grants what is needed as far as the level reaches, a fraction of a token too, and towards
+        what is wanted only a part of what is left, so that a stock at one front doesn't starve the
+        others.
     */
-    [[nodiscard]] TokenGrant grant(std::uint32_t needed, std::uint32_t wanted, Time now);
+    [[nodiscard]] TokenGrant grant(MicroTokens needed, MicroTokens wanted, Time now);
 
     /** Ends a grant before it lapses and puts its unused tokens back. Unknown ids are ignored. */
-    void settle(std::uint64_t grantId, std::uint32_t unused, Time now);
-
-    /** Returns how long until a whole token can be granted; noTokenHorizon at most. */
-    [[nodiscard]] std::chrono::microseconds untilNextToken(Time now);
+    void settle(std::uint64_t grantId, MicroTokens unused, Time now);
 
     /** Returns the tokens that can be granted now. */
     [[nodiscard]] double level(Time now);
 
-    /** Returns the tokens granted that may still be used. */
-    [[nodiscard]] std::uint64_t outstanding(Time now);
+    /** Returns what is granted and may still be used. */
+    [[nodiscard]] MicroTokens outstanding(Time now);
 
     [[nodiscard]] const ShareHolding &share() const noexcept
     {
@@ -104,14 +99,11 @@
     /** Returns the whole state as a journal entry. */
     [[nodiscard]] QByteArray toEntry() const;
 
-    /** The longest wait that is reported for a token. */
-    static constexpr std::chrono::seconds noTokenHorizon{5};
-
 private:
     struct Outstanding
     {
         std::uint64_t id;
-        std::uint32_t tokens;
+        MicroTokens amount;
         Time lapsesAt;
     };
 
@@ -121,13 +113,13 @@
     void accrue(Time now);
     void accrueUntil(Time moment);
     void capLevel() noexcept;
-    [[nodiscard]] std::optional<Time> capAllowsTokenAt(Time now) const;
+    [[nodiscard]] double outstandingTokens() const noexcept;
 
     ShareHolding holding;
     RateAndBurst whole;
     double currentLevel = 0;
     bool fillWhenKnown = false; ///< a fresh allowance fills up once share and limits are known
-    std::uint64_t outstandingTokens = 0;
+    MicroTokens outstandingAmount = 0;
     std::deque<Outstanding> grants; ///< in the order in which they lapse
     std::uint64_t nextGrantId;
     Time accruedUntil;
--- a/modules/lacewingmux_allowance/lacewingmux_allowance.h
+++ b/modules/lacewingmux_allowance/lacewingmux_allowance.h
@@ -10,7 +10,7 @@
  */
 
 #include "lacewingmux_allowance/admission/AdmissionGate.h"
-#include "lacewingmux_allowance/admission/OwnerHints.h"
+#include "lacewingmux_allowance/admission/OwnerEstimates.h"
 #include "lacewingmux_allowance/admission/PowerGate.h"
 #include "lacewingmux_allowance/admission/PowerReservation.h"
 #include "lacewingmux_allowance/admission/TeamAdmission.h"
--- a/modules/lacewingmux_allowance/messages/GrantCodec.cpp
+++ b/modules/lacewingmux_allowance/messages/GrantCodec.cpp
@@ -21,9 +21,9 @@
     return static_cast<GrantOutcome>(outcome);
 }
 
-bool isPower(double watts)
+bool isAmount(double amount)
 {
-    return std::isfinite(watts) && watts >= 0;
+    return std::isfinite(amount) && amount >= 0;
 }
 
 } // namespace
@@ -45,8 +45,8 @@
 {
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(fb::CreateGrantReply(builder, toTable(message.outcome), message.grantId,
-                                        message.tokens,
-                                        static_cast<std::uint64_t>(message.nextToken.count())));
+                                        message.granted, message.level.tokens,
+                                        message.level.tokensPerSecond, message.level.burstTokens));
     return bytesOf(builder);
 }
 
@@ -82,16 +82,19 @@
 {
     const auto *table = verifiedTable<fb::GrantReply>(payload);
     const auto outcome = table == nullptr ? std::nullopt : fromTable(table->outcome());
-    if (!outcome)
+    if (!outcome || !isAmount(table->level()) || !isAmount(table->tokens_per_second())
+        || !isAmount(table->burst_tokens()))
         return std::nullopt;
-    return GrantReply{*outcome, table->grant_id(), table->tokens(),
-                      std::chrono::microseconds(table->next_token_microseconds())};
+    return GrantReply{*outcome,
+                      table->grant_id(),
+                      table->granted(),
+                      {table->level(), table->tokens_per_second(), table->burst_tokens()}};
 }
 
 std::optional<PowerRequest> decodePowerRequest(const QByteArray &payload)
 {
     const auto *table = verifiedTable<fb::PowerRequest>(payload);
-    if (table == nullptr || !isPower(table->total_watts()))
+    if (table == nullptr || !isAmount(table->total_watts()))
         return std::nullopt;
     return PowerRequest{table->sequence(), table->total_watts()};
 }
@@ -100,7 +103,7 @@
 {
     const auto *table = verifiedTable<fb::PowerReply>(payload);
     const auto outcome = table == nullptr ? std::nullopt : fromTable(table->outcome());
-    if (!outcome || !isPower(table->granted_watts()))
+    if (!outcome || !isAmount(table->granted_watts()))
         return std::nullopt;
     return PowerReply{*outcome, table->sequence(), table->granted_watts()};
 }
--- a/modules/lacewingmux_allowance/messages/GrantMessages.h
+++ b/modules/lacewingmux_allowance/messages/GrantMessages.h
@@ -2,12 +2,17 @@
 
 #include <QString>
 
-#include <chrono>
 #include <cstdint>
 #include <vector>
 
 namespace lacewingmux {
 
+/** Tokens in millionths, so that zones can grant fractions that add up to whole tokens. */
+using MicroTokens = std::uint64_t;
+
+/** What one request costs. */
+inline constexpr MicroTokens wholeToken = 1'000'000;
+
 /** How an owner answered. */
 enum class GrantOutcome : std::uint8_t {
     Answered, ///< decided; the tokens or watts may still be none
@@ -19,25 +24,33 @@
 struct Settlement
 {
     std::uint64_t grantId = 0;
-    std::uint32_t unused = 0;
+    MicroTokens unused = 0;
 };
 
 /** A front's request for tokens of one team. */
 struct GrantRequest
 {
     QString team;
-    std::uint32_t needed = 0; ///< for requests that wait
-    std::uint32_t wanted = 0; ///< in all, with a stock for what is expected next
+    MicroTokens needed = 0; ///< for requests that wait
+    MicroTokens wanted = 0; ///< in all, with a stock for what is expected next
     std::vector<Settlement> settlements;
 };
 
+/** What an owner's bucket holds and how it fills. */
+struct ZoneLevel
+{
+    double tokens = 0;
+    double tokensPerSecond = 0;
+    double burstTokens = 0; ///< up to which it fills
+};
+
 /** The owner's answer to a GrantRequest. */
 struct GrantReply
 {
     GrantOutcome outcome = GrantOutcome::NotOwner;
     std::uint64_t grantId = 0;
-    std::uint32_t tokens = 0;
-    std::chrono::microseconds nextToken{0}; ///< until a further token is due
+    MicroTokens granted = 0;
+    ZoneLevel level; ///< after the grant
 };
 
 /** The whole power that a VM wants to hold. */
--- a/modules/lacewingmux_allowance/messages/allowance_generated.h
+++ b/modules/lacewingmux_allowance/messages/allowance_generated.h
@@ -103,13 +103,13 @@
   uint64_t grant_id() const {
     return GetField<uint64_t>(VT_GRANT_ID, 0);
   }
-  uint32_t unused() const {
-    return GetField<uint32_t>(VT_UNUSED, 0);
+  uint64_t unused() const {
+    return GetField<uint64_t>(VT_UNUSED, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GRANT_ID, 8) &&
-           VerifyField<uint32_t>(verifier, VT_UNUSED, 4) &&
+           VerifyField<uint64_t>(verifier, VT_UNUSED, 8) &&
            verifier.EndTable();
   }
 };
@@ -121,8 +121,8 @@
   void add_grant_id(uint64_t grant_id) {
     fbb_.AddElement<uint64_t>(Settlement::VT_GRANT_ID, grant_id, 0);
   }
-  void add_unused(uint32_t unused) {
-    fbb_.AddElement<uint32_t>(Settlement::VT_UNUSED, unused, 0);
+  void add_unused(uint64_t unused) {
+    fbb_.AddElement<uint64_t>(Settlement::VT_UNUSED, unused, 0);
   }
   explicit SettlementBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -138,10 +138,10 @@
 inline flatbuffers::Offset<Settlement> CreateSettlement(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t grant_id = 0,
-    uint32_t unused = 0) {
+    uint64_t unused = 0) {
   SettlementBuilder builder_(_fbb);
-  builder_.add_grant_id(grant_id);
   builder_.add_unused(unused);
+  builder_.add_grant_id(grant_id);
   return builder_.Finish();
 }
 
@@ -156,11 +156,11 @@
   const flatbuffers::String *team() const {
     return GetPointer<const flatbuffers::String *>(VT_TEAM);
   }
-  uint32_t needed() const {
-    return GetField<uint32_t>(VT_NEEDED, 0);
+  uint64_t needed() const {
+    return GetField<uint64_t>(VT_NEEDED, 0);
   }
-  uint32_t wanted() const {
-    return GetField<uint32_t>(VT_WANTED, 0);
+  uint64_t wanted() const {
+    return GetField<uint64_t>(VT_WANTED, 0);
   }
   const flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::Settlement>> *settlements() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::Settlement>> *>(VT_SETTLEMENTS);
@@ -169,8 +169,8 @@
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_TEAM) &&
            verifier.VerifyString(team()) &&
-           VerifyField<uint32_t>(verifier, VT_NEEDED, 4) &&
-           VerifyField<uint32_t>(verifier, VT_WANTED, 4) &&
+           VerifyField<uint64_t>(verifier, VT_NEEDED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_WANTED, 8) &&
            VerifyOffset(verifier, VT_SETTLEMENTS) &&
            verifier.VerifyVector(settlements()) &&
            verifier.VerifyVectorOfTables(settlements()) &&
@@ -185,11 +185,11 @@
   void add_team(flatbuffers::Offset<flatbuffers::String> team) {
     fbb_.AddOffset(GrantRequest::VT_TEAM, team);
   }
-  void add_needed(uint32_t needed) {
-    fbb_.AddElement<uint32_t>(GrantRequest::VT_NEEDED, needed, 0);
+  void add_needed(uint64_t needed) {
+    fbb_.AddElement<uint64_t>(GrantRequest::VT_NEEDED, needed, 0);
   }
-  void add_wanted(uint32_t wanted) {
-    fbb_.AddElement<uint32_t>(GrantRequest::VT_WANTED, wanted, 0);
+  void add_wanted(uint64_t wanted) {
+    fbb_.AddElement<uint64_t>(GrantRequest::VT_WANTED, wanted, 0);
   }
   void add_settlements(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::Settlement>>> settlements) {
     fbb_.AddOffset(GrantRequest::VT_SETTLEMENTS, settlements);
@@ -209,13 +209,13 @@
 inline flatbuffers::Offset<GrantRequest> CreateGrantRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> team = 0,
-    uint32_t needed = 0,
-    uint32_t wanted = 0,
+    uint64_t needed = 0,
+    uint64_t wanted = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::Settlement>>> settlements = 0) {
   GrantRequestBuilder builder_(_fbb);
-  builder_.add_settlements(settlements);
   builder_.add_wanted(wanted);
   builder_.add_needed(needed);
+  builder_.add_settlements(settlements);
   builder_.add_team(team);
   return builder_.Finish();
 }
@@ -223,8 +223,8 @@
 inline flatbuffers::Offset<GrantRequest> CreateGrantRequestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *team = nullptr,
-    uint32_t needed = 0,
-    uint32_t wanted = 0,
+    uint64_t needed = 0,
+    uint64_t wanted = 0,
     const std::vector<flatbuffers::Offset<lacewingmux::fb::Settlement>> *settlements = nullptr) {
   auto team__ = team ? _fbb.CreateString(team) : 0;
   auto settlements__ = settlements ? _fbb.CreateVector<flatbuffers::Offset<lacewingmux::fb::Settlement>>(*settlements) : 0;
@@ -241,8 +241,10 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_OUTCOME = 4,
     VT_GRANT_ID = 6,
-    VT_TOKENS = 8,
-    VT_NEXT_TOKEN_MICROSECONDS = 10
+    VT_GRANTED = 8,
+    VT_LEVEL = 10,
+    VT_TOKENS_PER_SECOND = 12,
+    VT_BURST_TOKENS = 14
   };
   lacewingmux::fb::GrantOutcome outcome() const {
     return static_cast<lacewingmux::fb::GrantOutcome>(GetField<uint8_t>(VT_OUTCOME, 0));
@@ -250,18 +252,26 @@
   uint64_t grant_id() const {
     return GetField<uint64_t>(VT_GRANT_ID, 0);
   }
-  uint32_t tokens() const {
-    return GetField<uint32_t>(VT_TOKENS, 0);
+  uint64_t granted() const {
+    return GetField<uint64_t>(VT_GRANTED, 0);
+  }
+  double level() const {
+    return GetField<double>(VT_LEVEL, 0.0);
+  }
+  double tokens_per_second() const {
+    return GetField<double>(VT_TOKENS_PER_SECOND, 0.0);
   }
-  uint64_t next_token_microseconds() const {
-    return GetField<uint64_t>(VT_NEXT_TOKEN_MICROSECONDS, 0);
+  double burst_tokens() const {
+    return GetField<double>(VT_BURST_TOKENS, 0.0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
            VerifyField<uint64_t>(verifier, VT_GRANT_ID, 8) &&
-           VerifyField<uint32_t>(verifier, VT_TOKENS, 4) &&
-           VerifyField<uint64_t>(verifier, VT_NEXT_TOKEN_MICROSECONDS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_GRANTED, 8) &&
+           VerifyField<double>(verifier, VT_LEVEL, 8) &&
+           VerifyField<double>(verifier, VT_TOKENS_PER_SECOND, 8) &&
+           VerifyField<double>(verifier, VT_BURST_TOKENS, 8) &&
            verifier.EndTable();
   }
 };
@@ -276,11 +286,17 @@
   void add_grant_id(uint64_t grant_id) {
     fbb_.AddElement<uint64_t>(GrantReply::VT_GRANT_ID, grant_id, 0);
   }
-  void add_tokens(uint32_t tokens) {
-    fbb_.AddElement<uint32_t>(GrantReply::VT_TOKENS, tokens, 0);
+  void add_granted(uint64_t granted) {
+    fbb_.AddElement<uint64_t>(GrantReply::VT_GRANTED, granted, 0);
+  }
+  void add_level(double level) {
+    fbb_.AddElement<double>(GrantReply::VT_LEVEL, level, 0.0);
   }
-  void add_next_token_microseconds(uint64_t next_token_microseconds) {
-    fbb_.AddElement<uint64_t>(GrantReply::VT_NEXT_TOKEN_MICROSECONDS, next_token_microseconds, 0);
+  void add_tokens_per_second(double tokens_per_second) {
+    fbb_.AddElement<double>(GrantReply::VT_TOKENS_PER_SECOND, tokens_per_second, 0.0);
+  }
+  void add_burst_tokens(double burst_tokens) {
+    fbb_.AddElement<double>(GrantReply::VT_BURST_TOKENS, burst_tokens, 0.0);
   }
   explicit GrantReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -297,12 +313,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     lacewingmux::fb::GrantOutcome outcome = lacewingmux::fb::GrantOutcome_Answered,
     uint64_t grant_id = 0,
-    uint32_t tokens = 0,
-    uint64_t next_token_microseconds = 0) {
+    uint64_t granted = 0,
+    double level = 0.0,
+    double tokens_per_second = 0.0,
+    double burst_tokens = 0.0) {
   GrantReplyBuilder builder_(_fbb);
-  builder_.add_next_token_microseconds(next_token_microseconds);
+  builder_.add_burst_tokens(burst_tokens);
+  builder_.add_tokens_per_second(tokens_per_second);
+  builder_.add_level(level);
+  builder_.add_granted(granted);
   builder_.add_grant_id(grant_id);
-  builder_.add_tokens(tokens);
   builder_.add_outcome(outcome);
   return builder_.Finish();
 }
--- a/modules/lacewingmux_allowance/owner/AllowanceOwner.cpp
+++ b/modules/lacewingmux_allowance/owner/AllowanceOwner.cpp
@@ -119,11 +119,17 @@
         return;
     }
     const TokenGrant grant = owned->allowance.grant(request.needed, request.wanted, now);
-    if (front.zone == this->zone)
-        owned->demand.add(std::max(request.needed, grant.tokens), now);
-    const GrantReply reply{GrantOutcome::Answered, grant.id, grant.tokens,
-                           owned->allowance.untilNextToken(now)};
-    if (grant.tokens == 0) {
+    if (front.zone == this->zone) {
+        const MicroTokens asked = std::max(request.needed, grant.amount);
+        owned->demand.add(static_cast<double>(asked) / wholeToken, now);
+    }
+    const RateAndBurst limits = owned->allowance.limits();
+    const GrantReply reply{
+            GrantOutcome::Answered,
+            grant.id,
+            grant.amount,
+            {owned->allowance.level(now), limits.tokensPerSecond, limits.burstTokens}};
+    if (grant.amount == 0) {
         callback(reply);
         return;
     }
