--- a/modules/lacewingmux_allowance/admission/OwnerEstimates.cpp
+++ b/modules/lacewingmux_allowance/admission/OwnerEstimates.cpp
@@ -14,10 +14,16 @@
 constexpr double smallestFraction = 0.02;
 
 /** The own zone runs low below this part of its burst. */
-constexpr double lowFill = 0.3;
+constexpr double lowFill = 0.5;
 
-/** Another zone is preferred when it is fuller by this part of its burst. */
-constexpr double fillAdvantage = 0.3;
+/** Another zone is preferred to one that runs low when it is fuller by this part of its burst. */
+constexpr double fillAdvantage = 0.1;
+
+/** A zone's burst below this is small: tokens are asked for in several zones at once. */
+constexpr double smallBurst = 6;
+
+/** The burst of a zone that never answered. */
+constexpr double unknownBurst = 1;
 
 } // namespace
 
@@ -31,8 +37,9 @@
     this->estimateByZone[zone].unavailableUntil = until;
 }
 
-std::optional<QString> OwnerEstimates::choose(const std::vector<QString> &zonesOwnFirst,
-                                              double missingTokens, Time now) const
+std::vector<OwnerEstimates::Part> OwnerEstimates::plan(const std::vector<QString> &zonesOwnFirst,
+                                                       MicroTokens missing, MicroTokens needed,
+                                                       Time now) const
 {
     std::vector<QString> candidates;
     double inAll = 0;
@@ -43,19 +50,45 @@
         inAll += tokens;
         candidates.push_back(zone);
     }
+    const double missingTokens = static_cast<double>(missing) / wholeToken;
     if (candidates.empty() || inAll < missingTokens)
-        return std::nullopt;
+        return {};
+    const QString &own = zonesOwnFirst.front();
+    const bool ownAnswers = candidates.front() == own;
+    if (ownAnswers && !this->estimateByZone.contains(own))
+        return {{own, needed}};
+    if (ownAnswers && this->burstOf(own) < smallBurst)
+        return this->spread(candidates, needed);
+
     const auto fullest =
             std::max_element(candidates.begin(), candidates.end(),
                              [this, now](const QString &left, const QString &right) {
                                  return this->fillAt(left, now) < this->fillAt(right, now);
                              });
-    const QString &own = zonesOwnFirst.front();
     const double ownFill = this->fillAt(own, now);
     const bool ownSuffices =
-            candidates.front() == own && this->tokensAt(own, now) >= missingTokens
+            ownAnswers && this->tokensAt(own, now) >= missingTokens
             && (ownFill >= lowFill || this->fillAt(*fullest, now) < ownFill + fillAdvantage);
-    return ownSuffices ? own : *fullest;
+    return {{ownSuffices ? own : *fullest, needed}};
+}
+
+bool OwnerEstimates::hasToken(const QString &zone, Time now) const
+{
+    return this->isAvailable(zone, now) && this->tokensAt(zone, now) >= 1;
+}
+
+std::vector<OwnerEstimates::Part> OwnerEstimates::spread(const std::vector<QString> &candidates,
+                                                         MicroTokens needed) const
+{
+    double burstInAll = 0;
+    for (const QString &zone : candidates)
+        burstInAll += this->burstOf(zone);
+    std::vector<Part> parts;
+    for (const QString &zone : candidates) {
+        const double part = this->burstOf(zone) / burstInAll;
+        parts.push_back({zone, static_cast<MicroTokens>(std::ceil(part * needed))});
+    }
+    return parts;
 }
 
 std::optional<std::chrono::milliseconds>
@@ -108,4 +141,12 @@
     return burst > 0 ? this->tokensAt(zone, now) / burst : 0;
 }
 
+double OwnerEstimates::burstOf(const QString &zone) const
+{
+    const auto found = this->estimateByZone.find(zone);
+    return found == this->estimateByZone.end() || !found->second.level
+                   ? unknownBurst
+                   : found->second.level->burstTokens;
+}
+
 } // namespace lacewingmux
--- a/modules/lacewingmux_allowance/admission/OwnerEstimates.h
+++ b/modules/lacewingmux_allowance/admission/OwnerEstimates.h
@@ -26,13 +26,26 @@
     /** Notes that the zone's owner isn't worth asking until the moment. */
     void noteUnavailable(const QString &zone, Time until);
 
+    /** What to ask of one zone's owner. */
+    struct Part
+    {
+        QString zone;
+        MicroTokens amount = 0;
+    };
+
     /**
-        Returns the zone to ask for tokens that are missing, or nothing when the zones together
-        have less than that, as far as is known. The own zone is asked first unless it runs low
-        and another is fuller; a zone that never answered counts as full.
+        Returns whom to ask for the amount needed, at once; nothing when the zones together have
+        less than the missing part of the next token, as far as is known.
+
+        The own zone is asked alone while it is well filled, else the fullest. A small burst is
+        asked for in the proportion of the zones' bursts, so that no zone stays full, and loses
+        what it accrues, while another is drained: the zones then fill and drain as one bucket.
     */
-    [[nodiscard]] std::optional<QString> choose(const std::vector<QString> &zonesOwnFirst,
-                                                double missingTokens, Time now) const;
+    [[nodiscard]] std::vector<Part> plan(const std::vector<QString> &zonesOwnFirst,
+                                         MicroTokens missing, MicroTokens needed, Time now) const;
+
+    /** Tells whether the zone is worth asking for a whole token. */
+    [[nodiscard]] bool hasToken(const QString &zone, Time now) const;
 
     /**
         Returns how long until the zones together have the missing tokens, at most longestWait; or
@@ -55,6 +68,9 @@
     [[nodiscard]] bool isAvailable(const QString &zone, Time now) const;
     [[nodiscard]] double tokensAt(const QString &zone, Time now) const;
     [[nodiscard]] double fillAt(const QString &zone, Time now) const;
+    [[nodiscard]] double burstOf(const QString &zone) const;
+    [[nodiscard]] std::vector<Part> spread(const std::vector<QString> &candidates,
+                                           MicroTokens needed) const;
 
     std::map<QString, Estimate> estimateByZone;
 };
--- a/modules/lacewingmux_allowance/admission/TeamAdmission.cpp
+++ b/modules/lacewingmux_allowance/admission/TeamAdmission.cpp
@@ -62,6 +62,7 @@
     const Time now = this->timers.now();
     Team &team = this->teams[name];
     team.demand.add(1, now);
+    ++team.arrivals;
     if (team.waiters.empty() && team.pocket.take(now)) {
         this->reportSoon(name, team);
         this->keepStock(name, team);
@@ -97,7 +98,7 @@
 {
     this->admitWaiting(team);
     this->refuseOverdue(name, team);
-    if (!team.waiters.empty() && !team.currentAsk)
+    if (!team.waiters.empty() && team.openAsks.empty())
         this->askForWaiting(name, team);
     this->reportSoon(name, team);
 }
@@ -118,11 +119,17 @@
     const std::vector<QString> zones = this->zonesInOrder(name);
     const MicroTokens held = team.pocket.available(now);
     const MicroTokens needed = team.waiters.size() * wholeToken - held;
-    const double missing = static_cast<double>(wholeToken - held) / wholeToken;
-    while (const auto zone = team.estimates.choose(zones, missing, now)) {
-        if (this->ask(name, team, *zone, needed))
+    const MicroTokens missing = wholeToken - held;
+    for (;;) {
+        const auto parts = team.estimates.plan(zones, missing, needed, now);
+        if (parts.empty())
+            break;
+        for (const OwnerEstimates::Part &part : parts) {
+            if (!this->ask(name, team, part.zone, part.amount))
+                team.estimates.noteUnavailable(part.zone, now + wrongOwnerPause);
+        }
+        if (!team.openAsks.empty())
             return;
-        team.estimates.noteUnavailable(*zone, now + wrongOwnerPause);
     }
     this->refuseWaiting(name, team);
 }
@@ -130,14 +137,16 @@
 bool TeamAdmission::ask(const QString &name, Team &team, const QString &zone, MicroTokens needed)
 {
     const MicroTokens stock = zone == this->ownZone ? stockFor(team, this->timers.now()) : 0;
-    const auto correlation = this->send(
-            name, zone, {name, needed, needed + stock, team.pocket.takeSettlements(zone)});
+    const auto correlation =
+            this->send(name, zone,
+                       {name, needed, needed + stock, this->takeArrivals(team, zone),
+                        team.pocket.takeSettlements(zone)});
     if (!correlation)
         return false;
-    team.currentAsk = correlation;
-    team.askTimer = this->timers.after(grantAskTimeout, [this, name, asked = *correlation] {
-        this->handleTimeout(name, asked);
-    });
+    if (team.openAsks.empty())
+        team.askTimer =
+                this->timers.after(grantAskTimeout, [this, name] { this->handleTimeout(name); });
+    team.openAsks.insert(*correlation);
     return true;
 }
 
@@ -185,10 +194,9 @@
     const Ask ask = found->second;
     this->asks.erase(found);
     Team &team = this->teams[ask.team];
-    if (team.currentAsk == correlation) {
-        team.currentAsk.reset();
+    team.openAsks.erase(correlation);
+    if (team.openAsks.empty())
         team.askTimer.cancel();
-    }
     this->noteReply(team, ask, reply);
     this->pump(ask.team, team);
 }
@@ -204,15 +212,14 @@
     team.estimates.noteLevel(ask.zone, reply.level, now);
 }
 
-void TeamAdmission::handleTimeout(const QString &name, std::uint64_t correlation)
+void TeamAdmission::handleTimeout(const QString &name)
 {
     Team &team = this->teams[name];
-    if (team.currentAsk != correlation)
-        return;
-    team.currentAsk.reset();
-    const auto ask = this->asks.find(correlation);
-    if (ask != this->asks.end())
-        team.estimates.noteUnavailable(ask->second.zone, this->timers.now() + silentOwnerPause);
+    for (const std::uint64_t correlation : std::exchange(team.openAsks, {})) {
+        const auto ask = this->asks.find(correlation);
+        if (ask != this->asks.end())
+            team.estimates.noteUnavailable(ask->second.zone, this->timers.now() + silentOwnerPause);
+    }
     this->pump(name, team);
 }
 
@@ -248,9 +255,9 @@
 {
     const Time now = this->timers.now();
     const MicroTokens stock = stockFor(team, now);
-    if (team.currentAsk || team.pocket.available(now) * 2 >= stock)
+    if (!team.openAsks.empty() || team.pocket.available(now) * 2 >= stock)
         return;
-    if (!team.estimates.choose({this->ownZone}, 1, now))
+    if (!team.estimates.hasToken(this->ownZone, now))
         return;
     if (!this->ask(name, team, this->ownZone, 0))
         team.estimates.noteUnavailable(this->ownZone, now + wrongOwnerPause);
@@ -262,6 +269,9 @@
     for (auto &[name, team] : this->teams) {
         team.pocket.giveBackExpiring(now + giveBackAhead, now);
         this->report(name, team);
+        if (team.arrivals > 0)
+            (void)this->send(name, this->ownZone,
+                             {name, 0, 0, this->takeArrivals(team, this->ownZone), {}});
     }
     this->forgetOldAsks();
 }
@@ -281,7 +291,14 @@
 void TeamAdmission::report(const QString &name, Team &team)
 {
     for (const QString &zone : team.pocket.zonesOwedReports())
-        (void)this->send(name, zone, {name, 0, 0, team.pocket.takeSettlements(zone)});
+        (void)this->send(
+                name, zone,
+                {name, 0, 0, this->takeArrivals(team, zone), team.pocket.takeSettlements(zone)});
+}
+
+std::uint32_t TeamAdmission::takeArrivals(Team &team, const QString &zone) const
+{
+    return zone == this->ownZone ? std::exchange(team.arrivals, 0) : 0;
 }
 
 void TeamAdmission::forgetOldAsks()
--- a/modules/lacewingmux_allowance/admission/TeamAdmission.h
+++ b/modules/lacewingmux_allowance/admission/TeamAdmission.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace lacewingmux {
@@ -70,7 +71,8 @@
         OwnerEstimates estimates;
         DecayingRate demand;
         std::deque<Waiter> waiters;
-        std::optional<std::uint64_t> currentAsk;
+        std::uint32_t arrivals = 0;       ///< requests not yet reported to the own zone's owner
+        std::set<std::uint64_t> openAsks; ///< whose answers the waiting requests wait for
         TimerSubscription askTimer;
         TimerSubscription reportTimer;
         bool reportDue = false;
@@ -94,7 +96,7 @@
     void deliver(const VmIncarnation &owner, std::uint64_t correlation,
                  const struct GrantReply &reply);
     void noteReply(Team &team, const Ask &ask, const struct GrantReply &reply);
-    void handleTimeout(const QString &name, std::uint64_t correlation);
+    void handleTimeout(const QString &name);
     void refuseWaiting(const QString &name, Team &team);
     void refuse(const Waiter &waiter, const QString &name, const Team &team);
     void refuseOverdue(const QString &name, Team &team);
@@ -102,6 +104,7 @@
     void giveBack();
     void reportSoon(const QString &name, Team &team);
     void report(const QString &name, Team &team);
+    [[nodiscard]] std::uint32_t takeArrivals(Team &team, const QString &zone) const;
     void forgetOldAsks();
     [[nodiscard]] std::vector<QString> zonesInOrder(const QString &name) const;
     [[nodiscard]] static MicroTokens stockFor(const Team &team, Time now);
--- a/modules/lacewingmux_allowance/messages/GrantCodec.cpp
+++ b/modules/lacewingmux_allowance/messages/GrantCodec.cpp
@@ -37,7 +37,7 @@
         settlements.push_back(fb::CreateSettlement(builder, settlement.grantId, settlement.unused));
     const auto settlementVector = builder.CreateVector(settlements);
     builder.Finish(fb::CreateGrantRequest(builder, team, message.needed, message.wanted,
-                                          settlementVector));
+                                          message.arrivals, settlementVector));
     return bytesOf(builder);
 }
 
@@ -70,7 +70,8 @@
     const auto *table = verifiedTable<fb::GrantRequest>(payload);
     if (table == nullptr)
         return std::nullopt;
-    GrantRequest message{textOf(*table->team()), table->needed(), table->wanted(), {}};
+    GrantRequest message{
+            textOf(*table->team()), table->needed(), table->wanted(), table->arrivals(), {}};
     if (table->settlements() == nullptr)
         return message;
     for (const fb::Settlement *settlement : *table->settlements())
--- a/modules/lacewingmux_allowance/messages/GrantMessages.h
+++ b/modules/lacewingmux_allowance/messages/GrantMessages.h
@@ -31,8 +31,9 @@
 struct GrantRequest
 {
     QString team;
-    MicroTokens needed = 0; ///< for requests that wait
-    MicroTokens wanted = 0; ///< in all, with a stock for what is expected next
+    MicroTokens needed = 0;     ///< for requests that wait
+    MicroTokens wanted = 0;     ///< in all, with a stock for what is expected next
+    std::uint32_t arrivals = 0; ///< requests at the front since it last reported to its own zone
     std::vector<Settlement> settlements;
 };
 
--- a/modules/lacewingmux_allowance/messages/allowance_generated.h
+++ b/modules/lacewingmux_allowance/messages/allowance_generated.h
@@ -151,7 +151,8 @@
     VT_TEAM = 4,
     VT_NEEDED = 6,
     VT_WANTED = 8,
-    VT_SETTLEMENTS = 10
+    VT_ARRIVALS = 10,
+    VT_SETTLEMENTS = 12
   };
   const flatbuffers::String *team() const {
     return GetPointer<const flatbuffers::String *>(VT_TEAM);
@@ -162,6 +163,9 @@
   uint64_t wanted() const {
     return GetField<uint64_t>(VT_WANTED, 0);
   }
+  uint32_t arrivals() const {
+    return GetField<uint32_t>(VT_ARRIVALS, 0);
+  }
   const flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::Settlement>> *settlements() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::Settlement>> *>(VT_SETTLEMENTS);
   }
@@ -171,6 +175,7 @@
            verifier.VerifyString(team()) &&
            VerifyField<uint64_t>(verifier, VT_NEEDED, 8) &&
            VerifyField<uint64_t>(verifier, VT_WANTED, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ARRIVALS, 4) &&
            VerifyOffset(verifier, VT_SETTLEMENTS) &&
            verifier.VerifyVector(settlements()) &&
            verifier.VerifyVectorOfTables(settlements()) &&
@@ -191,6 +196,9 @@
   void add_wanted(uint64_t wanted) {
     fbb_.AddElement<uint64_t>(GrantRequest::VT_WANTED, wanted, 0);
   }
+  void add_arrivals(uint32_t arrivals) {
+    fbb_.AddElement<uint32_t>(GrantRequest::VT_ARRIVALS, arrivals, 0);
+  }
   void add_settlements(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::Settlement>>> settlements) {
     fbb_.AddOffset(GrantRequest::VT_SETTLEMENTS, settlements);
   }
@@ -211,11 +219,13 @@
     flatbuffers::Offset<flatbuffers::String> team = 0,
     uint64_t needed = 0,
     uint64_t wanted = 0,
+    uint32_t arrivals = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::Settlement>>> settlements = 0) {
   GrantRequestBuilder builder_(_fbb);
   builder_.add_wanted(wanted);
   builder_.add_needed(needed);
   builder_.add_settlements(settlements);
+  builder_.add_arrivals(arrivals);
   builder_.add_team(team);
   return builder_.Finish();
 }
@@ -225,6 +235,7 @@
     const char *team = nullptr,
     uint64_t needed = 0,
     uint64_t wanted = 0,
+    uint32_t arrivals = 0,
     const std::vector<flatbuffers::Offset<lacewingmux::fb::Settlement>> *settlements = nullptr) {
   auto team__ = team ? _fbb.CreateString(team) : 0;
   auto settlements__ = settlements ? _fbb.CreateVector<flatbuffers::Offset<lacewingmux::fb::Settlement>>(*settlements) : 0;
@@ -233,6 +244,7 @@
       team__,
       needed,
       wanted,
+      arrivals,
       settlements__);
 }
 
--- a/modules/lacewingmux_allowance/owner/AllowanceOwner.cpp
+++ b/modules/lacewingmux_allowance/owner/AllowanceOwner.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds demandDecayTime{2000};
+constexpr std::chrono::milliseconds demandDecayTime{20000};
 constexpr std::chrono::milliseconds takeBackInterval{1000};
 
 RateAndBurst limitsOf(const Configuration *configuration, const QString &team)
@@ -112,6 +112,8 @@
         return;
     }
     const Time now = this->timers.now();
+    if (front.zone == this->zone)
+        owned->demand.add(request.arrivals, now);
     for (const Settlement &settlement : request.settlements)
         owned->allowance.settle(settlement.grantId, settlement.unused, now);
     if (!owned->allowance.share().isKnown()) {
@@ -119,10 +121,6 @@
         return;
     }
     const TokenGrant grant = owned->allowance.grant(request.needed, request.wanted, now);
-    if (front.zone == this->zone) {
-        const MicroTokens asked = std::max(request.needed, grant.amount);
-        owned->demand.add(static_cast<double>(asked) / wholeToken, now);
-    }
     const RateAndBurst limits = owned->allowance.limits();
     const GrantReply reply{
             GrantOutcome::Answered,
--- a/modules/lacewingmux_allowance/shares/ShareMovement.cpp
+++ b/modules/lacewingmux_allowance/shares/ShareMovement.cpp
@@ -18,8 +18,8 @@
 /** A zone keeps this part of an equal share even without demand, for callers that come anew. */
 constexpr double keptPartOfEqualShare = 0.25;
 
-/** Gifts below this are not worth a write. */
-constexpr std::uint64_t smallestGift = wholeParts / 50;
+/** Gifts below this part of the whole, or below a token of burst, are not worth a write. */
+constexpr double smallestGift = 0.05;
 
 double lackOf(const ZoneNeed &need)
 {
@@ -48,7 +48,8 @@
                                                return lackOf(left) < lackOf(right);
                                            });
     const double amount = std::min(spare / 2, lackOf(*neediest));
-    if (amount < static_cast<double>(smallestGift))
+    const double tokenPart = situation.burstTokens > 0 ? 1 / situation.burstTokens : 0;
+    if (amount < std::max(smallestGift, tokenPart) * wholeParts)
         return std::nullopt;
     return ShareGift{neediest->zone, static_cast<std::uint64_t>(std::floor(amount))};
 }
