--- a/modules/lacewingmux_program/owner/OwnerContext.cpp
+++ b/modules/lacewingmux_program/owner/OwnerContext.cpp
@@ -42,7 +42,8 @@
     this->slots.append(*aggregate, entry, std::move(committed));
 }
 
-void OwnerContext::refuse(OwnerRequestHandle handle, const LacewingmuxError &error)
+void OwnerContext::refuse(OwnerRequestHandle handle, const LacewingmuxError &error,
+                          std::function<bool()> mayHaveRun)
 {
     PendingRequest *pending = this->requests.find(handle);
     if (pending == nullptr)
@@ -52,8 +53,19 @@
         return;
     }
     pending->stage = RequestStage::Deciding;
-    this->slots.confirm(*pending->slot,
-                        [this, handle, error] { this->requests.fail(handle, error); });
+    pending->refused = true;
+    this->slots.confirm(*pending->slot, [this, handle, error, ran = std::move(mayHaveRun)] {
+        const Executed executed = ran && ran() ? Executed::Unknown : Executed::No;
+        this->requests.fail(handle, LacewingmuxError(error.kind(), error.message(), executed,
+                                                     error.retryAfter()));
+    });
+}
+
+void OwnerContext::checkNotDraining() const
+{
+    if (this->draining)
+        throw LacewingmuxError(ErrorKind::ShuttingDown,
+                               QStringLiteral("this VM hands its work over to another"));
 }
 
 void OwnerContext::answer(OwnerRequestHandle handle, const RecordedCall &call)
--- a/modules/lacewingmux_program/owner/ProgramOwner.cpp
+++ b/modules/lacewingmux_program/owner/ProgramOwner.cpp
@@ -76,6 +76,11 @@
     this->context.environment.configuration = std::move(configuration);
 }
 
+void ProgramOwner::beginDraining()
+{
+    this->context.draining = true;
+}
+
 OwnerRequestHandle ProgramOwner::handle(const OwnerRequest &request, ResponseSink sink)
 {
     const OwnerRequestHandle handle = this->context.requests.add(request, std::move(sink));
@@ -187,7 +192,14 @@
 
 void ProgramOwner::callerGone(OwnerRequestHandle request)
 {
-    this->context.requests.drop(request);
+    PendingRequest *pending = this->context.requests.find(request);
+    if (pending == nullptr)
+        return;
+    const bool isCall = pending->request.operation == OwnerOperation::Call;
+    if (isCall && pending->stage != RequestStage::Running)
+        pending->sink = {};
+    else
+        this->context.requests.drop(request);
     this->oneShots.cancel(request, ErrorKind::CallerGone);
 }
 
@@ -205,7 +217,7 @@
         const QString text = QStringLiteral("the key was withdrawn");
         pending->withdrawn = true;
         if (pending->stage == RequestStage::Queued)
-            this->context.refuse(handle, LacewingmuxError(ErrorKind::KeyWithdrawn, text));
+            this->calls.refuse(handle, LacewingmuxError(ErrorKind::KeyWithdrawn, text));
         else if (pending->begun)
             this->context.requests.fail(
                     handle, LacewingmuxError(ErrorKind::KeyWithdrawn, text, Executed::Unknown));
@@ -227,9 +239,9 @@
                                                      Executed::Unknown));
     } else if (stage == RequestStage::Queued) {
         this->context.requests.startTimeout(handle, graceAfterTimeout);
-        this->context.refuse(handle,
-                             LacewingmuxError(ErrorKind::CallOutOfOrder,
-                                              QStringLiteral("an earlier call did not finish")));
+        this->calls.refuse(handle,
+                           LacewingmuxError(ErrorKind::CallOutOfOrder,
+                                            QStringLiteral("an earlier call did not finish")));
     } else if (stage == RequestStage::Running) {
         this->context.requests.fail(
                 handle, LacewingmuxError(ErrorKind::BackendTimeout,
--- a/standins/engine/library/EngineStandin.cpp
+++ b/standins/engine/library/EngineStandin.cpp
@@ -2,8 +2,10 @@
 
 #include <QJsonArray>
 #include <QJsonDocument>
+#include <QUuid>
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewingmux::standin {
 
@@ -48,6 +50,12 @@
                        {QStringLiteral("usage"), usageOf(sequence)}};
 }
 
+void sendAnswer(const Sequence &sequence, StandinExchange &exchange)
+{
+    exchange.addHeader("Lacewingmux-Request-Id", sequence.requestId.toUtf8());
+    exchange.answer(200, wholeAnswer(sequence));
+}
+
 QByteArray chunkOf(const Sequence &sequence, qint64 index)
 {
     const QString text = (index == 0 ? QString() : QStringLiteral(" ")) + sequence.output.at(index);
@@ -89,6 +97,7 @@
 
 std::uint16_t EngineStandin::start(std::uint16_t port)
 {
+    this->instance = QUuid::createUuid().toString(QUuid::WithoutBraces);
     this->sampleLoad();
     this->loadTimer.start(std::max(this->settings.loadLag, std::chrono::milliseconds(1)));
     return this->server.start(port);
@@ -220,6 +229,10 @@
     const auto limit =
             body.value(QStringLiteral("max_tokens")).toInteger(this->settings.defaultOutputTokens);
     sequence->outputTokens = std::clamp<qint64>(limit, 1, this->settings.defaultOutputTokens);
+    if (!sequence->program.isEmpty() && this->endedPrograms.contains(sequence->program)) {
+        exchange->answer(410, QJsonObject{{QStringLiteral("error"), QStringLiteral("ended")}});
+        return;
+    }
     ++this->runsById[sequence->requestId];
     this->keep(sequence);
 
@@ -230,7 +243,6 @@
             this->crashAction();
         return;
     }
-    exchange->addHeader("Lacewingmux-Request-Id", sequence->requestId.toUtf8());
     if (body.value(QStringLiteral("stream")).toBool())
         this->stream(sequence, exchange, 0);
     else
@@ -241,6 +253,7 @@
 void EngineStandin::stream(const std::shared_ptr<Sequence> &sequence, const Exchange &exchange,
                            std::int64_t firstToken)
 {
+    exchange->addHeader("Lacewingmux-Request-Id", sequence->requestId.toUtf8());
     exchange->beginEvents();
     // Weak, or the sequence would keep itself alive through its own functions.
     const std::weak_ptr<Sequence> weak = sequence;
@@ -301,13 +314,12 @@
         return;
     }
     if (this->faults.swapAnswers) {
-        this->swapExchange->answer(200, wholeAnswer(*sequence));
-        exchange->answer(200, wholeAnswer(*this->swapSequence));
-        this->swapSequence.reset();
-        this->swapExchange.reset();
+        const auto other = std::exchange(this->swapSequence, nullptr);
+        sendAnswer(*sequence, *std::exchange(this->swapExchange, nullptr));
+        sendAnswer(*other, *exchange);
         return;
     }
-    exchange->answer(200, wholeAnswer(*sequence));
+    sendAnswer(*sequence, *exchange);
     if (this->faults.duplicateAnswer)
         exchange->answer(200, wholeAnswer(*sequence));
 }
@@ -345,11 +357,8 @@
         exchange->answer(409, QJsonObject{{QStringLiteral("error"), QStringLiteral("fenced")}});
         return;
     }
-    if (json.value(QStringLiteral("order")).toString() == QStringLiteral("releaseProgram")) {
-        const QString program = json.value(QStringLiteral("program")).toString();
-        const std::int64_t freed = this->cache.release(program);
-        this->cacheEvents.add(QStringLiteral("released"), program, freed);
-    }
+    this->orderAboutProgram(json.value(QStringLiteral("order")).toString(),
+                            json.value(QStringLiteral("program")).toString());
     if (this->faults.loseOrderAnswers > 0) {
         --this->faults.loseOrderAnswers;
         exchange->abort();
@@ -358,6 +367,19 @@
     exchange->answer(200, QJsonObject{{QStringLiteral("done"), true}});
 }
 
+void EngineStandin::orderAboutProgram(const QString &kind, const QString &program)
+{
+    const bool ends = kind == QStringLiteral("endProgram");
+    if (!ends && kind != QStringLiteral("dropCache"))
+        return;
+    if (ends) {
+        this->endedPrograms.insert(program);
+        this->batch.cancelProgram(program);
+    }
+    const std::int64_t freed = this->cache.release(program);
+    this->cacheEvents.add(QStringLiteral("released"), program, freed);
+}
+
 void EngineStandin::exportCache(const StandinRequest &request, const Exchange &exchange) const
 {
     const QString program = request.json().value(QStringLiteral("program")).toString();
