--- a/modules/lacewingmux_allowance/admission/TeamAdmission.cpp
+++ b/modules/lacewingmux_allowance/admission/TeamAdmission.cpp
@@ -62,16 +62,18 @@
     const Time now = this->timers.now();
     Team &team = this->teams[name];
     team.demand.add(1, now);
+    ++team.arrivals;
     if (team.waiters.empty() && team.pocket.take(now)) {
-        callback({true, ErrorKind::RateLimited, std::chrono::milliseconds(0)});
+        this->reportSoon(name, team);
         this->keepStock(name, team);
+        callback({true, ErrorKind::RateLimited, std::chrono::milliseconds(0)});
         return;
     }
     team.waiters.push_back({std::move(callback), now + admissionWait});
     if (team.waiters.size() > maxWaitingRequests) {
         const Waiter last = std::move(team.waiters.back());
         team.waiters.pop_back();
-        this->refuse(last, team);
+        this->refuse(last, name, team);
         return;
     }
     this->pump(name, team);
@@ -95,9 +97,10 @@
 void TeamAdmission::pump(const QString &name, Team &team)
 {
     this->admitWaiting(team);
-    this->refuseOverdue(team);
-    if (!team.waiters.empty() && !team.currentAsk)
-        this->askFor(name, team, static_cast<std::uint32_t>(team.waiters.size()));
+    this->refuseOverdue(name, team);
+    if (!team.waiters.empty() && team.openAsks.empty())
+        this->askForWaiting(name, team);
+    this->reportSoon(name, team);
 }
 
 void TeamAdmission::admitWaiting(Team &team)
@@ -110,28 +113,40 @@
     }
 }
 
-void TeamAdmission::askFor(const QString &name, Team &team, std::uint32_t needed)
+void TeamAdmission::askForWaiting(const QString &name, Team &team)
 {
+    const Time now = this->timers.now();
     const std::vector<QString> zones = this->zonesInOrder(name);
-    while (const auto zone = team.hints.choose(zones, this->timers.now())) {
-        if (this->ask(name, team, *zone, needed))
+    const MicroTokens held = team.pocket.available(now);
+    const MicroTokens needed = team.waiters.size() * wholeToken - held;
+    const MicroTokens missing = wholeToken - held;
+    for (;;) {
+        const auto parts = team.estimates.plan(zones, missing, needed, now);
+        if (parts.empty())
+            break;
+        for (const OwnerEstimates::Part &part : parts) {
+            if (!this->ask(name, team, part.zone, part.amount))
+                team.estimates.noteUnavailable(part.zone, now + wrongOwnerPause);
+        }
+        if (!team.openAsks.empty())
             return;
-        team.hints.noteUnavailable(*zone, this->timers.now() + wrongOwnerPause);
     }
-    this->refuseWaiting(team);
+    this->refuseWaiting(name, team);
 }
 
-bool TeamAdmission::ask(const QString &name, Team &team, const QString &zone, std::uint32_t needed)
+bool TeamAdmission::ask(const QString &name, Team &team, const QString &zone, MicroTokens needed)
 {
-    const std::uint32_t stock = zone == this->ownZone ? stockFor(team, this->timers.now()) : 0;
-    const auto correlation = this->send(
-            name, zone, {name, needed, needed + stock, team.pocket.takeSettlements(zone)});
+    const MicroTokens stock = zone == this->ownZone ? stockFor(team, this->timers.now()) : 0;
+    const auto correlation =
+            this->send(name, zone,
+                       {name, needed, needed + stock, this->takeArrivals(team, zone),
+                        team.pocket.takeSettlements(zone)});
     if (!correlation)
         return false;
-    team.currentAsk = correlation;
-    team.askTimer = this->timers.after(grantAskTimeout, [this, name, asked = *correlation] {
-        this->handleTimeout(name, asked);
-    });
+    if (team.openAsks.empty())
+        team.askTimer =
+                this->timers.after(grantAskTimeout, [this, name] { this->handleTimeout(name); });
+    team.openAsks.insert(*correlation);
     return true;
 }
 
@@ -144,7 +159,7 @@
         return std::nullopt;
     const std::uint64_t correlation = this->nextCorrelation++;
     // The tokens expire by this moment, taken before anything is sent.
-    this->asks[correlation] = {name, zone, *target, request.needed, this->timers.now()};
+    this->asks[correlation] = {name, zone, *target, this->timers.now()};
     if (*target == this->hub.self()) {
         this->sendLocally(request, correlation);
         return correlation;
@@ -179,10 +194,9 @@
     const Ask ask = found->second;
     this->asks.erase(found);
     Team &team = this->teams[ask.team];
-    if (team.currentAsk == correlation) {
-        team.currentAsk.reset();
+    team.openAsks.erase(correlation);
+    if (team.openAsks.empty())
         team.askTimer.cancel();
-    }
     this->noteReply(team, ask, reply);
     this->pump(ask.team, team);
 }
@@ -191,67 +205,62 @@
 {
     const Time now = this->timers.now();
     if (reply.outcome != GrantOutcome::Answered) {
-        team.hints.noteUnavailable(ask.zone, now + wrongOwnerPause);
+        team.estimates.noteUnavailable(ask.zone, now + wrongOwnerPause);
         return;
     }
-    team.pocket.add(ask.zone, reply.grantId, reply.tokens, ask.sentAt + tokenLifetime, now);
-    if (reply.tokens < ask.needed)
-        team.hints.noteEmpty(ask.zone, now + reply.nextToken);
-    else if (ask.needed > 0)
-        team.hints.noteGranted(ask.zone);
+    team.pocket.add(ask.zone, reply.grantId, reply.granted, ask.sentAt + tokenLifetime, now);
+    team.estimates.noteLevel(ask.zone, reply.level, now);
 }
 
-void TeamAdmission::handleTimeout(const QString &name, std::uint64_t correlation)
+void TeamAdmission::handleTimeout(const QString &name)
 {
     Team &team = this->teams[name];
-    if (team.currentAsk != correlation)
-        return;
-    team.currentAsk.reset();
-    const auto ask = this->asks.find(correlation);
-    if (ask != this->asks.end())
-        team.hints.noteUnavailable(ask->second.zone, this->timers.now() + silentOwnerPause);
+    for (const std::uint64_t correlation : std::exchange(team.openAsks, {})) {
+        const auto ask = this->asks.find(correlation);
+        if (ask != this->asks.end())
+            team.estimates.noteUnavailable(ask->second.zone, this->timers.now() + silentOwnerPause);
+    }
     this->pump(name, team);
 }
 
-void TeamAdmission::refuseWaiting(Team &team)
+void TeamAdmission::refuseWaiting(const QString &name, Team &team)
 {
     const std::deque<Waiter> refused = std::exchange(team.waiters, {});
+    // Fractions that made no whole token go back at once, for others to add up.
+    team.pocket.giveBackExpiring(Time::max(), this->timers.now());
     for (const Waiter &waiter : refused)
-        this->refuse(waiter, team);
+        this->refuse(waiter, name, team);
 }
 
-void TeamAdmission::refuse(const Waiter &waiter, const Team &team)
+void TeamAdmission::refuse(const Waiter &waiter, const QString &name, const Team &team)
 {
-    using std::chrono::milliseconds;
-    const auto untilToken = team.hints.untilToken(this->timers.now());
+    const auto wait = team.estimates.untilTokens(this->zonesInOrder(name), 1, this->timers.now());
     AdmissionDecision decision;
-    decision.refusal = untilToken ? ErrorKind::RateLimited : ErrorKind::OwnerUnavailable;
-    decision.retryAfter =
-            untilToken ? std::max(milliseconds(1), std::chrono::ceil<milliseconds>(*untilToken))
-                       : answerFor(ErrorKind::OwnerUnavailable).defaultRetryAfter;
+    decision.refusal = wait ? ErrorKind::RateLimited : ErrorKind::OwnerUnavailable;
+    decision.retryAfter = wait ? *wait : answerFor(ErrorKind::OwnerUnavailable).defaultRetryAfter;
     waiter.callback(decision);
 }
 
-void TeamAdmission::refuseOverdue(Team &team)
+void TeamAdmission::refuseOverdue(const QString &name, Team &team)
 {
     const Time now = this->timers.now();
     while (!team.waiters.empty() && team.waiters.front().deadline <= now) {
         const Waiter waiter = std::move(team.waiters.front());
         team.waiters.pop_front();
-        this->refuse(waiter, team);
+        this->refuse(waiter, name, team);
     }
 }
 
 void TeamAdmission::keepStock(const QString &name, Team &team)
 {
     const Time now = this->timers.now();
-    const std::uint32_t stock = stockFor(team, now);
-    if (team.currentAsk || team.pocket.available(now) * 2 >= stock)
+    const MicroTokens stock = stockFor(team, now);
+    if (!team.openAsks.empty() || team.pocket.available(now) * 2 >= stock)
         return;
-    if (!team.hints.choose({this->ownZone}, now))
+    if (!team.estimates.hasToken(this->ownZone, now))
         return;
     if (!this->ask(name, team, this->ownZone, 0))
-        team.hints.noteUnavailable(this->ownZone, now + wrongOwnerPause);
+        team.estimates.noteUnavailable(this->ownZone, now + wrongOwnerPause);
 }
 
 void TeamAdmission::giveBack()
@@ -259,12 +268,39 @@
     const Time now = this->timers.now();
     for (auto &[name, team] : this->teams) {
         team.pocket.giveBackExpiring(now + giveBackAhead, now);
-        for (const QString &zone : team.pocket.zonesOwedTokens())
-            (void)this->send(name, zone, {name, 0, 0, team.pocket.takeSettlements(zone)});
+        this->report(name, team);
+        if (team.arrivals > 0)
+            (void)this->send(name, this->ownZone,
+                             {name, 0, 0, this->takeArrivals(team, this->ownZone), {}});
     }
     this->forgetOldAsks();
 }
 
+void TeamAdmission::reportSoon(const QString &name, Team &team)
+{
+    if (team.reportDue || team.pocket.zonesOwedReports().empty())
+        return;
+    team.reportDue = true;
+    team.reportTimer = this->timers.after(reportDelay, [this, name] {
+        Team &reported = this->teams[name];
+        reported.reportDue = false;
+        this->report(name, reported);
+    });
+}
+
+void TeamAdmission::report(const QString &name, Team &team)
+{
+    for (const QString &zone : team.pocket.zonesOwedReports())
+        (void)this->send(
+                name, zone,
+                {name, 0, 0, this->takeArrivals(team, zone), team.pocket.takeSettlements(zone)});
+}
+
+std::uint32_t TeamAdmission::takeArrivals(Team &team, const QString &zone) const
+{
+    return zone == this->ownZone ? std::exchange(team.arrivals, 0) : 0;
+}
+
 void TeamAdmission::forgetOldAsks()
 {
     const Time oldest = this->timers.now() - tokenLifetime;
@@ -294,10 +330,10 @@
     return zones;
 }
 
-std::uint32_t TeamAdmission::stockFor(const Team &team, Time now)
+MicroTokens TeamAdmission::stockFor(const Team &team, Time now)
 {
     const double seconds = std::chrono::duration<double>(stockAhead).count();
-    return static_cast<std::uint32_t>(std::floor(team.demand.perSecond(now) * seconds));
+    return static_cast<MicroTokens>(std::floor(team.demand.perSecond(now) * seconds)) * wholeToken;
 }
 
 } // namespace lacewingmux
