--- a/tests/zone/JournalZone.h
+++ b/tests/zone/JournalZone.h
@@ -28,8 +28,9 @@
         std::vector<SlotIndex> deactivated;
     };
 
-    JournalZone()
+    explicit JournalZone(const JournalSettings &journalSettings = {})
         : network(this->timers)
+        , settings(journalSettings)
     { }
 
     /** Starts a VM, or a new run of it. */
