Drop nobody before the slots have settled after a join or a replacement

Cause: a VM that had just joined, with no slot yet, dropped the only VM with the state after 1.5 s of silence; and a replaced VM did not count as gone, so that a second one could go at once. Change: the epoch to settle is that of the last view in which someone went or this VM came.

--- a/modules/lacewingmux_zone/membership/ViewProposal.h
+++ b/modules/lacewingmux_zone/membership/ViewProposal.h
@@ -14,11 +14,11 @@
 struct ViewSituation
 {
     VmDescriptor self;
-    ZoneRecord record;                 ///< as the platform's store holds it; epoch 0 when absent
-    bool leaving = false;              ///< this VM stops as planned
-    bool heardMember = false;          ///< a member of the record's view was heard lately
-    bool joinUnheard = false;          ///< this VM has tried long enough to hear a member
-    bool mayDropNext = true;           ///< the last drop has settled, or has had its time
+    ZoneRecord record;        ///< as the platform's store holds it; epoch 0 when absent
+    bool leaving = false;     ///< this VM stops as planned
+    bool heardMember = false; ///< a member of the record's view was heard lately
+    bool joinUnheard = false; ///< this VM has tried long enough to hear a member
+    bool mayDropNext = true;  ///< the slots have settled since someone went, or had their time
     std::vector<VmIncarnation> silent; ///< members that this VM watches and hears no more
     std::vector<VmDescriptor> joiners; ///< VMs that asked this one to be taken in
     std::set<VmIncarnation> gone;      ///< of whom the platform says that they don't run
--- a/modules/lacewingmux_zone/membership/ZoneMembership.cpp
+++ b/modules/lacewingmux_zone/membership/ZoneMembership.cpp
@@ -11,6 +11,19 @@
 
 namespace lacewingmux {
 
+namespace {
+
+/** Tells whether a member of the earlier view has gone from the later one. */
+bool lacksSomeoneOf(const ZoneView &later, const ZoneView &earlier)
+{
+    const std::vector<VmDescriptor> &members = earlier.members();
+    return std::any_of(members.begin(), members.end(), [&later](const VmDescriptor &member) {
+        return !later.contains(member.incarnation);
+    });
+}
+
+} // namespace
+
 ZoneMembership::ZoneMembership(PeerHub &controlHub, PlatformStore &platformStore,
                                TimerService &timerService, MetricsRecorder &metricsRecorder,
                                VmDescriptor ownDescriptor,
@@ -157,8 +170,8 @@
     result.heardMember = this->memberHeardAt != TimerService::SteadyTime{}
                          && now - this->memberHeardAt < this->settings.failureTimeout;
     result.joinUnheard = now - this->startedAt >= this->settings.joinUnheardTimeout;
-    result.mayDropNext = this->settledEpoch >= this->epochOfLastDrop
-                         || now - this->lastDropAt >= this->settings.nextDropTimeout;
+    result.mayDropNext = this->settledEpoch >= this->epochToSettle
+                         || now - this->unsettledSince >= this->settings.nextDropTimeout;
     result.silent = this->silentMembers();
     for (const auto &[incarnation, joiner] : this->joiners) {
         if (now - joiner.heardAt < this->settings.failureTimeout)
@@ -238,10 +251,10 @@
 
 void ZoneMembership::adoptOwn(const ZoneRecord &record)
 {
-    const bool dropped = record.view()->members().size() < this->ownView()->members().size();
-    if (dropped) {
-        this->lastDropAt = this->timers.now();
-        this->epochOfLastDrop = record.epoch();
+    const bool joined = !this->isMember() && record.view()->contains(this->self.incarnation);
+    if (joined || lacksSomeoneOf(*record.view(), *this->ownView())) {
+        this->unsettledSince = this->timers.now();
+        this->epochToSettle = record.epoch();
     }
     std::erase_if(this->joiners,
                   [&record](const auto &joiner) { return record.view()->contains(joiner.first); });
--- a/modules/lacewingmux_zone/membership/ZoneMembership.h
+++ b/modules/lacewingmux_zone/membership/ZoneMembership.h
@@ -129,10 +129,10 @@
     std::shared_ptr<const FleetViews> fleetViews;
     std::map<VmIncarnation, Joiner> joiners;
     TimerService::SteadyTime startedAt{};
-    TimerService::SteadyTime lastDropAt{};
+    TimerService::SteadyTime unsettledSince{};
     TimerService::SteadyTime memberHeardAt{};
     std::uint64_t settledEpoch = 0;
-    std::uint64_t epochOfLastDrop = 0;
+    std::uint64_t epochToSettle = 0; ///< of the last view in which someone went or this VM came
     bool leaving = false;
     TimerSubscription heartbeat;
 };
--- a/tests/zone/membership/MembershipFleet.cpp
+++ b/tests/zone/membership/MembershipFleet.cpp
@@ -26,7 +26,8 @@
     membership->setViewsHandler([this, membership](const auto &views, const ViewHistory &) {
         for (const auto &[name, view] : views->views())
             this->noteView(*view);
-        membership->journalSettled(membership->ownView()->epoch());
+        if (this->slotsSettle)
+            membership->journalSettled(membership->ownView()->epoch());
     });
     std::vector<VmDescriptor> seeds;
     for (const auto &[name, other] : this->nodes)
--- a/tests/zone/membership/MembershipFleet.h
+++ b/tests/zone/membership/MembershipFleet.h
@@ -57,6 +57,7 @@
         return this->contradictoryViews;
     }
 
+    bool slotsSettle = true; ///< whether VMs have all their slots active as soon as they join
     lacewingmux::ManualTimerService timers;
     lacewingmux::InMemoryPeerNetwork network{this->timers};
     std::shared_ptr<lacewingmux::InMemoryStoreServer> store;
--- a/tests/zone/membership/ZoneMembershipTest.cpp
+++ b/tests/zone/membership/ZoneMembershipTest.cpp
@@ -46,6 +46,30 @@
     cr_assert_eq(fleet.membership(a).ownView()->epoch(), epoch + 1);
 }
 
+Test(ZoneMembership, aJoinerWithoutItsSlotsDropsNobodyAtOnce)
+{
+    MembershipFleet fleet;
+    startAll(fleet, {a}, "a");
+    fleet.slotsSettle = false;
+    startAll(fleet, {b}, "a,b");
+    fleet.kill(a);
+    fleet.run(10s);
+    cr_assert(fleet.members(b) == "a,b", "the only copy of the slots may come back yet");
+}
+
+Test(ZoneMembership, aReplacedVmCountsAsGoneUntilTheSlotsSettle)
+{
+    MembershipFleet fleet;
+    startAll(fleet, {a, b, c}, "a,b,c");
+    fleet.slotsSettle = false;
+    const auto epoch = fleet.membership(b).ownView()->epoch();
+    fleet.start(a);
+    cr_assert(fleet.runUntil([&] { return fleet.membership(b).ownView()->epoch() > epoch; }));
+    fleet.kill(c);
+    fleet.run(10s);
+    cr_assert(fleet.members(b) == "a,b,c", "slots of a and c may have their only copy at c");
+}
+
 Test(ZoneMembership, theViewStandsStillWhileTheStoreIsDown)
 {
     MembershipFleet fleet;
