Prove rate, burst and shares under random schedules of faults

Change: a seeded schedule floods a modelled fleet through kills, pauses, cuts, broken links, lost store replies, store outages and random share moves; a pure check looks at every window, and the sums of shares in use and in the store are checked at each step. Five mechanisms are taken away one at a time (fence, journaled debit, lapse by clock, compare-and-swap, lowering before writing).

--- /dev/null
+++ b/tests/allowance/FaultScheduleTest.cpp
@@ -0,0 +1,106 @@
+#include "allowance/support/FaultSchedule.h"
+
+#include <criterion/criterion.h>
+
+using namespace lacewingmux;
+using namespace lacewingmux::test;
+
+namespace {
+
+constexpr std::uint64_t soundSeeds = 24;
+constexpr std::uint64_t brokenSeeds = 12;
+
+/** Tells whether one of the seeds shows that a mechanism is missing. */
+bool isNoticed(const FleetFaults &faults)
+{
+    for (std::uint64_t seed = 1; seed <= brokenSeeds; ++seed) {
+        if (!runFaultSchedule(seed, faults).holds())
+            return true;
+    }
+    return false;
+}
+
+/**
+    Pauses a front that holds a stock of tokens until the bucket is full again, then drains the
+    bucket at the other front while the first goes on. Returns the excess of the fullest window.
+*/
+double excessAfterPause(const FleetFaults &faults)
+{
+    const QString team = QStringLiteral("paused");
+    FleetPlan plan;
+    plan.zones = 1;
+    plan.faults = faults;
+    Allowance allowance;
+    allowance.plan = team;
+    allowance.requestsPerSecond = 40;
+    allowance.burstRequests = 60;
+    plan.allowances = {allowance};
+    AllowanceFleet fleet(plan);
+    // The front that isn't the owner, so that the owner goes on granting.
+    const SlotIndex slot = ShareItem::team(team).aggregateIn(AllowanceFleet::zoneName(0)).slot();
+    const std::size_t owner = fleet.vms[0]->journal->status(slot) == SlotStatus::Active ? 0 : 1;
+    const std::size_t front = 1 - owner;
+    for (int step = 0; step < 67; ++step) {
+        fleet.request(front, team);
+        fleet.advance(std::chrono::milliseconds(30));
+    }
+    fleet.pause(front);
+    fleet.advance(std::chrono::milliseconds(1400));
+    for (int step = 0; step < 100; ++step)
+        fleet.request(owner, team);
+    fleet.advance(std::chrono::milliseconds(10));
+    fleet.resume(front);
+    for (int step = 0; step < 10; ++step)
+        fleet.request(front, team);
+    fleet.advance(std::chrono::milliseconds(500));
+    return largestExcess(fleet.events, team, {40, 60});
+}
+
+} // namespace
+
+Test(FaultSchedule, neverAdmitsAboveRateAndBurstNorUsesMoreThanTheWhole)
+{
+    for (std::uint64_t seed = 1; seed <= soundSeeds; ++seed) {
+        const ScheduleOutcome outcome = runFaultSchedule(seed, {});
+        cr_expect(outcome.holds(), "seed %llu: %s", static_cast<unsigned long long>(seed),
+                  outcome.describe().c_str());
+        cr_expect_gt(outcome.admitted, 200U, "seed %llu: %s", static_cast<unsigned long long>(seed),
+                     outcome.describe().c_str());
+    }
+}
+
+Test(FaultSchedule, noticesAnOwnerThatCommitsAfterItWasReplaced)
+{
+    FleetFaults faults;
+    faults.journalIgnoresFence = true;
+    cr_assert(isNoticed(faults));
+}
+
+Test(FaultSchedule, noticesDebitsThatATakeoverDoesNotKnow)
+{
+    FleetFaults faults;
+    faults.journalForgetsEntries = true;
+    cr_assert(isNoticed(faults));
+}
+
+Test(FaultSchedule, aPausedFrontUsesNoTokenThatLapsedMeanwhile)
+{
+    cr_assert_leq(excessAfterPause({}), 1e-6);
+    FleetFaults faults;
+    faults.clocksFreeze = true;
+    cr_assert_gt(excessAfterPause(faults), 0.5, "the check does not notice lapsed tokens");
+}
+
+Test(FaultSchedule, noticesSharesWrittenWithoutCompareAndSwap)
+{
+    FleetFaults faults;
+    faults.storeIgnoresRevision = true;
+    cr_assert(isNoticed(faults));
+}
+
+Test(FaultSchedule, noticesGiftsThatTheGiverGoesOnUsing)
+{
+    FleetFaults faults;
+    faults.giftsAreNotLowered = true;
+    cr_assert(isNoticed(faults));
+}
--- a/tests/allowance/support/AllowanceFleet.cpp
+++ b/tests/allowance/support/AllowanceFleet.cpp
@@ -9,6 +9,71 @@
 constexpr std::chrono::milliseconds detectionTime{1500};
 constexpr std::chrono::milliseconds catchUpTime{150};
 
+/** Broken twin of a store: a compare-and-swap writes whatever the record holds. */
+class OverwritingStore final : public PlatformStore
+{
+public:
+    OverwritingStore(std::unique_ptr<PlatformStore> soundStore,
+                     std::shared_ptr<InMemoryStoreServer> storeServer)
+        : sound(std::move(soundStore))
+        , server(std::move(storeServer))
+    { }
+
+    void readPrefix(const QByteArray &prefix, ReadCallback callback) override
+    {
+        this->sound->readPrefix(prefix, std::move(callback));
+    }
+    void read(const QByteArray &key, ReadCallback callback) override
+    {
+        this->sound->read(key, std::move(callback));
+    }
+    void compareAndSwap(const QByteArray &key, std::int64_t, const QByteArray &value,
+                        CompareAndSwapCallback callback, std::int64_t) override
+    {
+        this->server->put(key, value);
+        callback({CompareAndSwapOutcome::Unknown, std::nullopt});
+    }
+    void grantLease(std::chrono::seconds timeToLive,
+                    std::function<void(std::optional<std::int64_t>)> callback) override
+    {
+        this->sound->grantLease(timeToLive, std::move(callback));
+    }
+    void keepAlive(std::int64_t leaseId, std::function<void(bool)> callback) override
+    {
+        this->sound->keepAlive(leaseId, std::move(callback));
+    }
+    std::unique_ptr<Watch> watchPrefix(const QByteArray &prefix, std::int64_t afterRevision,
+                                       WatchCallback callback) override
+    {
+        return this->sound->watchPrefix(prefix, afterRevision, std::move(callback));
+    }
+
+private:
+    std::unique_ptr<PlatformStore> sound;
+    std::shared_ptr<InMemoryStoreServer> server;
+};
+
+/** Broken twin of the gift: reported as settled although the owner goes on using it. */
+void pretendGifts(ShareKeeperHooks &hooks, AllowanceOwner &owner)
+{
+    const auto pretended = std::make_shared<std::map<ShareItem, std::uint64_t>>();
+    hooks.giveParts = [pretended](const ShareItem &item, std::uint64_t parts) {
+        (*pretended)[item] += parts;
+    };
+    hooks.collectDemands = [pretended, &owner](const auto &callback) {
+        std::vector<ItemDemand> demands = owner.demands();
+        for (ItemDemand &demand : demands)
+            demand.settledGiven += (*pretended)[demand.item];
+        callback(demands);
+    };
+    hooks.publishShares = [&owner](const auto &table) {
+        auto unlowered = std::make_shared<ShareTable>(*table);
+        for (auto &[item, counters] : unlowered->countersByItem)
+            counters.given = 0;
+        owner.adoptShares(unlowered);
+    };
+}
+
 } // namespace
 
 AllowanceFleet::AllowanceFleet(FleetPlan fleetPlan)
@@ -33,7 +98,9 @@
 
     for (int zone = 0; zone < this->plan.zones; ++zone) {
         const QString name = zoneName(zone);
-        this->domains[name] = std::make_shared<JournalDomain>(this->timers, this->random());
+        this->domains[name] = std::make_shared<JournalDomain>(this->timers);
+        this->domains[name]->ignoresFence = this->plan.faults.journalIgnoresFence;
+        this->domains[name]->forgetsEntries = this->plan.faults.journalForgetsEntries;
         std::vector<VmDescriptor> members;
         for (int index = 0; index < this->plan.vmsPerZone; ++index) {
             this->makeVm(zone, index);
@@ -59,7 +126,7 @@
     auto vm = std::make_unique<FleetVm>();
     const QString name = QStringLiteral("vm-%1-%2").arg(zone).arg(index);
     vm->incarnation = {name, zoneName(zone), 1};
-    vm->timers = std::make_unique<PausableTimers>(this->timers);
+    vm->timers = std::make_unique<PausableTimers>(this->timers, this->plan.faults.clocksFreeze);
     vm->hub = this->network.makeHub(vm->incarnation);
     vm->journal = std::make_unique<ModelJournal>(this->domains.at(zoneName(zone)), vm->incarnation,
                                                  *vm->timers);
@@ -78,14 +145,18 @@
 {
     vm.controlHub = this->controlNetwork.makeHub(vm.incarnation);
     vm.store = std::make_unique<InMemoryPlatformStore>(this->storeServer, vm.incarnation.vm);
+    if (this->plan.faults.storeIgnoresRevision)
+        vm.store = std::make_unique<OverwritingStore>(std::move(vm.store), this->storeServer);
     AllowanceOwner &owner = *vm.owner;
     ShareKeeperHooks hooks;
+    hooks.publishShares = [&owner](auto table) { owner.adoptShares(std::move(table)); };
     hooks.collectDemands = [&owner](const auto &callback) { callback(owner.demands()); };
     hooks.giveParts = [&owner](const auto &item, auto parts) { owner.giveParts(item, parts); };
+    if (this->plan.faults.giftsAreNotLowered)
+        pretendGifts(hooks, owner);
     hooks.learnFenced = [&owner](const auto &item, const auto &counters) {
         owner.learnFenced(item, counters);
     };
-    hooks.publishShares = [&owner](auto table) { owner.adoptShares(std::move(table)); };
     std::vector<QString> zones;
     for (int zone = 0; zone < this->plan.zones; ++zone)
         zones.push_back(zoneName(zone));
@@ -200,6 +271,37 @@
     return found;
 }
 
+std::uint64_t AllowanceFleet::partsInUse(const ShareItem &item) const
+{
+    std::uint64_t parts = 0;
+    for (const auto &vm : this->vms) {
+        if (!vm)
+            continue;
+        const QString zone = vm->incarnation.zone;
+        const SlotIndex slot = item.aggregateIn(zone).slot();
+        if (!this->domains.at(zone)->mayCommit(vm->incarnation, slot))
+            continue;
+        for (const ItemDemand &demand : vm->owner->demands()) {
+            if (demand.item == item)
+                parts += demand.share.parts();
+        }
+    }
+    return parts;
+}
+
+std::uint64_t AllowanceFleet::partsInStore(const ShareItem &item) const
+{
+    const auto stored = this->storeServer->table().find(ShareRecord::keyOf(item));
+    const auto record = stored ? ShareRecord::decode(stored->value) : std::nullopt;
+    const SharesByZone *shares = record ? record->find(item) : nullptr;
+    std::uint64_t parts = 0;
+    if (shares != nullptr) {
+        for (const auto &[zone, share] : *shares)
+            parts += share.counters.parts();
+    }
+    return parts;
+}
+
 void AllowanceFleet::dropFromView(const VmIncarnation &vm)
 {
     const ZoneView &before = *this->views.at(vm.zone);
--- a/tests/allowance/support/AllowanceFleet.h
+++ b/tests/allowance/support/AllowanceFleet.h
@@ -20,6 +20,16 @@
 
 namespace lacewingmux::test {
 
+/** Mechanisms that a test takes away, to see that its checks notice. */
+struct FleetFaults
+{
+    bool journalIgnoresFence = false;   ///< a replaced owner may still commit
+    bool journalForgetsEntries = false; ///< a takeover doesn't know the last debits
+    bool clocksFreeze = false;          ///< a paused VM doesn't see that its tokens lapsed
+    bool storeIgnoresRevision = false;  ///< writes of shares aren't compare-and-swap
+    bool giftsAreNotLowered = false;    ///< a share is written as given while it is still used
+};
+
 /** What a fleet is made of. */
 struct FleetPlan
 {
@@ -30,6 +40,7 @@
     bool borrowing = true;
     ShareDecision decision = &ShareMovement::decide;
     std::uint64_t seed = 1;
+    FleetFaults faults = {};
 };
 
 /** The gates and owners of one VM, on one thread. */
@@ -43,7 +54,7 @@
     std::unique_ptr<TeamAdmission> admission;
     std::unique_ptr<ZonePower> power;
     std::unique_ptr<PeerHub> controlHub;
-    std::unique_ptr<InMemoryPlatformStore> store;
+    std::unique_ptr<PlatformStore> store;
     std::unique_ptr<ShareKeeper> keeper;
     bool paused = false;
 };
@@ -83,6 +94,12 @@
     std::vector<std::size_t> running(int zone) const;
     std::vector<std::size_t> running() const;
 
+    /** Returns the parts that the zones' owners use in all. */
+    std::uint64_t partsInUse(const ShareItem &item) const;
+
+    /** Returns the parts that the store's record gives to all zones. */
+    std::uint64_t partsInStore(const ShareItem &item) const;
+
     static QString zoneName(int zone);
 
     FleetPlan plan;
--- /dev/null
+++ b/tests/allowance/support/FaultSchedule.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "allowance/support/AllowanceFleet.h"
+
+#include <QString>
+
+#include <cstdint>
+#include <string>
+
+namespace lacewingmux::test {
+
+/** What a schedule of faults brought to light. */
+struct ScheduleOutcome
+{
+    double largestExcess = -1e9;        ///< over teams and windows; above 0 is over-admission
+    std::uint64_t mostPartsInUse = 0;   ///< of one item over all zones, at any step
+    std::uint64_t mostPartsInStore = 0; ///< of one item in its record, at any step
+    std::uint64_t fewestPartsInStore = wholeParts;
+    std::size_t admitted = 0;
+    std::size_t faults = 0;
+
+    [[nodiscard]] bool holds() const
+    {
+        return this->largestExcess <= 1e-6 && this->mostPartsInUse <= wholeParts
+               && this->mostPartsInStore == wholeParts && this->fewestPartsInStore == wholeParts;
+    }
+
+    [[nodiscard]] std::string describe() const;
+};
+
+/**
+    Floods a fleet under a seeded random schedule of kills, pauses, cuts, broken links, lost store
+    replies, store outages and share moves, and checks the limits over every window.
+*/
+ScheduleOutcome runFaultSchedule(std::uint64_t seed, const FleetFaults &faults);
+
+} // namespace lacewingmux::test
--- a/tests/allowance/support/ModelJournal.h
+++ b/tests/allowance/support/ModelJournal.h
@@ -9,7 +9,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
 #include <set>
 #include <vector>
 
@@ -24,9 +23,8 @@
 class JournalDomain
 {
 public:
-    JournalDomain(TimerService &sharedTimers, std::uint64_t seed)
+    explicit JournalDomain(TimerService &sharedTimers)
         : timers(sharedTimers)
-        , random(seed)
     { }
 
     /** Puts a view into force: the owners of its slots may commit from now on. */
@@ -38,21 +36,17 @@
 
     bool mayCommit(const VmIncarnation &vm, SlotIndex slot) const
     {
-        return this->owners.at(slot) == vm;
+        return this->ignoresFence || this->owners.at(slot) == vm;
     }
 
-    /** An entry that the backup had received when its sender was replaced may be in the slot. */
-    bool keepsUnacknowledged()
-    {
-        return this->random() % 2 == 0;
-    }
+    bool ignoresFence = false;   ///< broken twin: a replaced owner may still commit
+    bool forgetsEntries = false; ///< broken twin: an entry is committed without being kept
 
     TimerService &timers;
     std::array<std::map<AggregateId, QByteArray>, slotsPerZone> records;
 
 private:
     std::array<std::optional<VmIncarnation>, slotsPerZone> owners;
-    std::mt19937_64 random;
 };
 
 /** One VM's end of a JournalDomain. Commits take one millisecond. */
@@ -92,7 +86,8 @@
                 [domain = this->domain, self = this->self, slot, aggregate, entry, outcome, mine] {
                     if (!mine || !domain->mayCommit(self, slot))
                         return;
-                    domain->records.at(slot)[aggregate] = entry;
+                    if (!domain->forgetsEntries)
+                        domain->records.at(slot)[aggregate] = entry;
                     *outcome = AppendOutcome::Committed;
                 }));
         this->acks.push_back(this->timers.after(
--- a/tests/allowance/support/PausableTimers.h
+++ b/tests/allowance/support/PausableTimers.h
@@ -11,13 +11,15 @@
 class PausableTimers final : public TimerService
 {
 public:
-    explicit PausableTimers(TimerService &sharedTimers)
+    /** With a frozen clock, a broken twin, the process doesn't see that time went on. */
+    explicit PausableTimers(TimerService &sharedTimers, bool freezesClock = false)
         : shared(sharedTimers)
+        , freezes(freezesClock)
     { }
 
     SteadyTime now() const override
     {
-        return this->shared.now();
+        return this->shared.now() - this->lag;
     }
     WallTime wallNow() const override
     {
@@ -41,11 +43,14 @@
     void pause()
     {
         this->state->paused = true;
+        this->pausedAt = this->shared.now();
     }
 
     void resume()
     {
         this->state->paused = false;
+        if (this->freezes)
+            this->lag += this->shared.now() - this->pausedAt;
         const auto held = std::exchange(this->state->held, {});
         for (const auto &callback : held)
             callback();
@@ -72,6 +77,9 @@
     }
 
     TimerService &shared;
+    bool freezes;
+    SteadyTime pausedAt;
+    SteadyTime::duration lag{0};
     std::shared_ptr<State> state = std::make_shared<State>();
 };
 
