--- /dev/null
+++ b/modules/lacewingmux_daemon/assembly/ControlServices.cpp
@@ -0,0 +1,191 @@
+#include "lacewingmux_daemon/assembly/ControlServices.h"
+
+#include "lacewingmux_allowance/owner/AllowanceOwner.h"
+#include "lacewingmux_config/service/CallerAuthority.h"
+#include "lacewingmux_daemon/assembly/PeerHubSetup.h"
+#include "lacewingmux_daemon/assembly/TrafficServices.h"
+#include "lacewingmux_daemon/settings/DaemonSettings.h"
+#include "lacewingmux_daemon/threads/ServiceThread.h"
+#include "lacewingmux_report/metrics/HistogramMetrics.h"
+#include "lacewingmux_zone/views/FleetViews.h"
+#include "lacewingmux_zone/views/ZoneView.h"
+
+#include <QJsonArray>
+
+namespace lacewingmux {
+
+namespace {
+
+PlatformStoreSettings storeSettingsOf(const DaemonSettings &settings, const VmDescriptor &self)
+{
+    PlatformStoreSettings result;
+    for (const QString &endpoint : settings.store.endpoints)
+        result.endpoints.push_back(QUrl(endpoint));
+    result.clientName = settings.vm;
+    result.callsPerSecond = settings.store.callsPerSecond;
+    result.burstCalls = settings.store.burstCalls;
+    result.callTimeout = settings.store.callTimeout;
+    result.jitterSeed = self.incarnation.incarnation;
+    return result;
+}
+
+ZoneMembershipSettings membershipSettingsOf(const DaemonSettings &settings)
+{
+    ZoneMembershipSettings result;
+    result.heartbeatInterval = settings.membership.heartbeatInterval;
+    result.failureTimeout = settings.membership.failureTimeout;
+    return result;
+}
+
+QJsonObject viewObject(const ZoneView &view)
+{
+    QJsonArray members;
+    for (const VmDescriptor &member : view.members())
+        members.append(member.incarnation.toString());
+    return {{QStringLiteral("zone"), view.zone()},
+            {QStringLiteral("epoch"), static_cast<qint64>(view.epoch())},
+            {QStringLiteral("members"), members}};
+}
+
+} // namespace
+
+ControlServices::ControlServices(const DaemonSettings &settings, const VmDescriptor &self,
+                                 const PeerHubSettings &hubSettings,
+                                 const ControlEnvironment &controlEnvironment)
+    : environment(controlEnvironment)
+    , descriptor(self)
+    , hub(hubSettings, environment.timers)
+    , store(environment.timers, environment.metrics, storeSettingsOf(settings, self))
+    , membership(this->hub, this->store, environment.timers, environment.metrics, self,
+                 membershipSettingsOf(settings))
+    , configuration(this->store, this->hub, environment.timers, environment.metrics,
+                    this->configurationHooks(), settings.dataFolder, self.incarnation.incarnation)
+    , shares(this->store, this->hub, environment.timers, environment.metrics, this->shareHooks(),
+             settings.zones)
+    , replicas(this->store, environment.timers, self.incarnation.zone,
+               [&traffic = environment.traffic](const std::shared_ptr<const ReplicaSet> &set) {
+                   traffic.post([set](TrafficServices &services) { services.adoptReplicas(set); });
+               })
+{
+    this->membership.setViewsHandler(
+            [this](const std::shared_ptr<const FleetViews> &views, const ViewHistory &history) {
+                this->adoptViews(views, history);
+            });
+    this->membership.setSeeds(seedPeersOf(settings));
+    this->membership.start();
+    this->configuration.start();
+}
+
+ControlServices::~ControlServices() = default;
+
+void ControlServices::viewNeeded(std::uint64_t epoch)
+{
+    this->membership.viewNeeded(epoch);
+}
+
+void ControlServices::settled(std::uint64_t epoch)
+{
+    this->membership.journalSettled(epoch);
+}
+
+void ControlServices::leaveView()
+{
+    this->membership.leave();
+}
+
+QJsonObject ControlServices::status() const
+{
+    QJsonArray views;
+    for (const auto &[zone, view] : this->membership.views()->views())
+        views.append(viewObject(*view));
+    return {{QStringLiteral("vm"), this->descriptor.incarnation.vm},
+            {QStringLiteral("zone"), this->descriptor.incarnation.zone},
+            {QStringLiteral("incarnation"), this->descriptor.incarnation.toString()},
+            {QStringLiteral("member"), this->membership.isMember()},
+            {QStringLiteral("storeReachable"), this->membership.isStoreReachable()},
+            {QStringLiteral("views"), views},
+            {QStringLiteral("configuration"),
+             static_cast<qint64>(this->configuration.revisions().configuration)},
+            {QStringLiteral("zonesInForce"), this->configuration.zonesInForceJson()},
+            {QStringLiteral("controlPeers"),
+             static_cast<qint64>(this->hub.connectedPeers().size())}};
+}
+
+ConfigurationHooks ControlServices::configurationHooks()
+{
+    ConfigurationHooks hooks;
+    hooks.peers = [this] {
+        std::map<QString, std::vector<VmDescriptor>> members;
+        for (const auto &[zone, view] : this->membership.views()->views())
+            members[zone] = view->members();
+        return ConfigurationPeers::fromViews(this->descriptor.incarnation, members);
+    };
+    hooks.onConfiguration = [this](const std::shared_ptr<const Configuration> &accepted) {
+        this->adoptConfiguration(accepted);
+    };
+    hooks.onKeyRing = [this](const std::shared_ptr<const KeyRing> &) { this->publishAuthority(); };
+    hooks.onKeysWithdrawn = [this](const std::vector<QString> &keyIds) {
+        this->environment.traffic.post(
+                [keyIds](TrafficServices &services) { services.withdrawKeys(keyIds); });
+    };
+    return hooks;
+}
+
+ShareKeeperHooks ControlServices::shareHooks()
+{
+    ServiceThread<TrafficServices> &traffic = this->environment.traffic;
+    ShareKeeperHooks hooks;
+    hooks.collectDemands = [this, &traffic](ShareKeeperHooks::DemandCallback callback) {
+        traffic.post([this, callback = std::move(callback)](TrafficServices &services) {
+            this->environment.controlQueue.post(
+                    [callback, demands = services.allowanceOwner().demands()] {
+                        callback(demands);
+                    });
+        });
+    };
+    hooks.giveParts = [&traffic](const ShareItem &item, std::uint64_t parts) {
+        traffic.post([item, parts](TrafficServices &services) {
+            services.allowanceOwner().giveParts(item, parts);
+        });
+    };
+    hooks.learnFenced = [&traffic](const ShareItem &item, const ShareCounters &recorded) {
+        traffic.post([item, recorded](TrafficServices &services) {
+            services.allowanceOwner().learnFenced(item, recorded);
+        });
+    };
+    hooks.publishShares = [&traffic](const std::shared_ptr<const ShareTable> &table) {
+        traffic.post([table](TrafficServices &services) {
+            services.allowanceOwner().adoptShares(table);
+        });
+    };
+    return hooks;
+}
+
+void ControlServices::adoptViews(const std::shared_ptr<const FleetViews> &views,
+                                 const ViewHistory &history)
+{
+    this->configuration.viewsChanged();
+    this->shares.adoptViews(views);
+    const ViewSnapshot snapshot{views, views->view(this->descriptor.incarnation.zone), history};
+    this->environment.traffic.post(
+            [snapshot](TrafficServices &services) { services.adoptViews(snapshot); });
+}
+
+void ControlServices::adoptConfiguration(const std::shared_ptr<const Configuration> &accepted)
+{
+    this->shares.adoptConfiguration(accepted);
+    this->environment.traffic.post(
+            [accepted](TrafficServices &services) { services.adoptConfiguration(accepted); });
+    this->publishAuthority();
+}
+
+void ControlServices::publishAuthority()
+{
+    const auto authority = std::make_shared<const CallerAuthority>(
+            this->configuration.configuration(), this->configuration.keyRing(),
+            this->configuration.storeContact());
+    this->environment.traffic.post(
+            [authority](TrafficServices &services) { services.adoptAuthority(authority); });
+}
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_daemon/assembly/PlannedStop.cpp
+++ b/modules/lacewingmux_daemon/assembly/PlannedStop.cpp
@@ -57,7 +57,8 @@
 {
     if (this->step == Step::Draining && status.runningCalls == 0) {
         this->step = Step::Leaving;
-        LogEvent(LogSeverity::Info, "plannedStopLeavesView");
+        LogEvent(LogSeverity::Info, "plannedStopLeavesView")
+                .field("ownerRequests", static_cast<qint64>(status.ownerRequests));
         this->hooks.leaveView();
         return;
     }
--- a/programs/lacewingmuxd/main.cpp
+++ b/programs/lacewingmuxd/main.cpp
@@ -1,4 +1,8 @@
 #include "lacewingmux_core/errors/LacewingmuxError.h"
+#include "lacewingmux_core/logging/StructuredLog.h"
+#include "lacewingmux_daemon/assembly/Daemon.h"
+#include "lacewingmux_daemon/process/LogSetup.h"
+#include "lacewingmux_daemon/process/StopSignals.h"
 #include "lacewingmux_daemon/settings/DaemonSettingsReader.h"
 
 #include <QCoreApplication>
@@ -41,6 +45,23 @@
         std::cout << field.toTableRow().toStdString() << '\n';
 }
 
+/** Runs the daemon until a planned stop has ended. */
+int serve(const DaemonSettings &settings)
+{
+    const LogSetup logging("lacewingmuxd", settings.log);
+    try {
+        Daemon daemon(settings, [](bool complete) {
+            QCoreApplication::exit(complete ? StoppedAsPlanned : Failed);
+        });
+        const StopSignals signals([&daemon] { daemon.beginStop(); });
+        return QCoreApplication::exec();
+    } catch (const LacewingmuxError &error) {
+        LogEvent(LogSeverity::Error, "daemonFailed").field("reason", error.message());
+        std::cerr << error.what() << '\n';
+        return Failed;
+    }
+}
+
 int runWithSettings(const cxxopts::ParseResult &arguments)
 {
     const QString path = QString::fromStdString(arguments["config"].as<std::string>());
@@ -55,7 +76,7 @@
                   << settings.zone.toStdString() << '\n';
         return StoppedAsPlanned;
     }
-    return Failed;
+    return serve(settings);
 }
 
 int run(int argc, char **argv)
