Wire the registry, the quarantine notices and the order lease into the daemon

Cause: the daemon listed replicas without their load, told no other VM of crashes, and a zone of two VMs would never have ordered an engine that checks no fencing, since nobody acknowledged the epoch. Change: ReplicaRegistry takes the place of ReplicaListing; QuarantineNotices and OrderLeaseExchange use the traffic links.

--- a/modules/lacewingmux_backend/replicas/ReplicaRegistry.cpp
+++ b/modules/lacewingmux_backend/replicas/ReplicaRegistry.cpp
@@ -211,6 +211,8 @@
 void ReplicaRegistry::share()
 {
     this->sharePending = false;
+    if (!this->view)
+        return;
     std::vector<ReplicaLoadEntry> loads;
     for (const QString &name : std::exchange(this->unshared, {})) {
         const auto found = this->replicas.find(name);
--- a/modules/lacewingmux_daemon/assembly/ControlServices.cpp
+++ b/modules/lacewingmux_daemon/assembly/ControlServices.cpp
@@ -37,6 +37,13 @@
     return result;
 }
 
+ReplicaRegistrySettings replicaSettingsOf(const VmDescriptor &self)
+{
+    ReplicaRegistrySettings result;
+    result.seed = self.incarnation.incarnation;
+    return result;
+}
+
 QJsonObject viewObject(const ZoneView &view)
 {
     QJsonArray members;
@@ -62,10 +69,7 @@
                     this->configurationHooks(), settings.dataFolder, self.incarnation.incarnation)
     , shares(this->store, this->hub, environment.timers, environment.metrics, this->shareHooks(),
              settings.zones)
-    , replicas(this->store, environment.timers, self.incarnation.zone,
-               [&traffic = environment.traffic](const std::shared_ptr<const ReplicaSet> &set) {
-                   traffic.post([set](TrafficServices &services) { services.adoptReplicas(set); });
-               })
+    , replicas(this->replicaEnvironment(), replicaSettingsOf(self))
 {
     this->membership.setViewsHandler(
             [this](const std::shared_ptr<const FleetViews> &views, const ViewHistory &history) {
@@ -74,6 +78,7 @@
     this->membership.setSeeds(seedPeersOf(settings));
     this->membership.start();
     this->configuration.start();
+    this->replicas.start();
 }
 
 ControlServices::~ControlServices() = default;
@@ -111,6 +116,16 @@
              static_cast<qint64>(this->hub.connectedPeers().size())}};
 }
 
+ReplicaRegistryEnvironment ControlServices::replicaEnvironment()
+{
+    const auto publish =
+            [&traffic = this->environment.traffic](const std::shared_ptr<const ReplicaSet> &set) {
+                traffic.post([set](TrafficServices &services) { services.adoptReplicas(set); });
+            };
+    return {this->environment.timers, this->store, &this->hub, this->descriptor.incarnation,
+            publish};
+}
+
 ConfigurationHooks ControlServices::configurationHooks()
 {
     ConfigurationHooks hooks;
@@ -166,6 +181,7 @@
 {
     this->configuration.viewsChanged();
     this->shares.adoptViews(views);
+    this->replicas.adoptView(views->view(this->descriptor.incarnation.zone));
     const ViewSnapshot snapshot{views, views->view(this->descriptor.incarnation.zone), history};
     this->environment.traffic.post(
             [snapshot](TrafficServices &services) { services.adoptViews(snapshot); });
--- a/modules/lacewingmux_daemon/assembly/ControlServices.h
+++ b/modules/lacewingmux_daemon/assembly/ControlServices.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "lacewingmux_allowance/shares/ShareKeeper.h"
+#include "lacewingmux_backend/replicas/ReplicaRegistry.h"
 #include "lacewingmux_config/service/ConfigurationService.h"
-#include "lacewingmux_daemon/assembly/ReplicaListing.h"
 #include "lacewingmux_daemon/assembly/ViewSnapshot.h"
 #include "lacewingmux_peer/links/TcpPeerHub.h"
 #include "lacewingmux_peer/messages/VmDescriptor.h"
@@ -62,6 +62,7 @@
     [[nodiscard]] QJsonObject status() const;
 
 private:
+    [[nodiscard]] ReplicaRegistryEnvironment replicaEnvironment();
     [[nodiscard]] ConfigurationHooks configurationHooks();
     [[nodiscard]] ShareKeeperHooks shareHooks();
     void adoptConfiguration(const std::shared_ptr<const Configuration> &accepted);
@@ -75,7 +76,7 @@
     ZoneMembership membership;
     ConfigurationService configuration;
     ShareKeeper shares;
-    ReplicaListing replicas;
+    ReplicaRegistry replicas;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_daemon/assembly/TrafficServices.cpp
+++ b/modules/lacewingmux_daemon/assembly/TrafficServices.cpp
@@ -68,8 +68,11 @@
     , allowances(this->journal, this->hub, this->timers, sharedMetrics)
     , admission(this->hub, this->allowances, this->timers, sharedMetrics)
     , power(this->hub, this->allowances, this->timers)
-    , dispatcher({this->timers, sharedMetrics, &this->power, self.incarnation, {}},
+    , dispatcher({this->timers, sharedMetrics, &this->power, self.incarnation,
+                  [this](const CrashCoincidence &seen) { this->quarantineNotices.announce(seen); }},
                  dispatcherSettingsOf(self))
+    , quarantineNotices(this->hub, this->dispatcher)
+    , orderLease(this->hub, this->timers, this->dispatcher.orderIssuer())
     , programs({this->journal,
                 this->dispatcher,
                 this->timers,
@@ -116,7 +119,7 @@
     this->hub.setPeers(trafficPeersOf(views));
     if (views.own) {
         this->journal.adoptView(views.own, views.history);
-        this->dispatcher.orderIssuer().adoptView(*views.own, this->timers.now());
+        this->orderLease.adoptView(*views.own);
     }
     this->allowances.adoptViews(views.fleet);
     this->admission.adoptViews(views.fleet);
--- a/modules/lacewingmux_daemon/assembly/TrafficServices.h
+++ b/modules/lacewingmux_daemon/assembly/TrafficServices.h
@@ -3,7 +3,9 @@
 #include "lacewingmux_allowance/admission/TeamAdmission.h"
 #include "lacewingmux_allowance/admission/ZonePower.h"
 #include "lacewingmux_allowance/owner/AllowanceOwner.h"
+#include "lacewingmux_backend/dispatch/QuarantineNotices.h"
 #include "lacewingmux_backend/dispatch/ReplicaDispatcher.h"
+#include "lacewingmux_backend/orders/OrderLeaseExchange.h"
 #include "lacewingmux_core/time/QtTimerService.h"
 #include "lacewingmux_daemon/assembly/DrainingOwner.h"
 #include "lacewingmux_daemon/assembly/TrafficStatus.h"
@@ -98,6 +100,8 @@
     TeamAdmission admission;
     ZonePower power;
     ReplicaDispatcher dispatcher;
+    QuarantineNotices quarantineNotices;
+    OrderLeaseExchange orderLease;
     ProgramOwner programs;
     DrainingOwner owner;
     SentRequests sent;
