Tell engines the priority of calls

Cause: in a surge other teams' calls wait for prefill behind those of the surging team. Change: a call whose team has others waiting gets a lower priority at the engine (WorkQueue::enginePriority); the model's engines admit and prefill by priority.

--- a/modules/lacewingmux_experiment/policy/Policy.cpp
+++ b/modules/lacewingmux_experiment/policy/Policy.cpp
@@ -17,6 +17,7 @@
     policy.name = QStringLiteral("naive");
     policy.naiveQueue = true;
     policy.naiveChooser = true;
+    policy.enginePriority = false;
     policy.retention = false;
     policy.releaseEnded = false;
     policy.quarantine = false;
@@ -42,6 +43,7 @@
     without("corrected reports", [](Policy &policy) { policy.chooser.correctReports = false; });
     without("two choices", [](Policy &policy) { policy.chooser.twoChoices = false; });
     without("guaranteed part", [](Policy &policy) { policy.chooser.guaranteedPart = false; });
+    without("engine priority", [](Policy &policy) { policy.enginePriority = false; });
     without("retention", [](Policy &policy) { policy.retention = false; });
     without("release", [](Policy &policy) { policy.releaseEnded = false; });
     without("quarantine", [](Policy &policy) { policy.quarantine = false; });
--- a/modules/lacewingmux_experiment/policy/Policy.h
+++ b/modules/lacewingmux_experiment/policy/Policy.h
@@ -18,8 +18,9 @@
     bool naiveChooser = false; ///< LeastReportedLoad in place of ReplicaChooser
     WorkQueueSettings queue;
     ReplicaChooserSettings chooser;
-    bool retention = true;    ///< PrefixRetention; without, engines keep all
-    bool releaseEnded = true; ///< release the prefixes of ended programs and of those that moved
+    bool enginePriority = true; ///< tell engines the priority of calls
+    bool retention = true;      ///< PrefixRetention; without, engines keep all
+    bool releaseEnded = true;   ///< release the prefixes of ended programs and of those that moved
     bool quarantine = true;
     bool retryBudget = true;
     bool admissionControl = true; ///< without, calls wait until their queue timeout
--- a/modules/lacewingmux_experiment/policy/QueueHooks.cpp
+++ b/modules/lacewingmux_experiment/policy/QueueHooks.cpp
@@ -22,6 +22,7 @@
     hooks.size = [queue] { return queue->size(); };
     hooks.teamSize = [queue](const QString &) { return queue->size(); };
     hooks.teamShare = [](const QString &, double) { return 1.0; };
+    hooks.enginePriority = [](const QString &) { return 0; };
     return hooks;
 }
 
@@ -47,6 +48,7 @@
     hooks.teamShare = [queue](const QString &team, double weight) {
         return queue->teamShare(team, weight);
     };
+    hooks.enginePriority = [queue](const QString &team) { return queue->enginePriority(team); };
     return hooks;
 }
 
--- a/modules/lacewingmux_experiment/policy/QueueHooks.h
+++ b/modules/lacewingmux_experiment/policy/QueueHooks.h
@@ -21,6 +21,7 @@
     std::function<std::size_t()> size;
     std::function<std::size_t(const QString &team)> teamSize;
     std::function<double(const QString &team, double weight)> teamShare;
+    std::function<int(const QString &team)> enginePriority;
 };
 
 /** Makes the queue that the policy asks for. */
--- a/modules/lacewingmux_experiment/simulation/SimulatedReplica.cpp
+++ b/modules/lacewingmux_experiment/simulation/SimulatedReplica.cpp
@@ -78,8 +78,12 @@
     while (!this->waiting.empty()
            && this->running.size() < static_cast<std::size_t>(this->pool.capacity)) {
         Sequence sequence;
-        sequence.call = std::move(this->waiting.front());
-        this->waiting.pop_front();
+        const auto first = std::min_element(this->waiting.begin(), this->waiting.end(),
+                                            [](const ReplicaCall &left, const ReplicaCall &right) {
+                                                return left.priority < right.priority;
+                                            });
+        sequence.call = std::move(*first);
+        this->waiting.erase(first);
         const ReplicaCall &call = sequence.call;
         const std::int64_t held = std::max(this->cache.take(call.program), call.importedTokens);
         sequence.cachedTokens = std::min(held, call.historyTokens);
@@ -87,7 +91,11 @@
         sequence.prefillLeft = call.historyTokens + call.newTokens - sequence.cachedTokens;
         sequence.outputLeft = call.outputTokens;
         this->runningTokens += call.historyTokens + call.newTokens + call.outputTokens;
-        this->running.push_back(std::move(sequence));
+        const auto place = std::upper_bound(this->running.begin(), this->running.end(), sequence,
+                                            [](const Sequence &left, const Sequence &right) {
+                                                return left.call.priority < right.call.priority;
+                                            });
+        this->running.insert(place, std::move(sequence));
     }
     this->fitMemory();
 }
--- a/modules/lacewingmux_experiment/simulation/SimulatedReplica.h
+++ b/modules/lacewingmux_experiment/simulation/SimulatedReplica.h
@@ -21,6 +21,7 @@
     std::int64_t newTokens = 0;
     std::int64_t outputTokens = 0;
     std::int64_t importedTokens = 0; ///< of the history, brought along from an export
+    int priority = 0;                ///< lower is prefilled and admitted first
     bool poisoned = false;
     std::function<void(std::int64_t cachedTokens)> finished;
     std::function<void()> broken; ///< the replica crashed or was cut off
--- a/modules/lacewingmux_experiment/simulation/SimulatedVm.cpp
+++ b/modules/lacewingmux_experiment/simulation/SimulatedVm.cpp
@@ -203,14 +203,14 @@
         });
         return;
     }
-    ReplicaCall run{call->program,
-                    call->historyTokens,
-                    call->newTokens,
-                    call->outputTokens,
-                    0,
-                    call->poisoned,
-                    {},
-                    {}};
+    ReplicaCall run;
+    run.program = call->program;
+    run.historyTokens = call->historyTokens;
+    run.newTokens = call->newTokens;
+    run.outputTokens = call->outputTokens;
+    run.poisoned = call->poisoned;
+    if (this->policy.enginePriority)
+        run.priority = this->pools[call->pool].queue.enginePriority(call->item.team);
     const QString crash =
             choice.replica + QLatin1Char('#') + QString::number(replica.startNumber());
     const std::uint64_t id = call->item.id;
--- a/modules/lacewingmux_scheduling/queue/WorkQueue.cpp
+++ b/modules/lacewingmux_scheduling/queue/WorkQueue.cpp
@@ -79,6 +79,11 @@
     return own / (counted ? this->waitingWeight : this->waitingWeight + weight);
 }
 
+int WorkQueue::enginePriority(const QString &team) const
+{
+    return this->teamSize(team) > 0 ? 1 : 0;
+}
+
 QString WorkQueue::fairnessKey(const WorkItem &item) const
 {
     return this->settings.fairBetweenTeams ? item.team : QString();
--- a/modules/lacewingmux_scheduling/queue/WorkQueue.h
+++ b/modules/lacewingmux_scheduling/queue/WorkQueue.h
@@ -68,6 +68,11 @@
         now go on waiting; the team itself counts as waiting, with the weight. */
     [[nodiscard]] double teamShare(const QString &team, double weight) const;
 
+    /** Returns the priority that a call of the team should have at the engine, to be asked after it
+        was taken: lower goes first. A team with calls left waiting uses its share in full, so its
+        calls yield to those of teams that use less. */
+    [[nodiscard]] int enginePriority(const QString &team) const;
+
 private:
     /** Place of an item within its team; lower goes first. */
     struct Rank
--- a/tests/scheduling/WorkQueueTest.cpp
+++ b/tests/scheduling/WorkQueueTest.cpp
@@ -176,3 +176,16 @@
         }
     }
 }
+
+Test(WorkQueue, aTeamThatUsesItsShareInFullYieldsAtTheEngine)
+{
+    WorkQueue queue;
+    queue.push(makeItem(1, QStringLiteral("a")), start);
+    queue.push(makeItem(2, QStringLiteral("a")), start);
+    cr_assert_eq(takeNext(queue), 1);
+    cr_assert_gt(queue.enginePriority(QStringLiteral("a")),
+                 queue.enginePriority(QStringLiteral("b")));
+    cr_assert_eq(takeNext(queue), 2);
+    cr_assert_eq(queue.enginePriority(QStringLiteral("a")),
+                 queue.enginePriority(QStringLiteral("b")));
+}
