Let operators see and end programs of any team, and list zones that are out of reach

The operators' port asks the owner wherever it is; only that port sets OwnerRequest::byOperator. A zone that is configured and not heard of is shown with revision 0, so that a wait for a revision names it.

--- a/modules/lacewingmux_daemon/assembly/ControlServices.cpp
+++ b/modules/lacewingmux_daemon/assembly/ControlServices.cpp
@@ -12,6 +12,8 @@
 
 #include <QJsonArray>
 
+#include <algorithm>
+
 namespace lacewingmux {
 
 namespace {
@@ -54,6 +56,7 @@
                                  const ControlEnvironment &controlEnvironment)
     : environment(controlEnvironment)
     , descriptor(self)
+    , zones(settings.zones)
     , hub(hubSettings, environment.timers)
     , store(environment.timers, environment.metrics, storeSettingsOf(settings, self))
     , membership(this->hub, this->store, environment.timers, environment.metrics, self,
@@ -106,11 +109,26 @@
             {QStringLiteral("views"), views},
             {QStringLiteral("configuration"),
              static_cast<qint64>(this->configuration.revisions().configuration)},
-            {QStringLiteral("zonesInForce"), this->configuration.zonesInForceJson()},
+            {QStringLiteral("inForce"), this->inForce()},
             {QStringLiteral("controlPeers"),
              static_cast<qint64>(this->hub.connectedPeers().size())}};
 }
 
+QJsonArray ControlServices::inForce() const
+{
+    QJsonArray result = this->configuration.zonesInForceJson();
+    for (const QString &zone : this->zones) {
+        const bool heard = std::any_of(result.begin(), result.end(), [&zone](const auto &entry) {
+            return entry.toObject().value(QLatin1String("zone")).toString() == zone;
+        });
+        if (!heard)
+            result.append(QJsonObject{{QStringLiteral("zone"), zone},
+                                      {QStringLiteral("configuration"), 0},
+                                      {QStringLiteral("reportedVms"), 0}});
+    }
+    return result;
+}
+
 ConfigurationHooks ControlServices::configurationHooks()
 {
     ConfigurationHooks hooks;
--- a/modules/lacewingmux_daemon/assembly/ControlServices.h
+++ b/modules/lacewingmux_daemon/assembly/ControlServices.h
@@ -9,6 +9,7 @@
 #include "lacewingmux_platform/client/HttpPlatformStore.h"
 #include "lacewingmux_zone/membership/ZoneMembership.h"
 
+#include <QJsonArray>
 #include <QJsonObject>
 
 #include <cstdint>
@@ -62,6 +63,8 @@
     [[nodiscard]] QJsonObject status() const;
 
 private:
+    /** Returns what is in force in each configured zone; 0 for a zone that isn't heard of. */
+    [[nodiscard]] QJsonArray inForce() const;
     [[nodiscard]] ConfigurationHooks configurationHooks();
     [[nodiscard]] ShareKeeperHooks shareHooks();
     void adoptConfiguration(const std::shared_ptr<const Configuration> &accepted);
@@ -70,6 +73,7 @@
 
     ControlEnvironment environment;
     VmDescriptor descriptor;
+    std::vector<QString> zones;
     TcpPeerHub hub;
     HttpPlatformStore store;
     ZoneMembership membership;
--- a/modules/lacewingmux_daemon/assembly/OperatorServices.cpp
+++ b/modules/lacewingmux_daemon/assembly/OperatorServices.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds ownerTimeout{10000};
+
 QByteArray readToken(const QString &path)
 {
     if (path.isEmpty())
@@ -63,6 +65,14 @@
                         [this](const OperatorRequest &, const OperatorReply &reply) {
                             this->replyWithBurn(reply);
                         });
+    this->endpoints.add("GET", "/v1/operator/programs/*",
+                        [this](const OperatorRequest &request, const OperatorReply &reply) {
+                            this->askOwner(OwnerOperation::FetchHistory, request, reply);
+                        });
+    this->endpoints.add("POST", "/v1/operator/programs/*/end",
+                        [this](const OperatorRequest &request, const OperatorReply &reply) {
+                            this->askOwner(OwnerOperation::EndProgram, request, reply);
+                        });
     this->server.listen(QHostAddress(settings.operators.address), settings.operators.port);
 }
 
@@ -86,4 +96,23 @@
             });
 }
 
+void OperatorServices::askOwner(OwnerOperation operation, const OperatorRequest &request,
+                                const OperatorReply &reply)
+{
+    OwnerRequest question;
+    question.operation = operation;
+    question.programId = request.arguments.front();
+    question.timeout = ownerTimeout;
+    ThreadQueue *queue = &this->environment.controlQueue;
+    OperatorReply posted;
+    posted.succeed = [queue, reply](const QJsonObject &answer) {
+        queue->post([reply, answer] { reply.succeed(answer); });
+    };
+    posted.fail = [queue, reply](const LacewingmuxError &error) {
+        queue->post([reply, error] { reply.fail(error); });
+    };
+    this->environment.traffic.post(
+            [question, posted](TrafficServices &services) { services.askOwner(question, posted); });
+}
+
 } // namespace lacewingmux
--- a/modules/lacewingmux_daemon/assembly/OperatorServices.h
+++ b/modules/lacewingmux_daemon/assembly/OperatorServices.h
@@ -2,6 +2,7 @@
 
 #include "lacewingmux_http/front/OperatorEndpoints.h"
 #include "lacewingmux_http/server/CallerServer.h"
+#include "lacewingmux_program/requests/OwnerRequest.h"
 
 namespace lacewingmux {
 
@@ -25,7 +26,8 @@
 };
 
 /**
-    The operators' port, on the control thread: GET /v1/operator/status and GET /v1/operator/burn.
+    The operators' port, on the control thread: GET /v1/operator/status and /v1/operator/burn, GET
+    /v1/operator/programs/{id} and POST /v1/operator/programs/{id}/end, whoever owns the program.
     Throws LacewingmuxError when the port can't be listened on or the token file can't be read.
 */
 class OperatorServices
@@ -39,6 +41,8 @@
 private:
     void replyWithStatus(const OperatorReply &reply);
     void replyWithBurn(const OperatorReply &reply);
+    void askOwner(OwnerOperation operation, const OperatorRequest &request,
+                  const OperatorReply &reply);
 
     OperatorEnvironment environment;
     OperatorEndpoints endpoints;
--- a/modules/lacewingmux_daemon/assembly/TrafficServices.cpp
+++ b/modules/lacewingmux_daemon/assembly/TrafficServices.cpp
@@ -10,6 +10,8 @@
 
 #include <QHostAddress>
 #include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
 
 #include <algorithm>
 
@@ -159,6 +161,18 @@
     this->owner.beginDrain();
 }
 
+void TrafficServices::askOwner(OwnerRequest request, const OperatorReply &reply)
+{
+    request.byOperator = true;
+    const auto body = std::make_shared<QByteArray>();
+    ResponseSink sink;
+    sink.begin = [](int, const std::vector<HttpHeader> &) {};
+    sink.chunk = [body](const QByteArray &bytes) { body->append(bytes); };
+    sink.end = [body, reply] { reply.succeed(QJsonDocument::fromJson(*body).object()); };
+    sink.fail = reply.fail;
+    this->forwarder.handle(request, std::move(sink));
+}
+
 TrafficStatus TrafficServices::status() const
 {
     TrafficStatus status;
--- a/modules/lacewingmux_daemon/assembly/TrafficServices.h
+++ b/modules/lacewingmux_daemon/assembly/TrafficServices.h
@@ -9,6 +9,7 @@
 #include "lacewingmux_daemon/assembly/TrafficStatus.h"
 #include "lacewingmux_http/forward/ForwardReceiver.h"
 #include "lacewingmux_http/forward/OwnerForwarder.h"
+#include "lacewingmux_http/front/OperatorReply.h"
 #include "lacewingmux_http/front/RequestFront.h"
 #include "lacewingmux_http/front/SentRequests.h"
 #include "lacewingmux_http/server/CallerServer.h"
@@ -74,6 +75,9 @@
     /** Sends new work for this VM's owner away; what runs goes on. */
     void refuseNewWork();
 
+    /** Asks the owner of a program on behalf of an operator, on whichever VM it is. */
+    void askOwner(OwnerRequest request, const OperatorReply &reply);
+
     [[nodiscard]] TrafficStatus status() const;
 
     [[nodiscard]] AllowanceOwner &allowanceOwner() noexcept
--- a/modules/lacewingmux_http/forward/ForwardCodec.cpp
+++ b/modules/lacewingmux_http/forward/ForwardCodec.cpp
@@ -94,10 +94,10 @@
     const auto path = bytesInto(builder, request.path);
     const auto headers = headersInto(builder, request.headers);
     const auto body = bytesInto(builder, request.body);
-    builder.Finish(fb::CreateForwardedRequest(builder, static_cast<std::uint8_t>(request.operation),
-                                              team, keyId, programId, request.callNumber, route,
-                                              idempotencyKey, method, path, headers, body,
-                                              request.stream, request.timeout.count()));
+    builder.Finish(fb::CreateForwardedRequest(
+            builder, static_cast<std::uint8_t>(request.operation), team, keyId, programId,
+            request.callNumber, route, idempotencyKey, method, path, headers, body, request.stream,
+            request.timeout.count(), request.byOperator));
     return finished(builder);
 }
 
@@ -157,6 +157,7 @@
     request.body = bytesOf(table->body());
     request.stream = table->stream();
     request.timeout = std::chrono::milliseconds(table->timeout_milliseconds());
+    request.byOperator = table->by_operator();
     return request;
 }
 
--- a/modules/lacewingmux_http/messages/forward_generated.h
+++ b/modules/lacewingmux_http/messages/forward_generated.h
@@ -116,7 +116,8 @@
     VT_HEADERS = 22,
     VT_BODY = 24,
     VT_STREAM = 26,
-    VT_TIMEOUT_MILLISECONDS = 28
+    VT_TIMEOUT_MILLISECONDS = 28,
+    VT_BY_OPERATOR = 30
   };
   uint8_t operation() const {
     return GetField<uint8_t>(VT_OPERATION, 0);
@@ -157,6 +158,9 @@
   int64_t timeout_milliseconds() const {
     return GetField<int64_t>(VT_TIMEOUT_MILLISECONDS, 0);
   }
+  bool by_operator() const {
+    return GetField<uint8_t>(VT_BY_OPERATOR, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OPERATION, 1) &&
@@ -182,6 +186,7 @@
            verifier.VerifyVector(body()) &&
            VerifyField<uint8_t>(verifier, VT_STREAM, 1) &&
            VerifyField<int64_t>(verifier, VT_TIMEOUT_MILLISECONDS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_BY_OPERATOR, 1) &&
            verifier.EndTable();
   }
 };
@@ -229,6 +234,9 @@
   void add_timeout_milliseconds(int64_t timeout_milliseconds) {
     fbb_.AddElement<int64_t>(ForwardedRequest::VT_TIMEOUT_MILLISECONDS, timeout_milliseconds, 0);
   }
+  void add_by_operator(bool by_operator) {
+    fbb_.AddElement<uint8_t>(ForwardedRequest::VT_BY_OPERATOR, static_cast<uint8_t>(by_operator), 0);
+  }
   explicit ForwardedRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -254,7 +262,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::ForwardedHeader>>> headers = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     bool stream = false,
-    int64_t timeout_milliseconds = 0) {
+    int64_t timeout_milliseconds = 0,
+    bool by_operator = false) {
   ForwardedRequestBuilder builder_(_fbb);
   builder_.add_timeout_milliseconds(timeout_milliseconds);
   builder_.add_body(body);
@@ -267,6 +276,7 @@
   builder_.add_program_id(program_id);
   builder_.add_key_id(key_id);
   builder_.add_team(team);
+  builder_.add_by_operator(by_operator);
   builder_.add_stream(stream);
   builder_.add_operation(operation);
   return builder_.Finish();
@@ -286,7 +296,8 @@
     const std::vector<flatbuffers::Offset<lacewingmux::fb::ForwardedHeader>> *headers = nullptr,
     const std::vector<uint8_t> *body = nullptr,
     bool stream = false,
-    int64_t timeout_milliseconds = 0) {
+    int64_t timeout_milliseconds = 0,
+    bool by_operator = false) {
   auto team__ = team ? _fbb.CreateString(team) : 0;
   auto key_id__ = key_id ? _fbb.CreateString(key_id) : 0;
   auto program_id__ = program_id ? _fbb.CreateString(program_id) : 0;
@@ -310,7 +321,8 @@
       headers__,
       body__,
       stream,
-      timeout_milliseconds);
+      timeout_milliseconds,
+      by_operator);
 }
 
 struct ForwardedHead FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/modules/lacewingmux_program/owner/ProgramOwner.cpp
+++ b/modules/lacewingmux_program/owner/ProgramOwner.cpp
@@ -169,7 +169,7 @@
         throw LacewingmuxError(ErrorKind::UnknownProgram,
                                QStringLiteral("there is no such program, or it ended long ago"),
                                executed);
-    if (program->opening().team != pending.request.team)
+    if (!pending.request.byOperator && program->opening().team != pending.request.team)
         throw LacewingmuxError(ErrorKind::NotPermitted,
                                QStringLiteral("the program is another team's"));
     return *program;
--- a/modules/lacewingmux_program/requests/OwnerRequest.h
+++ b/modules/lacewingmux_program/requests/OwnerRequest.h
@@ -29,9 +29,10 @@
 struct OwnerRequest
 {
     OwnerOperation operation = OwnerOperation::Call;
-    QString team;      ///< empty on an open route
-    QString keyId;     ///< public name of the key, so that its withdrawal can end queued work
-    QString programId; ///< text of the MintedId
+    QString team;            ///< empty on an open route
+    bool byOperator = false; ///< set by the operators' port alone: programs of any team
+    QString keyId;           ///< public name of the key, so that its withdrawal can end queued work
+    QString programId;       ///< text of the MintedId
     std::uint32_t callNumber = 0; ///< from 1
     QString route;
     QString idempotencyKey;          ///< of a non-idempotent request outside a program
