--- a/benchmarks/allowance/main.cpp
+++ b/benchmarks/allowance/main.cpp
@@ -34,6 +34,8 @@
     double floodAdmitted = 0;
     double floodNaive = 0;
     double storeCalls = 0;
+    double followSum = 0;
+    int followed = 0;
 };
 
 void add(Summary &summary, const ScenarioResult &result)
@@ -49,9 +51,13 @@
     summary.floodAdmitted += static_cast<double>(result.flooding.admitted);
     summary.floodNaive += static_cast<double>(result.flooding.naiveAdmitted);
     summary.storeCalls += static_cast<double>(result.storeCalls);
+    if (result.secondsToFollow < 0)
+        return;
+    summary.followSum += result.secondsToFollow;
+    ++summary.followed;
 }
 
-void print(const QString &policy, const Summary &summary, int seeds)
+void print(const QString &policy, const Summary &summary, int seeds, bool shifts)
 {
     std::printf("  %-24s %7.3f%% %9.3f%% %8.3f%% %10.3f%% %9.2f %9.1f", qPrintable(policy),
                 100 * summary.wrongfulSum / summary.requests, 100 * summary.wrongfulMost,
@@ -60,6 +66,8 @@
     if (summary.floodNaive > 0)
         std::printf("   flooding team: %.3f of one bucket",
                     summary.floodAdmitted / summary.floodNaive);
+    if (shifts && summary.followed > 0)
+        std::printf("   share follows after %.1f s", summary.followSum / summary.followed);
     std::printf("\n");
 }
 
@@ -78,7 +86,7 @@
                 scenario.seed = static_cast<std::uint64_t>(seed);
                 add(summary, runScenario(scenario, policy));
             }
-            print(policy.name, summary, seeds);
+            print(policy.name, summary, seeds, named.disturbance == Disturbance::DemandShift);
         }
     }
 }
--- a/modules/lacewingmux_allowance/shares/ShareKeeper.cpp
+++ b/modules/lacewingmux_allowance/shares/ShareKeeper.cpp
@@ -1,5 +1,6 @@
 #include "lacewingmux_allowance/shares/ShareKeeper.h"
 
+#include "lacewingmux_allowance/aggregates/PowerTimes.h"
 #include "lacewingmux_allowance/shares/ShareAnnouncement.h"
 #include "lacewingmux_config/documents/Configuration.h"
 #include "lacewingmux_core/hashing/StableHash.h"
@@ -85,6 +86,15 @@
                                   && view->members().front().incarnation == this->hub.self());
 }
 
+void ShareKeeper::setRemovedZones(const std::set<QString> &zonesWithoutVms)
+{
+    std::erase_if(this->removedSince, [&zonesWithoutVms](const auto &entry) {
+        return zonesWithoutVms.count(entry.first) == 0;
+    });
+    for (const QString &zone : zonesWithoutVms)
+        this->removedSince.emplace(zone, this->timers.now());
+}
+
 void ShareKeeper::setDecision(ShareDecision shareDecision)
 {
     this->decision = std::move(shareDecision);
@@ -115,6 +125,7 @@
     if (shares == nullptr)
         return;
     const ShareItem item = demand.item;
+    this->considerRemoved(item, *shares);
     if (demand.shareLost) {
         this->considerLost(demand, *shares);
         return;
@@ -150,6 +161,21 @@
             });
 }
 
+void ShareKeeper::considerRemoved(const ShareItem &item, const SharesByZone &shares)
+{
+    for (const auto &[removedZone, since] : this->removedSince) {
+        const auto share = shares.find(removedZone);
+        if (share == shares.end() || share->second.counters.parts() == 0
+            || this->timers.now() - since < this->reclaimDelay()
+            || this->zonesFor(item).front() != this->ownZone)
+            continue;
+        this->recordStore.addEdit(
+                item, [item, zone = removedZone, receiver = this->ownZone](ShareRecord &record) {
+                    return record.reclaim(item, zone, receiver);
+                });
+    }
+}
+
 void ShareKeeper::decideGift(const ItemDemand &demand, const SharesByZone &shares)
 {
     ShareSituation situation{this->ownZone,
@@ -158,8 +184,10 @@
                              demand.wholeTokens,
                              {},
                              this->needs.needsOf(demand.item, this->timers.now())};
-    for (const auto &[zone, share] : shares)
-        situation.zones.push_back({zone, share.counters.parts()});
+    for (const auto &[zone, share] : shares) {
+        if (this->removedSince.count(zone) == 0)
+            situation.zones.push_back({zone, share.counters.parts()});
+    }
     const auto gift = this->decision(situation);
     if (!gift)
         return;
@@ -232,6 +260,8 @@
         for (const auto &[zone, view] : this->views->views())
             known.insert(zone);
     }
+    for (const auto &[zone, since] : this->removedSince)
+        known.erase(zone);
     std::vector<QString> ordered(known.begin(), known.end());
     const auto weight = [&item](const QString &zone) {
         return combineHashes(stableHash(item.name.toUtf8()), stableHash(zone.toUtf8()));
@@ -315,6 +345,16 @@
         this->needs.note(sender.zone, need, this->timers.now());
 }
 
+std::chrono::milliseconds ShareKeeper::reclaimDelay() const
+{
+    std::chrono::milliseconds longestCall{0};
+    if (this->configuration) {
+        for (const Allowance &allowance : this->configuration->allowances)
+            longestCall = std::max(longestCall, allowance.callTimeout);
+    }
+    return powerLease + longestCall + powerTakeBackMargin;
+}
+
 std::uint64_t ShareKeeper::ownEpoch() const
 {
     const auto view = this->views ? this->views->view(this->ownZone) : nullptr;
--- a/modules/lacewingmux_allowance/shares/ShareKeeper.h
+++ b/modules/lacewingmux_allowance/shares/ShareKeeper.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace lacewingmux {
@@ -68,6 +69,12 @@
     /** Adopts the views that name owners and members. */
     void adoptViews(std::shared_ptr<const FleetViews> fleetViews);
 
+    /**
+        Sets the zones of which it is certain that none of their VMs runs, by the platform's list or
+        an operator's command. Their shares are taken over once nothing of them can be in use.
+    */
+    void setRemovedZones(const std::set<QString> &zonesWithoutVms);
+
     /** Replaces the decision about moving shares; for measurements. */
     void setDecision(ShareDecision shareDecision);
 
@@ -83,6 +90,7 @@
     void considerItems(const std::vector<ItemDemand> &demands);
     void consider(const ItemDemand &demand);
     void considerLost(const ItemDemand &demand, const SharesByZone &shares);
+    void considerRemoved(const ShareItem &item, const SharesByZone &shares);
     void decideGift(const ItemDemand &demand, const SharesByZone &shares);
     void reportNeed(const ItemDemand &demand, const SharesByZone &shares);
     void sendNeeds();
@@ -97,6 +105,7 @@
     void announceAllTo(const VmIncarnation &peer);
     void handleAnnouncement(const PeerFrame &frame);
     void handleDemandReport(const VmIncarnation &sender, const PeerFrame &frame);
+    [[nodiscard]] std::chrono::milliseconds reclaimDelay() const;
     [[nodiscard]] std::uint64_t ownEpoch() const;
     [[nodiscard]] bool owns(const ShareItem &item) const;
     [[nodiscard]] std::vector<ShareItem> configuredItems() const;
@@ -107,6 +116,7 @@
     ShareKeeperHooks hooks;
     const QString ownZone;
     std::vector<QString> zones;
+    std::map<QString, std::chrono::steady_clock::time_point> removedSince; ///< by removed zone
     ShareDecision decision;
     std::shared_ptr<const Configuration> configuration;
     std::shared_ptr<const FleetViews> views;
--- a/modules/lacewingmux_allowance/shares/ShareRecord.cpp
+++ b/modules/lacewingmux_allowance/shares/ShareRecord.cpp
@@ -125,6 +125,22 @@
     return true;
 }
 
+bool ShareRecord::reclaim(const ShareItem &item, const QString &removedZone,
+                          const QString &receiver)
+{
+    const auto found = this->sharesByItem.find(item);
+    if (found == this->sharesByItem.end() || removedZone == receiver)
+        return false;
+    SharesByZone &shares = found->second;
+    const auto removed = shares.find(removedZone);
+    const std::uint64_t parts = removed == shares.end() ? 0 : removed->second.counters.parts();
+    if (parts == 0)
+        return false;
+    removed->second.counters.given += parts;
+    shares[receiver].counters.received += parts;
+    return true;
+}
+
 QByteArray ShareRecord::keyOf(const ShareItem &item)
 {
     if (item.kind == AggregateKind::PowerAllowance)
--- a/modules/lacewingmux_allowance/shares/ShareRecord.h
+++ b/modules/lacewingmux_allowance/shares/ShareRecord.h
@@ -59,6 +59,12 @@
     */
     bool fence(const ShareItem &item, const QString &zone, std::uint64_t epoch);
 
+    /**
+        Takes all that a zone holds, of which it is certain that none of its VMs runs, for another
+        zone. Returns false when it holds nothing.
+    */
+    bool reclaim(const ShareItem &item, const QString &removedZone, const QString &receiver);
+
     [[nodiscard]] const std::map<ShareItem, SharesByZone> &items() const noexcept
     {
         return this->sharesByItem;
--- a/tests/allowance/ShareKeeperTest.cpp
+++ b/tests/allowance/ShareKeeperTest.cpp
@@ -97,3 +97,62 @@
     fleet.advance(300ms);
     cr_assert(fleet.events.at(0).admitted);
 }
+
+Test(ShareKeeper, takesOverTheShareOfARemovedZoneOnceNothingOfItCanBeInUse)
+{
+    AllowanceFleet fleet({3, 2, {accra(30, 30)}});
+    fleet.kill(4);
+    fleet.kill(5);
+    for (const std::size_t vm : fleet.running())
+        fleet.vms[vm]->keeper->setRemovedZones({AllowanceFleet::zoneName(2)});
+    fleet.advance(60s);
+    cr_assert_geq(partsOf(fleet, 0, 2), wholeParts / 3, "calls may still run");
+    fleet.advance(100s);
+    cr_assert_eq(partsOf(fleet, 0, 2), 0);
+    cr_assert_eq(partsOf(fleet, 0, 0) + partsOf(fleet, 0, 1), wholeParts);
+}
+
+Test(ShareKeeper, aLostJournalGrantsNothingUntilTheRecordIsFenced)
+{
+    AllowanceFleet fleet({2, 2, {accra(30, 30)}});
+    fleet.plan.borrowing = false;
+    for (const auto &vm : fleet.vms)
+        vm->admission->setBorrowing(false);
+    fleet.storeServer->setDown(true);
+    fleet.loseJournal(0);
+    fleet.advance(3s);
+    fleet.request(0, team);
+    fleet.advance(500ms);
+    cr_assert_eq(fleet.events.size(), 1);
+    cr_assert_not(fleet.events.back().admitted);
+    cr_assert_not(fleet.events.back().rateLimited);
+
+    fleet.storeServer->setDown(false);
+    fleet.advance(10s);
+    fleet.request(0, team);
+    fleet.advance(500ms);
+    cr_assert(fleet.events.back().admitted);
+}
+
+Test(ShareKeeper, aLowerRateIsExceededOnlyByWhatACutOffZoneHolds)
+{
+    AllowanceFleet fleet({3, 2, {accra(60, 30)}});
+    fleet.cutZone(2);
+    auto lowered = std::make_shared<Configuration>(*fleet.configuration);
+    lowered->revision = 2;
+    lowered->allowances[0].requestsPerSecond = 30;
+    lowered->allowances[0].burstRequests = 15;
+    for (std::size_t vm = 0; vm < 4; ++vm)
+        fleet.vms[vm]->owner->adoptConfiguration(lowered);
+    fleet.events.clear();
+    for (int step = 0; step < 2000; ++step) {
+        for (std::size_t vm = 0; vm < 6; ++vm)
+            fleet.request(vm, team);
+        fleet.advance(5ms);
+    }
+    // Two zones hold two thirds of the lower whole, the third a third of the higher one.
+    const BucketLimits bound{30 * 2.0 / 3 + 60 / 3.0, 15 * 2.0 / 3 + 30 / 3.0};
+    const double excess = largestExcess(fleet.events, team, bound);
+    cr_assert_leq(excess, 1e-3, "excess %f", excess);
+    cr_assert_gt(largestExcess(fleet.events, team, {30, 15}), 0, "the bound is not trivial");
+}
--- a/tests/allowance/support/AllowanceFleet.cpp
+++ b/tests/allowance/support/AllowanceFleet.cpp
@@ -271,6 +271,22 @@
     return found;
 }
 
+void AllowanceFleet::loseJournal(int zone)
+{
+    const QString name = zoneName(zone);
+    const auto before = this->views.at(name);
+    for (auto &records : this->domains.at(name)->records)
+        records.clear();
+    this->views[name] =
+            std::make_shared<const ZoneView>(name, before->epoch() + 1, before->members());
+    const ZoneView nobody(name, before->epoch(), {});
+    for (const std::size_t vm : this->running(zone)) {
+        this->vms[vm]->journal->learn(nobody);
+        this->vms[vm]->journal->activeStatus = SlotStatus::ActiveIncomplete;
+    }
+    this->learnViewsEverywhere();
+}
+
 std::uint64_t AllowanceFleet::partsInUse(const ShareItem &item) const
 {
     std::uint64_t parts = 0;
--- a/tests/allowance/support/AllowanceFleet.h
+++ b/tests/allowance/support/AllowanceFleet.h
@@ -94,6 +94,10 @@
     std::vector<std::size_t> running(int zone) const;
     std::vector<std::size_t> running() const;
 
+    /** Gives the VMs of a zone a journal that lost its entries, as after the loss of both copies.
+     */
+    void loseJournal(int zone);
+
     /** Returns the parts that the zones' owners use in all. */
     std::uint64_t partsInUse(const ShareItem &item) const;
 
--- a/tests/allowance/support/AllowanceScenario.cpp
+++ b/tests/allowance/support/AllowanceScenario.cpp
@@ -71,11 +71,31 @@
                     this->arrive(team, elapsed);
             }
             this->fleet.advance(1ms);
+            if (this->followedAfter < 0 && elapsed >= this->scenario.length / 2
+                && this->coversShiftedDemand())
+                this->followedAfter =
+                        seconds - std::chrono::duration<double>(this->scenario.length).count() / 2;
         }
         this->fleet.advance(1s);
     }
 
+    /** Seconds from the shift until the new main zone's share covers its demand, or -1. */
+    double followedAfter = -1;
+
 private:
+    /** Looks at the largest team. */
+    bool coversShiftedDemand() const
+    {
+        const ShareItem item = ShareItem::team(QString::fromLatin1(teamSizes.front().name));
+        const QString zone = AllowanceFleet::zoneName(1 % this->scenario.zones);
+        const auto running = this->fleet.running();
+        const SharesByZone *shares =
+                this->fleet.vms.at(running.front())->keeper->records().find(item);
+        const double demand =
+                this->scenario.load * (mainZonePart + (1 - mainZonePart) / this->scenario.zones);
+        return shares != nullptr && shares->at(zone).counters.fraction() >= demand;
+    }
+
     double gap(std::size_t team)
     {
         const bool floods =
@@ -140,9 +160,11 @@
 ScenarioResult runScenario(const AllowanceScenario &scenario, const SharePolicy &policy)
 {
     AllowanceFleet fleet(planOf(scenario, policy));
-    Workload(fleet, scenario).run();
+    Workload workload(fleet, scenario);
+    workload.run();
 
     ScenarioResult result;
+    result.secondsToFollow = workload.followedAfter;
     result.largestExcess = -1e9;
     for (std::size_t team = 0; team < teamSizes.size(); ++team) {
         const QString name = QString::fromLatin1(teamSizes[team].name);
--- a/tests/allowance/support/AllowanceScenario.h
+++ b/tests/allowance/support/AllowanceScenario.h
@@ -40,6 +40,7 @@
     double largestExcess = 0; ///< over all teams and windows; positive means over-admission
     double worstTeam = 0;     ///< largest part of wrongful refusals of one team
     std::int64_t storeCalls = 0;
+    double secondsToFollow = -1; ///< after a shift, until the share covers the demand; -1 = never
 };
 
 /** The policies to compare, the naive one first. */
