--- a/tests/program/OwnerScheduleTest.cpp
+++ b/tests/program/OwnerScheduleTest.cpp
@@ -76,8 +76,10 @@
     void step()
     {
         const int action = this->pick(20);
-        if (action < 9)
+        if (action < 8)
             this->ask();
+        else if (action == 8)
+            this->askWithKey();
         else if (action < 15)
             this->finishOne(this->pick(4) > 0);
         else if (action == 15)
@@ -91,6 +93,33 @@
         this->bench.timers.runPosted();
     }
 
+    /** Returns which call a dispatch belongs to; a keyed request counts as call 1 of its key. */
+    [[nodiscard]] static TraceCall callOf(const DispatchRequest &request)
+    {
+        if (!request.program.isEmpty())
+            return {request.program, request.callNumber};
+        return {request.requestId.section(u'\n', -1), 1};
+    }
+
+    void askWithKey()
+    {
+        OwnerRequest request = OwnerBench::request(OwnerOperation::ServiceCall, {});
+        request.idempotencyKey = QStringLiteral("key-%1").arg(this->pick(6));
+        request.route = QStringLiteral("booking");
+        request.body = "a truck";
+        this->ask(request, {request.idempotencyKey, 1});
+    }
+
+    void ask(const OwnerRequest &request, const TraceCall &call)
+    {
+        this->bench.ask(request, [this, call](const Received &received) {
+            this->observeAnswer(call, received);
+        });
+        if (this->fault == Fault::OrderIgnored)
+            this->trace.push_back(
+                    this->record(TraceRecord::Kind::Dispatched, call.first, call.second));
+    }
+
     void ask()
     {
         Agent &agent = this->agents[static_cast<std::size_t>(
@@ -103,11 +132,7 @@
         const OwnerRequest request =
                 number % 3 == 0 ? OwnerBench::serviceCall(agent.id, chosen, "booking", text)
                                 : OwnerBench::modelCall(agent.id, chosen, text);
-        this->bench.ask(request, [this, request](const Received &received) {
-            this->observeAnswer(request, received);
-        });
-        if (this->fault == Fault::OrderIgnored)
-            this->trace.push_back(this->record(TraceRecord::Kind::Dispatched, agent.id, chosen));
+        this->ask(request, {agent.id, chosen});
     }
 
     void finishOne(bool succeeds)
@@ -120,14 +145,13 @@
         this->open.erase(this->open.begin() + static_cast<std::ptrdiff_t>(index));
         const bool live = this->bench.dispatcher.open.contains(sent.handle) && !this->isStale(sent);
         const bool notRun = !succeeds && this->pick(2) == 0;
-        if (live && notRun)
-            this->trace.push_back(this->record(TraceRecord::Kind::DidNotRun, sent.request.program,
-                                               sent.request.callNumber));
-        else if (live)
-            this->trace.push_back(this->record(TraceRecord::Kind::Outcome, sent.request.program,
-                                               sent.request.callNumber));
+        const auto [agent, number] = callOf(sent.request);
+        if (live)
+            this->trace.push_back(
+                    this->record(notRun ? TraceRecord::Kind::DidNotRun : TraceRecord::Kind::Outcome,
+                                 agent, number));
         if (succeeds) {
-            QByteArray name = sent.request.requestId.toUtf8() + "!";
+            QByteArray name = agent.toUtf8() + '/' + QByteArray::number(number) + '!';
             if (this->fault == Fault::AnswersSwapped && this->pick(10) == 0)
                 name = "another";
             const std::int64_t tokens = sent.request.maxOutputTokens;
@@ -187,21 +211,22 @@
         made.kind = kind;
         made.agent = agent;
         made.number = number;
-        made.root = this->rootOf.at(agent);
+        const auto root = this->rootOf.find(agent);
+        made.root = root == this->rootOf.end() ? agent : root->second;
         return made;
     }
 
     void observeDispatch(const FakeDispatcher::Sent &sent)
     {
-        TraceRecord made = this->record(TraceRecord::Kind::Dispatched, sent.request.program,
-                                        sent.request.callNumber);
+        const auto [agent, number] = callOf(sent.request);
+        TraceRecord made = this->record(TraceRecord::Kind::Dispatched, agent, number);
         made.idempotent = sent.request.idempotent;
         if (this->fault != Fault::OrderIgnored)
             this->trace.push_back(made);
         this->open.push_back(sent);
     }
 
-    void observeAnswer(const OwnerRequest &request, const Received &received)
+    void observeAnswer(const TraceCall &call, const Received &received)
     {
         cr_assert_eq(received.terminations, 1);
         const bool refused = received.error && received.error->executed() == Executed::No
@@ -210,9 +235,10 @@
             return;
         TraceRecord made = this->record(received.ended ? TraceRecord::Kind::Answered
                                                        : TraceRecord::Kind::RefusedNotRun,
-                                        request.programId, request.callNumber);
+                                        call.first, call.second);
         made.body = received.body;
-        made.tokens = request.callNumber % 3 == 0 ? 0 : 120;
+        const bool model = call.second % 3 != 0 && this->rootOf.contains(call.first);
+        made.tokens = model ? 120 : 0;
         this->trace.push_back(made);
     }
 
@@ -225,7 +251,7 @@
                 fetch.callNumber = number;
                 const auto received = this->bench.ask(fetch);
                 if (received->ended)
-                    this->observeAnswer(fetch, *received);
+                    this->observeAnswer({agent.id, number}, *received);
             }
         }
     }
