Keep the engine's history text while a program is in use

Change: the text grows by a turn and is made again only after a reload; bodies below 1 KB are no longer compressed, since zlib's setup cost more than a whole decision.

--- a/modules/lacewingmux_program/events/PackedBytes.cpp
+++ b/modules/lacewingmux_program/events/PackedBytes.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr qsizetype shortestCompressedBytes = 256;
+constexpr qsizetype shortestCompressedBytes = 1024;
 constexpr int compressionLevel = 1; ///< of zlib, from 1 (fast) to 9 (small)
 
 } // namespace
--- a/modules/lacewingmux_program/lacewingmux_program.h
+++ b/modules/lacewingmux_program/lacewingmux_program.h
@@ -40,6 +40,7 @@
 #include "lacewingmux_program/programs/Agent.h"
 #include "lacewingmux_program/programs/CallCommand.h"
 #include "lacewingmux_program/programs/CallDecision.h"
+#include "lacewingmux_program/programs/EngineHistory.h"
 #include "lacewingmux_program/programs/EngineRequest.h"
 #include "lacewingmux_program/programs/HistoryDocument.h"
 #include "lacewingmux_program/programs/Program.h"
@@ -50,5 +51,4 @@
 #include "lacewingmux_program/requests/HttpHeader.h"
 #include "lacewingmux_program/requests/OwnerRequest.h"
 #include "lacewingmux_program/requests/OwnerService.h"
-#include "lacewingmux_program/requests/RequestRouting.h"
 #include "lacewingmux_program/requests/ResponseSink.h"
--- a/modules/lacewingmux_program/owner/ProgramOwner.cpp
+++ b/modules/lacewingmux_program/owner/ProgramOwner.cpp
@@ -4,7 +4,6 @@
 #include "lacewingmux_core/logging/StructuredLog.h"
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_program/programs/HistoryDocument.h"
-#include "lacewingmux_program/requests/RequestRouting.h"
 
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -18,6 +17,15 @@
 constexpr std::chrono::milliseconds graceAfterTimeout{1000};
 constexpr int statusOk = 200;
 
+/** Returns the program that a request is about; for a sub-agent to open, its parent. */
+QString concernedProgram(const OwnerRequest &request)
+{
+    if (request.operation != OwnerOperation::OpenProgram || !request.programId.isEmpty())
+        return request.programId;
+    const QJsonObject body = QJsonDocument::fromJson(request.body).object();
+    return body.value(QLatin1String("parent")).toString();
+}
+
 /** Returns what may be said of a request that this VM can't look up. */
 Executed withoutRecord(const OwnerRequest &request)
 {
--- a/modules/lacewingmux_program/programs/Agent.h
+++ b/modules/lacewingmux_program/programs/Agent.h
@@ -2,6 +2,7 @@
 
 #include "lacewingmux_core/errors/ErrorKind.h"
 #include "lacewingmux_program/events/SubAgentOpened.h"
+#include "lacewingmux_program/programs/EngineHistory.h"
 #include "lacewingmux_program/programs/RecordedCall.h"
 
 #include <QString>
@@ -23,6 +24,8 @@
     std::optional<ErrorKind> endReason; ///< set once the agent has ended
     bool memoryReleased = false;        ///< confirmed by the engines after the end
 
+    mutable EngineHistory engineHistory; ///< cache of what calls says; not part of the state
+
     /** Tells whether the last call has no outcome yet. */
     [[nodiscard]] bool isRunning() const noexcept
     {
--- a/modules/lacewingmux_program/programs/EngineRequest.cpp
+++ b/modules/lacewingmux_program/programs/EngineRequest.cpp
@@ -8,54 +8,33 @@
 
 namespace {
 
-QJsonObject parseObject(const PackedBytes &bytes)
-{
-    return QJsonDocument::fromJson(bytes.unpack()).object();
-}
-
-void appendMessages(QJsonArray &messages, const QJsonObject &call)
-{
-    for (const auto &message : call.value(QLatin1String("messages")).toArray())
-        messages.append(message);
-}
-
-/** Returns the assistant's message of an answer; the whole text where it is no completion. */
-QJsonObject answerMessage(const PackedBytes &body)
-{
-    const QByteArray bytes = body.unpack();
-    const QJsonObject answer = QJsonDocument::fromJson(bytes).object();
-    const QJsonArray choices = answer.value(QLatin1String("choices")).toArray();
-    const QJsonObject message =
-            choices.isEmpty() ? QJsonObject()
-                              : choices.at(0).toObject().value(QLatin1String("message")).toObject();
-    if (!message.isEmpty())
-        return message;
-    return {{QStringLiteral("role"), QStringLiteral("assistant")},
-            {QStringLiteral("content"), QString::fromUtf8(bytes)}};
-}
+const QByteArray messagesField = QByteArrayLiteral(",\"messages\":[");
 
 } // namespace
 
 QByteArray engineRequestBody(const Agent &agent, std::uint32_t number, bool stream)
 {
-    QJsonArray messages;
-    for (const RecordedCall &earlier : agent.calls) {
-        if (earlier.start.number >= number)
-            break;
-        if (!earlier.extendsHistory())
-            continue;
-        appendMessages(messages, parseObject(earlier.start.body));
-        messages.append(answerMessage(earlier.finish->body));
-    }
     const CallStarted &start = agent.call(number)->start;
-    QJsonObject call = parseObject(start.body);
-    appendMessages(messages, call);
+    QJsonObject call = QJsonDocument::fromJson(start.body.unpack()).object();
+    const QJsonArray added = call.take(QLatin1String("messages")).toArray();
     call.insert(QStringLiteral("model"), start.route);
-    call.insert(QStringLiteral("messages"), messages);
     call.insert(QStringLiteral("max_tokens"), static_cast<qint64>(start.maxOutputTokens));
     if (stream)
         call.insert(QStringLiteral("stream"), true);
-    return QJsonDocument(call).toJson(QJsonDocument::Compact);
+    const QByteArray fields = QJsonDocument(call).toJson(QJsonDocument::Compact);
+    const QByteArray messages = QJsonDocument(added).toJson(QJsonDocument::Compact);
+    const QByteArray &history = agent.engineHistory.upTo(agent.calls, number - 1);
+
+    QByteArray body;
+    body.reserve(fields.size() + messages.size() + history.size() + messagesField.size() + 2);
+    body += fields.first(fields.size() - 1);
+    body += messagesField;
+    body += history;
+    if (!history.isEmpty() && !added.isEmpty())
+        body += ',';
+    body += messages.sliced(1);
+    body += '}';
+    return body;
 }
 
 } // namespace lacewingmux
