--- a/modules/lacewingmux_config/service/ConfigurationPeers.cpp
+++ b/modules/lacewingmux_config/service/ConfigurationPeers.cpp
@@ -38,6 +38,7 @@
 ConfigurationPeers::watchersAmong(const std::vector<VmDescriptor> &members)
 {
     std::vector<VmIncarnation> ranked;
+    ranked.reserve(members.size());
     for (const VmDescriptor &member : members)
         ranked.push_back(member.incarnation);
     std::sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) {
