--- a/modules/lacewingmux_operator/commands/InForceWait.cpp
+++ b/modules/lacewingmux_operator/commands/InForceWait.cpp
@@ -25,7 +25,7 @@
 {
     try {
         const QJsonObject status = context.daemons().get(QStringLiteral("/v1/operator/status"));
-        return status.value(QLatin1String("inForce")).toArray();
+        return status.value(QLatin1String("zonesInForce")).toArray();
     } catch (const LacewingmuxError &error) {
         if (error.kind() != ErrorKind::OwnerUnavailable)
             throw;
@@ -49,7 +49,7 @@
     if (context.options().json) {
         context.print(
                 QJsonObject{{QStringLiteral("revision"), static_cast<qint64>(revision)},
-                            {QStringLiteral("inForce"), zones},
+                            {QStringLiteral("zonesInForce"), zones},
                             {QStringLiteral("zonesWithout"), QJsonArray::fromStringList(lacking)}});
     } else if (!zones.isEmpty() && lacking.isEmpty()) {
         context.print(QStringLiteral("revision %1 is in force in all %2 zones\n")
--- a/modules/lacewingmux_operator/commands/InForceWait.h
+++ b/modules/lacewingmux_operator/commands/InForceWait.h
@@ -21,7 +21,8 @@
     */
     [[nodiscard]] static ExitCode run(CommandContext &context, std::uint64_t revision);
 
-    /** Returns the zones of a status that lack the revision; the list is "inForce" of a status. */
+    /** Returns the zones of a status that lack the revision; the list is "zonesInForce" of a
+     * status. */
     [[nodiscard]] static QStringList zonesWithout(const QJsonArray &zones, std::uint64_t revision);
 };
 
--- a/tests/operator/OperatorProcessTest.cpp
+++ b/tests/operator/OperatorProcessTest.cpp
@@ -212,9 +212,11 @@
     };
     const QStringList wait{QStringLiteral("--wait"), QStringLiteral("--timeout"),
                            QStringLiteral("1")};
-    fixture.daemonAnswer = {{QStringLiteral("inForce"), QJsonArray{zone("a", 1), zone("b", 1)}}};
+    fixture.daemonAnswer = {
+            {QStringLiteral("zonesInForce"), QJsonArray{zone("a", 1), zone("b", 1)}}};
     cr_assert(fixture.apply(0, document, wait).code == ExitCode::Success);
-    fixture.daemonAnswer = {{QStringLiteral("inForce"), QJsonArray{zone("a", 2), zone("b", 1)}}};
+    fixture.daemonAnswer = {
+            {QStringLiteral("zonesInForce"), QJsonArray{zone("a", 2), zone("b", 1)}}};
     const Run late = fixture.apply(1, withRate(60), wait);
     cr_assert(late.code == ExitCode::NotInForce);
     cr_assert(late.output.contains(QLatin1String("not yet in force in: b")));
