--- a/modules/lacewingmux_http/front/FrontHooks.h
+++ b/modules/lacewingmux_http/front/FrontHooks.h
@@ -12,7 +12,7 @@
 /** What a RequestFront asks of other parts. All are called on the front's thread. */
 struct FrontHooks
 {
-    /** Says which team a key belongs to. Asked anew for each request. */
+    /** Says which team a key belongs to, or throws LacewingmuxError. Asked anew each time. */
     std::function<AuthenticationResult(const QByteArray &presentedKey)> authenticate;
 
     /** Tells whether this VM can serve; /readyz answers with it. May be left empty. */
--- a/modules/lacewingmux_http/server/CallerConnection.cpp
+++ b/modules/lacewingmux_http/server/CallerConnection.cpp
@@ -122,7 +122,8 @@
 
 bool CallerConnection::isBusy() const
 {
-    return !this->answers.empty() || this->socket->bytesToWrite() > 0;
+    return !this->answers.empty() || this->requestStarted.has_value()
+           || this->socket->bytesToWrite() > 0;
 }
 
 void CallerConnection::readInput()
--- a/modules/lacewingmux_http/server/CallerConnection.h
+++ b/modules/lacewingmux_http/server/CallerConnection.h
@@ -57,7 +57,7 @@
     /** Ends the connection when one of its time limits has passed. */
     void enforceTimeLimits(TimerService::SteadyTime now);
 
-    /** Tells whether a request is unanswered or an answer unsent. */
+    /** Tells whether a request has begun to arrive or is unanswered, or an answer is unsent. */
     [[nodiscard]] bool isBusy() const;
 
 private:
--- a/modules/lacewingmux_http/server/CallerServer.h
+++ b/modules/lacewingmux_http/server/CallerServer.h
@@ -62,7 +62,7 @@
         return this->draining;
     }
 
-    /** Tells whether every request has been answered and every answer sent. */
+    /** Tells whether every request that began to arrive is answered and every answer sent. */
     [[nodiscard]] bool isIdle() const;
 
     [[nodiscard]] int connectionCount() const noexcept
