--- a/benchmarks/program/ProgramBenchmark.cpp
+++ b/benchmarks/program/ProgramBenchmark.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-constexpr int bytesPerToken = 4;
+constexpr qsizetype bytesPerToken = 4;
 constexpr int vocabularyWords = 4000;
 constexpr int hotPrograms = 1000; ///< that are in use at a time
 
