--- a/modules/lacewingmux_zone/replication/ReplicatedJournal.cpp
+++ b/modules/lacewingmux_zone/replication/ReplicatedJournal.cpp
@@ -85,12 +85,12 @@
     this->context.beginView(std::move(view), history);
     this->owner.beginView();
 
-    for (SlotIndex index = 0; index < this->context.slotStates.size(); ++index) {
+    for (SlotIndex index = 0; index < this->context.settings.slotCount; ++index) {
         this->context.slotStates[index].beginView(this->context.placement(index));
         if (this->context.slotStates[index].placement.owner != this->context.self)
             this->owner.stepDown(index);
     }
-    for (SlotIndex index = 0; index < this->context.slotStates.size(); ++index) {
+    for (SlotIndex index = 0; index < this->context.settings.slotCount; ++index) {
         if (this->context.slotStates[index].placement.owner == this->context.self)
             this->owner.recover(index);
     }
@@ -196,7 +196,7 @@
     if (this->epoch() == 0)
         return;
     this->context.timers.post([this, token = this->alive, added = std::move(handler)] {
-        for (SlotIndex slot = 0; *token && slot < this->context.slotStates.size(); ++slot) {
+        for (SlotIndex slot = 0; *token && slot < this->context.settings.slotCount; ++slot) {
             if (this->context.slotStates[slot].exposed)
                 added(slot, this->context.slotStates[slot].records.toRecords());
         }
--- a/modules/lacewingmux_zone/replication/SlotHolder.cpp
+++ b/modules/lacewingmux_zone/replication/SlotHolder.cpp
@@ -97,7 +97,7 @@
 
 void SlotHolder::askAboutOldCopies()
 {
-    for (SlotIndex index = 0; index < this->context.slotStates.size(); ++index) {
+    for (SlotIndex index = 0; index < this->context.settings.slotCount; ++index) {
         const Slot &slot = this->context.slotStates[index];
         if (slot.position.activation == 0 || !slot.placement.owner || this->context.isHolder(slot))
             continue;
--- a/modules/lacewingmux_zone/replication/SlotOwner.cpp
+++ b/modules/lacewingmux_zone/replication/SlotOwner.cpp
@@ -51,9 +51,9 @@
     const AppendOutcome outcome = this->context.faults.commitOnStepDown
                                           ? AppendOutcome::Committed
                                           : AppendOutcome::SteppedDown;
-    std::vector<AppendWindow::Pending> pending = slot.window.takeAll();
+    const std::vector<AppendWindow::Pending> pending = slot.window.takeAll();
     this->hooks.deactivated(index);
-    this->finish(std::move(pending), outcome);
+    this->finish(pending, outcome);
 }
 
 void SlotOwner::onAnswers(const VmIncarnation &vm, const std::vector<SurveyAnswer> &answers)
--- a/modules/lacewingmux_zone/replication/SlotOwner.h
+++ b/modules/lacewingmux_zone/replication/SlotOwner.h
@@ -83,7 +83,7 @@
     void commitAlone();
     void scheduleLoneCommit(SlotIndex index);
     void markStalled(Slot &slot) const;
-    void finish(std::vector<AppendWindow::Pending> entries, AppendOutcome outcome);
+    void finish(const std::vector<AppendWindow::Pending> &entries, AppendOutcome outcome);
 
     JournalContext &context;
     Hooks hooks;
--- a/modules/lacewingmux_zone/replication/SlotOwnerAppends.cpp
+++ b/modules/lacewingmux_zone/replication/SlotOwnerAppends.cpp
@@ -59,7 +59,7 @@
 
 void SlotOwner::onLinkUp(const VmIncarnation &peer)
 {
-    for (SlotIndex index = 0; index < this->context.slotStates.size(); ++index) {
+    for (SlotIndex index = 0; index < this->context.settings.slotCount; ++index) {
         Slot &slot = this->context.slotStates[index];
         if (!this->concerns(slot, peer))
             continue;
@@ -76,7 +76,7 @@
 {
     const auto now = this->context.timers.now();
     unsigned lost = 0;
-    for (SlotIndex index = 0; index < this->context.slotStates.size(); ++index) {
+    for (SlotIndex index = 0; index < this->context.settings.slotCount; ++index) {
         Slot &slot = this->context.slotStates[index];
         if (slot.phase == SlotPhase::NotOwner)
             continue;
@@ -114,14 +114,14 @@
 void SlotOwner::commitThrough(SlotIndex index, std::uint64_t sequence)
 {
     Slot &slot = this->context.slotStates[index];
-    std::vector<AppendWindow::Pending> committed = slot.window.takeThrough(sequence);
+    const std::vector<AppendWindow::Pending> committed = slot.window.takeThrough(sequence);
     if (committed.empty())
         return;
     slot.stalled = false;
     const auto waited = this->context.timers.now() - committed.front().appendedAt;
     this->context.metrics.observe("lacewingmux_journal_commit_seconds", {},
                                   std::chrono::duration_cast<std::chrono::microseconds>(waited));
-    this->finish(std::move(committed), AppendOutcome::Committed);
+    this->finish(committed, AppendOutcome::Committed);
 }
 
 void SlotOwner::scheduleLoneCommit(SlotIndex index)
@@ -146,7 +146,7 @@
     }
 }
 
-void SlotOwner::finish(std::vector<AppendWindow::Pending> entries, AppendOutcome outcome)
+void SlotOwner::finish(const std::vector<AppendWindow::Pending> &entries, AppendOutcome outcome)
 {
     for (const AppendWindow::Pending &entry : entries) {
         if (entry.callback)
--- a/tests/zone/ReplicatedJournalModelTest.cpp
+++ b/tests/zone/ReplicatedJournalModelTest.cpp
@@ -1,6 +1,5 @@
 #include "zone/model/ModelZone.h"
-
-#include <QtGlobal>
+#include "zone/model/ScheduleCount.h"
 
 #include <criterion/criterion.h>
 
@@ -11,7 +10,7 @@
 
 namespace {
 
-constexpr int schedules = 150; // LACEWINGMUX_MODEL_SCHEDULES sets another number
+constexpr std::uint64_t schedules = 150;
 constexpr int stepsPerSchedule = 5000;
 constexpr int schedulesToFindAFault = 300;
 
@@ -24,9 +23,7 @@
 Summary runAll(ModelRules rules)
 {
     Summary summary;
-    const int asked = qEnvironmentVariableIntValue("LACEWINGMUX_MODEL_SCHEDULES");
-    const auto last = static_cast<std::uint64_t>(asked > 0 ? asked : schedules);
-    for (std::uint64_t seed = 1; seed <= last; ++seed) {
+    for (std::uint64_t seed = 1; seed <= scheduleCount(schedules); ++seed) {
         ModelZone zone(seed, rules, {});
         zone.run(stepsPerSchedule);
         zone.settle();
--- /dev/null
+++ b/tests/zone/fleet/ZoneFleet.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "lacewingmux_core/metrics/IgnoringMetricsRecorder.h"
+#include "lacewingmux_core/time/ManualTimerService.h"
+#include "lacewingmux_peer/links/InMemoryPeerNetwork.h"
+#include "lacewingmux_peer/links/PeerHub.h"
+#include "lacewingmux_platform/memory/InMemoryPlatformStore.h"
+#include "lacewingmux_zone/membership/ZoneMembership.h"
+#include "lacewingmux_zone/replication/ReplicatedJournal.h"
+#include "zone/model/ClaimKeeper.h"
+#include "zone/model/ModelChecks.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace lacewingmux {
+
+/**
+    The VMs of one zone with membership and journal together, over an in-memory store and two
+    networks, with claims running on them all the time. Virtual time.
+*/
+class ZoneFleet
+{
+public:
+    explicit ZoneFleet(std::uint64_t seed);
+
+    /** Starts a VM, or starts it again as a new incarnation. */
+    void start(const QString &vm);
+
+    /** Ends a VM at once. */
+    void kill(const QString &vm);
+
+    /** Cuts a VM off from all others, and from the store. */
+    void cutOff(const QString &vm);
+    void heal();
+
+    /** Begins a planned stop of a VM. */
+    void leave(const QString &vm);
+
+    /** Lets time pass, with a claim now and then. */
+    void run(std::chrono::milliseconds duration);
+
+    /** Lets time pass until the condition holds; returns whether it did within three minutes. */
+    [[nodiscard]] bool runUntil(const std::function<bool()> &condition);
+
+    /** Tells whether these VMs are in one view and all their slots are active in it. */
+    [[nodiscard]] bool isSettled(const std::vector<QString> &vms) const;
+
+    /** Tells whether the VM may exit after its planned stop. */
+    [[nodiscard]] bool isDrained(const QString &vm) const;
+
+    std::shared_ptr<InMemoryStoreServer> store;
+    ModelChecks checks;
+
+private:
+    struct Vm
+    {
+        VmDescriptor descriptor;
+        std::unique_ptr<PeerHub> controlHub;
+        std::unique_ptr<PeerHub> trafficHub;
+        std::unique_ptr<InMemoryPlatformStore> store;
+        std::unique_ptr<ZoneMembership> membership;
+        std::unique_ptr<ReplicatedJournal> journal;
+        std::unique_ptr<ClaimKeeper> claims;
+    };
+
+    void wire(Vm &vm);
+    void submitClaim();
+
+    std::mt19937_64 random;
+    ManualTimerService timers;
+    InMemoryPeerNetwork control;
+    InMemoryPeerNetwork traffic;
+    IgnoringMetricsRecorder metrics;
+    std::map<QString, Vm> vms;
+    std::uint64_t nextIncarnation = 1;
+    std::vector<ModelEffect> claims;
+};
+
+} // namespace lacewingmux
--- a/tests/zone/model/ModelZone.cpp
+++ b/tests/zone/model/ModelZone.cpp
@@ -81,7 +81,7 @@
     else if (choice < 83)
         this->submitClaim();
     else
-        vm.confirm(static_cast<SlotIndex>(this->below(slotCount)));
+        vm.claims.confirm(static_cast<SlotIndex>(this->below(slotCount)));
 }
 
 void ModelZone::disturb()
@@ -133,7 +133,7 @@
                                                          .owner;
     ModelVm *target = owner ? this->find(*owner) : nullptr;
     if (target != nullptr && !target->paused)
-        target->submit(claim);
+        target->claims.submit(claim);
 }
 
 void ModelZone::changeView()
--- /dev/null
+++ b/tests/zone/model/ScheduleCount.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <QtGlobal>
+
+#include <cstdint>
+
+namespace lacewingmux {
+
+/** Returns how many seeds to run: the usual number, or what LACEWINGMUX_MODEL_SCHEDULES says. */
+inline std::uint64_t scheduleCount(std::uint64_t usual)
+{
+    const int asked = qEnvironmentVariableIntValue("LACEWINGMUX_MODEL_SCHEDULES");
+    return asked > 0 ? static_cast<std::uint64_t>(asked) : usual;
+}
+
+} // namespace lacewingmux
