Say "not run" only when no connection came about

Cause: under load aConnectionClosedBeforeTheAnswerIsNeverSentAgain failed: the server had the head and closed before the body was read, and the client called that not sent. A server may run a request by its head, so the claim could be false. Change: not sent means a refused connection with a body that was neither read nor rewound; all else is unknown. The test stays as it is.

--- a/modules/lacewingmux_backend/clients/BackendFailure.h
+++ b/modules/lacewingmux_backend/clients/BackendFailure.h
@@ -7,7 +7,7 @@
 /** Why no whole answer came from a backend server. */
 enum class BackendFailure : std::uint8_t {
     None,           ///< a whole answer came, whatever its status
-    NotSent,        ///< refused, unreachable, or given up before the request had left
+    NotSent,        ///< no connection came about
     ConnectionLost, ///< sent, and the connection broke before the whole answer came
     TimedOut,       ///< sent, and no whole answer came in time
     AnswerTooLarge, ///< the answer passed its bound and was cut off
--- a/modules/lacewingmux_backend/clients/HttpExchange.cpp
+++ b/modules/lacewingmux_backend/clients/HttpExchange.cpp
@@ -112,8 +112,9 @@
                      [this] { this->connectTimeout.cancel(); });
     this->timeout = timers.after(call.timeout, [this] { this->giveUp(BackendFailure::TimedOut); });
     this->connectTimeout = timers.after(std::min(timeToConnect, call.timeout), [this] {
-        if (this->body->certainlyUnread())
-            this->giveUp(BackendFailure::NotSent);
+        // Its head may have left, so nothing is certain about the run.
+        if (this->body->size() > 0 && this->body->isUntouched())
+            this->giveUp(BackendFailure::ConnectionLost);
     });
 }
 
@@ -174,7 +175,8 @@
         return answer;
     }
 
-    const bool unsent = isConnectError(this->reply->error()) || this->body->certainlyUnread();
+    // A refusal counts only on the first connection: a server can run a request by its head alone.
+    const bool unsent = isConnectError(this->reply->error()) && this->body->isUntouched();
     if (unsent)
         answer.failure = BackendFailure::NotSent;
     else if (this->givenUp != BackendFailure::None)
--- a/modules/lacewingmux_backend/clients/SingleUseBody.cpp
+++ b/modules/lacewingmux_backend/clients/SingleUseBody.cpp
@@ -12,9 +12,9 @@
     this->open(QIODevice::ReadOnly | QIODevice::Unbuffered);
 }
 
-bool SingleUseBody::certainlyUnread() const noexcept
+bool SingleUseBody::isUntouched() const noexcept
 {
-    return !this->bytes.isEmpty() && this->position == 0;
+    return this->position == 0 && !this->wasRewound;
 }
 
 bool SingleUseBody::isSequential() const
@@ -39,6 +39,7 @@
 
 bool SingleUseBody::reset()
 {
+    this->wasRewound = true;
     return false;
 }
 
--- a/modules/lacewingmux_backend/clients/SingleUseBody.h
+++ b/modules/lacewingmux_backend/clients/SingleUseBody.h
@@ -21,9 +21,9 @@
     SingleUseBody(const SingleUseBody &) = delete;
     SingleUseBody &operator=(const SingleUseBody &) = delete;
 
-    /** Tells whether none of a body that has content was read: then the request can't have reached
-        the server whole. */
-    [[nodiscard]] bool certainlyUnread() const noexcept;
+    /** Tells whether the body was neither read nor rewound: then no connection has carried it. The
+        head alone may have left all the same. */
+    [[nodiscard]] bool isUntouched() const noexcept;
 
     [[nodiscard]] bool isSequential() const override;
     [[nodiscard]] qint64 size() const override;
@@ -38,6 +38,7 @@
 private:
     QByteArray bytes;
     qint64 position = 0;
+    bool wasRewound = false; ///< a second sending was tried
 };
 
 } // namespace lacewingmux
--- a/tests/backend/DispatcherQueueTest.cpp
+++ b/tests/backend/DispatcherQueueTest.cpp
@@ -102,6 +102,7 @@
     f.replica(QStringLiteral("e0")).record.wattsPerSequence = 100;
     f.adopt();
     std::vector<const ObservedCall *> calls;
+    calls.reserve(6);
     for (int number = 0; number < 6; ++number)
         calls.push_back(
                 &f.dispatch(f.chat(QStringLiteral("r%1").arg(number), QStringLiteral("hello"))));
