--- a/standins/deployment/LocalDeployment.cpp
+++ b/standins/deployment/LocalDeployment.cpp
@@ -112,6 +112,13 @@
     backend.port = announcedPort(*backend.process);
 }
 
+void LocalDeployment::setBackendFaults(const QString &name, const QJsonObject &faults)
+{
+    QUrl url = this->backendUrl(name);
+    url.setPath(QStringLiteral("/v1/standin/faults"));
+    postJson(url, faults);
+}
+
 void LocalDeployment::setBackendLeaving(const QString &name, bool leaving)
 {
     this->registerBackend(this->findBackend(name), leaving);
--- a/standins/deployment/LocalDeployment.h
+++ b/standins/deployment/LocalDeployment.h
@@ -57,6 +57,9 @@
     /** Starts a backend server again on its port after its end. */
     void restartBackend(const QString &name);
 
+    /** Sets all faults of a backend server's stand-in; an empty object ends them. */
+    void setBackendFaults(const QString &name, const QJsonObject &faults);
+
     /** Marks a backend server as leaving, or takes the mark back. */
     void setBackendLeaving(const QString &name, bool leaving);
 
