--- a/tests/failures/scenario/Scenario.cpp
+++ b/tests/failures/scenario/Scenario.cpp
@@ -1,6 +1,7 @@
 #include "scenario/Scenario.h"
 
 #include "deployment/BlockingHttp.h"
+#include "deployment/EventLoopWait.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -15,6 +16,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds patience{60000};
+
 QJsonObject configuration(double requestsPerSecond, double burst)
 {
     const QJsonObject plan{{QStringLiteral("team"), Scenario::team()},
@@ -76,6 +79,7 @@
 {
     this->system->start();
     this->teamKey = this->system->issueKey(Scenario::team());
+    this->waitUntilKeyIsKnown();
 }
 
 Scenario::~Scenario() = default;
@@ -116,6 +120,44 @@
             QStringLiteral("engine-1-") + secondZone(), QStringLiteral("engine-2-") + secondZone()};
 }
 
+QString Scenario::openProgram(TestCaller &caller, const QString &vm)
+{
+    CallerRequestSpec spec;
+    spec.front = this->system->daemon(vm).callers();
+    spec.path = QStringLiteral("/v1/programs");
+    spec.body = "{}";
+    QString program;
+    const bool opened = waitUntil(
+            [&] {
+                const CallerAttempt attempt = caller.sendAndWait(spec);
+                program = QJsonDocument::fromJson(attempt.body)
+                                  .object()
+                                  .value(QStringLiteral("program"))
+                                  .toString();
+                return attempt.outcome == AttemptOutcome::Answered;
+            },
+            patience);
+    cr_assert(opened, "no program could be opened at %s", vm.toUtf8().constData());
+    return program;
+}
+
+void Scenario::waitUntilKeyIsKnown()
+{
+    TestCaller caller(Scenario::team(), this->teamKey);
+    for (const QString &vm : vms()) {
+        CallerRequestSpec spec;
+        spec.front = this->system->daemon(vm).callers();
+        spec.method = "GET";
+        spec.path = QStringLiteral("/v1/programs/none/history");
+        const bool known = waitUntil(
+                [&] {
+                    return caller.sendAndWait(spec).errorKind == QLatin1String("unknownProgram");
+                },
+                patience);
+        cr_assert(known, "%s does not know the key", vm.toUtf8().constData());
+    }
+}
+
 std::vector<BackendRun> Scenario::serviceRuns()
 {
     std::vector<BackendRun> runs;
--- a/tests/failures/scenario/Scenario.h
+++ b/tests/failures/scenario/Scenario.h
@@ -49,6 +49,9 @@
     [[nodiscard]] static QStringList services();
     [[nodiscard]] static QStringList engines();
 
+    /** Opens a program at the VM, trying again while it is refused for the moment. */
+    [[nodiscard]] QString openProgram(TestCaller &caller, const QString &vm);
+
     /** Returns every run that the booking services have recorded. */
     [[nodiscard]] std::vector<BackendRun> serviceRuns();
 
@@ -62,6 +65,7 @@
     [[nodiscard]] qint64 tokensHeldFor(const QString &program);
 
 private:
+    void waitUntilKeyIsKnown();
     [[nodiscard]] QJsonObject engineState(const QString &engine,
                                           const QByteArray &containedText = {});
 
