--- a/standins/service/library/ServiceStandin.cpp
+++ b/standins/service/library/ServiceStandin.cpp
@@ -45,7 +45,9 @@
 void ServiceStandin::handle(const StandinRequest &request,
                             const std::shared_ptr<StandinExchange> &exchange)
 {
-    if (request.path.startsWith(QStringLiteral("/v1/standin/")))
+    if (request.path == QStringLiteral("/healthz"))
+        exchange->answer(200, QJsonObject());
+    else if (request.path.startsWith(QStringLiteral("/v1/standin/")))
         this->handleControl(request, *exchange);
     else
         this->run(request, exchange);
--- a/tests/failures/BackendFailureTest.cpp
+++ b/tests/failures/BackendFailureTest.cpp
@@ -97,6 +97,10 @@
     cr_assert_leq(dead, 2, "%d engines died", static_cast<int>(dead));
     cr_assert(last.errorKind == QLatin1String("quarantined"), "%s", last.body.constData());
 
+    for (const QString &engine : engines) {
+        if (!scenario.deployment().backend(engine).isRunning())
+            scenario.deployment().restartBackend(engine);
+    }
     ProgramWorkload workload(scenario, 4, 4);
     workload.start();
     cr_assert(workload.finish());
--- a/tests/failures/scenario/ProgramWorkload.h
+++ b/tests/failures/scenario/ProgramWorkload.h
@@ -68,6 +68,7 @@
         bool done = false;
     };
 
+    void printUnfinished() const;
     void open(Chain &chain);
     void call(Chain &chain);
     void onAnswer(Chain &chain, const CallerAttempt &attempt);
