--- a/modules/lacewingmux_daemon/assembly/ControlServices.h
+++ b/modules/lacewingmux_daemon/assembly/ControlServices.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "lacewingmux_allowance/shares/ShareKeeper.h"
+#include "lacewingmux_backend/replicas/ReplicaRegistry.h"
 #include "lacewingmux_config/service/ConfigurationService.h"
-#include "lacewingmux_daemon/assembly/ReplicaListing.h"
 #include "lacewingmux_daemon/assembly/ViewSnapshot.h"
 #include "lacewingmux_peer/links/TcpPeerHub.h"
 #include "lacewingmux_peer/messages/VmDescriptor.h"
@@ -63,6 +63,7 @@
     [[nodiscard]] QJsonObject status() const;
 
 private:
+    [[nodiscard]] ReplicaRegistryEnvironment replicaEnvironment();
     /** Returns what is in force in each configured zone; 0 for a zone that isn't heard of. */
     [[nodiscard]] QJsonArray inForce() const;
     [[nodiscard]] ConfigurationHooks configurationHooks();
@@ -79,7 +80,7 @@
     ZoneMembership membership;
     ConfigurationService configuration;
     ShareKeeper shares;
-    ReplicaListing replicas;
+    ReplicaRegistry replicas;
 };
 
 } // namespace lacewingmux
