--- a/tests/allowance/support/AllowanceFleet.cpp
+++ b/tests/allowance/support/AllowanceFleet.cpp
@@ -158,6 +158,7 @@
         owner.learnFenced(item, counters);
     };
     std::vector<QString> zones;
+    zones.reserve(static_cast<std::size_t>(this->plan.zones));
     for (int zone = 0; zone < this->plan.zones; ++zone)
         zones.push_back(zoneName(zone));
     vm.keeper = std::make_unique<ShareKeeper>(*vm.store, *vm.controlHub, *vm.timers, this->metrics,
