--- a/modules/lacewingmux_daemon/assembly/ControlServices.h
+++ b/modules/lacewingmux_daemon/assembly/ControlServices.h
@@ -1,14 +1,15 @@
 #pragma once
 
 #include "lacewingmux_allowance/shares/ShareKeeper.h"
+#include "lacewingmux_backend/replicas/ReplicaRegistry.h"
 #include "lacewingmux_config/service/ConfigurationService.h"
-#include "lacewingmux_daemon/assembly/ReplicaListing.h"
 #include "lacewingmux_daemon/assembly/ViewSnapshot.h"
 #include "lacewingmux_peer/links/TcpPeerHub.h"
 #include "lacewingmux_peer/messages/VmDescriptor.h"
 #include "lacewingmux_platform/client/HttpPlatformStore.h"
 #include "lacewingmux_zone/membership/ZoneMembership.h"
 
+#include <QJsonArray>
 #include <QJsonObject>
 
 #include <cstdint>
@@ -62,6 +63,9 @@
     [[nodiscard]] QJsonObject status() const;
 
 private:
+    [[nodiscard]] ReplicaRegistryEnvironment replicaEnvironment();
+    /** Returns what is in force in each configured zone; 0 for a zone that isn't heard of. */
+    [[nodiscard]] QJsonArray inForce() const;
     [[nodiscard]] ConfigurationHooks configurationHooks();
     [[nodiscard]] ShareKeeperHooks shareHooks();
     void adoptConfiguration(const std::shared_ptr<const Configuration> &accepted);
@@ -70,12 +74,13 @@
 
     ControlEnvironment environment;
     VmDescriptor descriptor;
+    std::vector<QString> zones;
     TcpPeerHub hub;
     HttpPlatformStore store;
     ZoneMembership membership;
     ConfigurationService configuration;
     ShareKeeper shares;
-    ReplicaListing replicas;
+    ReplicaRegistry replicas;
 };
 
 } // namespace lacewingmux
