--- a/tests/support/events/InvariantChecks.h
+++ b/tests/support/events/InvariantChecks.h
@@ -13,7 +13,7 @@
 /*
  * The invariants as pure functions over what callers and backend servers saw. Each returns what it
  * found broken; an empty list means that the invariant held. Runs belong to attempts by the marker
- * that the caller put into the request.
+ * that the caller put into the request; attempts without one are left out.
  */
 
 /** A request that is not idempotent ran at most once, over all of its attempts. */
