--- a/standins/deployment/LocalDeployment.cpp
+++ b/standins/deployment/LocalDeployment.cpp
@@ -43,7 +43,7 @@
 {
     this->startStore();
     this->startBackends();
-    this->applyConfiguration();
+    this->applyConfiguration(this->plan.configuration, 0, false);
     this->makeDaemons();
     for (const auto &daemon : this->daemons)
         daemon->start(this->seeds());
@@ -162,6 +162,25 @@
     }
 }
 
+void LocalDeployment::applyConfiguration(const QJsonObject &configuration, int overRevision,
+                                         bool wait)
+{
+    const QString path = this->folder() + QStringLiteral("/configuration.json");
+    QFile file(path);
+    if (!file.open(QIODevice::WriteOnly))
+        fail(QStringLiteral("can't write ") + path);
+    file.write(QJsonDocument(configuration).toJson());
+    file.close();
+    QStringList arguments{QStringLiteral("config"), QStringLiteral("apply"), path,
+                          QStringLiteral("--revision"), QString::number(overRevision)};
+    if (wait) {
+        arguments << QStringLiteral("--wait");
+        for (const auto &daemon : this->daemons)
+            arguments << QStringLiteral("--operator") << daemon->operators().toString();
+    }
+    this->runControl(arguments);
+}
+
 QByteArray LocalDeployment::issueKey(const QString &team)
 {
     const QByteArray output =
@@ -183,8 +202,11 @@
     const bool ended =
             waitUntil([&process] { return process.state() == QProcess::NotRunning; }, controlBound);
     if (!ended || process.exitStatus() != QProcess::NormalExit || process.exitCode() != 0)
-        fail(QStringLiteral("lacewingmuxctl %1 failed: %2")
-                     .arg(arguments.join(u' '), QString::fromUtf8(process.readAllStandardError())));
+        fail(QStringLiteral("lacewingmuxctl %1 ended with %2: %3%4")
+                     .arg(arguments.join(u' '))
+                     .arg(process.exitCode())
+                     .arg(QString::fromUtf8(process.readAllStandardError()),
+                          QString::fromUtf8(process.readAllStandardOutput())));
     return process.readAllStandardOutput();
 }
 
@@ -236,18 +258,6 @@
                      QJsonDocument(state).toJson(QJsonDocument::Compact));
 }
 
-void LocalDeployment::applyConfiguration()
-{
-    const QString path = this->folder() + QStringLiteral("/configuration.json");
-    QFile file(path);
-    if (!file.open(QIODevice::WriteOnly))
-        fail(QStringLiteral("can't write ") + path);
-    file.write(QJsonDocument(this->plan.configuration).toJson());
-    file.close();
-    this->runControl({QStringLiteral("config"), QStringLiteral("apply"), path,
-                      QStringLiteral("--revision"), QStringLiteral("0")});
-}
-
 void LocalDeployment::makeDaemons()
 {
     DeploymentSurroundings surroundings;
--- a/standins/deployment/LocalDeployment.h
+++ b/standins/deployment/LocalDeployment.h
@@ -75,6 +75,12 @@
     /** Ends all cuts. */
     void mendAll();
 
+    /**
+        Applies a configuration over the revision through lacewingmuxctl. Waits until it is in force
+        everywhere when asked to; throws when it is not, or for a conflict.
+    */
+    void applyConfiguration(const QJsonObject &configuration, int overRevision, bool wait);
+
     /** Makes a key of the team through lacewingmuxctl and returns it. */
     [[nodiscard]] QByteArray issueKey(const QString &team);
 
@@ -100,7 +106,6 @@
     void startStore();
     void startBackends();
     void registerBackend(const Backend &backend, bool leaving);
-    void applyConfiguration();
     void makeDaemons();
     [[nodiscard]] QJsonArray seeds() const;
     [[nodiscard]] Backend &findBackend(const QString &name);
--- a/tests/failures/scenario/Scenario.cpp
+++ b/tests/failures/scenario/Scenario.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds patience{60000};
+constexpr double unlimited = 10000; ///< requests a second that no test reaches
 
 QJsonObject configuration(double requestsPerSecond, double burst)
 {
@@ -70,7 +71,7 @@
 } // namespace
 
 Scenario::Scenario()
-    : Scenario(10000, 10000)
+    : Scenario(unlimited, unlimited)
 { }
 
 Scenario::Scenario(double requestsPerSecond, double burst)
@@ -120,6 +121,16 @@
             QStringLiteral("engine-1-") + secondZone(), QStringLiteral("engine-2-") + secondZone()};
 }
 
+QJsonObject Scenario::configurationWithRoute(const QString &route)
+{
+    QJsonObject document = configuration(unlimited, unlimited);
+    QJsonArray routes = document.value(QStringLiteral("routes")).toArray();
+    routes.append(QJsonObject{{QStringLiteral("name"), route},
+                              {QStringLiteral("kind"), QStringLiteral("service")}});
+    document.insert(QStringLiteral("routes"), routes);
+    return document;
+}
+
 QString Scenario::openProgram(TestCaller &caller, const QString &vm)
 {
     CallerRequestSpec spec;
--- a/tests/failures/scenario/Scenario.h
+++ b/tests/failures/scenario/Scenario.h
@@ -49,6 +49,9 @@
     [[nodiscard]] static QStringList services();
     [[nodiscard]] static QStringList engines();
 
+    /** Returns the scenario's configuration with one more route of the name. */
+    [[nodiscard]] static QJsonObject configurationWithRoute(const QString &route);
+
     /** Opens a program at the VM, trying again while it is refused for the moment. */
     [[nodiscard]] QString openProgram(TestCaller &caller, const QString &vm);
 
