--- a/tests/http/HttpTestTools.cpp
+++ b/tests/http/HttpTestTools.cpp
@@ -61,6 +61,12 @@
     this->socket.setReadBufferSize(1);
 }
 
+void RawCaller::readOn()
+{
+    this->socket.setReadBufferSize(0);
+    this->bytes += this->socket.readAll();
+}
+
 void RawCaller::close()
 {
     this->socket.abort();
--- a/tests/http/HttpTestTools.h
+++ b/tests/http/HttpTestTools.h
@@ -39,6 +39,7 @@
 
     /** Leaves what comes in the network's buffers from now on. */
     void stopReading();
+    void readOn();
     void close();
 
     [[nodiscard]] const QByteArray &received();
