--- a/modules/lacewingmux_program/requests/OwnerService.h
+++ b/modules/lacewingmux_program/requests/OwnerService.h
@@ -24,7 +24,8 @@
 
     /**
         Handles one request. The sink is called later, at the latest when the timeout is over.
-        Fails with ErrorKind::OwnerUnavailable and Executed::No when this VM is not the owner.
+        Fails with ErrorKind::OwnerUnavailable when this VM is not the owner: with Executed::Unknown
+        for a numbered or keyed request, whose record can't be looked up here, else Executed::No.
     */
     virtual OwnerRequestHandle handle(const OwnerRequest &request, ResponseSink sink) = 0;
 
