--- a/tests/backend/ClientTest.cpp
+++ b/tests/backend/ClientTest.cpp
@@ -124,7 +124,7 @@
         f.loop.runFor(100ms);
         cr_assert(answer.failure == BackendFailure::ConnectionLost);
         cr_assert(answer.executed == Executed::Unknown);
-        cr_assert_eq(server.requests, 1);
+        cr_assert_eq(server.requests, 1, "requests: %d", server.requests);
     }
 }
 
@@ -138,7 +138,7 @@
     const auto &answer = f.finish(f.services.start(call, f.listener()));
     f.loop.runFor(100ms);
     cr_assert(answer.executed == Executed::Unknown);
-    cr_assert_eq(server.requests, 1);
+    cr_assert_eq(server.requests, 1, "requests: %d", server.requests);
 }
 
 Test(ServiceClient, aRefusedConnectionIsCertainlyNotRun)
