--- a/modules/lacewingmux_daemon/assembly/ControlServices.cpp
+++ b/modules/lacewingmux_daemon/assembly/ControlServices.cpp
@@ -114,7 +114,7 @@
             {QStringLiteral("views"), views},
             {QStringLiteral("configuration"),
              static_cast<qint64>(this->configuration.revisions().configuration)},
-            {QStringLiteral("inForce"), this->inForce()},
+            {QStringLiteral("zonesInForce"), this->inForce()},
             {QStringLiteral("controlPeers"),
              static_cast<qint64>(this->hub.connectedPeers().size())}};
 }
--- a/modules/lacewingmux_daemon/assembly/TrafficServices.cpp
+++ b/modules/lacewingmux_daemon/assembly/TrafficServices.cpp
@@ -96,7 +96,7 @@
 {
     this->journal.setViewNeededHandler(hooks.viewNeeded);
     this->journal.setSettledHandler([this, settled = hooks.settled](std::uint64_t epoch) {
-        this->settledOnce = true;
+        this->settledOnce = this->memberOfView;
         settled(epoch);
     });
     this->server.listen(QHostAddress(settings.callers.address), settings.callers.port);
@@ -118,6 +118,8 @@
 void TrafficServices::adoptViews(const ViewSnapshot &views)
 {
     this->memberOfView = views.own && views.own->contains(this->descriptor.incarnation);
+    // A view without this VM is settled at once and says nothing about the slots it will hold.
+    this->settledOnce = this->settledOnce && this->memberOfView;
     this->hub.setPeers(trafficPeersOf(views));
     if (views.own) {
         this->journal.adoptView(views.own, views.history);
