Give each daemon of a deployment a loopback address of its own

Cause: ports were picked by binding and letting go; another process could take one before the daemon did ('cannot listen on 127.0.0.1 port 33203', 1 of 25 starts), and the deployment never became ready. Change: an address from the process id and the daemon's number, with fixed ports below those the system gives out. Ruled out: trying again with other ports, since seeds and relays name them before the start.

--- a/standins/deployment/DaemonProcess.cpp
+++ b/standins/deployment/DaemonProcess.cpp
@@ -3,11 +3,11 @@
 #include "deployment/BlockingHttp.h"
 #include "lacewingmux_core/errors/LacewingmuxError.h"
 
+#include <QCoreApplication>
 #include <QDir>
 #include <QFile>
 #include <QJsonDocument>
 #include <QJsonObject>
-#include <QTcpServer>
 
 namespace lacewingmux::standin {
 
@@ -15,18 +15,19 @@
 
 const QHostAddress loopback(QHostAddress::LocalHost);
 
-std::uint16_t freePort(const QHostAddress &address)
-{
-    QTcpServer server;
-    if (!server.listen(address))
-        throw LacewingmuxError(ErrorKind::InternalError,
-                               QStringLiteral("no free port on ") + address.toString());
-    return server.serverPort();
-}
+// The same on every daemon, for each has an address of its own; below the system's own choices.
+constexpr std::uint16_t callerPort = 20001;
+constexpr std::uint16_t operatorPort = 20002;
+constexpr std::uint16_t controlPort = 20003;
+constexpr std::uint16_t trafficPort = 20004;
 
+/** Returns a loopback address that no other daemon of this machine's deployments has. */
 QHostAddress addressOfNumber(int number)
 {
-    return QHostAddress(QStringLiteral("127.0.1.%1").arg(number + 1));
+    constexpr quint32 loopbackNetwork = 127U << 24U;
+    constexpr quint32 processBits = 0xffff;
+    const auto process = static_cast<quint32>(QCoreApplication::applicationPid()) & processBits;
+    return QHostAddress(loopbackNetwork + (process << 8U) + static_cast<quint32>(number) + 1);
 }
 
 void writeFile(const QString &path, const QByteArray &content)
@@ -44,12 +45,8 @@
     , planned(plannedVm)
     , surroundings(deploymentSurroundings)
     , ownAddress(addressOfNumber(number))
-    , callerPort(freePort(loopback))
-    , operatorPort(freePort(loopback))
-    , controlPort(freePort(this->ownAddress))
-    , trafficPort(freePort(this->ownAddress))
-    , toControl(std::make_unique<TcpRelay>(this->ownAddress, this->controlPort))
-    , toTraffic(std::make_unique<TcpRelay>(this->ownAddress, this->trafficPort))
+    , toControl(std::make_unique<TcpRelay>(this->ownAddress, controlPort))
+    , toTraffic(std::make_unique<TcpRelay>(this->ownAddress, trafficPort))
     , toStore(std::make_unique<TcpRelay>(loopback, this->surroundings.storePort))
 { }
 
@@ -70,12 +67,19 @@
 
 QUrl DaemonProcess::callers() const
 {
-    return loopbackUrl(this->callerPort, QString());
+    return this->url(callerPort, QString());
 }
 
 QUrl DaemonProcess::operators() const
 {
-    return loopbackUrl(this->operatorPort, QString());
+    return this->url(operatorPort, QString());
+}
+
+QUrl DaemonProcess::url(std::uint16_t port, const QString &path) const
+{
+    QUrl result = loopbackUrl(port, path);
+    result.setHost(this->ownAddress.toString());
+    return result;
 }
 
 QJsonObject DaemonProcess::asSeed() const
@@ -96,13 +100,13 @@
 
 bool DaemonProcess::isReady() const
 {
-    return getAndWait(loopbackUrl(this->callerPort, QStringLiteral("/readyz"))).status == 200;
+    return getAndWait(this->url(callerPort, QStringLiteral("/readyz"))).status == 200;
 }
 
 QJsonObject DaemonProcess::settings(const QJsonArray &seeds) const
 {
-    const auto listener = [](std::uint16_t port) {
-        return QJsonObject{{QStringLiteral("address"), loopback.toString()},
+    const auto listener = [this](std::uint16_t port) {
+        return QJsonObject{{QStringLiteral("address"), this->ownAddress.toString()},
                            {QStringLiteral("port"), port}};
     };
     const QJsonObject advertised{{QStringLiteral("address"), loopback.toString()},
@@ -110,8 +114,8 @@
                                  {QStringLiteral("trafficPort"), this->toTraffic->port()}};
     const QJsonObject peers{
             {QStringLiteral("address"), this->ownAddress.toString()},
-            {QStringLiteral("controlPort"), this->controlPort},
-            {QStringLiteral("trafficPort"), this->trafficPort},
+            {QStringLiteral("controlPort"), controlPort},
+            {QStringLiteral("trafficPort"), trafficPort},
             {QStringLiteral("advertised"), advertised},
             {QStringLiteral("seeds"), seeds},
             {QStringLiteral("sharedSecretFile"), this->surroundings.sharedSecretFile}};
@@ -121,8 +125,8 @@
             {QStringLiteral("zone"), this->planned.zone},
             {QStringLiteral("fleet"), QStringLiteral("local")},
             {QStringLiteral("zones"), QJsonArray::fromStringList(this->surroundings.zones)},
-            {QStringLiteral("callers"), listener(this->callerPort)},
-            {QStringLiteral("operators"), listener(this->operatorPort)},
+            {QStringLiteral("callers"), listener(callerPort)},
+            {QStringLiteral("operators"), listener(operatorPort)},
             {QStringLiteral("peers"), peers},
             {QStringLiteral("store"),
              QJsonObject{{QStringLiteral("endpoints"), QJsonArray{storeUrl}}}},
--- a/standins/deployment/DaemonProcess.h
+++ b/standins/deployment/DaemonProcess.h
@@ -69,16 +69,13 @@
     [[nodiscard]] bool isReady() const;
 
 private:
+    [[nodiscard]] QUrl url(std::uint16_t port, const QString &path) const;
     [[nodiscard]] QJsonObject settings(const QJsonArray &seeds) const;
 
     DeploymentPlan plan;
     PlannedVm planned;
     DeploymentSurroundings surroundings;
     QHostAddress ownAddress;
-    std::uint16_t callerPort;
-    std::uint16_t operatorPort;
-    std::uint16_t controlPort;
-    std::uint16_t trafficPort;
     std::unique_ptr<TcpRelay> toControl;
     std::unique_ptr<TcpRelay> toTraffic;
     std::unique_ptr<TcpRelay> toStore;
