--- a/modules/lacewingmux_experiment/results/ExperimentReport.cpp
+++ b/modules/lacewingmux_experiment/results/ExperimentReport.cpp
@@ -36,18 +36,38 @@
 
 QString ExperimentReport::table() const
 {
-    QString text = QStringLiteral("| measure |");
+    const PolicyResult &naive = this->scenario.policies.at(0);
+    const PolicyResult &whole = this->scenario.policies.at(1);
+    QString text = QStringLiteral("| measure | %1 | %2 |\n|---|---|---|\n")
+                           .arg(naive.policy, whole.policy);
+    for (const MeasureColumn &column : measureColumns(this->scenario.workload)) {
+        const QString base =
+                column.asRatio ? QStringLiteral("1") : shown(this->figure(column, naive));
+        text += QStringLiteral("| %1%2 | %3 | %4 |\n")
+                        .arg(column.name, column.asRatio ? QStringLiteral(" / naive") : QString(),
+                             base, shown(this->figure(column, whole)));
+    }
+    return text;
+}
+
+QString ExperimentReport::ablationTable() const
+{
+    QString text = QStringLiteral("| policy |");
     QString rule = QStringLiteral("|---|");
-    for (const PolicyResult &policy : this->scenario.policies) {
-        text += QStringLiteral(" %1 |").arg(policy.policy);
+    std::vector<MeasureColumn> chief;
+    for (const MeasureColumn &column : measureColumns(this->scenario.workload)) {
+        if (!column.isChief)
+            continue;
+        chief.push_back(column);
+        text += QStringLiteral(" %1 |").arg(column.name);
         rule += QStringLiteral("---|");
     }
     text += QLatin1Char('\n') + rule + QLatin1Char('\n');
-    for (const MeasureColumn &column : measureColumns(this->scenario.workload)) {
-        text += QStringLiteral("| %1%2 |")
-                        .arg(column.name, column.asRatio ? QStringLiteral(" / naive") : QString());
-        for (const PolicyResult &policy : this->scenario.policies)
-            text += QStringLiteral(" %1 |").arg(shown(this->figure(column, policy)));
+    for (std::size_t index = 1; index < this->scenario.policies.size(); ++index) {
+        const PolicyResult &policy = this->scenario.policies[index];
+        text += QStringLiteral("| %1 |").arg(policy.policy);
+        for (const MeasureColumn &column : chief)
+            text += QStringLiteral(" %1 |").arg(shown(this->figure(column, policy).mean));
         text += QLatin1Char('\n');
     }
     return text;
--- a/modules/lacewingmux_experiment/results/ExperimentReport.h
+++ b/modules/lacewingmux_experiment/results/ExperimentReport.h
@@ -16,10 +16,14 @@
 public:
     explicit ExperimentReport(const ScenarioResult &scenarioResult);
 
-    /** Returns a table with a row for each measure and a column for each policy: mean over the
-        seeds, least and greatest. */
+    /** Returns a table with a row for each measure and a column for the first two policies: mean
+        over the seeds, least and greatest. */
     [[nodiscard]] QString table() const;
 
+    /** Returns a table of the means of the chief measures with a row for each policy but the
+        first. */
+    [[nodiscard]] QString ablationTable() const;
+
     /** Returns the same figures, and each seed's values. */
     [[nodiscard]] QJsonObject json() const;
 
--- a/modules/lacewingmux_experiment/results/MeasureColumn.cpp
+++ b/modules/lacewingmux_experiment/results/MeasureColumn.cpp
@@ -1,5 +1,9 @@
 #include "lacewingmux_experiment/results/MeasureColumn.h"
 
+#include <QStringList>
+
+#include <utility>
+
 namespace lacewingmux::experiment {
 
 std::vector<MeasureColumn> measureColumns(const Workload &workload)
@@ -7,7 +11,7 @@
     std::vector<MeasureColumn> columns;
     const auto add = [&columns](const QString &name, bool asRatio,
                                 std::function<double(const Measures &)> value) {
-        columns.push_back({name, asRatio, std::move(value)});
+        columns.push_back({name, asRatio, std::move(value), false});
     };
     add(QStringLiteral("median"), true, [](const Measures &m) { return m.latency.median; });
     add(QStringLiteral("p95"), true, [](const Measures &m) { return m.latency.percentile95; });
@@ -37,6 +41,16 @@
     add(QStringLiteral("unfinished programs"), false,
         [](const Measures &m) { return m.unfinishedPrograms; });
     add(QStringLiteral("replica crashes"), false, [](const Measures &m) { return m.crashes; });
+    const QStringList chief{QStringLiteral("median"),
+                            QStringLiteral("p95"),
+                            QStringLiteral("tokens computed again"),
+                            QStringLiteral("memory of ended"),
+                            QStringLiteral("worst team slowdown"),
+                            QStringLiteral("wrongful refusals"),
+                            QStringLiteral("unfinished programs"),
+                            QStringLiteral("replica crashes")};
+    for (MeasureColumn &column : columns)
+        column.isChief = chief.contains(column.name);
     return columns;
 }
 
--- a/modules/lacewingmux_experiment/results/MeasureColumn.h
+++ b/modules/lacewingmux_experiment/results/MeasureColumn.h
@@ -15,6 +15,7 @@
     QString name;
     bool asRatio = true; ///< over the naive policy on the same seed; else as it is
     std::function<double(const Measures &)> value;
+    bool isChief = false; ///< whether it is among those by which ablations are compared
 };
 
 /** Returns the columns of the table for a workload. */
--- a/programs/lacewingmux-experiment/main.cpp
+++ b/programs/lacewingmux-experiment/main.cpp
@@ -43,6 +43,9 @@
               << result.workload.scenario.toStdString() << ", load " << result.workload.load
               << "\n\n"
               << report.table().toStdString() << std::flush;
+    if (result.policies.size() > 2)
+        std::cout << "\nEach part switched off alone (means; ratios are to naive):\n\n"
+                  << report.ablationTable().toStdString() << std::flush;
     if (folder.isEmpty())
         return;
     const QString base =
