--- a/modules/lacewingmux_daemon/assembly/ControlServices.cpp
+++ b/modules/lacewingmux_daemon/assembly/ControlServices.cpp
@@ -12,6 +12,8 @@
 
 #include <QJsonArray>
 
+#include <algorithm>
+
 namespace lacewingmux {
 
 namespace {
@@ -37,6 +39,13 @@
     return result;
 }
 
+ReplicaRegistrySettings replicaSettingsOf(const VmDescriptor &self)
+{
+    ReplicaRegistrySettings result;
+    result.seed = self.incarnation.incarnation;
+    return result;
+}
+
 QJsonObject viewObject(const ZoneView &view)
 {
     QJsonArray members;
@@ -54,6 +63,7 @@
                                  const ControlEnvironment &controlEnvironment)
     : environment(controlEnvironment)
     , descriptor(self)
+    , zones(settings.zones)
     , hub(hubSettings, environment.timers)
     , store(environment.timers, environment.metrics, storeSettingsOf(settings, self))
     , membership(this->hub, this->store, environment.timers, environment.metrics, self,
@@ -62,10 +72,7 @@
                     this->configurationHooks(), settings.dataFolder, self.incarnation.incarnation)
     , shares(this->store, this->hub, environment.timers, environment.metrics, this->shareHooks(),
              settings.zones)
-    , replicas(this->store, environment.timers, self.incarnation.zone,
-               [&traffic = environment.traffic](const std::shared_ptr<const ReplicaSet> &set) {
-                   traffic.post([set](TrafficServices &services) { services.adoptReplicas(set); });
-               })
+    , replicas(this->replicaEnvironment(), replicaSettingsOf(self))
 {
     this->membership.setViewsHandler(
             [this](const std::shared_ptr<const FleetViews> &views, const ViewHistory &history) {
@@ -74,6 +81,7 @@
     this->membership.setSeeds(seedPeersOf(settings));
     this->membership.start();
     this->configuration.start();
+    this->replicas.start();
 }
 
 ControlServices::~ControlServices() = default;
@@ -106,11 +114,36 @@
             {QStringLiteral("views"), views},
             {QStringLiteral("configuration"),
              static_cast<qint64>(this->configuration.revisions().configuration)},
-            {QStringLiteral("zonesInForce"), this->configuration.zonesInForceJson()},
+            {QStringLiteral("inForce"), this->inForce()},
             {QStringLiteral("controlPeers"),
              static_cast<qint64>(this->hub.connectedPeers().size())}};
 }
 
+ReplicaRegistryEnvironment ControlServices::replicaEnvironment()
+{
+    const auto publish =
+            [&traffic = this->environment.traffic](const std::shared_ptr<const ReplicaSet> &set) {
+                traffic.post([set](TrafficServices &services) { services.adoptReplicas(set); });
+            };
+    return {this->environment.timers, this->store, &this->hub, this->descriptor.incarnation,
+            publish};
+}
+
+QJsonArray ControlServices::inForce() const
+{
+    QJsonArray result = this->configuration.zonesInForceJson();
+    for (const QString &zone : this->zones) {
+        const bool heard = std::any_of(result.begin(), result.end(), [&zone](const auto &entry) {
+            return entry.toObject().value(QLatin1String("zone")).toString() == zone;
+        });
+        if (!heard)
+            result.append(QJsonObject{{QStringLiteral("zone"), zone},
+                                      {QStringLiteral("configuration"), 0},
+                                      {QStringLiteral("reportedVms"), 0}});
+    }
+    return result;
+}
+
 ConfigurationHooks ControlServices::configurationHooks()
 {
     ConfigurationHooks hooks;
@@ -166,6 +199,7 @@
 {
     this->configuration.viewsChanged();
     this->shares.adoptViews(views);
+    this->replicas.adoptView(views->view(this->descriptor.incarnation.zone));
     const ViewSnapshot snapshot{views, views->view(this->descriptor.incarnation.zone), history};
     this->environment.traffic.post(
             [snapshot](TrafficServices &services) { services.adoptViews(snapshot); });
--- a/modules/lacewingmux_daemon/assembly/TrafficServices.cpp
+++ b/modules/lacewingmux_daemon/assembly/TrafficServices.cpp
@@ -10,6 +10,8 @@
 
 #include <QHostAddress>
 #include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
 
 #include <algorithm>
 
@@ -68,8 +70,11 @@
     , allowances(this->journal, this->hub, this->timers, sharedMetrics)
     , admission(this->hub, this->allowances, this->timers, sharedMetrics)
     , power(this->hub, this->allowances, this->timers)
-    , dispatcher({this->timers, sharedMetrics, &this->power, self.incarnation, {}},
+    , dispatcher({this->timers, sharedMetrics, &this->power, self.incarnation,
+                  [this](const CrashCoincidence &seen) { this->quarantineNotices.announce(seen); }},
                  dispatcherSettingsOf(self))
+    , quarantineNotices(this->hub, this->dispatcher)
+    , orderLease(this->hub, this->timers, this->dispatcher.orderIssuer())
     , programs({this->journal,
                 this->dispatcher,
                 this->timers,
@@ -116,7 +121,7 @@
     this->hub.setPeers(trafficPeersOf(views));
     if (views.own) {
         this->journal.adoptView(views.own, views.history);
-        this->dispatcher.orderIssuer().adoptView(*views.own, this->timers.now());
+        this->orderLease.adoptView(*views.own);
     }
     this->allowances.adoptViews(views.fleet);
     this->admission.adoptViews(views.fleet);
@@ -159,6 +164,18 @@
     this->owner.beginDrain();
 }
 
+void TrafficServices::askOwner(OwnerRequest request, const OperatorReply &reply)
+{
+    request.byOperator = true;
+    const auto body = std::make_shared<QByteArray>();
+    ResponseSink sink;
+    sink.begin = [](int, const std::vector<HttpHeader> &) {};
+    sink.chunk = [body](const QByteArray &bytes) { body->append(bytes); };
+    sink.end = [body, reply] { reply.succeed(QJsonDocument::fromJson(*body).object()); };
+    sink.fail = reply.fail;
+    this->forwarder.handle(request, std::move(sink));
+}
+
 TrafficStatus TrafficServices::status() const
 {
     TrafficStatus status;
--- a/modules/lacewingmux_daemon/assembly/TrafficServices.h
+++ b/modules/lacewingmux_daemon/assembly/TrafficServices.h
@@ -3,12 +3,15 @@
 #include "lacewingmux_allowance/admission/TeamAdmission.h"
 #include "lacewingmux_allowance/admission/ZonePower.h"
 #include "lacewingmux_allowance/owner/AllowanceOwner.h"
+#include "lacewingmux_backend/dispatch/QuarantineNotices.h"
 #include "lacewingmux_backend/dispatch/ReplicaDispatcher.h"
+#include "lacewingmux_backend/orders/OrderLeaseExchange.h"
 #include "lacewingmux_core/time/QtTimerService.h"
 #include "lacewingmux_daemon/assembly/DrainingOwner.h"
 #include "lacewingmux_daemon/assembly/TrafficStatus.h"
 #include "lacewingmux_http/forward/ForwardReceiver.h"
 #include "lacewingmux_http/forward/OwnerForwarder.h"
+#include "lacewingmux_http/front/OperatorReply.h"
 #include "lacewingmux_http/front/RequestFront.h"
 #include "lacewingmux_http/front/SentRequests.h"
 #include "lacewingmux_http/server/CallerServer.h"
@@ -74,6 +77,9 @@
     /** Sends new work for this VM's owner away; what runs goes on. */
     void refuseNewWork();
 
+    /** Asks the owner of a program on behalf of an operator, on whichever VM it is. */
+    void askOwner(OwnerRequest request, const OperatorReply &reply);
+
     [[nodiscard]] TrafficStatus status() const;
 
     [[nodiscard]] AllowanceOwner &allowanceOwner() noexcept
@@ -98,6 +104,8 @@
     TeamAdmission admission;
     ZonePower power;
     ReplicaDispatcher dispatcher;
+    QuarantineNotices quarantineNotices;
+    OrderLeaseExchange orderLease;
     ProgramOwner programs;
     DrainingOwner owner;
     SentRequests sent;
--- a/tests/operator/OperatorProcessTest.cpp
+++ b/tests/operator/OperatorProcessTest.cpp
@@ -147,8 +147,10 @@
     const QString first = fixture.file(document);
     const QStringList arguments{QStringLiteral("config"), QStringLiteral("apply"), first,
                                 QStringLiteral("--revision"), QStringLiteral("0")};
+    constexpr std::size_t operatorCount = 4;
     std::vector<std::unique_ptr<QProcess>> operators;
-    for (int index = 0; index < 4; ++index)
+    operators.reserve(operatorCount);
+    for (std::size_t index = 0; index < operatorCount; ++index)
         operators.push_back(fixture.start(arguments));
     int applied = 0;
     for (const auto &process : operators) {
@@ -212,9 +214,11 @@
     };
     const QStringList wait{QStringLiteral("--wait"), QStringLiteral("--timeout"),
                            QStringLiteral("1")};
-    fixture.daemonAnswer = {{QStringLiteral("inForce"), QJsonArray{zone("a", 1), zone("b", 1)}}};
+    fixture.daemonAnswer = {
+            {QStringLiteral("zonesInForce"), QJsonArray{zone("a", 1), zone("b", 1)}}};
     cr_assert(fixture.apply(0, document, wait).code == ExitCode::Success);
-    fixture.daemonAnswer = {{QStringLiteral("inForce"), QJsonArray{zone("a", 2), zone("b", 1)}}};
+    fixture.daemonAnswer = {
+            {QStringLiteral("zonesInForce"), QJsonArray{zone("a", 2), zone("b", 1)}}};
     const Run late = fixture.apply(1, withRate(60), wait);
     cr_assert(late.code == ExitCode::NotInForce);
     cr_assert(late.output.contains(QLatin1String("not yet in force in: b")));
