--- a/modules/lacewingmux_experiment/results/ExperimentReport.h
+++ b/modules/lacewingmux_experiment/results/ExperimentReport.h
@@ -16,14 +16,19 @@
 public:
     explicit ExperimentReport(const ScenarioResult &scenarioResult);
 
-    /** Returns a table with a row for each measure and a column for each policy: mean over the
-        seeds, least and greatest. */
+    /** Returns a table with a row for each measure and a column for the first two policies: mean
+        over the seeds, least and greatest. */
     [[nodiscard]] QString table() const;
 
+    /** Returns a table of the means of the chief measures with a row for each policy but the
+        first. */
+    [[nodiscard]] QString ablationTable() const;
+
     /** Returns the same figures, and each seed's values. */
     [[nodiscard]] QJsonObject json() const;
 
-    /** Returns an SVG plot of the ratios to naive, with the spread over the seeds. */
+    /** Returns an SVG plot of the ratios to naive, with the spread over the seeds: every measure
+        of the second policy, then the 95th percentile of the others. */
     [[nodiscard]] QString plot() const;
 
 private:
