--- a/tests/http/CallerServerTest.cpp
+++ b/tests/http/CallerServerTest.cpp
@@ -188,6 +188,7 @@
     held.timers.advance(held.server.limits().idle + 2s);
     cr_assert(idle.waitForClose());
     cr_assert(slow.waitForClose());
+    cr_assert(waitUntil([&held] { return held.server.connectionCount() == 0; }));
 }
 
 Test(CallerServer, leavesAConnectionWithAnOpenRequestAlone)
@@ -279,7 +280,9 @@
     cr_assert(held.waitForRequests(1));
     held.answers[0]->send(200, {}, QByteArray(40000000, 'x'));
     turnLoop(50ms);
+    cr_assert_eq(held.server.connectionCount(), 1);
     held.timers.advance(held.server.limits().stalledAnswer + 2s);
+    cr_assert(waitUntil([&held] { return held.server.connectionCount() == 0; }));
     caller.readOn();
     cr_assert(caller.waitForClose());
     cr_assert_lt(caller.received().size(), 40000000);
