Refuse calls of a route whose replicas stay broken, and give each VM its part of them

Cause: calls of a route with only broken replicas waited out their queue timeout of 30 s (seen in BackendFailure: 'queueTimeout, no replica had room' while callers gave up after 8 s). Settings took 16 zones, the target has 24. Change: after five failed probes (some 3 s) a replica is given up; when all are, calls waiting and arriving get backendUnavailable with a time to come back. The view's size goes to the chooser. 64 zones.

--- a/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.cpp
+++ b/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.cpp
@@ -116,6 +116,7 @@
     for (const ReplicaSnapshot &replica : replicaSet->replicas()) {
         RoutePool &pool = this->pools[replica.record.route];
         pool.replicas.insert(replica.record.name);
+        pool.chooser.setSendingVms(this->sendingVms);
         pool.chooser.setReplica({replica.record.name, replica.record.maxSequences});
         if (replica.load)
             pool.chooser.reportLoad(replica.record.name,
@@ -126,6 +127,13 @@
         this->schedulePump(entry.first);
 }
 
+void ReplicaDispatcher::setSendingVms(int vms)
+{
+    this->sendingVms = vms;
+    for (auto &[route, pool] : this->pools)
+        pool.chooser.setSendingVms(vms);
+}
+
 void ReplicaDispatcher::learn(const CrashCoincidence &coincidence)
 {
     this->quarantine.record(coincidence, this->timers.now());
@@ -143,8 +151,9 @@
         return;
     const auto found = this->pools.find(call->request.route);
     if (found == this->pools.end() || !this->canServe(found->second)) {
-        this->finish(handle, failedResult(ErrorKind::BackendUnavailable, Executed::No,
-                                          QStringLiteral("the route has no backend server")));
+        this->finish(handle,
+                     failedResult(ErrorKind::BackendUnavailable, Executed::No,
+                                  QStringLiteral("no backend server of the route can be reached")));
         return;
     }
     if (this->verdictOn(*call) == QuarantineVerdict::Quarantined) {
@@ -229,8 +238,9 @@
     if (!this->canServe(pool)) {
         pool.queue.remove(call.handle);
         const Executed executed = call.mayHaveRun ? Executed::Unknown : Executed::No;
-        this->finish(call.handle, failedResult(ErrorKind::BackendUnavailable, executed,
-                                               QStringLiteral("the route has no backend server")));
+        this->finish(call.handle,
+                     failedResult(ErrorKind::BackendUnavailable, executed,
+                                  QStringLiteral("no backend server of the route can be reached")));
         return true;
     }
     call.suspect = verdict == QuarantineVerdict::Suspect;
@@ -264,7 +274,7 @@
 {
     return std::any_of(pool.replicas.begin(), pool.replicas.end(), [this](const QString &name) {
         const ReplicaSnapshot *replica = this->replicas->find(name);
-        return replica && !replica->leaving;
+        return replica && !replica->leaving && !this->monitor.isGivenUp(name);
     });
 }
 
--- a/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.h
+++ b/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.h
@@ -73,6 +73,10 @@
     /** Takes the replicas that exist now, with their loads. */
     void adoptReplicas(const std::shared_ptr<const ReplicaSet> &replicaSet);
 
+    /** Sets how many VMs of the zone send to the same replicas; each gets at least its even part.
+     */
+    void setSendingVms(int vms);
+
     /** Returns what decides when orders to engines may be sent. */
     [[nodiscard]] OrderIssuer &orderIssuer() noexcept
     {
@@ -147,6 +151,7 @@
     ProgramMemory memory;
     Quarantine quarantine;
     PrefixDirectory prefixes;
+    int sendingVms = 1;
     std::shared_ptr<const ReplicaSet> replicas = std::make_shared<ReplicaSet>();
     std::map<QString, RoutePool> pools; ///< by route
     std::unordered_map<DispatchHandle, std::unique_ptr<DispatchedCall>> calls;
--- a/modules/lacewingmux_backend/dispatch/ReplicaMonitor.cpp
+++ b/modules/lacewingmux_backend/dispatch/ReplicaMonitor.cpp
@@ -51,6 +51,12 @@
     return found != this->replicas.end() && found->second.health.isBroken();
 }
 
+bool ReplicaMonitor::isGivenUp(const QString &replica) const
+{
+    const auto found = this->replicas.find(replica);
+    return found != this->replicas.end() && found->second.health.isGivenUp();
+}
+
 QString ReplicaMonitor::instance(const QString &replica) const
 {
     const auto found = this->replicas.find(replica);
@@ -140,8 +146,11 @@
         watched.health.failed();
     else
         watched.health.timedOut();
+    const bool wasGivenUp = watched.health.isGivenUp();
     if (wasBroken)
         watched.health.probeFailed();
+    if (watched.health.isGivenUp() && !wasGivenUp)
+        this->listener.healthChanged(watched.record.name);
     if (watched.health.isBroken())
         this->probeLater(watched, wasBroken);
 }
--- a/modules/lacewingmux_backend/dispatch/ReplicaMonitor.h
+++ b/modules/lacewingmux_backend/dispatch/ReplicaMonitor.h
@@ -49,6 +49,9 @@
     /** Tells whether the circuit to the replica is broken. */
     [[nodiscard]] bool isBroken(const QString &replica) const;
 
+    /** Tells whether the replica has been broken for so long that no call should wait for it. */
+    [[nodiscard]] bool isGivenUp(const QString &replica) const;
+
     /** Returns the name of the start of the replica's process, empty when not known. */
     [[nodiscard]] QString instance(const QString &replica) const;
 
--- a/modules/lacewingmux_backend/replicas/ReplicaHealth.cpp
+++ b/modules/lacewingmux_backend/replicas/ReplicaHealth.cpp
@@ -25,12 +25,14 @@
 
 void ReplicaHealth::probeFailed()
 {
+    ++this->failedProbes;
     this->backoff = std::min(this->backoff * 2, longestProbeDelay);
 }
 
 void ReplicaHealth::probeSucceeded()
 {
     this->broken = false;
+    this->failedProbes = 0;
     this->timeoutsInARow = 0;
 }
 
--- a/modules/lacewingmux_backend/replicas/ReplicaHealth.h
+++ b/modules/lacewingmux_backend/replicas/ReplicaHealth.h
@@ -15,6 +15,7 @@
 {
 public:
     static constexpr int timeoutsToBreak = 3;
+    static constexpr int failedProbesToGiveUp = 5; ///< some 3 s with the delays below
     static constexpr std::chrono::milliseconds firstProbeDelay{100};
     static constexpr std::chrono::milliseconds longestProbeDelay{5000};
 
@@ -23,6 +24,12 @@
         return this->broken;
     }
 
+    /** Tells whether it has been broken for so long that no call should wait for it. */
+    [[nodiscard]] bool isGivenUp() const noexcept
+    {
+        return this->broken && this->failedProbes >= failedProbesToGiveUp;
+    }
+
     /** Notes that the replica could not be reached or died. */
     void failed();
 
@@ -45,6 +52,7 @@
 private:
     bool broken = false;
     int timeoutsInARow = 0;
+    int failedProbes = 0; ///< since it broke
     std::chrono::milliseconds backoff = firstProbeDelay;
 };
 
--- a/modules/lacewingmux_daemon/settings/DaemonSettingsReader.cpp
+++ b/modules/lacewingmux_daemon/settings/DaemonSettingsReader.cpp
@@ -15,7 +15,7 @@
 
 constexpr qsizetype longestName = 64;
 constexpr double highestPort = 65535;
-constexpr qsizetype mostZones = 16;
+constexpr qsizetype mostZones = 64;
 constexpr qsizetype mostSeeds = 1024;
 constexpr qsizetype mostEndpoints = 16;
 constexpr double kibibyte = 1024;
--- a/tests/backend/DispatcherFailureTest.cpp
+++ b/tests/backend/DispatcherFailureTest.cpp
@@ -157,6 +157,23 @@
     cr_assert_eq(f.engines[0]->totalRuns(), 0);
 }
 
+Test(ReplicaDispatcher, aRouteWhoseReplicasStayBrokenRefusesInsteadOfLettingCallsWait)
+{
+    DispatcherFixture f;
+    f.addEngine();
+    f.adopt();
+    f.engines[0]->crash();
+    DispatchRequest waiting = f.chat(QStringLiteral("r1"), QStringLiteral("hello"));
+    waiting.queueTimeout = 10min; // no test waits so long: only giving up can end it
+    const auto &queued = f.finish(f.dispatch(waiting));
+    cr_assert(queued.error == ErrorKind::BackendUnavailable);
+    cr_assert(queued.executed == Executed::No);
+    cr_assert_gt(queued.retryAfter.count(), 0);
+
+    waiting.requestId = QStringLiteral("r2");
+    cr_assert(f.finish(f.dispatch(waiting)).error == ErrorKind::BackendUnavailable);
+}
+
 Test(ReplicaDispatcher, aPoisonousRequestIsQuarantinedAfterItsSecondCrashAndItsNeighboursFinish)
 {
     DispatcherFixture f;
