Show replicas and shares in the operators' status, and give the demo an objective

Cause: status promises replicas and shares, and showed neither; the demo's burn report was empty. Run: test_daemon, 15 pass; lacewingmuxctl status and report burn against the running demo.

--- a/modules/lacewingmux_daemon/assembly/ControlServices.cpp
+++ b/modules/lacewingmux_daemon/assembly/ControlServices.cpp
@@ -3,6 +3,7 @@
 #include "lacewingmux_allowance/owner/AllowanceOwner.h"
 #include "lacewingmux_config/service/CallerAuthority.h"
 #include "lacewingmux_daemon/assembly/PeerHubSetup.h"
+#include "lacewingmux_daemon/assembly/StatusDocument.h"
 #include "lacewingmux_daemon/assembly/TrafficServices.h"
 #include "lacewingmux_daemon/settings/DaemonSettings.h"
 #include "lacewingmux_daemon/threads/ServiceThread.h"
@@ -115,6 +116,9 @@
             {QStringLiteral("configuration"),
              static_cast<qint64>(this->configuration.revisions().configuration)},
             {QStringLiteral("zonesInForce"), this->inForce()},
+            {QStringLiteral("replicas"), replicasToStatus(*this->replicas.current())},
+            {QStringLiteral("shares"),
+             sharesToStatus(*this->shares.records().tableOf(this->descriptor.incarnation.zone))},
             {QStringLiteral("controlPeers"),
              static_cast<qint64>(this->hub.connectedPeers().size())}};
 }
--- a/programs/lacewingmux-demo/DemoDeployment.cpp
+++ b/programs/lacewingmux-demo/DemoDeployment.cpp
@@ -25,7 +25,12 @@
     const QJsonObject dispatch{{QStringLiteral("name"), QStringLiteral("dispatch")},
                                {QStringLiteral("kind"), QStringLiteral("service")},
                                {QStringLiteral("idempotent"), false}};
+    const QJsonObject objective{{QStringLiteral("plan"), QStringLiteral("standard")},
+                                {QStringLiteral("availability"), 0.999},
+                                {QStringLiteral("latencyMs"), 2000},
+                                {QStringLiteral("latencyShare"), 0.95}};
     return QJsonObject{{QStringLiteral("plans"), QJsonArray{plan}},
+                       {QStringLiteral("objectives"), QJsonArray{objective}},
                        {QStringLiteral("allowances"), QJsonArray{allowance}},
                        {QStringLiteral("routes"), QJsonArray{assistant, dispatch}}};
 }
