Pass a view on only from the store and from watchers

Cause: every VM passed each new record on to every VM of its zone. Change: who learnt it from the store (watchers, the proposer) or watches passes it on. Ruled out: no passing on, since then a VM cut off from the store alone would wait for its next link.

--- a/modules/lacewingmux_zone/membership/ZoneMembership.cpp
+++ b/modules/lacewingmux_zone/membership/ZoneMembership.cpp
@@ -112,14 +112,15 @@
 
 void ZoneMembership::subscribe()
 {
-    this->records.setRecordHandler([this](const ZoneRecord &record) { this->onRecord(record); });
+    this->records.setRecordHandler(
+            [this](const ZoneRecord &record) { this->onRecord(record, RecordSource::Store); });
     this->hub.setHandler(FrameKind::Heartbeat, [this](const VmIncarnation &, const auto &frame) {
         this->onHeartbeat(frame);
     });
     this->hub.setHandler(FrameKind::ViewAnnouncement,
                          [this](const VmIncarnation &, const PeerFrame &frame) {
                              for (const ZoneRecord &record : decodeViewRecords(frame.payload))
-                                 this->onRecord(record);
+                                 this->onRecord(record, RecordSource::Peer);
                          });
     this->hub.addLinkHandler(
             [this](const VmIncarnation &peer, bool up) { this->onLink(peer, up); });
@@ -231,7 +232,7 @@
                           encodeViewRecords(known)});
 }
 
-void ZoneMembership::onRecord(const ZoneRecord &record)
+void ZoneMembership::onRecord(const ZoneRecord &record, RecordSource source)
 {
     const QString &zone = record.view()->zone();
     const auto known = this->recordsByZone.find(zone);
@@ -245,7 +246,9 @@
     if (own)
         this->monitor.watch(this->ring(-1), this->timers.now());
     this->records.setWatching(this->isWatcher());
-    this->announce(record);
+    // If every VM passed it on to every other, a change would cost the square of the zone.
+    if (source == RecordSource::Store || this->isWatcher())
+        this->announce(record);
     this->publish();
 }
 
--- a/modules/lacewingmux_zone/membership/ZoneMembership.h
+++ b/modules/lacewingmux_zone/membership/ZoneMembership.h
@@ -11,6 +11,7 @@
 
 #include <QString>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -93,6 +94,9 @@
         TimerService::SteadyTime heardAt;
     };
 
+    /** Where a zone's record was learnt. */
+    enum class RecordSource : std::uint8_t { Store, Peer };
+
     void subscribe();
     void tick();
     void sendHeartbeats();
@@ -107,7 +111,7 @@
     [[nodiscard]] std::vector<VmIncarnation> silentMembers() const;
     void onHeartbeat(const PeerFrame &frame);
     void onLink(const VmIncarnation &peer, bool up);
-    void onRecord(const ZoneRecord &record);
+    void onRecord(const ZoneRecord &record, RecordSource source);
     void adoptOwn(const ZoneRecord &record);
     void publish();
     void announce(const ZoneRecord &record);
