Keep one of each: reading of FlatBuffers, the body sent once, comparing secrets

Cause: five modules checked and finished FlatBuffers each for itself, two classes named SingleUseBody stood side by side with the same job, and secrets were compared in constant time twice. Change: FlatBufferPayload in lacewingmux_peer, one SingleUseBody in lacewingmux_platform (a rewound body counts as sent there too, which is the stricter of the two), ConstantTimeComparison in core.

--- a/modules/lacewingmux_backend/messages/BackendMessages.cpp
+++ b/modules/lacewingmux_backend/messages/BackendMessages.cpp
@@ -1,6 +1,7 @@
 #include "lacewingmux_backend/messages/BackendMessages.h"
 
 #include "lacewingmux_backend/messages/backend_generated.h"
+#include "lacewingmux_peer/messages/FlatBufferPayload.h"
 
 #include <flatbuffers/flatbuffers.h>
 
@@ -12,12 +13,6 @@
 
 using Builder = flatbuffers::FlatBufferBuilder;
 
-QByteArray finished(const Builder &builder)
-{
-    return {reinterpret_cast<const char *>(builder.GetBufferPointer()),
-            static_cast<qsizetype>(builder.GetSize())};
-}
-
 flatbuffers::Offset<flatbuffers::String> text(Builder &builder, const QString &value)
 {
     return builder.CreateString(value.toStdString());
@@ -56,7 +51,7 @@
     }
     const auto list = builder.CreateVector(entries);
     builder.Finish(fb::CreateQuarantineNotice(builder, list));
-    return finished(builder);
+    return payloadOf(builder);
 }
 
 std::optional<std::vector<CrashCoincidence>> decodeQuarantineNotice(const QByteArray &payload)
@@ -90,7 +85,7 @@
     }
     const auto list = builder.CreateVector(entries);
     builder.Finish(fb::CreateReplicaReport(builder, list));
-    return finished(builder);
+    return payloadOf(builder);
 }
 
 std::optional<std::vector<ReplicaLoadEntry>> decodeReplicaReport(const QByteArray &payload)
--- a/modules/lacewingmux_config/keys/KeyRecord.cpp
+++ b/modules/lacewingmux_config/keys/KeyRecord.cpp
@@ -1,5 +1,7 @@
 #include "lacewingmux_config/keys/KeyRecord.h"
 
+#include "lacewingmux_core/hashing/ConstantTimeComparison.h"
+
 #include <QCryptographicHash>
 #include <QRandomGenerator>
 
@@ -21,17 +23,6 @@
     return QByteArray(reinterpret_cast<const char *>(words.data()), sizeof(words));
 }
 
-bool equalInConstantTime(const QByteArray &left, const QByteArray &right)
-{
-    if (left.size() != right.size())
-        return false;
-    unsigned difference = 0;
-    for (qsizetype index = 0; index < left.size(); ++index)
-        difference |=
-                static_cast<unsigned char>(left[index]) ^ static_cast<unsigned char>(right[index]);
-    return difference == 0;
-}
-
 } // namespace
 
 KeyRecord KeyRecord::make(const QString &keyId, const QByteArray &secret, const QString &team,
--- a/modules/lacewingmux_config/service/ConfigurationCodec.cpp
+++ b/modules/lacewingmux_config/service/ConfigurationCodec.cpp
@@ -1,6 +1,7 @@
 #include "lacewingmux_config/service/ConfigurationCodec.h"
 
 #include "lacewingmux_config/messages/config_generated.h"
+#include "lacewingmux_peer/messages/FlatBufferPayload.h"
 
 #include <algorithm>
 
@@ -20,22 +21,6 @@
     return {reinterpret_cast<const char *>(bytes->data()), static_cast<qsizetype>(bytes->size())};
 }
 
-QByteArray finished(const flatbuffers::FlatBufferBuilder &builder)
-{
-    return {reinterpret_cast<const char *>(builder.GetBufferPointer()),
-            static_cast<qsizetype>(builder.GetSize())};
-}
-
-/** Returns the table in the payload, or null when the bytes are no such table. */
-template <typename Table>
-const Table *verified(const QByteArray &payload)
-{
-    flatbuffers::Verifier verifier(bytesOf(payload), static_cast<std::size_t>(payload.size()));
-    if (!verifier.VerifyBuffer<Table>(nullptr))
-        return nullptr;
-    return flatbuffers::GetRoot<Table>(payload.constData());
-}
-
 auto write(flatbuffers::FlatBufferBuilder &builder, const RevisionSet &revisions)
 {
     const auto shards =
@@ -88,13 +73,13 @@
     const auto revisions = write(builder, announcement.revisions);
     const std::int64_t age = announcement.storeAge ? announcement.storeAge->count() : -1;
     builder.Finish(fb::CreateConfigurationAnnouncement(builder, revisions, age, files));
-    return finished(builder);
+    return payloadOf(builder);
 }
 
 std::optional<ConfigurationAnnouncement>
 ConfigurationCodec::decodeAnnouncement(const QByteArray &payload)
 {
-    const auto *table = verified<fb::ConfigurationAnnouncement>(payload);
+    const auto *table = verifiedTable<fb::ConfigurationAnnouncement>(payload);
     if (table == nullptr)
         return std::nullopt;
     ConfigurationAnnouncement announcement;
@@ -116,12 +101,12 @@
 {
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(fb::CreateConfigurationRequest(builder, write(builder, known)));
-    return finished(builder);
+    return payloadOf(builder);
 }
 
 std::optional<RevisionSet> ConfigurationCodec::decodeRequest(const QByteArray &payload)
 {
-    const auto *table = verified<fb::ConfigurationRequest>(payload);
+    const auto *table = verifiedTable<fb::ConfigurationRequest>(payload);
     if (table == nullptr)
         return std::nullopt;
     return read(*table->revisions());
@@ -138,12 +123,12 @@
                                                 static_cast<std::uint64_t>(zone.age.count())));
     }
     builder.Finish(fb::CreateConfigurationInForce(builder, builder.CreateVector(entries)));
-    return finished(builder);
+    return payloadOf(builder);
 }
 
 std::optional<std::vector<ZoneInForce>> ConfigurationCodec::decodeZones(const QByteArray &payload)
 {
-    const auto *table = verified<fb::ConfigurationInForce>(payload);
+    const auto *table = verifiedTable<fb::ConfigurationInForce>(payload);
     if (table == nullptr)
         return std::nullopt;
     std::vector<ZoneInForce> zones;
--- a/modules/lacewingmux_http/forward/ForwardCodec.cpp
+++ b/modules/lacewingmux_http/forward/ForwardCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "lacewingmux_core/errors/ErrorTable.h"
 #include "lacewingmux_http/messages/forward_generated.h"
+#include "lacewingmux_peer/messages/FlatBufferPayload.h"
 
 #include <QString>
 
@@ -17,14 +18,6 @@
 
 constexpr std::chrono::milliseconds longestTimeout{3600000};
 
-template <typename Table>
-const Table *verified(const QByteArray &payload)
-{
-    const auto *data = reinterpret_cast<const std::uint8_t *>(payload.constData());
-    flatbuffers::Verifier verifier(data, static_cast<std::size_t>(payload.size()));
-    return verifier.VerifyBuffer<Table>(nullptr) ? flatbuffers::GetRoot<Table>(data) : nullptr;
-}
-
 auto bytesInto(Builder &builder, const QByteArray &bytes)
 {
     return builder.CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.constData()),
@@ -49,12 +42,6 @@
     return builder.CreateVector(offsets);
 }
 
-QByteArray finished(const Builder &builder)
-{
-    return {reinterpret_cast<const char *>(builder.GetBufferPointer()),
-            static_cast<qsizetype>(builder.GetSize())};
-}
-
 QByteArray bytesOf(const Bytes *bytes)
 {
     if (bytes == nullptr)
@@ -98,7 +85,7 @@
             builder, static_cast<std::uint8_t>(request.operation), team, keyId, programId,
             request.callNumber, route, idempotencyKey, method, path, headers, body, request.stream,
             request.timeout.count(), request.byOperator));
-    return finished(builder);
+    return payloadOf(builder);
 }
 
 QByteArray encode(const ForwardedHead &head)
@@ -106,7 +93,7 @@
     Builder builder;
     const auto headers = headersInto(builder, head.headers);
     builder.Finish(fb::CreateForwardedHead(builder, head.httpStatus, headers));
-    return finished(builder);
+    return payloadOf(builder);
 }
 
 QByteArray encode(const ForwardedChunk &chunk)
@@ -114,14 +101,14 @@
     Builder builder(static_cast<std::size_t>(chunk.bytes.size()) + 64);
     const auto bytes = bytesInto(builder, chunk.bytes);
     builder.Finish(fb::CreateForwardedChunk(builder, chunk.sequence, bytes));
-    return finished(builder);
+    return payloadOf(builder);
 }
 
 QByteArray encode(const ForwardedEnd &end)
 {
     Builder builder;
     builder.Finish(fb::CreateForwardedEnd(builder, end.chunkCount));
-    return finished(builder);
+    return payloadOf(builder);
 }
 
 QByteArray encode(const LacewingmuxError &error)
@@ -132,12 +119,12 @@
     builder.Finish(fb::CreateForwardedError(builder, kind, message,
                                             static_cast<std::uint8_t>(error.executed()),
                                             error.retryAfter().count()));
-    return finished(builder);
+    return payloadOf(builder);
 }
 
 std::optional<OwnerRequest> decodeOwnerRequest(const QByteArray &payload)
 {
-    const auto *table = verified<fb::ForwardedRequest>(payload);
+    const auto *table = verifiedTable<fb::ForwardedRequest>(payload);
     if (table == nullptr
         || table->operation() > static_cast<std::uint8_t>(OwnerOperation::ChatCompletion)
         || table->timeout_milliseconds() < 0
@@ -163,7 +150,7 @@
 
 std::optional<ForwardedHead> decodeForwardedHead(const QByteArray &payload)
 {
-    const auto *table = verified<fb::ForwardedHead>(payload);
+    const auto *table = verifiedTable<fb::ForwardedHead>(payload);
     if (table == nullptr)
         return std::nullopt;
     return ForwardedHead{table->http_status(), headersOf(table->headers())};
@@ -171,7 +158,7 @@
 
 std::optional<ForwardedChunk> decodeForwardedChunk(const QByteArray &payload)
 {
-    const auto *table = verified<fb::ForwardedChunk>(payload);
+    const auto *table = verifiedTable<fb::ForwardedChunk>(payload);
     if (table == nullptr)
         return std::nullopt;
     return ForwardedChunk{table->sequence(), bytesOf(table->bytes())};
@@ -179,7 +166,7 @@
 
 std::optional<ForwardedEnd> decodeForwardedEnd(const QByteArray &payload)
 {
-    const auto *table = verified<fb::ForwardedEnd>(payload);
+    const auto *table = verifiedTable<fb::ForwardedEnd>(payload);
     if (table == nullptr)
         return std::nullopt;
     return ForwardedEnd{table->chunk_count()};
@@ -187,7 +174,7 @@
 
 std::optional<LacewingmuxError> decodeForwardedError(const QByteArray &payload)
 {
-    const auto *table = verified<fb::ForwardedError>(payload);
+    const auto *table = verifiedTable<fb::ForwardedError>(payload);
     if (table == nullptr || table->executed() > static_cast<std::uint8_t>(Executed::Yes)
         || table->retry_after_milliseconds() < 0)
         return std::nullopt;
--- a/modules/lacewingmux_peer/handshake/PeerHandshake.cpp
+++ b/modules/lacewingmux_peer/handshake/PeerHandshake.cpp
@@ -1,6 +1,8 @@
 #include "lacewingmux_peer/handshake/PeerHandshake.h"
 
 #include "lacewingmux_core/errors/LacewingmuxError.h"
+#include "lacewingmux_core/hashing/ConstantTimeComparison.h"
+#include "lacewingmux_peer/messages/FlatBufferPayload.h"
 #include "lacewingmux_peer/messages/peer_generated.h"
 
 #include <QCryptographicHash>
@@ -21,12 +23,6 @@
     throw LacewingmuxError(ErrorKind::ProtocolViolation, QStringLiteral("handshake: ") + reason);
 }
 
-QByteArray finished(const flatbuffers::FlatBufferBuilder &builder)
-{
-    return QByteArray(reinterpret_cast<const char *>(builder.GetBufferPointer()),
-                      static_cast<qsizetype>(builder.GetSize()));
-}
-
 flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>>
 vectorOf(flatbuffers::FlatBufferBuilder &builder, const QByteArray &bytes)
 {
@@ -37,22 +33,10 @@
 template <typename Table>
 const Table *verified(const QByteArray &payload)
 {
-    const auto *bytes = reinterpret_cast<const std::uint8_t *>(payload.constData());
-    flatbuffers::Verifier verifier(bytes, static_cast<std::size_t>(payload.size()));
-    if (!verifier.VerifyBuffer<Table>(nullptr))
+    const Table *table = verifiedTable<Table>(payload);
+    if (table == nullptr)
         refuse(QStringLiteral("damaged message"));
-    return flatbuffers::GetRoot<Table>(bytes);
-}
-
-bool equalInConstantTime(const QByteArray &left, const QByteArray &right)
-{
-    if (left.size() != right.size())
-        return false;
-    unsigned difference = 0;
-    for (qsizetype index = 0; index < left.size(); ++index)
-        difference |= static_cast<unsigned>(static_cast<unsigned char>(left[index])
-                                            ^ static_cast<unsigned char>(right[index]));
-    return difference == 0;
+    return table;
 }
 
 QByteArray withLength(const QByteArray &bytes)
@@ -87,7 +71,7 @@
     builder.Finish(fb::CreateHello(builder, peerProtocolVersion, fleetText, zoneText, vmText,
                                    this->own.incarnation, static_cast<std::uint8_t>(this->channel),
                                    nonce));
-    this->ownHello = finished(builder);
+    this->ownHello = payloadOf(builder);
 }
 
 QByteArray PeerHandshake::makeNonce()
@@ -123,7 +107,7 @@
 {
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(fb::CreateHelloProof(builder, vectorOf(builder, this->proofOf(this->role))));
-    return finished(builder);
+    return payloadOf(builder);
 }
 
 void PeerHandshake::receiveProof(const QByteArray &payload)
--- a/modules/lacewingmux_platform/client/HttpCall.cpp
+++ b/modules/lacewingmux_platform/client/HttpCall.cpp
@@ -49,7 +49,7 @@
 HttpCallResult HttpCall::result(bool answered) const
 {
     HttpCallResult ended;
-    ended.bodySent = this->body->wasRead();
+    ended.bodySent = !this->body->isUntouched();
     if (!answered)
         return ended;
     const int status = this->reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
--- a/modules/lacewingmux_platform/client/SingleUseBody.cpp
+++ b/modules/lacewingmux_platform/client/SingleUseBody.cpp
@@ -12,6 +12,11 @@
     this->open(QIODevice::ReadOnly | QIODevice::Unbuffered);
 }
 
+bool SingleUseBody::isUntouched() const noexcept
+{
+    return this->position == 0 && !this->wasRewound;
+}
+
 bool SingleUseBody::isSequential() const
 {
     return true;
@@ -29,6 +34,7 @@
 
 bool SingleUseBody::reset()
 {
+    this->wasRewound = true;
     return false;
 }
 
--- a/modules/lacewingmux_platform/client/SingleUseBody.h
+++ b/modules/lacewingmux_platform/client/SingleUseBody.h
@@ -17,11 +17,11 @@
 public:
     explicit SingleUseBody(QByteArray bodyContent);
 
-    /** Tells whether any byte was handed out; if not, nobody can have acted on the request. */
-    [[nodiscard]] bool wasRead() const noexcept
-    {
-        return this->position > 0;
-    }
+    /**
+        Tells whether the body was neither read nor rewound: then no connection has carried it. The
+        head alone may have left all the same.
+    */
+    [[nodiscard]] bool isUntouched() const noexcept;
 
     [[nodiscard]] bool isSequential() const override;
     [[nodiscard]] qint64 size() const override;
@@ -37,6 +37,7 @@
 private:
     QByteArray content;
     qint64 position = 0;
+    bool wasRewound = false; ///< a second sending was tried
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_zone/membership/MembershipCodec.cpp
+++ b/modules/lacewingmux_zone/membership/MembershipCodec.cpp
@@ -1,5 +1,6 @@
 #include "lacewingmux_zone/membership/MembershipCodec.h"
 
+#include "lacewingmux_peer/messages/FlatBufferPayload.h"
 #include "lacewingmux_zone/messages/zone_generated.h"
 
 namespace lacewingmux {
@@ -9,21 +10,6 @@
 using flatbuffers::FlatBufferBuilder;
 using flatbuffers::Offset;
 
-QByteArray finished(const FlatBufferBuilder &builder)
-{
-    return QByteArray(reinterpret_cast<const char *>(builder.GetBufferPointer()),
-                      static_cast<qsizetype>(builder.GetSize()));
-}
-
-template <typename Table>
-const Table *verified(const QByteArray &payload)
-{
-    flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t *>(payload.constData()),
-                                   static_cast<std::size_t>(payload.size()));
-    return verifier.VerifyBuffer<Table>(nullptr) ? flatbuffers::GetRoot<Table>(payload.constData())
-                                                 : nullptr;
-}
-
 QString text(const flatbuffers::String &string)
 {
     return QString::fromUtf8(string.c_str(), static_cast<qsizetype>(string.size()));
@@ -91,12 +77,12 @@
 {
     FlatBufferBuilder builder;
     builder.Finish(fb::CreateHeartbeat(builder, encodeMember(builder, sender)));
-    return finished(builder);
+    return payloadOf(builder);
 }
 
 std::optional<VmDescriptor> decodeHeartbeat(const QByteArray &payload)
 {
-    const auto *heartbeat = verified<fb::Heartbeat>(payload);
+    const auto *heartbeat = verifiedTable<fb::Heartbeat>(payload);
     if (heartbeat == nullptr)
         return std::nullopt;
     return decodeMember(*heartbeat->sender());
@@ -110,13 +96,13 @@
     for (const ZoneRecord &record : records)
         tables.push_back(encodeRecord(builder, record));
     builder.Finish(fb::CreateViewAnnouncementDirect(builder, &tables));
-    return finished(builder);
+    return payloadOf(builder);
 }
 
 std::vector<ZoneRecord> decodeViewRecords(const QByteArray &payload)
 {
     std::vector<ZoneRecord> records;
-    const auto *announcement = verified<fb::ViewAnnouncement>(payload);
+    const auto *announcement = verifiedTable<fb::ViewAnnouncement>(payload);
     if (announcement == nullptr)
         return records;
     records.reserve(announcement->records()->size());
--- a/modules/lacewingmux_zone/replication/JournalCodec.cpp
+++ b/modules/lacewingmux_zone/replication/JournalCodec.cpp
@@ -1,6 +1,7 @@
 #include "lacewingmux_zone/replication/JournalCodec.h"
 
 #include "lacewingmux_core/errors/LacewingmuxError.h"
+#include "lacewingmux_peer/messages/FlatBufferPayload.h"
 #include "lacewingmux_zone/messages/zone_generated.h"
 
 #include <algorithm>
@@ -20,12 +21,11 @@
 template <typename Table>
 const Table &verified(const QByteArray &payload)
 {
-    const auto *bytes = reinterpret_cast<const std::uint8_t *>(payload.constData());
-    flatbuffers::Verifier verifier(bytes, static_cast<std::size_t>(payload.size()));
-    if (!verifier.VerifyBuffer<Table>(nullptr))
+    const Table *table = verifiedTable<Table>(payload);
+    if (table == nullptr)
         throw LacewingmuxError(ErrorKind::ProtocolViolation,
                                QStringLiteral("malformed journal message"));
-    return *flatbuffers::GetRoot<Table>(bytes);
+    return *table;
 }
 
 SlotIndex checkedSlot(std::uint16_t slot)
