--- a/tests/failures/BackendFailureTest.cpp
+++ b/tests/failures/BackendFailureTest.cpp
@@ -53,7 +53,7 @@
     workload.start();
     cr_assert(workload.finish());
     cr_assert_eq(workload.unknownCalls(), 2 * programs);
-    cr_assert_eq(scenario.serviceRuns().size(), 2 * programs);
+    cr_assert_eq(scenario.serviceRuns().size(), std::size_t{2} * programs);
     workload.check();
 }
 
