Let a watch end within a signal of its own reply

Cause: on a planned stop the VM leaves the view within the watch's callback and ends the watch; its network access manager was destroyed and deleted the reply in the middle of the reply's own signal. The stack came from glog's failure handler, which stays on. Change: the manager is deleted by the event loop.

--- a/modules/lacewingmux_daemon/process/LogSetup.cpp
+++ b/modules/lacewingmux_daemon/process/LogSetup.cpp
@@ -29,6 +29,7 @@
     FLAGS_max_log_size = largestLogFileMegabytes;
     FLAGS_stop_logging_if_full_disk = true;
     google::InitGoogleLogging(programName);
+    google::InstallFailureSignalHandler(); // a crash leaves its stack in the log
 }
 
 LogSetup::~LogSetup()
--- a/modules/lacewingmux_platform/client/HttpWatch.cpp
+++ b/modules/lacewingmux_platform/client/HttpWatch.cpp
@@ -30,7 +30,7 @@
     , backoff(firstRetryPause, longestRetryPause)
     , alive(std::make_shared<bool>(true))
 {
-    this->manager.setProxy(QNetworkProxy::NoProxy);
+    this->manager->setProxy(QNetworkProxy::NoProxy);
     this->retryTimer =
             this->access->timers().after(std::chrono::milliseconds(0), [this] { this->open(); });
 }
@@ -38,6 +38,8 @@
 HttpWatch::~HttpWatch()
 {
     this->close();
+    // The watch may end within a signal of its reply, which the manager would delete at once.
+    this->manager.release()->deleteLater();
 }
 
 void HttpWatch::open()
@@ -48,7 +50,7 @@
         return;
     }
     this->endpoint = this->access->endpoint();
-    this->reply = this->manager.post(this->access->request(EtcdPaths::watch), this->requestBody());
+    this->reply = this->manager->post(this->access->request(EtcdPaths::watch), this->requestBody());
     QObject::connect(this->reply, &QNetworkReply::readyRead, this->reply,
                      [this] { this->handleData(); });
     QObject::connect(this->reply, &QNetworkReply::finished, this->reply,
@@ -145,8 +147,8 @@
     const QByteArray content =
             QJsonDocument(EtcdJson::fromRange(this->keys)).toJson(QJsonDocument::Compact);
     this->reading = std::make_unique<HttpCall>(
-            this->manager, this->access->timers(), this->access->request(EtcdPaths::range), content,
-            this->access->settings().callTimeout, [this](const HttpCallResult &result) {
+            *this->manager, this->access->timers(), this->access->request(EtcdPaths::range),
+            content, this->access->settings().callTimeout, [this](const HttpCallResult &result) {
                 const auto ended = std::move(this->reading);
                 this->finishReading(result);
             });
--- a/modules/lacewingmux_platform/client/HttpWatch.h
+++ b/modules/lacewingmux_platform/client/HttpWatch.h
@@ -57,7 +57,7 @@
     JitteredBackoff backoff;
     std::size_t endpoint = 0;
     QByteArray buffer;
-    QNetworkAccessManager manager;
+    std::unique_ptr<QNetworkAccessManager> manager = std::make_unique<QNetworkAccessManager>();
     QNetworkReply *reply = nullptr;
     std::unique_ptr<HttpCall> reading;
     TimerSubscription retryTimer;
