Read the configuration's record in one place

Cause: the config and the report commands each held the same reading of the store's record, with its error. Change: currentRecord in a file of its own, called by both. Behaviour is the same.

--- a/modules/lacewingmux_operator/commands/ConfigCommands.cpp
+++ b/modules/lacewingmux_operator/commands/ConfigCommands.cpp
@@ -5,6 +5,7 @@
 #include "lacewingmux_core/errors/LacewingmuxError.h"
 #include "lacewingmux_operator/client/Awaited.h"
 #include "lacewingmux_operator/commands/CommandContext.h"
+#include "lacewingmux_operator/commands/CurrentRecord.h"
 #include "lacewingmux_operator/commands/InForceWait.h"
 #include "lacewingmux_operator/rendering/DocumentDifference.h"
 #include "lacewingmux_operator/rendering/JsonPointer.h"
@@ -50,18 +51,6 @@
     return ConfigurationDocument::toJson(configuration);
 }
 
-RevisionedRecord currentRecord(CommandContext &context)
-{
-    Awaited<std::optional<RevisionedRecord>> answer;
-    ConfigurationRegister configurations(context.store());
-    configurations.read([&answer](auto record) { answer.set(std::move(record)); });
-    const std::optional<RevisionedRecord> record = answer.get();
-    if (!record)
-        throw LacewingmuxError(ErrorKind::StoreUnavailable,
-                               QStringLiteral("the platform's store does not answer"));
-    return *record;
-}
-
 /** Shows the record that a conflict is with, and what the refused document would change in it. */
 void explainConflict(CommandContext &context, std::uint64_t expectedRevision,
                      const QJsonObject &document, const RevisionedRecord &current)
--- a/modules/lacewingmux_operator/commands/DaemonCommands.cpp
+++ b/modules/lacewingmux_operator/commands/DaemonCommands.cpp
@@ -1,10 +1,9 @@
 #include "lacewingmux_operator/commands/DaemonCommands.h"
 
 #include "lacewingmux_config/documents/ConfigurationDocument.h"
-#include "lacewingmux_config/records/ConfigurationRegister.h"
 #include "lacewingmux_core/errors/LacewingmuxError.h"
-#include "lacewingmux_operator/client/Awaited.h"
 #include "lacewingmux_operator/commands/CommandContext.h"
+#include "lacewingmux_operator/commands/CurrentRecord.h"
 #include "lacewingmux_operator/rendering/TextTable.h"
 #include "lacewingmux_report/burn/BurnReport.h"
 
@@ -33,14 +32,7 @@
 
 Configuration objectivesInStore(CommandContext &context)
 {
-    Awaited<std::optional<RevisionedRecord>> answer;
-    ConfigurationRegister configurations(context.store());
-    configurations.read([&answer](auto record) { answer.set(std::move(record)); });
-    const std::optional<RevisionedRecord> record = answer.get();
-    if (!record)
-        throw LacewingmuxError(ErrorKind::StoreUnavailable,
-                               QStringLiteral("the platform's store does not answer"));
-    return ConfigurationDocument::parse(record->document);
+    return ConfigurationDocument::parse(currentRecord(context).document);
 }
 
 void writePage(const QString &path, const QByteArray &page)
