--- a/modules/lacewingmux_allowance/shares/ShareRecordStore.h
+++ b/modules/lacewingmux_allowance/shares/ShareRecordStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lacewingmux_allowance/shares/ShareRecordBook.h"
-#include "lacewingmux_platform/store/PlatformStore.h"
+#include "lacewingmux_keyvalue/store/PlatformStore.h"
 
 #include <QByteArray>
 
--- a/modules/lacewingmux_backend/clients/HttpExchange.cpp
+++ b/modules/lacewingmux_backend/clients/HttpExchange.cpp
@@ -3,7 +3,7 @@
 #include "lacewingmux_backend/clients/ConnectionPool.h"
 #include "lacewingmux_backend/clients/ForwardedHeaders.h"
 #include "lacewingmux_core/time/TimerService.h"
-#include "lacewingmux_platform/client/SingleUseBody.h"
+#include "lacewingmux_keyvalue/client/SingleUseBody.h"
 
 #include <QNetworkAccessManager>
 #include <QNetworkReply>
--- a/modules/lacewingmux_backend/lacewingmux_backend.h
+++ b/modules/lacewingmux_backend/lacewingmux_backend.h
@@ -7,7 +7,7 @@
  * engines and plain services, the registry of replicas, the dispatcher that queues calls and
  * chooses replicas, and the orders that release engine memory.
  *
- * Depends on: lacewingmux_core, lacewingmux_platform, lacewingmux_peer, lacewingmux_zone,
+ * Depends on: lacewingmux_core, lacewingmux_keyvalue, lacewingmux_peer, lacewingmux_zone,
  * lacewingmux_program, lacewingmux_scheduling, lacewingmux_allowance.
  */
 
--- a/modules/lacewingmux_backend/replicas/ReplicaRegistry.h
+++ b/modules/lacewingmux_backend/replicas/ReplicaRegistry.h
@@ -5,7 +5,7 @@
 #include "lacewingmux_backend/replicas/ReplicaSet.h"
 #include "lacewingmux_core/ids/VmIncarnation.h"
 #include "lacewingmux_core/time/TimerService.h"
-#include "lacewingmux_platform/store/PlatformStore.h"
+#include "lacewingmux_keyvalue/store/PlatformStore.h"
 
 #include <QHash>
 #include <QString>
--- a/modules/lacewingmux_config/keys/KeyRegister.cpp
+++ b/modules/lacewingmux_config/keys/KeyRegister.cpp
@@ -1,8 +1,8 @@
 #include "lacewingmux_config/keys/KeyRegister.h"
 
 #include "lacewingmux_config/keys/KeyShard.h"
-#include "lacewingmux_platform/store/PlatformStore.h"
-#include "lacewingmux_platform/update/RecordUpdate.h"
+#include "lacewingmux_keyvalue/store/PlatformStore.h"
+#include "lacewingmux_keyvalue/update/RecordUpdate.h"
 
 #include <algorithm>
 
--- a/modules/lacewingmux_config/lacewingmux_config.h
+++ b/modules/lacewingmux_config/lacewingmux_config.h
@@ -6,7 +6,7 @@
  * The operators' configuration: plans, allowances, routes and objectives as one checked document
  * with a revision, the callers' keys as salted digests, and how a revision spreads over the VMs.
  *
- * Depends on: lacewingmux_core, lacewingmux_platform, lacewingmux_peer, FlatBuffers.
+ * Depends on: lacewingmux_core, lacewingmux_keyvalue, lacewingmux_peer, FlatBuffers.
  */
 
 #include "lacewingmux_config/documents/Allowance.h"
--- a/modules/lacewingmux_config/records/ConfigurationRegister.cpp
+++ b/modules/lacewingmux_config/records/ConfigurationRegister.cpp
@@ -1,7 +1,7 @@
 #include "lacewingmux_config/records/ConfigurationRegister.h"
 
-#include "lacewingmux_platform/store/PlatformStore.h"
-#include "lacewingmux_platform/update/RecordUpdate.h"
+#include "lacewingmux_keyvalue/store/PlatformStore.h"
+#include "lacewingmux_keyvalue/update/RecordUpdate.h"
 
 #include <QUuid>
 
--- a/modules/lacewingmux_config/service/StoreFollower.h
+++ b/modules/lacewingmux_config/service/StoreFollower.h
@@ -3,7 +3,7 @@
 #include "lacewingmux_config/service/ConfigurationMessages.h"
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_core/time/TimerSubscription.h"
-#include "lacewingmux_platform/store/PlatformStore.h"
+#include "lacewingmux_keyvalue/store/PlatformStore.h"
 
 #include <QByteArray>
 
--- a/modules/lacewingmux_core/logging/StructuredLog.cpp
+++ b/modules/lacewingmux_core/logging/StructuredLog.cpp
@@ -1,6 +1,6 @@
 #include "lacewingmux_core/logging/StructuredLog.h"
 
-#include <glog/logging.h>
+#include "lacewingmux_core/logging/LogOutput.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -46,18 +46,7 @@
         line += quoted(name) + u':' + value;
     }
     line += u'}';
-    const std::string text = line.toStdString();
-    switch (this->severity) {
-    case LogSeverity::Info:
-        LOG(INFO) << text;
-        break;
-    case LogSeverity::Warning:
-        LOG(WARNING) << text;
-        break;
-    case LogSeverity::Error:
-        LOG(ERROR) << text;
-        break;
-    }
+    LogOutput::write(this->severity, line.toStdString());
 }
 
 LogEvent &LogEvent::field(const char *name, const QString &value)
--- a/modules/lacewingmux_core/logging/StructuredLog.h
+++ b/modules/lacewingmux_core/logging/StructuredLog.h
@@ -12,8 +12,8 @@
 enum class LogSeverity : std::uint8_t { Info, Warning, Error };
 
 /**
-    One log event with named fields, written through glog as one line of JSON when it goes out
-    of scope: LogEvent(LogSeverity::Info, "viewAdopted").field("epoch", 7).
+    One log event with named fields, written as one line of JSON when it goes out of scope:
+   LogEvent(LogSeverity::Info, "viewAdopted").field("epoch", 7).
 
     Values of fields named like a secret (key, authorization, secret, token) are replaced, so
     that no caller's key can reach a log.
--- a/modules/lacewingmux_daemon/process/StopSignals.h
+++ b/modules/lacewingmux_core/process/StopSignals.h
@@ -8,7 +8,7 @@
 namespace lacewingmux {
 
 /**
-    Turns SIGTERM and SIGINT into a call on the event loop of the thread that made it.
+    Turns SIGTERM and SIGINT, and SIGHUP, into calls on the event loop of the thread that made it.
 
     The signal handler only writes a byte into a pipe that the loop watches. There may be one object
     in a process; destroying it gives the signals their default meaning back.
@@ -16,8 +16,10 @@
 class StopSignals
 {
 public:
-    /** Calls the function for each signal that arrives. Throws LacewingmuxError on failure. */
-    explicit StopSignals(std::function<void()> stopRequested);
+    /** Calls the functions for each signal that arrives. Without one for SIGHUP, that signal keeps
+        its meaning. Throws LacewingmuxError on failure. */
+    explicit StopSignals(std::function<void()> stopRequested,
+                         std::function<void()> reloadRequested = nullptr);
     ~StopSignals();
     StopSignals(const StopSignals &) = delete;
     StopSignals &operator=(const StopSignals &) = delete;
@@ -25,7 +27,8 @@
 private:
     void drainPipe();
 
-    std::function<void()> callback;
+    std::function<void()> stop;
+    std::function<void()> reload;
     std::unique_ptr<QSocketNotifier> notifier;
     int readEnd = -1;
 };
--- a/modules/lacewingmux_daemon/threads/ServiceThread.h
+++ b/modules/lacewingmux_core/threads/ServiceThread.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lacewingmux_daemon/threads/ThreadQueue.h"
+#include "lacewingmux_core/threads/ThreadQueue.h"
 
 #include <QThread>
 
--- a/modules/lacewingmux_daemon/threads/ThreadQueue.cpp
+++ b/modules/lacewingmux_core/threads/ThreadQueue.cpp
@@ -1,4 +1,4 @@
-#include "lacewingmux_daemon/threads/ThreadQueue.h"
+#include "lacewingmux_core/threads/ThreadQueue.h"
 
 #include <QThread>
 
--- a/modules/lacewingmux_core/time/QtTimerService.cpp
+++ b/modules/lacewingmux_core/time/QtTimerService.cpp
@@ -3,6 +3,8 @@
 #include <QPointer>
 #include <QTimer>
 
+#include <ctime>
+
 namespace lacewingmux {
 
 QtTimerService::QtTimerService()
@@ -13,7 +15,10 @@
 
 TimerService::SteadyTime QtTimerService::now() const
 {
-    return std::chrono::steady_clock::now();
+    // Unlike the steady clock, this one goes on while the machine is suspended.
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return SteadyTime(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 TimerService::WallTime QtTimerService::wallNow() const
--- a/modules/lacewingmux_core/time/TimerService.h
+++ b/modules/lacewingmux_core/time/TimerService.h
@@ -24,7 +24,7 @@
     TimerService(const TimerService &) = delete;
     TimerService &operator=(const TimerService &) = delete;
 
-    /** Returns monotonic time. It goes on while the process is paused. */
+    /** Returns monotonic time. It goes on while the process is paused or the machine suspended. */
     [[nodiscard]] virtual SteadyTime now() const = 0;
 
     /** Returns wall-clock time, for people and for records that other VMs read. */
--- a/modules/lacewingmux_daemon/assembly/ControlServices.cpp
+++ b/modules/lacewingmux_daemon/assembly/ControlServices.cpp
@@ -2,11 +2,11 @@
 
 #include "lacewingmux_allowance/owner/AllowanceOwner.h"
 #include "lacewingmux_config/service/CallerAuthority.h"
+#include "lacewingmux_core/threads/ServiceThread.h"
 #include "lacewingmux_daemon/assembly/PeerHubSetup.h"
 #include "lacewingmux_daemon/assembly/StatusDocument.h"
 #include "lacewingmux_daemon/assembly/TrafficServices.h"
 #include "lacewingmux_daemon/settings/DaemonSettings.h"
-#include "lacewingmux_daemon/threads/ServiceThread.h"
 #include "lacewingmux_report/metrics/HistogramMetrics.h"
 #include "lacewingmux_zone/views/FleetViews.h"
 #include "lacewingmux_zone/views/ZoneView.h"
--- a/modules/lacewingmux_daemon/assembly/ControlServices.h
+++ b/modules/lacewingmux_daemon/assembly/ControlServices.h
@@ -4,9 +4,9 @@
 #include "lacewingmux_backend/replicas/ReplicaRegistry.h"
 #include "lacewingmux_config/service/ConfigurationService.h"
 #include "lacewingmux_daemon/assembly/ViewSnapshot.h"
+#include "lacewingmux_keyvalue/client/HttpPlatformStore.h"
 #include "lacewingmux_peer/links/TcpPeerHub.h"
 #include "lacewingmux_peer/messages/VmDescriptor.h"
-#include "lacewingmux_platform/client/HttpPlatformStore.h"
 #include "lacewingmux_zone/membership/ZoneMembership.h"
 
 #include <QJsonArray>
--- a/modules/lacewingmux_daemon/assembly/Daemon.h
+++ b/modules/lacewingmux_daemon/assembly/Daemon.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "lacewingmux_core/threads/ServiceThread.h"
+#include "lacewingmux_core/threads/ThreadQueue.h"
 #include "lacewingmux_core/time/QtTimerService.h"
 #include "lacewingmux_daemon/assembly/PlannedStop.h"
 #include "lacewingmux_daemon/settings/DaemonSettings.h"
-#include "lacewingmux_daemon/threads/ServiceThread.h"
-#include "lacewingmux_daemon/threads/ThreadQueue.h"
 #include "lacewingmux_peer/messages/VmDescriptor.h"
 #include "lacewingmux_report/metrics/HistogramMetrics.h"
 
--- a/modules/lacewingmux_daemon/assembly/OperatorServices.cpp
+++ b/modules/lacewingmux_daemon/assembly/OperatorServices.cpp
@@ -1,10 +1,10 @@
 #include "lacewingmux_daemon/assembly/OperatorServices.h"
 
 #include "lacewingmux_core/errors/LacewingmuxError.h"
+#include "lacewingmux_core/threads/ServiceThread.h"
 #include "lacewingmux_daemon/assembly/ControlServices.h"
 #include "lacewingmux_daemon/assembly/TrafficServices.h"
 #include "lacewingmux_daemon/settings/DaemonSettings.h"
-#include "lacewingmux_daemon/threads/ServiceThread.h"
 #include "lacewingmux_http/front/OperatorReply.h"
 #include "lacewingmux_report/metrics/HistogramMetrics.h"
 
--- /dev/null
+++ b/modules/lacewingmux_gateway/calls/PromptPart.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+
+namespace lacewingmux {
+
+/** One part of a prompt, which requests may share; cached by engines in order. */
+struct PromptPart
+{
+    std::uint64_t id = 0;
+    std::int64_t tokens = 0;
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -0,0 +1,346 @@
+#include "lacewingmux_gateway/forwarding/ForwardedCall.h"
+
+#include "lacewingmux_gateway/calls/CallDialect.h"
+#include "lacewingmux_gateway/forwarding/TurnLedger.h"
+#include "lacewingmux_gateway/http/HttpText.h"
+#include "lacewingmux_gateway/ingress/IngressConnection.h"
+#include "lacewingmux_gateway/replicas/ReplicaConnection.h"
+#include "lacewingmux_gateway/replicas/ReplicaFleet.h"
+#include "lacewingmux_gateway/routing/RoutingTable.h"
+
+#include "lacewingmux_core/errors/ErrorTable.h"
+#include "lacewingmux_core/logging/StructuredLog.h"
+#include "lacewingmux_core/metrics/MetricsRecorder.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingmux {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int okStatus = 200;
+constexpr int firstErrorStatus = 300;
+constexpr int firstServerErrorStatus = 500;
+constexpr qsizetype largestHeldAnswer = 8 * 1024 * 1024; // a share of the VM's memory
+constexpr qint64 slowReaderLimit = 1024 * 1024;          // unread bytes before it is given up
+constexpr milliseconds keptWithoutNotice{400}; // a replica that names no idle time waits below 1 s
+constexpr milliseconds keepAliveMargin{500};   // for the answer and the next request on their way
+
+bool isEventStream(const HttpResponseHead &head)
+{
+    return fieldValue(head.fields, "Content-Type").startsWith("text/event-stream");
+}
+
+bool isSuccess(const HttpResponseHead &head)
+{
+    return head.status >= okStatus && head.status < firstErrorStatus;
+}
+
+} // namespace
+
+bool ForwardedCall::belongs(const HttpResponseHead &answer)
+{
+    this->verdict = this->services.dialect.judge(answer);
+    if (this->verdict.requestId.isEmpty())
+        return !isSuccess(answer); // refusals before the request was read name none
+    return this->verdict.requestId == this->description.requestId;
+}
+
+void ForwardedCall::handleHead(const HttpResponseHead &answer)
+{
+    this->head = answer;
+    this->body.clear();
+    if (this->verdict.load)
+        this->services.fleet.placement().noteLoad(this->replica, *this->verdict.load, this->now());
+}
+
+void ForwardedCall::handleBody(const QByteArray &bytes)
+{
+    const bool unusable = isSuccess(this->head) && (!this->verdict.proven || this->verdict.encoded);
+    if (unusable) {
+        this->handleFailure(ExchangeFailure::Malformed);
+        return;
+    }
+    if (this->route.kind == RouteKind::Stream && this->head.status == okStatus
+        && isEventStream(this->head)) {
+        this->passEvents(bytes);
+        return;
+    }
+    this->body += bytes;
+    if (this->body.size() > largestHeldAnswer)
+        this->handleFailure(ExchangeFailure::Malformed);
+}
+
+void ForwardedCall::handleComplete()
+{
+    this->keepConnection();
+    this->services.fleet.placement().ended(this->replica);
+    if (this->verdict.notExecuted || this->verdict.wrongInstance) {
+        this->handleRejection();
+        return;
+    }
+    const bool streamed = this->route.kind == RouteKind::Stream && this->head.status == okStatus
+                          && isEventStream(this->head);
+    const bool unusable = isSuccess(this->head) && (!this->verdict.proven || this->verdict.encoded);
+    if (unusable || (streamed && this->events.isWithinEvent())) {
+        this->services.fleet.placement().noteFailure(this->replica, this->now());
+        if (streamed)
+            this->resumeOrBreakOff("the stream ended within an event");
+        else if (this->mayRunAgain())
+            this->place();
+        else
+            this->fail(ErrorKind::BackendFailed, "the replica's answer is unusable");
+        return;
+    }
+    if (streamed) {
+        this->finishStream();
+        return;
+    }
+    if (this->head.status >= firstServerErrorStatus && this->mayRunAgain()) {
+        this->services.fleet.placement().noteFailure(this->replica, this->now());
+        this->avoided.push_back(this->replica);
+        this->place();
+        return;
+    }
+    this->passWhole();
+}
+
+void ForwardedCall::handleFailure(ExchangeFailure reason)
+{
+    this->leaveReplica();
+    Placement &placement = this->services.fleet.placement();
+    this->avoided.push_back(this->replica);
+    if (reason == ExchangeFailure::NotConnected) {
+        --this->runs;
+        placement.noteUnreachable(this->replica, this->now());
+        this->place();
+        return;
+    }
+    placement.noteFailure(this->replica, this->now());
+    if (this->streamBegun)
+        this->resumeOrBreakOff("the replica broke off");
+    else if (this->mayRunAgain())
+        this->place();
+    else
+        this->fail(ErrorKind::BackendFailed, reason == ExchangeFailure::Closed
+                                                     ? "the replica closed the connection"
+                                                     : "the replica's answer is unreadable");
+}
+
+void ForwardedCall::handleRejection()
+{
+    --this->runs;
+    ++this->rejections;
+    Placement &placement = this->services.fleet.placement();
+    if (this->verdict.wrongInstance)
+        placement.noteReplaced(this->replica);
+    else
+        placement.noteRejection(this->replica, this->now());
+    this->avoided.push_back(this->replica);
+    this->place();
+}
+
+void ForwardedCall::passEvents(const QByteArray &bytes)
+{
+    const QByteArray whole = this->events.append(bytes);
+    if (whole.isEmpty())
+        return;
+    if (this->streamBegun) {
+        this->caller->sendPart(whole);
+    } else {
+        this->streamBegun = true;
+        this->phase = Phase::Streaming;
+        this->caller->beginStream(this->head.status, this->head.reason,
+                                  this->services.dialect.fieldsForCaller(this->head), whole);
+    }
+    if (this->caller->unsentBytes() > slowReaderLimit)
+        this->breakOff("the caller does not read");
+}
+
+void ForwardedCall::passWhole()
+{
+    const milliseconds elapsed = std::chrono::floor<milliseconds>(this->now() - this->sentAt);
+    this->services.metrics.observe("lacewingmux_replica_answer_seconds", {}, elapsed);
+    this->settle();
+    this->caller->sendAnswer(this->head.status, this->head.reason,
+                             this->services.dialect.fieldsForCaller(this->head), this->body);
+    this->end("answered");
+}
+
+void ForwardedCall::finishStream()
+{
+    if (!this->streamBegun) {
+        this->streamBegun = true;
+        this->caller->beginStream(this->head.status, this->head.reason,
+                                  this->services.dialect.fieldsForCaller(this->head), {});
+    }
+    this->services.fleet.placement().notePrompt(this->replica, this->description.promptParts);
+    if (!this->isTurn()) {
+        this->settle();
+        this->caller->endStream();
+        this->end("streamed");
+        return;
+    }
+    this->phase = Phase::Storing;
+    this->reserved = false;
+    this->services.ledger.store(this->opening, this->request.body, this->events.data(),
+                                this->tokensHandedOut(),
+                                [guard = this->weak_from_this()](bool durable) {
+                                    const auto self = guard.lock();
+                                    if (!self || self->phase != Phase::Storing)
+                                        return;
+                                    if (!durable) {
+                                        self->breakOff("the turn could not be kept");
+                                        return;
+                                    }
+                                    self->caller->endStream();
+                                    self->end("streamed");
+                                });
+}
+
+void ForwardedCall::resumeOrBreakOff(const char *reason)
+{
+    this->events.dropPartialEvent();
+    if (this->mayRunAgain() && !this->events.lastId().isEmpty()) {
+        this->place();
+        return;
+    }
+    this->breakOff(reason);
+}
+
+void ForwardedCall::handleTimeout()
+{
+    switch (this->phase) {
+    case Phase::Admitting:
+    case Phase::Placing:
+        if (this->runs > 0)
+            this->fail(ErrorKind::BackendTimeout, "the time is up");
+        else
+            this->refuse(ErrorKind::QueueTimeout, "the time is up, and no replica had room",
+                         milliseconds(0));
+        break;
+    case Phase::Sent:
+        this->services.fleet.placement().notePace(this->replica, 8.0, this->now());
+        this->fail(ErrorKind::BackendTimeout, "the replica did not answer in time");
+        break;
+    case Phase::Streaming:
+        this->breakOff("the time is up");
+        break;
+    case Phase::Storing: // nothing is gained by giving up a whole turn
+    case Phase::Ended:
+        break;
+    }
+}
+
+void ForwardedCall::callerLeft()
+{
+    if (this->phase == Phase::Ended)
+        return;
+    if (this->phase != Phase::Storing)
+        this->settle();
+    this->end("callerLeft");
+}
+
+void ForwardedCall::leaveReplica()
+{
+    if (!this->connection)
+        return;
+    this->connection->abort();
+    this->connection.reset();
+    this->services.fleet.placement().ended(this->replica);
+}
+
+void ForwardedCall::keepConnection()
+{
+    if (!this->connection)
+        return;
+    const milliseconds kept =
+            this->verdict.keepAliveSeconds
+                    ? std::chrono::seconds(*this->verdict.keepAliveSeconds) - keepAliveMargin
+                    : keptWithoutNotice;
+    this->connection->setReusableUntil(this->now() + kept);
+    this->services.fleet.release(this->replica, std::move(this->connection));
+    this->connection.reset();
+}
+
+void ForwardedCall::refuse(ErrorKind kind, const char *reason, milliseconds retryAfter)
+{
+    if (this->streamBegun)
+        this->breakOff(reason);
+    else
+        this->answerOwn(kind, reason, retryAfter);
+}
+
+void ForwardedCall::fail(ErrorKind kind, const char *reason)
+{
+    this->refuse(kind, reason, milliseconds(0));
+}
+
+void ForwardedCall::answerOwn(ErrorKind kind, const char *reason, milliseconds retryAfter)
+{
+    this->leaveReplica();
+    this->settle();
+    const ErrorAnswer &answer = answerFor(kind);
+    HttpFields fields = this->services.dialect.fieldsOfOwnAnswer(this->description);
+    fields.push_back({QByteArrayLiteral("Content-Type"), QByteArrayLiteral("application/json")});
+    if (retryAfter.count() > 0)
+        fields.push_back({QByteArrayLiteral("Retry-After"),
+                          QByteArray::number(static_cast<double>(retryAfter.count()) / 1000.0)});
+    const QJsonObject error{{QStringLiteral("kind"), QLatin1String(answer.name)},
+                            {QStringLiteral("message"), QLatin1String(reason)}};
+    const QJsonObject document{{QStringLiteral("error"), error}};
+    this->caller->sendAnswer(answer.httpStatus, reasonPhrase(answer.httpStatus), fields,
+                             QJsonDocument(document).toJson(QJsonDocument::Compact));
+    LogEvent(LogSeverity::Info, "callRefused")
+            .field("request", QString::fromLatin1(this->description.requestId))
+            .field("kind", answer.name)
+            .field("reason", reason)
+            .field("route", QString::fromUtf8(this->route.name))
+            .field("replica", QString::fromUtf8(this->replica))
+            .field("rejections", this->rejections)
+            .field("runs", this->runs);
+    this->end(answer.name);
+}
+
+void ForwardedCall::breakOff(const char *reason)
+{
+    LogEvent(LogSeverity::Info, "streamBrokenOff")
+            .field("request", QString::fromLatin1(this->description.requestId))
+            .field("reason", reason)
+            .field("events", static_cast<qint64>(this->events.count()))
+            .field("replica", QString::fromUtf8(this->replica));
+    this->leaveReplica();
+    this->settle();
+    this->caller->abort();
+    this->end("brokenOff");
+}
+
+void ForwardedCall::settle()
+{
+    if (!std::exchange(this->reserved, false))
+        return;
+    this->services.ledger.settle(this->opening, this->tokensHandedOut());
+}
+
+void ForwardedCall::end(const char *outcome)
+{
+    if (this->phase == Phase::Ended)
+        return;
+    this->phase = Phase::Ended;
+    this->leaveReplica();
+    this->timeout.cancel();
+    this->retry.cancel();
+    this->services.metrics.count("lacewingmux_calls_total",
+                                 {{QStringLiteral("outcome"), QLatin1String(outcome)}}, 1);
+    const auto hook = std::exchange(this->ended, nullptr);
+    if (hook)
+        hook();
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_gateway/calls/CallDialect.h"
+#include "lacewingmux_gateway/forwarding/GatewaySettings.h"
+#include "lacewingmux_gateway/replicas/ReplicaFleet.h"
+#include "lacewingmux_gateway/replicas/ReplicaInstance.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace lacewingmux {
+
+class IngressConnection;
+class ForwardedCall;
+class IngressServer;
+class MetricsRecorder;
+class RoutingTable;
+class TeamQuota;
+class TurnLedger;
+
+/**
+    The front of one VM: takes callers' requests, and forwards each to a replica. It holds nothing
+    that has to outlive it. Everything runs on the thread that owns it.
+*/
+class Gateway
+{
+public:
+    /** Listens at once. Throws LacewingmuxError when the address can't be listened on. */
+    Gateway(const GatewaySettings &gatewaySettings, TimerService &timerService,
+            CallDialect callDialect, TeamQuota &teamQuota, TurnLedger &turnLedger,
+            MetricsRecorder &metricsRecorder);
+    ~Gateway();
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    /** Takes a configuration into force for calls that arrive from now on. */
+    void setTable(std::shared_ptr<const RoutingTable> newTable);
+
+    /** Takes the replicas that exist now. */
+    void setReplicas(const std::vector<ReplicaInstance> &instances);
+
+    /** Starts a planned stop: answers all that has been read, and lets connections end. The hook
+        is called when nothing is left to do. */
+    void beginStop(std::function<void()> drained);
+
+    [[nodiscard]] std::size_t callsUnderWay() const noexcept
+    {
+        return this->calls.size();
+    }
+
+private:
+    void handleRequest(const std::shared_ptr<IngressConnection> &caller, HttpRequest request);
+    void handleLeave(const IngressConnection *caller);
+    void continueStop();
+
+    GatewaySettings settings;
+    TimerService &timers;
+    CallDialect dialect;
+    TeamQuota &quota;
+    TurnLedger &ledger;
+    MetricsRecorder &metrics;
+    ReplicaFleet fleet;
+    std::shared_ptr<const RoutingTable> table;
+    std::unique_ptr<IngressServer> ingress;
+    std::map<const IngressConnection *, std::shared_ptr<ForwardedCall>> calls;
+    std::function<void()> whenDrained;
+    TimerService::SteadyTime stopBegan;
+    TimerSubscription stopTimer;
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_gateway/forwarding/TeamQuota.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "lacewingmux_gateway/routing/GatewayTeam.h"
+
+#include <chrono>
+#include <functional>
+
+namespace lacewingmux {
+
+/** Whether a request is within its team's quota. */
+struct QuotaAnswer
+{
+    bool admitted = false;
+    std::chrono::milliseconds retryAfter{0};
+};
+
+/** Decides whether requests are within their team's rate and burst over all VMs together. */
+class TeamQuota
+{
+public:
+    using Callback = std::function<void(const QuotaAnswer &)>;
+
+    TeamQuota() = default;
+    virtual ~TeamQuota() = default;
+    TeamQuota(const TeamQuota &) = delete;
+    TeamQuota &operator=(const TeamQuota &) = delete;
+
+    /** Takes one request out of the team's quota; may call back at once. */
+    virtual void take(const GatewayTeam &team, Callback callback) = 0;
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_gateway/forwarding/TurnStart.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <QByteArray>
+
+#include <cstdint>
+
+namespace lacewingmux {
+
+/** Whether a turn may run. */
+enum class TurnOutcome : std::uint8_t {
+    Ready,       ///< the history is known and the tokens are reserved
+    BudgetSpent, ///< the program's budget does not hold another turn
+    UnknownTurn, ///< certainly no turn of the team has the name
+    Unavailable  ///< too few records VMs answered to be certain
+};
+
+/** The answer to a TurnOpening. */
+struct TurnStart
+{
+    TurnOutcome outcome = TurnOutcome::Unavailable;
+    QByteArray history; ///< inputs and outputs of the chain, oldest first
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_gateway/http/HttpLimits.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace lacewingmux {
+
+/** What a caller may send, and how long it may take or stay idle. */
+struct HttpLimits
+{
+    std::uint32_t headerBytes = 16 * 1024;
+    std::uint64_t bodyBytes = 4 * 1024 * 1024;
+    std::chrono::milliseconds headerTimeout{3000};
+    std::chrono::milliseconds idleTimeout{15000};
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_gateway/http/HttpResponseHead.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "lacewingmux_gateway/http/HttpField.h"
+
+#include <QByteArray>
+
+#include <cstdint>
+#include <optional>
+
+namespace lacewingmux {
+
+/** The status line and header fields of an HTTP/1.1 response. */
+struct HttpResponseHead
+{
+    int status = 0;
+    QByteArray reason;
+    HttpFields fields;
+    bool keepAlive = true;
+    std::optional<std::uint64_t> bodyLength; ///< unknown for chunks and up to the end
+    bool endsWithConnection = false;         ///< the body goes on until the connection closes
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_gateway/http/ResponseDecoder.cpp
@@ -0,0 +1,155 @@
+#include "lacewingmux_gateway/http/ResponseDecoder.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <limits>
+#include <utility>
+
+namespace lacewingmux {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::uint32_t headLimitBytes = 64 * 1024; // heads of backend servers are far below it
+constexpr int firstFinalStatus = 200;
+
+QByteArray toBytes(boost::beast::string_view text)
+{
+    return QByteArray(text.data(), static_cast<qsizetype>(text.size()));
+}
+
+} // namespace
+
+/** Collects what Beast's parser reports into one response. */
+class ResponseDecoder::Parser final : public http::basic_parser<false>
+{
+public:
+    HttpResponseHead head;
+    QByteArray body;
+
+private:
+    void on_request_impl(http::verb, boost::beast::string_view, boost::beast::string_view, int,
+                         boost::beast::error_code &) override
+    { }
+    void on_response_impl(int status, boost::beast::string_view reason, int,
+                          boost::beast::error_code &) override
+    {
+        this->head.status = status;
+        this->head.reason = toBytes(reason);
+    }
+    void on_field_impl(http::field, boost::beast::string_view name, boost::beast::string_view value,
+                       boost::beast::error_code &) override
+    {
+        this->head.fields.push_back({toBytes(name), toBytes(value)});
+    }
+    void on_header_impl(boost::beast::error_code &) override
+    { }
+    void on_body_init_impl(const boost::optional<std::uint64_t> &length,
+                           boost::beast::error_code &) override
+    {
+        if (length)
+            this->head.bodyLength = *length;
+    }
+    std::size_t on_body_impl(boost::beast::string_view bytes, boost::beast::error_code &) override
+    {
+        this->body.append(bytes.data(), static_cast<qsizetype>(bytes.size()));
+        return bytes.size();
+    }
+    void on_chunk_header_impl(std::uint64_t, boost::beast::string_view,
+                              boost::beast::error_code &) override
+    { }
+    std::size_t on_chunk_body_impl(std::uint64_t, boost::beast::string_view bytes,
+                                   boost::beast::error_code &) override
+    {
+        this->body.append(bytes.data(), static_cast<qsizetype>(bytes.size()));
+        return bytes.size();
+    }
+    void on_finish_impl(boost::beast::error_code &) override
+    { }
+};
+
+ResponseDecoder::ResponseDecoder(bool answersHead)
+    : headOnly(answersHead)
+{
+    this->startNext();
+}
+
+ResponseDecoder::~ResponseDecoder() = default;
+
+void ResponseDecoder::append(const QByteArray &bytes)
+{
+    this->pending += bytes;
+    this->decode();
+}
+
+void ResponseDecoder::appendEnd()
+{
+    if (this->currentState >= DecodeState::Complete)
+        return;
+    boost::beast::error_code error;
+    this->parser->put_eof(error);
+    this->currentState =
+            error || !this->parser->is_done() ? DecodeState::Malformed : DecodeState::Complete;
+}
+
+const HttpResponseHead &ResponseDecoder::head() const
+{
+    return this->parser->head;
+}
+
+QByteArray ResponseDecoder::takeBody()
+{
+    return std::exchange(this->parser->body, {});
+}
+
+QByteArray ResponseDecoder::takeRest()
+{
+    return std::exchange(this->pending, {});
+}
+
+void ResponseDecoder::startNext()
+{
+    this->parser = std::make_unique<Parser>();
+    this->parser->header_limit(headLimitBytes);
+    this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    this->parser->eager(true);
+    this->parser->skip(this->headOnly);
+    this->currentState = DecodeState::Empty;
+}
+
+void ResponseDecoder::decode()
+{
+    while (!this->pending.isEmpty() && this->currentState < DecodeState::Complete) {
+        boost::beast::error_code error;
+        const std::size_t used = this->parser->put(
+                boost::asio::const_buffer(this->pending.constData(),
+                                          static_cast<std::size_t>(this->pending.size())),
+                error);
+        this->pending.remove(0, static_cast<qsizetype>(used));
+        if (error && error != http::error::need_more) {
+            this->currentState = DecodeState::Malformed;
+            return;
+        }
+        this->noteProgress();
+        if (error == http::error::need_more)
+            return;
+    }
+}
+
+void ResponseDecoder::noteProgress()
+{
+    if (!this->parser->is_header_done()) {
+        this->currentState = DecodeState::Head;
+        return;
+    }
+    if (this->parser->is_done() && this->parser->head.status < firstFinalStatus) {
+        this->startNext();
+        return;
+    }
+    this->parser->head.keepAlive = this->parser->keep_alive();
+    this->parser->head.endsWithConnection = this->parser->need_eof();
+    this->currentState = this->parser->is_done() ? DecodeState::Complete : DecodeState::Body;
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_gateway/http/SocketOptions.cpp
@@ -0,0 +1,42 @@
+#include "lacewingmux_gateway/http/SocketOptions.h"
+
+#include "lacewingmux_core/logging/StructuredLog.h"
+
+#include <QTcpSocket>
+
+#include <algorithm>
+#include <cerrno>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace lacewingmux {
+
+namespace {
+
+void setOption(QTcpSocket &socket, int option, int value, const char *name)
+{
+    const auto descriptor = static_cast<int>(socket.socketDescriptor());
+    if (::setsockopt(descriptor, IPPROTO_TCP, option, &value, sizeof value) != 0)
+        LogEvent(LogSeverity::Warning, "socketOptionRefused")
+                .field("option", name)
+                .field("errno", errno);
+}
+
+} // namespace
+
+void tuneSocket(QTcpSocket &socket, std::chrono::milliseconds silenceTimeout)
+{
+    socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    socket.setSocketOption(QAbstractSocket::KeepAliveOption, 1);
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(silenceTimeout);
+    const int probes = std::max(1, static_cast<int>(seconds.count()) - 1);
+    setOption(socket, TCP_USER_TIMEOUT, static_cast<int>(silenceTimeout.count()),
+              "TCP_USER_TIMEOUT");
+    setOption(socket, TCP_KEEPIDLE, 1, "TCP_KEEPIDLE");
+    setOption(socket, TCP_KEEPINTVL, 1, "TCP_KEEPINTVL");
+    setOption(socket, TCP_KEEPCNT, probes, "TCP_KEEPCNT");
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_gateway/ingress/IngressServer.cpp
@@ -0,0 +1,130 @@
+#include "lacewingmux_gateway/ingress/IngressServer.h"
+
+#include "lacewingmux_core/errors/LacewingmuxError.h"
+#include "lacewingmux_gateway/ingress/IngressConnection.h"
+
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace lacewingmux {
+
+namespace {
+
+constexpr std::chrono::milliseconds sweepInterval{250}; // fine enough for limits of seconds
+constexpr int acceptBacklog = 512;                      // a full queue costs a caller seconds
+
+} // namespace
+
+IngressServer::IngressServer(const QHostAddress &address, std::uint16_t port,
+                             std::size_t connectionLimit, TimerService &timerService,
+                             RequestHandler requestHandler, LeaveHandler leaveHandler)
+    : timers(timerService)
+    , handleRequest(std::move(requestHandler))
+    , handleLeave(std::move(leaveHandler))
+    , limitOfConnections(connectionLimit)
+    , server(std::make_unique<QTcpServer>())
+{
+    this->server->setListenBacklogSize(acceptBacklog);
+    this->server->setMaxPendingConnections(acceptBacklog);
+    QObject::connect(this->server.get(), &QTcpServer::newConnection, this->server.get(),
+                     [this] { this->acceptPending(); });
+    if (!this->server->listen(address, port))
+        throw LacewingmuxError(ErrorKind::InternalError,
+                               QStringLiteral("cannot listen for callers on %1:%2: %3")
+                                       .arg(address.toString())
+                                       .arg(port)
+                                       .arg(this->server->errorString()));
+    this->sweep = this->timers.every(sweepInterval, [this] { this->enforceTimeouts(); });
+}
+
+IngressServer::~IngressServer() = default;
+
+void IngressServer::setLimits(const HttpLimits &httpLimits)
+{
+    this->limits = httpLimits;
+}
+
+void IngressServer::endConnectionsAfterAnswer()
+{
+    this->ending = true;
+    for (const auto &[key, connection] : this->connections)
+        connection->closeAfterAnswer();
+}
+
+void IngressServer::closeIdleConnections()
+{
+    std::vector<std::shared_ptr<IngressConnection>> all;
+    for (const auto &[key, connection] : this->connections)
+        all.push_back(connection);
+    for (const auto &connection : all)
+        connection->closeIfIdle();
+}
+
+std::size_t IngressServer::servingCount() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(this->connections.begin(), this->connections.end(),
+                          [](const auto &entry) { return entry.second->isServing(); }));
+}
+
+std::uint16_t IngressServer::port() const
+{
+    return this->server->serverPort();
+}
+
+void IngressServer::acceptPending()
+{
+    while (QTcpSocket *socket = this->server->nextPendingConnection()) {
+        if (this->connections.size() < this->limitOfConnections) {
+            this->accept(socket);
+            continue;
+        }
+        // Nothing has been read, so the caller may come back for any kind of request.
+        socket->abort();
+        socket->deleteLater();
+    }
+}
+
+void IngressServer::accept(QTcpSocket *socket)
+{
+    socket->setParent(nullptr);
+    auto place = std::make_shared<const IngressConnection *>(nullptr);
+    IngressConnection::Hooks hooks;
+    hooks.requestArrived = [this, place](HttpRequest request) {
+        const auto found = this->connections.find(*place);
+        if (found != this->connections.end())
+            this->handleRequest(std::shared_ptr(found->second), std::move(request));
+    };
+    hooks.callerLeft = [this, place] { this->handleLeave(*place); };
+    hooks.closed = [this, place] {
+        const auto found = this->connections.find(*place);
+        if (found == this->connections.end())
+            return;
+        // The connection may be calling this, so it goes on the next turn of the loop.
+        this->timers.post([ended = std::move(found->second)] {});
+        this->connections.erase(found);
+    };
+    auto connection = std::make_shared<IngressConnection>(socket, this->limits, this->timers,
+                                                          std::move(hooks));
+    *place = connection.get();
+    if (this->ending)
+        connection->closeAfterAnswer();
+    this->connections.emplace(connection.get(), connection);
+    connection->start();
+}
+
+void IngressServer::enforceTimeouts()
+{
+    std::vector<std::shared_ptr<IngressConnection>> all;
+    all.reserve(this->connections.size());
+    for (const auto &[key, connection] : this->connections)
+        all.push_back(connection);
+    for (const auto &connection : all)
+        connection->enforceTimeouts();
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -0,0 +1,82 @@
+#include "lacewingmux_gateway/replicas/ReplicaFleet.h"
+
+#include "lacewingmux_gateway/replicas/ReplicaConnection.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingmux {
+
+namespace {
+
+constexpr std::chrono::milliseconds sweepInterval{1000};
+
+} // namespace
+
+ReplicaFleet::ReplicaFleet(const QByteArray &zone, TimerService &timerService)
+    : timers(timerService)
+    , decisions(zone, {})
+{
+    this->sweep = this->timers.every(sweepInterval, [this] { this->dropStale(); });
+}
+
+ReplicaFleet::~ReplicaFleet() = default;
+
+void ReplicaFleet::setReplicas(const std::vector<ReplicaInstance> &newInstances)
+{
+    QHash<QByteArray, ReplicaInstance> next;
+    for (const ReplicaInstance &instance : newInstances) {
+        next.insert(instance.id, instance);
+        const auto known = this->instances.constFind(instance.id);
+        const bool moved = known != this->instances.cend()
+                           && (known->address != instance.address || known->port != instance.port
+                               || known->bornMilliseconds != instance.bornMilliseconds);
+        if (moved || instance.draining)
+            this->idle.remove(instance.id);
+    }
+    for (auto old = this->instances.cbegin(); old != this->instances.cend(); ++old) {
+        if (!next.contains(old.key()))
+            this->idle.remove(old.key());
+    }
+    this->instances = std::move(next);
+    this->decisions.setReplicas(newInstances);
+}
+
+const ReplicaInstance *ReplicaFleet::instance(const QByteArray &id) const
+{
+    const auto found = this->instances.constFind(id);
+    return found == this->instances.cend() ? nullptr : &*found;
+}
+
+std::shared_ptr<ReplicaConnection> ReplicaFleet::acquire(const QByteArray &id)
+{
+    const ReplicaInstance *replica = this->instance(id);
+    if (replica == nullptr)
+        return nullptr;
+    Idle &kept = this->idle[id];
+    while (!kept.empty()) {
+        std::shared_ptr<ReplicaConnection> connection = std::move(kept.back());
+        kept.pop_back();
+        if (connection->isReusable())
+            return connection;
+    }
+    return std::make_shared<ReplicaConnection>(replica->address, replica->port, this->timers);
+}
+
+void ReplicaFleet::release(const QByteArray &id, std::shared_ptr<ReplicaConnection> connection)
+{
+    const ReplicaInstance *replica = this->instance(id);
+    if (replica == nullptr || replica->draining || !connection->isReusable())
+        return;
+    this->idle[id].push_back(std::move(connection));
+}
+
+void ReplicaFleet::dropStale()
+{
+    for (Idle &kept : this->idle)
+        kept.erase(std::remove_if(kept.begin(), kept.end(),
+                                  [](const auto &connection) { return !connection->isReusable(); }),
+                   kept.end());
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_gateway/replicas/Placement.h"
+#include "lacewingmux_gateway/replicas/ReplicaInstance.h"
+
+#include <QByteArray>
+#include <QHash>
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace lacewingmux {
+
+class ReplicaConnection;
+
+/** The replicas that exist, the connections to them, and the decision which one gets a call. */
+class ReplicaFleet
+{
+public:
+    ReplicaFleet(const QByteArray &zone, TimerService &timerService);
+    ~ReplicaFleet();
+    ReplicaFleet(const ReplicaFleet &) = delete;
+    ReplicaFleet &operator=(const ReplicaFleet &) = delete;
+
+    /** Takes the replicas that exist now, and closes idle connections to the others. */
+    void setReplicas(const std::vector<ReplicaInstance> &instances);
+
+    [[nodiscard]] Placement &placement() noexcept
+    {
+        return this->decisions;
+    }
+
+    /** Returns the replica, or null when it is gone. */
+    [[nodiscard]] const ReplicaInstance *instance(const QByteArray &id) const;
+
+    /** Returns a connection to the replica that no exchange uses; null when the replica is gone. */
+    [[nodiscard]] std::shared_ptr<ReplicaConnection> acquire(const QByteArray &id);
+
+    /** Takes a connection back after its exchange; it is kept if another exchange may use it. */
+    void release(const QByteArray &id, std::shared_ptr<ReplicaConnection> connection);
+
+private:
+    using Idle = std::vector<std::shared_ptr<ReplicaConnection>>;
+
+    void dropStale();
+
+    TimerService &timers;
+    Placement decisions;
+    QHash<QByteArray, ReplicaInstance> instances;
+    QHash<QByteArray, Idle> idle; ///< by instance, most recently used last
+    TimerSubscription sweep;
+};
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_platform/client/CallBudget.cpp
+++ b/modules/lacewingmux_keyvalue/client/CallBudget.cpp
@@ -1,4 +1,4 @@
-#include "lacewingmux_platform/client/CallBudget.h"
+#include "lacewingmux_keyvalue/client/CallBudget.h"
 
 #include <algorithm>
 
--- a/modules/lacewingmux_platform/client/HttpCall.cpp
+++ b/modules/lacewingmux_keyvalue/client/HttpCall.cpp
@@ -1,7 +1,7 @@
-#include "lacewingmux_platform/client/HttpCall.h"
+#include "lacewingmux_keyvalue/client/HttpCall.h"
 
 #include "lacewingmux_core/time/TimerService.h"
-#include "lacewingmux_platform/client/SingleUseBody.h"
+#include "lacewingmux_keyvalue/client/SingleUseBody.h"
 
 #include <QJsonDocument>
 #include <QNetworkAccessManager>
@@ -25,6 +25,20 @@
     request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
     this->reply = manager.post(request, this->body);
     this->body->setParent(this->reply);
+    this->start(timerService, timeout);
+}
+
+HttpCall::HttpCall(QNetworkAccessManager &manager, TimerService &timerService,
+                   const QNetworkRequest &request, HttpVerb verb, std::chrono::milliseconds timeout,
+                   Callback whenDone)
+    : reply(verb == HttpVerb::Get ? manager.get(request) : manager.deleteResource(request))
+    , callback(std::move(whenDone))
+{
+    this->start(timerService, timeout);
+}
+
+void HttpCall::start(TimerService &timerService, std::chrono::milliseconds timeout)
+{
     QObject::connect(this->reply, &QNetworkReply::finished, &this->context,
                      [this] { this->finish(true); });
     this->timeoutTimer = timerService.after(timeout, [this] { this->finish(false); });
@@ -49,7 +63,7 @@
 HttpCallResult HttpCall::result(bool answered) const
 {
     HttpCallResult ended;
-    ended.bodySent = !this->body->isUntouched();
+    ended.bodySent = this->body != nullptr && !this->body->isUntouched();
     if (!answered)
         return ended;
     const int status = this->reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
--- a/modules/lacewingmux_platform/client/HttpPlatformStore.cpp
+++ b/modules/lacewingmux_keyvalue/client/HttpPlatformStore.cpp
@@ -1,8 +1,8 @@
-#include "lacewingmux_platform/client/HttpPlatformStore.h"
+#include "lacewingmux_keyvalue/client/HttpPlatformStore.h"
 
-#include "lacewingmux_platform/client/HttpWatch.h"
-#include "lacewingmux_platform/etcd/EtcdJson.h"
-#include "lacewingmux_platform/etcd/EtcdPaths.h"
+#include "lacewingmux_keyvalue/client/HttpWatch.h"
+#include "lacewingmux_keyvalue/etcd/EtcdJson.h"
+#include "lacewingmux_keyvalue/etcd/EtcdPaths.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
--- a/modules/lacewingmux_platform/client/HttpPlatformStore.h
+++ b/modules/lacewingmux_keyvalue/client/HttpPlatformStore.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "lacewingmux_platform/client/HttpCall.h"
-#include "lacewingmux_platform/client/StoreAccess.h"
-#include "lacewingmux_platform/store/PlatformStore.h"
+#include "lacewingmux_keyvalue/client/HttpCall.h"
+#include "lacewingmux_keyvalue/client/StoreAccess.h"
+#include "lacewingmux_keyvalue/store/PlatformStore.h"
 
 #include <QJsonObject>
 #include <QNetworkAccessManager>
--- a/modules/lacewingmux_platform/client/HttpWatch.h
+++ b/modules/lacewingmux_keyvalue/client/HttpWatch.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "lacewingmux_core/time/TimerSubscription.h"
-#include "lacewingmux_platform/client/HttpCall.h"
-#include "lacewingmux_platform/client/JitteredBackoff.h"
-#include "lacewingmux_platform/store/KeyRange.h"
-#include "lacewingmux_platform/store/PlatformStore.h"
+#include "lacewingmux_keyvalue/client/HttpCall.h"
+#include "lacewingmux_keyvalue/client/JitteredBackoff.h"
+#include "lacewingmux_keyvalue/store/KeyRange.h"
+#include "lacewingmux_keyvalue/store/PlatformStore.h"
 
 #include <QByteArray>
 #include <QJsonObject>
--- a/modules/lacewingmux_platform/client/JitteredBackoff.cpp
+++ b/modules/lacewingmux_keyvalue/client/JitteredBackoff.cpp
@@ -1,4 +1,4 @@
-#include "lacewingmux_platform/client/JitteredBackoff.h"
+#include "lacewingmux_keyvalue/client/JitteredBackoff.h"
 
 #include <algorithm>
 
--- a/modules/lacewingmux_platform/client/PlatformStoreSettings.h
+++ b/modules/lacewingmux_keyvalue/client/PlatformStoreSettings.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <vector>
 
 namespace lacewingmux {
@@ -19,6 +20,7 @@
     std::chrono::milliseconds callTimeout{2000};
     std::chrono::milliseconds watchRenewal{60000}; ///< a silent watch is opened again after this
     std::uint64_t jitterSeed = 0;                  ///< should differ between daemons
+    std::function<void(bool reachable)> contactChanged; ///< may be empty
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_platform/client/SingleUseBody.cpp
+++ b/modules/lacewingmux_keyvalue/client/SingleUseBody.cpp
@@ -1,4 +1,4 @@
-#include "lacewingmux_platform/client/SingleUseBody.h"
+#include "lacewingmux_keyvalue/client/SingleUseBody.h"
 
 #include <algorithm>
 #include <cstring>
--- a/modules/lacewingmux_platform/client/StoreAccess.cpp
+++ b/modules/lacewingmux_keyvalue/client/StoreAccess.cpp
@@ -1,9 +1,11 @@
-#include "lacewingmux_platform/client/StoreAccess.h"
+#include "lacewingmux_keyvalue/client/StoreAccess.h"
 
 #include "lacewingmux_core/errors/LacewingmuxError.h"
 
 #include <QUrl>
 
+#include <utility>
+
 namespace lacewingmux {
 
 StoreAccess::StoreAccess(TimerService &timers, MetricsRecorder &metricsRecorder,
@@ -49,6 +51,13 @@
         this->currentEndpoint = (failedEndpoint + 1) % this->currentSettings.endpoints.size();
 }
 
+void StoreAccess::noteContact(bool answered)
+{
+    if (std::exchange(this->reachable, answered) != answered
+        && this->currentSettings.contactChanged)
+        this->currentSettings.contactChanged(answered);
+}
+
 double StoreAccess::random()
 {
     return std::uniform_real_distribution<double>(0, 1)(this->generator);
--- a/modules/lacewingmux_platform/client/StoreAccess.h
+++ b/modules/lacewingmux_keyvalue/client/StoreAccess.h
@@ -2,8 +2,8 @@
 
 #include "lacewingmux_core/metrics/MetricsRecorder.h"
 #include "lacewingmux_core/time/TimerService.h"
-#include "lacewingmux_platform/client/CallBudget.h"
-#include "lacewingmux_platform/client/PlatformStoreSettings.h"
+#include "lacewingmux_keyvalue/client/CallBudget.h"
+#include "lacewingmux_keyvalue/client/PlatformStoreSettings.h"
 
 #include <QNetworkRequest>
 
@@ -36,6 +36,9 @@
     /** Moves on to the next endpoint, if the one that failed is still the present one. */
     void reportFailure(std::size_t failedEndpoint);
 
+    /** Notes whether a call was answered, and tells the settings' hook when that has changed. */
+    void noteContact(bool answered);
+
     /** Returns a random number from 0 to 1. */
     [[nodiscard]] double random();
 
@@ -54,6 +57,7 @@
     PlatformStoreSettings currentSettings;
     CallBudget budget;
     std::size_t currentEndpoint = 0;
+    bool reachable = true;
     std::mt19937_64 generator;
 };
 
--- a/modules/lacewingmux_platform/etcd/EtcdJson.cpp
+++ b/modules/lacewingmux_keyvalue/etcd/EtcdJson.cpp
@@ -1,4 +1,4 @@
-#include "lacewingmux_platform/etcd/EtcdJson.h"
+#include "lacewingmux_keyvalue/etcd/EtcdJson.h"
 
 #include <QString>
 
--- a/modules/lacewingmux_platform/etcd/EtcdJson.h
+++ b/modules/lacewingmux_keyvalue/etcd/EtcdJson.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "lacewingmux_platform/store/KeyRange.h"
-#include "lacewingmux_platform/store/StoreRecord.h"
+#include "lacewingmux_keyvalue/store/KeyRange.h"
+#include "lacewingmux_keyvalue/store/StoreRecord.h"
 
 #include <QByteArray>
 #include <QJsonObject>
--- a/modules/lacewingmux_platform/memory/InMemoryPlatformStore.h
+++ b/modules/lacewingmux_keyvalue/memory/InMemoryPlatformStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "lacewingmux_platform/memory/InMemoryStoreServer.h"
-#include "lacewingmux_platform/store/PlatformStore.h"
+#include "lacewingmux_keyvalue/memory/InMemoryStoreServer.h"
+#include "lacewingmux_keyvalue/store/PlatformStore.h"
 
 #include <QString>
 
--- a/modules/lacewingmux_platform/memory/InMemoryStoreServer.cpp
+++ b/modules/lacewingmux_keyvalue/memory/InMemoryStoreServer.cpp
@@ -1,4 +1,4 @@
-#include "lacewingmux_platform/memory/InMemoryStoreServer.h"
+#include "lacewingmux_keyvalue/memory/InMemoryStoreServer.h"
 
 #include <algorithm>
 
--- a/modules/lacewingmux_platform/memory/InMemoryStoreServer.h
+++ b/modules/lacewingmux_keyvalue/memory/InMemoryStoreServer.h
@@ -2,7 +2,7 @@
 
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_core/time/TimerSubscription.h"
-#include "lacewingmux_platform/memory/KeyValueTable.h"
+#include "lacewingmux_keyvalue/memory/KeyValueTable.h"
 
 #include <QByteArray>
 #include <QString>
--- a/modules/lacewingmux_platform/memory/KeyValueTable.cpp
+++ b/modules/lacewingmux_keyvalue/memory/KeyValueTable.cpp
@@ -1,4 +1,4 @@
-#include "lacewingmux_platform/memory/KeyValueTable.h"
+#include "lacewingmux_keyvalue/memory/KeyValueTable.h"
 
 #include <algorithm>
 
--- a/modules/lacewingmux_platform/memory/KeyValueTable.h
+++ b/modules/lacewingmux_keyvalue/memory/KeyValueTable.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "lacewingmux_core/time/TimerService.h"
-#include "lacewingmux_platform/memory/KeyValueEvent.h"
-#include "lacewingmux_platform/memory/KeyValueWrite.h"
-#include "lacewingmux_platform/store/KeyRange.h"
-#include "lacewingmux_platform/store/StoreRecord.h"
+#include "lacewingmux_keyvalue/memory/KeyValueEvent.h"
+#include "lacewingmux_keyvalue/memory/KeyValueWrite.h"
+#include "lacewingmux_keyvalue/store/KeyRange.h"
+#include "lacewingmux_keyvalue/store/StoreRecord.h"
 
 #include <chrono>
 #include <cstdint>
--- a/modules/lacewingmux_platform/memory/KeyValueWrite.h
+++ b/modules/lacewingmux_keyvalue/memory/KeyValueWrite.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lacewingmux_platform/store/KeyRange.h"
+#include "lacewingmux_keyvalue/store/KeyRange.h"
 
 #include <QByteArray>
 
--- a/modules/lacewingmux_platform/store/CompareAndSwapResult.h
+++ b/modules/lacewingmux_keyvalue/store/CompareAndSwapResult.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lacewingmux_platform/store/StoreRecord.h"
+#include "lacewingmux_keyvalue/store/StoreRecord.h"
 
 #include <cstdint>
 #include <optional>
--- a/modules/lacewingmux_platform/store/KeyRange.cpp
+++ b/modules/lacewingmux_keyvalue/store/KeyRange.cpp
@@ -1,4 +1,4 @@
-#include "lacewingmux_platform/store/KeyRange.h"
+#include "lacewingmux_keyvalue/store/KeyRange.h"
 
 namespace lacewingmux {
 
--- a/modules/lacewingmux_platform/store/PlatformStore.h
+++ b/modules/lacewingmux_keyvalue/store/PlatformStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "lacewingmux_platform/store/CompareAndSwapResult.h"
-#include "lacewingmux_platform/store/StoreRecord.h"
+#include "lacewingmux_keyvalue/store/CompareAndSwapResult.h"
+#include "lacewingmux_keyvalue/store/StoreRecord.h"
 
 #include <QByteArray>
 
--- a/modules/lacewingmux_platform/update/RecordUpdate.cpp
+++ b/modules/lacewingmux_keyvalue/update/RecordUpdate.cpp
@@ -1,6 +1,6 @@
-#include "lacewingmux_platform/update/RecordUpdate.h"
+#include "lacewingmux_keyvalue/update/RecordUpdate.h"
 
-#include "lacewingmux_platform/store/PlatformStore.h"
+#include "lacewingmux_keyvalue/store/PlatformStore.h"
 
 #include <memory>
 
--- /dev/null
+++ b/modules/lacewingmux_node/front/FrontNode.cpp
@@ -0,0 +1,126 @@
+#include "lacewingmux_node/front/FrontNode.h"
+
+#include "lacewingmux_core/logging/StructuredLog.h"
+#include "lacewingmux_gateway/ingress/ReadinessServer.h"
+#include "lacewingmux_gateway/replicas/ReplicaDirectory.h"
+#include "lacewingmux_gateway/routing/RoutingTable.h"
+#include "lacewingmux_node/front/FrontTraffic.h"
+#include "lacewingmux_node/settings/MetricsServer.h"
+#include "lacewingmux_records/members/RecordsView.h"
+#include "lacewingmux_report/metrics/HistogramMetrics.h"
+
+#include <utility>
+
+namespace lacewingmux {
+
+FrontNode::FrontNode(const NodeSettings &nodeSettings, NodeSeams nodeSeams,
+                     std::function<void()> stoppedHook)
+    : settings(nodeSettings)
+    , seams(std::move(nodeSeams))
+    , stopped(std::move(stoppedHook))
+    , metrics(std::make_unique<HistogramMetrics>())
+{
+    FrontTraffic::Hooks hooks;
+    hooks.newerView = [this](const QByteArray &document) {
+        this->queue.post([this, document] { this->takeView(document); });
+    };
+    hooks.newerConfiguration = [this](const ConfigurationDocumentMessage &message) {
+        this->queue.post([this, message] { this->takeConfiguration(message.document); });
+    };
+    hooks.drained = [this] { this->queue.post([this] { this->stopped(); }); };
+    this->traffic =
+            std::make_unique<ServiceThread<FrontTraffic>>(QStringLiteral("traffic"), [this, hooks] {
+                return std::make_unique<FrontTraffic>(this->settings, this->seams.dialect,
+                                                      *this->metrics, hooks);
+            });
+    this->readiness =
+            std::make_unique<ReadinessServer>(this->settings.address, this->settings.readinessPort,
+                                              [this] { return this->isReady(); });
+    if (this->settings.metricsPort != 0)
+        this->metricsServer = std::make_unique<MetricsServer>(
+                this->settings.address, this->settings.metricsPort, *this->metrics);
+    this->followStore();
+}
+
+FrontNode::~FrontNode()
+{
+    this->configurationWatch.reset();
+    this->replicaWatch.reset();
+    this->viewWatch.reset();
+    this->traffic.reset();
+}
+
+void FrontNode::beginStop()
+{
+    if (std::exchange(this->stopping, true))
+        return;
+    LogEvent(LogSeverity::Info, "stopBegins");
+    this->traffic->post([](FrontTraffic &services) { services.beginStop(); });
+}
+
+void FrontNode::followStore()
+{
+    this->replicas = std::make_unique<ReplicaDirectory>(
+            this->timers, [this](const std::vector<ReplicaInstance> &instances) {
+                this->replicasKnown = this->replicasKnown || !instances.empty();
+                this->traffic->post(
+                        [instances](FrontTraffic &services) { services.setReplicas(instances); });
+            });
+    this->store = this->seams.makeStore(this->timers, *this->metrics, [this](bool reachable) {
+        this->replicas->setStoreReachable(reachable);
+    });
+    this->configurationWatch = this->store->watchPrefix(
+            this->seams.configurationKey, 0, [this](const StoreRecord &record) {
+                if (record.key == this->seams.configurationKey && record.createRevision != 0)
+                    this->takeConfiguration(record.value);
+            });
+    this->replicaWatch = this->store->watchPrefix(
+            this->seams.replicaPrefix, 0,
+            [this](const StoreRecord &record) { this->takeReplica(record); });
+    this->viewWatch =
+            this->store->watchPrefix(recordsViewKey, 0, [this](const StoreRecord &record) {
+                if (record.key == recordsViewKey && record.createRevision != 0)
+                    this->takeView(record.value);
+            });
+}
+
+void FrontNode::takeConfiguration(const QByteArray &document)
+{
+    const std::shared_ptr<const RoutingTable> table = this->seams.readConfiguration(document);
+    if (!table || table->version() <= this->configurationVersion)
+        return;
+    LogEvent(LogSeverity::Info, "configurationInForce")
+            .field("version", static_cast<quint64>(table->version()))
+            .field("before", static_cast<quint64>(this->configurationVersion));
+    this->configurationVersion = table->version();
+    const ConfigurationDocumentMessage message{table->version(), document};
+    this->traffic->post([table, message](FrontTraffic &services) {
+        services.setConfiguration(table, message);
+    });
+}
+
+void FrontNode::takeReplica(const StoreRecord &record)
+{
+    const QByteArray id = record.key.mid(this->seams.replicaPrefix.size());
+    if (record.createRevision == 0)
+        this->replicas->remove(id);
+    else
+        this->replicas->update(id, this->seams.readReplica(record.key, record.value));
+}
+
+void FrontNode::takeView(const QByteArray &document)
+{
+    const std::optional<RecordsView> view = RecordsView::fromDocument(document);
+    if (!view || view->number <= this->viewNumber)
+        return;
+    this->viewNumber = view->number;
+    this->traffic->post([view = *view](FrontTraffic &services) { services.setView(view); });
+}
+
+bool FrontNode::isReady() const
+{
+    return !this->stopping && this->configurationVersion > 0 && this->replicasKnown
+           && this->viewNumber > 0;
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_node/front/FrontTraffic.cpp
@@ -0,0 +1,80 @@
+#include "lacewingmux_node/front/FrontTraffic.h"
+
+#include "lacewingmux_gateway/forwarding/Gateway.h"
+#include "lacewingmux_gateway/routing/RoutingTable.h"
+#include "lacewingmux_node/settings/PeerSetup.h"
+#include "lacewingmux_peer/links/TcpPeerHub.h"
+#include "lacewingmux_records/client/FleetQuota.h"
+#include "lacewingmux_records/client/RecordsClient.h"
+
+#include <utility>
+
+namespace lacewingmux {
+
+namespace {
+
+constexpr qsizetype bytesPerMegabyte = 1024 * 1024;
+constexpr int cachePart = 5; // of the VM's memory goes to chains that were seen here
+
+GatewaySettings gatewaySettings(const NodeSettings &settings)
+{
+    GatewaySettings gateway;
+    gateway.address = settings.address;
+    gateway.port = settings.ingressPort;
+    gateway.zone = settings.zone;
+    // As many descriptors for replicas as for callers, and some for files and peers.
+    gateway.connectionLimit = static_cast<std::size_t>(settings.descriptorLimit * 4 / 10);
+    gateway.stopLimit = settings.stopLimit * 7 / 8;
+    return gateway;
+}
+
+} // namespace
+
+FrontTraffic::FrontTraffic(const NodeSettings &settings, const CallDialect &dialect,
+                           MetricsRecorder &metrics, Hooks trafficHooks)
+    : hooks(std::move(trafficHooks))
+{
+    const auto started = std::chrono::duration_cast<std::chrono::microseconds>(
+            this->timers.wallNow().time_since_epoch());
+    const VmIncarnation self{settings.vm, QString::fromUtf8(settings.zone),
+                             static_cast<std::uint64_t>(started.count())};
+    this->hub = std::make_unique<TcpPeerHub>(peerSettings(settings, self), this->timers);
+    this->records = std::make_unique<RecordsClient>(
+            *this->hub, this->timers, metrics,
+            settings.memoryMegabytes * bytesPerMegabyte / cachePart, this->hooks.newerView);
+    this->quota =
+            std::make_unique<FleetQuota>(*this->hub, this->timers, this->hooks.newerConfiguration);
+    this->gateway = std::make_unique<Gateway>(gatewaySettings(settings), this->timers, dialect,
+                                              *this->quota, *this->records, metrics);
+}
+
+FrontTraffic::~FrontTraffic() = default;
+
+void FrontTraffic::setConfiguration(const std::shared_ptr<const RoutingTable> &table,
+                                    const ConfigurationDocumentMessage &document)
+{
+    this->quota->setConfiguration(document);
+    this->gateway->setTable(table);
+}
+
+void FrontTraffic::setReplicas(const std::vector<ReplicaInstance> &replicas)
+{
+    this->gateway->setReplicas(replicas);
+}
+
+void FrontTraffic::setView(const RecordsView &view)
+{
+    std::vector<VmDescriptor> peers;
+    for (const RecordsMember &member : view.members)
+        peers.push_back(member.vm);
+    this->hub->setPeers(peers);
+    this->records->setView(view);
+    this->quota->setView(view);
+}
+
+void FrontTraffic::beginStop()
+{
+    this->gateway->beginStop(this->hooks.drained);
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_node/records/RecordsTraffic.cpp
@@ -0,0 +1,36 @@
+#include "lacewingmux_node/records/RecordsTraffic.h"
+
+#include "lacewingmux_node/settings/PeerSetup.h"
+#include "lacewingmux_peer/links/TcpPeerHub.h"
+#include "lacewingmux_records/log/SegmentedLog.h"
+#include "lacewingmux_records/server/RecordsServer.h"
+
+#include <utility>
+
+namespace lacewingmux {
+
+RecordsTraffic::RecordsTraffic(const NodeSettings &settings, const VmIncarnation &self,
+                               MetricsRecorder &metrics, RecordsServerHooks hooks)
+    : log(std::make_unique<SegmentedLog>(settings.dataFolder, this->timers))
+    , hub(std::make_unique<TcpPeerHub>(peerSettings(settings, self), this->timers))
+    , server(std::make_unique<RecordsServer>(*this->hub, *this->log, this->timers, metrics,
+                                             std::move(hooks)))
+{ }
+
+RecordsTraffic::~RecordsTraffic() = default;
+
+void RecordsTraffic::setView(const RecordsView &view)
+{
+    std::vector<VmDescriptor> peers;
+    for (const RecordsMember &member : view.members)
+        peers.push_back(member.vm);
+    this->hub->setPeers(peers);
+    this->server->setView(view);
+}
+
+void RecordsTraffic::setConfiguration(const ConfigurationDocumentMessage &document)
+{
+    this->server->setConfiguration(document);
+}
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_operator/commands/CommandContext.h
+++ b/modules/lacewingmux_operator/commands/CommandContext.h
@@ -2,9 +2,9 @@
 
 #include "lacewingmux_core/metrics/IgnoringMetricsRecorder.h"
 #include "lacewingmux_core/time/QtTimerService.h"
+#include "lacewingmux_keyvalue/client/HttpPlatformStore.h"
 #include "lacewingmux_operator/client/OperatorClient.h"
 #include "lacewingmux_operator/commands/CommandOptions.h"
-#include "lacewingmux_platform/client/HttpPlatformStore.h"
 
 #include <QJsonObject>
 #include <QString>
--- a/modules/lacewingmux_operator/lacewingmux_operator.h
+++ b/modules/lacewingmux_operator/lacewingmux_operator.h
@@ -6,7 +6,7 @@
  * The operators' command lacewingmuxctl as a library: its command line, its sub-commands and the
  * tables that it prints.
  *
- * Depends on: lacewingmux_core, lacewingmux_platform, lacewingmux_config, lacewingmux_report,
+ * Depends on: lacewingmux_core, lacewingmux_keyvalue, lacewingmux_config, lacewingmux_report,
  * Qt Network, cxxopts.
  */
 
--- a/modules/lacewingmux_peer/messages/FrameKind.h
+++ b/modules/lacewingmux_peer/messages/FrameKind.h
@@ -70,7 +70,22 @@
 
     // lacewingmux_report, control channel
     MetricsRequest = 120,
-    MetricsReply = 121
+    MetricsReply = 121,
+
+    // lacewingmux_records, traffic channel; the epoch is the number of the sender's records view
+    OpenTurn = 140,
+    OpenTurnReply = 141,
+    WriteRecords = 142,
+    WriteRecordsAck = 143, // without payload
+    RecordsViewNotice = 144,
+    PullKeys = 145,
+    PullKeysReply = 146,
+    FetchRecords = 147,
+    FetchRecordsReply = 148,
+    GrantTokens = 149,
+    GrantTokensReply = 150,
+    ConfigurationDocumentRequest = 151, // without payload
+    ConfigurationDocumentReply = 152
 };
 
 } // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_records/client/HistoryCache.cpp
@@ -0,0 +1,40 @@
+#include "lacewingmux_records/client/HistoryCache.h"
+
+namespace lacewingmux {
+
+HistoryCache::HistoryCache(qsizetype limitBytes)
+    : limit(limitBytes)
+{ }
+
+void HistoryCache::put(const QByteArray &turn, const QByteArray &team, const QByteArray &history,
+                       SteadyTime expires)
+{
+    this->remove(turn);
+    this->byUse.push_front(turn);
+    this->entries.emplace(turn, Entry{team, history, expires, this->byUse.begin()});
+    this->used += history.size();
+    while (this->used > this->limit && !this->byUse.empty())
+        this->remove(QByteArray(this->byUse.back()));
+}
+
+std::optional<QByteArray> HistoryCache::find(const QByteArray &turn, const QByteArray &team,
+                                             SteadyTime now)
+{
+    const auto found = this->entries.find(turn);
+    if (found == this->entries.end() || found->second.team != team || found->second.expires <= now)
+        return std::nullopt;
+    this->byUse.splice(this->byUse.begin(), this->byUse, found->second.place);
+    return found->second.history;
+}
+
+void HistoryCache::remove(const QByteArray &turn)
+{
+    const auto found = this->entries.find(turn);
+    if (found == this->entries.end())
+        return;
+    this->used -= found->second.history.size();
+    this->byUse.erase(found->second.place);
+    this->entries.erase(found);
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_records/client/RecordsClient.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_gateway/forwarding/TurnLedger.h"
+#include "lacewingmux_peer/links/PeerHub.h"
+#include "lacewingmux_records/client/HistoryCache.h"
+#include "lacewingmux_records/client/TurnQuorum.h"
+#include "lacewingmux_records/members/RecordsView.h"
+#include "lacewingmux_records/messages/Record.h"
+
+#include <QByteArray>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace lacewingmux {
+
+class MetricsRecorder;
+
+/** Keeps histories and budgets of programs on the records VMs. */
+class RecordsClient final : public TurnLedger
+{
+public:
+    /** The hook gets the document of a view that is newer than the one in force. */
+    RecordsClient(PeerHub &peerHub, TimerService &timerService, MetricsRecorder &metricsRecorder,
+                  qsizetype cacheBytes, std::function<void(const QByteArray &)> newerViewHook);
+    ~RecordsClient() override;
+
+    /** Takes a view; an older one than that in force is ignored. */
+    void setView(const RecordsView &newView);
+
+    void open(const TurnOpening &opening, StartCallback callback) override;
+    void store(const TurnOpening &opening, const QByteArray &input, const QByteArray &output,
+               std::int64_t tokens, StoredCallback callback) override;
+    void settle(const TurnOpening &opening, std::int64_t tokens) override;
+
+    [[nodiscard]] const RecordsView &currentView() const noexcept
+    {
+        return this->view;
+    }
+
+private:
+    struct Opening
+    {
+        TurnOpening turn;
+        TurnQuorum quorum;
+        StartCallback callback;
+        TimerSubscription timeout;
+        bool retried = false; ///< was sent again under a newer view
+        QByteArray cachedHistory;
+    };
+
+    struct Writing
+    {
+        Record record;
+        std::set<VmIncarnation> pending;
+        int copies = 0;
+        StoredCallback callback;
+        TimerSubscription timeout;
+        std::uint64_t viewNumber = 0;
+    };
+
+    void sendOpening(std::uint64_t number, Opening &opening);
+    void handleOpenReply(const VmIncarnation &peer, const PeerFrame &frame);
+    void handleAck(const VmIncarnation &peer, const PeerFrame &frame);
+    void handleNotice(const VmIncarnation &peer, const PeerFrame &frame);
+    void handleLink(const VmIncarnation &peer, bool up);
+    void advance(std::uint64_t number);
+    void finishOpening(std::uint64_t number, TurnOutcome outcome);
+    void sendWriting(std::uint64_t number, Writing &writing);
+    void finishWriting(std::uint64_t number, bool durable);
+    [[nodiscard]] OpenTurnMessage openMessage(const Opening &opening) const;
+    [[nodiscard]] const RecordsMember *preferredSource() const;
+    [[nodiscard]] Record recordOf(const TurnOpening &opening, RecordKind kind,
+                                  std::int64_t tokens) const;
+
+    PeerHub &hub;
+    TimerService &timers;
+    MetricsRecorder &metrics;
+    std::function<void(const QByteArray &)> newerView;
+    RecordsView view;
+    HistoryCache cache;
+    std::uint64_t nextNumber = 1;
+    std::map<std::uint64_t, Opening> openings;
+    std::map<std::uint64_t, Writing> writings;
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_records/client/TurnQuorum.cpp
@@ -0,0 +1,122 @@
+#include "lacewingmux_records/client/TurnQuorum.h"
+
+#include <algorithm>
+
+namespace lacewingmux {
+
+TurnQuorum::TurnQuorum(const TurnOpening &turnOpening, const RecordsView &recordsView,
+                       bool historyKnown)
+    : opening(turnOpening)
+    , view(recordsView)
+    , hasHistory(historyKnown)
+{ }
+
+void TurnQuorum::addReply(const VmIncarnation &member, const OpenTurnReplyMessage &reply)
+{
+    const RecordsMember *known = this->view.member(member);
+    if (known == nullptr)
+        return;
+    this->answered.insert(member);
+    this->failed.erase(member);
+    if (reply.synced)
+        this->synced.insert(member);
+    if (known->state != MemberState::Leaving)
+        this->storing.insert(member);
+    for (const ReservationState &state : reply.reservations) {
+        ReservationState &other = this->others[state.key];
+        // A settlement says what was handed out in the end, so it goes before a reservation.
+        const bool better = state.settled && !other.settled;
+        if (other.key.isEmpty() || better)
+            other = state;
+        else if (state.settled == other.settled)
+            other.tokens = std::max(other.tokens, state.tokens);
+    }
+    if (reply.chain == ChainStatus::Found && !reply.history.isEmpty()) {
+        this->chainHistory = reply.history;
+        this->hasHistory = true;
+    } else if (reply.chain == ChainStatus::Found) {
+        this->holders.insert(member);
+    } else if ((reply.chain == ChainStatus::Absent || reply.chain == ChainStatus::Expired)
+               && reply.synced) {
+        this->absent.insert(member);
+    }
+}
+
+void TurnQuorum::addFailure(const VmIncarnation &member)
+{
+    if (!this->answered.contains(member))
+        this->failed.insert(member);
+    this->asked.erase(member);
+    this->holders.erase(member);
+}
+
+std::optional<TurnOutcome> TurnQuorum::outcome() const
+{
+    const std::optional<TurnOutcome> budget = this->budgetOutcome();
+    const std::optional<TurnOutcome> chain = this->historyOutcome();
+    if (budget && *budget != TurnOutcome::Ready)
+        return budget;
+    if (chain && *chain != TurnOutcome::Ready)
+        return chain;
+    if (budget && chain)
+        return TurnOutcome::Ready;
+    return std::nullopt;
+}
+
+const VmIncarnation *TurnQuorum::untappedHolder() const
+{
+    if (this->hasHistory)
+        return nullptr;
+    const auto found = std::find_if(
+            this->holders.begin(), this->holders.end(),
+            [this](const VmIncarnation &holder) { return !this->asked.contains(holder); });
+    return found == this->holders.end() ? nullptr : &*found;
+}
+
+void TurnQuorum::noteHistoryAsked(const VmIncarnation &member)
+{
+    this->asked.insert(member);
+}
+
+std::optional<TurnOutcome> TurnQuorum::budgetOutcome() const
+{
+    if (!this->opening.budget)
+        return TurnOutcome::Ready;
+    const auto known = std::count_if(
+            this->synced.begin(), this->synced.end(),
+            [this](const VmIncarnation &member) { return this->storing.contains(member); });
+    if (known >= this->view.reservationQuorum()) {
+        const std::int64_t total = this->tokensOfOthers() + this->opening.maximumTokens;
+        return total <= *this->opening.budget ? TurnOutcome::Ready : TurnOutcome::BudgetSpent;
+    }
+    const auto open = static_cast<std::ptrdiff_t>(this->view.members.size())
+                      - static_cast<std::ptrdiff_t>(this->answered.size())
+                      - static_cast<std::ptrdiff_t>(this->failed.size());
+    if (known + open < this->view.reservationQuorum())
+        return TurnOutcome::Unavailable;
+    return std::nullopt;
+}
+
+std::optional<TurnOutcome> TurnQuorum::historyOutcome() const
+{
+    if (this->hasHistory)
+        return TurnOutcome::Ready;
+    if (static_cast<int>(this->absent.size()) >= this->view.absenceQuorum())
+        return TurnOutcome::UnknownTurn;
+    const bool allAnswered =
+            this->answered.size() + this->failed.size() >= this->view.members.size();
+    // A holder that was asked for the history may still send it.
+    if (allAnswered && this->holders.empty())
+        return TurnOutcome::Unavailable;
+    return std::nullopt;
+}
+
+std::int64_t TurnQuorum::tokensOfOthers() const
+{
+    std::int64_t tokens = 0;
+    for (const ReservationState &state : this->others)
+        tokens += state.tokens;
+    return tokens;
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_records/log/RecordIndex.cpp
@@ -0,0 +1,115 @@
+#include "lacewingmux_records/log/RecordIndex.h"
+
+#include <algorithm>
+
+namespace lacewingmux {
+
+namespace {
+
+constexpr int longestChain = 10000; // more than any program has; ends a loop of damaged records
+
+} // namespace
+
+bool RecordIndex::add(const Record &record, std::uint64_t sequence)
+{
+    const RecordName name = nameOf(record);
+    if (!this->sequences.emplace(name, sequence).second)
+        return false;
+    this->names.emplace(sequence, name);
+    this->byExpiry.emplace(record.expires, name);
+    if (record.kind == RecordKind::Turn)
+        this->turns.insert(record.key, {sequence, record.team, record.parent, record.expires});
+    if (!record.program.isEmpty())
+        this->addTokens(record);
+    return true;
+}
+
+void RecordIndex::addTokens(const Record &record)
+{
+    Program &program = this->programs[record.program];
+    program.expires = std::max(program.expires, record.expires);
+    TurnTokens &tokens = program.turns[record.key];
+    if (record.kind == RecordKind::Reservation) {
+        tokens.reserved = record.tokens;
+        return;
+    }
+    tokens.handedOut = std::max(tokens.handedOut, record.tokens);
+    tokens.settled = true;
+}
+
+bool RecordIndex::contains(const RecordName &name) const
+{
+    return this->sequences.contains(name);
+}
+
+std::uint64_t RecordIndex::sequenceOf(const RecordName &name) const
+{
+    const auto found = this->sequences.find(name);
+    return found == this->sequences.end() ? 0 : found->second;
+}
+
+std::vector<ReservationState> RecordIndex::reservations(const QByteArray &program,
+                                                        const QByteArray &exceptTurn) const
+{
+    std::vector<ReservationState> states;
+    const auto found = this->programs.constFind(program);
+    if (found == this->programs.cend())
+        return states;
+    for (auto turn = found->turns.cbegin(); turn != found->turns.cend(); ++turn) {
+        if (turn.key() == exceptTurn)
+            continue;
+        states.push_back(
+                {turn.key(), turn->settled ? turn->handedOut : turn->reserved, turn->settled});
+    }
+    return states;
+}
+
+ChainLookup RecordIndex::chain(const QByteArray &turn, const QByteArray &team, WallTime now) const
+{
+    ChainLookup lookup;
+    QByteArray key = turn;
+    while (!key.isEmpty() && lookup.sequences.size() < longestChain) {
+        const auto found = this->turns.constFind(key);
+        const bool isAsked = lookup.sequences.empty();
+        if (found == this->turns.cend() || found->team != team) {
+            lookup.status = isAsked ? ChainStatus::Absent : ChainStatus::Incomplete;
+            return lookup;
+        }
+        if (isAsked && found->expires < now) {
+            lookup.status = ChainStatus::Expired;
+            return lookup;
+        }
+        lookup.sequences.push_back(found->sequence);
+        key = found->parent;
+    }
+    std::reverse(lookup.sequences.begin(), lookup.sequences.end());
+    lookup.status = ChainStatus::Found;
+    return lookup;
+}
+
+std::vector<std::pair<std::uint64_t, RecordName>> RecordIndex::namesAfter(std::uint64_t sequence,
+                                                                          std::size_t limit) const
+{
+    std::vector<std::pair<std::uint64_t, RecordName>> found;
+    for (auto name = this->names.upper_bound(sequence);
+         name != this->names.end() && found.size() < limit; ++name)
+        found.emplace_back(*name);
+    return found;
+}
+
+void RecordIndex::dropExpired(WallTime before)
+{
+    const auto end = this->byExpiry.lower_bound(before);
+    for (auto entry = this->byExpiry.begin(); entry != end; ++entry) {
+        const RecordName &name = entry->second;
+        const auto sequence = this->sequences.find(name);
+        this->names.erase(sequence->second);
+        this->sequences.erase(sequence);
+        if (name.kind == RecordKind::Turn)
+            this->turns.remove(name.key);
+    }
+    this->byExpiry.erase(this->byExpiry.begin(), end);
+    this->programs.removeIf([before](auto program) { return program.value().expires < before; });
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_records/log/SegmentedLog.cpp
@@ -0,0 +1,277 @@
+#include "lacewingmux_records/log/SegmentedLog.h"
+
+#include "lacewingmux_core/errors/LacewingmuxError.h"
+#include "lacewingmux_core/logging/StructuredLog.h"
+#include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_records/messages/RecordsCodec.h"
+
+#include <boost/crc.hpp>
+
+#include <QDir>
+#include <QFile>
+#include <QtEndian>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdlib>
+#include <cstring>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace lacewingmux {
+
+namespace {
+
+constexpr qint64 segmentBytes = 8 * 1024 * 1024; // a few seconds of records at full load
+constexpr qint64 headBytes = 8;                  // length and checksum
+constexpr qint64 largestRecord = 64 * 1024 * 1024;
+constexpr const char *segmentSuffix = ".log";
+
+// A record is kept a little beyond its time, because the VMs' clocks differ.
+constexpr std::chrono::seconds clockAllowance{20};
+
+quint32 checksumOf(const QByteArray &payload)
+{
+    boost::crc_32_type checksum;
+    checksum.process_bytes(payload.constData(), static_cast<std::size_t>(payload.size()));
+    return checksum.checksum();
+}
+
+QByteArray entryOf(const QByteArray &payload)
+{
+    QByteArray entry(headBytes, Qt::Uninitialized);
+    qToLittleEndian(static_cast<quint32>(payload.size()), entry.data());
+    qToLittleEndian(checksumOf(payload), entry.data() + sizeof(quint32));
+    return entry + payload;
+}
+
+[[noreturn]] void failDisk(const char *operation)
+{
+    throw LacewingmuxError(
+            ErrorKind::InternalError,
+            QStringLiteral("cannot %1: %2")
+                    .arg(QLatin1String(operation), QString::fromLocal8Bit(std::strerror(errno))));
+}
+
+} // namespace
+
+SegmentedLog::SegmentedLog(const QString &folderPath, TimerService &timerService)
+    : folder(folderPath)
+    , timers(timerService)
+{
+    this->diskThread.setObjectName(QStringLiteral("disk"));
+    this->diskQueue.moveToThread(&this->diskThread);
+    this->diskThread.start();
+}
+
+SegmentedLog::~SegmentedLog()
+{
+    this->diskThread.quit();
+    this->diskThread.wait();
+    for (const auto &[number, segment] : this->segments)
+        ::close(segment.descriptor);
+}
+
+void SegmentedLog::replay(const ReplayFunction &report)
+{
+    const QStringList names =
+            QDir(this->folder)
+                    .entryList({QStringLiteral("*%1").arg(QLatin1String(segmentSuffix))},
+                               QDir::Files, QDir::Name);
+    std::uint64_t last = 0;
+    for (const QString &name : names) {
+        const std::uint64_t number = name.section(u'.', 0, 0).toULongLong();
+        this->replaySegment(number, report);
+        last = std::max(last, number);
+    }
+    this->durable = this->nextSequence - 1;
+    this->openSegment(last + 1);
+    LogEvent(LogSeverity::Info, "logReplayed")
+            .field("files", static_cast<qint64>(names.size()))
+            .field("records", static_cast<qint64>(this->durable));
+}
+
+std::uint64_t SegmentedLog::append(const Record &record)
+{
+    if (this->segments.rbegin()->second.bytes >= segmentBytes)
+        this->openSegment(this->segments.rbegin()->first + 1);
+    Segment &segment = this->segments.rbegin()->second;
+    const QByteArray payload = RecordsCodec::encodeRecord(record);
+    const QByteArray entry = entryOf(payload);
+    if (this->waiting.empty() || this->waiting.back().descriptor != segment.descriptor)
+        this->waiting.push_back({segment.descriptor, {}, 0});
+    this->noteRecord(segment, record, segment.bytes + headBytes, payload.size());
+    const std::uint64_t sequence = this->nextSequence - 1;
+    this->waiting.back().bytes += entry;
+    this->waiting.back().lastSequence = sequence;
+    this->unwritten.emplace_back(sequence, payload);
+    if (!this->writing)
+        this->startBatch();
+    return sequence;
+}
+
+void SegmentedLog::whenDurable(std::uint64_t sequence, std::function<void()> callback)
+{
+    if (sequence <= this->durable)
+        this->timers.post(std::move(callback));
+    else
+        this->waiters.emplace(sequence, std::move(callback));
+}
+
+std::optional<Record> SegmentedLog::read(std::uint64_t sequence)
+{
+    if (sequence < this->firstKept || sequence >= this->nextSequence)
+        return std::nullopt;
+    if (!this->unwritten.empty() && sequence >= this->unwritten.front().first)
+        return RecordsCodec::decodeRecord(
+                this->unwritten[sequence - this->unwritten.front().first].second);
+    const Position &position = this->positions[sequence - this->firstKept];
+    QByteArray payload(position.bytes, Qt::Uninitialized);
+    const int descriptor = this->segments.at(position.segment).descriptor;
+    const ssize_t count = ::pread(descriptor, payload.data(),
+                                  static_cast<std::size_t>(position.bytes), position.offset);
+    if (count != position.bytes) {
+        LogEvent(LogSeverity::Error, "logUnreadable")
+                .field("sequence", static_cast<quint64>(sequence))
+                .field("errno", errno);
+        return std::nullopt;
+    }
+    return RecordsCodec::decodeRecord(payload);
+}
+
+std::uint64_t SegmentedLog::lastSequence() const
+{
+    return this->nextSequence - 1;
+}
+
+void SegmentedLog::dropExpired(std::chrono::system_clock::time_point now)
+{
+    while (this->segments.size() > 1) {
+        const Segment &oldest = this->segments.begin()->second;
+        if (oldest.lastSequence > this->durable || oldest.lastExpiry + clockAllowance >= now)
+            return;
+        for (; this->firstKept <= oldest.lastSequence; ++this->firstKept)
+            this->positions.pop_front();
+        ::close(oldest.descriptor);
+        if (!QFile::remove(this->pathOf(oldest.number)))
+            LogEvent(LogSeverity::Warning, "logFileNotRemoved")
+                    .field("file", this->pathOf(oldest.number));
+        this->segments.erase(this->segments.begin());
+    }
+}
+
+void SegmentedLog::replaySegment(std::uint64_t number, const ReplayFunction &report)
+{
+    QFile file(this->pathOf(number));
+    if (!file.open(QIODevice::ReadOnly))
+        failDisk("open a file of the log");
+    const int descriptor =
+            ::open(QFile::encodeName(this->pathOf(number)).constData(), O_RDWR | O_CLOEXEC);
+    if (descriptor < 0)
+        failDisk("open a file of the log");
+    Segment &segment = this->segments[number];
+    segment.number = number;
+    segment.descriptor = descriptor;
+    while (true) {
+        const QByteArray head = file.read(headBytes);
+        if (head.size() < headBytes)
+            break;
+        const auto length = qFromLittleEndian<quint32>(head.constData());
+        const auto checksum = qFromLittleEndian<quint32>(head.constData() + sizeof(quint32));
+        if (length == 0 || length > largestRecord)
+            break;
+        const QByteArray payload = file.read(length);
+        if (payload.size() != static_cast<qsizetype>(length) || checksumOf(payload) != checksum)
+            break;
+        const std::optional<Record> record = RecordsCodec::decodeRecord(payload);
+        if (!record)
+            break;
+        this->noteRecord(segment, *record, segment.bytes + headBytes, payload.size());
+        report(this->nextSequence - 1, *record);
+    }
+    if (segment.bytes < file.size())
+        LogEvent(LogSeverity::Warning, "logTailDropped")
+                .field("file", this->pathOf(number))
+                .field("bytes", static_cast<qint64>(file.size() - segment.bytes));
+}
+
+void SegmentedLog::openSegment(std::uint64_t number)
+{
+    const int descriptor = ::open(QFile::encodeName(this->pathOf(number)).constData(),
+                                  O_CREAT | O_TRUNC | O_RDWR | O_CLOEXEC, 0644);
+    if (descriptor < 0)
+        failDisk("create a file of the log");
+    Segment segment;
+    segment.number = number;
+    segment.descriptor = descriptor;
+    segment.lastSequence = this->nextSequence - 1;
+    this->segments.emplace(number, segment);
+}
+
+void SegmentedLog::startBatch()
+{
+    this->writing = true;
+    Batch batch = std::move(this->waiting.front());
+    this->waiting.pop_front();
+    this->diskQueue.post([this, batch = std::move(batch), guard = std::weak_ptr(this->lifetime)] {
+        writeAll(batch);
+        this->timers.post([this, guard, sequence = batch.lastSequence] {
+            if (!guard.expired())
+                this->batchWritten(sequence);
+        });
+    });
+}
+
+void SegmentedLog::batchWritten(std::uint64_t sequence)
+{
+    this->durable = sequence;
+    this->writing = false;
+    while (!this->unwritten.empty() && this->unwritten.front().first <= sequence)
+        this->unwritten.pop_front();
+    if (!this->waiting.empty())
+        this->startBatch();
+    const auto end = this->waiters.upper_bound(sequence);
+    std::multimap<std::uint64_t, std::function<void()>> due;
+    for (auto waiter = this->waiters.begin(); waiter != end;)
+        due.insert(this->waiters.extract(waiter++));
+    for (const auto &[number, callback] : due)
+        callback();
+}
+
+void SegmentedLog::noteRecord(Segment &segment, const Record &record, qint64 offset, qint64 bytes)
+{
+    segment.bytes = offset + bytes;
+    segment.lastExpiry = std::max(segment.lastExpiry, record.expires);
+    segment.lastSequence = this->nextSequence;
+    this->positions.push_back({segment.number, offset, bytes});
+    ++this->nextSequence;
+}
+
+QString SegmentedLog::pathOf(std::uint64_t number) const
+{
+    constexpr int digits = 12;
+    return this->folder + u'/' + QStringLiteral("%1").arg(number, digits, 10, QLatin1Char('0'))
+           + QLatin1String(segmentSuffix);
+}
+
+void SegmentedLog::writeAll(const Batch &batch)
+{
+    qsizetype written = 0;
+    while (written < batch.bytes.size()) {
+        const ssize_t count = ::write(batch.descriptor, batch.bytes.constData() + written,
+                                      static_cast<std::size_t>(batch.bytes.size() - written));
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count < 0)
+            break;
+        written += count;
+    }
+    if (written == batch.bytes.size() && ::fdatasync(batch.descriptor) == 0)
+        return;
+    // What the disk holds is unknown from here on: only a restart can tell.
+    LogEvent(LogSeverity::Error, "logNotWritten").field("errno", errno);
+    std::abort();
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_records/members/RecordsView.cpp
@@ -0,0 +1,133 @@
+#include "lacewingmux_records/members/RecordsView.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <algorithm>
+
+namespace lacewingmux {
+
+namespace {
+
+QString stateName(MemberState state)
+{
+    switch (state) {
+    case MemberState::Joining:
+        return QStringLiteral("joining");
+    case MemberState::Synced:
+        return QStringLiteral("synced");
+    case MemberState::Leaving:
+        return QStringLiteral("leaving");
+    }
+    return {};
+}
+
+MemberState stateOf(const QString &name)
+{
+    if (name == QLatin1String("synced"))
+        return MemberState::Synced;
+    return name == QLatin1String("leaving") ? MemberState::Leaving : MemberState::Joining;
+}
+
+RecordsMember memberOf(const QJsonObject &entry)
+{
+    RecordsMember member;
+    member.vm.incarnation.vm = entry.value(QLatin1String("vm")).toString();
+    member.vm.incarnation.zone = entry.value(QLatin1String("zone")).toString();
+    // A text, because JSON numbers don't hold 64 bits.
+    member.vm.incarnation.incarnation = entry.value(QLatin1String("disk")).toString().toULongLong();
+    member.vm.address = entry.value(QLatin1String("address")).toString();
+    member.vm.trafficPort = static_cast<std::uint16_t>(entry.value(QLatin1String("port")).toInt());
+    member.vm.hasDataFolder = true;
+    member.state = stateOf(entry.value(QLatin1String("state")).toString());
+    member.syncSources = entry.value(QLatin1String("syncSources")).toInt();
+    return member;
+}
+
+QJsonObject entryOf(const RecordsMember &member)
+{
+    const VmIncarnation &incarnation = member.vm.incarnation;
+    return {{QStringLiteral("vm"), incarnation.vm},
+            {QStringLiteral("zone"), incarnation.zone},
+            {QStringLiteral("disk"), QString::number(incarnation.incarnation)},
+            {QStringLiteral("address"), member.vm.address},
+            {QStringLiteral("port"), member.vm.trafficPort},
+            {QStringLiteral("state"), stateName(member.state)},
+            {QStringLiteral("syncSources"), member.syncSources}};
+}
+
+} // namespace
+
+const RecordsMember *RecordsView::member(const VmIncarnation &incarnation) const
+{
+    const auto found = std::find_if(
+            this->members.begin(), this->members.end(),
+            [&incarnation](const auto &entry) { return entry.vm.incarnation == incarnation; });
+    return found == this->members.end() ? nullptr : &*found;
+}
+
+const RecordsMember *RecordsView::memberOnVm(const QString &vm) const
+{
+    const auto found =
+            std::find_if(this->members.begin(), this->members.end(),
+                         [&vm](const auto &entry) { return entry.vm.incarnation.vm == vm; });
+    return found == this->members.end() ? nullptr : &*found;
+}
+
+int RecordsView::storingCount() const
+{
+    return static_cast<int>(
+            std::count_if(this->members.begin(), this->members.end(),
+                          [](const auto &entry) { return entry.state != MemberState::Leaving; }));
+}
+
+int RecordsView::syncedCount() const
+{
+    return static_cast<int>(
+            std::count_if(this->members.begin(), this->members.end(),
+                          [](const auto &entry) { return entry.state == MemberState::Synced; }));
+}
+
+int RecordsView::durableCopies() const
+{
+    return std::min(this->toleratedDisks + 1, this->storingCount());
+}
+
+int RecordsView::reservationQuorum() const
+{
+    return std::max(this->durableCopies(), this->storingCount() / 2 + 1);
+}
+
+int RecordsView::absenceQuorum() const
+{
+    return std::max(1, static_cast<int>(this->members.size()) - this->durableCopies() + 1);
+}
+
+QByteArray RecordsView::toDocument() const
+{
+    QJsonArray entries;
+    for (const RecordsMember &member : this->members)
+        entries.append(entryOf(member));
+    const QJsonObject document{{QStringLiteral("number"), static_cast<qint64>(this->number)},
+                               {QStringLiteral("targetSize"), this->targetSize},
+                               {QStringLiteral("toleratedDisks"), this->toleratedDisks},
+                               {QStringLiteral("members"), entries}};
+    return QJsonDocument(document).toJson(QJsonDocument::Compact);
+}
+
+std::optional<RecordsView> RecordsView::fromDocument(const QByteArray &text)
+{
+    const QJsonObject document = QJsonDocument::fromJson(text).object();
+    RecordsView view;
+    view.number = static_cast<std::uint64_t>(document.value(QLatin1String("number")).toInteger());
+    view.targetSize = document.value(QLatin1String("targetSize")).toInt();
+    view.toleratedDisks = document.value(QLatin1String("toleratedDisks")).toInt(1);
+    for (const QJsonValue entry : document.value(QLatin1String("members")).toArray())
+        view.members.push_back(memberOf(entry.toObject()));
+    if (view.number == 0)
+        return std::nullopt;
+    return view;
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_records/members/RecordsView.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "lacewingmux_records/members/RecordsMember.h"
+
+#include <QByteArray>
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace lacewingmux {
+
+/**
+    The records VMs that hold the programs' records, by agreement through the platform's store.
+
+    What is acknowledged is on the disks of as many members as may be lost, plus one, so it is
+    found by asking all but that many. Reservations are known to a majority besides, so that of any
+    two at least one sees the other.
+*/
+class RecordsView
+{
+public:
+    std::uint64_t number = 0; ///< grows by one with each change; 0 before there is a view
+    int targetSize = 0;       ///< members at the first start; more are only there for a change
+    int toleratedDisks = 1;   ///< disks that may be lost at once
+    std::vector<RecordsMember> members;
+
+    /** Returns the member with the disk, or null. */
+    [[nodiscard]] const RecordsMember *member(const VmIncarnation &incarnation) const;
+
+    /** Returns the member that runs on the VM, or null. */
+    [[nodiscard]] const RecordsMember *memberOnVm(const QString &vm) const;
+
+    /** Returns how many members store what is written. */
+    [[nodiscard]] int storingCount() const;
+
+    /** Returns how many members are synced. */
+    [[nodiscard]] int syncedCount() const;
+
+    /** Returns how many disks must hold a record before it counts. */
+    [[nodiscard]] int durableCopies() const;
+
+    /** Returns how many members must know a reservation before it counts. */
+    [[nodiscard]] int reservationQuorum() const;
+
+    /** Returns how many members must lack a record before it is certain that there is none. */
+    [[nodiscard]] int absenceQuorum() const;
+
+    [[nodiscard]] QByteArray toDocument() const;
+
+    /** Returns the view in the document; nothing when it can't be read. */
+    [[nodiscard]] static std::optional<RecordsView> fromDocument(const QByteArray &document);
+};
+
+/** The key of the view in the platform's store. */
+inline constexpr const char *recordsViewKey = "lacewingmux/records";
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_records/messages/RecordsCodec.cpp
@@ -0,0 +1,312 @@
+#include "lacewingmux_records/messages/RecordsCodec.h"
+
+#include "lacewingmux_peer/messages/FlatBufferPayload.h"
+#include "lacewingmux_records/messages/records_generated.h"
+
+namespace lacewingmux {
+
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+using ByteVector = flatbuffers::Vector<std::uint8_t>;
+using std::chrono::milliseconds;
+using std::chrono::system_clock;
+
+Offset<ByteVector> bytesIn(FlatBufferBuilder &builder, const QByteArray &bytes)
+{
+    return builder.CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.constData()),
+                                static_cast<std::size_t>(bytes.size()));
+}
+
+/** As bytesIn(), but leaves the field out when there are none. */
+Offset<ByteVector> optionalBytesIn(FlatBufferBuilder &builder, const QByteArray &bytes)
+{
+    return bytes.isEmpty() ? Offset<ByteVector>() : bytesIn(builder, bytes);
+}
+
+QByteArray bytesOf(const ByteVector *bytes)
+{
+    if (bytes == nullptr)
+        return {};
+    return QByteArray(reinterpret_cast<const char *>(bytes->data()),
+                      static_cast<qsizetype>(bytes->size()));
+}
+
+Offset<fb::Record> recordIn(FlatBufferBuilder &builder, const Record &record)
+{
+    const auto key = bytesIn(builder, record.key);
+    const auto program = optionalBytesIn(builder, record.program);
+    const auto team = optionalBytesIn(builder, record.team);
+    const auto parent = optionalBytesIn(builder, record.parent);
+    const auto input = optionalBytesIn(builder, record.input);
+    const auto output = optionalBytesIn(builder, record.output);
+    const auto expires =
+            std::chrono::duration_cast<milliseconds>(record.expires.time_since_epoch());
+    return fb::CreateRecord(builder, static_cast<std::uint8_t>(record.kind), key, program, team,
+                            parent, input, output, record.tokens, expires.count());
+}
+
+Record recordOf(const fb::Record &table)
+{
+    Record record;
+    record.kind = static_cast<RecordKind>(table.kind());
+    record.key = bytesOf(table.key());
+    record.program = bytesOf(table.program());
+    record.team = bytesOf(table.team());
+    record.parent = bytesOf(table.parent());
+    record.input = bytesOf(table.input());
+    record.output = bytesOf(table.output());
+    record.tokens = table.tokens();
+    record.expires = system_clock::time_point(milliseconds(table.expires_ms()));
+    return record;
+}
+
+Offset<fb::RecordKey> nameIn(FlatBufferBuilder &builder, const RecordName &name)
+{
+    const auto key = bytesIn(builder, name.key);
+    const auto program = optionalBytesIn(builder, name.program);
+    return fb::CreateRecordKey(builder, static_cast<std::uint8_t>(name.kind), key, program);
+}
+
+RecordName nameOfTable(const fb::RecordKey &table)
+{
+    return {static_cast<RecordKind>(table.kind()), bytesOf(table.key()), bytesOf(table.program())};
+}
+
+template <typename Table>
+QByteArray finished(FlatBufferBuilder &builder, Offset<Table> root)
+{
+    builder.Finish(root);
+    return payloadOf(builder);
+}
+
+} // namespace
+
+QByteArray RecordsCodec::encodeRecord(const Record &record)
+{
+    FlatBufferBuilder builder(record.input.size() + record.output.size() + 256);
+    return finished(builder, recordIn(builder, record));
+}
+
+std::optional<Record> RecordsCodec::decodeRecord(const QByteArray &bytes)
+{
+    const auto *table = verifiedTable<fb::Record>(bytes);
+    return table == nullptr ? std::nullopt : std::optional(recordOf(*table));
+}
+
+QByteArray RecordsCodec::encodeRecords(const std::vector<Record> &records)
+{
+    FlatBufferBuilder builder;
+    std::vector<Offset<fb::Record>> offsets;
+    for (const Record &record : records)
+        offsets.push_back(recordIn(builder, record));
+    return finished(builder, fb::CreateWriteRecords(builder, builder.CreateVector(offsets)));
+}
+
+std::optional<std::vector<Record>> RecordsCodec::decodeRecords(const QByteArray &bytes)
+{
+    const auto *table = verifiedTable<fb::WriteRecords>(bytes);
+    if (table == nullptr)
+        return std::nullopt;
+    std::vector<Record> records;
+    for (const fb::Record *record : *table->records())
+        records.push_back(recordOf(*record));
+    return records;
+}
+
+QByteArray RecordsCodec::encodeOpen(const OpenTurnMessage &message)
+{
+    FlatBufferBuilder builder;
+    const auto reservation =
+            message.reservation ? recordIn(builder, *message.reservation) : Offset<fb::Record>();
+    const auto team = optionalBytesIn(builder, message.team);
+    const auto previous = optionalBytesIn(builder, message.previousTurn);
+    return finished(builder,
+                    fb::CreateOpenTurn(builder, reservation, team, previous, message.wantsHistory));
+}
+
+std::optional<OpenTurnMessage> RecordsCodec::decodeOpen(const QByteArray &bytes)
+{
+    const auto *table = verifiedTable<fb::OpenTurn>(bytes);
+    if (table == nullptr)
+        return std::nullopt;
+    OpenTurnMessage message;
+    if (table->reservation() != nullptr)
+        message.reservation = recordOf(*table->reservation());
+    message.team = bytesOf(table->team());
+    message.previousTurn = bytesOf(table->previous_turn());
+    message.wantsHistory = table->wants_history();
+    return message;
+}
+
+QByteArray RecordsCodec::encodeOpenReply(const OpenTurnReplyMessage &message)
+{
+    FlatBufferBuilder builder(message.history.size() + 512);
+    std::vector<Offset<fb::Reservation>> offsets;
+    for (const ReservationState &state : message.reservations)
+        offsets.push_back(fb::CreateReservation(builder, bytesIn(builder, state.key), state.tokens,
+                                                state.settled));
+    const auto reservations = builder.CreateVector(offsets);
+    const auto history = optionalBytesIn(builder, message.history);
+    return finished(builder,
+                    fb::CreateOpenTurnReply(builder, message.synced, reservations,
+                                            static_cast<std::uint8_t>(message.chain), history));
+}
+
+std::optional<OpenTurnReplyMessage> RecordsCodec::decodeOpenReply(const QByteArray &bytes)
+{
+    const auto *table = verifiedTable<fb::OpenTurnReply>(bytes);
+    if (table == nullptr)
+        return std::nullopt;
+    OpenTurnReplyMessage message;
+    message.synced = table->synced();
+    if (table->reservations() != nullptr) {
+        for (const fb::Reservation *state : *table->reservations())
+            message.reservations.push_back(
+                    {bytesOf(state->key()), state->tokens(), state->settled()});
+    }
+    message.chain = static_cast<ChainStatus>(table->chain());
+    message.history = bytesOf(table->history());
+    return message;
+}
+
+QByteArray RecordsCodec::encodeNotice(const QByteArray &viewDocument)
+{
+    FlatBufferBuilder builder;
+    return finished(builder, fb::CreateViewNotice(builder, bytesIn(builder, viewDocument)));
+}
+
+std::optional<QByteArray> RecordsCodec::decodeNotice(const QByteArray &bytes)
+{
+    const auto *table = verifiedTable<fb::ViewNotice>(bytes);
+    return table == nullptr ? std::nullopt : std::optional(bytesOf(table->document()));
+}
+
+QByteArray RecordsCodec::encodePull(std::uint64_t after)
+{
+    FlatBufferBuilder builder;
+    return finished(builder, fb::CreatePullKeys(builder, after));
+}
+
+std::optional<std::uint64_t> RecordsCodec::decodePull(const QByteArray &bytes)
+{
+    const auto *table = verifiedTable<fb::PullKeys>(bytes);
+    return table == nullptr ? std::nullopt : std::optional<std::uint64_t>(table->after());
+}
+
+QByteArray RecordsCodec::encodePullReply(const PullKeysReplyMessage &message)
+{
+    FlatBufferBuilder builder;
+    std::vector<Offset<fb::RecordKey>> offsets;
+    for (const RecordName &name : message.names)
+        offsets.push_back(nameIn(builder, name));
+    return finished(builder, fb::CreatePullKeysReply(builder, builder.CreateVector(offsets),
+                                                     message.next, message.atEnd));
+}
+
+std::optional<PullKeysReplyMessage> RecordsCodec::decodePullReply(const QByteArray &bytes)
+{
+    const auto *table = verifiedTable<fb::PullKeysReply>(bytes);
+    if (table == nullptr)
+        return std::nullopt;
+    PullKeysReplyMessage message;
+    if (table->keys() != nullptr) {
+        for (const fb::RecordKey *name : *table->keys())
+            message.names.push_back(nameOfTable(*name));
+    }
+    message.next = table->next();
+    message.atEnd = table->at_end();
+    return message;
+}
+
+QByteArray RecordsCodec::encodeFetch(const std::vector<RecordName> &names)
+{
+    FlatBufferBuilder builder;
+    std::vector<Offset<fb::RecordKey>> offsets;
+    for (const RecordName &name : names)
+        offsets.push_back(nameIn(builder, name));
+    return finished(builder, fb::CreateFetchRecords(builder, builder.CreateVector(offsets)));
+}
+
+std::optional<std::vector<RecordName>> RecordsCodec::decodeFetch(const QByteArray &bytes)
+{
+    const auto *table = verifiedTable<fb::FetchRecords>(bytes);
+    if (table == nullptr)
+        return std::nullopt;
+    std::vector<RecordName> names;
+    for (const fb::RecordKey *name : *table->keys())
+        names.push_back(nameOfTable(*name));
+    return names;
+}
+
+QByteArray RecordsCodec::encodeGrant(const GrantTokensMessage &message)
+{
+    FlatBufferBuilder builder;
+    std::vector<Offset<fb::TeamDemand>> offsets;
+    for (const TeamDemandMessage &demand : message.demands)
+        offsets.push_back(fb::CreateTeamDemand(builder, bytesIn(builder, demand.team),
+                                               demand.requestsPerSecond, demand.burst,
+                                               demand.wanted));
+    return finished(builder, fb::CreateGrantTokens(builder, builder.CreateVector(offsets),
+                                                   message.configurationVersion));
+}
+
+std::optional<GrantTokensMessage> RecordsCodec::decodeGrant(const QByteArray &bytes)
+{
+    const auto *table = verifiedTable<fb::GrantTokens>(bytes);
+    if (table == nullptr)
+        return std::nullopt;
+    GrantTokensMessage message;
+    message.configurationVersion = table->configuration_version();
+    for (const fb::TeamDemand *demand : *table->demands())
+        message.demands.push_back(
+                {bytesOf(demand->team()), demand->rate(), demand->burst(), demand->wanted()});
+    return message;
+}
+
+QByteArray RecordsCodec::encodeGrantReply(const GrantTokensReplyMessage &message)
+{
+    FlatBufferBuilder builder;
+    std::vector<Offset<fb::TeamGrant>> offsets;
+    for (const TeamGrantMessage &grant : message.grants)
+        offsets.push_back(fb::CreateTeamGrant(builder, bytesIn(builder, grant.team), grant.granted,
+                                              static_cast<int>(grant.retryAfter.count())));
+    return finished(builder,
+                    fb::CreateGrantTokensReply(builder, builder.CreateVector(offsets),
+                                               message.configurationVersion, message.entryVms));
+}
+
+std::optional<GrantTokensReplyMessage> RecordsCodec::decodeGrantReply(const QByteArray &bytes)
+{
+    const auto *table = verifiedTable<fb::GrantTokensReply>(bytes);
+    if (table == nullptr)
+        return std::nullopt;
+    GrantTokensReplyMessage message;
+    message.configurationVersion = table->configuration_version();
+    message.entryVms = table->entry_vms();
+    if (table->grants() != nullptr) {
+        for (const fb::TeamGrant *grant : *table->grants())
+            message.grants.push_back({bytesOf(grant->team()), grant->granted(),
+                                      milliseconds(grant->retry_after_ms())});
+    }
+    return message;
+}
+
+QByteArray RecordsCodec::encodeConfiguration(const ConfigurationDocumentMessage &message)
+{
+    FlatBufferBuilder builder;
+    return finished(builder, fb::CreateConfigurationDocument(builder, message.version,
+                                                             bytesIn(builder, message.document)));
+}
+
+std::optional<ConfigurationDocumentMessage>
+RecordsCodec::decodeConfiguration(const QByteArray &bytes)
+{
+    const auto *table = verifiedTable<fb::ConfigurationDocument>(bytes);
+    if (table == nullptr)
+        return std::nullopt;
+    return ConfigurationDocumentMessage{table->version(), bytesOf(table->document())};
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -0,0 +1,318 @@
+#include "lacewingmux_records/server/RecordsServer.h"
+
+#include "lacewingmux_core/logging/StructuredLog.h"
+#include "lacewingmux_core/metrics/MetricsRecorder.h"
+#include "lacewingmux_records/log/DurableLog.h"
+#include "lacewingmux_records/messages/RecordsCodec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingmux {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds housekeepingInterval{1000};
+constexpr std::size_t namesAtOnce = 4000;           // about 100 kB
+constexpr qsizetype fetchedBytes = 2 * 1024 * 1024; // a seventh of a frame's limit
+constexpr std::chrono::seconds clockAllowance{20};  // the VMs' clocks differ
+
+// A member that hears of no majority for this long may have been replaced, so it grants nothing;
+// below the time after which RecordsMembership replaces it.
+constexpr milliseconds contactLimit{6000};
+
+// A member that is silent for longer may be replaced; beyond the time in which it still grants.
+constexpr milliseconds replacementTime{7500};
+
+// After a start, tokens of the earlier run may still be in use.
+constexpr milliseconds grantPause{2000};
+
+} // namespace
+
+RecordsServer::RecordsServer(PeerHub &peerHub, DurableLog &durableLog, TimerService &timerService,
+                             MetricsRecorder &metricsRecorder, RecordsServerHooks serverHooks)
+    : hub(peerHub)
+    , log(durableLog)
+    , timers(timerService)
+    , metrics(metricsRecorder)
+    , hooks(std::move(serverHooks))
+    , sync(
+              peerHub, this->index, timerService,
+              [this](const Record &record, std::function<void()> durable) {
+                  this->log.whenDurable(this->append(record), std::move(durable));
+              },
+              [this] { this->checkSynced(); })
+    , started(timerService.now())
+{
+    this->log.replay([this](std::uint64_t sequence, const Record &record) {
+        this->index.add(record, sequence);
+    });
+    const auto handle = [this](FrameKind kind, auto method) {
+        this->hub.setHandler(kind, [this, method](const auto &peer, const auto &frame) {
+            (this->*method)(peer, frame);
+        });
+    };
+    handle(FrameKind::OpenTurn, &RecordsServer::handleOpen);
+    handle(FrameKind::WriteRecords, &RecordsServer::handleWrite);
+    handle(FrameKind::PullKeys, &RecordsServer::handlePull);
+    handle(FrameKind::FetchRecords, &RecordsServer::handleFetch);
+    handle(FrameKind::GrantTokens, &RecordsServer::handleGrant);
+    this->hub.setHandler(
+            FrameKind::ConfigurationDocumentRequest, [this](const auto &peer, const auto &) {
+                this->hub.send(peer, {FrameKind::ConfigurationDocumentReply, 0, 0,
+                                      RecordsCodec::encodeConfiguration(this->configuration)});
+            });
+    this->hub.setHandler(FrameKind::ConfigurationDocumentReply,
+                         [this](const auto &, const auto &frame) {
+                             const auto message = RecordsCodec::decodeConfiguration(frame.payload);
+                             if (message && message->version > this->configuration.version)
+                                 this->hooks.newerConfiguration(*message);
+                         });
+    this->hub.addLinkHandler([this](const VmIncarnation &peer, bool up) {
+        if (!up)
+            this->entryVms.erase(peer);
+    });
+    this->housekeeping = this->timers.every(housekeepingInterval, [this] { this->housekeep(); });
+}
+
+void RecordsServer::setView(const RecordsView &newView)
+{
+    if (newView.number <= this->view.number)
+        return;
+    this->view = newView;
+    this->copiedTold = false;
+    std::erase_if(this->copiedTo,
+                  [this](const auto &entry) { return this->view.member(entry.first) == nullptr; });
+    this->sync.setView(newView);
+    LogEvent(LogSeverity::Info, "recordsViewAdopted")
+            .field("number", static_cast<quint64>(newView.number))
+            .field("members", static_cast<qint64>(newView.members.size()))
+            .field("synced", newView.syncedCount());
+    this->checkSynced();
+}
+
+void RecordsServer::setConfiguration(const ConfigurationDocumentMessage &newest)
+{
+    if (newest.version > this->configuration.version)
+        this->configuration = newest;
+}
+
+void RecordsServer::handleOpen(const VmIncarnation &peer, const PeerFrame &frame)
+{
+    const auto message = RecordsCodec::decodeOpen(frame.payload);
+    if (!message || this->refuseOldView(peer, frame))
+        return;
+    const RecordsMember *self = this->view.member(this->hub.self());
+    OpenTurnReplyMessage reply;
+    reply.synced = self != nullptr && self->state != MemberState::Joining;
+    std::uint64_t sequence = 0;
+    if (message->reservation) {
+        sequence = this->append(*message->reservation);
+        reply.reservations =
+                this->index.reservations(message->reservation->program, message->reservation->key);
+    }
+    this->lookUpChain(*message, reply);
+    const auto answer = [this, peer, correlation = frame.correlation, reply] {
+        this->hub.send(peer, {FrameKind::OpenTurnReply, this->view.number, correlation,
+                              RecordsCodec::encodeOpenReply(reply)});
+    };
+    if (sequence == 0)
+        answer();
+    else
+        this->log.whenDurable(sequence, answer);
+}
+
+void RecordsServer::lookUpChain(const OpenTurnMessage &message, OpenTurnReplyMessage &reply)
+{
+    if (message.previousTurn.isEmpty())
+        return;
+    const ChainLookup lookup =
+            this->index.chain(message.previousTurn, message.team, this->timers.wallNow());
+    reply.chain = lookup.status;
+    if (lookup.status != ChainStatus::Found || !message.wantsHistory)
+        return;
+    for (const std::uint64_t sequence : lookup.sequences) {
+        const std::optional<Record> record = this->log.read(sequence);
+        if (!record) {
+            reply.chain = ChainStatus::Incomplete;
+            reply.history.clear();
+            return;
+        }
+        reply.history += record->input;
+        reply.history += record->output;
+    }
+}
+
+void RecordsServer::handleWrite(const VmIncarnation &peer, const PeerFrame &frame)
+{
+    const auto records = RecordsCodec::decodeRecords(frame.payload);
+    if (!records || this->refuseOldView(peer, frame))
+        return;
+    std::uint64_t last = 0;
+    for (const Record &record : *records)
+        last = std::max(last, this->append(record));
+    if (frame.correlation == 0 || last == 0)
+        return;
+    this->log.whenDurable(last, [this, peer, correlation = frame.correlation] {
+        this->hub.send(peer, {FrameKind::WriteRecordsAck, this->view.number, correlation, {}});
+    });
+}
+
+void RecordsServer::handlePull(const VmIncarnation &peer, const PeerFrame &frame)
+{
+    const auto after = RecordsCodec::decodePull(frame.payload);
+    if (!after || this->refuseOldView(peer, frame))
+        return;
+    this->heard[peer] = this->timers.now();
+    const auto found = this->index.namesAfter(*after, namesAtOnce);
+    PullKeysReplyMessage reply;
+    for (const auto &[sequence, name] : found)
+        reply.names.push_back(name);
+    reply.next = found.empty() ? *after : found.back().first;
+    reply.atEnd = found.size() < namesAtOnce;
+    this->hub.send(peer, {FrameKind::PullKeysReply, this->view.number, 0,
+                          RecordsCodec::encodePullReply(reply)});
+    const bool hasAllBefore = frame.correlation != 0;
+    if (hasAllBefore)
+        this->copiedTo[peer] = *after;
+    this->checkSynced();
+}
+
+void RecordsServer::handleFetch(const VmIncarnation &peer, const PeerFrame &frame)
+{
+    const auto names = RecordsCodec::decodeFetch(frame.payload);
+    if (!names)
+        return;
+    std::vector<Record> records;
+    qsizetype bytes = 0;
+    for (const RecordName &name : *names) {
+        std::optional<Record> record = this->log.read(this->index.sequenceOf(name));
+        if (!record)
+            continue;
+        bytes += record->input.size() + record->output.size();
+        records.push_back(std::move(*record));
+        if (bytes >= fetchedBytes)
+            break;
+    }
+    this->hub.send(peer, {FrameKind::FetchRecordsReply, this->view.number, 0,
+                          RecordsCodec::encodeRecords(records)});
+}
+
+void RecordsServer::handleGrant(const VmIncarnation &peer, const PeerFrame &frame)
+{
+    const auto message = RecordsCodec::decodeGrant(frame.payload);
+    if (!message)
+        return;
+    this->entryVms.insert(peer);
+    if (message->configurationVersion > this->configuration.version)
+        this->askForConfiguration(peer);
+    const TimerService::SteadyTime now = this->timers.now();
+    const double share = this->quotaShare();
+    GrantTokensReplyMessage reply;
+    for (const TeamDemandMessage &demand : message->demands) {
+        auto bucket = this->buckets.find(demand.team);
+        if (bucket == this->buckets.end())
+            bucket = this->buckets.insert(demand.team, GrantBucket(this->started + grantPause));
+        bucket->setShare(demand.requestsPerSecond * share, demand.burst * share, now);
+        const int granted = share > 0 ? bucket->take(demand.wanted, now) : 0;
+        reply.grants.push_back({demand.team, granted, bucket->untilNext(now)});
+    }
+    reply.configurationVersion = this->configuration.version;
+    reply.entryVms = static_cast<int>(this->entryVms.size());
+    this->hub.send(peer, {FrameKind::GrantTokensReply, this->view.number, frame.correlation,
+                          RecordsCodec::encodeGrantReply(reply)});
+}
+
+bool RecordsServer::refuseOldView(const VmIncarnation &peer, const PeerFrame &frame)
+{
+    if (frame.epoch >= this->view.number && this->view.number > 0)
+        return false;
+    this->hub.send(peer, {FrameKind::RecordsViewNotice, this->view.number, frame.correlation,
+                          RecordsCodec::encodeNotice(this->view.toDocument())});
+    return true;
+}
+
+std::uint64_t RecordsServer::append(const Record &record)
+{
+    const std::uint64_t known = this->index.sequenceOf(nameOf(record));
+    if (known != 0)
+        return known;
+    const std::uint64_t sequence = this->log.append(record);
+    this->index.add(record, sequence);
+    return sequence;
+}
+
+void RecordsServer::housekeep()
+{
+    const auto now = this->timers.wallNow();
+    this->index.dropExpired(now - clockAllowance);
+    this->log.dropExpired(now);
+    this->reportSilentMembers();
+    this->metrics.set("lacewingmux_records_kept", {}, static_cast<double>(this->index.size()));
+}
+
+void RecordsServer::reportSilentMembers()
+{
+    const TimerService::SteadyTime now = this->timers.now();
+    for (const RecordsMember &member : this->view.members) {
+        const VmIncarnation &peer = member.vm.incarnation;
+        if (peer == this->hub.self())
+            continue;
+        const auto last = this->heard.try_emplace(peer, now).first->second;
+        if (now - last > replacementTime)
+            this->hooks.silent(peer);
+    }
+}
+
+void RecordsServer::checkSynced()
+{
+    const RecordsMember *self = this->view.member(this->hub.self());
+    if (self == nullptr)
+        return;
+    if (self->state == MemberState::Joining && !this->syncedTold
+        && this->sync.completedSources() >= self->syncSources) {
+        this->syncedTold = true;
+        this->hooks.synced();
+    }
+    if (self->state != MemberState::Leaving || this->copiedTold)
+        return;
+    const std::uint64_t last = this->log.lastSequence();
+    const bool copied = std::all_of(
+            this->view.members.begin(), this->view.members.end(), [this, last](const auto &member) {
+                const auto place = this->copiedTo.find(member.vm.incarnation);
+                return member.state != MemberState::Synced
+                       || (place != this->copiedTo.end() && place->second >= last);
+            });
+    if (copied && this->view.syncedCount() > 0) {
+        this->copiedTold = true;
+        this->hooks.copied();
+    }
+}
+
+double RecordsServer::quotaShare() const
+{
+    const TimerService::SteadyTime now = this->timers.now();
+    const RecordsMember *self = this->view.member(this->hub.self());
+    const int storing = this->view.storingCount();
+    if (self == nullptr || self->state == MemberState::Leaving || storing == 0
+        || now - this->started < grantPause)
+        return 0;
+    int inContact = 1;
+    for (const RecordsMember &member : this->view.members) {
+        const auto last = this->heard.find(member.vm.incarnation);
+        if (member.vm.incarnation != this->hub.self() && last != this->heard.end()
+            && now - last->second < contactLimit)
+            ++inContact;
+    }
+    // Half is enough of two members: neither can be replaced without the other.
+    return inContact * 2 >= storing ? 1.0 / storing : 0;
+}
+
+void RecordsServer::askForConfiguration(const VmIncarnation &peer)
+{
+    this->hub.send(peer, {FrameKind::ConfigurationDocumentRequest, 0, 0, {}});
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_records/server/RecordsServerHooks.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "lacewingmux_core/ids/VmIncarnation.h"
+#include "lacewingmux_records/messages/RecordMessages.h"
+
+#include <QByteArray>
+
+#include <functional>
+
+namespace lacewingmux {
+
+/** What a RecordsServer tells the control thread. */
+struct RecordsServerHooks
+{
+    std::function<void()> synced; ///< everything that was acknowledged elsewhere is on this disk
+    std::function<void()> copied; ///< all synced members have everything that is on this disk
+    std::function<void(const VmIncarnation &)> silent; ///< a member that was not heard for long
+    std::function<void(const ConfigurationDocumentMessage &)> newerConfiguration;
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_records/server/RecordsSync.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_peer/links/PeerHub.h"
+#include "lacewingmux_records/members/RecordsView.h"
+#include "lacewingmux_records/messages/Record.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace lacewingmux {
+
+class DurableLog;
+class RecordIndex;
+
+/**
+    Copies from the other members what this records VM lacks: everything after a start, and later
+    whatever did not reach it directly.
+
+    It walks along each peer's log by the names of its records, and fetches those that are still
+    missing a moment later. A link that broke starts the walk anew, because the peer may have been
+    restarted and have numbered its records again.
+*/
+class RecordsSync
+{
+public:
+    /** Stores a record that was fetched; the callback tells when it is on disk. */
+    using StoreFunction = std::function<void(const Record &, std::function<void()> durable)>;
+
+    RecordsSync(PeerHub &peerHub, const RecordIndex &recordIndex, TimerService &timerService,
+                StoreFunction storeFunction, std::function<void()> progressHook);
+
+    /** Takes the members to copy from. */
+    void setView(const RecordsView &newView);
+
+    /** Returns how many synced members' logs this VM has on disk up to their ends, as of the
+        last answer. */
+    [[nodiscard]] int completedSources() const;
+
+private:
+    struct Source
+    {
+        std::uint64_t cursor = 0;       ///< the peer's names are known up to here
+        bool atEnd = false;             ///< the last answer reached the end of its log
+        std::set<RecordName> missing;   ///< named by the peer, not on this disk
+        std::set<RecordName> askedNext; ///< still missing: to be fetched in the next round
+    };
+
+    void tick();
+    void ask(const VmIncarnation &peer, Source &source);
+    void fetchMissing(const VmIncarnation &peer, Source &source);
+    void handleNames(const VmIncarnation &peer, const PeerFrame &frame);
+    void handleRecords(const VmIncarnation &peer, const PeerFrame &frame);
+    void noteStored(const RecordName &name);
+
+    PeerHub &hub;
+    const RecordIndex &index;
+    TimerService &timers;
+    StoreFunction store;
+    std::function<void()> progress;
+    RecordsView view;
+    std::map<VmIncarnation, Source> sources;
+    TimerSubscription timer;
+};
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_zone/lacewingmux_zone.h
+++ b/modules/lacewingmux_zone/lacewingmux_zone.h
@@ -6,7 +6,7 @@
  * Membership of an availability zone, the zone view with its epoch, the placement of slots on
  * VMs, and the replication of each slot's journal from its owner to its backup.
  *
- * Depends on: lacewingmux_core, lacewingmux_platform, lacewingmux_peer.
+ * Depends on: lacewingmux_core, lacewingmux_keyvalue, lacewingmux_peer.
  */
 
 #include "lacewingmux_zone/journal/AggregateRecord.h"
--- /dev/null
+++ b/programs/lacewingmuxd/PlatformDaemon.cpp
@@ -0,0 +1,80 @@
+#include "PlatformDaemon.h"
+
+#include "lacewingmux_core/errors/LacewingmuxError.h"
+#include "lacewingmux_core/logging/StandardOutputLog.h"
+#include "lacewingmux_core/logging/StructuredLog.h"
+#include "lacewingmux_core/process/StopSignals.h"
+#include "lacewingmux_core/settings/SettingsFindings.h"
+#include "lacewingmux_node/front/FrontNode.h"
+#include "lacewingmux_node/records/RecordsNode.h"
+#include "platform/PlatformNode.h"
+
+#include <QCoreApplication>
+
+#include <iostream>
+
+namespace lacewingmux {
+
+namespace {
+
+constexpr int stopped = 0;
+constexpr int failed = 1;
+constexpr int wrongCommandLine = 2;
+constexpr int faultySettings = 3;
+constexpr int logLinesPerSecond = 200; // a tenth of a front's requests at full load have a line
+
+void logReload()
+{
+    SettingsFindings findings;
+    const PlatformSettings settings = PlatformSettings::readFromEnvironment(findings);
+    LogEvent(findings.faults.empty() ? LogSeverity::Info : LogSeverity::Error, "settingsReloaded")
+            .field("vm", settings.vm)
+            .field("faults", findings.faultText());
+}
+
+int runFront(const PlatformSettings &settings)
+{
+    FrontNode node(nodeSettingsFor(settings), nodeSeamsFor(settings),
+                   [] { QCoreApplication::exit(stopped); });
+    const StopSignals signals([&node] { node.beginStop(); }, logReload);
+    return QCoreApplication::exec();
+}
+
+int runRecords(const PlatformSettings &settings)
+{
+    const RecordsNode node(nodeSettingsFor(settings), nodeSeamsFor(settings));
+    // All that was acknowledged is on disk, so there is nothing to wait for.
+    const StopSignals signals([] { QCoreApplication::exit(stopped); }, logReload);
+    return QCoreApplication::exec();
+}
+
+} // namespace
+
+int runPlatformNode(const std::string &role)
+{
+    if (role != "front" && role != "records") {
+        std::cerr << "--platform-role is front or records, not \"" << role << "\"\n";
+        return wrongCommandLine;
+    }
+    SettingsFindings findings;
+    const PlatformSettings settings = PlatformSettings::readFromEnvironment(findings);
+    if (!findings.faults.empty()) {
+        std::cerr << findings.faultText().toStdString() << '\n';
+        return faultySettings;
+    }
+    const StandardOutputLog log(logLinesPerSecond);
+    LogEvent(LogSeverity::Info, "start")
+            .field("vm", settings.vm)
+            .field("role", QString::fromStdString(role))
+            .field("firstStart", settings.firstStart);
+    try {
+        const int code = role == "front" ? runFront(settings) : runRecords(settings);
+        LogEvent(LogSeverity::Info, "stop").field("code", code);
+        return code;
+    } catch (const LacewingmuxError &error) {
+        LogEvent(LogSeverity::Error, "nodeFailed").field("reason", error.message());
+        return failed;
+    }
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/programs/lacewingmuxd/PlatformDaemon.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+namespace lacewingmux {
+
+/**
+    Runs a node on the operators' platform until a planned stop has ended, and returns the exit
+    code of the process. The role is "front" or "records".
+*/
+[[nodiscard]] int runPlatformNode(const std::string &role);
+
+} // namespace lacewingmux
--- a/programs/lacewingmuxd/main.cpp
+++ b/programs/lacewingmuxd/main.cpp
@@ -1,8 +1,10 @@
+#include "PlatformDaemon.h"
+
 #include "lacewingmux_core/errors/LacewingmuxError.h"
 #include "lacewingmux_core/logging/StructuredLog.h"
+#include "lacewingmux_core/process/StopSignals.h"
 #include "lacewingmux_daemon/assembly/Daemon.h"
 #include "lacewingmux_daemon/process/LogSetup.h"
-#include "lacewingmux_daemon/process/StopSignals.h"
 #include "lacewingmux_daemon/settings/DaemonSettingsReader.h"
 
 #include <QCoreApplication>
@@ -31,6 +33,8 @@
     cxxopts::Options options("lacewingmuxd", "Schedules agent programs on one entry VM.");
     auto add = options.add_options();
     add("config", "settings file, JSON", cxxopts::value<std::string>());
+    add("platform-role", "run on the operators' platform, as front or records",
+        cxxopts::value<std::string>());
     add("check-config", "check the settings, print every fault, and end");
     add("describe-settings", "print each field of the settings as a table, and end");
     add("version", "print the version, and end");
@@ -95,6 +99,8 @@
         describeSettings();
         return StoppedAsPlanned;
     }
+    if (arguments.count("platform-role") > 0)
+        return runPlatformNode(arguments["platform-role"].as<std::string>());
     if (arguments.count("config") == 0) {
         std::cerr << "--config is missing\n" << options.help();
         return WrongCommandLine;
--- a/standins/store/EtcdService.cpp
+++ b/standins/store/EtcdService.cpp
@@ -1,6 +1,6 @@
 #include "store/EtcdService.h"
 
-#include "lacewingmux_platform/etcd/EtcdJson.h"
+#include "lacewingmux_keyvalue/etcd/EtcdJson.h"
 
 #include <QJsonArray>
 
--- a/standins/store/EtcdService.h
+++ b/standins/store/EtcdService.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lacewingmux_platform/memory/KeyValueTable.h"
+#include "lacewingmux_keyvalue/memory/KeyValueTable.h"
 #include "store/EtcdReply.h"
 
 #include <QJsonObject>
--- a/standins/store/WatchStream.cpp
+++ b/standins/store/WatchStream.cpp
@@ -1,7 +1,7 @@
 #include "store/WatchStream.h"
 
 #include "common/StandinHttpServer.h"
-#include "lacewingmux_platform/etcd/EtcdJson.h"
+#include "lacewingmux_keyvalue/etcd/EtcdJson.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
--- a/standins/store/WatchStream.h
+++ b/standins/store/WatchStream.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "lacewingmux_platform/memory/KeyValueTable.h"
-#include "lacewingmux_platform/store/KeyRange.h"
+#include "lacewingmux_keyvalue/memory/KeyValueTable.h"
+#include "lacewingmux_keyvalue/store/KeyRange.h"
 
 #include <QJsonObject>
 #include <QPointer>
--- a/tests/allowance/support/AllowanceFleet.h
+++ b/tests/allowance/support/AllowanceFleet.h
@@ -7,10 +7,10 @@
 #include "lacewingmux_config/documents/Configuration.h"
 #include "lacewingmux_core/metrics/IgnoringMetricsRecorder.h"
 #include "lacewingmux_core/time/ManualTimerService.h"
+#include "lacewingmux_keyvalue/memory/InMemoryPlatformStore.h"
+#include "lacewingmux_keyvalue/memory/InMemoryStoreServer.h"
 #include "lacewingmux_peer/links/InMemoryPeerNetwork.h"
 #include "lacewingmux_peer/links/PeerHub.h"
-#include "lacewingmux_platform/memory/InMemoryPlatformStore.h"
-#include "lacewingmux_platform/memory/InMemoryStoreServer.h"
 #include "lacewingmux_zone/views/FleetViews.h"
 
 #include <map>
--- a/tests/backend/RegistryTest.cpp
+++ b/tests/backend/RegistryTest.cpp
@@ -3,9 +3,9 @@
 #include "lacewingmux_backend/messages/BackendMessages.h"
 #include "lacewingmux_backend/replicas/ReplicaRegistry.h"
 #include "lacewingmux_core/errors/LacewingmuxError.h"
+#include "lacewingmux_keyvalue/memory/InMemoryPlatformStore.h"
 #include "lacewingmux_peer/links/InMemoryPeerNetwork.h"
 #include "lacewingmux_peer/links/PeerHub.h"
-#include "lacewingmux_platform/memory/InMemoryPlatformStore.h"
 #include "lacewingmux_zone/views/ZoneView.h"
 
 #include <criterion/criterion.h>
--- a/tests/config/ConfigurationRegisterTest.cpp
+++ b/tests/config/ConfigurationRegisterTest.cpp
@@ -1,6 +1,6 @@
 #include "lacewingmux_config/records/ConfigurationRegister.h"
 #include "lacewingmux_core/time/ManualTimerService.h"
-#include "lacewingmux_platform/memory/InMemoryPlatformStore.h"
+#include "lacewingmux_keyvalue/memory/InMemoryPlatformStore.h"
 
 #include <criterion/criterion.h>
 
--- a/tests/config/ConfigurationServiceTest.cpp
+++ b/tests/config/ConfigurationServiceTest.cpp
@@ -6,8 +6,8 @@
 #include "lacewingmux_core/errors/LacewingmuxError.h"
 #include "lacewingmux_core/metrics/IgnoringMetricsRecorder.h"
 #include "lacewingmux_core/time/ManualTimerService.h"
+#include "lacewingmux_keyvalue/memory/InMemoryPlatformStore.h"
 #include "lacewingmux_peer/links/InMemoryPeerNetwork.h"
-#include "lacewingmux_platform/memory/InMemoryPlatformStore.h"
 
 #include <QTemporaryDir>
 
--- a/tests/config/KeyRegisterTest.cpp
+++ b/tests/config/KeyRegisterTest.cpp
@@ -1,7 +1,7 @@
 #include "lacewingmux_config/keys/KeyRegister.h"
 #include "lacewingmux_config/keys/KeyRing.h"
 #include "lacewingmux_core/time/ManualTimerService.h"
-#include "lacewingmux_platform/memory/InMemoryPlatformStore.h"
+#include "lacewingmux_keyvalue/memory/InMemoryPlatformStore.h"
 
 #include <criterion/criterion.h>
 
--- a/tests/daemon/ServiceThreadTest.cpp
+++ b/tests/daemon/ServiceThreadTest.cpp
@@ -1,5 +1,5 @@
-#include "lacewingmux_daemon/threads/ServiceThread.h"
-#include "lacewingmux_daemon/process/StopSignals.h"
+#include "lacewingmux_core/threads/ServiceThread.h"
+#include "lacewingmux_core/process/StopSignals.h"
 
 #include <criterion/criterion.h>
 
--- a/tests/platform/InMemoryPlatformStoreTest.cpp
+++ b/tests/keyvalue/InMemoryPlatformStoreTest.cpp
@@ -1,4 +1,4 @@
-#include "lacewingmux_platform/memory/InMemoryPlatformStore.h"
+#include "lacewingmux_keyvalue/memory/InMemoryPlatformStore.h"
 #include "lacewingmux_core/time/ManualTimerService.h"
 
 #include <criterion/criterion.h>
--- a/tests/store/HttpPlatformStoreTest.cpp
+++ b/tests/store/HttpPlatformStoreTest.cpp
@@ -1,4 +1,4 @@
-#include "lacewingmux_platform/client/HttpPlatformStore.h"
+#include "lacewingmux_keyvalue/client/HttpPlatformStore.h"
 #include "EventLoop.h"
 #include "lacewingmux_core/metrics/IgnoringMetricsRecorder.h"
 #include "lacewingmux_core/time/QtTimerService.h"
--- a/tests/store/LostReplyTest.cpp
+++ b/tests/store/LostReplyTest.cpp
@@ -1,7 +1,7 @@
 #include "EventLoop.h"
 #include "lacewingmux_core/metrics/IgnoringMetricsRecorder.h"
 #include "lacewingmux_core/time/QtTimerService.h"
-#include "lacewingmux_platform/client/HttpPlatformStore.h"
+#include "lacewingmux_keyvalue/client/HttpPlatformStore.h"
 #include "store/StoreStandin.h"
 
 #include <QTcpServer>
--- a/tests/zone/membership/MembershipFleet.h
+++ b/tests/zone/membership/MembershipFleet.h
@@ -2,9 +2,9 @@
 
 #include "lacewingmux_core/metrics/IgnoringMetricsRecorder.h"
 #include "lacewingmux_core/time/ManualTimerService.h"
+#include "lacewingmux_keyvalue/memory/InMemoryPlatformStore.h"
 #include "lacewingmux_peer/links/InMemoryPeerNetwork.h"
 #include "lacewingmux_peer/links/PeerHub.h"
-#include "lacewingmux_platform/memory/InMemoryPlatformStore.h"
 #include "lacewingmux_zone/membership/ZoneMembership.h"
 
 #include <chrono>
