--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -25,6 +25,7 @@
 constexpr milliseconds recordsRetry{250};         // about the time to reconnect to a records VM
 constexpr milliseconds firstPlacementPause{15};   // about half of a tool call
 constexpr milliseconds longestPlacementPause{120};
+constexpr std::size_t firstTurnParts = 2;   // what programs share, and the turn's own
 constexpr milliseconds leastUsefulTime{20}; // below it no replica can answer any call in time
 
 /** Returns the service that gets the request; the same one whenever the request comes again. */
@@ -121,16 +122,24 @@
         this->openTurn();
         return;
     }
+    const bool startsProgram = this->route.kind == RouteKind::Stream
+                               && !this->description.program.isEmpty()
+                               && this->description.previousTurn.isEmpty()
+                               && this->description.promptParts.size() <= firstTurnParts;
+    const int priority = this->team.priority.value_or(this->route.priority);
+    this->quotaRequest = {this->team, quotaReserve(startsProgram, priority)};
     this->services.quota.take(
-            this->team, [guard = this->weak_from_this()](const QuotaAnswer &answer) {
+            this->quotaRequest, [guard = this->weak_from_this()](const QuotaAnswer &answer) {
                 const auto self = guard.lock();
                 if (!self || self->phase != Phase::Admitting)
                     return;
-                if (answer.admitted)
-                    self->openTurn();
-                else
+                if (!answer.admitted) {
                     self->refuse(ErrorKind::RateLimited, "the team is over its rate and burst",
                                  answer.retryAfter);
+                    return;
+                }
+                self->quotaTaken = true;
+                self->openTurn();
             });
 }
 
@@ -216,6 +225,7 @@
     this->replica = instance;
     this->sentAt = this->now();
     ++this->runs;
+    this->quotaTaken = false;
     this->services.fleet.placement().started(instance);
 
     ReplicaSend send;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -6,6 +6,7 @@
 #include "lacewingmux_gateway/calls/ReplicaVerdict.h"
 #include "lacewingmux_gateway/forwarding/CallDeadline.h"
 #include "lacewingmux_gateway/forwarding/GatewayServices.h"
+#include "lacewingmux_gateway/forwarding/QuotaRequest.h"
 #include "lacewingmux_gateway/forwarding/StreamEvents.h"
 #include "lacewingmux_gateway/forwarding/TurnOpening.h"
 #include "lacewingmux_gateway/http/HttpRequest.h"
@@ -97,6 +98,7 @@
     void breakOff(const char *reason);
     void settle();
     void end(const char *outcome);
+    void logEnd(const char *outcome) const;
 
     [[nodiscard]] bool mayRunAgain() const;
     [[nodiscard]] bool isTurn() const;
@@ -118,6 +120,8 @@
     TimerService::SteadyTime sentAt;
     Phase phase = Phase::Admitting;
 
+    QuotaRequest quotaRequest;
+    bool quotaTaken = false; ///< and no replica has been sent the request
     TurnOpening opening;
     bool reserved = false;
     QByteArray history;
@@ -133,6 +137,7 @@
     QByteArray body; ///< of an answer that is passed on as a whole
     StreamEvents events;
     bool streamBegun = false; ///< the caller has the head of a stream
+    QByteArray endReason;     ///< why it was refused or broken off, for the log
     TimerSubscription timeout;
     TimerSubscription retry;
 };
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -1,6 +1,7 @@
 #include "lacewingmux_gateway/forwarding/ForwardedCall.h"
 
 #include "lacewingmux_gateway/calls/CallDialect.h"
+#include "lacewingmux_gateway/forwarding/TeamQuota.h"
 #include "lacewingmux_gateway/forwarding/TurnLedger.h"
 #include "lacewingmux_gateway/http/HttpText.h"
 #include "lacewingmux_gateway/ingress/IngressConnection.h"
@@ -297,24 +298,13 @@
     const QJsonObject document{{QStringLiteral("error"), error}};
     this->caller->sendAnswer(answer.httpStatus, reasonPhrase(answer.httpStatus), fields,
                              QJsonDocument(document).toJson(QJsonDocument::Compact));
-    LogEvent(LogSeverity::Info, "callRefused")
-            .field("request", QString::fromLatin1(this->description.requestId))
-            .field("kind", answer.name)
-            .field("reason", reason)
-            .field("route", QString::fromUtf8(this->route.name))
-            .field("replica", QString::fromUtf8(this->replica))
-            .field("rejections", this->rejections)
-            .field("runs", this->runs);
+    this->endReason = reason;
     this->end(answer.name);
 }
 
 void ForwardedCall::breakOff(const char *reason)
 {
-    LogEvent(LogSeverity::Info, "streamBrokenOff")
-            .field("request", QString::fromLatin1(this->description.requestId))
-            .field("reason", reason)
-            .field("events", static_cast<qint64>(this->events.count()))
-            .field("replica", QString::fromUtf8(this->replica));
+    this->endReason = reason;
     this->leaveReplica();
     this->settle();
     this->caller->abort();
@@ -336,6 +326,9 @@
     this->leaveReplica();
     this->timeout.cancel();
     this->retry.cancel();
+    if (std::exchange(this->quotaTaken, false))
+        this->services.quota.giveBack(this->quotaRequest);
+    this->logEnd(outcome);
     this->services.metrics.count("lacewingmux_calls_total",
                                  {{QStringLiteral("outcome"), QLatin1String(outcome)}}, 1);
     const auto hook = std::exchange(this->ended, nullptr);
@@ -343,4 +336,32 @@
         hook();
 }
 
+void ForwardedCall::logEnd(const char *outcome) const
+{
+    const auto elapsed = std::chrono::floor<milliseconds>(this->now() - this->arrived);
+    LogEvent line(LogSeverity::Info, "callEnded");
+    line.field("request", QString::fromLatin1(this->description.requestId))
+            .field("outcome", outcome)
+            .field("milliseconds", static_cast<qint64>(elapsed.count()))
+            .field("route", QString::fromUtf8(this->route.name));
+    if (!this->endReason.isEmpty())
+        line.field("reason", QString::fromLatin1(this->endReason));
+    if (!this->team.name.isEmpty())
+        line.field("team", QString::fromUtf8(this->team.name));
+    if (!this->description.program.isEmpty())
+        line.field("program", QString::fromLatin1(this->description.program));
+    if (!this->opening.previousTurn.isEmpty())
+        line.field("previousTurn", QString::fromLatin1(this->opening.previousTurn));
+    if (!this->replica.isEmpty())
+        line.field("replica", QString::fromUtf8(this->replica))
+                .field("status", this->head.status)
+                .field("runs", this->runs);
+    if (this->rejections > 0)
+        line.field("rejections", this->rejections);
+    if (this->events.count() > 0)
+        line.field("events", static_cast<qint64>(this->events.count()));
+    if (this->services.table)
+        line.field("configuration", static_cast<quint64>(this->services.table->version()));
+}
+
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/TeamQuota.h
+++ b/modules/lacewingmux_gateway/forwarding/TeamQuota.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lacewingmux_gateway/routing/GatewayTeam.h"
+#include "lacewingmux_gateway/forwarding/QuotaRequest.h"
 
 #include <chrono>
 #include <functional>
@@ -26,7 +26,10 @@
     TeamQuota &operator=(const TeamQuota &) = delete;
 
     /** Takes one request out of the team's quota; may call back at once. */
-    virtual void take(const GatewayTeam &team, Callback callback) = 0;
+    virtual void take(const QuotaRequest &request, Callback callback) = 0;
+
+    /** Gives back what an admitted request took that was never sent to a replica. */
+    virtual void giveBack(const QuotaRequest &request) = 0;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_keyvalue/client/PlatformStoreSettings.h
+++ b/modules/lacewingmux_keyvalue/client/PlatformStoreSettings.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include "lacewingmux_keyvalue/client/WatchPace.h"
+
+#include <QByteArray>
 #include <QString>
 #include <QUrl>
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <vector>
 
 namespace lacewingmux {
@@ -21,6 +25,7 @@
     std::chrono::milliseconds watchRenewal{60000}; ///< a silent watch is opened again after this
     std::uint64_t jitterSeed = 0;                  ///< should differ between daemons
     std::function<void(bool reachable)> contactChanged; ///< may be empty
+    std::map<QByteArray, WatchPace> watchPaces;         ///< by prefix; others have the default
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_node/records/RecordsNode.cpp
+++ b/modules/lacewingmux_node/records/RecordsNode.cpp
@@ -58,6 +58,9 @@
                 this->membership->replaceSilent(member);
         });
     };
+    hooks.newerView = [this](const QByteArray &document) {
+        this->queue.post([this, document] { this->membership->offerView(document); });
+    };
     hooks.newerConfiguration = [this](const ConfigurationDocumentMessage &message) {
         this->queue.post([this, message] { this->takeConfiguration(message.document); });
     };
--- a/modules/lacewingmux_records/client/FleetQuota.cpp
+++ b/modules/lacewingmux_records/client/FleetQuota.cpp
@@ -14,7 +14,8 @@
 
 constexpr milliseconds tickInterval{50};
 constexpr milliseconds answerLimit{150}; // dozens of round trips; then another records VM is asked
-constexpr milliseconds longestWait{500}; // of a request, before it had better come back
+constexpr milliseconds longestWait{250}; // the response-time goal of the slowest plain calls
+constexpr milliseconds unreachableWait{600}; // for a link to a records VM to come back
 constexpr milliseconds unreachableRetry{300};
 constexpr milliseconds shortestRetry{50}; // below it a refused caller would only be refused again
 
@@ -45,24 +46,34 @@
 
 FleetQuota::~FleetQuota() = default;
 
-void FleetQuota::take(const GatewayTeam &limits, Callback callback)
+void FleetQuota::take(const QuotaRequest &request, Callback callback)
 {
     const TimerService::SteadyTime now = this->timers.now();
-    Team &team = this->teams[limits.name];
-    team.limits = limits;
-    team.pocket.noteDemand(now);
-    if (team.waiting.empty() && team.pocket.take(now)) {
-        this->ask(team);
+    Queue &queue = this->queues[{request.team.name, request.reserve}];
+    queue.request = request;
+    queue.pocket.noteDemand(now);
+    if (queue.waiting.empty() && queue.pocket.take(now)) {
+        this->ask(queue);
         callback({true, milliseconds(0)});
         return;
     }
-    if (now < team.exhaustedUntil) {
-        const auto wait = std::chrono::ceil<milliseconds>(team.exhaustedUntil - now);
+    const auto ahead = static_cast<std::int64_t>(queue.waiting.size());
+    const milliseconds wait =
+            std::max(milliseconds(0), std::chrono::ceil<milliseconds>(queue.nextToken - now))
+            + ahead * this->timePerToken(queue);
+    if (now < queue.nextToken && wait > longestWait) {
         callback({false, std::max(shortestRetry, wait)});
         return;
     }
-    team.waiting.push_back({std::move(callback), now});
-    this->ask(team);
+    queue.waiting.push_back({std::move(callback), now});
+    this->ask(queue);
+}
+
+void FleetQuota::giveBack(const QuotaRequest &request)
+{
+    Queue &queue = this->queues[{request.team.name, request.reserve}];
+    queue.pocket.put(1, this->timers.now());
+    this->serveWaiting(queue);
 }
 
 void FleetQuota::setView(const RecordsView &newView)
@@ -77,27 +88,28 @@
         this->configuration = newest;
 }
 
-void FleetQuota::ask(Team &team)
+void FleetQuota::ask(Queue &queue)
 {
-    if (team.asking)
+    if (queue.asking || this->timers.now() < queue.nextToken)
         return;
     const int wanted =
-            team.pocket.wanted(static_cast<int>(team.waiting.size()), this->timers.now());
+            queue.pocket.wanted(static_cast<int>(queue.waiting.size()), this->timers.now());
     const std::vector<VmIncarnation> candidates = this->sources();
     if (wanted <= 0 || candidates.empty())
         return;
-    team.sourceIndex %= static_cast<int>(candidates.size());
+    queue.asked = queue.asked < candidates.size() ? queue.asked : 0;
     const std::uint64_t number = this->nextNumber++;
     GrantTokensMessage message;
     message.configurationVersion = this->configuration.version;
-    message.demands.push_back(
-            {team.limits.name, team.limits.requestsPerSecond, team.limits.burst, wanted});
-    if (!this->hub.send(candidates[static_cast<std::size_t>(team.sourceIndex)],
-                        {FrameKind::GrantTokens, this->view.number, number,
-                         RecordsCodec::encodeGrant(message)}))
+    message.demands.push_back({queue.request.team.name, queue.request.team.requestsPerSecond,
+                               queue.request.team.burst, wanted, queue.request.reserve});
+    if (!this->hub.send(candidates[queue.asked], {FrameKind::GrantTokens, this->view.number, number,
+                                                  RecordsCodec::encodeGrant(message)}))
         return;
-    team.asking = true;
-    this->asked.emplace(number, std::make_pair(team.limits.name, this->timers.now()));
+    queue.asking = true;
+    this->asked.emplace(number,
+                        std::make_pair(QueueKey(queue.request.team.name, queue.request.reserve),
+                                       this->timers.now()));
 }
 
 void FleetQuota::handleReply(const VmIncarnation &peer, const PeerFrame &frame)
@@ -108,83 +120,93 @@
         return;
     if (message->configurationVersion > this->configuration.version)
         this->hub.send(peer, {FrameKind::ConfigurationDocumentRequest, 0, 0, {}});
-    const TimerService::SteadyTime now = this->timers.now();
-    for (const TeamGrantMessage &grant : message->grants) {
-        const auto found = this->teams.find(grant.team);
-        if (found == this->teams.end())
-            continue;
-        // The wait for the reply counts as part of the tokens' life.
-        if (!question.empty())
-            found->pocket.put(grant.granted, question.mapped().second);
-        if (question.empty())
-            continue;
-        found->asking = false;
-        this->serveWaiting(*found);
-        if (found->waiting.empty()) {
-            found->sourceIndex = grant.granted > 0 ? found->sourceIndex : 0;
-            continue;
-        }
-        found->shortestWait = found->shortestWait.count() == 0
-                                      ? grant.retryAfter
-                                      : std::min(found->shortestWait, grant.retryAfter);
-        const int sourceCount = static_cast<int>(this->sources().size());
-        if (++found->sourceIndex < sourceCount) {
-            this->ask(*found);
-            continue;
-        }
-        found->sourceIndex = 0;
-        const milliseconds wait = std::exchange(found->shortestWait, milliseconds(0));
-        found->exhaustedUntil = now + wait;
-        this->refuseWaiting(*found, wait);
-    }
+    this->entryVms = std::max(1, message->entryVms);
+    if (question.empty() || message->grants.empty())
+        return; // answered too late: another records VM has been asked
+    const TeamGrantMessage &grant = message->grants.front();
+    Queue &queue = this->queues[question.mapped().first];
+    // The wait for the reply counts as part of the tokens' life.
+    queue.pocket.put(grant.granted, question.mapped().second);
+    queue.asking = false;
+    this->serveWaiting(queue);
+    queue.shortestWait =
+            queue.asked == 0 ? grant.retryAfter : std::min(queue.shortestWait, grant.retryAfter);
+    ++queue.asked;
+    if (queue.waiting.empty())
+        queue.asked = 0;
+    else if (queue.asked < this->sources().size())
+        this->ask(queue);
+    else
+        this->endRound(question.mapped().first, queue);
 }
 
-void FleetQuota::serveWaiting(Team &team)
+void FleetQuota::serveWaiting(Queue &queue)
 {
     const TimerService::SteadyTime now = this->timers.now();
-    while (!team.waiting.empty() && team.pocket.take(now)) {
-        const Callback callback = std::move(team.waiting.front().callback);
-        team.waiting.pop_front();
+    while (!queue.waiting.empty() && queue.pocket.take(now)) {
+        const Callback callback = std::move(queue.waiting.front().callback);
+        queue.waiting.pop_front();
         callback({true, milliseconds(0)});
     }
 }
 
-void FleetQuota::refuseWaiting(Team &team, milliseconds retryAfter)
+void FleetQuota::endRound(const QueueKey &key, Queue &queue)
 {
+    queue.asked = 0;
+    const milliseconds wait = std::max(milliseconds(1), queue.shortestWait);
+    queue.nextToken = this->timers.now() + wait;
+    queue.repeat = this->timers.after(wait, [this, key] { this->ask(this->queues[key]); });
+    const milliseconds spacing = this->timePerToken(queue);
+    const milliseconds room = std::max(milliseconds(0), longestWait - wait);
+    this->refuseBeyond(queue, static_cast<std::size_t>(room / spacing), wait);
+}
+
+void FleetQuota::refuseBeyond(Queue &queue, std::size_t kept, milliseconds retryAfter)
+{
+    if (queue.waiting.size() <= kept)
+        return;
+    std::vector<Waiting> refused;
+    while (queue.waiting.size() > kept) {
+        refused.push_back(std::move(queue.waiting.back()));
+        queue.waiting.pop_back();
+    }
     // Those that come back later find room one after another, not all at once.
-    const milliseconds spread =
-            team.limits.requestsPerSecond > 0 ? milliseconds(
-                    static_cast<std::int64_t>(1000.0 / team.limits.requestsPerSecond))
-                                              : milliseconds(0);
     milliseconds wait = std::max(shortestRetry, retryAfter);
-    std::deque<Waiting> refused = std::exchange(team.waiting, {});
-    for (const Waiting &waiting : refused) {
-        waiting.callback({false, wait});
-        wait += spread;
+    for (auto waiting = refused.rbegin(); waiting != refused.rend(); ++waiting) {
+        waiting->callback({false, wait});
+        wait += this->timePerToken(queue);
     }
 }
 
+milliseconds FleetQuota::timePerToken(const Queue &queue) const
+{
+    constexpr double millisecondsPerSecond = 1000.0;
+    const double rate = std::max(1.0, queue.request.team.requestsPerSecond) / this->entryVms;
+    return std::max(milliseconds(1),
+                    milliseconds(static_cast<std::int64_t>(millisecondsPerSecond / rate)));
+}
+
 void FleetQuota::tick()
 {
     const TimerService::SteadyTime now = this->timers.now();
     while (!this->asked.empty() && now - this->asked.begin()->second.second > answerLimit) {
         const auto lost = this->asked.extract(this->asked.begin());
-        Team &team = this->teams[lost.mapped().first];
-        team.asking = false;
-        ++team.sourceIndex;
+        Queue &queue = this->queues[lost.mapped().first];
+        queue.asking = false;
+        ++queue.asked;
     }
-    for (Team &team : this->teams) {
-        if (team.waiting.empty())
+    for (auto &[key, queue] : this->queues) {
+        if (queue.waiting.empty())
             continue;
-        if (now - team.waiting.front().since > longestWait) {
+        if (now - queue.waiting.front().since > unreachableWait) {
             LogEvent(LogSeverity::Warning, "quotaUnknown")
-                    .field("team", QString::fromUtf8(team.limits.name))
-                    .field("waiting", static_cast<qint64>(team.waiting.size()))
+                    .field("team", QString::fromUtf8(key.first))
+                    .field("waiting", static_cast<qint64>(queue.waiting.size()))
                     .field("recordsVms", static_cast<qint64>(this->sources().size()));
-            this->refuseWaiting(team, unreachableRetry);
+            this->refuseBeyond(queue, 0, unreachableRetry);
             continue;
         }
-        this->ask(team);
+        this->ask(queue);
     }
 }
 
--- a/modules/lacewingmux_records/client/FleetQuota.h
+++ b/modules/lacewingmux_records/client/FleetQuota.h
@@ -8,7 +8,6 @@
 #include "lacewingmux_records/quota/QuotaPocket.h"
 
 #include <QByteArray>
-#include <QHash>
 
 #include <cstdint>
 #include <deque>
@@ -20,7 +19,8 @@
 
 /**
     Admits requests with tokens that the records VMs hand out: the one in the own zone first, and
-    the others when it has none left.
+    the others when it has none left. A request waits a little for a token that is about to come;
+    one that would wait longer is refused at once.
 */
 class FleetQuota final : public TeamQuota
 {
@@ -30,7 +30,8 @@
                std::function<void(const ConfigurationDocumentMessage &)> newerConfigurationHook);
     ~FleetQuota() override;
 
-    void take(const GatewayTeam &team, Callback callback) override;
+    void take(const QuotaRequest &request, Callback callback) override;
+    void giveBack(const QuotaRequest &request) override;
 
     /** Takes a view of the records VMs. */
     void setView(const RecordsView &newView);
@@ -39,27 +40,33 @@
     void setConfiguration(const ConfigurationDocumentMessage &newest);
 
 private:
+    using QueueKey = std::pair<QByteArray, double>; ///< team and reserve
+
     struct Waiting
     {
         Callback callback;
         TimerService::SteadyTime since;
     };
 
-    struct Team
+    /** Requests of one team that leave the same part of its burst. */
+    struct Queue
     {
-        GatewayTeam limits;
+        QuotaRequest request;
         QuotaPocket pocket;
         std::deque<Waiting> waiting;
-        int sourceIndex = 0; ///< which of the sources is asked, in the order of preference
         bool asking = false;
-        TimerService::SteadyTime exhaustedUntil; ///< no records VM has a token before
-        std::chrono::milliseconds shortestWait{0};
+        std::size_t asked = 0; ///< sources that were asked in this round, in order of preference
+        std::chrono::milliseconds shortestWait{0}; ///< until a source of this round has a token
+        TimerService::SteadyTime nextToken;        ///< when a round in vain is to be repeated
+        TimerSubscription repeat;
     };
 
-    void ask(Team &team);
+    void ask(Queue &queue);
     void handleReply(const VmIncarnation &peer, const PeerFrame &frame);
-    void serveWaiting(Team &team);
-    void refuseWaiting(Team &team, std::chrono::milliseconds retryAfter);
+    void serveWaiting(Queue &queue);
+    void endRound(const QueueKey &key, Queue &queue);
+    void refuseBeyond(Queue &queue, std::size_t kept, std::chrono::milliseconds retryAfter);
+    [[nodiscard]] std::chrono::milliseconds timePerToken(const Queue &queue) const;
     void tick();
     [[nodiscard]] std::vector<VmIncarnation> sources() const;
 
@@ -68,9 +75,10 @@
     std::function<void(const ConfigurationDocumentMessage &)> newerConfiguration;
     RecordsView view;
     ConfigurationDocumentMessage configuration;
-    QHash<QByteArray, Team> teams;
+    std::map<QueueKey, Queue> queues;
+    int entryVms = 1; ///< that share the teams' rates, as a records VM told last
     std::uint64_t nextNumber = 1;
-    std::map<std::uint64_t, std::pair<QByteArray, TimerService::SteadyTime>> asked; ///< by number
+    std::map<std::uint64_t, std::pair<QueueKey, TimerService::SteadyTime>> asked; ///< by number
     TimerSubscription timer;
 };
 
--- a/modules/lacewingmux_records/messages/RecordMessages.h
+++ b/modules/lacewingmux_records/messages/RecordMessages.h
@@ -61,6 +61,7 @@
     double requestsPerSecond = 0;
     double burst = 0;
     int wanted = 0;
+    double reserve = 0; ///< part of the burst that has to be left over
 };
 
 /** Asks for admission tokens of several teams. */
--- a/modules/lacewingmux_records/messages/RecordsCodec.cpp
+++ b/modules/lacewingmux_records/messages/RecordsCodec.cpp
@@ -247,7 +247,7 @@
     for (const TeamDemandMessage &demand : message.demands)
         offsets.push_back(fb::CreateTeamDemand(builder, bytesIn(builder, demand.team),
                                                demand.requestsPerSecond, demand.burst,
-                                               demand.wanted));
+                                               demand.wanted, demand.reserve));
     return finished(builder, fb::CreateGrantTokens(builder, builder.CreateVector(offsets),
                                                    message.configurationVersion));
 }
@@ -260,8 +260,8 @@
     GrantTokensMessage message;
     message.configurationVersion = table->configuration_version();
     for (const fb::TeamDemand *demand : *table->demands())
-        message.demands.push_back(
-                {bytesOf(demand->team()), demand->rate(), demand->burst(), demand->wanted()});
+        message.demands.push_back({bytesOf(demand->team()), demand->rate(), demand->burst(),
+                                   demand->wanted(), demand->reserve()});
     return message;
 }
 
--- a/modules/lacewingmux_records/messages/records_generated.h
+++ b/modules/lacewingmux_records/messages/records_generated.h
@@ -834,7 +834,8 @@
     VT_TEAM = 4,
     VT_RATE = 6,
     VT_BURST = 8,
-    VT_WANTED = 10
+    VT_WANTED = 10,
+    VT_RESERVE = 12
   };
   const flatbuffers::Vector<uint8_t> *team() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_TEAM);
@@ -848,6 +849,9 @@
   int32_t wanted() const {
     return GetField<int32_t>(VT_WANTED, 0);
   }
+  double reserve() const {
+    return GetField<double>(VT_RESERVE, 0.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_TEAM) &&
@@ -855,6 +859,7 @@
            VerifyField<double>(verifier, VT_RATE, 8) &&
            VerifyField<double>(verifier, VT_BURST, 8) &&
            VerifyField<int32_t>(verifier, VT_WANTED, 4) &&
+           VerifyField<double>(verifier, VT_RESERVE, 8) &&
            verifier.EndTable();
   }
 };
@@ -875,6 +880,9 @@
   void add_wanted(int32_t wanted) {
     fbb_.AddElement<int32_t>(TeamDemand::VT_WANTED, wanted, 0);
   }
+  void add_reserve(double reserve) {
+    fbb_.AddElement<double>(TeamDemand::VT_RESERVE, reserve, 0.0);
+  }
   explicit TeamDemandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -892,8 +900,10 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> team = 0,
     double rate = 0.0,
     double burst = 0.0,
-    int32_t wanted = 0) {
+    int32_t wanted = 0,
+    double reserve = 0.0) {
   TeamDemandBuilder builder_(_fbb);
+  builder_.add_reserve(reserve);
   builder_.add_burst(burst);
   builder_.add_rate(rate);
   builder_.add_wanted(wanted);
@@ -906,14 +916,16 @@
     const std::vector<uint8_t> *team = nullptr,
     double rate = 0.0,
     double burst = 0.0,
-    int32_t wanted = 0) {
+    int32_t wanted = 0,
+    double reserve = 0.0) {
   auto team__ = team ? _fbb.CreateVector<uint8_t>(*team) : 0;
   return lacewingmux::fb::CreateTeamDemand(
       _fbb,
       team__,
       rate,
       burst,
-      wanted);
+      wanted,
+      reserve);
 }
 
 struct GrantTokens FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/modules/lacewingmux_records/quota/GrantBucket.cpp
+++ b/modules/lacewingmux_records/quota/GrantBucket.cpp
@@ -18,15 +18,16 @@
     this->tokens = std::min(this->tokens, this->capacity);
 }
 
-int GrantBucket::take(int wanted, SteadyTime now)
+int GrantBucket::take(int wanted, double reserve, SteadyTime now)
 {
     this->refill(now);
-    const int taken = std::min(wanted, static_cast<int>(this->tokens));
+    const double free = std::max(0.0, this->tokens - reserve * this->capacity);
+    const int taken = std::min(wanted, static_cast<int>(free));
     this->tokens -= taken;
     return taken;
 }
 
-std::chrono::milliseconds GrantBucket::untilNext(SteadyTime now) const
+std::chrono::milliseconds GrantBucket::untilNext(double reserve, SteadyTime now) const
 {
     constexpr double millisecondsPerSecond = 1000.0;
     constexpr std::chrono::milliseconds longest{5000};
@@ -34,7 +35,7 @@
         return longest;
     const std::chrono::duration<double> passed = now - this->updated;
     const double held = this->tokens + passed.count() * this->rate;
-    const double missing = std::max(0.0, 1.0 - held);
+    const double missing = std::max(0.0, 1.0 + reserve * this->capacity - held);
     const auto wait = std::chrono::milliseconds(
             static_cast<std::int64_t>(std::ceil(missing / this->rate * millisecondsPerSecond)));
     return std::min(longest, wait);
--- a/modules/lacewingmux_records/quota/GrantBucket.h
+++ b/modules/lacewingmux_records/quota/GrantBucket.h
@@ -20,11 +20,12 @@
     /** Sets the part, in requests a second and requests. What is held beyond the burst is lost. */
     void setShare(double requestsPerSecond, double burst, SteadyTime now);
 
-    /** Takes up to the wanted number of whole tokens; returns how many. */
-    [[nodiscard]] int take(int wanted, SteadyTime now);
+    /** Takes up to the wanted number of whole tokens, but leaves the given part of the burst;
+        returns how many. */
+    [[nodiscard]] int take(int wanted, double reserve, SteadyTime now);
 
-    /** Returns how long the next token takes. */
-    [[nodiscard]] std::chrono::milliseconds untilNext(SteadyTime now) const;
+    /** Returns how long it takes until one may be taken that leaves the part of the burst. */
+    [[nodiscard]] std::chrono::milliseconds untilNext(double reserve, SteadyTime now) const;
 
 private:
     void refill(SteadyTime now);
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -59,6 +59,10 @@
     handle(FrameKind::PullKeys, &RecordsServer::handlePull);
     handle(FrameKind::FetchRecords, &RecordsServer::handleFetch);
     handle(FrameKind::GrantTokens, &RecordsServer::handleGrant);
+    this->hub.setHandler(FrameKind::RecordsViewNotice, [this](const auto &, const auto &frame) {
+        if (const auto document = RecordsCodec::decodeNotice(frame.payload))
+            this->hooks.newerView(*document);
+    });
     this->hub.setHandler(
             FrameKind::ConfigurationDocumentRequest, [this](const auto &peer, const auto &) {
                 this->hub.send(peer, {FrameKind::ConfigurationDocumentReply, 0, 0,
@@ -216,8 +220,8 @@
         if (bucket == this->buckets.end())
             bucket = this->buckets.insert(demand.team, GrantBucket(this->started + grantPause));
         bucket->setShare(demand.requestsPerSecond * share, demand.burst * share, now);
-        const int granted = share > 0 ? bucket->take(demand.wanted, now) : 0;
-        reply.grants.push_back({demand.team, granted, bucket->untilNext(now)});
+        const int granted = share > 0 ? bucket->take(demand.wanted, demand.reserve, now) : 0;
+        reply.grants.push_back({demand.team, granted, bucket->untilNext(demand.reserve, now)});
     }
     reply.configurationVersion = this->configuration.version;
     reply.entryVms = static_cast<int>(this->entryVms.size());
