Take a zone that lost its records out of rotation, and share a silent member's quota

Now readiness follows the records quorum, refusals name the time after which the balancer has moved callers, a member's part of the rates falls to the others once a majority has not heard it for longer than its own lease, and a connection ends only after an answer that said so.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -22,7 +22,6 @@
 
 constexpr milliseconds noConfigurationRetry{300}; // a few calls to the platform's store
 constexpr milliseconds noReplicaRetry{400};       // about the time in which a replica registers
-constexpr milliseconds recordsRetry{250};         // about the time to reconnect to a records VM
 constexpr milliseconds firstPlacementPause{15};   // about half of a tool call
 constexpr milliseconds longestPlacementPause{120};
 constexpr std::size_t firstTurnParts = 2;   // what programs share, and the turn's own
@@ -187,7 +186,7 @@
                      milliseconds(0));
         break;
     case TurnOutcome::Unavailable:
-        this->refuse(ErrorKind::OwnerUnavailable, "too few records VMs answered", recordsRetry);
+        this->refuse(ErrorKind::OwnerUnavailable, "too few records VMs answered", start.retryAfter);
         break;
     }
 }
--- a/modules/lacewingmux_gateway/forwarding/TurnStart.h
+++ b/modules/lacewingmux_gateway/forwarding/TurnStart.h
@@ -2,6 +2,7 @@
 
 #include <QByteArray>
 
+#include <chrono>
 #include <cstdint>
 
 namespace lacewingmux {
@@ -18,7 +19,8 @@
 struct TurnStart
 {
     TurnOutcome outcome = TurnOutcome::Unavailable;
-    QByteArray history; ///< inputs and outputs of the chain, oldest first
+    QByteArray history;                      ///< inputs and outputs of the chain, oldest first
+    std::chrono::milliseconds retryAfter{0}; ///< when it may work, if unavailable
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
@@ -201,7 +201,8 @@
 
 void IngressConnection::finishAnswer()
 {
-    if (!this->keepAlive || this->lastAnswer) {
+    // Without notice the caller may have sent its next request already, so that one is still read.
+    if (this->closeAnnounced) {
         this->lingerAndClose();
         return;
     }
@@ -243,9 +244,10 @@
     this->hooks.closed();
 }
 
-HttpFields IngressConnection::withConnectionField(HttpFields fields) const
+HttpFields IngressConnection::withConnectionField(HttpFields fields)
 {
-    if (!this->keepAlive || this->lastAnswer)
+    this->closeAnnounced = !this->keepAlive || this->lastAnswer;
+    if (this->closeAnnounced)
         fields.push_back({QByteArrayLiteral("Connection"), QByteArrayLiteral("close")});
     return fields;
 }
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.h
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.h
@@ -89,7 +89,7 @@
     void lingerAndClose();
     void closeAtOnce();
     void handleDisconnect();
-    [[nodiscard]] HttpFields withConnectionField(HttpFields fields) const;
+    [[nodiscard]] HttpFields withConnectionField(HttpFields fields);
 
     QTcpSocket *socket;
     HttpLimits limits;
@@ -99,6 +99,7 @@
     State state = State::Reading;
     bool keepAlive = true;
     bool lastAnswer = false;
+    bool closeAnnounced = false; ///< the caller knows that this answer is the last
     bool continueSent = false;
     bool headRequest = false;
     TimerService::SteadyTime waitingSince; ///< since when it is idle or reading a request
--- a/modules/lacewingmux_node/front/FrontNode.cpp
+++ b/modules/lacewingmux_node/front/FrontNode.cpp
@@ -27,6 +27,14 @@
     hooks.newerConfiguration = [this](const ConfigurationDocumentMessage &message) {
         this->queue.post([this, message] { this->takeConfiguration(message.document); });
     };
+    hooks.recordsReachable = [this](bool reachable) {
+        this->queue.post([this, reachable] {
+            this->recordsReachable = reachable;
+            LogEvent(reachable ? LogSeverity::Info : LogSeverity::Warning, "recordsQuorum")
+                    .field("reachable", reachable)
+                    .field("view", static_cast<quint64>(this->viewNumber));
+        });
+    };
     hooks.drained = [this] { this->queue.post([this] { this->stopped(); }); };
     this->traffic =
             std::make_unique<ServiceThread<FrontTraffic>>(QStringLiteral("traffic"), [this, hooks] {
@@ -120,7 +128,7 @@
 bool FrontNode::isReady() const
 {
     return !this->stopping && this->configurationVersion > 0 && this->replicasKnown
-           && this->viewNumber > 0;
+           && this->recordsReachable;
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_node/front/FrontNode.h
+++ b/modules/lacewingmux_node/front/FrontNode.h
@@ -63,6 +63,7 @@
     std::uint64_t configurationVersion = 0;
     std::uint64_t viewNumber = 0;
     bool replicasKnown = false;
+    bool recordsReachable = false;
     bool stopping = false;
 };
 
--- a/modules/lacewingmux_node/front/FrontTraffic.cpp
+++ b/modules/lacewingmux_node/front/FrontTraffic.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr qsizetype bytesPerMegabyte = 1024 * 1024;
+constexpr std::chrono::milliseconds recordsCheckInterval{100};
+// A link that broke is back sooner than the balancer would act on it.
+constexpr std::chrono::milliseconds recordsPatience{300};
 constexpr int cachePart = 5; // of the VM's memory goes to chains that were seen here
 
 GatewaySettings gatewaySettings(const NodeSettings &settings)
@@ -46,10 +49,23 @@
             std::make_unique<FleetQuota>(*this->hub, this->timers, this->hooks.newerConfiguration);
     this->gateway = std::make_unique<Gateway>(gatewaySettings(settings), this->timers, dialect,
                                               *this->quota, *this->records, metrics);
+    this->reachableCheck =
+            this->timers.every(recordsCheckInterval, [this] { this->checkRecords(); });
 }
 
 FrontTraffic::~FrontTraffic() = default;
 
+void FrontTraffic::checkRecords()
+{
+    const bool hasQuorum = this->records->hasQuorum();
+    const TimerService::SteadyTime now = this->timers.now();
+    if (hasQuorum)
+        this->lastReachable = now;
+    const bool stays = hasQuorum || now - this->lastReachable < recordsPatience;
+    if (std::exchange(this->reachable, stays) != stays)
+        this->hooks.recordsReachable(stays);
+}
+
 void FrontTraffic::setConfiguration(const std::shared_ptr<const RoutingTable> &table,
                                     const ConfigurationDocumentMessage &document)
 {
--- a/modules/lacewingmux_node/front/FrontTraffic.h
+++ b/modules/lacewingmux_node/front/FrontTraffic.h
@@ -32,6 +32,7 @@
         std::function<void(const QByteArray &document)> newerView;
         std::function<void(const ConfigurationDocumentMessage &)> newerConfiguration;
         std::function<void()> drained;
+        std::function<void(bool)> recordsReachable; ///< whether turns can be opened and kept
     };
 
     FrontTraffic(const NodeSettings &settings, const CallDialect &dialect, MetricsRecorder &metrics,
@@ -54,12 +55,17 @@
     void beginStop();
 
 private:
+    void checkRecords();
+
     QtTimerService timers;
     Hooks hooks;
     std::unique_ptr<TcpPeerHub> hub;
     std::unique_ptr<RecordsClient> records;
     std::unique_ptr<FleetQuota> quota;
     std::unique_ptr<Gateway> gateway;
+    bool reachable = false;
+    TimerService::SteadyTime lastReachable;
+    TimerSubscription reachableCheck;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_records/client/FleetQuota.cpp
+++ b/modules/lacewingmux_records/client/FleetQuota.cpp
@@ -15,8 +15,8 @@
 constexpr milliseconds tickInterval{50};
 constexpr milliseconds answerLimit{150}; // dozens of round trips; then another records VM is asked
 constexpr milliseconds longestWait{250}; // the response-time goal of the slowest plain calls
-constexpr milliseconds unreachableWait{600}; // for a link to a records VM to come back
-constexpr milliseconds unreachableRetry{300};
+constexpr milliseconds unreachableWait{600};   // for a link to a records VM to come back
+constexpr milliseconds unreachableRetry{1500}; // until the balancer sends callers elsewhere
 constexpr milliseconds shortestRetry{50}; // below it a refused caller would only be refused again
 
 } // namespace
--- a/modules/lacewingmux_records/client/RecordsClient.cpp
+++ b/modules/lacewingmux_records/client/RecordsClient.cpp
@@ -15,6 +15,10 @@
 
 // Several syncs and round trips between zones; below it a caller had better come back.
 constexpr milliseconds openingTimeout{900};
+// After which a broken link is up again.
+constexpr milliseconds relinkTime{250};
+// After which the balancer sends callers to VMs that reach the records.
+constexpr milliseconds rerouteTime{1600};
 // A whole turn is worth waiting for: giving it up costs the program a turn.
 constexpr milliseconds writingTimeout{1500};
 // How long the records of a program without retained turns are kept, at least.
@@ -79,7 +83,7 @@
         cached = this->cache.find(turn.previousTurn, turn.team, this->timers.now());
     const bool historyKnown = cached || turn.previousTurn.isEmpty();
     if (historyKnown && !turn.budget) {
-        callback({TurnOutcome::Ready, cached.value_or(QByteArray())});
+        callback({TurnOutcome::Ready, cached.value_or(QByteArray()), milliseconds(0)});
         return;
     }
     const std::uint64_t number = this->nextNumber++;
@@ -130,6 +134,16 @@
                        {FrameKind::WriteRecords, this->view.number, 0, payload});
 }
 
+bool RecordsClient::hasQuorum() const
+{
+    const auto reachable = std::count_if(this->view.members.begin(), this->view.members.end(),
+                                         [this](const auto &member) {
+                                             return member.state == MemberState::Synced
+                                                    && this->hub.isConnected(member.vm.incarnation);
+                                         });
+    return this->view.number > 0 && reachable >= this->view.reservationQuorum();
+}
+
 void RecordsClient::sendOpening(std::uint64_t number, Opening &opening)
 {
     OpenTurnMessage message = this->openMessage(opening);
@@ -210,7 +224,9 @@
         return;
     Opening &opening = entry.mapped();
     opening.timeout.cancel();
-    TurnStart start{outcome, opening.cachedHistory};
+    TurnStart start{outcome, opening.cachedHistory, milliseconds(0)};
+    if (outcome == TurnOutcome::Unavailable)
+        start.retryAfter = this->hasQuorum() ? relinkTime : rerouteTime;
     if (outcome == TurnOutcome::Ready && start.history.isEmpty()
         && !opening.turn.previousTurn.isEmpty()) {
         start.history = opening.quorum.history();
--- a/modules/lacewingmux_records/client/RecordsClient.h
+++ b/modules/lacewingmux_records/client/RecordsClient.h
@@ -38,10 +38,8 @@
                std::int64_t tokens, StoredCallback callback) override;
     void settle(const TurnOpening &opening, std::int64_t tokens) override;
 
-    [[nodiscard]] const RecordsView &currentView() const noexcept
-    {
-        return this->view;
-    }
+    /** Tells whether enough records VMs can be reached for turns to be opened and kept. */
+    [[nodiscard]] bool hasQuorum() const;
 
 private:
     struct Opening
--- a/modules/lacewingmux_records/messages/RecordMessages.h
+++ b/modules/lacewingmux_records/messages/RecordMessages.h
@@ -46,6 +46,14 @@
     QByteArray history;
 };
 
+/** Asks for the keys that a records VM appended behind a position of its log. */
+struct PullKeysMessage
+{
+    std::uint64_t after = 0;
+    bool complete = false;                  ///< the asker has on disk what lies before
+    std::vector<std::uint64_t> silentDisks; ///< of members that the asker has not heard for long
+};
+
 /** The keys that a records VM appended behind a position of its log. */
 struct PullKeysReplyMessage
 {
--- a/modules/lacewingmux_records/messages/RecordsCodec.cpp
+++ b/modules/lacewingmux_records/messages/RecordsCodec.cpp
@@ -183,16 +183,22 @@
     return table == nullptr ? std::nullopt : std::optional(bytesOf(table->document()));
 }
 
-QByteArray RecordsCodec::encodePull(std::uint64_t after)
+QByteArray RecordsCodec::encodePull(const PullKeysMessage &message)
 {
     FlatBufferBuilder builder;
-    return finished(builder, fb::CreatePullKeys(builder, after));
+    const auto silent = builder.CreateVector(message.silentDisks);
+    return finished(builder, fb::CreatePullKeys(builder, message.after, message.complete, silent));
 }
 
-std::optional<std::uint64_t> RecordsCodec::decodePull(const QByteArray &bytes)
+std::optional<PullKeysMessage> RecordsCodec::decodePull(const QByteArray &bytes)
 {
     const auto *table = verifiedTable<fb::PullKeys>(bytes);
-    return table == nullptr ? std::nullopt : std::optional<std::uint64_t>(table->after());
+    if (table == nullptr)
+        return std::nullopt;
+    PullKeysMessage message{table->after(), table->complete(), {}};
+    if (table->silent() != nullptr)
+        message.silentDisks.assign(table->silent()->begin(), table->silent()->end());
+    return message;
 }
 
 QByteArray RecordsCodec::encodePullReply(const PullKeysReplyMessage &message)
--- a/modules/lacewingmux_records/messages/RecordsCodec.h
+++ b/modules/lacewingmux_records/messages/RecordsCodec.h
@@ -27,8 +27,8 @@
     decodeOpenReply(const QByteArray &bytes);
     [[nodiscard]] static QByteArray encodeNotice(const QByteArray &viewDocument);
     [[nodiscard]] static std::optional<QByteArray> decodeNotice(const QByteArray &bytes);
-    [[nodiscard]] static QByteArray encodePull(std::uint64_t after);
-    [[nodiscard]] static std::optional<std::uint64_t> decodePull(const QByteArray &bytes);
+    [[nodiscard]] static QByteArray encodePull(const PullKeysMessage &message);
+    [[nodiscard]] static std::optional<PullKeysMessage> decodePull(const QByteArray &bytes);
     [[nodiscard]] static QByteArray encodePullReply(const PullKeysReplyMessage &message);
     [[nodiscard]] static std::optional<PullKeysReplyMessage>
     decodePullReply(const QByteArray &bytes);
--- a/modules/lacewingmux_records/messages/records_generated.h
+++ b/modules/lacewingmux_records/messages/records_generated.h
@@ -583,14 +583,25 @@
 struct PullKeys FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PullKeysBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_AFTER = 4
+    VT_AFTER = 4,
+    VT_COMPLETE = 6,
+    VT_SILENT = 8
   };
   uint64_t after() const {
     return GetField<uint64_t>(VT_AFTER, 0);
   }
+  bool complete() const {
+    return GetField<uint8_t>(VT_COMPLETE, 0) != 0;
+  }
+  const flatbuffers::Vector<uint64_t> *silent() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_SILENT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
+           VerifyOffset(verifier, VT_SILENT) &&
+           verifier.VerifyVector(silent()) &&
            verifier.EndTable();
   }
 };
@@ -602,6 +613,12 @@
   void add_after(uint64_t after) {
     fbb_.AddElement<uint64_t>(PullKeys::VT_AFTER, after, 0);
   }
+  void add_complete(bool complete) {
+    fbb_.AddElement<uint8_t>(PullKeys::VT_COMPLETE, static_cast<uint8_t>(complete), 0);
+  }
+  void add_silent(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> silent) {
+    fbb_.AddOffset(PullKeys::VT_SILENT, silent);
+  }
   explicit PullKeysBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -615,12 +632,29 @@
 
 inline flatbuffers::Offset<PullKeys> CreatePullKeys(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t after = 0) {
+    uint64_t after = 0,
+    bool complete = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> silent = 0) {
   PullKeysBuilder builder_(_fbb);
   builder_.add_after(after);
+  builder_.add_silent(silent);
+  builder_.add_complete(complete);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<PullKeys> CreatePullKeysDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t after = 0,
+    bool complete = false,
+    const std::vector<uint64_t> *silent = nullptr) {
+  auto silent__ = silent ? _fbb.CreateVector<uint64_t>(*silent) : 0;
+  return lacewingmux::fb::CreatePullKeys(
+      _fbb,
+      after,
+      complete,
+      silent__);
+}
+
 struct RecordKey FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RecordKeyBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -19,16 +19,9 @@
 constexpr qsizetype fetchedBytes = 2 * 1024 * 1024; // a seventh of a frame's limit
 constexpr std::chrono::seconds clockAllowance{20};  // the VMs' clocks differ
 
-// A member that hears of no majority for this long may have been replaced, so it grants nothing;
-// below the time after which RecordsMembership replaces it.
-constexpr milliseconds contactLimit{6000};
-
-// A member that is silent for longer may be replaced; beyond the time in which it still grants.
+// A member that is silent for longer may be replaced: far beyond a restart.
 constexpr milliseconds replacementTime{7500};
 
-// After a start, tokens of the earlier run may still be in use.
-constexpr milliseconds grantPause{2000};
-
 } // namespace
 
 RecordsServer::RecordsServer(PeerHub &peerHub, DurableLog &durableLog, TimerService &timerService,
@@ -43,8 +36,13 @@
               [this](const Record &record, std::function<void()> durable) {
                   this->log.whenDurable(this->append(record), std::move(durable));
               },
+              [this] { return this->lease.silentDisks(this->timers.now()); },
+              [this](const VmIncarnation &peer, TimerService::SteadyTime askedAt) {
+                  this->lease.noteAnswered(peer, askedAt);
+              },
               [this] { this->checkSynced(); })
     , started(timerService.now())
+    , lease(peerHub.self())
 {
     this->log.replay([this](std::uint64_t sequence, const Record &record) {
         this->index.add(record, sequence);
@@ -90,6 +88,7 @@
     std::erase_if(this->copiedTo,
                   [this](const auto &entry) { return this->view.member(entry.first) == nullptr; });
     this->sync.setView(newView);
+    this->lease.setView(newView, this->timers.now());
     LogEvent(LogSeverity::Info, "recordsViewAdopted")
             .field("number", static_cast<quint64>(newView.number))
             .field("members", static_cast<qint64>(newView.members.size()))
@@ -166,21 +165,21 @@
 
 void RecordsServer::handlePull(const VmIncarnation &peer, const PeerFrame &frame)
 {
-    const auto after = RecordsCodec::decodePull(frame.payload);
-    if (!after || this->refuseOldView(peer, frame))
+    const auto message = RecordsCodec::decodePull(frame.payload);
+    if (!message || this->refuseOldView(peer, frame))
         return;
     this->heard[peer] = this->timers.now();
-    const auto found = this->index.namesAfter(*after, namesAtOnce);
+    this->lease.noteHeard(peer, message->silentDisks, this->timers.now());
+    const auto found = this->index.namesAfter(message->after, namesAtOnce);
     PullKeysReplyMessage reply;
     for (const auto &[sequence, name] : found)
         reply.names.push_back(name);
-    reply.next = found.empty() ? *after : found.back().first;
+    reply.next = found.empty() ? message->after : found.back().first;
     reply.atEnd = found.size() < namesAtOnce;
-    this->hub.send(peer, {FrameKind::PullKeysReply, this->view.number, 0,
+    this->hub.send(peer, {FrameKind::PullKeysReply, this->view.number, frame.correlation,
                           RecordsCodec::encodePullReply(reply)});
-    const bool hasAllBefore = frame.correlation != 0;
-    if (hasAllBefore)
-        this->copiedTo[peer] = *after;
+    if (message->complete)
+        this->copiedTo[peer] = message->after;
     this->checkSynced();
 }
 
@@ -213,12 +212,12 @@
     if (message->configurationVersion > this->configuration.version)
         this->askForConfiguration(peer);
     const TimerService::SteadyTime now = this->timers.now();
-    const double share = this->quotaShare();
+    const double share = this->lease.share(now);
     GrantTokensReplyMessage reply;
     for (const TeamDemandMessage &demand : message->demands) {
         auto bucket = this->buckets.find(demand.team);
         if (bucket == this->buckets.end())
-            bucket = this->buckets.insert(demand.team, GrantBucket(this->started + grantPause));
+            bucket = this->buckets.insert(demand.team, GrantBucket(this->started));
         bucket->setShare(demand.requestsPerSecond * share, demand.burst * share, now);
         const int granted = share > 0 ? bucket->take(demand.wanted, demand.reserve, now) : 0;
         reply.grants.push_back({demand.team, granted, bucket->untilNext(demand.reserve, now)});
@@ -295,25 +294,6 @@
     }
 }
 
-double RecordsServer::quotaShare() const
-{
-    const TimerService::SteadyTime now = this->timers.now();
-    const RecordsMember *self = this->view.member(this->hub.self());
-    const int storing = this->view.storingCount();
-    if (self == nullptr || self->state == MemberState::Leaving || storing == 0
-        || now - this->started < grantPause)
-        return 0;
-    int inContact = 1;
-    for (const RecordsMember &member : this->view.members) {
-        const auto last = this->heard.find(member.vm.incarnation);
-        if (member.vm.incarnation != this->hub.self() && last != this->heard.end()
-            && now - last->second < contactLimit)
-            ++inContact;
-    }
-    // Half is enough of two members: neither can be replaced without the other.
-    return inContact * 2 >= storing ? 1.0 / storing : 0;
-}
-
 void RecordsServer::askForConfiguration(const VmIncarnation &peer)
 {
     this->hub.send(peer, {FrameKind::ConfigurationDocumentRequest, 0, 0, {}});
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -6,6 +6,7 @@
 #include "lacewingmux_records/members/RecordsView.h"
 #include "lacewingmux_records/messages/RecordMessages.h"
 #include "lacewingmux_records/quota/GrantBucket.h"
+#include "lacewingmux_records/quota/GrantLease.h"
 #include "lacewingmux_records/server/RecordsServerHooks.h"
 #include "lacewingmux_records/server/RecordsSync.h"
 
@@ -52,7 +53,6 @@
     void housekeep();
     void reportSilentMembers();
     void checkSynced();
-    [[nodiscard]] double quotaShare() const;
     void askForConfiguration(const VmIncarnation &peer);
 
     PeerHub &hub;
@@ -64,6 +64,7 @@
     RecordsSync sync;
     RecordsView view;
     TimerService::SteadyTime started;
+    GrantLease lease;
     QHash<QByteArray, GrantBucket> buckets;
     ConfigurationDocumentMessage configuration;
     std::set<VmIncarnation> entryVms;
--- a/modules/lacewingmux_records/server/RecordsSync.cpp
+++ b/modules/lacewingmux_records/server/RecordsSync.cpp
@@ -17,11 +17,14 @@
 
 RecordsSync::RecordsSync(PeerHub &peerHub, const RecordIndex &recordIndex,
                          TimerService &timerService, StoreFunction storeFunction,
+                         SilentFunction silentFunction, AnswerFunction answerFunction,
                          std::function<void()> progressHook)
     : hub(peerHub)
     , index(recordIndex)
     , timers(timerService)
     , store(std::move(storeFunction))
+    , silent(std::move(silentFunction))
+    , answered(std::move(answerFunction))
     , progress(std::move(progressHook))
 {
     this->hub.setHandler(FrameKind::PullKeysReply, [this](const auto &peer, const auto &frame) {
@@ -76,9 +79,11 @@
 void RecordsSync::ask(const VmIncarnation &peer, Source &source)
 {
     // What is on this disk of the peer's log is told with it: a leaving peer waits for that.
-    const bool complete = source.missing.empty();
-    this->hub.send(peer, {FrameKind::PullKeys, this->view.number, complete ? 1U : 0U,
-                          RecordsCodec::encodePull(source.cursor)});
+    const PullKeysMessage message{source.cursor, source.missing.empty(), this->silent()};
+    ++source.question;
+    source.askedAt = this->timers.now();
+    this->hub.send(peer, {FrameKind::PullKeys, this->view.number, source.question,
+                          RecordsCodec::encodePull(message)});
 }
 
 void RecordsSync::fetchMissing(const VmIncarnation &peer, Source &source)
@@ -100,6 +105,8 @@
     const auto message = RecordsCodec::decodePullReply(frame.payload);
     if (source == this->sources.end() || !message)
         return;
+    if (frame.correlation == source->second.question)
+        this->answered(peer, source->second.askedAt);
     for (const RecordName &name : message->names) {
         if (!this->index.contains(name))
             source->second.missing.insert(name);
--- a/modules/lacewingmux_records/server/RecordsSync.h
+++ b/modules/lacewingmux_records/server/RecordsSync.h
@@ -28,11 +28,19 @@
 class RecordsSync
 {
 public:
+    /** Returns the disks of members that were not heard for long, to tell the others. */
+    using SilentFunction = std::function<std::vector<std::uint64_t>()>;
+
+    /** Told that a member has answered a question that was asked at the given time. */
+    using AnswerFunction =
+            std::function<void(const VmIncarnation &peer, TimerService::SteadyTime askedAt)>;
+
     /** Stores a record that was fetched; the callback tells when it is on disk. */
     using StoreFunction = std::function<void(const Record &, std::function<void()> durable)>;
 
     RecordsSync(PeerHub &peerHub, const RecordIndex &recordIndex, TimerService &timerService,
-                StoreFunction storeFunction, std::function<void()> progressHook);
+                StoreFunction storeFunction, SilentFunction silentFunction,
+                AnswerFunction answerFunction, std::function<void()> progressHook);
 
     /** Takes the members to copy from. */
     void setView(const RecordsView &newView);
@@ -44,8 +52,10 @@
 private:
     struct Source
     {
-        std::uint64_t cursor = 0;       ///< the peer's names are known up to here
-        bool atEnd = false;             ///< the last answer reached the end of its log
+        std::uint64_t cursor = 0;   ///< the peer's names are known up to here
+        bool atEnd = false;         ///< the last answer reached the end of its log
+        std::uint64_t question = 0; ///< number of the last question
+        TimerService::SteadyTime askedAt;
         std::set<RecordName> missing;   ///< named by the peer, not on this disk
         std::set<RecordName> askedNext; ///< still missing: to be fetched in the next round
     };
@@ -61,6 +71,8 @@
     const RecordIndex &index;
     TimerService &timers;
     StoreFunction store;
+    SilentFunction silent;
+    AnswerFunction answered;
     std::function<void()> progress;
     RecordsView view;
     std::map<VmIncarnation, Source> sources;
