--- a/modules/lacewingmux_core/logging/StructuredLog.cpp
+++ b/modules/lacewingmux_core/logging/StructuredLog.cpp
@@ -2,31 +2,41 @@
 
 #include "lacewingmux_core/logging/LogOutput.h"
 
-#include <QJsonArray>
-#include <QJsonDocument>
-
 #include <algorithm>
 #include <array>
+#include <cstdio>
 
 namespace lacewingmux {
 
 namespace {
 
-constexpr std::array<QLatin1String, 4> secretFieldNames{
-        QLatin1String("key"), QLatin1String("authorization"), QLatin1String("secret"),
-        QLatin1String("token")};
+constexpr std::array secretFieldNames{"key", "authorization", "secret", "token"};
+constexpr std::size_t typicalLineBytes = 384;
 
-bool isSecretField(const QString &name)
+bool isSecretField(const char *name)
 {
-    return std::any_of(
-            secretFieldNames.begin(), secretFieldNames.end(),
-            [&name](const auto secret) { return name.compare(secret, Qt::CaseInsensitive) == 0; });
+    return std::any_of(secretFieldNames.begin(), secretFieldNames.end(),
+                       [name](const char *secret) { return qstricmp(name, secret) == 0; });
 }
 
-QString quoted(const QString &text)
+/** Appends the text as a JSON string. */
+void appendQuoted(std::string &line, QByteArrayView text)
 {
-    const QByteArray array = QJsonDocument(QJsonArray{text}).toJson(QJsonDocument::Compact);
-    return QString::fromUtf8(array.mid(1, array.size() - 2));
+    constexpr char firstPrintable = 0x20;
+    line += '"';
+    for (const char character : text) {
+        if (character == '"' || character == '\\') {
+            line += '\\';
+            line += character;
+        } else if (character >= 0 && character < firstPrintable) {
+            char escaped[8];
+            std::snprintf(escaped, sizeof escaped, "\\u%04x", static_cast<unsigned>(character));
+            line += escaped;
+        } else {
+            line += character;
+        }
+    }
+    line += '"';
 }
 
 } // namespace
@@ -34,43 +44,52 @@
 LogEvent::LogEvent(LogSeverity eventSeverity, const char *eventName)
     : severity(eventSeverity)
 {
+    this->object.reserve(typicalLineBytes);
     this->field("event", eventName);
 }
 
 LogEvent::~LogEvent()
 {
-    QString line = QStringLiteral("{");
-    for (const auto &[name, value] : this->fields) {
-        if (line.size() > 1)
-            line += u',';
-        line += quoted(name) + u':' + value;
-    }
-    line += u'}';
-    LogOutput::write(this->severity, line.toStdString());
+    this->object += '}';
+    LogOutput::write(this->severity, this->object);
+}
+
+void LogEvent::appendName(const char *name)
+{
+    this->object += this->object.empty() ? '{' : ',';
+    appendQuoted(this->object, QByteArrayView(name));
+    this->object += ':';
 }
 
 LogEvent &LogEvent::field(const char *name, const QString &value)
 {
-    const QString fieldName = QString::fromLatin1(name);
-    const QString shown = isSecretField(fieldName) ? QStringLiteral("(hidden)") : value;
-    this->fields.emplace_back(fieldName, quoted(shown));
+    return this->field(name, value.toUtf8());
+}
+
+LogEvent &LogEvent::field(const char *name, const QByteArray &value)
+{
+    this->appendName(name);
+    appendQuoted(this->object,
+                 isSecretField(name) ? QByteArrayView("(hidden)") : QByteArrayView(value));
     return *this;
 }
 
 LogEvent &LogEvent::field(const char *name, const char *value)
 {
-    return this->field(name, QString::fromUtf8(value));
+    return this->field(name, QByteArray::fromRawData(value, qstrlen(value)));
 }
 
 LogEvent &LogEvent::field(const char *name, qint64 value)
 {
-    this->fields.emplace_back(QString::fromLatin1(name), QString::number(value));
+    this->appendName(name);
+    this->object += std::to_string(value);
     return *this;
 }
 
 LogEvent &LogEvent::field(const char *name, quint64 value)
 {
-    this->fields.emplace_back(QString::fromLatin1(name), QString::number(value));
+    this->appendName(name);
+    this->object += std::to_string(value);
     return *this;
 }
 
@@ -86,14 +105,15 @@
 
 LogEvent &LogEvent::field(const char *name, double value)
 {
-    this->fields.emplace_back(QString::fromLatin1(name), QString::number(value));
+    this->appendName(name);
+    this->object += QByteArray::number(value).toStdString();
     return *this;
 }
 
 LogEvent &LogEvent::field(const char *name, bool value)
 {
-    this->fields.emplace_back(QString::fromLatin1(name),
-                              value ? QStringLiteral("true") : QStringLiteral("false"));
+    this->appendName(name);
+    this->object += value ? "true" : "false";
     return *this;
 }
 
--- a/modules/lacewingmux_core/logging/StructuredLog.h
+++ b/modules/lacewingmux_core/logging/StructuredLog.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include <QByteArray>
 #include <QString>
 
 #include <cstdint>
-#include <utility>
-#include <vector>
+#include <string>
 
 namespace lacewingmux {
 
@@ -27,6 +27,7 @@
     LogEvent &operator=(const LogEvent &) = delete;
 
     LogEvent &field(const char *name, const QString &value);
+    LogEvent &field(const char *name, const QByteArray &value);
     LogEvent &field(const char *name, const char *value);
     LogEvent &field(const char *name, qint64 value);
     LogEvent &field(const char *name, quint64 value);
@@ -36,8 +37,10 @@
     LogEvent &field(const char *name, bool value);
 
 private:
+    void appendName(const char *name);
+
     LogSeverity severity;
-    std::vector<std::pair<QString, QString>> fields; ///< name and value as JSON text
+    std::string object; ///< the fields so far, as an open JSON object
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -340,20 +340,20 @@
 {
     const auto elapsed = std::chrono::floor<milliseconds>(this->now() - this->arrived);
     LogEvent line(LogSeverity::Info, "callEnded");
-    line.field("request", QString::fromLatin1(this->description.requestId))
+    line.field("request", this->description.requestId)
             .field("outcome", outcome)
             .field("milliseconds", static_cast<qint64>(elapsed.count()))
-            .field("route", QString::fromUtf8(this->route.name));
+            .field("route", this->route.name);
     if (!this->endReason.isEmpty())
-        line.field("reason", QString::fromLatin1(this->endReason));
+        line.field("reason", this->endReason);
     if (!this->team.name.isEmpty())
-        line.field("team", QString::fromUtf8(this->team.name));
+        line.field("team", this->team.name);
     if (!this->description.program.isEmpty())
-        line.field("program", QString::fromLatin1(this->description.program));
+        line.field("program", this->description.program);
     if (!this->opening.previousTurn.isEmpty())
-        line.field("previousTurn", QString::fromLatin1(this->opening.previousTurn));
+        line.field("previousTurn", this->opening.previousTurn);
     if (!this->replica.isEmpty())
-        line.field("replica", QString::fromUtf8(this->replica))
+        line.field("replica", this->replica)
                 .field("status", this->head.status)
                 .field("runs", this->runs);
     if (this->rejections > 0)
--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -40,6 +40,11 @@
 
 Gateway::~Gateway() = default;
 
+std::uint16_t Gateway::port() const
+{
+    return this->ingress->port();
+}
+
 void Gateway::setTable(std::shared_ptr<const RoutingTable> newTable)
 {
     this->table = std::move(newTable);
--- a/modules/lacewingmux_gateway/forwarding/Gateway.h
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.h
@@ -46,6 +46,9 @@
         is called when nothing is left to do. */
     void beginStop(std::function<void()> drained);
 
+    /** Returns the port on which callers are served. */
+    [[nodiscard]] std::uint16_t port() const;
+
     [[nodiscard]] std::size_t callsUnderWay() const noexcept
     {
         return this->calls.size();
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
@@ -71,7 +71,7 @@
             responseHeadText(status, reason, this->withConnectionField(std::move(fields)));
     if (!this->headRequest)
         text += body;
-    this->socket->write(text);
+    this->writeNow(text);
     this->finishAnswer();
 }
 
@@ -86,20 +86,20 @@
             responseHeadText(status, reason, this->withConnectionField(std::move(fields)));
     if (!firstPart.isEmpty())
         text += chunkOf(firstPart);
-    this->socket->write(text);
+    this->writeNow(text);
 }
 
 void IngressConnection::sendPart(const QByteArray &part)
 {
     if (this->state == State::Streaming && !part.isEmpty())
-        this->socket->write(chunkOf(part));
+        this->writeNow(chunkOf(part));
 }
 
 void IngressConnection::endStream()
 {
     if (this->state != State::Streaming)
         return;
-    this->socket->write(lastChunk());
+    this->writeNow(lastChunk());
     this->finishAnswer();
 }
 
@@ -199,8 +199,16 @@
     this->sendAnswer(status, reasonPhrase(status), {}, {});
 }
 
+void IngressConnection::writeNow(const QByteArray &text)
+{
+    this->socket->write(text);
+    this->socket->flush(); // saves the loop a turn to find out that the socket can be written
+}
+
 void IngressConnection::finishAnswer()
 {
+    if (this->state == State::Closed)
+        return; // the caller left while the answer was written
     // Without notice the caller may have sent its next request already, so that one is still read.
     if (this->closeAnnounced) {
         this->lingerAndClose();
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.h
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.h
@@ -85,6 +85,7 @@
     void examine();
     void handOver();
     void refuse(int status);
+    void writeNow(const QByteArray &text);
     void finishAnswer();
     void lingerAndClose();
     void closeAtOnce();
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -62,7 +62,7 @@
         return;
     }
     if (this->connected)
-        this->socket->write(request);
+        this->writeNow(request);
     else
         this->unsent = request;
 }
@@ -89,7 +89,13 @@
     this->connectTimeout.cancel();
     tuneSocket(*this->socket, replicaSilence);
     if (!this->unsent.isEmpty())
-        this->socket->write(std::exchange(this->unsent, {}));
+        this->writeNow(std::exchange(this->unsent, {}));
+}
+
+void ReplicaConnection::writeNow(const QByteArray &request)
+{
+    this->socket->write(request);
+    this->socket->flush(); // saves the loop a turn to find out that the socket can be written
 }
 
 void ReplicaConnection::handleEnd()
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
@@ -59,6 +59,7 @@
     }
 
 private:
+    void writeNow(const QByteArray &request);
     void handleConnected();
     void handleEnd();
     void readAvailable();
--- /dev/null
+++ b/standins/replica/ScriptedReplica.cpp
@@ -0,0 +1,90 @@
+#include "replica/ScriptedReplica.h"
+
+#include "lacewingmux_gateway/http/HttpLimits.h"
+#include "lacewingmux_gateway/http/RequestDecoder.h"
+
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <QTimer>
+
+#include <utility>
+
+#include <sys/socket.h>
+
+namespace lacewingmux {
+
+ScriptedReplica::Exchange::Exchange(QTcpSocket *connection)
+    : socket(connection)
+{ }
+
+void ScriptedReplica::Exchange::write(const QByteArray &bytes) const
+{
+    if (this->socket)
+        this->socket->write(bytes);
+}
+
+void ScriptedReplica::Exchange::writeAfter(std::chrono::milliseconds delay,
+                                           const QByteArray &bytes) const
+{
+    if (this->socket)
+        QTimer::singleShot(delay, this->socket,
+                           [exchange = *this, bytes] { exchange.write(bytes); });
+}
+
+void ScriptedReplica::Exchange::close() const
+{
+    if (this->socket)
+        this->socket->disconnectFromHost();
+}
+
+void ScriptedReplica::Exchange::reset() const
+{
+    if (!this->socket)
+        return;
+    this->socket->flush();
+    // A linger time of zero turns the close into a reset.
+    const linger atOnce{1, 0};
+    ::setsockopt(static_cast<int>(this->socket->socketDescriptor()), SOL_SOCKET, SO_LINGER, &atOnce,
+                 sizeof atOnce);
+    this->socket->abort();
+}
+
+bool ScriptedReplica::Exchange::isClosed() const
+{
+    return !this->socket || this->socket->state() != QAbstractSocket::ConnectedState;
+}
+
+ScriptedReplica::ScriptedReplica(Handler requestHandler)
+    : handler(std::move(requestHandler))
+    , server(std::make_unique<QTcpServer>())
+{
+    QObject::connect(this->server.get(), &QTcpServer::newConnection, this->server.get(), [this] {
+        while (QTcpSocket *socket = this->server->nextPendingConnection())
+            this->accept(socket);
+    });
+    this->server->listen(QHostAddress::LocalHost);
+}
+
+ScriptedReplica::~ScriptedReplica() = default;
+
+std::uint16_t ScriptedReplica::port() const
+{
+    return this->server->serverPort();
+}
+
+void ScriptedReplica::accept(QTcpSocket *socket)
+{
+    ++this->accepted;
+    QObject::connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+    auto decoder = std::make_shared<RequestDecoder>(HttpLimits());
+    QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket, decoder] {
+        decoder->append(socket->readAll());
+        while (decoder->state() == DecodeState::Complete) {
+            const HttpRequest request = decoder->take();
+            this->received.push_back(request);
+            this->handler(request, Exchange(socket));
+        }
+    });
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/standins/replica/ScriptedReplica.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "lacewingmux_gateway/http/HttpRequest.h"
+
+#include <QByteArray>
+#include <QPointer>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+class QTcpServer;
+class QTcpSocket;
+
+namespace lacewingmux {
+
+/**
+    A backend server on loopback whose answers are written by the test, byte for byte. It notes
+    every request that it was sent.
+*/
+class ScriptedReplica
+{
+public:
+    /** The connection on which a request came, to answer on. Ignored once the caller has gone. */
+    class Exchange
+    {
+    public:
+        explicit Exchange(QTcpSocket *connection);
+
+        /** Writes bytes as they are. */
+        void write(const QByteArray &bytes) const;
+
+        /** Writes bytes later. */
+        void writeAfter(std::chrono::milliseconds delay, const QByteArray &bytes) const;
+
+        /** Closes the connection in order. */
+        void close() const;
+
+        /** Resets the connection. */
+        void reset() const;
+
+        /** Tells whether the caller has closed the connection. */
+        [[nodiscard]] bool isClosed() const;
+
+    private:
+        QPointer<QTcpSocket> socket;
+    };
+
+    using Handler = std::function<void(const HttpRequest &, const Exchange &)>;
+
+    /** Listens at once on a free port. */
+    explicit ScriptedReplica(Handler requestHandler);
+    ~ScriptedReplica();
+    ScriptedReplica(const ScriptedReplica &) = delete;
+    ScriptedReplica &operator=(const ScriptedReplica &) = delete;
+
+    [[nodiscard]] std::uint16_t port() const;
+
+    /** Returns the requests that have come, in order. */
+    [[nodiscard]] const std::vector<HttpRequest> &requests() const noexcept
+    {
+        return this->received;
+    }
+
+    [[nodiscard]] int connectionCount() const noexcept
+    {
+        return this->accepted;
+    }
+
+private:
+    void accept(QTcpSocket *socket);
+
+    Handler handler;
+    std::unique_ptr<QTcpServer> server;
+    std::vector<HttpRequest> received;
+    int accepted = 0;
+};
+
+} // namespace lacewingmux
