--- a/modules/lacewingmux_gateway/http/RequestDecoder.cpp
+++ b/modules/lacewingmux_gateway/http/RequestDecoder.cpp
@@ -127,7 +127,7 @@
             this->currentState = stateOf(error);
             return;
         }
-        if (this->parser->is_header_done() && !this->hasSoundHost()) {
+        if (this->parser->is_header_done() && !this->hasSoundFields()) {
             this->currentState = DecodeState::Malformed;
             return;
         }
@@ -141,12 +141,18 @@
     }
 }
 
-bool RequestDecoder::hasSoundHost() const
+bool RequestDecoder::hasSoundFields() const
 {
     const HttpFields &fields = this->parser->request.fields;
-    return std::count_if(fields.begin(), fields.end(),
-                         [](const HttpField &field) { return sameFieldName(field.name, "Host"); })
-           == 1;
+    const auto hosts = std::count_if(fields.begin(), fields.end(), [](const HttpField &field) {
+        return sameFieldName(field.name, "Host");
+    });
+    // The parser takes an unknown coding for a request without a body.
+    const bool soundCoding = std::all_of(fields.begin(), fields.end(), [](const HttpField &field) {
+        return !sameFieldName(field.name, "Transfer-Encoding")
+               || sameFieldName(field.value, "chunked");
+    });
+    return hosts == 1 && soundCoding;
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/http/RequestDecoder.h
+++ b/modules/lacewingmux_gateway/http/RequestDecoder.h
@@ -12,7 +12,8 @@
     Decodes the requests of one connection, one after another, with Boost.Beast's parser.
 
     Strict where framing could be read in two ways: repeated or conflicting lengths, white space
-    before a colon, folded lines, bare line feeds, more than one Host or none are malformed. After
+    before a colon, bare line feeds, codings other than chunked, more than one Host or none are
+    malformed. Folded lines are unfolded. After
     a failure nothing on the connection can be decoded any more.
 */
 class RequestDecoder
@@ -48,7 +49,7 @@
 
     void decode();
     void startNext();
-    [[nodiscard]] bool hasSoundHost() const;
+    [[nodiscard]] bool hasSoundFields() const;
 
     HttpLimits limits;
     QByteArray pending;
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds callerSilence{4000}; // twice the longest gap a caller bears
 constexpr std::chrono::milliseconds lingerTime{300};     // for a refused caller to read the answer
 constexpr qint64 readBufferBytes = 64 * 1024; // unread bytes count against the VM's memory
+constexpr std::chrono::milliseconds nextRequestTime{
+        250}; // in which a caller goes on after an answer
 constexpr int requestTimeoutStatus = 408;
 
 int refusalStatus(DecodeState state)
@@ -141,8 +143,9 @@
 
 void IngressConnection::closeIfIdle()
 {
-    if (this->state == State::Reading && this->decoder.state() == DecodeState::Empty
-        && this->socket->bytesAvailable() == 0)
+    const bool mayBeAboutToSend = this->timers.now() - this->waitingSince < nextRequestTime;
+    if (!mayBeAboutToSend && this->state == State::Reading
+        && this->decoder.state() == DecodeState::Empty && this->socket->bytesAvailable() == 0)
         this->closeAtOnce();
 }
 
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.h
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.h
@@ -67,7 +67,7 @@
     /** Makes the answer under way, or the next one, the connection's last. */
     void closeAfterAnswer();
 
-    /** Closes the connection if no request is under way. */
+    /** Closes the connection if no request is under way or likely to come at once. */
     void closeIfIdle();
 
     [[nodiscard]] bool isServing() const noexcept
--- a/tests/backend/ClientTest.cpp
+++ b/tests/backend/ClientTest.cpp
@@ -1,8 +1,8 @@
-#include "backend/support/EventLoop.h"
 #include "engine/library/EngineStandin.h"
 #include "lacewingmux_backend/clients/ConnectionPool.h"
 #include "lacewingmux_backend/clients/EngineClient.h"
 #include "lacewingmux_backend/clients/ServiceClient.h"
+#include "loops/EventLoop.h"
 #include "service/library/ServiceStandin.h"
 
 #include <QJsonArray>
--- a/tests/backend/RegistryTest.cpp
+++ b/tests/backend/RegistryTest.cpp
@@ -1,4 +1,3 @@
-#include "backend/support/EventLoop.h"
 #include "engine/library/EngineStandin.h"
 #include "lacewingmux_backend/messages/BackendMessages.h"
 #include "lacewingmux_backend/replicas/ReplicaRegistry.h"
@@ -7,6 +6,7 @@
 #include "lacewingmux_peer/links/InMemoryPeerNetwork.h"
 #include "lacewingmux_peer/links/PeerHub.h"
 #include "lacewingmux_zone/views/ZoneView.h"
+#include "loops/EventLoop.h"
 
 #include <criterion/criterion.h>
 
--- a/tests/backend/support/DispatcherFixture.h
+++ b/tests/backend/support/DispatcherFixture.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "backend/support/EventLoop.h"
 #include "engine/library/EngineStandin.h"
 #include "lacewingmux_allowance/admission/PowerGate.h"
 #include "lacewingmux_backend/dispatch/ReplicaDispatcher.h"
 #include "lacewingmux_core/metrics/IgnoringMetricsRecorder.h"
+#include "loops/EventLoop.h"
 #include "service/library/ServiceStandin.h"
 
 #include <memory>
--- /dev/null
+++ b/tests/gateway/PlacementTest.cpp
@@ -0,0 +1,142 @@
+#include "lacewingmux_gateway/replicas/Placement.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+
+using namespace lacewingmux;
+using std::chrono::milliseconds;
+
+namespace {
+
+ReplicaInstance replica(const QByteArray &id, const QByteArray &zone, int slots)
+{
+    ReplicaInstance instance;
+    instance.id = id;
+    instance.service = "service";
+    instance.zone = zone;
+    instance.slots = slots;
+    return instance;
+}
+
+PlacementRequest callAt(TimerService::SteadyTime now)
+{
+    PlacementRequest request;
+    request.service = "service";
+    request.now = now;
+    return request;
+}
+
+PlacementRequest turnAt(TimerService::SteadyTime now, std::vector<PromptPart> parts)
+{
+    PlacementRequest request = callAt(now);
+    request.forEngine = true;
+    request.promptParts = std::move(parts);
+    return request;
+}
+
+const TimerService::SteadyTime start{std::chrono::seconds(1000)};
+
+} // namespace
+
+Test(placement, fills_slots_evenly_before_a_queue_builds_up)
+{
+    Placement placement("a", {});
+    placement.setReplicas({replica("1", "a", 6), replica("2", "a", 6), replica("3", "b", 6)});
+    std::map<QByteArray, int> calls;
+    for (int number = 0; number < 18; ++number) {
+        const QByteArray chosen = placement.choose(callAt(start)).value();
+        placement.started(chosen);
+        ++calls[chosen];
+    }
+    for (const auto &[id, count] : calls)
+        cr_expect_eq(count, 6, "%s got %d", id.constData(), count);
+}
+
+Test(placement, counts_what_other_vms_send)
+{
+    Placement placement("a", {});
+    placement.setReplicas({replica("1", "a", 6), replica("2", "a", 6)});
+    placement.noteLoad("1", {6, 3, 6}, start);
+    cr_assert(placement.choose(callAt(start)).value() == "2");
+    placement.noteLoad("2", {6, 9, 6}, start);
+    cr_assert(placement.choose(callAt(start)).value() == "1");
+}
+
+Test(placement, keeps_a_session_where_its_history_was_read)
+{
+    Placement placement("a", {});
+    placement.setReplicas({replica("1", "a", 64), replica("2", "a", 64), replica("3", "a", 64)});
+    const std::vector<PromptPart> first{{1, 12600}, {7, 1680}};
+    const QByteArray chosen = placement.choose(turnAt(start, first)).value();
+    placement.notePrompt(chosen, first);
+    const std::vector<PromptPart> second{{1, 12600}, {7, 1680}, {8, 840}};
+    for (int load = 0; load < 20; ++load)
+        placement.started(chosen);
+    cr_assert(placement.choose(turnAt(start, second)).value() == chosen);
+    for (int load = 0; load < 60; ++load)
+        placement.started(chosen);
+    cr_assert(placement.choose(turnAt(start, second)).value() != chosen);
+}
+
+Test(placement, vms_agree_on_a_prompt_that_is_new_to_all)
+{
+    const std::vector<ReplicaInstance> replicas{replica("1", "a", 64), replica("2", "a", 64),
+                                                replica("3", "a", 64)};
+    for (std::uint64_t prompt = 1; prompt < 20; ++prompt) {
+        Placement left("a", {});
+        Placement right("a", {});
+        left.setReplicas(replicas);
+        right.setReplicas({replicas[2], replicas[0], replicas[1]});
+        const std::vector<PromptPart> parts{{prompt, 12600}};
+        cr_assert(left.choose(turnAt(start, parts)) == right.choose(turnAt(start, parts)));
+    }
+}
+
+Test(placement, avoids_a_slow_replica_and_tries_it_again_later)
+{
+    Placement placement("a", {});
+    placement.setReplicas({replica("1", "a", 6), replica("2", "b", 6)});
+    for (int number = 0; number < 5; ++number)
+        placement.notePace("1", 5.0, start);
+    cr_assert(placement.choose(callAt(start)).value() == "2");
+    cr_assert(placement.choose(callAt(start + std::chrono::seconds(30))).value() == "1");
+}
+
+Test(placement, leaves_a_full_or_broken_replica_alone_for_a_moment)
+{
+    Placement placement("a", {});
+    placement.setReplicas({replica("1", "a", 6), replica("2", "b", 6)});
+    placement.noteRejection("1", start);
+    cr_assert(placement.choose(callAt(start)).value() == "2");
+    placement.noteUnreachable("2", start);
+    cr_assert(placement.choose(callAt(start)).value() == "1");
+    placement.noteUnreachable("1", start);
+    cr_assert(placement.choose(callAt(start)).has_value(),
+              "when none can be reached, one is tried");
+}
+
+Test(placement, sends_nothing_to_draining_or_replaced_replicas)
+{
+    Placement placement("a", {});
+    ReplicaInstance leaving = replica("1", "a", 6);
+    leaving.draining = true;
+    placement.setReplicas({leaving, replica("2", "b", 6)});
+    cr_assert(placement.choose(callAt(start)).value() == "2");
+    placement.noteReplaced("2");
+    cr_assert(!placement.choose(callAt(start)).has_value());
+}
+
+Test(placement, a_reused_id_starts_without_a_history)
+{
+    Placement placement("a", {});
+    ReplicaInstance one = replica("1", "a", 64);
+    placement.setReplicas({one, replica("2", "a", 64)});
+    const std::vector<PromptPart> parts{{1, 12600}};
+    placement.notePrompt("1", parts);
+    cr_assert(placement.choose(turnAt(start, parts)).value() == "1");
+    one.bornMilliseconds = 5;
+    placement.setReplicas({one, replica("2", "a", 64)});
+    placement.notePrompt("2", parts);
+    cr_assert(placement.choose(turnAt(start, parts)).value() == "2");
+}
--- /dev/null
+++ b/tests/gateway/RequestDecoderTest.cpp
@@ -0,0 +1,82 @@
+#include "lacewingmux_gateway/http/RequestDecoder.h"
+
+#include <criterion/criterion.h>
+
+#include <QList>
+
+using namespace lacewingmux;
+
+namespace {
+
+DecodeState stateAfter(const QByteArray &bytes)
+{
+    RequestDecoder decoder{HttpLimits()};
+    decoder.append(bytes);
+    return decoder.state();
+}
+
+} // namespace
+
+Test(request_decoder, reads_a_request_in_single_bytes)
+{
+    RequestDecoder decoder{HttpLimits()};
+    const QByteArray text = "POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc";
+    for (const char byte : text)
+        decoder.append(QByteArray(1, byte));
+    cr_assert(decoder.state() == DecodeState::Complete);
+    const HttpRequest request = decoder.take();
+    cr_assert(request.method == "POST");
+    cr_assert(request.target == "/a/b?c=d");
+    cr_assert(request.body == "abc");
+    cr_assert(request.keepAlive);
+}
+
+Test(request_decoder, keeps_pipelined_requests_apart)
+{
+    RequestDecoder decoder{HttpLimits()};
+    decoder.append("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_assert(decoder.take().target == "/1");
+    cr_assert(decoder.state() == DecodeState::Complete);
+    cr_assert(decoder.take().target == "/2");
+    cr_assert(decoder.state() == DecodeState::Empty);
+}
+
+Test(request_decoder, joins_chunks)
+{
+    RequestDecoder decoder{HttpLimits()};
+    decoder.append("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    cr_assert(decoder.state() == DecodeState::Complete);
+    cr_assert(decoder.take().body == "abcde");
+}
+
+Test(request_decoder, refuses_framing_that_could_be_read_in_two_ways)
+{
+    const QByteArray start = "POST / HTTP/1.1\r\nHost: x\r\n";
+    const QList<QByteArray> doubtful{
+            start + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+            start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            start + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+            start + "Content-Length : 3\r\n\r\nabc",
+            start + "Content-Length: -3\r\n\r\nabc",
+            start + "Content-Length: 3x\r\n\r\nabc",
+            start + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+            start + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            start + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+            "GET / HTTP/1.1\nHost: x\n\n",
+            "GET / HTTP/1.1\r\n\r\n",
+            "GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
+            "GET / HTTP/2.0\r\nHost: x\r\n\r\n",
+            "GET /a b HTTP/1.1\r\nHost: x\r\n\r\n"};
+    for (const QByteArray &text : doubtful)
+        cr_expect(stateAfter(text) == DecodeState::Malformed, "accepted: %s", text.constData());
+}
+
+Test(request_decoder, bounds_head_and_body)
+{
+    const QByteArray start = "POST / HTTP/1.1\r\nHost: x\r\n";
+    cr_assert(stateAfter(start + "X: " + QByteArray(20000, 'a')) == DecodeState::HeadTooLarge);
+    cr_assert(stateAfter(start + "Content-Length: 9000000\r\n\r\n") == DecodeState::BodyTooLarge);
+    cr_assert(stateAfter(start + "Transfer-Encoding: chunked\r\n\r\nfffffff\r\n")
+              == DecodeState::BodyTooLarge);
+}
--- /dev/null
+++ b/tests/gateway/support/GatewayFixture.cpp
@@ -0,0 +1,144 @@
+#include "support/GatewayFixture.h"
+
+#include "lacewingmux_gateway/http/HttpText.h"
+#include "lacewingmux_gateway/routing/RoutingTable.h"
+#include "platform/HttpDialect.h"
+
+#include <utility>
+
+namespace lacewingmux {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+GatewayRoute makeRoute(const char *prefix, RouteKind kind)
+{
+    GatewayRoute route;
+    route.name = prefix;
+    route.host = "shop.example";
+    route.prefix = prefix;
+    route.kind = kind;
+    route.targets = {{"service", 1}};
+    route.timeout = milliseconds(1500);
+    route.attempts = 2;
+    return route;
+}
+
+std::shared_ptr<const RoutingTable> makeTable()
+{
+    std::vector<GatewayRoute> routes{
+            makeRoute("/safe/", RouteKind::Idempotent), makeRoute("/once/", RouteKind::SingleRun),
+            makeRoute("/stream/", RouteKind::Stream),   makeRoute("/resume/", RouteKind::Stream),
+            makeRoute("/turn/", RouteKind::Stream),     makeRoute("/open/", RouteKind::Idempotent)};
+    routes[3].resumable = true;
+    routes[4].keepsHistory = true;
+    routes[4].retention = milliseconds(60000);
+    routes[5].openToAll = true;
+    GatewayService service;
+    service.name = "service";
+    service.tokensPerEvent = 14;
+    GatewayTeam team;
+    team.name = "team";
+    team.requestsPerSecond = 10;
+    team.burst = 10;
+    return std::make_shared<RoutingTable>(1, routes, std::vector{service}, std::vector{team},
+                                          QHash<QByteArray, QByteArray>{{"good", "team"}}, true,
+                                          HttpLimits());
+}
+
+} // namespace
+
+void SwitchedQuota::take(const QuotaRequest &, Callback callback)
+{
+    this->taken += this->open ? 1 : 0;
+    callback({this->open, milliseconds(700)});
+}
+
+void SwitchedQuota::giveBack(const QuotaRequest &)
+{
+    ++this->givenBack;
+}
+
+void ScriptedLedger::open(const TurnOpening &opening, StartCallback callback)
+{
+    this->openings.push_back(opening);
+    callback(this->start);
+}
+
+void ScriptedLedger::store(const TurnOpening &, const QByteArray &input, const QByteArray &output,
+                           std::int64_t, StoredCallback callback)
+{
+    this->storedInput = input;
+    this->storedOutput = output;
+    this->pendingStore = std::move(callback);
+}
+
+void ScriptedLedger::settle(const TurnOpening &, std::int64_t tokens)
+{
+    this->settlements.push_back(tokens);
+}
+
+GatewayFixture::GatewayFixture(int replicaCount, const ScriptedReplica::Handler &handler)
+{
+    GatewaySettings settings;
+    settings.address = QHostAddress(QHostAddress::LocalHost);
+    settings.zone = "a";
+    settings.stopNotice = milliseconds(100);
+    this->gateway = std::make_unique<Gateway>(settings, this->loop.timers, platformDialect(),
+                                              this->quota, this->ledger, this->metrics);
+    std::vector<ReplicaInstance> instances;
+    for (int number = 0; number < replicaCount; ++number) {
+        this->replicas.push_back(std::make_unique<ScriptedReplica>(handler));
+        ReplicaInstance instance;
+        instance.id = "i-" + QByteArray::number(number);
+        instance.service = "service";
+        instance.zone = "a";
+        instance.address = QHostAddress(QHostAddress::LocalHost);
+        instance.port = this->replicas.back()->port();
+        instance.slots = 4;
+        instances.push_back(instance);
+    }
+    this->gateway->setReplicas(instances);
+    this->gateway->setTable(makeTable());
+}
+
+QByteArray GatewayFixture::request(const QByteArray &method, const QByteArray &path,
+                                   const QByteArray &id, const QByteArray &fields,
+                                   const QByteArray &body)
+{
+    return method + ' ' + path + " HTTP/1.1\r\nHost: shop.example\r\nLacewingmux-Request-Id: " + id
+           + "\r\nAuthorization: Token good\r\n" + fields
+           + "Content-Length: " + QByteArray::number(body.size()) + "\r\n\r\n" + body;
+}
+
+QByteArray GatewayFixture::answer(const HttpRequest &request, const QByteArray &body)
+{
+    return "HTTP/1.1 200 OK\r\nLacewingmux-Request-Id: "
+           + fieldValue(request.fields, "Lacewingmux-Request-Id")
+           + "\r\nLacewingmux-Server-Stamp: stamp\r\nKeep-Alive: timeout=5\r\nContent-Length: "
+           + QByteArray::number(body.size()) + "\r\n\r\n" + body;
+}
+
+QByteArray GatewayFixture::streamHead(const HttpRequest &request)
+{
+    return "HTTP/1.1 200 OK\r\nLacewingmux-Request-Id: "
+           + fieldValue(request.fields, "Lacewingmux-Request-Id")
+           + "\r\nLacewingmux-Server-Stamp: stamp\r\nContent-Type: text/event-stream\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+QByteArray GatewayFixture::event(int id, const QByteArray &data)
+{
+    return chunkOf("id: " + QByteArray::number(id) + "\ndata: " + data + "\n\n");
+}
+
+int GatewayFixture::requestCount() const
+{
+    int count = 0;
+    for (const auto &replica : this->replicas)
+        count += static_cast<int>(replica->requests().size());
+    return count;
+}
+
+} // namespace lacewingmux
--- a/tests/backend/support/EventLoop.cpp
+++ b/tests/support/loops/EventLoop.cpp
@@ -1,4 +1,4 @@
-#include "backend/support/EventLoop.h"
+#include "loops/EventLoop.h"
 
 #include <QElapsedTimer>
 #include <QEventLoop>
