--- a/modules/lacewingmux_node/settings/PeerSetup.cpp
+++ b/modules/lacewingmux_node/settings/PeerSetup.cpp
@@ -16,7 +16,7 @@
     peers.sharedSecret = settings.sharedSecret;
     // Turns wait for records VMs, so a link that fell silent is given up within about a second.
     peers.handshakeTimeout = milliseconds(900);
-    peers.pingInterval = milliseconds(400);
+    peers.pingInterval = milliseconds(300);
     peers.missedPingLimit = 3;
     peers.longestReconnect = milliseconds(600);
     return peers;
--- a/modules/lacewingmux_records/members/RecordsView.cpp
+++ b/modules/lacewingmux_records/members/RecordsView.cpp
@@ -96,7 +96,9 @@
 
 int RecordsView::reservationQuorum() const
 {
-    return std::max(this->durableCopies(), this->storingCount() / 2 + 1);
+    // A member that joins doesn't count before it has copied a quorum's reservations, or its
+    // joining would stop what the loss of another member has left.
+    return std::max(this->durableCopies(), this->syncedCount() / 2 + 1);
 }
 
 int RecordsView::absenceQuorum() const
--- a/modules/lacewingmux_records/quota/GrantLease.cpp
+++ b/modules/lacewingmux_records/quota/GrantLease.cpp
@@ -80,7 +80,7 @@
         return 0;
     int users = 0;
     for (const RecordsMember &member : this->view.members) {
-        if (member.state != MemberState::Leaving && !this->isOutOfUse(member.vm.incarnation, now))
+        if (member.state == MemberState::Synced && !this->isOutOfUse(member.vm.incarnation, now))
             ++users;
     }
     return users == 0 ? 0 : 1.0 / users;
--- a/modules/lacewingmux_records/server/RecordsSync.cpp
+++ b/modules/lacewingmux_records/server/RecordsSync.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds tickInterval{250}; // in which records also arrive directly
-constexpr std::size_t fetchedAtOnce = 200;             // records; about a megabyte
+constexpr std::size_t fetchedAtOnce = 400;             // records; about two megabytes
+constexpr std::chrono::milliseconds answerTime{800};   // then the records are asked for again
 
 } // namespace
 
@@ -72,6 +73,7 @@
         if (!this->hub.isConnected(peer))
             continue;
         this->fetchMissing(peer, source);
+        source.fresh.clear();
         this->ask(peer, source);
     }
 }
@@ -88,15 +90,36 @@
 
 void RecordsSync::fetchMissing(const VmIncarnation &peer, Source &source)
 {
+    const TimerService::SteadyTime now = this->timers.now();
+    if (!source.requested.empty() && now - source.requestedAt < answerTime)
+        return;
+    source.requested.clear();
     std::vector<RecordName> due;
-    for (const RecordName &name : source.askedNext) {
-        if (source.missing.contains(name) && due.size() < fetchedAtOnce)
+    for (const RecordName &name : source.missing) {
+        if (due.size() >= fetchedAtOnce)
+            break;
+        if (!source.fresh.contains(name) && !this->isRequested(name))
             due.push_back(name);
     }
-    source.askedNext = source.missing;
-    if (!due.empty())
-        this->hub.send(peer, {FrameKind::FetchRecords, this->view.number, 0,
-                              RecordsCodec::encodeFetch(due)});
+    if (due.empty())
+        return;
+    source.requested = {due.begin(), due.end()};
+    source.requestedAt = now;
+    this->hub.send(peer,
+                   {FrameKind::FetchRecords, this->view.number, 0, RecordsCodec::encodeFetch(due)});
+}
+
+bool RecordsSync::isRequested(const RecordName &name) const
+{
+    return std::any_of(this->sources.begin(), this->sources.end(), [&name](const auto &entry) {
+        return entry.second.requested.contains(name);
+    });
+}
+
+bool RecordsSync::isJoining() const
+{
+    const RecordsMember *self = this->view.member(this->hub.self());
+    return self != nullptr && self->state == MemberState::Joining;
 }
 
 void RecordsSync::handleNames(const VmIncarnation &peer, const PeerFrame &frame)
@@ -108,46 +131,50 @@
     if (frame.correlation == source->second.question)
         this->answered(peer, source->second.askedAt);
     for (const RecordName &name : message->names) {
-        if (!this->index.contains(name))
-            source->second.missing.insert(name);
+        if (this->index.contains(name))
+            continue;
+        source->second.missing.insert(name);
+        // It may still arrive directly, but not at a member that joins.
+        if (!this->isJoining())
+            source->second.fresh.insert(name);
     }
     source->second.cursor = message->next;
     source->second.atEnd = message->atEnd;
-    if (!message->atEnd) {
+    if (!message->atEnd)
         this->ask(peer, source->second);
-        return;
-    }
-    // A member that joins has nothing yet to arrive directly, so it does not wait.
-    const RecordsMember *self = this->view.member(this->hub.self());
-    if (self != nullptr && self->state == MemberState::Joining && !source->second.missing.empty()) {
-        source->second.askedNext = source->second.missing;
+    if (this->isJoining())
         this->fetchMissing(peer, source->second);
-    }
     this->progress();
 }
 
 void RecordsSync::handleRecords(const VmIncarnation &peer, const PeerFrame &frame)
 {
     const auto records = RecordsCodec::decodeRecords(frame.payload);
-    if (!records)
+    const auto source = this->sources.find(peer);
+    if (!records || source == this->sources.end())
         return;
     for (const Record &record : *records)
         this->store(record, [this, name = nameOf(record)] { this->noteStored(name); });
-    const auto source = this->sources.find(peer);
-    if (source == this->sources.end() || records->empty())
+    // What the peer left out for its size is asked for again; what it doesn't have, of others.
+    source->second.requested.clear();
+    if (records->empty())
         return;
-    std::set<RecordName> fetched;
+    std::set<RecordName> onTheWay;
     for (const Record &record : *records)
-        fetched.insert(nameOf(record));
-    std::erase_if(source->second.askedNext,
-                  [&fetched](const RecordName &name) { return fetched.contains(name); });
-    this->fetchMissing(peer, source->second);
+        onTheWay.insert(nameOf(record));
+    source->second.requested = std::move(onTheWay);
+    source->second.requestedAt = this->timers.now();
 }
 
 void RecordsSync::noteStored(const RecordName &name)
 {
-    for (auto &[peer, source] : this->sources)
+    for (auto &[peer, source] : this->sources) {
         source.missing.erase(name);
+        source.fresh.erase(name);
+        const bool wasLast = source.requested.erase(name) > 0 && source.requested.empty();
+        if (wasLast && this->hub.isConnected(peer))
+            this->fetchMissing(peer, source);
+    }
     this->progress();
 }
 
--- a/modules/lacewingmux_records/server/RecordsSync.h
+++ b/modules/lacewingmux_records/server/RecordsSync.h
@@ -57,12 +57,16 @@
         std::uint64_t question = 0; ///< number of the last question
         TimerService::SteadyTime askedAt;
         std::set<RecordName> missing;   ///< named by the peer, not on this disk
-        std::set<RecordName> askedNext; ///< still missing: to be fetched in the next round
+        std::set<RecordName> fresh;     ///< of the missing ones: named in this round only
+        std::set<RecordName> requested; ///< asked of this peer, and not answered yet
+        TimerService::SteadyTime requestedAt;
     };
 
     void tick();
     void ask(const VmIncarnation &peer, Source &source);
     void fetchMissing(const VmIncarnation &peer, Source &source);
+    [[nodiscard]] bool isRequested(const RecordName &name) const;
+    [[nodiscard]] bool isJoining() const;
     void handleNames(const VmIncarnation &peer, const PeerFrame &frame);
     void handleRecords(const VmIncarnation &peer, const PeerFrame &frame);
     void noteStored(const RecordName &name);
