Stop taking requests late in a planned stop, and test the records in virtual time

Now it stops listening once the balancer has had time to notice, and refuses what comes 3.6 s after the signal on open connections. A records VM that restarts while the store is away learns the view from its peers: found by a test of the fleet in memory.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -21,6 +21,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds noConfigurationRetry{300}; // a few calls to the platform's store
+constexpr milliseconds otherVmRetry{50};          // a new connection leads to another VM
 constexpr milliseconds noReplicaRetry{400};       // about the time in which a replica registers
 constexpr milliseconds firstPlacementPause{15};   // about half of a tool call
 constexpr milliseconds longestPlacementPause{120};
@@ -67,6 +68,10 @@
 void ForwardedCall::begin()
 {
     this->description = this->services.dialect.describe(this->request);
+    if (!this->services.takesRequests) {
+        this->refuse(ErrorKind::ShuttingDown, "this VM is stopping", otherVmRetry);
+        return;
+    }
     if (this->services.table == nullptr) {
         this->refuse(ErrorKind::StoreUnavailable, "no configuration is known yet",
                      noConfigurationRetry);
--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -66,8 +66,10 @@
 
 void Gateway::handleRequest(const std::shared_ptr<IngressConnection> &caller, HttpRequest request)
 {
+    const bool takes =
+            !this->whenDrained || this->timers.now() - this->stopBegan < this->settings.stopTaking;
     const GatewayServices services{this->timers, this->dialect, this->fleet, this->quota,
-                                   this->ledger, this->metrics, this->table};
+                                   this->ledger, this->metrics, this->table, takes};
     const IngressConnection *key = caller.get();
     auto call = std::make_shared<ForwardedCall>(services, caller, std::move(request), [this, key] {
         const auto ended = this->calls.find(key);
@@ -93,6 +95,7 @@
     const auto elapsed = this->timers.now() - this->stopBegan;
     if (elapsed < this->settings.stopNotice)
         return;
+    this->ingress->stopListening();
     this->ingress->endConnectionsAfterAnswer();
     this->ingress->closeIdleConnections();
     const bool drained = this->calls.empty() && this->ingress->connectionCount() == 0;
--- a/modules/lacewingmux_gateway/forwarding/GatewayServices.h
+++ b/modules/lacewingmux_gateway/forwarding/GatewayServices.h
@@ -22,6 +22,7 @@
     TurnLedger &ledger;
     MetricsRecorder &metrics;
     std::shared_ptr<const RoutingTable> table; ///< null until a configuration is known
+    bool takesRequests = true;                 ///< false late in a planned stop
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/GatewaySettings.h
+++ b/modules/lacewingmux_gateway/forwarding/GatewaySettings.h
@@ -20,6 +20,8 @@
     /** How long a stopping VM still takes requests on open connections: the balancer asks once a
         second, and needs two answers to send new connections elsewhere. */
     std::chrono::milliseconds stopNotice{2300};
+    /** Until when a stopping VM takes requests: what it takes later might not end in time. */
+    std::chrono::milliseconds stopTaking{3600};
     /** When a planned stop ends whatever is still under way. */
     std::chrono::milliseconds stopLimit{7000};
 };
--- a/modules/lacewingmux_gateway/ingress/IngressServer.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressServer.cpp
@@ -48,6 +48,12 @@
     this->limits = httpLimits;
 }
 
+void IngressServer::stopListening()
+{
+    this->acceptPending();
+    this->server->close();
+}
+
 void IngressServer::endConnectionsAfterAnswer()
 {
     this->ending = true;
--- a/modules/lacewingmux_gateway/ingress/IngressServer.h
+++ b/modules/lacewingmux_gateway/ingress/IngressServer.h
@@ -41,6 +41,9 @@
     /** Sets the limits for connections that come from now on. */
     void setLimits(const HttpLimits &httpLimits);
 
+    /** Takes no new connections: callers reach other VMs. */
+    void stopListening();
+
     /** Lets every connection end with the answer that it gets next. */
     void endConnectionsAfterAnswer();
 
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -230,6 +230,10 @@
 
 bool RecordsServer::refuseOldView(const VmIncarnation &peer, const PeerFrame &frame)
 {
+    // Whoever has a newer view answers a question under an older one with it.
+    if (frame.epoch > this->view.number)
+        this->hub.send(peer,
+                       {FrameKind::PullKeys, this->view.number, 0, RecordsCodec::encodePull({})});
     if (frame.epoch >= this->view.number && this->view.number > 0)
         return false;
     this->hub.send(peer, {FrameKind::RecordsViewNotice, this->view.number, frame.correlation,
--- a/tests/gateway/ForwardingTest.cpp
+++ b/tests/gateway/ForwardingTest.cpp
@@ -269,6 +269,28 @@
     fixture.loop.waitUntil([&] { return caller.received().endsWith("next"); }, "the next answer");
 }
 
+Test(forwarding, a_stopping_vm_takes_nothing_that_it_might_not_finish)
+{
+    GatewayFixture fixture(1, [](const HttpRequest &request, const auto &exchange) {
+        exchange.write(GatewayFixture::streamHead(request) + GatewayFixture::event(1, "a"));
+        exchange.writeAfter(milliseconds(700), "0\r\n\r\n");
+    });
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", "/stream/x", "r1"));
+    fixture.loop.waitUntil([&] { return caller.received().contains("data: a"); }, "the stream");
+    const std::uint16_t port = fixture.gateway->port();
+    fixture.gateway->beginStop([] {});
+    fixture.loop.runFor(milliseconds(300));
+    RawCaller newcomer(port);
+    fixture.loop.waitUntil([&] { return newcomer.isClosed(); }, "no new connections");
+    fixture.loop.waitUntil([&] { return caller.received().endsWith("0\r\n\r\n"); }, "the end");
+    caller.forget();
+    caller.send(GatewayFixture::request("GET", "/safe/x", "r2"));
+    fixture.loop.waitUntil([&] { return hasAnswer(caller); }, "the refusal");
+    cr_assert(caller.received().startsWith("HTTP/1.1 503"));
+    cr_assert_eq(fixture.requestCount(), 1);
+}
+
 Test(forwarding, a_malformed_request_ends_its_connection)
 {
     GatewayFixture fixture(1, [](const auto &, const auto &) {});
--- a/tests/gateway/support/GatewayFixture.cpp
+++ b/tests/gateway/support/GatewayFixture.cpp
@@ -85,6 +85,7 @@
     settings.address = QHostAddress(QHostAddress::LocalHost);
     settings.zone = "a";
     settings.stopNotice = milliseconds(100);
+    settings.stopTaking = milliseconds(600);
     this->gateway = std::make_unique<Gateway>(settings, this->loop.timers, platformDialect(),
                                               this->quota, this->ledger, this->metrics);
     std::vector<ReplicaInstance> instances;
--- /dev/null
+++ b/tests/records/FleetScheduleTest.cpp
@@ -0,0 +1,50 @@
+#include "model/FleetSchedule.h"
+
+#include <criterion/criterion.h>
+
+#include <cstdlib>
+
+using namespace lacewingmux;
+
+namespace {
+
+constexpr std::uint64_t defaultSeeds = 60;
+
+/** Returns how many seeds to run: LACEWINGMUX_SEEDS, or a number that suits CI. */
+std::uint64_t seedCount()
+{
+    const char *text = std::getenv("LACEWINGMUX_SEEDS");
+    return text == nullptr ? defaultSeeds : std::strtoull(text, nullptr, 10);
+}
+
+void runSeeds(std::uint64_t first, std::uint64_t count)
+{
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        FleetSchedule schedule(seed);
+        const std::string violation = schedule.run();
+        cr_assert(violation.empty(), "seed %llu: %s", static_cast<unsigned long long>(seed),
+                  violation.c_str());
+    }
+}
+
+} // namespace
+
+Test(fleet_schedule, keeps_turns_budgets_and_quotas_1)
+{
+    runSeeds(1, seedCount() / 4);
+}
+
+Test(fleet_schedule, keeps_turns_budgets_and_quotas_2)
+{
+    runSeeds(100001, seedCount() / 4);
+}
+
+Test(fleet_schedule, keeps_turns_budgets_and_quotas_3)
+{
+    runSeeds(200001, seedCount() / 4);
+}
+
+Test(fleet_schedule, keeps_turns_budgets_and_quotas_4)
+{
+    runSeeds(300001, seedCount() / 4);
+}
--- /dev/null
+++ b/tests/records/QuotaTest.cpp
@@ -0,0 +1,115 @@
+#include "lacewingmux_records/quota/GrantBucket.h"
+#include "lacewingmux_records/quota/GrantLease.h"
+#include "lacewingmux_records/quota/QuotaPocket.h"
+
+#include <criterion/criterion.h>
+
+using namespace lacewingmux;
+using std::chrono::milliseconds;
+
+namespace {
+
+const TimerService::SteadyTime start{std::chrono::seconds(1000)};
+
+VmIncarnation member(std::uint64_t disk)
+{
+    return {QStringLiteral("r%1").arg(disk), QStringLiteral("zone"), disk};
+}
+
+RecordsView viewOfThree()
+{
+    RecordsView view;
+    view.number = 1;
+    view.targetSize = 3;
+    for (std::uint64_t disk = 1; disk <= 3; ++disk) {
+        RecordsMember entry;
+        entry.vm.incarnation = member(disk);
+        entry.state = MemberState::Synced;
+        view.members.push_back(entry);
+    }
+    return view;
+}
+
+} // namespace
+
+Test(grant_bucket, starts_empty_and_holds_no_more_than_the_burst)
+{
+    GrantBucket bucket(start);
+    bucket.setShare(10, 5, start);
+    cr_assert_eq(bucket.take(100, 0, start), 0);
+    cr_assert_eq(bucket.take(100, 0, start + milliseconds(300)), 3);
+    cr_assert_eq(bucket.take(100, 0, start + std::chrono::seconds(60)), 5);
+}
+
+Test(grant_bucket, leaves_the_reserve_to_programs_under_way)
+{
+    GrantBucket bucket(start);
+    bucket.setShare(10, 10, start);
+    const auto later = start + std::chrono::seconds(10);
+    cr_assert_eq(bucket.take(100, 0.4, later), 6);
+    cr_assert_eq(bucket.take(100, 0.4, later), 0);
+    cr_assert_eq(bucket.untilNext(0.4, later).count(), 100);
+    cr_assert_eq(bucket.take(100, 0, later), 4);
+}
+
+Test(quota_pocket, lets_tokens_lapse)
+{
+    QuotaPocket pocket;
+    pocket.put(2, start);
+    cr_assert(pocket.take(start + milliseconds(100)));
+    cr_assert(!pocket.take(start + milliseconds(500)));
+}
+
+Test(quota_pocket, asks_ahead_of_its_demand_but_not_for_every_request)
+{
+    QuotaPocket pocket;
+    cr_assert_eq(pocket.wanted(0, start), 0);
+    for (int request = 0; request < 100; ++request)
+        pocket.noteDemand(start + milliseconds(request * 10));
+    const auto now = start + std::chrono::seconds(1);
+    const int wanted = pocket.wanted(0, now);
+    cr_assert_geq(wanted, 8);
+    cr_assert_leq(wanted, 16);
+    pocket.put(wanted, now);
+    cr_assert(pocket.take(now));
+    cr_assert_eq(pocket.wanted(0, now), 0);
+}
+
+Test(grant_lease, has_an_even_part_while_a_majority_answers)
+{
+    GrantLease lease(member(1));
+    lease.setView(viewOfThree(), start);
+    cr_assert_float_eq(lease.share(start), 0, 1e-9);
+    lease.noteAnswered(member(2), start);
+    cr_assert_float_eq(lease.share(start + milliseconds(500)), 1.0 / 3, 1e-9);
+    cr_assert_float_eq(lease.share(start + milliseconds(1100)), 0, 1e-9);
+}
+
+Test(grant_lease, takes_a_silent_members_part_only_when_a_majority_finds_it_silent)
+{
+    GrantLease lease(member(1));
+    lease.setView(viewOfThree(), start);
+    const auto now = start + milliseconds(1500);
+    lease.noteAnswered(member(2), now);
+    lease.noteHeard(member(2), {}, now);
+    cr_assert_float_eq(lease.share(now), 1.0 / 3, 1e-9);
+    lease.noteHeard(member(2), {3}, now);
+    cr_assert_float_eq(lease.share(now), 1.0 / 2, 1e-9);
+    lease.noteHeard(member(3), {}, now);
+    cr_assert_float_eq(lease.share(now), 1.0 / 3, 1e-9);
+}
+
+Test(grant_lease, a_member_that_joins_has_no_part)
+{
+    RecordsView view = viewOfThree();
+    view.members[0].state = MemberState::Joining;
+    GrantLease joining(member(1));
+    joining.setView(view, start);
+    joining.noteAnswered(member(2), start);
+    joining.noteAnswered(member(3), start);
+    cr_assert_float_eq(joining.share(start), 0, 1e-9);
+    GrantLease other(member(2));
+    other.setView(view, start);
+    other.noteAnswered(member(3), start);
+    cr_assert_float_eq(other.share(start), 1.0 / 2, 1e-9);
+}
--- /dev/null
+++ b/tests/records/RecordsFleetTest.cpp
@@ -0,0 +1,182 @@
+#include "model/RecordsFleet.h"
+
+#include <criterion/criterion.h>
+
+using namespace lacewingmux;
+using std::chrono::milliseconds;
+
+namespace {
+
+TurnOpening turn(const char *request, const char *previous, std::optional<std::int64_t> budget)
+{
+    TurnOpening opening;
+    opening.program = "program";
+    opening.request = request;
+    opening.team = "team";
+    opening.previousTurn = previous;
+    opening.budget = budget;
+    opening.maximumTokens = 100;
+    opening.retention = std::chrono::seconds(60);
+    return opening;
+}
+
+/** Opens a turn and returns how that ended. */
+TurnStart open(RecordsFleet &fleet, std::size_t entry, const TurnOpening &opening)
+{
+    std::optional<TurnStart> start;
+    fleet.entries[entry].client->open(opening,
+                                      [&start](const TurnStart &result) { start = result; });
+    fleet.run(milliseconds(1200));
+    cr_assert(start.has_value());
+    return *start;
+}
+
+/** Stores a turn and returns whether it is kept. */
+bool store(RecordsFleet &fleet, std::size_t entry, const TurnOpening &opening, const char *input,
+           const char *output)
+{
+    std::optional<bool> kept;
+    fleet.entries[entry].client->store(opening, input, output, 50,
+                                       [&kept](bool durable) { kept = durable; });
+    fleet.run(milliseconds(1800));
+    cr_assert(kept.has_value());
+    return *kept;
+}
+
+} // namespace
+
+Test(records_fleet, a_chain_is_found_from_another_vm)
+{
+    RecordsFleet fleet(3, 2);
+    cr_assert(store(fleet, 0, turn("t1", "", 1000), "a", "b\n"));
+    cr_assert(store(fleet, 0, turn("t2", "t1", 1000), "c", "d\n"));
+    const TurnStart start = open(fleet, 1, turn("t3", "t2", 1000));
+    cr_assert(start.outcome == TurnOutcome::Ready);
+    cr_assert(start.history == "ab\ncd\n");
+}
+
+Test(records_fleet, a_turn_of_nobody_or_of_another_team_does_not_exist)
+{
+    RecordsFleet fleet(3, 1);
+    cr_assert(store(fleet, 0, turn("t1", "", 1000), "a", "b\n"));
+    cr_assert(open(fleet, 0, turn("t2", "forged", 1000)).outcome == TurnOutcome::UnknownTurn);
+    TurnOpening foreign = turn("t3", "t1", 1000);
+    foreign.team = "others";
+    cr_assert(open(fleet, 0, foreign).outcome == TurnOutcome::UnknownTurn);
+}
+
+Test(records_fleet, a_budget_counts_reservations_and_settlements)
+{
+    RecordsFleet fleet(3, 2);
+    cr_assert(open(fleet, 0, turn("t1", "", 250)).outcome == TurnOutcome::Ready);
+    cr_assert(open(fleet, 1, turn("t2", "", 250)).outcome == TurnOutcome::Ready);
+    cr_assert(open(fleet, 0, turn("t3", "", 250)).outcome == TurnOutcome::BudgetSpent);
+    fleet.entries[0].client->settle(turn("t3", "", 250), 0);
+    fleet.entries[1].client->settle(turn("t2", "", 250), 10);
+    fleet.run(milliseconds(100));
+    cr_assert(open(fleet, 0, turn("t4", "", 250)).outcome == TurnOutcome::Ready);
+}
+
+Test(records_fleet, one_lost_member_stops_nothing)
+{
+    RecordsFleet fleet(3, 1);
+    cr_assert(store(fleet, 0, turn("t1", "", 1000), "a", "b\n"));
+    fleet.stopRecords(QStringLiteral("r1"), 0);
+    cr_assert(open(fleet, 0, turn("t2", "t1", 1000)).outcome == TurnOutcome::Ready);
+    cr_assert(store(fleet, 0, turn("t2", "t1", 1000), "c", "d\n"));
+}
+
+Test(records_fleet, two_lost_members_make_it_uncertain_not_wrong)
+{
+    RecordsFleet fleet(3, 1);
+    cr_assert(store(fleet, 0, turn("t1", "", 1000), "a", "b\n"));
+    fleet.stopRecords(QStringLiteral("r1"), 0);
+    fleet.stopRecords(QStringLiteral("r2"), 0);
+    cr_assert(open(fleet, 0, turn("t2", "forged", 1000)).outcome == TurnOutcome::Unavailable);
+    cr_assert(!store(fleet, 0, turn("t2", "", 1000), "c", "d\n"));
+}
+
+Test(records_fleet, a_wiped_member_copies_before_it_is_believed)
+{
+    RecordsFleet fleet(3, 1);
+    // The turn is on r1 and r2 only.
+    fleet.stopRecords(QStringLiteral("r3"), 0);
+    cr_assert(store(fleet, 0, turn("t1", "", 1000), "a", "b\n"));
+    fleet.stopRecords(QStringLiteral("r1"), 0);
+    fleet.wipe(QStringLiteral("r1"));
+    fleet.startRecords(QStringLiteral("r1"));
+    fleet.startRecords(QStringLiteral("r3"));
+    fleet.run(milliseconds(4900));
+    cr_assert_eq(fleet.storedView().syncedCount(), 3);
+    fleet.stopRecords(QStringLiteral("r2"), 0);
+    const TurnStart start = open(fleet, 0, turn("t2", "t1", 1000));
+    cr_assert(start.outcome == TurnOutcome::Ready);
+    cr_assert(start.history == "ab\n");
+}
+
+Test(records_fleet, a_wiped_member_that_can_not_copy_says_nothing_about_what_does_not_exist)
+{
+    RecordsFleet fleet(3, 1);
+    fleet.stopRecords(QStringLiteral("r3"), 0);
+    cr_assert(store(fleet, 0, turn("t1", "", 1000), "a", "b\n"));
+    fleet.stopRecords(QStringLiteral("r1"), 0);
+    fleet.wipe(QStringLiteral("r1"));
+    // Only r2 still has the turn, and nobody reaches it.
+    fleet.network.cutGroups({QStringLiteral("r2")},
+                            {QStringLiteral("r1"), QStringLiteral("r3"), QStringLiteral("e1")});
+    fleet.startRecords(QStringLiteral("r1"));
+    fleet.startRecords(QStringLiteral("r3"));
+    fleet.run(milliseconds(3000));
+    cr_assert(open(fleet, 0, turn("t2", "t1", 1000)).outcome == TurnOutcome::Unavailable);
+    fleet.network.healAll();
+    fleet.run(milliseconds(3000));
+    cr_assert(open(fleet, 0, turn("t3", "t1", 1000)).outcome == TurnOutcome::Ready);
+}
+
+Test(records_fleet, a_replacement_takes_the_place_of_a_lost_member)
+{
+    RecordsFleet fleet(3, 1);
+    cr_assert(store(fleet, 0, turn("t1", "", 1000), "a", "b\n"));
+    fleet.stopRecords(QStringLiteral("r1"), 0);
+    fleet.startRecords(QStringLiteral("r4"));
+    fleet.run(milliseconds(300));
+    cr_assert(open(fleet, 0, turn("t2", "t1", 1000)).outcome == TurnOutcome::Ready,
+              "a member that joins must not stop the others");
+    fleet.run(milliseconds(9000));
+    const RecordsView view = fleet.storedView();
+    cr_assert_eq(view.syncedCount(), 3);
+    cr_assert_null(view.memberOnVm(QStringLiteral("r1")));
+}
+
+Test(records_fleet, a_retired_member_leaves_once_the_others_have_everything)
+{
+    RecordsFleet fleet(4, 1);
+    fleet.network.cut(QStringLiteral("e1"), QStringLiteral("r2"));
+    fleet.network.cut(QStringLiteral("e1"), QStringLiteral("r3"));
+    fleet.run(milliseconds(1000));
+    cr_assert(store(fleet, 0, turn("t1", "", std::nullopt), "a", "b\n"));
+    fleet.network.healAll();
+    fleet.run(milliseconds(200));
+    fleet.retire(QStringLiteral("r1"));
+    fleet.run(milliseconds(3000));
+    cr_assert(fleet.records.at(QStringLiteral("r1")).hasLeft);
+    fleet.stopRecords(QStringLiteral("r1"), 0);
+    fleet.wipe(QStringLiteral("r1"));
+    fleet.stopRecords(QStringLiteral("r4"), 0);
+    const TurnStart start = open(fleet, 0, turn("t2", "t1", 1000));
+    cr_assert(start.outcome == TurnOutcome::Ready);
+    cr_assert(start.history == "ab\n");
+}
+
+Test(records_fleet, works_on_while_the_store_is_away)
+{
+    RecordsFleet fleet(3, 1);
+    fleet.storeServer->setDown(true);
+    cr_assert(store(fleet, 0, turn("t1", "", 1000), "a", "b\n"));
+    fleet.stopRecords(QStringLiteral("r1"), 0);
+    fleet.startRecords(QStringLiteral("r1"));
+    fleet.run(milliseconds(2000));
+    fleet.stopRecords(QStringLiteral("r2"), 0);
+    cr_assert(open(fleet, 0, turn("t2", "t1", 1000)).outcome == TurnOutcome::Ready,
+              "a member that restarted on its disk needs no new view");
+}
--- /dev/null
+++ b/tests/records/RecordsViewTest.cpp
@@ -0,0 +1,84 @@
+#include "lacewingmux_records/members/RecordsView.h"
+#include "lacewingmux_records/members/RecordsMembership.h"
+
+#include <criterion/criterion.h>
+
+using namespace lacewingmux;
+
+namespace {
+
+VmDescriptor vm(const char *name, std::uint64_t disk)
+{
+    VmDescriptor made;
+    made.incarnation = {QString::fromLatin1(name), QStringLiteral("zone"), disk};
+    made.address = QStringLiteral("10.0.0.1");
+    made.trafficPort = 7;
+    made.hasDataFolder = true;
+    return made;
+}
+
+RecordsView firstView(int members)
+{
+    RecordsView view;
+    for (int number = 1; number <= members; ++number) {
+        const QByteArray name = "r" + QByteArray::number(number);
+        view = RecordsMembership::withJoined(
+                       view, vm(name.constData(), static_cast<std::uint64_t>(number)), true, 1)
+                       .value();
+        ++view.number;
+    }
+    return view;
+}
+
+} // namespace
+
+Test(records_view, survives_its_document)
+{
+    const RecordsView view = firstView(3);
+    const RecordsView read = RecordsView::fromDocument(view.toDocument()).value();
+    cr_assert_eq(read.number, view.number);
+    cr_assert(read.members == view.members);
+    cr_assert(!RecordsView::fromDocument("[1]").has_value());
+}
+
+Test(records_view, any_two_quorums_meet)
+{
+    for (int members = 2; members <= 7; ++members) {
+        const RecordsView view = firstView(members);
+        cr_assert_gt(view.reservationQuorum() * 2, members);
+        cr_assert_gt(view.durableCopies() + view.absenceQuorum(), members);
+        cr_assert_leq(view.reservationQuorum(), members);
+    }
+}
+
+Test(records_view, a_new_disk_on_a_known_vm_has_to_copy)
+{
+    const RecordsView view =
+            RecordsMembership::withJoined(firstView(3), vm("r1", 9), false, 1).value();
+    cr_assert_eq(view.members.size(), 3);
+    const RecordsMember *member = view.memberOnVm(QStringLiteral("r1"));
+    cr_assert(member->state == MemberState::Joining);
+    cr_assert_eq(member->syncSources, 2, "each of the others may be the only one with a record");
+    cr_assert_eq(view.reservationQuorum(), 2);
+}
+
+Test(records_view, the_same_disk_at_a_new_address_stays_synced)
+{
+    VmDescriptor moved = vm("r1", 1);
+    moved.address = QStringLiteral("10.0.0.9");
+    const RecordsView view = RecordsMembership::withJoined(firstView(3), moved, false, 1).value();
+    cr_assert(view.memberOnVm(QStringLiteral("r1"))->state == MemberState::Synced);
+    cr_assert(!RecordsMembership::withJoined(view, moved, false, 1).has_value());
+}
+
+Test(records_view, a_silent_member_stays_until_another_has_taken_its_place)
+{
+    RecordsView view = firstView(3);
+    cr_assert(!RecordsMembership::withoutReplaced(view, vm("r1", 1).incarnation).has_value());
+    view = RecordsMembership::withJoined(view, vm("r4", 4), false, 1).value();
+    cr_assert(!RecordsMembership::withoutReplaced(view, vm("r1", 1).incarnation).has_value());
+    view.members.back().state = MemberState::Synced;
+    const auto next = RecordsMembership::withoutReplaced(view, vm("r1", 1).incarnation);
+    cr_assert(next.has_value());
+    cr_assert_eq(next->members.size(), 3);
+}
--- /dev/null
+++ b/tests/records/model/ModelLog.cpp
@@ -0,0 +1,81 @@
+#include "model/ModelLog.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingmux {
+
+ModelLog::ModelLog(ModelDisk &modelDisk, TimerService &timerService,
+                   std::chrono::milliseconds syncTime)
+    : disk(modelDisk)
+    , timers(timerService)
+    , syncDuration(syncTime)
+{ }
+
+void ModelLog::replay(const ReplayFunction &report)
+{
+    for (std::size_t index = 0; index < this->disk.records.size(); ++index)
+        report(index + 1, this->disk.records[index]);
+}
+
+std::uint64_t ModelLog::append(const Record &record)
+{
+    this->unsynced.push_back(record);
+    this->startSync();
+    return this->lastSequence();
+}
+
+void ModelLog::whenDurable(std::uint64_t sequence, std::function<void()> callback)
+{
+    if (sequence <= this->disk.records.size())
+        this->timers.post(std::move(callback));
+    else
+        this->waiters.emplace(sequence, std::move(callback));
+}
+
+std::optional<Record> ModelLog::read(std::uint64_t sequence)
+{
+    if (sequence == 0 || sequence > this->lastSequence())
+        return std::nullopt;
+    const std::size_t index = sequence - 1;
+    return index < this->disk.records.size() ? this->disk.records[index]
+                                             : this->unsynced[index - this->disk.records.size()];
+}
+
+std::uint64_t ModelLog::lastSequence() const
+{
+    return this->disk.records.size() + this->unsynced.size();
+}
+
+void ModelLog::dropExpired(std::chrono::system_clock::time_point)
+{ }
+
+void ModelLog::tearWrite(std::size_t count)
+{
+    for (std::size_t index = 0; index < std::min(count, this->unsynced.size()); ++index)
+        this->disk.records.push_back(this->unsynced[index]);
+}
+
+void ModelLog::startSync()
+{
+    if (std::exchange(this->syncing, true))
+        return;
+    const std::size_t group = this->unsynced.size();
+    this->sync = this->timers.after(this->syncDuration, [this, group] {
+        this->syncing = false;
+        for (std::size_t index = 0; index < group; ++index)
+            this->disk.records.push_back(std::move(this->unsynced[index]));
+        this->unsynced.erase(this->unsynced.begin(),
+                             this->unsynced.begin() + static_cast<std::ptrdiff_t>(group));
+        if (!this->unsynced.empty())
+            this->startSync();
+        std::multimap<std::uint64_t, std::function<void()>> due;
+        const auto end = this->waiters.upper_bound(this->disk.records.size());
+        for (auto waiter = this->waiters.begin(); waiter != end;)
+            due.insert(this->waiters.extract(waiter++));
+        for (const auto &[sequence, callback] : due)
+            callback();
+    });
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/tests/records/model/ModelLog.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_records/log/DurableLog.h"
+#include "model/ModelDisk.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace lacewingmux {
+
+/** A log on a ModelDisk: records reach the disk some time after they were appended, in groups. */
+class ModelLog final : public DurableLog
+{
+public:
+    ModelLog(ModelDisk &modelDisk, TimerService &timerService, std::chrono::milliseconds syncTime);
+
+    void replay(const ReplayFunction &report) override;
+    std::uint64_t append(const Record &record) override;
+    void whenDurable(std::uint64_t sequence, std::function<void()> callback) override;
+    [[nodiscard]] std::optional<Record> read(std::uint64_t sequence) override;
+    [[nodiscard]] std::uint64_t lastSequence() const override;
+    void dropExpired(std::chrono::system_clock::time_point now) override;
+
+    /** Writes the first records that wait, as a torn write does before the power goes. */
+    void tearWrite(std::size_t count);
+
+private:
+    void startSync();
+
+    ModelDisk &disk;
+    TimerService &timers;
+    std::chrono::milliseconds syncDuration;
+    std::vector<Record> unsynced;
+    bool syncing = false;
+    std::multimap<std::uint64_t, std::function<void()>> waiters;
+    TimerSubscription sync;
+};
+
+} // namespace lacewingmux
