Keep a team's unspent burst through a crash, and let calls of running programs wait longer

Now each bucket has a floor on disk below which it never grants, and starts from it; calls of programs under way wait up to 0.9 s for a token instead of 0.25 s, because a refusal ends the program.

--- a/modules/lacewingmux_node/settings/PeerSetup.cpp
+++ b/modules/lacewingmux_node/settings/PeerSetup.cpp
@@ -18,7 +18,7 @@
     peers.handshakeTimeout = milliseconds(900);
     peers.pingInterval = milliseconds(300);
     peers.missedPingLimit = 3;
-    peers.longestReconnect = milliseconds(600);
+    peers.longestReconnect = milliseconds(250);
     return peers;
 }
 
--- a/modules/lacewingmux_records/client/FleetQuota.cpp
+++ b/modules/lacewingmux_records/client/FleetQuota.cpp
@@ -14,8 +14,10 @@
 
 constexpr milliseconds tickInterval{50};
 constexpr milliseconds answerLimit{150}; // dozens of round trips; then another records VM is asked
-constexpr milliseconds longestWait{250}; // the response-time goal of the slowest plain calls
-constexpr milliseconds unreachableWait{600};   // for a link to a records VM to come back
+constexpr milliseconds longestStartWait{250}; // a new program had better come back
+// A refused call ends a program that has got far, so it waits as long as a call may take.
+constexpr milliseconds longestCallWait{900};
+constexpr milliseconds unreachableWait{1000};  // for a link to a records VM to come back
 constexpr milliseconds unreachableRetry{1500}; // until the balancer sends callers elsewhere
 constexpr milliseconds shortestRetry{50}; // below it a refused caller would only be refused again
 
@@ -61,7 +63,7 @@
     const milliseconds wait =
             std::max(milliseconds(0), std::chrono::ceil<milliseconds>(queue.nextToken - now))
             + ahead * this->timePerToken(queue);
-    if (now < queue.nextToken && wait > longestWait) {
+    if (now < queue.nextToken && wait > longestWait(queue)) {
         callback({false, std::max(shortestRetry, wait)});
         return;
     }
@@ -157,7 +159,7 @@
     queue.nextToken = this->timers.now() + wait;
     queue.repeat = this->timers.after(wait, [this, key] { this->ask(this->queues[key]); });
     const milliseconds spacing = this->timePerToken(queue);
-    const milliseconds room = std::max(milliseconds(0), longestWait - wait);
+    const milliseconds room = std::max(milliseconds(0), longestWait(queue) - wait);
     this->refuseBeyond(queue, static_cast<std::size_t>(room / spacing), wait);
 }
 
@@ -178,6 +180,11 @@
     }
 }
 
+milliseconds FleetQuota::longestWait(const Queue &queue)
+{
+    return queue.request.reserve > 0 ? longestStartWait : longestCallWait;
+}
+
 milliseconds FleetQuota::timePerToken(const Queue &queue) const
 {
     constexpr double millisecondsPerSecond = 1000.0;
--- a/modules/lacewingmux_records/client/FleetQuota.h
+++ b/modules/lacewingmux_records/client/FleetQuota.h
@@ -66,6 +66,7 @@
     void serveWaiting(Queue &queue);
     void endRound(const QueueKey &key, Queue &queue);
     void refuseBeyond(Queue &queue, std::size_t kept, std::chrono::milliseconds retryAfter);
+    [[nodiscard]] static std::chrono::milliseconds longestWait(const Queue &queue);
     [[nodiscard]] std::chrono::milliseconds timePerToken(const Queue &queue) const;
     void tick();
     [[nodiscard]] std::vector<VmIncarnation> sources() const;
--- a/modules/lacewingmux_records/log/RecordIndex.cpp
+++ b/modules/lacewingmux_records/log/RecordIndex.cpp
@@ -97,6 +97,11 @@
     return found;
 }
 
+std::uint64_t RecordIndex::lastSequence() const
+{
+    return this->names.empty() ? 0 : this->names.rbegin()->first;
+}
+
 void RecordIndex::dropExpired(WallTime before)
 {
     const auto end = this->byExpiry.lower_bound(before);
--- a/modules/lacewingmux_records/log/RecordIndex.h
+++ b/modules/lacewingmux_records/log/RecordIndex.h
@@ -54,6 +54,9 @@
     [[nodiscard]] std::vector<std::pair<std::uint64_t, RecordName>>
     namesAfter(std::uint64_t sequence, std::size_t limit) const;
 
+    /** Returns the place of the record that was added last; 0 when there is none. */
+    [[nodiscard]] std::uint64_t lastSequence() const;
+
     /** Forgets what expired before the time. */
     void dropExpired(WallTime before);
 
--- a/modules/lacewingmux_records/messages/Record.h
+++ b/modules/lacewingmux_records/messages/Record.h
@@ -12,7 +12,8 @@
 enum class RecordKind : std::uint8_t {
     Turn = 1,        ///< a turn that ended whole, with its input and output
     Reservation = 2, ///< tokens that a turn may hand out
-    Settlement = 3   ///< tokens that a turn has handed out; takes the reservation's place
+    Settlement = 3,  ///< tokens that a turn has handed out; takes the reservation's place
+    QuotaFloor = 4   ///< admission tokens of a team that stay unspent until another one is written
 };
 
 /** One fact about a program. It is written once and never changed. */
--- a/modules/lacewingmux_records/quota/GrantBucket.cpp
+++ b/modules/lacewingmux_records/quota/GrantBucket.cpp
@@ -5,8 +5,19 @@
 
 namespace lacewingmux {
 
-GrantBucket::GrantBucket(SteadyTime now)
-    : updated(now)
+namespace {
+
+// Parts of the burst. The floor moves rarely: each move is a write to the disk.
+constexpr double floorDistance = 0.45; // of a new floor below the tokens held
+constexpr double bindingPart = 0.15;   // above the floor, where it is lowered
+constexpr double wideGap = 0.75;       // above the floor, where it is raised
+
+} // namespace
+
+GrantBucket::GrantBucket(double unspentTokens, SteadyTime now)
+    : tokens(unspentTokens)
+    , floor(unspentTokens)
+    , updated(now)
 { }
 
 void GrantBucket::setShare(double requestsPerSecond, double burst, SteadyTime now)
@@ -21,7 +32,8 @@
 int GrantBucket::take(int wanted, double reserve, SteadyTime now)
 {
     this->refill(now);
-    const double free = std::max(0.0, this->tokens - reserve * this->capacity);
+    const double kept = std::max(this->floor, reserve * this->capacity);
+    const double free = std::max(0.0, this->tokens - kept);
     const int taken = std::min(wanted, static_cast<int>(free));
     this->tokens -= taken;
     return taken;
@@ -41,6 +53,31 @@
     return std::min(longest, wait);
 }
 
+std::optional<double> GrantBucket::lowerFloor(SteadyTime now)
+{
+    this->refill(now);
+    const bool binds = this->tokens - this->floor < bindingPart * this->capacity;
+    if (this->lowering || this->floor <= 0 || !binds)
+        return std::nullopt;
+    this->lowering = true;
+    return std::max(0.0, this->tokens - floorDistance * this->capacity);
+}
+
+std::optional<double> GrantBucket::raiseFloor(SteadyTime now)
+{
+    this->refill(now);
+    if (this->lowering || this->tokens - this->floor < wideGap * this->capacity)
+        return std::nullopt;
+    this->floor = std::max(0.0, this->tokens - floorDistance * this->capacity);
+    return this->floor;
+}
+
+void GrantBucket::setFloor(double tokensKept)
+{
+    this->floor = tokensKept;
+    this->lowering = false;
+}
+
 void GrantBucket::refill(SteadyTime now)
 {
     const std::chrono::duration<double> passed = now - this->updated;
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -17,7 +17,9 @@
 constexpr milliseconds housekeepingInterval{1000};
 constexpr std::size_t namesAtOnce = 4000;           // about 100 kB
 constexpr qsizetype fetchedBytes = 2 * 1024 * 1024; // a seventh of a frame's limit
-constexpr std::chrono::seconds clockAllowance{20};  // the VMs' clocks differ
+constexpr std::chrono::seconds floorRetention{
+        120};                                      // longer than any outage that a burst matters in
+constexpr std::chrono::seconds clockAllowance{20}; // the VMs' clocks differ
 
 // A member that is silent for longer may be replaced: far beyond a restart.
 constexpr milliseconds replacementTime{7500};
@@ -45,7 +47,7 @@
     , lease(peerHub.self())
 {
     this->log.replay([this](std::uint64_t sequence, const Record &record) {
-        this->index.add(record, sequence);
+        this->replay(sequence, record);
     });
     const auto handle = [this](FrameKind kind, auto method) {
         this->hub.setHandler(kind, [this, method](const auto &peer, const auto &frame) {
@@ -215,12 +217,14 @@
     const double share = this->lease.share(now);
     GrantTokensReplyMessage reply;
     for (const TeamDemandMessage &demand : message->demands) {
-        auto bucket = this->buckets.find(demand.team);
-        if (bucket == this->buckets.end())
-            bucket = this->buckets.insert(demand.team, GrantBucket(this->started));
-        bucket->setShare(demand.requestsPerSecond * share, demand.burst * share, now);
-        const int granted = share > 0 ? bucket->take(demand.wanted, demand.reserve, now) : 0;
-        reply.grants.push_back({demand.team, granted, bucket->untilNext(demand.reserve, now)});
+        GrantBucket &bucket = this->bucketOf(demand.team);
+        bucket.setShare(demand.requestsPerSecond * share, demand.burst * share, now);
+        const int granted = share > 0 ? bucket.take(demand.wanted, demand.reserve, now) : 0;
+        reply.grants.push_back({demand.team, granted, bucket.untilNext(demand.reserve, now)});
+        if (const std::optional<double> lower = bucket.lowerFloor(now))
+            this->writeFloor(demand.team, *lower, [this, team = demand.team, tokens = *lower] {
+                this->bucketOf(team).setFloor(tokens);
+            });
     }
     reply.configurationVersion = this->configuration.version;
     reply.entryVms = static_cast<int>(this->entryVms.size());
@@ -228,6 +232,37 @@
                           RecordsCodec::encodeGrantReply(reply)});
 }
 
+void RecordsServer::replay(std::uint64_t sequence, const Record &record)
+{
+    // Floors are this VM's own: the last one counts, and no other member asks for them.
+    if (record.kind == RecordKind::QuotaFloor)
+        this->unspent[record.team] = static_cast<double>(record.tokens);
+    else
+        this->index.add(record, sequence);
+}
+
+GrantBucket &RecordsServer::bucketOf(const QByteArray &team)
+{
+    auto bucket = this->buckets.find(team);
+    if (bucket == this->buckets.end())
+        bucket = this->buckets.insert(team,
+                                      GrantBucket(this->unspent.value(team, 0), this->started));
+    return *bucket;
+}
+
+void RecordsServer::writeFloor(const QByteArray &team, double tokens, std::function<void()> durable)
+{
+    Record record;
+    record.kind = RecordKind::QuotaFloor;
+    record.key = team;
+    record.team = team;
+    record.tokens = static_cast<std::int64_t>(tokens);
+    record.expires = this->timers.wallNow() + floorRetention;
+    const std::uint64_t sequence = this->log.append(record);
+    if (durable)
+        this->log.whenDurable(sequence, std::move(durable));
+}
+
 bool RecordsServer::refuseOldView(const VmIncarnation &peer, const PeerFrame &frame)
 {
     // Whoever has a newer view answers a question under an older one with it.
@@ -256,6 +291,10 @@
     const auto now = this->timers.wallNow();
     this->index.dropExpired(now - clockAllowance);
     this->log.dropExpired(now);
+    for (auto bucket = this->buckets.begin(); bucket != this->buckets.end(); ++bucket) {
+        if (const std::optional<double> higher = bucket->raiseFloor(this->timers.now()))
+            this->writeFloor(bucket.key(), *higher, nullptr);
+    }
     this->reportSilentMembers();
     this->metrics.set("lacewingmux_records_kept", {}, static_cast<double>(this->index.size()));
 }
@@ -285,7 +324,7 @@
     }
     if (self->state != MemberState::Leaving || this->copiedTold)
         return;
-    const std::uint64_t last = this->log.lastSequence();
+    const std::uint64_t last = this->index.lastSequence();
     const bool copied = std::all_of(
             this->view.members.begin(), this->view.members.end(), [this, last](const auto &member) {
                 const auto place = this->copiedTo.find(member.vm.incarnation);
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -47,6 +47,9 @@
     void handlePull(const VmIncarnation &peer, const PeerFrame &frame);
     void handleFetch(const VmIncarnation &peer, const PeerFrame &frame);
     void handleGrant(const VmIncarnation &peer, const PeerFrame &frame);
+    void replay(std::uint64_t sequence, const Record &record);
+    GrantBucket &bucketOf(const QByteArray &team);
+    void writeFloor(const QByteArray &team, double tokens, std::function<void()> durable);
     [[nodiscard]] bool refuseOldView(const VmIncarnation &peer, const PeerFrame &frame);
     void lookUpChain(const OpenTurnMessage &message, OpenTurnReplyMessage &reply);
     std::uint64_t append(const Record &record);
@@ -66,6 +69,7 @@
     TimerService::SteadyTime started;
     GrantLease lease;
     QHash<QByteArray, GrantBucket> buckets;
+    QHash<QByteArray, double> unspent; ///< floors that the disk held at the start, by team
     ConfigurationDocumentMessage configuration;
     std::set<VmIncarnation> entryVms;
     std::map<VmIncarnation, TimerService::SteadyTime> heard; ///< members, when last
--- a/tests/records/QuotaTest.cpp
+++ b/tests/records/QuotaTest.cpp
@@ -32,9 +32,9 @@
 
 } // namespace
 
-Test(grant_bucket, starts_empty_and_holds_no_more_than_the_burst)
+Test(grant_bucket, starts_with_what_was_unspent_and_holds_no_more_than_the_burst)
 {
-    GrantBucket bucket(start);
+    GrantBucket bucket(0, start);
     bucket.setShare(10, 5, start);
     cr_assert_eq(bucket.take(100, 0, start), 0);
     cr_assert_eq(bucket.take(100, 0, start + milliseconds(300)), 3);
@@ -43,7 +43,7 @@
 
 Test(grant_bucket, leaves_the_reserve_to_programs_under_way)
 {
-    GrantBucket bucket(start);
+    GrantBucket bucket(0, start);
     bucket.setShare(10, 10, start);
     const auto later = start + std::chrono::seconds(10);
     cr_assert_eq(bucket.take(100, 0.4, later), 6);
@@ -52,6 +52,28 @@
     cr_assert_eq(bucket.take(100, 0, later), 4);
 }
 
+Test(grant_bucket, never_gives_away_what_its_floor_says_is_unspent)
+{
+    GrantBucket bucket(0, start);
+    bucket.setShare(100, 100, start);
+    auto now = start + std::chrono::seconds(10);
+    double onDisk = bucket.raiseFloor(now).value();
+    cr_assert_float_eq(onDisk, 55, 1e-6);
+    // A crash at any moment leaves a bucket with no more than was held.
+    double held = 100;
+    for (int round = 0; round < 20; ++round) {
+        held -= bucket.take(10, 0, now);
+        cr_assert_geq(held, onDisk);
+        const std::optional<double> lower = bucket.lowerFloor(now);
+        if (!lower)
+            continue;
+        cr_assert(!bucket.lowerFloor(now).has_value(), "one write at a time");
+        onDisk = *lower;
+        bucket.setFloor(*lower);
+    }
+    cr_assert_float_eq(held, 0, 1e-6);
+}
+
 Test(quota_pocket, lets_tokens_lapse)
 {
     QuotaPocket pocket;
