--- /dev/null
+++ b/tests/adapter/StoreClientTest.cpp
@@ -0,0 +1,183 @@
+#include "platform/StoreClient.h"
+#include "loops/EventLoop.h"
+#include "replica/ScriptedReplica.h"
+
+#include "lacewingmux_core/metrics/IgnoringMetricsRecorder.h"
+
+#include <criterion/criterion.h>
+
+using namespace lacewingmux;
+using std::chrono::milliseconds;
+
+namespace {
+
+QByteArray reply(int status, const QByteArray &body)
+{
+    return "HTTP/1.1 " + QByteArray::number(status)
+           + " X\r\nContent-Type: application/json\r\nContent-Length: "
+           + QByteArray::number(body.size()) + "\r\n\r\n" + body;
+}
+
+QByteArray item(const QByteArray &key, const QByteArray &value, int revision)
+{
+    return R"({"key":")" + key + R"(","value":")" + value.toBase64() + R"(","rev":)"
+           + QByteArray::number(revision) + R"(,"createdRev":1,"lease":0})";
+}
+
+/** A store whose answers the test scripts, and a client of it. */
+struct Store
+{
+    explicit Store(const ScriptedReplica::Handler &handler)
+        : server(handler)
+    {
+        PlatformStoreSettings settings;
+        QUrl url(QStringLiteral("http://127.0.0.1"));
+        url.setPort(this->server.port());
+        settings.endpoints = {url};
+        settings.clientName = QStringLiteral("test");
+        settings.callTimeout = milliseconds(300);
+        settings.watchPaces["w/"] = {milliseconds(100), milliseconds(10)};
+        settings.contactChanged = [this](bool reachable) { this->contact.push_back(reachable); };
+        this->client = std::make_unique<StoreClient>(this->loop.timers, this->metrics, settings);
+    }
+
+    EventLoop loop;
+    IgnoringMetricsRecorder metrics;
+    ScriptedReplica server;
+    std::vector<bool> contact;
+    std::unique_ptr<StoreClient> client;
+};
+
+CompareAndSwapResult swap(Store &store)
+{
+    std::optional<CompareAndSwapResult> result;
+    store.client->compareAndSwap("k", 4, "v",
+                                 [&result](const CompareAndSwapResult &ended) { result = ended; });
+    store.loop.waitUntil([&result] { return result.has_value(); }, "the end of the write");
+    return *result;
+}
+
+} // namespace
+
+Test(store_client, reads_all_pages_of_a_prefix)
+{
+    Store store([](const HttpRequest &request, const auto &exchange) {
+        if (request.target.contains("after="))
+            exchange.write(reply(200, R"({"items":[)" + item("p/2", "two", 6)
+                                              + R"(],"hasMore":false,"storeRevision":9})"));
+        else
+            exchange.write(reply(200, R"({"items":[)" + item("p/1", "one", 5)
+                                              + R"(],"hasMore":true,"storeRevision":9})"));
+    });
+    std::optional<std::vector<StoreRecord>> found;
+    bool done = false;
+    store.client->readPrefix("p/", [&](auto records) {
+        found = records;
+        done = true;
+    });
+    store.loop.waitUntil([&done] { return done; }, "the records");
+    cr_assert_eq(found->size(), 2);
+    cr_assert(found->at(1).value == "two");
+    cr_assert_eq(found->at(1).modRevision, 6);
+}
+
+Test(store_client, tells_apart_how_a_write_ended)
+{
+    QByteArray answer;
+    Store store([&answer](const auto &, const ScriptedReplica::Exchange &exchange) {
+        if (answer.isEmpty())
+            exchange.reset();
+        else
+            exchange.write(answer);
+    });
+    answer = reply(200, R"({"rev":12})");
+    cr_assert(swap(store).outcome == CompareAndSwapOutcome::Applied);
+    answer = reply(412, R"({"items":[)" + item("k", "other", 8) + "]}");
+    const CompareAndSwapResult conflict = swap(store);
+    cr_assert(conflict.outcome == CompareAndSwapOutcome::Conflict);
+    cr_assert_eq(conflict.current->modRevision, 8);
+    answer = reply(503, "{}");
+    cr_assert(swap(store).outcome == CompareAndSwapOutcome::NotSent, "nothing was done");
+    answer = reply(429, "{}");
+    cr_assert(swap(store).outcome == CompareAndSwapOutcome::NotSent);
+    answer.clear();
+    cr_assert(swap(store).outcome == CompareAndSwapOutcome::Unknown, "it may be done later");
+}
+
+Test(store_client, a_silent_store_makes_a_write_unknown)
+{
+    Store store([](const auto &, const auto &) {});
+    cr_assert(swap(store).outcome == CompareAndSwapOutcome::Unknown);
+}
+
+Test(store_watch, lists_first_and_then_follows_changes)
+{
+    int polls = 0;
+    Store store([&polls](const HttpRequest &request, const auto &exchange) {
+        if (request.target.startsWith("/v1/kv-range")) {
+            exchange.write(reply(200, R"({"items":[)" + item("w/1", "one", 5)
+                                              + R"(],"hasMore":false,"storeRevision":9})"));
+            return;
+        }
+        cr_expect(request.target.contains(polls == 0 ? "after=9" : "after=11"));
+        if (++polls == 1)
+            exchange.write(reply(200, R"({"events":[{"key":"w/1","rev":10,"deleted":true},)"
+                                              + item("w/2", "two", 11)
+                                              + R"(],"storeRevision":11})"));
+    });
+    std::vector<StoreRecord> seen;
+    const auto watch = store.client->watchPrefix(
+            "w/", 0, [&seen](const StoreRecord &record) { seen.push_back(record); });
+    store.loop.waitUntil([&] { return seen.size() == 3 && polls == 2; }, "the changes");
+    cr_assert(seen[0].value == "one");
+    cr_assert_eq(seen[1].createRevision, 0);
+    cr_assert(seen[2].key == "w/2");
+}
+
+Test(store_watch, lists_again_when_its_history_is_gone)
+{
+    int lists = 0;
+    int polls = 0;
+    Store store([&](const HttpRequest &request, const auto &exchange) {
+        if (request.target.startsWith("/v1/kv-range")) {
+            const QByteArray items =
+                    ++lists == 1 ? item("w/1", "one", 5) + ',' + item("w/2", "two", 6)
+                                 : item("w/2", "two", 6) + ',' + item("w/3", "three", 40);
+            exchange.write(reply(200, R"({"items":[)" + items
+                                              + R"(],"hasMore":false,"storeRevision":)"
+                                              + QByteArray::number(lists * 20) + "}"));
+            return;
+        }
+        if (++polls == 1)
+            exchange.write(reply(410, "{}"));
+    });
+    std::vector<StoreRecord> seen;
+    const auto watch = store.client->watchPrefix(
+            "w/", 0, [&seen](const StoreRecord &record) { seen.push_back(record); });
+    store.loop.waitUntil([&] { return seen.size() == 4; }, "the changes");
+    cr_assert(seen[2].key == "w/3");
+    cr_assert(seen[3].key == "w/1");
+    cr_assert_eq(seen[3].createRevision, 0, "what is no longer listed is gone");
+}
+
+Test(store_watch, goes_on_after_an_outage_and_tells_of_it)
+{
+    int calls = 0;
+    Store store([&calls](const HttpRequest &request, const ScriptedReplica::Exchange &exchange) {
+        ++calls;
+        if (calls == 2)
+            exchange.reset();
+        else if (calls == 3)
+            exchange.write(reply(503, "{}"));
+        else if (request.target.startsWith("/v1/kv-range"))
+            exchange.write(reply(200, R"({"items":[],"hasMore":false,"storeRevision":9})"));
+        else if (calls == 4)
+            exchange.write(reply(200, R"({"events":[)" + item("w/2", "two", 11)
+                                              + R"(],"storeRevision":11})"));
+    });
+    std::vector<StoreRecord> seen;
+    const auto watch = store.client->watchPrefix(
+            "w/", 0, [&seen](const StoreRecord &record) { seen.push_back(record); });
+    store.loop.waitUntil([&] { return seen.size() == 1; }, "the change");
+    cr_assert(store.contact == (std::vector<bool>{false, true}));
+}
