Quarantine requests that crash replicas over all entry VMs

Cause: nothing kept a request that kills its replicas from coming again at another VM. Records VMs pass notices on. Quarantine moved to the core.

--- a/benchmarks/decisions/DecisionFixtures.h
+++ b/benchmarks/decisions/DecisionFixtures.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lacewingmux_scheduling/protection/Quarantine.h"
+#include "lacewingmux_core/protection/Quarantine.h"
 #include "lacewingmux_scheduling/queue/WorkQueue.h"
 #include "lacewingmux_scheduling/replicas/PrefixDirectory.h"
 #include "lacewingmux_scheduling/replicas/ReplicaChooser.h"
--- a/benchmarks/gateway/GatewayBenchmark.cpp
+++ b/benchmarks/gateway/GatewayBenchmark.cpp
@@ -185,7 +185,8 @@
         settings.address = QHostAddress(QHostAddress::LocalHost);
         settings.zone = "a";
         made->gateway = std::make_unique<Gateway>(settings, made->timers, platformDialect(),
-                                                  made->quota, made->ledger, made->metrics);
+                                                  made->quota, made->ledger, made->metrics,
+                                                  [](const CrashCoincidence &) {});
         port = made->gateway->port();
         return made;
     });
--- a/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.h
+++ b/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.h
@@ -9,8 +9,8 @@
 #include "lacewingmux_backend/orders/ProgramMemory.h"
 #include "lacewingmux_backend/replicas/ReplicaSet.h"
 #include "lacewingmux_core/ids/VmIncarnation.h"
+#include "lacewingmux_core/protection/Quarantine.h"
 #include "lacewingmux_program/dispatch/CallDispatcher.h"
-#include "lacewingmux_scheduling/protection/Quarantine.h"
 #include "lacewingmux_scheduling/replicas/PrefixDirectory.h"
 
 #include <QHash>
--- a/modules/lacewingmux_backend/messages/BackendMessages.h
+++ b/modules/lacewingmux_backend/messages/BackendMessages.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lacewingmux_backend/replicas/ReplicaSet.h"
-#include "lacewingmux_scheduling/protection/Quarantine.h"
+#include "lacewingmux_core/protection/Quarantine.h"
 
 #include <QByteArray>
 #include <QString>
--- a/modules/lacewingmux_scheduling/protection/Quarantine.cpp
+++ b/modules/lacewingmux_core/protection/Quarantine.cpp
@@ -1,15 +1,9 @@
-#include "lacewingmux_scheduling/protection/Quarantine.h"
+#include "lacewingmux_core/protection/Quarantine.h"
 
 #include <algorithm>
 
 namespace lacewingmux {
 
-namespace {
-
-constexpr std::size_t crashesToQuarantine = 2;
-
-} // namespace
-
 Quarantine::Quarantine(const QuarantineSettings &quarantineSettings)
     : settings(quarantineSettings)
 { }
@@ -22,13 +16,13 @@
         entry.crashes.clear();
     const bool known = std::find(entry.crashes.begin(), entry.crashes.end(), coincidence.crash)
                        != entry.crashes.end();
-    if (known || entry.crashes.size() >= crashesToQuarantine)
+    if (known || entry.crashes.size() >= this->settings.crashesToQuarantine)
         return false;
     entry.crashes.push_back(coincidence.crash);
-    entry.expiry =
-            now
-            + (entry.crashes.size() < crashesToQuarantine ? this->settings.suspicionTimeout
-                                                          : this->settings.quarantineTimeout);
+    entry.expiry = now
+                   + (entry.crashes.size() < this->settings.crashesToQuarantine
+                              ? this->settings.suspicionTimeout
+                              : this->settings.quarantineTimeout);
     this->byExpiry.emplace_back(entry.expiry, coincidence.contentDigest);
     return true;
 }
@@ -36,7 +30,8 @@
 void Quarantine::completed(const QByteArray &contentDigest)
 {
     const auto found = this->entries.find(contentDigest);
-    if (found != this->entries.end() && found->second.crashes.size() < crashesToQuarantine)
+    if (found != this->entries.end()
+        && found->second.crashes.size() < this->settings.crashesToQuarantine)
         this->entries.erase(found);
 }
 
@@ -45,8 +40,9 @@
     const Entry *entry = this->liveEntry(contentDigest, now);
     if (!entry)
         return QuarantineVerdict::Clear;
-    return entry->crashes.size() < crashesToQuarantine ? QuarantineVerdict::Suspect
-                                                       : QuarantineVerdict::Quarantined;
+    return entry->crashes.size() < this->settings.crashesToQuarantine
+                   ? QuarantineVerdict::Suspect
+                   : QuarantineVerdict::Quarantined;
 }
 
 std::chrono::milliseconds Quarantine::retryAfter(const QByteArray &contentDigest,
@@ -84,9 +80,9 @@
         const auto &[expiry, digest] = this->byExpiry.front();
         const auto found = this->entries.find(digest);
         const bool current = found != this->entries.end() && found->second.expiry == expiry;
-        const bool full =
-                this->entries.size() >= this->settings.maximumEntries
-                || this->byExpiry.size() > crashesToQuarantine * this->settings.maximumEntries;
+        const bool full = this->entries.size() >= this->settings.maximumEntries
+                          || this->byExpiry.size() > this->settings.crashesToQuarantine
+                                                             * this->settings.maximumEntries;
         if (current && expiry > now && !full)
             return;
         if (current)
--- a/modules/lacewingmux_scheduling/protection/Quarantine.h
+++ b/modules/lacewingmux_core/protection/Quarantine.h
@@ -19,7 +19,7 @@
 enum class QuarantineVerdict : std::uint8_t {
     Clear,      ///< runs like any other
     Suspect,    ///< ran when a replica crashed; runs apart from other suspects
-    Quarantined ///< ran at two crashes; is refused until it expires
+    Quarantined ///< ran at as many crashes as the settings say; is refused until it expires
 };
 
 /** A content that ran on a replica when that crashed; VMs tell each other of them. */
@@ -32,6 +32,7 @@
 /** Parameters of Quarantine. */
 struct QuarantineSettings
 {
+    std::size_t crashesToQuarantine = 2; ///< a neighbour of one crash must not suffer
     std::chrono::seconds suspicionTimeout{600};
     std::chrono::seconds quarantineTimeout{3600};
     std::size_t maximumEntries = 10000;
@@ -78,7 +79,7 @@
 private:
     struct Entry
     {
-        std::vector<QString> crashes; ///< one or two
+        std::vector<QString> crashes; ///< at least one
         SteadyTime expiry;
     };
 
--- a/modules/lacewingmux_experiment/simulation/SimulatedVm.h
+++ b/modules/lacewingmux_experiment/simulation/SimulatedVm.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lacewingmux_core/protection/Quarantine.h"
 #include "lacewingmux_experiment/policy/ChooserHooks.h"
 #include "lacewingmux_experiment/policy/Policy.h"
 #include "lacewingmux_experiment/policy/QueueHooks.h"
@@ -8,7 +9,6 @@
 #include "lacewingmux_experiment/simulation/VmCall.h"
 #include "lacewingmux_scheduling/prefixes/PrefixRetention.h"
 #include "lacewingmux_scheduling/protection/AdmissionControl.h"
-#include "lacewingmux_scheduling/protection/Quarantine.h"
 #include "lacewingmux_scheduling/protection/RetryBudget.h"
 #include "lacewingmux_scheduling/replicas/PrefixDirectory.h"
 
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -11,6 +11,8 @@
 
 #include "lacewingmux_core/hashing/StableHash.h"
 
+#include <QCryptographicHash>
+
 #include <algorithm>
 #include <utility>
 
@@ -21,9 +23,10 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds noConfigurationRetry{300}; // a few calls to the platform's store
-constexpr milliseconds otherVmRetry{50};          // a new connection leads to another VM
-constexpr milliseconds noReplicaRetry{400};       // about the time in which a replica registers
-constexpr milliseconds firstPlacementPause{15};   // about half of a tool call
+constexpr milliseconds quarantineRetry{30000};
+constexpr milliseconds otherVmRetry{50};        // a new connection leads to another VM
+constexpr milliseconds noReplicaRetry{400};     // about the time in which a replica registers
+constexpr milliseconds firstPlacementPause{15}; // about half of a tool call
 constexpr milliseconds longestPlacementPause{120};
 constexpr std::size_t firstTurnParts = 2;   // what programs share, and the turn's own
 constexpr milliseconds leastUsefulTime{20}; // below it no replica can answer any call in time
@@ -77,7 +80,7 @@
                      noConfigurationRetry);
         return;
     }
-    if (!this->findRoute() || !this->authenticate())
+    if (!this->findRoute() || !this->authenticate() || !this->isHarmless())
         return;
     this->deadline = CallDeadline(this->arrived, this->description.timeLeft, this->route.timeout);
     this->timeout = this->services.timers.after(this->deadline.left(this->now()),
@@ -120,6 +123,21 @@
     return true;
 }
 
+bool ForwardedCall::isHarmless()
+{
+    QCryptographicHash hash(QCryptographicHash::Sha1);
+    hash.addData(this->team.name);
+    hash.addData(this->request.target);
+    hash.addData(this->request.body);
+    this->contentDigest = hash.result();
+    if (!this->services.fleet.suspicions().isQuarantined(this->contentDigest, this->now()))
+        return true;
+    // As "not run", which is true, and with a time after which it would be tried again.
+    this->refuse(ErrorKind::BackendUnavailable, "the request crashes the replicas that run it",
+                 quarantineRetry);
+    return false;
+}
+
 void ForwardedCall::takeQuota()
 {
     if (this->team.name.isEmpty() || this->team.requestsPerSecond <= 0) {
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -65,6 +65,7 @@
     // Admission
     [[nodiscard]] bool findRoute();
     [[nodiscard]] bool authenticate();
+    [[nodiscard]] bool isHarmless();
     void takeQuota();
     void openTurn();
     void turnOpened(const TurnStart &start);
@@ -112,6 +113,7 @@
     CallDescription description;
     GatewayRoute route;
     QByteArray service;
+    QByteArray contentDigest; ///< the same whenever the request comes again
     bool forEngine = false;
     std::int64_t tokensPerEvent = 1;
     GatewayTeam team;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -119,11 +119,14 @@
     this->avoided.push_back(this->replica);
     if (reason == ExchangeFailure::NotConnected) {
         --this->runs;
-        placement.noteUnreachable(this->replica, this->now());
+        this->services.fleet.noteUnreachable(this->replica);
         this->place();
         return;
     }
     placement.noteFailure(this->replica, this->now());
+    if (reason == ExchangeFailure::Closed)
+        this->services.fleet.suspicions().noteBroken(this->replica, this->contentDigest,
+                                                     this->now());
     if (this->streamBegun)
         this->resumeOrBreakOff("the replica broke off");
     else if (this->mayRunAgain())
--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -20,14 +20,14 @@
 
 Gateway::Gateway(const GatewaySettings &gatewaySettings, TimerService &timerService,
                  CallDialect callDialect, TeamQuota &teamQuota, TurnLedger &turnLedger,
-                 MetricsRecorder &metricsRecorder)
+                 MetricsRecorder &metricsRecorder, CrashSuspicions::CrashHook crashHook)
     : settings(gatewaySettings)
     , timers(timerService)
     , dialect(std::move(callDialect))
     , quota(teamQuota)
     , ledger(turnLedger)
     , metrics(metricsRecorder)
-    , fleet(gatewaySettings.zone, timerService)
+    , fleet(gatewaySettings.zone, timerService, std::move(crashHook))
 {
     this->ingress = std::make_unique<IngressServer>(
             this->settings.address, this->settings.port, this->settings.connectionLimit,
@@ -57,6 +57,11 @@
     this->fleet.setReplicas(instances);
 }
 
+void Gateway::takeCrashNotice(const CrashCoincidence &coincidence)
+{
+    this->fleet.suspicions().takeNotice(coincidence, this->timers.now());
+}
+
 void Gateway::beginStop(std::function<void()> drained)
 {
     this->whenDrained = std::move(drained);
--- a/modules/lacewingmux_gateway/forwarding/Gateway.h
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.h
@@ -31,7 +31,7 @@
     /** Listens at once. Throws LacewingmuxError when the address can't be listened on. */
     Gateway(const GatewaySettings &gatewaySettings, TimerService &timerService,
             CallDialect callDialect, TeamQuota &teamQuota, TurnLedger &turnLedger,
-            MetricsRecorder &metricsRecorder);
+            MetricsRecorder &metricsRecorder, CrashSuspicions::CrashHook crashHook);
     ~Gateway();
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
@@ -42,6 +42,9 @@
     /** Takes the replicas that exist now. */
     void setReplicas(const std::vector<ReplicaInstance> &instances);
 
+    /** Takes a crash under a request that another VM found. */
+    void takeCrashNotice(const CrashCoincidence &coincidence);
+
     /** Starts a planned stop: answers all that has been read, and lets connections end. The hook
         is called when nothing is left to do. */
     void beginStop(std::function<void()> drained);
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -13,9 +13,11 @@
 
 } // namespace
 
-ReplicaFleet::ReplicaFleet(const QByteArray &zone, TimerService &timerService)
+ReplicaFleet::ReplicaFleet(const QByteArray &zone, TimerService &timerService,
+                           CrashSuspicions::CrashHook crashHook)
     : timers(timerService)
     , decisions(zone, {})
+    , crashes(std::move(crashHook))
 {
     this->sweep = this->timers.every(sweepInterval, [this] { this->dropStale(); });
 }
@@ -42,6 +44,12 @@
     this->decisions.setReplicas(newInstances);
 }
 
+void ReplicaFleet::noteUnreachable(const QByteArray &id)
+{
+    this->decisions.noteUnreachable(id, this->timers.now());
+    this->crashes.noteUnreachable(id, this->timers.now());
+}
+
 const ReplicaInstance *ReplicaFleet::instance(const QByteArray &id) const
 {
     const auto found = this->instances.constFind(id);
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_gateway/replicas/CrashSuspicions.h"
 #include "lacewingmux_gateway/replicas/Placement.h"
 #include "lacewingmux_gateway/replicas/ReplicaInstance.h"
 
@@ -19,7 +20,9 @@
 class ReplicaFleet
 {
 public:
-    ReplicaFleet(const QByteArray &zone, TimerService &timerService);
+    /** The hook gets each crash under a request that was found here. */
+    ReplicaFleet(const QByteArray &zone, TimerService &timerService,
+                 CrashSuspicions::CrashHook crashHook);
     ~ReplicaFleet();
     ReplicaFleet(const ReplicaFleet &) = delete;
     ReplicaFleet &operator=(const ReplicaFleet &) = delete;
@@ -27,6 +30,15 @@
     /** Takes the replicas that exist now, and closes idle connections to the others. */
     void setReplicas(const std::vector<ReplicaInstance> &instances);
 
+    /** Notes that no connection to the replica came about. */
+    void noteUnreachable(const QByteArray &id);
+
+    /** Returns the requests that crash replicas. */
+    [[nodiscard]] CrashSuspicions &suspicions() noexcept
+    {
+        return this->crashes;
+    }
+
     [[nodiscard]] Placement &placement() noexcept
     {
         return this->decisions;
@@ -48,6 +60,7 @@
 
     TimerService &timers;
     Placement decisions;
+    CrashSuspicions crashes;
     QHash<QByteArray, ReplicaInstance> instances;
     QHash<QByteArray, Idle> idle; ///< by instance, most recently used last
     TimerSubscription sweep;
--- a/modules/lacewingmux_node/front/FrontTraffic.cpp
+++ b/modules/lacewingmux_node/front/FrontTraffic.cpp
@@ -6,6 +6,7 @@
 #include "lacewingmux_peer/links/TcpPeerHub.h"
 #include "lacewingmux_records/client/FleetQuota.h"
 #include "lacewingmux_records/client/RecordsClient.h"
+#include "lacewingmux_records/messages/RecordsCodec.h"
 
 #include <utility>
 
@@ -47,14 +48,27 @@
             settings.memoryMegabytes * bytesPerMegabyte / cachePart, this->hooks.newerView);
     this->quota =
             std::make_unique<FleetQuota>(*this->hub, this->timers, this->hooks.newerConfiguration);
-    this->gateway = std::make_unique<Gateway>(gatewaySettings(settings), this->timers, dialect,
-                                              *this->quota, *this->records, metrics);
+    this->gateway = std::make_unique<Gateway>(
+            gatewaySettings(settings), this->timers, dialect, *this->quota, *this->records, metrics,
+            [this](const CrashCoincidence &coincidence) { this->tellCrash(coincidence); });
+    this->hub->setHandler(FrameKind::CrashNotice, [this](const auto &, const auto &frame) {
+        if (const auto coincidence = RecordsCodec::decodeCrash(frame.payload))
+            this->gateway->takeCrashNotice(*coincidence);
+    });
     this->reachableCheck =
             this->timers.every(recordsCheckInterval, [this] { this->checkRecords(); });
 }
 
 FrontTraffic::~FrontTraffic() = default;
 
+void FrontTraffic::tellCrash(const CrashCoincidence &coincidence)
+{
+    // Each records VM passes it on; one is enough, and others may be cut off.
+    for (const VmIncarnation &peer : this->hub->connectedPeers())
+        this->hub->send(peer,
+                        {FrameKind::CrashNotice, 0, 0, RecordsCodec::encodeCrash(coincidence)});
+}
+
 void FrontTraffic::checkRecords()
 {
     const bool hasQuorum = this->records->hasQuorum();
--- a/modules/lacewingmux_node/front/FrontTraffic.h
+++ b/modules/lacewingmux_node/front/FrontTraffic.h
@@ -14,6 +14,7 @@
 namespace lacewingmux {
 
 class FleetQuota;
+struct CrashCoincidence;
 class Gateway;
 class MetricsRecorder;
 class RecordsClient;
@@ -56,6 +57,7 @@
 
 private:
     void checkRecords();
+    void tellCrash(const CrashCoincidence &coincidence);
 
     QtTimerService timers;
     Hooks hooks;
--- a/modules/lacewingmux_peer/messages/FrameKind.h
+++ b/modules/lacewingmux_peer/messages/FrameKind.h
@@ -85,7 +85,8 @@
     GrantTokens = 149,
     GrantTokensReply = 150,
     ConfigurationDocumentRequest = 151, // without payload
-    ConfigurationDocumentReply = 152
+    ConfigurationDocumentReply = 152,
+    CrashNotice = 153
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_records/messages/RecordsCodec.cpp
+++ b/modules/lacewingmux_records/messages/RecordsCodec.cpp
@@ -299,6 +299,24 @@
     return message;
 }
 
+QByteArray RecordsCodec::encodeCrash(const CrashCoincidence &message)
+{
+    FlatBufferBuilder builder;
+    const auto digest = bytesIn(builder, message.contentDigest);
+    return finished(builder,
+                    fb::CreateCrashNotice(builder, digest,
+                                          builder.CreateString(message.crash.toStdString())));
+}
+
+std::optional<CrashCoincidence> RecordsCodec::decodeCrash(const QByteArray &bytes)
+{
+    const auto *table = verifiedTable<fb::CrashNotice>(bytes);
+    if (table == nullptr)
+        return std::nullopt;
+    return CrashCoincidence{bytesOf(table->digest()),
+                            QString::fromStdString(table->crash()->str())};
+}
+
 QByteArray RecordsCodec::encodeConfiguration(const ConfigurationDocumentMessage &message)
 {
     FlatBufferBuilder builder;
--- a/modules/lacewingmux_records/messages/RecordsCodec.h
+++ b/modules/lacewingmux_records/messages/RecordsCodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lacewingmux_core/protection/Quarantine.h"
 #include "lacewingmux_records/messages/RecordMessages.h"
 
 #include <QByteArray>
@@ -40,6 +41,8 @@
     [[nodiscard]] static QByteArray encodeGrantReply(const GrantTokensReplyMessage &message);
     [[nodiscard]] static std::optional<GrantTokensReplyMessage>
     decodeGrantReply(const QByteArray &bytes);
+    [[nodiscard]] static QByteArray encodeCrash(const CrashCoincidence &message);
+    [[nodiscard]] static std::optional<CrashCoincidence> decodeCrash(const QByteArray &bytes);
     [[nodiscard]] static QByteArray
     encodeConfiguration(const ConfigurationDocumentMessage &message);
     [[nodiscard]] static std::optional<ConfigurationDocumentMessage>
--- a/modules/lacewingmux_records/messages/records_generated.h
+++ b/modules/lacewingmux_records/messages/records_generated.h
@@ -58,6 +58,9 @@
 struct GrantTokensReply;
 struct GrantTokensReplyBuilder;
 
+struct CrashNotice;
+struct CrashNoticeBuilder;
+
 struct ConfigurationDocument;
 struct ConfigurationDocumentBuilder;
 
@@ -1179,6 +1182,73 @@
       entry_vms);
 }
 
+struct CrashNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashNoticeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DIGEST = 4,
+    VT_CRASH = 6
+  };
+  const flatbuffers::Vector<uint8_t> *digest() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DIGEST);
+  }
+  const flatbuffers::String *crash() const {
+    return GetPointer<const flatbuffers::String *>(VT_CRASH);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_DIGEST) &&
+           verifier.VerifyVector(digest()) &&
+           VerifyOffsetRequired(verifier, VT_CRASH) &&
+           verifier.VerifyString(crash()) &&
+           verifier.EndTable();
+  }
+};
+
+struct CrashNoticeBuilder {
+  typedef CrashNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_digest(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> digest) {
+    fbb_.AddOffset(CrashNotice::VT_DIGEST, digest);
+  }
+  void add_crash(flatbuffers::Offset<flatbuffers::String> crash) {
+    fbb_.AddOffset(CrashNotice::VT_CRASH, crash);
+  }
+  explicit CrashNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashNotice>(end);
+    fbb_.Required(o, CrashNotice::VT_DIGEST);
+    fbb_.Required(o, CrashNotice::VT_CRASH);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashNotice> CreateCrashNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> digest = 0,
+    flatbuffers::Offset<flatbuffers::String> crash = 0) {
+  CrashNoticeBuilder builder_(_fbb);
+  builder_.add_crash(crash);
+  builder_.add_digest(digest);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<CrashNotice> CreateCrashNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint8_t> *digest = nullptr,
+    const char *crash = nullptr) {
+  auto digest__ = digest ? _fbb.CreateVector<uint8_t>(*digest) : 0;
+  auto crash__ = crash ? _fbb.CreateString(crash) : 0;
+  return lacewingmux::fb::CreateCrashNotice(
+      _fbb,
+      digest__,
+      crash__);
+}
+
 struct ConfigurationDocument FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ConfigurationDocumentBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -63,6 +63,12 @@
         if (const auto document = RecordsCodec::decodeNotice(frame.payload))
             this->hooks.newerView(*document);
     });
+    this->hub.setHandler(FrameKind::CrashNotice, [this](const auto &peer, const auto &frame) {
+        for (const VmIncarnation &entryVm : this->entryVms) {
+            if (entryVm != peer)
+                this->hub.send(entryVm, frame);
+        }
+    });
     this->hub.setHandler(
             FrameKind::ConfigurationDocumentRequest, [this](const auto &peer, const auto &) {
                 this->hub.send(peer, {FrameKind::ConfigurationDocumentReply, 0, 0,
--- a/modules/lacewingmux_scheduling/lacewingmux_scheduling.h
+++ b/modules/lacewingmux_scheduling/lacewingmux_scheduling.h
@@ -10,6 +10,7 @@
  * Depends on: lacewingmux_core.
  */
 
+#include "lacewingmux_core/protection/Quarantine.h"
 #include "lacewingmux_scheduling/naive/FirstComeQueue.h"
 #include "lacewingmux_scheduling/naive/FixedRetention.h"
 #include "lacewingmux_scheduling/naive/LeastReportedLoad.h"
@@ -17,7 +18,6 @@
 #include "lacewingmux_scheduling/prefixes/PrefixRetention.h"
 #include "lacewingmux_scheduling/prefixes/RetentionAction.h"
 #include "lacewingmux_scheduling/protection/AdmissionControl.h"
-#include "lacewingmux_scheduling/protection/Quarantine.h"
 #include "lacewingmux_scheduling/protection/RetryBudget.h"
 #include "lacewingmux_scheduling/queue/WorkItem.h"
 #include "lacewingmux_scheduling/queue/WorkQueue.h"
--- a/tests/gateway/support/GatewayFixture.cpp
+++ b/tests/gateway/support/GatewayFixture.cpp
@@ -86,8 +86,9 @@
     settings.zone = "a";
     settings.stopNotice = milliseconds(100);
     settings.stopTaking = milliseconds(600);
-    this->gateway = std::make_unique<Gateway>(settings, this->loop.timers, platformDialect(),
-                                              this->quota, this->ledger, this->metrics);
+    this->gateway =
+            std::make_unique<Gateway>(settings, this->loop.timers, platformDialect(), this->quota,
+                                      this->ledger, this->metrics, [](const CrashCoincidence &) {});
     std::vector<ReplicaInstance> instances;
     for (int number = 0; number < replicaCount; ++number) {
         this->replicas.push_back(std::make_unique<ScriptedReplica>(handler));
--- a/tests/scheduling/ProtectionTest.cpp
+++ b/tests/scheduling/ProtectionTest.cpp
@@ -1,5 +1,5 @@
+#include "lacewingmux_core/protection/Quarantine.h"
 #include "lacewingmux_scheduling/protection/AdmissionControl.h"
-#include "lacewingmux_scheduling/protection/Quarantine.h"
 #include "lacewingmux_scheduling/protection/RetryBudget.h"
 
 #include <criterion/criterion.h>
