Ask a second records VM for a history only when the first is late

Cause: every holder was asked as soon as it said that it had the turn, so a history that this VM did not hold crossed the zones up to three times. Now the nearest is asked, and another after 25 ms. Test: a_silent_member_delays_a_turn_by_less_than_its_patience.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -28,8 +28,8 @@
 constexpr int okStatus = 200;
 constexpr int firstErrorStatus = 300;
 constexpr int firstServerErrorStatus = 500;
-constexpr qsizetype largestHeldAnswer = 8 * 1024 * 1024; // a share of the VM's memory
-constexpr qint64 slowReaderLimit = 1024 * 1024;          // unread bytes before it is given up
+constexpr qsizetype largestHeldAnswer = qsizetype{8} * 1024 * 1024; // a share of the VM's memory
+constexpr qint64 slowReaderLimit = qint64{1024} * 1024; // unread bytes before it is given up
 constexpr milliseconds keptWithoutNotice{400}; // a replica that names no idle time waits below 1 s
 constexpr milliseconds keepAliveMargin{500};   // for the answer and the next request on their way
 
--- a/modules/lacewingmux_gateway/http/HttpLimits.h
+++ b/modules/lacewingmux_gateway/http/HttpLimits.h
@@ -9,7 +9,7 @@
 struct HttpLimits
 {
     std::uint32_t headerBytes = 16 * 1024;
-    std::uint64_t bodyBytes = 4 * 1024 * 1024;
+    std::uint64_t bodyBytes = std::uint64_t{4} * 1024 * 1024;
     std::chrono::milliseconds headerTimeout{3000};
     std::chrono::milliseconds idleTimeout{15000};
 };
--- a/modules/lacewingmux_node/front/FrontTraffic.cpp
+++ b/modules/lacewingmux_node/front/FrontTraffic.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr qsizetype bytesPerMegabyte = 1024 * 1024;
+constexpr qsizetype bytesPerMegabyte = qsizetype{1024} * 1024;
 constexpr std::chrono::milliseconds recordsCheckInterval{100};
 // A link that broke is back sooner than the balancer would act on it.
 constexpr std::chrono::milliseconds recordsPatience{300};
--- a/modules/lacewingmux_records/client/RecordsClient.cpp
+++ b/modules/lacewingmux_records/client/RecordsClient.cpp
@@ -15,6 +15,8 @@
 
 // Several syncs and round trips between zones; below it a caller had better come back.
 constexpr milliseconds openingTimeout{900};
+// Twice what a sync and a round trip between zones take.
+constexpr milliseconds historyPatience{25};
 // After which a broken link is up again.
 constexpr milliseconds relinkTime{250};
 // After which the balancer sends callers to VMs that reach the records.
@@ -93,11 +95,17 @@
                                                         std::move(callback),
                                                         {},
                                                         false,
+                                                        {},
                                                         cached.value_or(QByteArray())})
                                .first->second;
     opening.timeout = this->timers.after(openingTimeout, [this, number] {
         this->finishOpening(number, TurnOutcome::Unavailable);
     });
+    if (!historyKnown)
+        opening.patience = this->timers.after(historyPatience, [this, number] {
+            this->openings.at(number).impatient = true;
+            this->advance(number);
+        });
     this->sendOpening(number, opening);
     this->advance(number);
 }
@@ -204,9 +212,10 @@
     if (found == this->openings.end())
         return;
     Opening &opening = found->second;
-    while (const VmIncarnation *holder = opening.quorum.untappedHolder()) {
+    while (const VmIncarnation *holder = opening.quorum.untappedHolder(opening.impatient)) {
         const VmIncarnation source = *holder;
         opening.quorum.noteHistoryAsked(source);
+        opening.impatient = false;
         OpenTurnMessage message = this->openMessage(opening);
         message.wantsHistory = true;
         if (!this->hub.send(source, {FrameKind::OpenTurn, this->view.number, number,
--- a/modules/lacewingmux_records/client/RecordsClient.h
+++ b/modules/lacewingmux_records/client/RecordsClient.h
@@ -48,7 +48,8 @@
         TurnQuorum quorum;
         StartCallback callback;
         TimerSubscription timeout;
-        bool retried = false; ///< was sent again under a newer view
+        bool impatient = false; ///< the first member that was asked for the history is late
+        TimerSubscription patience;
         QByteArray cachedHistory;
     };
 
--- a/modules/lacewingmux_records/client/TurnQuorum.cpp
+++ b/modules/lacewingmux_records/client/TurnQuorum.cpp
@@ -63,9 +63,13 @@
     return std::nullopt;
 }
 
-const VmIncarnation *TurnQuorum::untappedHolder() const
+const VmIncarnation *TurnQuorum::untappedHolder(bool impatient) const
 {
-    if (this->hasHistory)
+    const bool isAwaited = std::any_of(
+            this->asked.begin(), this->asked.end(), [this](const VmIncarnation &member) {
+                return !this->answered.contains(member) && !this->failed.contains(member);
+            });
+    if (this->hasHistory || (isAwaited && !impatient))
         return nullptr;
     const auto found = std::find_if(
             this->holders.begin(), this->holders.end(),
--- a/modules/lacewingmux_records/client/TurnQuorum.h
+++ b/modules/lacewingmux_records/client/TurnQuorum.h
@@ -36,8 +36,9 @@
     /** Returns how the opening ended; nothing while answers are still needed. */
     [[nodiscard]] std::optional<TurnOutcome> outcome() const;
 
-    /** Returns a member that has the history but was not asked to send it; null without one. */
-    [[nodiscard]] const VmIncarnation *untappedHolder() const;
+    /** Returns a member that has the history but was not asked to send it; null without one, and
+        while another one may still send it unless impatient. */
+    [[nodiscard]] const VmIncarnation *untappedHolder(bool impatient) const;
 
     /** Notes that the member is asked to send the history. */
     void noteHistoryAsked(const VmIncarnation &member);
--- a/modules/lacewingmux_records/log/SegmentedLog.cpp
+++ b/modules/lacewingmux_records/log/SegmentedLog.cpp
@@ -23,9 +23,9 @@
 
 namespace {
 
-constexpr qint64 segmentBytes = 8 * 1024 * 1024; // a few seconds of records at full load
-constexpr qint64 headBytes = 8;                  // length and checksum
-constexpr qint64 largestRecord = 64 * 1024 * 1024;
+constexpr qint64 segmentBytes = qint64{8} * 1024 * 1024; // a few seconds of records at full load
+constexpr qint64 headBytes = 8;                          // length and checksum
+constexpr qint64 largestRecord = qint64{64} * 1024 * 1024;
 constexpr const char *segmentSuffix = ".log";
 
 // A record is kept a little beyond its time, because the VMs' clocks differ.
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -15,8 +15,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds housekeepingInterval{1000};
-constexpr std::size_t namesAtOnce = 4000;           // about 100 kB
-constexpr qsizetype fetchedBytes = 2 * 1024 * 1024; // a seventh of a frame's limit
+constexpr std::size_t namesAtOnce = 4000;                      // about 100 kB
+constexpr qsizetype fetchedBytes = qsizetype{2} * 1024 * 1024; // a seventh of a frame's limit
 constexpr std::chrono::seconds floorRetention{
         120};                                      // longer than any outage that a burst matters in
 constexpr std::chrono::seconds clockAllowance{20}; // the VMs' clocks differ
--- a/tests/records/RecordsFleetTest.cpp
+++ b/tests/records/RecordsFleetTest.cpp
@@ -86,6 +86,22 @@
     cr_assert(store(fleet, 0, turn("t2", "t1", 1000), "c", "d\n"));
 }
 
+Test(records_fleet, a_silent_member_delays_a_turn_by_less_than_its_patience)
+{
+    RecordsFleet fleet(3, 1);
+    cr_assert(store(fleet, 0, turn("t1", "", 1000), "a", "b\n"));
+    // The client's own copy gives way, so that the history has to be fetched.
+    cr_assert(store(fleet, 0, turn("big", "", 1000), QByteArray(5000, 'x').constData(), "b\n"));
+    fleet.network.pause(QStringLiteral("r1"));
+    std::optional<TurnStart> start;
+    fleet.entries[0].client->open(turn("t2", "t1", 1000),
+                                  [&start](const TurnStart &result) { start = result; });
+    fleet.run(milliseconds(60));
+    cr_assert(start.has_value(), "r1 is in the zone of the entry VM, and is asked first");
+    cr_assert(start->outcome == TurnOutcome::Ready);
+    cr_assert(start->history == "ab\n");
+}
+
 Test(records_fleet, two_lost_members_make_it_uncertain_not_wrong)
 {
     RecordsFleet fleet(3, 1);
