--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -332,6 +332,10 @@
     if (std::exchange(this->quotaTaken, false))
         this->services.quota.giveBack(this->quotaRequest);
     this->logEnd(outcome);
+    this->services.metrics.observe(
+            "lacewingmux_request_duration_seconds",
+            {{QStringLiteral("outcome"), QLatin1String(outcome)}},
+            std::chrono::floor<std::chrono::microseconds>(this->now() - this->arrived));
     this->services.metrics.count("lacewingmux_calls_total",
                                  {{QStringLiteral("outcome"), QLatin1String(outcome)}}, 1);
     const auto hook = std::exchange(this->ended, nullptr);
