Leave a bucket as it is while its records VM has no lease

A bucket also accrued nothing before its first question, so no burst was there when traffic began. Tests: admits_again_as_soon_as_a_lease_is_back fails without the first change, a_teams_burst_outlives_a_crash_of_all_members without floors or without the second.

--- a/modules/lacewingmux_records/quota/GrantBucket.cpp
+++ b/modules/lacewingmux_records/quota/GrantBucket.cpp
@@ -22,11 +22,12 @@
 
 void GrantBucket::setShare(double requestsPerSecond, double burst, SteadyTime now)
 {
-    this->refill(now);
+    if (this->rate > 0)
+        this->refill(now);
     this->rate = requestsPerSecond;
     // At least one token, or a small part of a small burst would never let anything through.
     this->capacity = std::max(1.0, burst);
-    this->tokens = std::min(this->tokens, this->capacity);
+    this->refill(now); // what has accrued before anybody asked counts too
 }
 
 int GrantBucket::take(int wanted, double reserve, SteadyTime now)
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -21,6 +21,8 @@
         120};                                      // longer than any outage that a burst matters in
 constexpr std::chrono::seconds clockAllowance{20}; // the VMs' clocks differ
 
+constexpr milliseconds leaseRetry{100}; // less than the members' questions are apart
+
 // A member that is silent for longer may be replaced: far beyond a restart.
 constexpr milliseconds replacementTime{7500};
 
@@ -223,9 +225,14 @@
     const double share = this->lease.share(now);
     GrantTokensReplyMessage reply;
     for (const TeamDemandMessage &demand : message->demands) {
+        if (share <= 0) {
+            // Without a lease the bucket stays as it is; the lease may come with the next answer.
+            reply.grants.push_back({demand.team, 0, leaseRetry});
+            continue;
+        }
         GrantBucket &bucket = this->bucketOf(demand.team);
         bucket.setShare(demand.requestsPerSecond * share, demand.burst * share, now);
-        const int granted = share > 0 ? bucket.take(demand.wanted, demand.reserve, now) : 0;
+        const int granted = bucket.take(demand.wanted, demand.reserve, now);
         reply.grants.push_back({demand.team, granted, bucket.untilNext(demand.reserve, now)});
         if (const std::optional<double> lower = bucket.lowerFloor(now))
             this->writeFloor(demand.team, *lower, [this, team = demand.team, tokens = *lower] {
--- a/tests/records/RecordsFleetTest.cpp
+++ b/tests/records/RecordsFleetTest.cpp
@@ -184,6 +184,74 @@
     cr_assert(start.history == "ab\n");
 }
 
+Test(records_fleet, a_teams_burst_outlives_a_crash_of_all_members)
+{
+    RecordsFleet fleet(3, 3);
+    GatewayTeam team;
+    team.name = "team";
+    team.requestsPerSecond = 60;
+    team.burst = 90;
+    int admitted = 0;
+    const auto ask = [&](int count) {
+        for (RecordsFleet::EntryVm &entry : fleet.entries) {
+            for (int request = 0; request < count; ++request)
+                entry.quota->take({team, 0}, [&admitted](const QuotaAnswer &answer) {
+                    admitted += answer.admitted ? 1 : 0;
+                });
+        }
+    };
+    // Light use over all members, until their buckets are full and their floors on disk.
+    for (int round = 0; round < 80; ++round) {
+        ask(1);
+        fleet.run(milliseconds(100));
+    }
+    for (const char *name : {"r1", "r2", "r3"})
+        fleet.stopRecords(QLatin1String(name), 0);
+    fleet.run(milliseconds(500));
+    for (const char *name : {"r1", "r2", "r3"})
+        fleet.startRecords(QLatin1String(name));
+    admitted = 0;
+    for (int round = 0; round < 150; ++round) {
+        ask(1);
+        fleet.run(milliseconds(10));
+    }
+    fleet.run(milliseconds(1000));
+    // Two and a half seconds at the rate, and at least a quarter of the burst.
+    cr_assert_geq(admitted, 150 + 22, "%d", admitted);
+}
+
+Test(records_fleet, admits_again_as_soon_as_a_lease_is_back)
+{
+    RecordsFleet fleet(3, 1);
+    GatewayTeam team;
+    team.name = "team";
+    team.requestsPerSecond = 60;
+    team.burst = 90;
+    int admitted = 0;
+    const auto ask = [&] {
+        fleet.entries[0].quota->take({team, 0}, [&admitted](const QuotaAnswer &answer) {
+            admitted += answer.admitted ? 1 : 0;
+        });
+        fleet.run(milliseconds(50));
+    };
+    for (int round = 0; round < 20; ++round)
+        ask();
+    fleet.stopRecords(QStringLiteral("r2"), 0);
+    fleet.stopRecords(QStringLiteral("r3"), 0);
+    fleet.run(milliseconds(1500));
+    admitted = 0;
+    for (int round = 0; round < 20; ++round)
+        ask();
+    cr_assert_eq(admitted, 0, "one of three alone may have been replaced");
+    fleet.startRecords(QStringLiteral("r2"));
+    fleet.startRecords(QStringLiteral("r3"));
+    fleet.run(milliseconds(800));
+    admitted = 0;
+    for (int round = 0; round < 20; ++round)
+        ask();
+    cr_assert_geq(admitted, 15, "%d", admitted);
+}
+
 Test(records_fleet, works_on_while_the_store_is_away)
 {
     RecordsFleet fleet(3, 1);
