Probe a replica that falls silent, and let one call alone try one that can't be reached

Cause: calls at replicas behind a cut waited for three seconds of lost probes or for their deadline, and every call tried each replica that could not be reached again for 0.4 s. Now 0.6 s of silence lead to one attempt to connect, shared by all calls at that replica; without a connection the call goes on elsewhere where its kind allows, or fails at once.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -28,6 +28,8 @@
 constexpr milliseconds noReplicaRetry{400};     // about the time in which a replica registers
 constexpr milliseconds firstPlacementPause{15}; // about half of a tool call
 constexpr milliseconds longestPlacementPause{120};
+// Plain calls and the gaps of streams are far shorter; below it a probe would find slow replicas.
+constexpr milliseconds silenceBeforeProbe{600};
 constexpr std::size_t firstTurnParts = 2;   // what programs share, and the turn's own
 constexpr milliseconds leastUsefulTime{20}; // below it no replica can answer any call in time
 
@@ -246,9 +248,10 @@
     this->phase = Phase::Sent;
     this->replica = instance;
     this->sentAt = this->now();
+    this->lastHeard = this->sentAt;
     ++this->runs;
     this->quotaTaken = false;
-    this->services.fleet.placement().started(instance);
+    this->services.fleet.placement().started(instance, this->sentAt);
 
     ReplicaSend send;
     send.instance = instance;
@@ -283,9 +286,43 @@
         if (const auto self = guard.lock())
             self->handleFailure(reason);
     };
+    this->silenceWatch =
+            this->services.timers.after(silenceBeforeProbe, [this] { this->watchSilence(); });
     this->connection->exchange(text, this->request.method == "HEAD", std::move(hooks));
 }
 
+void ForwardedCall::watchSilence()
+{
+    const auto silent = this->now() - this->lastHeard;
+    if (!this->connection || this->probing)
+        return;
+    if (silent < silenceBeforeProbe) {
+        this->silenceWatch = this->services.timers.after(
+                std::chrono::ceil<milliseconds>(silenceBeforeProbe - silent),
+                [this] { this->watchSilence(); });
+        return;
+    }
+    this->probing = true;
+    const TimerService::SteadyTime asked = this->sentAt;
+    this->services.fleet.probe(
+            this->replica, [guard = this->weak_from_this(), asked](bool reachable) {
+                const auto self = guard.lock();
+                if (!self)
+                    return;
+                self->probing = false;
+                const bool sameSend = self->connection && self->sentAt == asked;
+                const bool stillSilent = self->now() - self->lastHeard >= silenceBeforeProbe;
+                if (sameSend && stillSilent && !reachable) {
+                    self->handleFailure(ExchangeFailure::Unreachable);
+                    return;
+                }
+                if (!self->connection)
+                    return;
+                self->silenceWatch = self->services.timers.after(
+                        silenceBeforeProbe, [call = self.get()] { call->watchSilence(); });
+            });
+}
+
 void ForwardedCall::retryLater()
 {
     // Every replica has refused or none is known. Those that are full may have room again soon.
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -87,6 +87,7 @@
     void finishStream();
     void resumeOrBreakOff(const char *reason);
     void handleTimeout();
+    void watchSilence();
     void leaveReplica();
     void keepConnection();
 
@@ -120,6 +121,8 @@
     CallDeadline deadline;
     TimerService::SteadyTime arrived;
     TimerService::SteadyTime sentAt;
+    TimerService::SteadyTime lastHeard; ///< of the replica, or when the request was sent
+    bool probing = false;
     Phase phase = Phase::Admitting;
 
     QuotaRequest quotaRequest;
@@ -142,6 +145,7 @@
     QByteArray endReason;     ///< why it was refused or broken off, for the log
     TimerSubscription timeout;
     TimerSubscription retry;
+    TimerSubscription silenceWatch;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -33,6 +33,21 @@
 constexpr milliseconds keptWithoutNotice{400}; // a replica that names no idle time waits below 1 s
 constexpr milliseconds keepAliveMargin{500};   // for the answer and the next request on their way
 
+const char *failureText(ExchangeFailure reason)
+{
+    switch (reason) {
+    case ExchangeFailure::NotConnected:
+        return "no connection to the replica came about";
+    case ExchangeFailure::Closed:
+        return "the replica closed the connection";
+    case ExchangeFailure::Malformed:
+        return "the replica's answer is unreadable";
+    case ExchangeFailure::Unreachable:
+        return "the replica can't be reached any more";
+    }
+    return "the replica failed";
+}
+
 bool isEventStream(const HttpResponseHead &head)
 {
     return fieldValue(head.fields, "Content-Type").startsWith("text/event-stream");
@@ -56,13 +71,16 @@
 void ForwardedCall::handleHead(const HttpResponseHead &answer)
 {
     this->head = answer;
+    this->lastHeard = this->now();
     this->body.clear();
+    this->services.fleet.placement().noteReached(this->replica);
     if (this->verdict.load)
         this->services.fleet.placement().noteLoad(this->replica, *this->verdict.load, this->now());
 }
 
 void ForwardedCall::handleBody(const QByteArray &bytes)
 {
+    this->lastHeard = this->now();
     const bool unusable = isSuccess(this->head) && (!this->verdict.proven || this->verdict.encoded);
     if (unusable) {
         this->handleFailure(ExchangeFailure::Malformed);
@@ -124,17 +142,18 @@
         return;
     }
     placement.noteFailure(this->replica, this->now());
+    // A replica that is cut off doesn't count among those that may run the request.
+    if (reason == ExchangeFailure::Unreachable && this->route.isRepeatable())
+        --this->runs;
     if (reason == ExchangeFailure::Closed)
         this->services.fleet.suspicions().noteBroken(this->replica, this->contentDigest,
                                                      this->now());
     if (this->streamBegun)
-        this->resumeOrBreakOff("the replica broke off");
+        this->resumeOrBreakOff(failureText(reason));
     else if (this->mayRunAgain())
         this->place();
     else
-        this->fail(ErrorKind::BackendFailed, reason == ExchangeFailure::Closed
-                                                     ? "the replica closed the connection"
-                                                     : "the replica's answer is unreadable");
+        this->fail(ErrorKind::BackendFailed, failureText(reason));
 }
 
 void ForwardedCall::handleRejection()
@@ -329,6 +348,7 @@
     this->leaveReplica();
     this->timeout.cancel();
     this->retry.cancel();
+    this->silenceWatch.cancel();
     if (std::exchange(this->quotaTaken, false))
         this->services.quota.giveBack(this->quotaRequest);
     this->logEnd(outcome);
--- a/modules/lacewingmux_gateway/replicas/ExchangeFailure.h
+++ b/modules/lacewingmux_gateway/replicas/ExchangeFailure.h
@@ -8,7 +8,8 @@
 enum class ExchangeFailure : std::uint8_t {
     NotConnected, ///< no connection came about: nothing was sent
     Closed,       ///< the connection ended after the request had been sent
-    Malformed     ///< what came is no answer
+    Malformed,    ///< what came is no answer
+    Unreachable   ///< the replica fell silent after the request, and can't be reached any more
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/replicas/Placement.cpp
+++ b/modules/lacewingmux_gateway/replicas/Placement.cpp
@@ -14,6 +14,7 @@
 constexpr double paceWeight = 0.3;   // of a new measurement of a replica's pace
 constexpr double slowestPace = 20.0; // a replica that hangs counts as this slow
 constexpr double fastestPace = 0.25;
+constexpr int mostDoublings = 2; // of the pause before a replica is tried again
 
 double decay(TimerService::SteadyTime now, TimerService::SteadyTime since,
              std::chrono::milliseconds memory)
@@ -78,10 +79,23 @@
     return best;
 }
 
-void Placement::started(const QByteArray &instance)
+void Placement::started(const QByteArray &instance, SteadyTime now)
 {
-    if (Replica *replica = this->find(instance))
-        ++replica->own;
+    Replica *replica = this->find(instance);
+    if (replica == nullptr)
+        return;
+    ++replica->own;
+    if (replica->unreachableInRow > 0)
+        replica->unreachableUntil = now + this->settings.unreachablePause;
+}
+
+void Placement::noteReached(const QByteArray &instance)
+{
+    Replica *replica = this->find(instance);
+    if (replica == nullptr || replica->unreachableInRow == 0)
+        return;
+    replica->unreachableInRow = 0;
+    replica->unreachableUntil = {};
 }
 
 void Placement::ended(const QByteArray &instance)
@@ -132,8 +146,12 @@
 
 void Placement::noteUnreachable(const QByteArray &instance, SteadyTime now)
 {
-    if (Replica *replica = this->find(instance))
-        replica->unreachableUntil = now + this->settings.unreachablePause;
+    Replica *replica = this->find(instance);
+    if (replica == nullptr)
+        return;
+    replica->unreachableInRow = std::min(replica->unreachableInRow + 1, mostDoublings + 1);
+    replica->unreachableUntil =
+            now + this->settings.unreachablePause * (1 << (replica->unreachableInRow - 1));
 }
 
 void Placement::noteReplaced(const QByteArray &instance)
--- a/modules/lacewingmux_gateway/replicas/Placement.h
+++ b/modules/lacewingmux_gateway/replicas/Placement.h
@@ -38,8 +38,8 @@
     /** Returns the instance for the call, or nothing when no replica may get it. */
     [[nodiscard]] std::optional<QByteArray> choose(const PlacementRequest &request) const;
 
-    /** Notes that a call was sent. */
-    void started(const QByteArray &instance);
+    /** Notes that a call was sent. One call alone tries a replica that could not be reached. */
+    void started(const QByteArray &instance, SteadyTime now);
 
     /** Notes that a call ended, however it did. */
     void ended(const QByteArray &instance);
@@ -56,6 +56,9 @@
     /** Notes that the replica broke off, or answered with something that is no answer. */
     void noteFailure(const QByteArray &instance, SteadyTime now);
 
+    /** Notes that the replica answered. */
+    void noteReached(const QByteArray &instance);
+
     /** Notes that no connection to the replica came about. */
     void noteUnreachable(const QByteArray &instance, SteadyTime now);
 
@@ -84,6 +87,7 @@
         double rejections = 0;
         SteadyTime troubleKnown;
         SteadyTime unreachableUntil;
+        int unreachableInRow = 0;
         bool replaced = false;
     };
 
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -1,5 +1,6 @@
 #include "lacewingmux_gateway/replicas/ReplicaFleet.h"
 
+#include "lacewingmux_gateway/replicas/ReachabilityProbe.h"
 #include "lacewingmux_gateway/replicas/ReplicaConnection.h"
 
 #include <algorithm>
@@ -71,6 +72,32 @@
     return std::make_shared<ReplicaConnection>(replica->address, replica->port, this->timers);
 }
 
+void ReplicaFleet::probe(const QByteArray &id, std::function<void(bool)> callback)
+{
+    const ReplicaInstance *replica = this->instance(id);
+    if (replica == nullptr) {
+        this->timers.post([callback = std::move(callback)] { callback(false); });
+        return;
+    }
+    Probe &entry = this->probes[id];
+    entry.waiting.push_back(std::move(callback));
+    if (!entry.attempt)
+        entry.attempt = std::make_unique<ReachabilityProbe>(
+                replica->address, replica->port, this->timers,
+                [this, id](bool reachable) { this->finishProbe(id, reachable); });
+}
+
+void ReplicaFleet::finishProbe(const QByteArray &id, bool reachable)
+{
+    auto entry = this->probes.extract(id);
+    if (!reachable)
+        this->noteUnreachable(id);
+    for (const auto &callback : entry.mapped().waiting)
+        callback(reachable);
+    // The attempt is still on the stack.
+    this->timers.post([ended = std::shared_ptr(std::move(entry.mapped().attempt))] {});
+}
+
 void ReplicaFleet::release(const QByteArray &id, std::shared_ptr<ReplicaConnection> connection)
 {
     const ReplicaInstance *replica = this->instance(id);
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
@@ -9,11 +9,13 @@
 #include <QHash>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <vector>
 
 namespace lacewingmux {
 
+class ReachabilityProbe;
 class ReplicaConnection;
 
 /** The replicas that exist, the connections to them, and the decision which one gets a call. */
@@ -50,19 +52,32 @@
     /** Returns a connection to the replica that no exchange uses; null when the replica is gone. */
     [[nodiscard]] std::shared_ptr<ReplicaConnection> acquire(const QByteArray &id);
 
+    /** Asks whether a replica that fell silent can still be reached. Calls that ask about the same
+        replica share one attempt to connect. */
+    void probe(const QByteArray &id, std::function<void(bool reachable)> callback);
+
     /** Takes a connection back after its exchange; it is kept if another exchange may use it. */
     void release(const QByteArray &id, std::shared_ptr<ReplicaConnection> connection);
 
 private:
     using Idle = std::vector<std::shared_ptr<ReplicaConnection>>;
 
+    /** One attempt to connect, and who waits for it. */
+    struct Probe
+    {
+        std::unique_ptr<ReachabilityProbe> attempt;
+        std::vector<std::function<void(bool)>> waiting;
+    };
+
+    void finishProbe(const QByteArray &id, bool reachable);
     void dropStale();
 
     TimerService &timers;
     Placement decisions;
     CrashSuspicions crashes;
     QHash<QByteArray, ReplicaInstance> instances;
-    QHash<QByteArray, Idle> idle; ///< by instance, most recently used last
+    QHash<QByteArray, Idle> idle;       ///< by instance, most recently used last
+    std::map<QByteArray, Probe> probes; ///< under way, by instance
     TimerSubscription sweep;
 };
 
--- a/standins/replica/ScriptedReplica.cpp
+++ b/standins/replica/ScriptedReplica.cpp
@@ -72,6 +72,11 @@
     return this->server->serverPort();
 }
 
+void ScriptedReplica::stopListening()
+{
+    this->server->close();
+}
+
 void ScriptedReplica::accept(QTcpSocket *socket)
 {
     ++this->accepted;
--- a/standins/replica/ScriptedReplica.h
+++ b/standins/replica/ScriptedReplica.h
@@ -58,6 +58,9 @@
 
     [[nodiscard]] std::uint16_t port() const;
 
+    /** Takes no new connections; those that are open stay. */
+    void stopListening();
+
     /** Returns the requests that have come, in order. */
     [[nodiscard]] const std::vector<HttpRequest> &requests() const noexcept
     {
--- a/tests/gateway/ForwardingTest.cpp
+++ b/tests/gateway/ForwardingTest.cpp
@@ -217,6 +217,19 @@
     cr_assert(caller.received().startsWith("HTTP/1.1 504"));
 }
 
+Test(forwarding, gives_up_a_silent_replica_that_can_not_be_reached_any_more)
+{
+    GatewayFixture fixture(2, [](const auto &, const auto &) {});
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", "/once/x", "r1"));
+    fixture.loop.waitUntil([&] { return fixture.requestCount() == 1; }, "the request");
+    for (const auto &replica : fixture.replicas)
+        replica->stopListening();
+    fixture.loop.waitUntil([&] { return hasAnswer(caller); }, "the failure");
+    cr_assert(caller.received().startsWith("HTTP/1.1 502"));
+    cr_assert(caller.received().contains("can't be reached"), "long before the time is up");
+}
+
 Test(forwarding, stops_the_replica_when_the_caller_leaves)
 {
     bool closed = false;
--- a/tests/gateway/PlacementTest.cpp
+++ b/tests/gateway/PlacementTest.cpp
@@ -46,7 +46,7 @@
     std::map<QByteArray, int> calls;
     for (int number = 0; number < 18; ++number) {
         const QByteArray chosen = placement.choose(callAt(start)).value();
-        placement.started(chosen);
+        placement.started(chosen, start);
         ++calls[chosen];
     }
     for (const auto &[id, count] : calls)
@@ -72,10 +72,10 @@
     placement.notePrompt(chosen, first);
     const std::vector<PromptPart> second{{1, 12600}, {7, 1680}, {8, 840}};
     for (int load = 0; load < 20; ++load)
-        placement.started(chosen);
+        placement.started(chosen, start);
     cr_assert(placement.choose(turnAt(start, second)).value() == chosen);
     for (int load = 0; load < 60; ++load)
-        placement.started(chosen);
+        placement.started(chosen, start);
     cr_assert(placement.choose(turnAt(start, second)).value() != chosen);
 }
 
@@ -116,6 +116,19 @@
               "when none can be reached, one is tried");
 }
 
+Test(placement, one_call_alone_tries_a_replica_that_could_not_be_reached)
+{
+    Placement placement("a", {});
+    placement.setReplicas({replica("1", "a", 6), replica("2", "b", 6)});
+    placement.noteUnreachable("1", start);
+    const auto later = start + milliseconds(1100);
+    cr_assert(placement.choose(callAt(later)).value() == "1");
+    placement.started("1", later);
+    cr_assert(placement.choose(callAt(later)).value() == "2");
+    placement.noteReached("1");
+    cr_assert(placement.choose(callAt(later)).value() == "1");
+}
+
 Test(placement, sends_nothing_to_draining_or_replaced_replicas)
 {
     Placement placement("a", {});
