--- a/tests/records/SegmentedLogTest.cpp
+++ b/tests/records/SegmentedLogTest.cpp
@@ -134,7 +134,7 @@
     const QTemporaryDir folder;
     SegmentedLog log(folder.path(), loop.timers);
     log.replay([](auto, const auto &) {});
-    appendAll(loop, log, 0, 40, 512 * 1024);
+    appendAll(loop, log, 0, 40, qsizetype{512} * 1024);
     const QDir directory(folder.path());
     const auto fileCount = [&directory] {
         return directory.entryList({QStringLiteral("*.log")}, QDir::Files).size();
--- a/tests/records/model/FleetSchedule.cpp
+++ b/tests/records/model/FleetSchedule.cpp
@@ -101,7 +101,7 @@
     }
     if (start.history != expected)
         this->violate("a history is not what was kept: " + opening.previousTurn.toStdString());
-    const std::int64_t tokens = 10 * (1 + this->draw(10));
+    const std::int64_t tokens = std::int64_t{10} * (1 + this->draw(10));
     program.handedOut += tokens;
     if (program.handedOut > program.budget + turnTokens)
         this->violate("a program passed its budget: " + opening.program.toStdString());
