--- a/modules/lacewingmux_gateway/replicas/Placement.cpp
+++ b/modules/lacewingmux_gateway/replicas/Placement.cpp
@@ -221,11 +221,14 @@
 
 double Placement::engineCost(const Replica &replica, const PlacementRequest &request) const
 {
-    const double unread = this->tokensToRead(replica, request.promptParts);
+    std::int64_t tokens = 0;
+    for (const PromptPart &part : request.promptParts)
+        tokens += part.tokens;
+    const std::int64_t known = this->prompts.knownTokens(replica.instance.id, request.promptParts);
     const double load = this->loadEstimate(replica, request.now);
     const double queued = std::max(0.0, load + 1.0 - replica.instance.slots);
     const double pace = this->paceEstimate(replica, request.now);
-    double total = unread / this->settings.promptTokensPerMillisecond;
+    double total = static_cast<double>(tokens - known) / this->settings.promptTokensPerMillisecond;
     total += load * this->settings.costPerSequence;
     total += pace * this->settings.typicalTurn * (1.0 + queued / replica.instance.slots);
     if (!request.promptParts.empty()) {
@@ -235,20 +238,6 @@
     return total;
 }
 
-double Placement::tokensToRead(const Replica &replica, const std::vector<PromptPart> &parts) const
-{
-    std::int64_t tokens = 0;
-    for (const PromptPart &part : parts)
-        tokens += part.tokens;
-    const std::int64_t known = this->prompts.knownTokens(replica.instance.id, parts);
-    double unread = static_cast<double>(tokens - known);
-    const bool readsSharedPart = parts.size() > 1 && known == 0;
-    if (readsSharedPart)
-        unread -=
-                static_cast<double>(parts.front().tokens) * (1.0 - this->settings.sharedPartWeight);
-    return unread;
-}
-
 double Placement::callCost(const Replica &replica, const PlacementRequest &request) const
 {
     const double load = this->loadEstimate(replica, request.now);
--- a/modules/lacewingmux_gateway/replicas/Placement.h
+++ b/modules/lacewingmux_gateway/replicas/Placement.h
@@ -95,8 +95,6 @@
     [[nodiscard]] bool isAllowed(const Replica &replica, const PlacementRequest &request) const;
     [[nodiscard]] double cost(const Replica &replica, const PlacementRequest &request) const;
     [[nodiscard]] double engineCost(const Replica &replica, const PlacementRequest &request) const;
-    [[nodiscard]] double tokensToRead(const Replica &replica,
-                                      const std::vector<PromptPart> &parts) const;
     [[nodiscard]] double callCost(const Replica &replica, const PlacementRequest &request) const;
     [[nodiscard]] double loadEstimate(const Replica &replica, SteadyTime now) const;
     [[nodiscard]] double paceEstimate(const Replica &replica, SteadyTime now) const;
--- a/modules/lacewingmux_gateway/replicas/PlacementSettings.h
+++ b/modules/lacewingmux_gateway/replicas/PlacementSettings.h
@@ -11,12 +11,8 @@
     double otherZoneCost = 6.0;
     /** Prompt tokens that an engine reads in a millisecond; the lower of the two deployments. */
     double promptTokensPerMillisecond = 160.0;
-    /** What one more running sequence adds to a turn of an engine: 256 steps of 0.009 ms, and of
-        0.0012 ms for each thousand of some 15,000 tokens that the step looks back on. */
-    double costPerSequence = 7.0;
-    /** Part of the time to read a prompt's first part that counts against a replica which has not
-        read it: many turns share that part, and all that follow gain from the reading. */
-    double sharedPartWeight = 0.3;
+    /** What one more running sequence adds to a turn of an engine: 256 steps of 0.009 ms. */
+    double costPerSequence = 2.4;
     /** A turn on an idle engine: 256 steps of 1.3 ms. */
     double typicalTurn = 340.0;
     /** A call on an idle plain service; the mean of the tool calls of both deployments. */
--- a/tests/gateway/PlacementTest.cpp
+++ b/tests/gateway/PlacementTest.cpp
@@ -71,11 +71,10 @@
     const QByteArray chosen = placement.choose(turnAt(start, first)).value();
     placement.notePrompt(chosen, first);
     const std::vector<PromptPart> second{{1, 12600}, {7, 1680}, {8, 840}};
-    for (int load = 0; load < 4; ++load)
+    for (int load = 0; load < 20; ++load)
         placement.started(chosen, start);
     cr_assert(placement.choose(turnAt(start, second)).value() == chosen);
-    // Reading the whole prompt takes 95 ms, and 20 more sequences slow the turn by 140 ms.
-    for (int load = 0; load < 16; ++load)
+    for (int load = 0; load < 60; ++load)
         placement.started(chosen, start);
     cr_assert(placement.choose(turnAt(start, second)).value() != chosen);
 }
