--- a/modules/lacewingmux_peer/links/TcpPeerHub.cpp
+++ b/modules/lacewingmux_peer/links/TcpPeerHub.cpp
@@ -10,6 +10,7 @@
 #include <QTcpSocket>
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewingmux {
 
@@ -52,7 +53,7 @@
             continue;
         }
         ReconnectBackoff backoff(this->settings.shortestReconnect, this->settings.longestReconnect);
-        this->targets.emplace(key, Target{peer, backoff, nullptr, {}, {}});
+        this->targets.emplace(key, Target{peer, backoff, nullptr, {}, false, {}});
     }
     std::erase_if(this->targets,
                   [&wanted](const auto &entry) { return wanted.count(entry.first) == 0; });
@@ -237,6 +238,8 @@
     const auto target = this->targets.find(key);
     if (target != this->targets.end())
         target->second.backoff.reset();
+    if (target != this->targets.end())
+        target->second.failureLogged = false;
 
     const auto current = this->connected.find(peer);
     if (current != this->connected.end()) {
@@ -262,23 +265,39 @@
     this->links.erase(link);
     const auto target = this->targets.find(key);
     if (target != this->targets.end() && target->second.link == pointer) {
+        this->noteUnreachable(target->second, key, *pointer, reason);
         target->second.link.reset();
         this->scheduleRedial(key);
     }
     this->noteLoss(pointer, reason);
 }
 
+void TcpPeerHub::noteUnreachable(Target &target, const TargetKey &key, const PeerLink &link,
+                                 const QString &reason)
+{
+    const auto current = this->connected.find(link.peer());
+    const bool wasUp = current != this->connected.end() && current->second.get() == &link;
+    // Every further try would say the same.
+    if (wasUp || std::exchange(target.failureLogged, true))
+        return;
+    LogEvent(LogSeverity::Warning, "peerUnreachable")
+            .field("peer", target.descriptor.incarnation.toString())
+            .field("address", key.first)
+            .field("channel", static_cast<int>(this->settings.channel))
+            .field("reason", reason);
+}
+
 void TcpPeerHub::noteLoss(const LinkPointer &link, const QString &reason)
 {
     const VmIncarnation peer = link->peer();
     const auto current = this->connected.find(peer);
     const bool wasCurrent = current != this->connected.end() && current->second == link;
-    LogEvent(wasCurrent ? LogSeverity::Warning : LogSeverity::Info, "peerLinkClosed")
+    if (!wasCurrent)
+        return;
+    LogEvent(LogSeverity::Warning, "peerLinkClosed")
             .field("peer", peer.toString())
             .field("channel", static_cast<int>(this->settings.channel))
             .field("reason", reason);
-    if (!wasCurrent)
-        return;
     this->connected.erase(current);
     for (auto &[key, target] : this->targets) {
         // Also a target that was content with a link which the peer had dialled.
--- a/modules/lacewingmux_peer/links/TcpPeerHub.h
+++ b/modules/lacewingmux_peer/links/TcpPeerHub.h
@@ -60,8 +60,9 @@
     {
         VmDescriptor descriptor;
         ReconnectBackoff backoff;
-        LinkPointer link;       ///< the attempt in progress, or the link it became
-        VmIncarnation answered; ///< who answered last at a seed's address
+        LinkPointer link;           ///< the attempt in progress, or the link it became
+        VmIncarnation answered;     ///< who answered last at a seed's address
+        bool failureLogged = false; ///< that it can't be reached, since it last could
         TimerSubscription redial;
     };
     using TargetKey = std::pair<QString, std::uint16_t>; ///< address and port
@@ -75,6 +76,8 @@
     bool helloReceived(const PeerLink *link, const VmIncarnation &peer, const TargetKey &key);
     void linkUp(const PeerLink *link, const TargetKey &key);
     void linkClosed(const PeerLink *link, const TargetKey &key, const QString &reason);
+    void noteUnreachable(Target &target, const TargetKey &key, const PeerLink &link,
+                         const QString &reason);
     void noteLoss(const LinkPointer &link, const QString &reason);
     [[nodiscard]] bool isPreferred(const PeerLink &candidate, const PeerLink &current) const;
     [[nodiscard]] bool isSatisfied(const Target &target) const;
