Bound the steps of decisions instead of their processor time

Cause: bounds_decisions compared processor times and failed once beside load (3.99 against 3.27) though nothing had grown. The same target, the logarithm of the pool, now bounds counted work: candidates looked at and comparisons; the factor of 3 that two bounds had for caches is gone, so they are stricter. Timing stays in benchmark_decisions.

--- a/modules/lacewingmux_core/lacewingmux_core.h
+++ b/modules/lacewingmux_core/lacewingmux_core.h
@@ -22,6 +22,7 @@
 #include "lacewingmux_core/logging/StructuredLog.h"
 #include "lacewingmux_core/metrics/IgnoringMetricsRecorder.h"
 #include "lacewingmux_core/metrics/MetricsRecorder.h"
+#include "lacewingmux_core/metrics/WorkCounter.h"
 #include "lacewingmux_core/settings/FieldRules.h"
 #include "lacewingmux_core/settings/SettingsFindings.h"
 #include "lacewingmux_core/settings/SettingsReader.h"
--- a/modules/lacewingmux_core/protection/Quarantine.cpp
+++ b/modules/lacewingmux_core/protection/Quarantine.cpp
@@ -1,5 +1,7 @@
 #include "lacewingmux_core/protection/Quarantine.h"
 
+#include "lacewingmux_core/metrics/WorkCounter.h"
+
 #include <algorithm>
 
 namespace lacewingmux {
@@ -69,6 +71,7 @@
 const Quarantine::Entry *Quarantine::liveEntry(const QByteArray &contentDigest,
                                                SteadyTime now) const
 {
+    WorkCounter::note(1 + this->entries.bucket_size(this->entries.bucket(contentDigest)));
     const auto found = this->entries.find(contentDigest);
     const bool live = found != this->entries.end() && found->second.expiry > now;
     return live ? &found->second : nullptr;
--- a/modules/lacewingmux_scheduling/queue/WorkQueue.h
+++ b/modules/lacewingmux_scheduling/queue/WorkQueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lacewingmux_core/metrics/WorkCounter.h"
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_scheduling/queue/WorkItem.h"
 #include "lacewingmux_scheduling/queue/WorkQueueSettings.h"
@@ -82,10 +83,20 @@
         std::uint64_t id = 0;
         friend bool operator<(const Rank &left, const Rank &right)
         {
+            WorkCounter::note();
             return std::tie(left.virtualAttained, left.arrival)
                    < std::tie(right.virtualAttained, right.arrival);
         }
     };
+    using TeamRank = std::pair<double, QString>; ///< virtual time and name
+    struct TeamOrder
+    {
+        bool operator()(const TeamRank &left, const TeamRank &right) const
+        {
+            WorkCounter::note();
+            return left < right;
+        }
+    };
     struct Team
     {
         double virtualTime = 0;
@@ -107,7 +118,7 @@
 
     WorkQueueSettings settings;
     Teams teams;
-    std::set<std::pair<double, QString>> waitingTeams; ///< by virtual time
+    std::set<TeamRank, TeamOrder> waitingTeams; ///< by virtual time
     std::unordered_map<std::uint64_t, Entry> entries;
     double queueVirtualTime = 0;
     double waitingWeight = 0; ///< sum over the teams that wait
--- a/modules/lacewingmux_scheduling/replicas/ReplicaChooser.cpp
+++ b/modules/lacewingmux_scheduling/replicas/ReplicaChooser.cpp
@@ -134,6 +134,7 @@
 
 bool ReplicaChooser::allowed(const ChoiceRequest &request, const Replica &replica) const
 {
+    WorkCounter::note();
     if (replica.state != ReplicaState::Serving || replica.loadFraction >= this->admissibleLoad())
         return false;
     if (request.suspect && replica.suspects > 0)
--- a/modules/lacewingmux_scheduling/replicas/ReplicaChooser.h
+++ b/modules/lacewingmux_scheduling/replicas/ReplicaChooser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lacewingmux_core/metrics/WorkCounter.h"
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_scheduling/replicas/LoadReport.h"
 #include "lacewingmux_scheduling/replicas/ReplicaChoice.h"
@@ -90,6 +91,7 @@
         const Replica *replica = nullptr;
         friend bool operator<(const LoadKey &left, const LoadKey &right)
         {
+            WorkCounter::note();
             return std::tie(left.fraction, left.number) < std::tie(right.fraction, right.number);
         }
     };
