--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -30,6 +30,7 @@
 constexpr int firstServerErrorStatus = 500;
 constexpr qsizetype largestHeldAnswer = qsizetype{8} * 1024 * 1024; // a share of the VM's memory
 constexpr qint64 slowReaderLimit = qint64{1024} * 1024; // unread bytes before it is given up
+constexpr double timedOutPace = 8.0; // as a multiple of the usual time; far above any slow replica
 constexpr milliseconds keptWithoutNotice{400}; // a replica that names no idle time waits below 1 s
 constexpr milliseconds keepAliveMargin{500};   // for the answer and the next request on their way
 
@@ -249,7 +250,7 @@
                          milliseconds(0));
         break;
     case Phase::Sent:
-        this->services.fleet.placement().notePace(this->replica, 8.0, this->now());
+        this->services.fleet.placement().notePace(this->replica, timedOutPace, this->now());
         this->fail(ErrorKind::BackendTimeout, "the replica did not answer in time");
         break;
     case Phase::Streaming:
--- a/modules/lacewingmux_gateway/forwarding/Gateway.h
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.h
@@ -52,11 +52,6 @@
     /** Returns the port on which callers are served. */
     [[nodiscard]] std::uint16_t port() const;
 
-    [[nodiscard]] std::size_t callsUnderWay() const noexcept
-    {
-        return this->calls.size();
-    }
-
 private:
     void handleRequest(const std::shared_ptr<IngressConnection> &caller, HttpRequest request);
     void handleLeave(const IngressConnection *caller);
--- a/modules/lacewingmux_gateway/ingress/IngressServer.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressServer.cpp
@@ -6,7 +6,6 @@
 #include <QTcpServer>
 #include <QTcpSocket>
 
-#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -70,13 +69,6 @@
         connection->closeIfIdle();
 }
 
-std::size_t IngressServer::servingCount() const
-{
-    return static_cast<std::size_t>(
-            std::count_if(this->connections.begin(), this->connections.end(),
-                          [](const auto &entry) { return entry.second->isServing(); }));
-}
-
 std::uint16_t IngressServer::port() const
 {
     return this->server->serverPort();
--- a/modules/lacewingmux_gateway/ingress/IngressServer.h
+++ b/modules/lacewingmux_gateway/ingress/IngressServer.h
@@ -50,9 +50,6 @@
     /** Closes the connections on which no request is under way. */
     void closeIdleConnections();
 
-    /** Returns how many connections have a request under way. */
-    [[nodiscard]] std::size_t servingCount() const;
-
     [[nodiscard]] std::size_t connectionCount() const noexcept
     {
         return this->connections.size();
--- a/modules/lacewingmux_gateway/replicas/Placement.cpp
+++ b/modules/lacewingmux_gateway/replicas/Placement.cpp
@@ -170,27 +170,6 @@
         this->prompts.note(instance, parts);
 }
 
-double Placement::loadOf(const QByteArray &service, SteadyTime now) const
-{
-    const auto serving = this->byService.constFind(service);
-    if (serving == this->byService.cend() || serving->empty())
-        return 1.0;
-    double taken = 0;
-    double slots = 0;
-    for (const QByteArray &id : *serving) {
-        const Replica &replica = *this->replicas.constFind(id);
-        taken += this->loadEstimate(replica, now);
-        slots += replica.instance.slots;
-    }
-    return slots > 0 ? taken / slots : 1.0;
-}
-
-int Placement::ownCalls(const QByteArray &instance) const
-{
-    const auto found = this->replicas.constFind(instance);
-    return found == this->replicas.cend() ? 0 : found->own;
-}
-
 Placement::Replica *Placement::find(const QByteArray &instance)
 {
     const auto found = this->replicas.find(instance);
--- a/modules/lacewingmux_gateway/replicas/Placement.h
+++ b/modules/lacewingmux_gateway/replicas/Placement.h
@@ -68,12 +68,6 @@
     /** Notes that the replica has read the prompt. */
     void notePrompt(const QByteArray &instance, const std::vector<PromptPart> &parts);
 
-    /** Returns the estimated part of the service's slots that are taken; 1 when it has none. */
-    [[nodiscard]] double loadOf(const QByteArray &service, SteadyTime now) const;
-
-    /** Returns the own calls under way at the instance. */
-    [[nodiscard]] int ownCalls(const QByteArray &instance) const;
-
 private:
     struct Replica
     {
--- a/modules/lacewingmux_records/client/RecordsClient.cpp
+++ b/modules/lacewingmux_records/client/RecordsClient.cpp
@@ -254,7 +254,6 @@
 
 void RecordsClient::sendWriting(std::uint64_t number, Writing &writing)
 {
-    writing.viewNumber = this->view.number;
     writing.pending.clear();
     const QByteArray payload = RecordsCodec::encodeRecords({writing.record});
     for (const RecordsMember &member : this->view.members) {
--- a/modules/lacewingmux_records/client/RecordsClient.h
+++ b/modules/lacewingmux_records/client/RecordsClient.h
@@ -60,7 +60,6 @@
         int copies = 0;
         StoredCallback callback;
         TimerSubscription timeout;
-        std::uint64_t viewNumber = 0;
     };
 
     void sendOpening(std::uint64_t number, Opening &opening);
