--- a/modules/lacewingmux_gateway/routing/RoutingTable.cpp
+++ b/modules/lacewingmux_gateway/routing/RoutingTable.cpp
@@ -6,9 +6,9 @@
 namespace lacewingmux {
 
 RoutingTable::RoutingTable(std::uint64_t tableVersion, std::vector<GatewayRoute> tableRoutes,
-                           std::vector<GatewayService> tableServices,
+                           const std::vector<GatewayService> &tableServices,
                            std::vector<GatewayTeam> tableTeams,
-                           QHash<QByteArray, QByteArray> tableKeys, bool withTeams,
+                           const QHash<QByteArray, QByteArray> &tableKeys, bool withTeams,
                            const HttpLimits &limitsOfCallers)
     : versionNumber(tableVersion)
     , routes(std::move(tableRoutes))
@@ -22,8 +22,8 @@
         std::stable_sort(indexes.begin(), indexes.end(), [this](auto left, auto right) {
             return this->routes[left].prefix.size() > this->routes[right].prefix.size();
         });
-    for (GatewayService &service : tableServices)
-        this->services.insert(service.name, std::move(service));
+    for (const GatewayService &service : tableServices)
+        this->services.insert(service.name, service);
 
     QHash<QByteArray, std::size_t> teamsByName;
     for (std::size_t index = 0; index < this->teamList.size(); ++index)
--- a/modules/lacewingmux_gateway/routing/RoutingTable.h
+++ b/modules/lacewingmux_gateway/routing/RoutingTable.h
@@ -21,8 +21,9 @@
 {
 public:
     RoutingTable(std::uint64_t tableVersion, std::vector<GatewayRoute> tableRoutes,
-                 std::vector<GatewayService> tableServices, std::vector<GatewayTeam> tableTeams,
-                 QHash<QByteArray, QByteArray> tableKeys, bool withTeams,
+                 const std::vector<GatewayService> &tableServices,
+                 std::vector<GatewayTeam> tableTeams,
+                 const QHash<QByteArray, QByteArray> &tableKeys, bool withTeams,
                  const HttpLimits &httpLimits);
 
     [[nodiscard]] std::uint64_t version() const noexcept
--- a/modules/lacewingmux_node/front/FrontNode.cpp
+++ b/modules/lacewingmux_node/front/FrontNode.cpp
@@ -62,7 +62,7 @@
 {
     if (std::exchange(this->stopping, true))
         return;
-    LogEvent(LogSeverity::Info, "stopBegins");
+    LogEvent(LogSeverity::Info, "stopBegins").field("vm", this->settings.vm);
     this->traffic->post([](FrontTraffic &services) { services.beginStop(); });
 }
 
--- a/modules/lacewingmux_node/records/RecordsNode.cpp
+++ b/modules/lacewingmux_node/records/RecordsNode.cpp
@@ -107,7 +107,7 @@
 {
     if (std::exchange(this->retiring, true))
         return;
-    LogEvent(LogSeverity::Info, "retirementBegins");
+    LogEvent(LogSeverity::Info, "retirementBegins").field("vm", this->settings.vm);
     this->writeRetirementStatus(this->seams.retirementRunning);
     this->membership->beginLeaving();
 }
@@ -117,7 +117,7 @@
     if (!this->retiring)
         return;
     this->membership->leave([this] {
-        LogEvent(LogSeverity::Info, "retirementDone");
+        LogEvent(LogSeverity::Info, "retirementDone").field("vm", this->settings.vm);
         this->writeRetirementStatus(this->seams.retirementDone);
     });
 }
