--- a/modules/lacewingmux_records/members/RecordsMembership.cpp
+++ b/modules/lacewingmux_records/members/RecordsMembership.cpp
@@ -91,7 +91,7 @@
             nullptr);
 }
 
-void RecordsMembership::leave(std::function<void()> left)
+void RecordsMembership::leave(const std::function<void()> &left)
 {
     this->update(
             "left",
@@ -102,7 +102,7 @@
                 });
                 return removed == 0 ? std::nullopt : std::optional(next);
             },
-            std::move(left));
+            left);
 }
 
 void RecordsMembership::replaceSilent(const VmIncarnation &silent)
@@ -156,7 +156,8 @@
     return next;
 }
 
-void RecordsMembership::update(const char *reason, Change change, std::function<void()> done)
+void RecordsMembership::update(const char *reason, const Change &change,
+                               const std::function<void()> &done)
 {
     updateRecord(
             this->store, recordsViewKey,
@@ -178,7 +179,7 @@
                 return next->toDocument();
             },
             [this, reason, change, done,
-             guard = std::weak_ptr(this->lifetime)](std::optional<LacewingmuxError> error) {
+             guard = std::weak_ptr(this->lifetime)](const std::optional<LacewingmuxError> &error) {
                 if (guard.expired())
                     return;
                 if (!error) {
--- a/modules/lacewingmux_records/members/RecordsMembership.h
+++ b/modules/lacewingmux_records/members/RecordsMembership.h
@@ -42,7 +42,7 @@
     void beginLeaving();
 
     /** Takes this VM out of the view; calls back once the store has it. */
-    void leave(std::function<void()> left);
+    void leave(const std::function<void()> &left);
 
     /** Returns the newest view that is known. */
     [[nodiscard]] const RecordsView &view() const noexcept
@@ -66,7 +66,7 @@
 private:
     using Change = std::function<std::optional<RecordsView>(const RecordsView &)>;
 
-    void update(const char *reason, Change change, std::function<void()> done);
+    void update(const char *reason, const Change &change, const std::function<void()> &done);
     void adopt(const QByteArray &document);
     void join();
 
--- a/modules/lacewingmux_records/messages/RecordsCodec.cpp
+++ b/modules/lacewingmux_records/messages/RecordsCodec.cpp
@@ -99,6 +99,7 @@
 {
     FlatBufferBuilder builder;
     std::vector<Offset<fb::Record>> offsets;
+    offsets.reserve(records.size());
     for (const Record &record : records)
         offsets.push_back(recordIn(builder, record));
     return finished(builder, fb::CreateWriteRecords(builder, builder.CreateVector(offsets)));
@@ -205,6 +206,7 @@
 {
     FlatBufferBuilder builder;
     std::vector<Offset<fb::RecordKey>> offsets;
+    offsets.reserve(message.names.size());
     for (const RecordName &name : message.names)
         offsets.push_back(nameIn(builder, name));
     return finished(builder, fb::CreatePullKeysReply(builder, builder.CreateVector(offsets),
@@ -230,6 +232,7 @@
 {
     FlatBufferBuilder builder;
     std::vector<Offset<fb::RecordKey>> offsets;
+    offsets.reserve(names.size());
     for (const RecordName &name : names)
         offsets.push_back(nameIn(builder, name));
     return finished(builder, fb::CreateFetchRecords(builder, builder.CreateVector(offsets)));
