--- a/modules/lacewingmux_gateway/http/RequestDecoder.cpp
+++ b/modules/lacewingmux_gateway/http/RequestDecoder.cpp
@@ -1,7 +1,5 @@
 #include "lacewingmux_gateway/http/RequestDecoder.h"
 
-#include "lacewingmux_gateway/http/ParserText.h"
-
 #include <boost/beast/http/basic_parser.hpp>
 
 #include <algorithm>
@@ -13,6 +11,11 @@
 
 namespace {
 
+QByteArray toBytes(boost::beast::string_view text)
+{
+    return QByteArray(text.data(), static_cast<qsizetype>(text.size()));
+}
+
 DecodeState stateOf(const boost::beast::error_code &error)
 {
     if (error == http::error::header_limit)
--- a/modules/lacewingmux_gateway/ingress/IngressServer.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressServer.cpp
@@ -62,7 +62,10 @@
 
 void IngressServer::closeIdleConnections()
 {
-    for (const auto &connection : this->openConnections())
+    std::vector<std::shared_ptr<IngressConnection>> all;
+    for (const auto &[key, connection] : this->connections)
+        all.push_back(connection);
+    for (const auto &connection : all)
         connection->closeIfIdle();
 }
 
@@ -114,17 +117,12 @@
 
 void IngressServer::enforceTimeouts()
 {
-    for (const auto &connection : this->openConnections())
-        connection->enforceTimeouts();
-}
-
-std::vector<std::shared_ptr<IngressConnection>> IngressServer::openConnections() const
-{
-    std::vector<std::shared_ptr<IngressConnection>> open;
-    open.reserve(this->connections.size());
+    std::vector<std::shared_ptr<IngressConnection>> all;
+    all.reserve(this->connections.size());
     for (const auto &[key, connection] : this->connections)
-        open.push_back(connection);
-    return open;
+        all.push_back(connection);
+    for (const auto &connection : all)
+        connection->enforceTimeouts();
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/replicas/ReachabilityProbe.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReachabilityProbe.cpp
@@ -1,7 +1,5 @@
 #include "lacewingmux_gateway/replicas/ReachabilityProbe.h"
 
-#include "lacewingmux_gateway/replicas/ReplicaConnection.h"
-
 #include <QNetworkProxy>
 #include <QTcpSocket>
 
@@ -9,6 +7,12 @@
 
 namespace lacewingmux {
 
+namespace {
+
+constexpr std::chrono::milliseconds connectLimit{400}; // as for calls
+
+} // namespace
+
 ReachabilityProbe::ReachabilityProbe(const QHostAddress &address, std::uint16_t port,
                                      TimerService &timerService,
                                      std::function<void(bool)> resultHook)
@@ -20,7 +24,7 @@
                      [this] { this->finish(true); });
     QObject::connect(this->socket, &QTcpSocket::errorOccurred, this->socket,
                      [this] { this->finish(false); });
-    this->timeout = timerService.after(replicaConnectLimit, [this] { this->finish(false); });
+    this->timeout = timerService.after(connectLimit, [this] { this->finish(false); });
     this->socket->connectToHost(address, port);
 }
 
--- a/modules/lacewingmux_node/records/RecordsTraffic.cpp
+++ b/modules/lacewingmux_node/records/RecordsTraffic.cpp
@@ -21,7 +21,10 @@
 
 void RecordsTraffic::setView(const RecordsView &view)
 {
-    this->hub->setPeers(view.descriptors());
+    std::vector<VmDescriptor> peers;
+    for (const RecordsMember &member : view.members)
+        peers.push_back(member.vm);
+    this->hub->setPeers(peers);
     this->server->setView(view);
 }
 
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -17,8 +17,8 @@
 constexpr milliseconds housekeepingInterval{1000};
 constexpr std::size_t namesAtOnce = 4000;                      // about 100 kB
 constexpr qsizetype fetchedBytes = qsizetype{2} * 1024 * 1024; // a seventh of a frame's limit
-// Longer than any outage that a burst matters in.
-constexpr std::chrono::seconds floorRetention{120};
+constexpr std::chrono::seconds floorRetention{
+        120};                                      // longer than any outage that a burst matters in
 constexpr std::chrono::seconds clockAllowance{20}; // the VMs' clocks differ
 
 constexpr milliseconds leaseRetry{100}; // less than the members' questions are apart
@@ -47,7 +47,6 @@
               [this] { this->checkSynced(); })
     , started(timerService.now())
     , lease(peerHub.self())
-    , configuration(peerHub, this->hooks.newerConfiguration)
 {
     this->log.replay([this](std::uint64_t sequence, const Record &record) {
         this->replay(sequence, record);
@@ -72,6 +71,17 @@
                 this->hub.send(entryVm, frame);
         }
     });
+    this->hub.setHandler(
+            FrameKind::ConfigurationDocumentRequest, [this](const auto &peer, const auto &) {
+                this->hub.send(peer, {FrameKind::ConfigurationDocumentReply, 0, 0,
+                                      RecordsCodec::encodeConfiguration(this->configuration)});
+            });
+    this->hub.setHandler(FrameKind::ConfigurationDocumentReply,
+                         [this](const auto &, const auto &frame) {
+                             const auto message = RecordsCodec::decodeConfiguration(frame.payload);
+                             if (message && message->version > this->configuration.version)
+                                 this->hooks.newerConfiguration(*message);
+                         });
     this->hub.addLinkHandler([this](const VmIncarnation &peer, bool up) {
         if (!up)
             this->entryVms.erase(peer);
@@ -89,13 +99,17 @@
                   [this](const auto &entry) { return this->view.member(entry.first) == nullptr; });
     this->sync.setView(newView);
     this->lease.setView(newView, this->timers.now());
-    newView.logAdoption();
+    LogEvent(LogSeverity::Info, "recordsViewAdopted")
+            .field("number", static_cast<quint64>(newView.number))
+            .field("members", static_cast<qint64>(newView.members.size()))
+            .field("synced", newView.syncedCount());
     this->checkSynced();
 }
 
 void RecordsServer::setConfiguration(const ConfigurationDocumentMessage &newest)
 {
-    this->configuration.setConfiguration(newest);
+    if (newest.version > this->configuration.version)
+        this->configuration = newest;
 }
 
 void RecordsServer::handleOpen(const VmIncarnation &peer, const PeerFrame &frame)
@@ -205,7 +219,8 @@
     if (!message)
         return;
     this->entryVms.insert(peer);
-    this->configuration.askIfNewer(peer, message->configurationVersion);
+    if (message->configurationVersion > this->configuration.version)
+        this->askForConfiguration(peer);
     const TimerService::SteadyTime now = this->timers.now();
     const double share = this->lease.share(now);
     GrantTokensReplyMessage reply;
@@ -224,7 +239,7 @@
                 this->bucketOf(team).setFloor(tokens);
             });
     }
-    reply.configurationVersion = this->configuration.version();
+    reply.configurationVersion = this->configuration.version;
     reply.entryVms = static_cast<int>(this->entryVms.size());
     this->hub.send(peer, {FrameKind::GrantTokensReply, this->view.number, frame.correlation,
                           RecordsCodec::encodeGrantReply(reply)});
@@ -335,4 +350,9 @@
     }
 }
 
+void RecordsServer::askForConfiguration(const VmIncarnation &peer)
+{
+    this->hub.send(peer, {FrameKind::ConfigurationDocumentRequest, 0, 0, {}});
+}
+
 } // namespace lacewingmux
--- a/programs/lacewingmuxd/PlatformDaemon.cpp
+++ b/programs/lacewingmuxd/PlatformDaemon.cpp
@@ -1,7 +1,5 @@
 #include "PlatformDaemon.h"
 
-#include "DaemonExitCode.h"
-
 #include "lacewingmux_core/errors/LacewingmuxError.h"
 #include "lacewingmux_core/logging/StandardOutputLog.h"
 #include "lacewingmux_core/logging/StructuredLog.h"
@@ -19,6 +17,10 @@
 
 namespace {
 
+constexpr int stopped = 0;
+constexpr int failed = 1;
+constexpr int wrongCommandLine = 2;
+constexpr int faultySettings = 3;
 constexpr int logLinesPerSecond = 200; // a tenth of a front's requests at full load have a line
 
 void logReload()
@@ -33,7 +35,7 @@
 int runFront(const PlatformSettings &settings)
 {
     FrontNode node(nodeSettingsFor(settings), nodeSeamsFor(settings),
-                   [] { QCoreApplication::exit(StoppedAsPlanned); });
+                   [] { QCoreApplication::exit(stopped); });
     const StopSignals signals([&node] { node.beginStop(); }, logReload);
     return QCoreApplication::exec();
 }
@@ -42,7 +44,7 @@
 {
     const RecordsNode node(nodeSettingsFor(settings), nodeSeamsFor(settings));
     // All that was acknowledged is on disk, so there is nothing to wait for.
-    const StopSignals signals([] { QCoreApplication::exit(StoppedAsPlanned); }, logReload);
+    const StopSignals signals([] { QCoreApplication::exit(stopped); }, logReload);
     return QCoreApplication::exec();
 }
 
@@ -52,13 +54,13 @@
 {
     if (role != "front" && role != "records") {
         std::cerr << "--platform-role is front or records, not \"" << role << "\"\n";
-        return WrongCommandLine;
+        return wrongCommandLine;
     }
     SettingsFindings findings;
     const PlatformSettings settings = PlatformSettings::readFromEnvironment(findings);
     if (!findings.faults.empty()) {
         std::cerr << findings.faultText().toStdString() << '\n';
-        return FaultySettings;
+        return faultySettings;
     }
     const StandardOutputLog log(logLinesPerSecond);
     LogEvent(LogSeverity::Info, "start")
@@ -71,7 +73,7 @@
         return code;
     } catch (const LacewingmuxError &error) {
         LogEvent(LogSeverity::Error, "nodeFailed").field("reason", error.message());
-        return Failed;
+        return failed;
     }
 }
 
--- a/tests/records/model/RecordsFleet.cpp
+++ b/tests/records/model/RecordsFleet.cpp
@@ -68,7 +68,10 @@
 {
     if (!vm.server)
         return;
-    vm.hub->setPeers(view.descriptors());
+    std::vector<VmDescriptor> peers;
+    for (const RecordsMember &member : view.members)
+        peers.push_back(member.vm);
+    vm.hub->setPeers(peers);
     vm.server->setView(view);
 }
 
@@ -128,7 +131,10 @@
         if (!view)
             return;
         EntryVm &vm = this->entries[index];
-        vm.hub->setPeers(view->descriptors());
+        std::vector<VmDescriptor> peers;
+        for (const RecordsMember &member : view->members)
+            peers.push_back(member.vm);
+        vm.hub->setPeers(peers);
         vm.client->setView(*view);
         vm.quota->setView(*view);
     };
