--- a/modules/lacewingmux_keyvalue/client/JitteredBackoff.cpp
+++ b/modules/lacewingmux_core/time/JitteredBackoff.cpp
@@ -1,4 +1,4 @@
-#include "lacewingmux_keyvalue/client/JitteredBackoff.h"
+#include "lacewingmux_core/time/JitteredBackoff.h"
 
 #include <algorithm>
 
@@ -13,11 +13,10 @@
 
 std::chrono::milliseconds JitteredBackoff::next(double random)
 {
-    const auto half = this->current / 2;
-    const auto spread = std::chrono::milliseconds(
-            static_cast<std::int64_t>(static_cast<double>(half.count()) * random));
+    const double share = 0.5 + 0.5 * std::clamp(random, 0.0, 1.0);
+    const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(this->current * share);
     this->current = std::min(this->current * 2, this->longest);
-    return half + spread;
+    return std::max(pause, std::chrono::milliseconds(1));
 }
 
 void JitteredBackoff::reset()
--- a/modules/lacewingmux_keyvalue/client/JitteredBackoff.h
+++ b/modules/lacewingmux_core/time/JitteredBackoff.h
@@ -5,8 +5,8 @@
 namespace lacewingmux {
 
 /**
-    The pause before the next attempt to reach a service: doubled with each failure up to a limit,
-    and spread at random over the upper half, so that many clients don't come back at once.
+    The pause before the next attempt to reach a service or a peer: doubled with each failure up to
+    a limit, and spread at random over the upper half, so that many don't come back at once.
 */
 class JitteredBackoff
 {
--- a/modules/lacewingmux_gateway/calls/CallDescription.h
+++ b/modules/lacewingmux_gateway/calls/CallDescription.h
@@ -19,17 +19,14 @@
     QByteArray key;                                    ///< the credential; never passed on
     std::optional<std::chrono::milliseconds> timeLeft; ///< how long the caller will wait
 
-    QByteArray program;                                       ///< empty outside a program
-    QByteArray session;                                       ///< one line of turns
-    std::optional<std::chrono::milliseconds> programTimeLeft; ///< until the program should be done
+    QByteArray program;                      ///< empty outside a program
+    QByteArray session;                      ///< one line of turns
     std::optional<std::int64_t> tokenBudget; ///< tokens that the program may generate in all
     QByteArray previousTurn;                 ///< request id of the turn that this one continues
 
-    std::int64_t promptTokens = 0;
     std::int64_t maximumOutputTokens = 0;
     std::vector<PromptPart> promptParts; ///< in order; the last one is the request's own
     QByteArray affinityKey;              ///< names the object that the request is about
-    QByteArray lastEventId;              ///< the stream goes on behind this event
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/calls/ReplicaSend.h
+++ b/modules/lacewingmux_gateway/calls/ReplicaSend.h
@@ -13,8 +13,7 @@
     QByteArray instance; ///< the replica that is meant; any other one must refuse
     QByteArray team;     ///< empty on routes open to all
     std::optional<std::chrono::milliseconds> timeLeft;
-    std::optional<int> urgency; ///< 0 is first, 9 last
-    QByteArray resumeAfter;     ///< id of the last event that the caller has; empty at the start
+    QByteArray resumeAfter; ///< id of the last event that the caller has; empty at the start
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -93,8 +93,8 @@
 bool ForwardedCall::findRoute()
 {
     const QByteArray &target = this->request.target;
-    const QByteArray path =
-            target.left(target.indexOf('?') < 0 ? target.size() : target.indexOf('?'));
+    const qsizetype query = target.indexOf('?');
+    const QByteArray path = query < 0 ? target : target.left(query);
     const GatewayRoute *found = this->services.table->route(this->description.host, path);
     if (found == nullptr) {
         this->refuse(ErrorKind::UnknownRoute, "no route of the host has this path",
@@ -127,12 +127,9 @@
 
 bool ForwardedCall::isHarmless()
 {
-    QCryptographicHash hash(QCryptographicHash::Sha1);
-    hash.addData(this->team.name);
-    hash.addData(this->request.target);
-    hash.addData(this->request.body);
-    this->contentDigest = hash.result();
-    if (!this->services.fleet.suspicions().isQuarantined(this->contentDigest, this->now()))
+    const CrashSuspicions &suspicions = this->services.fleet.suspicions();
+    // Nothing is held as a rule, and then the request need not be hashed.
+    if (!suspicions.holdsAny() || !suspicions.isQuarantined(this->contentDigest(), this->now()))
         return true;
     // As "not run", which is true, and with a time after which it would be tried again.
     this->refuse(ErrorKind::BackendUnavailable, "the request crashes the replicas that run it",
@@ -171,14 +168,6 @@
 {
     const bool budgeted = this->description.tokenBudget && !this->description.program.isEmpty();
     const bool chained = this->route.keepsHistory && !this->description.previousTurn.isEmpty();
-    if (!budgeted && !chained) {
-        this->opening.request = this->description.requestId;
-        this->opening.team = this->team.name;
-        this->opening.program = this->description.program;
-        this->opening.retention = this->route.retention;
-        this->place();
-        return;
-    }
     this->opening = {this->description.program,
                      this->description.requestId,
                      this->team.name,
@@ -186,6 +175,10 @@
                      budgeted ? this->description.tokenBudget : std::nullopt,
                      this->description.maximumOutputTokens,
                      this->route.retention};
+    if (!budgeted && !chained) {
+        this->place();
+        return;
+    }
     this->reserved = budgeted;
     this->services.ledger.open(this->opening,
                                [guard = this->weak_from_this()](const TurnStart &start) {
@@ -346,6 +339,15 @@
     return this->route.isRepeatable() && this->runs < this->route.attempts;
 }
 
+QByteArray ForwardedCall::contentDigest() const
+{
+    QCryptographicHash hash(QCryptographicHash::Sha1);
+    hash.addData(this->team.name);
+    hash.addData(this->request.target);
+    hash.addData(this->request.body);
+    return hash.result();
+}
+
 bool ForwardedCall::isTurn() const
 {
     return this->route.kind == RouteKind::Stream && this->route.keepsHistory;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -103,6 +103,9 @@
     void logEnd(const char *outcome) const;
 
     [[nodiscard]] bool mayRunAgain() const;
+
+    /** Returns a digest of the request that is the same whenever it comes again. */
+    [[nodiscard]] QByteArray contentDigest() const;
     [[nodiscard]] bool isTurn() const;
     [[nodiscard]] std::int64_t tokensHandedOut() const;
     [[nodiscard]] TimerService::SteadyTime now() const;
@@ -114,7 +117,6 @@
     CallDescription description;
     GatewayRoute route;
     QByteArray service;
-    QByteArray contentDigest; ///< the same whenever the request comes again
     bool forEngine = false;
     std::int64_t tokensPerEvent = 1;
     GatewayTeam team;
@@ -139,7 +141,9 @@
     int rounds = 0; ///< times that all replicas were tried in vain
     HttpResponseHead head;
     ReplicaVerdict verdict;
-    QByteArray body; ///< of an answer that is passed on as a whole
+    bool streamed = false; ///< the answer under way is a stream of events
+    bool unusable = false; ///< the answer under way is a success that must not be passed on
+    QByteArray body;       ///< of an answer that is passed on as a whole
     StreamEvents events;
     bool streamBegun = false; ///< the caller has the head of a stream
     QByteArray endReason;     ///< why it was refused or broken off, for the log
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -74,6 +74,9 @@
     this->head = answer;
     this->lastHeard = this->now();
     this->body.clear();
+    this->streamed = this->route.kind == RouteKind::Stream && answer.status == okStatus
+                     && isEventStream(answer);
+    this->unusable = isSuccess(answer) && (!this->verdict.proven || this->verdict.encoded);
     this->services.fleet.placement().noteReached(this->replica);
     if (this->verdict.load)
         this->services.fleet.placement().noteLoad(this->replica, *this->verdict.load, this->now());
@@ -82,13 +85,11 @@
 void ForwardedCall::handleBody(const QByteArray &bytes)
 {
     this->lastHeard = this->now();
-    const bool unusable = isSuccess(this->head) && (!this->verdict.proven || this->verdict.encoded);
-    if (unusable) {
+    if (this->unusable) {
         this->handleFailure(ExchangeFailure::Malformed);
         return;
     }
-    if (this->route.kind == RouteKind::Stream && this->head.status == okStatus
-        && isEventStream(this->head)) {
+    if (this->streamed) {
         this->passEvents(bytes);
         return;
     }
@@ -105,12 +106,9 @@
         this->handleRejection();
         return;
     }
-    const bool streamed = this->route.kind == RouteKind::Stream && this->head.status == okStatus
-                          && isEventStream(this->head);
-    const bool unusable = isSuccess(this->head) && (!this->verdict.proven || this->verdict.encoded);
-    if (unusable || (streamed && this->events.isWithinEvent())) {
+    if (this->unusable || (this->streamed && this->events.isWithinEvent())) {
         this->services.fleet.placement().noteFailure(this->replica, this->now());
-        if (streamed)
+        if (this->streamed)
             this->resumeOrBreakOff("the stream ended within an event");
         else if (this->mayRunAgain())
             this->place();
@@ -118,7 +116,7 @@
             this->fail(ErrorKind::BackendFailed, "the replica's answer is unusable");
         return;
     }
-    if (streamed) {
+    if (this->streamed) {
         this->finishStream();
         return;
     }
@@ -147,7 +145,7 @@
     if (reason == ExchangeFailure::Unreachable && this->route.isRepeatable())
         --this->runs;
     if (reason == ExchangeFailure::Closed)
-        this->services.fleet.suspicions().noteBroken(this->replica, this->contentDigest,
+        this->services.fleet.suspicions().noteBroken(this->replica, this->contentDigest(),
                                                      this->now());
     if (this->streamBegun)
         this->resumeOrBreakOff(failureText(reason));
--- a/modules/lacewingmux_gateway/http/HttpResponseHead.h
+++ b/modules/lacewingmux_gateway/http/HttpResponseHead.h
@@ -4,9 +4,6 @@
 
 #include <QByteArray>
 
-#include <cstdint>
-#include <optional>
-
 namespace lacewingmux {
 
 /** The status line and header fields of an HTTP/1.1 response. */
@@ -16,8 +13,7 @@
     QByteArray reason;
     HttpFields fields;
     bool keepAlive = true;
-    std::optional<std::uint64_t> bodyLength; ///< unknown for chunks and up to the end
-    bool endsWithConnection = false;         ///< the body goes on until the connection closes
+    bool endsWithConnection = false; ///< the body goes on until the connection closes
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/http/RequestDecoder.cpp
+++ b/modules/lacewingmux_gateway/http/RequestDecoder.cpp
@@ -1,5 +1,7 @@
 #include "lacewingmux_gateway/http/RequestDecoder.h"
 
+#include "lacewingmux_gateway/http/ParserText.h"
+
 #include <boost/beast/http/basic_parser.hpp>
 
 #include <algorithm>
@@ -11,11 +13,6 @@
 
 namespace {
 
-QByteArray toBytes(boost::beast::string_view text)
-{
-    return QByteArray(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 DecodeState stateOf(const boost::beast::error_code &error)
 {
     if (error == http::error::header_limit)
--- a/modules/lacewingmux_gateway/http/ResponseDecoder.cpp
+++ b/modules/lacewingmux_gateway/http/ResponseDecoder.cpp
@@ -1,5 +1,7 @@
 #include "lacewingmux_gateway/http/ResponseDecoder.h"
 
+#include "lacewingmux_gateway/http/ParserText.h"
+
 #include <boost/beast/http/basic_parser.hpp>
 
 #include <limits>
@@ -14,11 +16,6 @@
 constexpr std::uint32_t headLimitBytes = 64 * 1024; // heads of backend servers are far below it
 constexpr int firstFinalStatus = 200;
 
-QByteArray toBytes(boost::beast::string_view text)
-{
-    return QByteArray(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 } // namespace
 
 /** Collects what Beast's parser reports into one response. */
@@ -45,12 +42,9 @@
     }
     void on_header_impl(boost::beast::error_code &) override
     { }
-    void on_body_init_impl(const boost::optional<std::uint64_t> &length,
+    void on_body_init_impl(const boost::optional<std::uint64_t> &,
                            boost::beast::error_code &) override
-    {
-        if (length)
-            this->head.bodyLength = *length;
-    }
+    { }
     std::size_t on_body_impl(boost::beast::string_view bytes, boost::beast::error_code &) override
     {
         this->body.append(bytes.data(), static_cast<qsizetype>(bytes.size()));
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
@@ -15,8 +15,8 @@
 constexpr std::chrono::milliseconds callerSilence{4000}; // twice the longest gap a caller bears
 constexpr std::chrono::milliseconds lingerTime{300};     // for a refused caller to read the answer
 constexpr qint64 readBufferBytes = qint64{64} * 1024; // unread bytes count against the VM's memory
-constexpr std::chrono::milliseconds nextRequestTime{
-        250}; // in which a caller goes on after an answer
+// In which a caller goes on after an answer.
+constexpr std::chrono::milliseconds nextRequestTime{250};
 constexpr int requestTimeoutStatus = 408;
 
 int refusalStatus(DecodeState state)
--- a/modules/lacewingmux_gateway/ingress/IngressServer.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressServer.cpp
@@ -62,10 +62,7 @@
 
 void IngressServer::closeIdleConnections()
 {
-    std::vector<std::shared_ptr<IngressConnection>> all;
-    for (const auto &[key, connection] : this->connections)
-        all.push_back(connection);
-    for (const auto &connection : all)
+    for (const auto &connection : this->openConnections())
         connection->closeIfIdle();
 }
 
@@ -117,12 +114,17 @@
 
 void IngressServer::enforceTimeouts()
 {
-    std::vector<std::shared_ptr<IngressConnection>> all;
-    all.reserve(this->connections.size());
-    for (const auto &[key, connection] : this->connections)
-        all.push_back(connection);
-    for (const auto &connection : all)
+    for (const auto &connection : this->openConnections())
         connection->enforceTimeouts();
 }
 
+std::vector<std::shared_ptr<IngressConnection>> IngressServer::openConnections() const
+{
+    std::vector<std::shared_ptr<IngressConnection>> open;
+    open.reserve(this->connections.size());
+    for (const auto &[key, connection] : this->connections)
+        open.push_back(connection);
+    return open;
+}
+
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/ingress/IngressServer.h
+++ b/modules/lacewingmux_gateway/ingress/IngressServer.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 class QTcpServer;
 class QTcpSocket;
@@ -62,6 +63,9 @@
     void accept(QTcpSocket *socket);
     void enforceTimeouts();
 
+    /** Returns a copy of the list, which may change while connections are told something. */
+    [[nodiscard]] std::vector<std::shared_ptr<IngressConnection>> openConnections() const;
+
     TimerService &timers;
     RequestHandler handleRequest;
     LeaveHandler handleLeave;
--- a/modules/lacewingmux_gateway/replicas/CrashSuspicions.cpp
+++ b/modules/lacewingmux_gateway/replicas/CrashSuspicions.cpp
@@ -59,6 +59,11 @@
     this->quarantine.record(coincidence, now);
 }
 
+bool CrashSuspicions::holdsAny() const noexcept
+{
+    return this->quarantine.size() > 0;
+}
+
 bool CrashSuspicions::isQuarantined(const QByteArray &contentDigest, SteadyTime now) const
 {
     return this->quarantine.verdict(contentDigest, now) == QuarantineVerdict::Quarantined;
--- a/modules/lacewingmux_gateway/replicas/CrashSuspicions.h
+++ b/modules/lacewingmux_gateway/replicas/CrashSuspicions.h
@@ -38,6 +38,9 @@
     /** Takes a coincidence that another VM found. */
     void takeNotice(const CrashCoincidence &coincidence, SteadyTime now);
 
+    /** Tells whether any request is suspected or quarantined. */
+    [[nodiscard]] bool holdsAny() const noexcept;
+
     /** Tells whether the request must not be sent to any replica. */
     [[nodiscard]] bool isQuarantined(const QByteArray &contentDigest, SteadyTime now) const;
 
--- a/modules/lacewingmux_gateway/replicas/ReachabilityProbe.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReachabilityProbe.cpp
@@ -1,5 +1,7 @@
 #include "lacewingmux_gateway/replicas/ReachabilityProbe.h"
 
+#include "lacewingmux_gateway/replicas/ReplicaConnection.h"
+
 #include <QNetworkProxy>
 #include <QTcpSocket>
 
@@ -7,12 +9,6 @@
 
 namespace lacewingmux {
 
-namespace {
-
-constexpr std::chrono::milliseconds connectLimit{400}; // as for calls
-
-} // namespace
-
 ReachabilityProbe::ReachabilityProbe(const QHostAddress &address, std::uint16_t port,
                                      TimerService &timerService,
                                      std::function<void(bool)> resultHook)
@@ -24,7 +20,7 @@
                      [this] { this->finish(true); });
     QObject::connect(this->socket, &QTcpSocket::errorOccurred, this->socket,
                      [this] { this->finish(false); });
-    this->timeout = timerService.after(connectLimit, [this] { this->finish(false); });
+    this->timeout = timerService.after(replicaConnectLimit, [this] { this->finish(false); });
     this->socket->connectToHost(address, port);
 }
 
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds connectLimit{400};    // hundreds of round trips between zones
 constexpr std::chrono::milliseconds replicaSilence{3000}; // of the network, not of the replica
 
 } // namespace
@@ -33,7 +32,7 @@
                      [this] { this->readAvailable(); });
     QObject::connect(this->socket, &QTcpSocket::errorOccurred, this->socket,
                      [this] { this->handleEnd(); });
-    this->connectTimeout = this->timers.after(connectLimit, [this] { this->handleEnd(); });
+    this->connectTimeout = this->timers.after(replicaConnectLimit, [this] { this->handleEnd(); });
     this->socket->connectToHost(address, port);
 }
 
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
@@ -7,6 +7,7 @@
 #include <QByteArray>
 #include <QHostAddress>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -17,6 +18,9 @@
 
 class ResponseDecoder;
 
+/** Time in which a connection to a replica comes about: hundreds of round trips between zones. */
+inline constexpr std::chrono::milliseconds replicaConnectLimit{400};
+
 /**
     One connection to a replica, which carries one exchange at a time.
 
--- a/modules/lacewingmux_gateway/routing/GatewayRoute.h
+++ b/modules/lacewingmux_gateway/routing/GatewayRoute.h
@@ -24,11 +24,9 @@
     QByteArray prefix; ///< begins and ends with a slash
     RouteKind kind = RouteKind::SingleRun;
     std::vector<RouteTarget> targets;
-    std::chrono::milliseconds timeout{0};          ///< how long a caller may be kept waiting
-    std::chrono::milliseconds latencyObjective{0}; ///< of a stream: to its first event
-    std::chrono::milliseconds eventGapObjective{0};
-    int priority = 0; ///< 0 is first
-    int attempts = 1; ///< replicas that one attempt of a caller may run on
+    std::chrono::milliseconds timeout{0}; ///< how long a caller may be kept waiting
+    int priority = 0;                     ///< 0 is first
+    int attempts = 1;                     ///< replicas that one attempt of a caller may run on
     bool sticky = false;
     bool resumable = false;
     bool openToAll = false;    ///< needs no key
--- a/modules/lacewingmux_keyvalue/lacewingmux_keyvalue.h
+++ b/modules/lacewingmux_keyvalue/lacewingmux_keyvalue.h
@@ -11,7 +11,6 @@
 
 #include "lacewingmux_keyvalue/client/CallBudget.h"
 #include "lacewingmux_keyvalue/client/HttpPlatformStore.h"
-#include "lacewingmux_keyvalue/client/JitteredBackoff.h"
 #include "lacewingmux_keyvalue/client/PlatformStoreSettings.h"
 #include "lacewingmux_keyvalue/etcd/EtcdJson.h"
 #include "lacewingmux_keyvalue/etcd/EtcdPaths.h"
--- a/modules/lacewingmux_keyvalue/store/PlatformStore.h
+++ b/modules/lacewingmux_keyvalue/store/PlatformStore.h
@@ -77,6 +77,10 @@
     */
     [[nodiscard]] virtual std::unique_ptr<Watch>
     watchPrefix(const QByteArray &prefix, std::int64_t afterRevision, WatchCallback callback) = 0;
+
+    /** Reports the value of one key, now and after each write; its deletion is not reported. */
+    [[nodiscard]] std::unique_ptr<Watch>
+    watchValue(const QByteArray &key, std::function<void(const QByteArray &)> callback);
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_node/front/FrontNode.cpp
+++ b/modules/lacewingmux_node/front/FrontNode.cpp
@@ -77,19 +77,14 @@
     this->store = this->seams.makeStore(this->timers, *this->metrics, [this](bool reachable) {
         this->replicas->setStoreReachable(reachable);
     });
-    this->configurationWatch = this->store->watchPrefix(
-            this->seams.configurationKey, 0, [this](const StoreRecord &record) {
-                if (record.key == this->seams.configurationKey && record.createRevision != 0)
-                    this->takeConfiguration(record.value);
-            });
+    this->configurationWatch = this->store->watchValue(
+            this->seams.configurationKey,
+            [this](const QByteArray &document) { this->takeConfiguration(document); });
     this->replicaWatch = this->store->watchPrefix(
             this->seams.replicaPrefix, 0,
             [this](const StoreRecord &record) { this->takeReplica(record); });
-    this->viewWatch =
-            this->store->watchPrefix(recordsViewKey, 0, [this](const StoreRecord &record) {
-                if (record.key == recordsViewKey && record.createRevision != 0)
-                    this->takeView(record.value);
-            });
+    this->viewWatch = this->store->watchValue(
+            recordsViewKey, [this](const QByteArray &document) { this->takeView(document); });
 }
 
 void FrontNode::takeConfiguration(const QByteArray &document)
--- a/modules/lacewingmux_node/front/FrontTraffic.cpp
+++ b/modules/lacewingmux_node/front/FrontTraffic.cpp
@@ -63,10 +63,10 @@
 
 void FrontTraffic::tellCrash(const CrashCoincidence &coincidence)
 {
+    const PeerFrame notice{FrameKind::CrashNotice, 0, 0, RecordsCodec::encodeCrash(coincidence)};
     // Each records VM passes it on; one is enough, and others may be cut off.
     for (const VmIncarnation &peer : this->hub->connectedPeers())
-        this->hub->send(peer,
-                        {FrameKind::CrashNotice, 0, 0, RecordsCodec::encodeCrash(coincidence)});
+        this->hub->send(peer, notice);
 }
 
 void FrontTraffic::checkRecords()
@@ -94,10 +94,7 @@
 
 void FrontTraffic::setView(const RecordsView &view)
 {
-    std::vector<VmDescriptor> peers;
-    for (const RecordsMember &member : view.members)
-        peers.push_back(member.vm);
-    this->hub->setPeers(peers);
+    this->hub->setPeers(view.descriptors());
     this->records->setView(view);
     this->quota->setView(view);
 }
--- a/modules/lacewingmux_node/records/RecordsNode.cpp
+++ b/modules/lacewingmux_node/records/RecordsNode.cpp
@@ -81,16 +81,11 @@
                 this->traffic->post([view](RecordsTraffic &services) { services.setView(view); });
             });
     this->membership->start();
-    this->configurationWatch = this->store->watchPrefix(
-            this->seams.configurationKey, 0, [this](const StoreRecord &record) {
-                if (record.key == this->seams.configurationKey && record.createRevision != 0)
-                    this->takeConfiguration(record.value);
-            });
-    this->retirementWatch = this->store->watchPrefix(
-            this->seams.retirementKey, 0, [this](const StoreRecord &record) {
-                if (record.key == this->seams.retirementKey && record.createRevision != 0)
-                    this->beginRetirement();
-            });
+    this->configurationWatch = this->store->watchValue(
+            this->seams.configurationKey,
+            [this](const QByteArray &document) { this->takeConfiguration(document); });
+    this->retirementWatch = this->store->watchValue(
+            this->seams.retirementKey, [this](const QByteArray &) { this->beginRetirement(); });
 }
 
 void RecordsNode::takeConfiguration(const QByteArray &document)
--- a/modules/lacewingmux_node/records/RecordsTraffic.cpp
+++ b/modules/lacewingmux_node/records/RecordsTraffic.cpp
@@ -21,10 +21,7 @@
 
 void RecordsTraffic::setView(const RecordsView &view)
 {
-    std::vector<VmDescriptor> peers;
-    for (const RecordsMember &member : view.members)
-        peers.push_back(member.vm);
-    this->hub->setPeers(peers);
+    this->hub->setPeers(view.descriptors());
     this->server->setView(view);
 }
 
--- a/modules/lacewingmux_peer/lacewingmux_peer.h
+++ b/modules/lacewingmux_peer/lacewingmux_peer.h
@@ -18,7 +18,6 @@
 #include "lacewingmux_peer/links/PeerHub.h"
 #include "lacewingmux_peer/links/PeerHubSettings.h"
 #include "lacewingmux_peer/links/PeerLink.h"
-#include "lacewingmux_peer/links/ReconnectBackoff.h"
 #include "lacewingmux_peer/links/TcpPeerHub.h"
 #include "lacewingmux_peer/links/TlsFileSet.h"
 #include "lacewingmux_peer/messages/FrameKind.h"
--- a/modules/lacewingmux_peer/links/TcpPeerHub.cpp
+++ b/modules/lacewingmux_peer/links/TcpPeerHub.cpp
@@ -52,7 +52,7 @@
             known->second.descriptor = peer;
             continue;
         }
-        ReconnectBackoff backoff(this->settings.shortestReconnect, this->settings.longestReconnect);
+        JitteredBackoff backoff(this->settings.shortestReconnect, this->settings.longestReconnect);
         this->targets.emplace(key, Target{peer, backoff, nullptr, {}, false, {}});
     }
     std::erase_if(this->targets,
--- a/modules/lacewingmux_peer/links/TcpPeerHub.h
+++ b/modules/lacewingmux_peer/links/TcpPeerHub.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "lacewingmux_core/time/JitteredBackoff.h"
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_peer/links/FrameDispatch.h"
 #include "lacewingmux_peer/links/PeerHub.h"
 #include "lacewingmux_peer/links/PeerHubSettings.h"
-#include "lacewingmux_peer/links/ReconnectBackoff.h"
 
 #include <QRandomGenerator>
 
@@ -59,7 +59,7 @@
     struct Target
     {
         VmDescriptor descriptor;
-        ReconnectBackoff backoff;
+        JitteredBackoff backoff;
         LinkPointer link;           ///< the attempt in progress, or the link it became
         VmIncarnation answered;     ///< who answered last at a seed's address
         bool failureLogged = false; ///< that it can't be reached, since it last could
--- a/modules/lacewingmux_records/client/FleetQuota.cpp
+++ b/modules/lacewingmux_records/client/FleetQuota.cpp
@@ -27,22 +27,11 @@
                        std::function<void(const ConfigurationDocumentMessage &)> hook)
     : hub(peerHub)
     , timers(timerService)
-    , newerConfiguration(std::move(hook))
+    , configuration(peerHub, std::move(hook))
 {
     this->hub.setHandler(FrameKind::GrantTokensReply, [this](const auto &peer, const auto &frame) {
         this->handleReply(peer, frame);
     });
-    this->hub.setHandler(
-            FrameKind::ConfigurationDocumentRequest, [this](const auto &peer, const auto &) {
-                this->hub.send(peer, {FrameKind::ConfigurationDocumentReply, 0, 0,
-                                      RecordsCodec::encodeConfiguration(this->configuration)});
-            });
-    this->hub.setHandler(FrameKind::ConfigurationDocumentReply,
-                         [this](const auto &, const auto &frame) {
-                             const auto message = RecordsCodec::decodeConfiguration(frame.payload);
-                             if (message && message->version > this->configuration.version)
-                                 this->newerConfiguration(*message);
-                         });
     this->timer = this->timers.every(tickInterval, [this] { this->tick(); });
 }
 
@@ -86,8 +75,7 @@
 
 void FleetQuota::setConfiguration(const ConfigurationDocumentMessage &newest)
 {
-    if (newest.version > this->configuration.version)
-        this->configuration = newest;
+    this->configuration.setConfiguration(newest);
 }
 
 void FleetQuota::ask(Queue &queue)
@@ -102,7 +90,7 @@
     queue.asked = queue.asked < candidates.size() ? queue.asked : 0;
     const std::uint64_t number = this->nextNumber++;
     GrantTokensMessage message;
-    message.configurationVersion = this->configuration.version;
+    message.configurationVersion = this->configuration.version();
     message.demands.push_back({queue.request.team.name, queue.request.team.requestsPerSecond,
                                queue.request.team.burst, wanted, queue.request.reserve});
     if (!this->hub.send(candidates[queue.asked], {FrameKind::GrantTokens, this->view.number, number,
@@ -120,8 +108,7 @@
     const auto question = this->asked.extract(frame.correlation);
     if (!message)
         return;
-    if (message->configurationVersion > this->configuration.version)
-        this->hub.send(peer, {FrameKind::ConfigurationDocumentRequest, 0, 0, {}});
+    this->configuration.askIfNewer(peer, message->configurationVersion);
     this->entryVms = std::max(1, message->entryVms);
     if (question.empty() || message->grants.empty())
         return; // answered too late: another records VM has been asked
--- a/modules/lacewingmux_records/client/FleetQuota.h
+++ b/modules/lacewingmux_records/client/FleetQuota.h
@@ -3,6 +3,7 @@
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_gateway/forwarding/TeamQuota.h"
 #include "lacewingmux_peer/links/PeerHub.h"
+#include "lacewingmux_records/configuration/ConfigurationRelay.h"
 #include "lacewingmux_records/members/RecordsView.h"
 #include "lacewingmux_records/messages/RecordMessages.h"
 #include "lacewingmux_records/quota/QuotaPocket.h"
@@ -73,9 +74,8 @@
 
     PeerHub &hub;
     TimerService &timers;
-    std::function<void(const ConfigurationDocumentMessage &)> newerConfiguration;
     RecordsView view;
-    ConfigurationDocumentMessage configuration;
+    ConfigurationRelay configuration;
     std::map<QueueKey, Queue> queues;
     int entryVms = 1; ///< that share the teams' rates, as a records VM told last
     std::uint64_t nextNumber = 1;
--- a/modules/lacewingmux_records/client/RecordsClient.cpp
+++ b/modules/lacewingmux_records/client/RecordsClient.cpp
@@ -57,10 +57,7 @@
     if (newView.number <= this->view.number)
         return;
     this->view = newView;
-    LogEvent(LogSeverity::Info, "recordsViewAdopted")
-            .field("number", static_cast<quint64>(newView.number))
-            .field("members", static_cast<qint64>(newView.members.size()))
-            .field("synced", newView.syncedCount());
+    newView.logAdoption();
     // Answers under the earlier view can't be added to those under this one.
     std::vector<std::uint64_t> numbers;
     for (auto &[number, opening] : this->openings) {
--- a/modules/lacewingmux_records/lacewingmux_records.h
+++ b/modules/lacewingmux_records/lacewingmux_records.h
@@ -14,6 +14,7 @@
 
 #include "lacewingmux_records/client/FleetQuota.h"
 #include "lacewingmux_records/client/RecordsClient.h"
+#include "lacewingmux_records/configuration/ConfigurationRelay.h"
 #include "lacewingmux_records/log/SegmentedLog.h"
 #include "lacewingmux_records/members/RecordsMembership.h"
 #include "lacewingmux_records/server/RecordsServer.h"
--- a/modules/lacewingmux_records/members/RecordsMembership.cpp
+++ b/modules/lacewingmux_records/members/RecordsMembership.cpp
@@ -36,10 +36,8 @@
 
 void RecordsMembership::start()
 {
-    this->watch = this->store.watchPrefix(recordsViewKey, 0, [this](const StoreRecord &record) {
-        if (record.key == recordsViewKey && record.createRevision != 0)
-            this->adopt(record.value);
-    });
+    this->watch = this->store.watchValue(
+            recordsViewKey, [this](const QByteArray &document) { this->adopt(document); });
     this->join();
 }
 
--- a/modules/lacewingmux_records/members/RecordsView.cpp
+++ b/modules/lacewingmux_records/members/RecordsView.cpp
@@ -1,5 +1,7 @@
 #include "lacewingmux_records/members/RecordsView.h"
 
+#include "lacewingmux_core/logging/StructuredLog.h"
+
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -75,6 +77,23 @@
     return found == this->members.end() ? nullptr : &*found;
 }
 
+std::vector<VmDescriptor> RecordsView::descriptors() const
+{
+    std::vector<VmDescriptor> all;
+    all.reserve(this->members.size());
+    for (const RecordsMember &entry : this->members)
+        all.push_back(entry.vm);
+    return all;
+}
+
+void RecordsView::logAdoption() const
+{
+    LogEvent(LogSeverity::Info, "recordsViewAdopted")
+            .field("number", static_cast<quint64>(this->number))
+            .field("members", static_cast<qint64>(this->members.size()))
+            .field("synced", this->syncedCount());
+}
+
 int RecordsView::storingCount() const
 {
     return static_cast<int>(
--- a/modules/lacewingmux_records/members/RecordsView.h
+++ b/modules/lacewingmux_records/members/RecordsView.h
@@ -31,6 +31,12 @@
     /** Returns the member that runs on the VM, or null. */
     [[nodiscard]] const RecordsMember *memberOnVm(const QString &vm) const;
 
+    /** Returns all members as peers to hold links to. */
+    [[nodiscard]] std::vector<VmDescriptor> descriptors() const;
+
+    /** Logs that the view is in force on this VM. */
+    void logAdoption() const;
+
     /** Returns how many members store what is written. */
     [[nodiscard]] int storingCount() const;
 
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -17,8 +17,8 @@
 constexpr milliseconds housekeepingInterval{1000};
 constexpr std::size_t namesAtOnce = 4000;                      // about 100 kB
 constexpr qsizetype fetchedBytes = qsizetype{2} * 1024 * 1024; // a seventh of a frame's limit
-constexpr std::chrono::seconds floorRetention{
-        120};                                      // longer than any outage that a burst matters in
+// Longer than any outage that a burst matters in.
+constexpr std::chrono::seconds floorRetention{120};
 constexpr std::chrono::seconds clockAllowance{20}; // the VMs' clocks differ
 
 constexpr milliseconds leaseRetry{100}; // less than the members' questions are apart
@@ -47,6 +47,7 @@
               [this] { this->checkSynced(); })
     , started(timerService.now())
     , lease(peerHub.self())
+    , configuration(peerHub, this->hooks.newerConfiguration)
 {
     this->log.replay([this](std::uint64_t sequence, const Record &record) {
         this->replay(sequence, record);
@@ -71,17 +72,6 @@
                 this->hub.send(entryVm, frame);
         }
     });
-    this->hub.setHandler(
-            FrameKind::ConfigurationDocumentRequest, [this](const auto &peer, const auto &) {
-                this->hub.send(peer, {FrameKind::ConfigurationDocumentReply, 0, 0,
-                                      RecordsCodec::encodeConfiguration(this->configuration)});
-            });
-    this->hub.setHandler(FrameKind::ConfigurationDocumentReply,
-                         [this](const auto &, const auto &frame) {
-                             const auto message = RecordsCodec::decodeConfiguration(frame.payload);
-                             if (message && message->version > this->configuration.version)
-                                 this->hooks.newerConfiguration(*message);
-                         });
     this->hub.addLinkHandler([this](const VmIncarnation &peer, bool up) {
         if (!up)
             this->entryVms.erase(peer);
@@ -99,17 +89,13 @@
                   [this](const auto &entry) { return this->view.member(entry.first) == nullptr; });
     this->sync.setView(newView);
     this->lease.setView(newView, this->timers.now());
-    LogEvent(LogSeverity::Info, "recordsViewAdopted")
-            .field("number", static_cast<quint64>(newView.number))
-            .field("members", static_cast<qint64>(newView.members.size()))
-            .field("synced", newView.syncedCount());
+    newView.logAdoption();
     this->checkSynced();
 }
 
 void RecordsServer::setConfiguration(const ConfigurationDocumentMessage &newest)
 {
-    if (newest.version > this->configuration.version)
-        this->configuration = newest;
+    this->configuration.setConfiguration(newest);
 }
 
 void RecordsServer::handleOpen(const VmIncarnation &peer, const PeerFrame &frame)
@@ -219,8 +205,7 @@
     if (!message)
         return;
     this->entryVms.insert(peer);
-    if (message->configurationVersion > this->configuration.version)
-        this->askForConfiguration(peer);
+    this->configuration.askIfNewer(peer, message->configurationVersion);
     const TimerService::SteadyTime now = this->timers.now();
     const double share = this->lease.share(now);
     GrantTokensReplyMessage reply;
@@ -239,7 +224,7 @@
                 this->bucketOf(team).setFloor(tokens);
             });
     }
-    reply.configurationVersion = this->configuration.version;
+    reply.configurationVersion = this->configuration.version();
     reply.entryVms = static_cast<int>(this->entryVms.size());
     this->hub.send(peer, {FrameKind::GrantTokensReply, this->view.number, frame.correlation,
                           RecordsCodec::encodeGrantReply(reply)});
@@ -350,9 +335,4 @@
     }
 }
 
-void RecordsServer::askForConfiguration(const VmIncarnation &peer)
-{
-    this->hub.send(peer, {FrameKind::ConfigurationDocumentRequest, 0, 0, {}});
-}
-
 } // namespace lacewingmux
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -2,6 +2,7 @@
 
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_peer/links/PeerHub.h"
+#include "lacewingmux_records/configuration/ConfigurationRelay.h"
 #include "lacewingmux_records/log/RecordIndex.h"
 #include "lacewingmux_records/members/RecordsView.h"
 #include "lacewingmux_records/messages/RecordMessages.h"
@@ -56,7 +57,6 @@
     void housekeep();
     void reportSilentMembers();
     void checkSynced();
-    void askForConfiguration(const VmIncarnation &peer);
 
     PeerHub &hub;
     DurableLog &log;
@@ -70,7 +70,7 @@
     GrantLease lease;
     QHash<QByteArray, GrantBucket> buckets;
     QHash<QByteArray, double> unspent; ///< floors that the disk held at the start, by team
-    ConfigurationDocumentMessage configuration;
+    ConfigurationRelay configuration;
     std::set<VmIncarnation> entryVms;
     std::map<VmIncarnation, TimerService::SteadyTime> heard; ///< members, when last
     std::map<VmIncarnation, std::uint64_t> copiedTo;         ///< members, places in the own log
--- a/programs/lacewingmuxd/PlatformDaemon.cpp
+++ b/programs/lacewingmuxd/PlatformDaemon.cpp
@@ -1,5 +1,7 @@
 #include "PlatformDaemon.h"
 
+#include "DaemonExitCode.h"
+
 #include "lacewingmux_core/errors/LacewingmuxError.h"
 #include "lacewingmux_core/logging/StandardOutputLog.h"
 #include "lacewingmux_core/logging/StructuredLog.h"
@@ -17,10 +19,6 @@
 
 namespace {
 
-constexpr int stopped = 0;
-constexpr int failed = 1;
-constexpr int wrongCommandLine = 2;
-constexpr int faultySettings = 3;
 constexpr int logLinesPerSecond = 200; // a tenth of a front's requests at full load have a line
 
 void logReload()
@@ -35,7 +33,7 @@
 int runFront(const PlatformSettings &settings)
 {
     FrontNode node(nodeSettingsFor(settings), nodeSeamsFor(settings),
-                   [] { QCoreApplication::exit(stopped); });
+                   [] { QCoreApplication::exit(StoppedAsPlanned); });
     const StopSignals signals([&node] { node.beginStop(); }, logReload);
     return QCoreApplication::exec();
 }
@@ -44,7 +42,7 @@
 {
     const RecordsNode node(nodeSettingsFor(settings), nodeSeamsFor(settings));
     // All that was acknowledged is on disk, so there is nothing to wait for.
-    const StopSignals signals([] { QCoreApplication::exit(stopped); }, logReload);
+    const StopSignals signals([] { QCoreApplication::exit(StoppedAsPlanned); }, logReload);
     return QCoreApplication::exec();
 }
 
@@ -54,13 +52,13 @@
 {
     if (role != "front" && role != "records") {
         std::cerr << "--platform-role is front or records, not \"" << role << "\"\n";
-        return wrongCommandLine;
+        return WrongCommandLine;
     }
     SettingsFindings findings;
     const PlatformSettings settings = PlatformSettings::readFromEnvironment(findings);
     if (!findings.faults.empty()) {
         std::cerr << findings.faultText().toStdString() << '\n';
-        return faultySettings;
+        return FaultySettings;
     }
     const StandardOutputLog log(logLinesPerSecond);
     LogEvent(LogSeverity::Info, "start")
@@ -73,7 +71,7 @@
         return code;
     } catch (const LacewingmuxError &error) {
         LogEvent(LogSeverity::Error, "nodeFailed").field("reason", error.message());
-        return failed;
+        return Failed;
     }
 }
 
--- a/programs/lacewingmuxd/main.cpp
+++ b/programs/lacewingmuxd/main.cpp
@@ -1,3 +1,4 @@
+#include "DaemonExitCode.h"
 #include "PlatformDaemon.h"
 
 #include "lacewingmux_core/errors/LacewingmuxError.h"
@@ -14,20 +15,12 @@
 #include <exception>
 #include <iostream>
 
-/*
- * The daemon of one entry VM.
- *
- * Exit codes: 0 after a planned stop, or when the check, the help or the version was all that was
- * asked for; 1 when the daemon could not start or had to end; 2 when the command line is wrong;
- * 3 when the settings hold faults.
- */
+/* The daemon of one entry VM. Its exit codes are those of lacewingmux::DaemonExitCode. */
 
 namespace {
 
 using namespace lacewingmux;
 
-enum ExitCode { StoppedAsPlanned = 0, Failed = 1, WrongCommandLine = 2, FaultySettings = 3 };
-
 cxxopts::Options describeOptions()
 {
     cxxopts::Options options("lacewingmuxd", "Schedules agent programs on one entry VM.");
--- a/tests/records/model/RecordsFleet.cpp
+++ b/tests/records/model/RecordsFleet.cpp
@@ -68,10 +68,7 @@
 {
     if (!vm.server)
         return;
-    std::vector<VmDescriptor> peers;
-    for (const RecordsMember &member : view.members)
-        peers.push_back(member.vm);
-    vm.hub->setPeers(peers);
+    vm.hub->setPeers(view.descriptors());
     vm.server->setView(view);
 }
 
@@ -131,10 +128,7 @@
         if (!view)
             return;
         EntryVm &vm = this->entries[index];
-        std::vector<VmDescriptor> peers;
-        for (const RecordsMember &member : view->members)
-            peers.push_back(member.vm);
-        vm.hub->setPeers(peers);
+        vm.hub->setPeers(view->descriptors());
         vm.client->setView(*view);
         vm.quota->setView(*view);
     };
