Ask a slow records VM one question at a time, and use its late tokens

Cause: RecordsSync asked each peer anew every 250 ms, whether the last question had been answered or not. Once answers took longer, as each member walks the logs of all others on a 0.22 core, every tick started another walk over the same 22,000 names beside those under way, and only the answer to the newest question renewed the lease of the quota. Tokens that came after 150 ms were thrown away and asked for again elsewhere.

Now one question is open per peer, repeated after half a lease; an answer moves the walk on only from where it was asked; pages of 500 names instead of 4,000; late tokens are used until they lapse.

--- a/modules/lacewingmux_records/client/FleetQuota.cpp
+++ b/modules/lacewingmux_records/client/FleetQuota.cpp
@@ -97,27 +97,29 @@
                                                   RecordsCodec::encodeGrant(message)}))
         return;
     queue.asking = true;
-    this->asked.emplace(number,
-                        std::make_pair(QueueKey(queue.request.team.name, queue.request.reserve),
-                                       this->timers.now()));
+    this->unanswered.emplace(number, Question{{queue.request.team.name, queue.request.reserve},
+                                              this->timers.now()});
 }
 
 void FleetQuota::handleReply(const VmIncarnation &peer, const PeerFrame &frame)
 {
     const auto message = RecordsCodec::decodeGrantReply(frame.payload);
-    const auto question = this->asked.extract(frame.correlation);
+    const auto entry = this->unanswered.extract(frame.correlation);
     if (!message)
         return;
     this->configuration.askIfNewer(peer, message->configurationVersion);
     this->entryVms = std::max(1, message->entryVms);
-    if (question.empty() || message->grants.empty())
-        return; // answered too late: another records VM has been asked
+    if (entry.empty() || message->grants.empty())
+        return; // so late that the tokens have lapsed
+    const Question &question = entry.mapped();
     const TeamGrantMessage &grant = message->grants.front();
-    Queue &queue = this->queues[question.mapped().first];
+    Queue &queue = this->queues[question.key];
     // The wait for the reply counts as part of the tokens' life.
-    queue.pocket.put(grant.granted, question.mapped().second);
-    queue.asking = false;
+    queue.pocket.put(grant.granted, question.askedAt);
     this->serveWaiting(queue);
+    if (question.givenUp)
+        return;
+    queue.asking = false;
     queue.shortestWait =
             queue.asked == 0 ? grant.retryAfter : std::min(queue.shortestWait, grant.retryAfter);
     ++queue.asked;
@@ -126,7 +128,7 @@
     else if (queue.asked < this->sources().size())
         this->ask(queue);
     else
-        this->endRound(question.mapped().first, queue);
+        this->endRound(question.key, queue);
 }
 
 void FleetQuota::serveWaiting(Queue &queue)
@@ -183,12 +185,7 @@
 void FleetQuota::tick()
 {
     const TimerService::SteadyTime now = this->timers.now();
-    while (!this->asked.empty() && now - this->asked.begin()->second.second > answerLimit) {
-        const auto lost = this->asked.extract(this->asked.begin());
-        Queue &queue = this->queues[lost.mapped().first];
-        queue.asking = false;
-        ++queue.asked;
-    }
+    this->giveUpLateQuestions(now);
     for (auto &[key, queue] : this->queues) {
         if (queue.waiting.empty())
             continue;
@@ -204,6 +201,21 @@
     }
 }
 
+void FleetQuota::giveUpLateQuestions(TimerService::SteadyTime now)
+{
+    std::erase_if(this->unanswered, [now](const auto &entry) {
+        return entry.second.givenUp && now - entry.second.askedAt >= QuotaPocket::tokenLife;
+    });
+    for (auto &[number, question] : this->unanswered) {
+        if (question.givenUp || now - question.askedAt <= answerLimit)
+            continue;
+        question.givenUp = true;
+        Queue &queue = this->queues[question.key];
+        queue.asking = false;
+        ++queue.asked;
+    }
+}
+
 std::vector<VmIncarnation> FleetQuota::sources() const
 {
     std::vector<VmIncarnation> near;
--- a/modules/lacewingmux_records/client/FleetQuota.h
+++ b/modules/lacewingmux_records/client/FleetQuota.h
@@ -62,7 +62,16 @@
         TimerSubscription repeat;
     };
 
+    /** A question to a records VM that has not been answered yet. */
+    struct Question
+    {
+        QueueKey key;
+        TimerService::SteadyTime askedAt;
+        bool givenUp = false; ///< another records VM is asked; its tokens are still of use
+    };
+
     void ask(Queue &queue);
+    void giveUpLateQuestions(TimerService::SteadyTime now);
     void handleReply(const VmIncarnation &peer, const PeerFrame &frame);
     void serveWaiting(Queue &queue);
     void endRound(const QueueKey &key, Queue &queue);
@@ -79,7 +88,7 @@
     std::map<QueueKey, Queue> queues;
     int entryVms = 1; ///< that share the teams' rates, as a records VM told last
     std::uint64_t nextNumber = 1;
-    std::map<std::uint64_t, std::pair<QueueKey, TimerService::SteadyTime>> asked; ///< by number
+    std::map<std::uint64_t, Question> unanswered; ///< by number
     TimerSubscription timer;
 };
 
--- a/modules/lacewingmux_records/quota/QuotaPocket.cpp
+++ b/modules/lacewingmux_records/quota/QuotaPocket.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds tokenLife{400}; // a twelfth of the shortest window of a quota
 constexpr std::chrono::duration<double> demandMemory{0.5};
 constexpr std::chrono::duration<double> demandAhead{0.12}; // several round trips to a records VM
 
--- a/modules/lacewingmux_records/quota/QuotaPocket.h
+++ b/modules/lacewingmux_records/quota/QuotaPocket.h
@@ -17,6 +17,9 @@
 public:
     using SteadyTime = TimerService::SteadyTime;
 
+    /** How long a token may be used: a twelfth of the shortest window of a quota. */
+    static constexpr std::chrono::milliseconds tokenLife{400};
+
     /** Puts tokens in. */
     void put(int tokens, SteadyTime now);
 
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -15,7 +15,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds housekeepingInterval{1000};
-constexpr std::size_t namesAtOnce = 4000;                      // about 100 kB
+constexpr std::size_t namesAtOnce = 500; // a few milliseconds of a small VM's processor
 constexpr qsizetype fetchedBytes = qsizetype{2} * 1024 * 1024; // a seventh of a frame's limit
 // Longer than any outage that a burst matters in.
 constexpr std::chrono::seconds floorRetention{120};
--- a/modules/lacewingmux_records/server/RecordsSync.cpp
+++ b/modules/lacewingmux_records/server/RecordsSync.cpp
@@ -13,6 +13,9 @@
 constexpr std::chrono::milliseconds tickInterval{250}; // in which records also arrive directly
 constexpr std::size_t fetchedAtOnce = 400;             // records; about two megabytes
 constexpr std::chrono::milliseconds answerTime{800};   // then the records are asked for again
+// Then the question is repeated: a peer that had no view yet has not answered it. Half of a lease.
+constexpr std::chrono::milliseconds questionTime{500};
+constexpr std::size_t mostUnanswered = 8; // questions; older ones are past any lease
 
 } // namespace
 
@@ -51,8 +54,10 @@
     std::map<VmIncarnation, Source> kept;
     for (const RecordsMember &member : newView.members) {
         const VmIncarnation &peer = member.vm.incarnation;
-        if (peer != this->hub.self())
-            kept.emplace(peer, std::move(this->sources[peer]));
+        if (peer == this->hub.self())
+            continue;
+        Source &source = kept.emplace(peer, std::move(this->sources[peer])).first->second;
+        source.unanswered.clear(); // questions under the earlier view may stay without an answer
     }
     this->sources = std::move(kept);
 }
@@ -74,18 +79,40 @@
             continue;
         this->fetchMissing(peer, source);
         source.fresh.clear();
-        this->ask(peer, source);
+        if (!this->isAwaited(source))
+            this->ask(peer, source);
     }
 }
 
+bool RecordsSync::isAwaited(const Source &source) const
+{
+    return !source.unanswered.empty()
+           && this->timers.now() - source.unanswered.back().askedAt < questionTime;
+}
+
 void RecordsSync::ask(const VmIncarnation &peer, Source &source)
 {
     // What is on this disk of the peer's log is told with it: a leaving peer waits for that.
     const PullKeysMessage message{source.cursor, source.missing.empty(), this->silent()};
-    ++source.question;
-    source.askedAt = this->timers.now();
-    this->hub.send(peer, {FrameKind::PullKeys, this->view.number, source.question,
-                          RecordsCodec::encodePull(message)});
+    const std::uint64_t number = ++this->lastQuestion;
+    source.unanswered.push_back({number, source.cursor, this->timers.now()});
+    if (source.unanswered.size() > mostUnanswered)
+        source.unanswered.pop_front();
+    this->hub.send(
+            peer,
+            {FrameKind::PullKeys, this->view.number, number, RecordsCodec::encodePull(message)});
+}
+
+std::optional<RecordsSync::Question> RecordsSync::takeQuestion(Source &source, std::uint64_t number)
+{
+    // Answers come in the order of the questions: those before this one won't be answered.
+    while (!source.unanswered.empty() && source.unanswered.front().number < number)
+        source.unanswered.pop_front();
+    if (source.unanswered.empty() || source.unanswered.front().number != number)
+        return std::nullopt;
+    const Question question = source.unanswered.front();
+    source.unanswered.pop_front();
+    return question;
 }
 
 void RecordsSync::fetchMissing(const VmIncarnation &peer, Source &source)
@@ -128,8 +155,12 @@
     const auto message = RecordsCodec::decodePullReply(frame.payload);
     if (source == this->sources.end() || !message)
         return;
-    if (frame.correlation == source->second.question)
-        this->answered(peer, source->second.askedAt);
+    const auto question = takeQuestion(source->second, frame.correlation);
+    if (!question)
+        return;
+    this->answered(peer, question->askedAt);
+    if (question->after != source->second.cursor)
+        return; // an earlier answer has brought these names
     for (const RecordName &name : message->names) {
         if (this->index.contains(name))
             continue;
--- a/modules/lacewingmux_records/server/RecordsSync.h
+++ b/modules/lacewingmux_records/server/RecordsSync.h
@@ -7,8 +7,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -23,7 +25,8 @@
 
     It walks along each peer's log by the names of its records, and fetches those that are still
     missing a moment later. A link that broke starts the walk anew, because the peer may have been
-    restarted and have numbered its records again.
+    restarted and have numbered its records again. A peer is asked for one page at a time, however
+    slowly it answers: more questions would only make it slower.
 */
 class RecordsSync
 {
@@ -50,12 +53,18 @@
     [[nodiscard]] int completedSources() const;
 
 private:
-    struct Source
+    struct Question
     {
-        std::uint64_t cursor = 0;   ///< the peer's names are known up to here
-        bool atEnd = false;         ///< the last answer reached the end of its log
-        std::uint64_t question = 0; ///< number of the last question
+        std::uint64_t number = 0;
+        std::uint64_t after = 0; ///< the place in the peer's log behind which it asks
         TimerService::SteadyTime askedAt;
+    };
+
+    struct Source
+    {
+        std::uint64_t cursor = 0;        ///< the peer's names are known up to here
+        bool atEnd = false;              ///< the last answer reached the end of its log
+        std::deque<Question> unanswered; ///< oldest first; more than one when the peer is late
         std::set<RecordName> missing;   ///< named by the peer, not on this disk
         std::set<RecordName> fresh;     ///< of the missing ones: named in this round only
         std::set<RecordName> requested; ///< asked of this peer, and not answered yet
@@ -64,6 +73,8 @@
 
     void tick();
     void ask(const VmIncarnation &peer, Source &source);
+    [[nodiscard]] bool isAwaited(const Source &source) const;
+    [[nodiscard]] static std::optional<Question> takeQuestion(Source &source, std::uint64_t number);
     void fetchMissing(const VmIncarnation &peer, Source &source);
     [[nodiscard]] bool isRequested(const RecordName &name) const;
     [[nodiscard]] bool isJoining() const;
@@ -80,6 +91,7 @@
     std::function<void()> progress;
     RecordsView view;
     std::map<VmIncarnation, Source> sources;
+    std::uint64_t lastQuestion = 0;
     TimerSubscription timer;
 };
 
