Let an added records VM stand by instead of raising the quorum

A member that joins while synced members have all places now copies, but counts in no quorum. It takes the place of a member that nobody heard for 2.5 s in one change of the view, provided that it has all that the others hold as of the last 0.8 s; before, a lost member was replaced after 7.5 s and counted in the quorum until then. One that was cut off itself takes no place, and doesn't try again later. Ruled out: waiting for the half with the store (the cut zone's store was the same), larger quorums by zone (three members in three zones need none).

--- a/modules/lacewingmux_node/records/RecordsNode.cpp
+++ b/modules/lacewingmux_node/records/RecordsNode.cpp
@@ -58,6 +58,9 @@
                 this->membership->replaceSilent(member);
         });
     };
+    hooks.canTakePlaceOf = [this](const VmIncarnation &member) {
+        this->queue.post([this, member] { this->membership->takePlaceOf(member); });
+    };
     hooks.newerView = [this](const QByteArray &document) {
         this->queue.post([this, document] { this->membership->offerView(document); });
     };
--- a/modules/lacewingmux_records/client/RecordsClient.cpp
+++ b/modules/lacewingmux_records/client/RecordsClient.cpp
@@ -265,7 +265,7 @@
     const auto found = this->writings.find(frame.correlation);
     const RecordsMember *member = this->view.member(peer);
     if (found == this->writings.end() || member == nullptr || frame.epoch != this->view.number
-        || found->second.pending.erase(peer) == 0 || member->state == MemberState::Leaving)
+        || found->second.pending.erase(peer) == 0 || !this->view.countsAsCopy(*member))
         return;
     if (++found->second.copies >= this->view.durableCopies())
         this->finishWriting(frame.correlation, true);
--- a/modules/lacewingmux_records/client/TurnQuorum.cpp
+++ b/modules/lacewingmux_records/client/TurnQuorum.cpp
@@ -20,7 +20,7 @@
     this->failed.erase(member);
     if (reply.synced)
         this->synced.insert(member);
-    if (known->state != MemberState::Leaving)
+    if (this->view.countsAsCopy(*known))
         this->storing.insert(member);
     for (const ReservationState &state : reply.reservations) {
         ReservationState &other = this->others[state.key];
--- a/modules/lacewingmux_records/members/RecordsMember.h
+++ b/modules/lacewingmux_records/members/RecordsMember.h
@@ -8,7 +8,7 @@
 
 /** How far a records VM takes part. */
 enum class MemberState : std::uint8_t {
-    Joining, ///< stores what is written, but can't say yet what does not exist
+    Joining, ///< stores what is written, but can't say yet what does not exist; or stands by
     Synced,  ///< has all that was ever acknowledged
     Leaving  ///< answers, but nothing that it stores counts any more
 };
--- a/modules/lacewingmux_records/members/RecordsMembership.cpp
+++ b/modules/lacewingmux_records/members/RecordsMembership.cpp
@@ -63,7 +63,8 @@
             [this](const RecordsView &view) -> std::optional<RecordsView> {
                 RecordsView next = view;
                 RecordsMember *member = memberIn(next, this->self.incarnation);
-                if (member == nullptr || member->state != MemberState::Joining)
+                if (member == nullptr || member->state != MemberState::Joining
+                    || view.isSpare(*member))
                     return std::nullopt;
                 member->state = MemberState::Synced;
                 member->syncSources = 0;
@@ -110,6 +111,34 @@
             nullptr);
 }
 
+void RecordsMembership::takePlaceOf(const VmIncarnation &silent)
+{
+    this->update(
+            "placeTaken",
+            [this, silent](const RecordsView &view) {
+                return withPlaceTaken(view, silent, this->self.incarnation);
+            },
+            nullptr, Persistence::Once);
+}
+
+std::optional<RecordsView> RecordsMembership::withPlaceTaken(const RecordsView &view,
+                                                             const VmIncarnation &silent,
+                                                             const VmIncarnation &spare)
+{
+    const RecordsMember *lost = view.member(silent);
+    const RecordsMember *standby = view.member(spare);
+    if (lost == nullptr || lost->state != MemberState::Synced || standby == nullptr
+        || !view.isSpare(*standby))
+        return std::nullopt;
+    RecordsView next = view;
+    RecordsMember *successor = memberIn(next, spare);
+    successor->state = MemberState::Synced;
+    successor->syncSources = 0;
+    std::erase_if(next.members,
+                  [&silent](const auto &entry) { return entry.vm.incarnation == silent; });
+    return next;
+}
+
 std::optional<RecordsView> RecordsMembership::withJoined(const RecordsView &view,
                                                          const VmDescriptor &vm, bool firstStart,
                                                          int toleratedDisks)
@@ -155,7 +184,7 @@
 }
 
 void RecordsMembership::update(const char *reason, const Change &change,
-                               const std::function<void()> &done)
+                               const std::function<void()> &done, Persistence persistence)
 {
     updateRecord(
             this->store, recordsViewKey,
@@ -176,7 +205,7 @@
                         .field("number", static_cast<quint64>(next->number));
                 return next->toDocument();
             },
-            [this, reason, change, done,
+            [this, reason, change, done, persistence,
              guard = std::weak_ptr(this->lifetime)](const std::optional<LacewingmuxError> &error) {
                 if (guard.expired())
                     return;
@@ -185,6 +214,8 @@
                         done();
                     return;
                 }
+                if (persistence == Persistence::Once)
+                    return;
                 this->retry = this->timers.after(retryPause, [this, reason, change, done] {
                     this->update(reason, change, done);
                 });
--- a/modules/lacewingmux_records/members/RecordsMembership.h
+++ b/modules/lacewingmux_records/members/RecordsMembership.h
@@ -6,6 +6,7 @@
 
 #include <QByteArray>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -63,10 +64,23 @@
     /** Takes out a member that has been silent for long, if another one has taken its place. */
     void replaceSilent(const VmIncarnation &silent);
 
+    /** Returns the view in which a member that stands by has the place of a silent one; nothing
+        when it stands by no more. */
+    [[nodiscard]] static std::optional<RecordsView> withPlaceTaken(const RecordsView &view,
+                                                                   const VmIncarnation &silent,
+                                                                   const VmIncarnation &spare);
+
+    /** Takes the place of a silent member. Not repeated when the store can't be reached: by then
+        this VM may be the one that is cut off. */
+    void takePlaceOf(const VmIncarnation &silent);
+
 private:
     using Change = std::function<std::optional<RecordsView>(const RecordsView &)>;
 
-    void update(const char *reason, const Change &change, const std::function<void()> &done);
+    enum class Persistence : std::uint8_t { Once, UntilDone };
+
+    void update(const char *reason, const Change &change, const std::function<void()> &done,
+                Persistence persistence = Persistence::UntilDone);
     void adopt(const QByteArray &document);
     void join();
 
--- a/modules/lacewingmux_records/members/RecordsView.cpp
+++ b/modules/lacewingmux_records/members/RecordsView.cpp
@@ -94,11 +94,21 @@
             .field("synced", this->syncedCount());
 }
 
+bool RecordsView::isSpare(const RecordsMember &entry) const
+{
+    return entry.state == MemberState::Joining && this->syncedCount() >= this->targetSize;
+}
+
+bool RecordsView::countsAsCopy(const RecordsMember &entry) const
+{
+    return entry.state != MemberState::Leaving && !this->isSpare(entry);
+}
+
 int RecordsView::storingCount() const
 {
     return static_cast<int>(
             std::count_if(this->members.begin(), this->members.end(),
-                          [](const auto &entry) { return entry.state != MemberState::Leaving; }));
+                          [this](const auto &entry) { return this->countsAsCopy(entry); }));
 }
 
 int RecordsView::syncedCount() const
@@ -122,7 +132,10 @@
 
 int RecordsView::absenceQuorum() const
 {
-    return std::max(1, static_cast<int>(this->members.size()) - this->durableCopies() + 1);
+    const auto holders =
+            std::count_if(this->members.begin(), this->members.end(),
+                          [this](const auto &entry) { return !this->isSpare(entry); });
+    return std::max(1, static_cast<int>(holders) - this->durableCopies() + 1);
 }
 
 QByteArray RecordsView::toDocument() const
--- a/modules/lacewingmux_records/members/RecordsView.h
+++ b/modules/lacewingmux_records/members/RecordsView.h
@@ -37,7 +37,14 @@
     /** Logs that the view is in force on this VM. */
     void logAdoption() const;
 
-    /** Returns how many members store what is written. */
+    /** Tells whether the member only stands by: it copies everything, but synced members have all
+        places, and one more would only make quorums larger. */
+    [[nodiscard]] bool isSpare(const RecordsMember &entry) const;
+
+    /** Tells whether what the member stores counts as a copy. */
+    [[nodiscard]] bool countsAsCopy(const RecordsMember &entry) const;
+
+    /** Returns how many members' copies count. */
     [[nodiscard]] int storingCount() const;
 
     /** Returns how many members are synced. */
--- a/modules/lacewingmux_records/quota/GrantLease.cpp
+++ b/modules/lacewingmux_records/quota/GrantLease.cpp
@@ -72,7 +72,7 @@
             1
             + std::count_if(this->peers.begin(), this->peers.end(), [this, now](const auto &entry) {
                   const RecordsMember *member = this->view.member(entry.first);
-                  return member->state != MemberState::Leaving && entry.second.everAnswered
+                  return this->view.countsAsCopy(*member) && entry.second.everAnswered
                          && now - entry.second.answered < leaseTime;
               });
     // Of two members neither can be replaced without the other, so one may go on alone.
@@ -99,7 +99,9 @@
         return false;
     const auto agreeing =
             1 + std::count_if(this->peers.begin(), this->peers.end(), [&](const auto &entry) {
-                return entry.first != member && !this->isSilent(entry.second, now)
+                const RecordsMember *peer = this->view.member(entry.first);
+                return entry.first != member && this->view.countsAsCopy(*peer)
+                       && !this->isSilent(entry.second, now)
                        && entry.second.finds.contains(member.incarnation);
             });
     return agreeing * 2 > members;
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -25,6 +25,11 @@
 
 // A member that is silent for longer may be replaced: far beyond a restart.
 constexpr milliseconds replacementTime{7500};
+// One that stands by may take its place sooner, as nothing has to be copied then, and well before
+// the loss of another disk has to be borne: 4 s on the deployment with the shortest time.
+constexpr milliseconds takeOverTime{2500};
+// A member that stands by knows the others' logs as they were within this time: three questions.
+constexpr milliseconds upToDateTime{800};
 
 } // namespace
 
@@ -85,6 +90,7 @@
         return;
     this->view = newView;
     this->copiedTold = false;
+    this->syncedTold = false;
     std::erase_if(this->copiedTo,
                   [this](const auto &entry) { return this->view.member(entry.first) == nullptr; });
     this->sync.setView(newView);
@@ -307,15 +313,25 @@
         const auto last = this->heard.try_emplace(peer, now).first->second;
         if (now - last > replacementTime)
             this->hooks.silent(peer);
+        if (now - last > takeOverTime && member.state == MemberState::Synced
+            && this->isUpToDateSpare(now))
+            this->hooks.canTakePlaceOf(peer);
     }
 }
 
+bool RecordsServer::isUpToDateSpare(TimerService::SteadyTime now) const
+{
+    const RecordsMember *self = this->view.member(this->hub.self());
+    return self != nullptr && this->view.isSpare(*self)
+           && this->sync.completedSources(now - upToDateTime) >= self->syncSources;
+}
+
 void RecordsServer::checkSynced()
 {
     const RecordsMember *self = this->view.member(this->hub.self());
     if (self == nullptr)
         return;
-    if (self->state == MemberState::Joining && !this->syncedTold
+    if (self->state == MemberState::Joining && !this->view.isSpare(*self) && !this->syncedTold
         && this->sync.completedSources() >= self->syncSources) {
         this->syncedTold = true;
         this->hooks.synced();
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -56,6 +56,7 @@
     std::uint64_t append(const Record &record);
     void housekeep();
     void reportSilentMembers();
+    [[nodiscard]] bool isUpToDateSpare(TimerService::SteadyTime now) const;
     void checkSynced();
 
     PeerHub &hub;
--- a/modules/lacewingmux_records/server/RecordsServerHooks.h
+++ b/modules/lacewingmux_records/server/RecordsServerHooks.h
@@ -15,6 +15,8 @@
     std::function<void()> synced; ///< everything that was acknowledged elsewhere is on this disk
     std::function<void()> copied; ///< all synced members have everything that is on this disk
     std::function<void(const VmIncarnation &)> silent; ///< a member that was not heard for long
+    /** A synced member is silent, and this VM, which stands by, has all that the others have. */
+    std::function<void(const VmIncarnation &)> canTakePlaceOf;
     std::function<void(const QByteArray &document)> newerView;
     std::function<void(const ConfigurationDocumentMessage &)> newerConfiguration;
 };
--- a/modules/lacewingmux_records/server/RecordsSync.cpp
+++ b/modules/lacewingmux_records/server/RecordsSync.cpp
@@ -62,13 +62,14 @@
     this->sources = std::move(kept);
 }
 
-int RecordsSync::completedSources() const
+int RecordsSync::completedSources(TimerService::SteadyTime askedAfter) const
 {
-    return static_cast<int>(
-            std::count_if(this->sources.begin(), this->sources.end(), [this](const auto &entry) {
+    return static_cast<int>(std::count_if(
+            this->sources.begin(), this->sources.end(), [this, askedAfter](const auto &entry) {
                 const RecordsMember *member = this->view.member(entry.first);
                 return member != nullptr && member->state != MemberState::Joining
-                       && entry.second.atEnd && entry.second.missing.empty();
+                       && entry.second.atEnd && entry.second.missing.empty()
+                       && entry.second.answeredAt >= askedAfter;
             }));
 }
 
@@ -158,6 +159,7 @@
     const auto question = takeQuestion(source->second, frame.correlation);
     if (!question)
         return;
+    source->second.answeredAt = question->askedAt;
     this->answered(peer, question->askedAt);
     if (question->after != source->second.cursor)
         return; // an earlier answer has brought these names
--- a/modules/lacewingmux_records/server/RecordsSync.h
+++ b/modules/lacewingmux_records/server/RecordsSync.h
@@ -48,9 +48,9 @@
     /** Takes the members to copy from. */
     void setView(const RecordsView &newView);
 
-    /** Returns how many synced members' logs this VM has on disk up to their ends, as of the
-        last answer. */
-    [[nodiscard]] int completedSources() const;
+    /** Returns how many synced members' logs this VM has on disk up to their ends, as of their
+        last answers to questions that were asked after the given time. */
+    [[nodiscard]] int completedSources(TimerService::SteadyTime askedAfter = {}) const;
 
 private:
     struct Question
@@ -65,6 +65,7 @@
         std::uint64_t cursor = 0;        ///< the peer's names are known up to here
         bool atEnd = false;              ///< the last answer reached the end of its log
         std::deque<Question> unanswered; ///< oldest first; more than one when the peer is late
+        TimerService::SteadyTime answeredAt; ///< when the last question was asked that it answered
         std::set<RecordName> missing;   ///< named by the peer, not on this disk
         std::set<RecordName> fresh;     ///< of the missing ones: named in this round only
         std::set<RecordName> requested; ///< asked of this peer, and not answered yet
--- a/tests/records/RecordsFleetTest.cpp
+++ b/tests/records/RecordsFleetTest.cpp
@@ -164,6 +164,52 @@
     cr_assert_null(view.memberOnVm(QStringLiteral("r1")));
 }
 
+Test(records_fleet, an_added_member_stands_by_and_raises_no_quorum)
+{
+    RecordsFleet fleet(3, 1);
+    cr_assert(store(fleet, 0, turn("t1", "", 1000), "a", "b\n"));
+    fleet.startRecords(QStringLiteral("r4"));
+    fleet.run(milliseconds(3000));
+    cr_assert_eq(fleet.storedView().syncedCount(), 3);
+    // As when both VMs of an availability zone are cut off.
+    fleet.stopRecords(QStringLiteral("r1"), 0);
+    fleet.stopRecords(QStringLiteral("r4"), 0);
+    cr_assert(open(fleet, 0, turn("t2", "t1", 1000)).outcome == TurnOutcome::Ready);
+    cr_assert(store(fleet, 0, turn("t2", "t1", 1000), "c", "d\n"));
+}
+
+Test(records_fleet, a_member_that_stands_by_soon_takes_a_lost_ones_place)
+{
+    RecordsFleet fleet(3, 1);
+    cr_assert(store(fleet, 0, turn("t1", "", 1000), "a", "b\n"));
+    fleet.startRecords(QStringLiteral("r4"));
+    fleet.run(milliseconds(3000));
+    fleet.stopRecords(QStringLiteral("r1"), 0);
+    fleet.run(milliseconds(4000));
+    const RecordsView view = fleet.storedView();
+    cr_assert_eq(view.syncedCount(), 3);
+    cr_assert_null(view.memberOnVm(QStringLiteral("r1")));
+    // What the lost one held is still there when a second disk goes.
+    fleet.stopRecords(QStringLiteral("r2"), 0);
+    const TurnStart start = open(fleet, 0, turn("t2", "t1", 1000));
+    cr_assert(start.outcome == TurnOutcome::Ready);
+    cr_assert(start.history == "ab\n");
+}
+
+Test(records_fleet, a_member_that_stands_by_and_was_cut_off_takes_no_place)
+{
+    RecordsFleet fleet(3, 1);
+    fleet.startRecords(QStringLiteral("r4"));
+    fleet.run(milliseconds(3000));
+    const std::uint64_t before = fleet.storedView().number;
+    fleet.network.cutGroups({QStringLiteral("r4")}, {QStringLiteral("r1"), QStringLiteral("r2"),
+                                                     QStringLiteral("r3")});
+    fleet.run(milliseconds(5000));
+    fleet.network.healAll();
+    fleet.run(milliseconds(2000));
+    cr_assert_eq(fleet.storedView().number, before, "it is the one that was out of touch");
+}
+
 Test(records_fleet, a_retired_member_leaves_once_the_others_have_everything)
 {
     RecordsFleet fleet(4, 1);
--- a/tests/records/RecordsViewTest.cpp
+++ b/tests/records/RecordsViewTest.cpp
@@ -71,6 +71,25 @@
     cr_assert(!RecordsMembership::withJoined(view, moved, false, 1).has_value());
 }
 
+Test(records_view, a_member_that_stands_by_counts_in_no_quorum)
+{
+    const RecordsView three = firstView(3);
+    const RecordsView four = RecordsMembership::withJoined(three, vm("r4", 4), false, 1).value();
+    cr_assert(four.isSpare(four.members.back()));
+    cr_assert_eq(four.reservationQuorum(), three.reservationQuorum());
+    cr_assert_eq(four.absenceQuorum(), three.absenceQuorum());
+    cr_assert_eq(four.storingCount(), 3);
+    const auto taken = RecordsMembership::withPlaceTaken(four, vm("r2", 2).incarnation,
+                                                         vm("r4", 4).incarnation);
+    cr_assert(taken.has_value());
+    cr_assert_eq(taken->syncedCount(), 3);
+    cr_assert_null(taken->memberOnVm(QStringLiteral("r2")));
+    cr_assert(!RecordsMembership::withPlaceTaken(*taken, vm("r3", 3).incarnation,
+                                                 vm("r4", 4).incarnation)
+                       .has_value(),
+              "it has a place already");
+}
+
 Test(records_view, a_silent_member_stays_until_another_has_taken_its_place)
 {
     RecordsView view = firstView(3);
--- a/tests/records/model/RecordsFleet.cpp
+++ b/tests/records/model/RecordsFleet.cpp
@@ -57,6 +57,9 @@
         if (RecordsMembership::withoutReplaced(vm.membership->view(), member))
             vm.membership->replaceSilent(member);
     };
+    hooks.canTakePlaceOf = [&vm](const VmIncarnation &member) {
+        vm.membership->takePlaceOf(member);
+    };
     hooks.newerView = [&vm](const QByteArray &document) { vm.membership->offerView(document); };
     hooks.newerConfiguration = [](const auto &) {};
     vm.server = std::make_unique<RecordsServer>(*vm.hub, *vm.log, this->timers, this->metrics,
