Finish a retirement while turns keep coming, and log the times of a call

Only what it stored while its copies counted has to be copied; entry VMs send no more writes to a member that leaves. Ruled out: the order itself (seen after 30 ms), the links. a_member_is_retired_while_turns_keep_coming fails on the old code.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -242,6 +242,8 @@
     this->replica = instance;
     this->sentAt = this->now();
     this->lastHeard = this->sentAt;
+    if (this->untilSent.count() == 0)
+        this->untilSent = std::chrono::floor<milliseconds>(this->sentAt - this->arrived);
     ++this->runs;
     this->quotaTaken = false;
     this->services.fleet.placement().started(instance, this->sentAt);
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -123,6 +123,8 @@
     CallDeadline deadline;
     TimerService::SteadyTime arrived;
     TimerService::SteadyTime sentAt;
+    std::chrono::milliseconds untilSent{0};       ///< from the arrival to the first send
+    std::chrono::milliseconds untilFirstEvent{0}; ///< from the arrival to a stream's first event
     TimerService::SteadyTime lastHeard; ///< of the replica, or when the request was sent
     bool probing = false;
     Phase phase = Phase::Admitting;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -177,6 +177,7 @@
         this->caller->sendPart(whole);
     } else {
         this->streamBegun = true;
+        this->untilFirstEvent = std::chrono::floor<milliseconds>(this->now() - this->arrived);
         this->phase = Phase::Streaming;
         this->caller->beginStream(this->head.status, this->head.reason,
                                   this->services.dialect.fieldsForCaller(this->head), whole);
@@ -381,11 +382,13 @@
     if (!this->replica.isEmpty())
         line.field("replica", this->replica)
                 .field("status", this->head.status)
-                .field("runs", this->runs);
+                .field("runs", this->runs)
+                .field("sentAfter", static_cast<qint64>(this->untilSent.count()));
     if (this->rejections > 0)
         line.field("rejections", this->rejections);
     if (this->events.count() > 0)
-        line.field("events", static_cast<qint64>(this->events.count()));
+        line.field("events", static_cast<qint64>(this->events.count()))
+                .field("firstEventAfter", static_cast<qint64>(this->untilFirstEvent.count()));
     if (this->services.table)
         line.field("configuration", static_cast<quint64>(this->services.table->version()));
 }
--- a/modules/lacewingmux_records/client/RecordsClient.cpp
+++ b/modules/lacewingmux_records/client/RecordsClient.cpp
@@ -134,9 +134,11 @@
 {
     const Record record = this->recordOf(turn, RecordKind::Settlement, tokens);
     const QByteArray payload = RecordsCodec::encodeRecords({record});
-    for (const RecordsMember &member : this->view.members)
-        this->hub.send(member.vm.incarnation,
-                       {FrameKind::WriteRecords, this->view.number, 0, payload});
+    for (const RecordsMember &member : this->view.members) {
+        if (member.state != MemberState::Leaving)
+            this->hub.send(member.vm.incarnation,
+                           {FrameKind::WriteRecords, this->view.number, 0, payload});
+    }
 }
 
 bool RecordsClient::hasQuorum() const
@@ -254,8 +256,9 @@
     writing.pending.clear();
     const QByteArray payload = RecordsCodec::encodeRecords({writing.record});
     for (const RecordsMember &member : this->view.members) {
-        if (this->hub.send(member.vm.incarnation,
-                           {FrameKind::WriteRecords, this->view.number, number, payload}))
+        if (member.state != MemberState::Leaving
+            && this->hub.send(member.vm.incarnation,
+                              {FrameKind::WriteRecords, this->view.number, number, payload}))
             writing.pending.insert(member.vm.incarnation);
     }
 }
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -88,6 +88,11 @@
 {
     if (newView.number <= this->view.number)
         return;
+    const RecordsMember *before = this->view.member(this->hub.self());
+    const RecordsMember *after = newView.member(this->hub.self());
+    const bool wasLeaving = before != nullptr && before->state == MemberState::Leaving;
+    if (after != nullptr && after->state == MemberState::Leaving && !wasLeaving)
+        this->lastCounted = this->index.lastSequence();
     this->view = newView;
     this->copiedTold = false;
     this->syncedTold = false;
@@ -338,12 +343,11 @@
     }
     if (self->state != MemberState::Leaving || this->copiedTold)
         return;
-    const std::uint64_t last = this->index.lastSequence();
     const bool copied = std::all_of(
-            this->view.members.begin(), this->view.members.end(), [this, last](const auto &member) {
+            this->view.members.begin(), this->view.members.end(), [this](const auto &member) {
                 const auto place = this->copiedTo.find(member.vm.incarnation);
                 return member.state != MemberState::Synced
-                       || (place != this->copiedTo.end() && place->second >= last);
+                       || (place != this->copiedTo.end() && place->second >= this->lastCounted);
             });
     if (copied && this->view.syncedCount() > 0) {
         this->copiedTold = true;
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -75,6 +75,9 @@
     std::set<VmIncarnation> entryVms;
     std::map<VmIncarnation, TimerService::SteadyTime> heard; ///< members, when last
     std::map<VmIncarnation, std::uint64_t> copiedTo;         ///< members, places in the own log
+    /** The last record that was stored while this member's copies counted; what came after it
+        left the others have of their own. */
+    std::uint64_t lastCounted = 0;
     bool syncedTold = false;
     bool copiedTold = false;
     TimerSubscription housekeeping;
--- a/tests/records/RecordsFleetTest.cpp
+++ b/tests/records/RecordsFleetTest.cpp
@@ -230,6 +230,21 @@
     cr_assert(start.history == "ab\n");
 }
 
+Test(records_fleet, a_member_is_retired_while_turns_keep_coming)
+{
+    RecordsFleet fleet(3, 1);
+    fleet.startRecords(QStringLiteral("r4"));
+    fleet.run(milliseconds(3000));
+    fleet.retire(QStringLiteral("r4"));
+    // Between two questions of the others there is always a new reservation.
+    for (int request = 0; request < 800; ++request) {
+        const QByteArray name = "t" + QByteArray::number(request);
+        fleet.entries[0].client->open(turn(name.constData(), "", 1000), [](const TurnStart &) {});
+        fleet.run(milliseconds(5));
+    }
+    cr_assert(fleet.records.at(QStringLiteral("r4")).hasLeft);
+}
+
 Test(records_fleet, a_teams_burst_outlives_a_crash_of_all_members)
 {
     RecordsFleet fleet(3, 3);
