Refuse at once without the records, and try unreachable replicas without calls

In the other zones calls went on failing 1.7 s after the cut, on kept connections to replicas of the cut zone: after each pause one call had to find out, 1 s each, that the replica was still away.

Entry VMs that had a records quorum and lost it now refuse what needs it at once, tell callers to come back when the balancer leads elsewhere (two of its questions), and close the connection with the answer; calls without quota and budget still go on. A replica that can't be reached loses its kept connections and is tried every 0.5 s by a connection of its own; calls go there again once one came about. A VM that never had a quorum still waits, as after a restart of all. Ruled out: shorter waits alone (the callers stayed), probing sooner than after 0.6 s of silence (engines are silent that long under load).

leads_callers_elsewhere_while_the_records_are_out_of_reach and leaves_a_replica_alone_until_it_can_be_reached_again fail on the old code.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -143,6 +143,8 @@
         this->openTurn();
         return;
     }
+    if (!this->canReachRecords())
+        return;
     const bool startsProgram = this->route.kind == RouteKind::Stream
                                && !this->description.program.isEmpty()
                                && this->description.previousTurn.isEmpty()
@@ -168,6 +170,8 @@
 {
     const bool budgeted = this->description.tokenBudget && !this->description.program.isEmpty();
     const bool chained = this->route.keepsHistory && !this->description.previousTurn.isEmpty();
+    if ((budgeted || this->isTurn()) && !this->canReachRecords())
+        return;
     this->opening = {this->description.program,
                      this->description.requestId,
                      this->team.name,
@@ -188,6 +192,16 @@
                                });
 }
 
+bool ForwardedCall::canReachRecords()
+{
+    if (!this->services.detour)
+        return true;
+    this->caller->closeAfterAnswer();
+    this->refuse(ErrorKind::OwnerUnavailable, "too few records VMs can be reached",
+                 *this->services.detour);
+    return false;
+}
+
 void ForwardedCall::turnOpened(const TurnStart &start)
 {
     switch (start.outcome) {
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -68,6 +68,7 @@
     [[nodiscard]] bool isHarmless();
     void takeQuota();
     void openTurn();
+    [[nodiscard]] bool canReachRecords();
     void turnOpened(const TurnStart &start);
 
     // Placement
--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -6,6 +6,7 @@
 #include "lacewingmux_gateway/ingress/IngressServer.h"
 #include "lacewingmux_gateway/routing/RoutingTable.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lacewingmux {
@@ -13,6 +14,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds stopStep{100};
+constexpr std::chrono::milliseconds detourStep{250}; // in which idle connections may gather
+// Spares callers a second refusal when the records VMs are away for all VMs.
+constexpr std::chrono::milliseconds shortestDetour{250};
 constexpr std::chrono::milliseconds lastAnswers{
         400}; // for answers to leave before the process ends
 
@@ -62,6 +66,33 @@
     this->fleet.suspicions().takeNotice(coincidence, this->timers.now());
 }
 
+void Gateway::setRecordsReachable(bool reachable)
+{
+    if (reachable) {
+        this->recordsLost.reset();
+        this->detourTimer.cancel();
+    } else if (!this->recordsLost) {
+        this->recordsLost = this->timers.now();
+        this->detourTimer = this->timers.every(detourStep, [this] { this->continueDetour(); });
+    }
+}
+
+std::optional<std::chrono::milliseconds> Gateway::detour() const
+{
+    if (!this->recordsLost)
+        return std::nullopt;
+    const auto passed =
+            std::chrono::floor<std::chrono::milliseconds>(this->timers.now() - *this->recordsLost);
+    return std::max(shortestDetour, this->settings.detourNotice - passed);
+}
+
+void Gateway::continueDetour()
+{
+    // Only now would a new connection lead elsewhere.
+    if (this->timers.now() - *this->recordsLost >= this->settings.detourNotice)
+        this->ingress->closeIdleConnections();
+}
+
 void Gateway::beginStop(std::function<void()> drained)
 {
     this->whenDrained = std::move(drained);
@@ -74,7 +105,8 @@
     const bool takes =
             !this->whenDrained || this->timers.now() - this->stopBegan < this->settings.stopTaking;
     const GatewayServices services{this->timers, this->dialect, this->fleet, this->quota,
-                                   this->ledger, this->metrics, this->table, takes};
+                                   this->ledger, this->metrics, this->table, takes,
+                                   this->detour()};
     const IngressConnection *key = caller.get();
     auto call = std::make_shared<ForwardedCall>(services, caller, std::move(request), [this, key] {
         const auto ended = this->calls.find(key);
--- a/modules/lacewingmux_gateway/forwarding/Gateway.h
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace lacewingmux {
@@ -45,6 +46,10 @@
     /** Takes a crash under a request that another VM found. */
     void takeCrashNotice(const CrashCoincidence &coincidence);
 
+    /** Tells whether enough records VMs can be reached for quotas and turns. While they can't, what
+        needs them is refused at once, and callers are led to other VMs. */
+    void setRecordsReachable(bool reachable);
+
     /** Starts a planned stop: answers all that has been read, and lets connections end. The hook
         is called when nothing is left to do. */
     void beginStop(std::function<void()> drained);
@@ -56,6 +61,8 @@
     void handleRequest(const std::shared_ptr<IngressConnection> &caller, HttpRequest request);
     void handleLeave(const IngressConnection *caller);
     void continueStop();
+    void continueDetour();
+    [[nodiscard]] std::optional<std::chrono::milliseconds> detour() const;
 
     GatewaySettings settings;
     TimerService &timers;
@@ -68,6 +75,8 @@
     std::unique_ptr<IngressServer> ingress;
     std::map<const IngressConnection *, std::shared_ptr<ForwardedCall>> calls;
     std::function<void()> whenDrained;
+    std::optional<TimerService::SteadyTime> recordsLost; ///< when they could not be reached any more
+    TimerSubscription detourTimer;
     TimerService::SteadyTime stopBegan;
     TimerSubscription stopTimer;
 };
--- a/modules/lacewingmux_gateway/forwarding/GatewayServices.h
+++ b/modules/lacewingmux_gateway/forwarding/GatewayServices.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <memory>
+#include <optional>
 
 namespace lacewingmux {
 
@@ -23,6 +25,9 @@
     MetricsRecorder &metrics;
     std::shared_ptr<const RoutingTable> table; ///< null until a configuration is known
     bool takesRequests = true;                 ///< false late in a planned stop
+    /** Set while too few records VMs can be reached: when a caller that comes back reaches
+        another VM. */
+    std::optional<std::chrono::milliseconds> detour;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/GatewaySettings.h
+++ b/modules/lacewingmux_gateway/forwarding/GatewaySettings.h
@@ -20,6 +20,9 @@
     /** How long a stopping VM still takes requests on open connections: the balancer asks once a
         second, and needs two answers to send new connections elsewhere. */
     std::chrono::milliseconds stopNotice{2300};
+    /** When the balancer has sent new connections elsewhere, after a VM was found not to be
+        ready: two questions, a second apart. */
+    std::chrono::milliseconds detourNotice{2200};
     /** Until when a stopping VM takes requests: what it takes later might not end in time. */
     std::chrono::milliseconds stopTaking{3600};
     /** When a planned stop ends whatever is still under way. */
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds sweepInterval{1000};
+// Half of the pause in which a replica that can't be reached gets no calls.
+constexpr std::chrono::milliseconds retryInterval{500};
 
 } // namespace
 
@@ -21,6 +23,7 @@
     , crashes(std::move(crashHook))
 {
     this->sweep = this->timers.every(sweepInterval, [this] { this->dropStale(); });
+    this->retry = this->timers.every(retryInterval, [this] { this->tryUnreachable(); });
 }
 
 ReplicaFleet::~ReplicaFleet() = default;
@@ -41,6 +44,7 @@
         if (!next.contains(old.key()))
             this->idle.remove(old.key());
     }
+    std::erase_if(this->unreachable, [&next](const auto &id) { return !next.contains(id); });
     this->instances = std::move(next);
     this->decisions.setReplicas(newInstances);
 }
@@ -48,7 +52,16 @@
 void ReplicaFleet::noteUnreachable(const QByteArray &id)
 {
     this->decisions.noteUnreachable(id, this->timers.now());
-    this->crashes.noteUnreachable(id, this->timers.now());
+    this->idle.remove(id); // as silent as a new connection
+    if (this->unreachable.insert(id).second)
+        this->crashes.noteUnreachable(id, this->timers.now());
+}
+
+void ReplicaFleet::tryUnreachable()
+{
+    const std::vector<QByteArray> all(this->unreachable.begin(), this->unreachable.end());
+    for (const QByteArray &id : all)
+        this->probe(id, [](bool) {});
 }
 
 const ReplicaInstance *ReplicaFleet::instance(const QByteArray &id) const
@@ -90,8 +103,11 @@
 void ReplicaFleet::finishProbe(const QByteArray &id, bool reachable)
 {
     auto entry = this->probes.extract(id);
-    if (!reachable)
+    if (!reachable) {
         this->noteUnreachable(id);
+    } else if (this->unreachable.erase(id) > 0) {
+        this->decisions.noteReached(id);
+    }
     for (const auto &callback : entry.mapped().waiting)
         callback(reachable);
     // The attempt is still on the stack.
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace lacewingmux {
@@ -32,7 +33,8 @@
     /** Takes the replicas that exist now, and closes idle connections to the others. */
     void setReplicas(const std::vector<ReplicaInstance> &instances);
 
-    /** Notes that no connection to the replica came about. */
+    /** Notes that no connection to the replica came about. Until one does, it is tried again and
+        again without a call, and gets calls only when no other replica can take them. */
     void noteUnreachable(const QByteArray &id);
 
     /** Returns the requests that crash replicas. */
@@ -71,6 +73,7 @@
 
     void finishProbe(const QByteArray &id, bool reachable);
     void dropStale();
+    void tryUnreachable();
 
     TimerService &timers;
     Placement decisions;
@@ -78,6 +81,8 @@
     QHash<QByteArray, ReplicaInstance> instances;
     QHash<QByteArray, Idle> idle;       ///< by instance, most recently used last
     std::map<QByteArray, Probe> probes; ///< under way, by instance
+    std::set<QByteArray> unreachable;   ///< instances
+    TimerSubscription retry;
     TimerSubscription sweep;
 };
 
--- a/modules/lacewingmux_node/front/FrontTraffic.cpp
+++ b/modules/lacewingmux_node/front/FrontTraffic.cpp
@@ -76,8 +76,10 @@
     if (hasQuorum)
         this->lastReachable = now;
     const bool stays = hasQuorum || now - this->lastReachable < recordsPatience;
-    if (std::exchange(this->reachable, stays) != stays)
-        this->hooks.recordsReachable(stays);
+    if (std::exchange(this->reachable, stays) == stays)
+        return;
+    this->gateway->setRecordsReachable(stays);
+    this->hooks.recordsReachable(stays);
 }
 
 void FrontTraffic::setConfiguration(const std::shared_ptr<const RoutingTable> &table,
--- a/tests/gateway/ForwardingTest.cpp
+++ b/tests/gateway/ForwardingTest.cpp
@@ -230,6 +230,77 @@
     cr_assert(caller.received().contains("can't be reached"), "long before the time is up");
 }
 
+Test(forwarding, leaves_a_replica_alone_until_it_can_be_reached_again)
+{
+    bool silent = false;
+    const auto write = [](const HttpRequest &request, const ScriptedReplica::Exchange &exchange) {
+        QByteArray text = GatewayFixture::answer(request, "ran");
+        exchange.write(text.replace("\r\n\r\n", "\r\nKeep-Alive: timeout=10\r\n\r\n"));
+    };
+    GatewayFixture fixture(1, [&](const HttpRequest &request, const auto &exchange) {
+        if (!silent)
+            write(request, exchange);
+    });
+    ScriptedReplica &near = *fixture.replicas[0];
+    ScriptedReplica far(write);
+    ReplicaInstance nearEntry;
+    nearEntry.id = "near";
+    nearEntry.service = "service";
+    nearEntry.zone = "a";
+    nearEntry.address = QHostAddress(QHostAddress::LocalHost);
+    nearEntry.port = near.port();
+    nearEntry.slots = 8;
+    ReplicaInstance farEntry = nearEntry;
+    farEntry.id = "far";
+    farEntry.zone = "b";
+    farEntry.port = far.port();
+    fixture.gateway->setReplicas({nearEntry, farEntry});
+    RawCaller first(fixture.gateway->port());
+    RawCaller second(fixture.gateway->port());
+    first.send(GatewayFixture::request("POST", "/once/x", "r1"));
+    second.send(GatewayFixture::request("POST", "/once/x", "r2"));
+    fixture.loop.waitUntil([&] { return hasAnswer(first) && hasAnswer(second); }, "the answers");
+    cr_assert_eq(near.requests().size(), 2, "two connections to it are kept");
+
+    silent = true;
+    RawCaller cutOff(fixture.gateway->port());
+    cutOff.send(GatewayFixture::request("POST", "/once/x", "r3"));
+    fixture.loop.waitUntil([&] { return near.requests().size() == 3; }, "the request");
+    near.stopListening();
+    fixture.loop.waitUntil([&] { return hasAnswer(cutOff); }, "the failure");
+    // Beyond the pause and the memory of failures after which a call would try it again.
+    fixture.loop.runFor(milliseconds(3000));
+    RawCaller next(fixture.gateway->port());
+    next.send(GatewayFixture::request("POST", "/once/x", "r4"));
+    fixture.loop.waitUntil([&] { return hasAnswer(next); }, "the answer");
+    cr_assert(next.received().startsWith("HTTP/1.1 200"));
+    cr_assert_eq(near.requests().size(), 3);
+}
+
+Test(forwarding, leads_callers_elsewhere_while_the_records_are_out_of_reach)
+{
+    GatewayFixture fixture(1, [](const HttpRequest &request, const auto &exchange) {
+        exchange.write(GatewayFixture::answer(request, "ran"));
+    });
+    fixture.gateway->setRecordsReachable(false);
+    RawCaller caller(fixture.gateway->port());
+    RawCaller free(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", "/once/x", "r1"));
+    free.send(GatewayFixture::request("GET", "/open/x", "r2"));
+    fixture.loop.waitUntil([&] { return hasAnswer(caller) && hasAnswer(free); }, "the answers");
+    cr_assert(caller.received().startsWith("HTTP/1.1 503"));
+    cr_assert(caller.received().contains("Connection: close\r\n"));
+    cr_assert(caller.received().contains("Retry-After: 2.") , "when the balancer has noticed");
+    cr_assert(free.received().startsWith("HTTP/1.1 200"), "it needs no quota and no history");
+    cr_assert_eq(fixture.quota.taken, 0);
+
+    fixture.gateway->setRecordsReachable(true);
+    RawCaller later(fixture.gateway->port());
+    later.send(GatewayFixture::request("POST", "/once/x", "r3"));
+    fixture.loop.waitUntil([&] { return hasAnswer(later); }, "the answer");
+    cr_assert(later.received().startsWith("HTTP/1.1 200"));
+}
+
 Test(forwarding, stops_the_replica_when_the_caller_leaves)
 {
     bool closed = false;
