--- a/modules/lacewingmux_gateway/replicas/Placement.cpp
+++ b/modules/lacewingmux_gateway/replicas/Placement.cpp
@@ -187,7 +187,8 @@
     double total = request.forEngine ? this->engineCost(replica, request)
                                      : this->callCost(replica, request);
     if (replica.instance.zone != this->ownZone)
-        total += this->settings.otherZoneCost;
+        total += request.forEngine ? this->settings.otherZoneTurnCost
+                                   : this->settings.otherZoneCost;
     const double memory = decay(request.now, replica.troubleKnown, this->settings.troubleMemory);
     total += memory
              * (replica.failures * this->settings.failureCost
