--- a/modules/lacewingmux_gateway/replicas/Placement.cpp
+++ b/modules/lacewingmux_gateway/replicas/Placement.cpp
@@ -187,8 +187,7 @@
     double total = request.forEngine ? this->engineCost(replica, request)
                                      : this->callCost(replica, request);
     if (replica.instance.zone != this->ownZone)
-        total += request.forEngine ? this->settings.otherZoneTurnCost
-                                   : this->settings.otherZoneCost;
+        total += this->settings.otherZoneCost;
     const double memory = decay(request.now, replica.troubleKnown, this->settings.troubleMemory);
     total += memory
              * (replica.failures * this->settings.failureCost
--- a/modules/lacewingmux_gateway/replicas/PlacementSettings.h
+++ b/modules/lacewingmux_gateway/replicas/PlacementSettings.h
@@ -9,9 +9,6 @@
 {
     /** Both ways between two availability zones, with the bytes that are billed between them. */
     double otherZoneCost = 6.0;
-    /** The same for a turn of an engine, which lasts long enough to be cut off with the other zone:
-        about the sequences of a replica at usual load. */
-    double otherZoneTurnCost = 40.0;
     /** Prompt tokens that an engine reads in a millisecond; the lower of the two deployments. */
     double promptTokensPerMillisecond = 160.0;
     /** What one more running sequence adds to a turn of an engine: 256 steps of 0.009 ms. */
