Go on with the last synced records VM and one that copies

Two things that one number stood for are asked apart now: a majority of the members that hold all reservations has to know a new one, and as many disks as may be lost, plus one, have to keep it; the disk that still copies does for the second. A member that leaves counts in the first until it is gone, as it may be the only one left to hold a reservation beside a lost disk. the_last_synced_member_goes_on_with_one_that_copies fails on the old code; the model's schedules and a_member_that_leaves_is_still_asked_for_reservations hold.

--- a/modules/lacewingmux_records/client/RecordsClient.cpp
+++ b/modules/lacewingmux_records/client/RecordsClient.cpp
@@ -143,12 +143,16 @@
 
 bool RecordsClient::hasQuorum() const
 {
-    const auto reachable = std::count_if(this->view.members.begin(), this->view.members.end(),
-                                         [this](const auto &member) {
-                                             return member.state == MemberState::Synced
-                                                    && this->hub.isConnected(member.vm.incarnation);
-                                         });
-    return this->view.number > 0 && reachable >= this->view.reservationQuorum();
+    int knowing = 0;
+    int storing = 0;
+    for (const RecordsMember &member : this->view.members) {
+        if (!this->hub.isConnected(member.vm.incarnation))
+            continue;
+        knowing += member.state != MemberState::Joining ? 1 : 0;
+        storing += this->view.countsAsCopy(member) ? 1 : 0;
+    }
+    return this->view.number > 0 && knowing >= this->view.reservationQuorum()
+           && storing >= this->view.durableCopies();
 }
 
 void RecordsClient::sendOpening(std::uint64_t number, Opening &opening)
--- a/modules/lacewingmux_records/client/TurnQuorum.cpp
+++ b/modules/lacewingmux_records/client/TurnQuorum.cpp
@@ -86,17 +86,16 @@
 {
     if (!this->opening.budget)
         return TurnOutcome::Ready;
-    const auto known = std::count_if(
-            this->synced.begin(), this->synced.end(),
-            [this](const VmIncarnation &member) { return this->storing.contains(member); });
-    if (known >= this->view.reservationQuorum()) {
+    const auto known = static_cast<std::ptrdiff_t>(this->synced.size());
+    const auto copies = static_cast<std::ptrdiff_t>(this->storing.size());
+    if (known >= this->view.reservationQuorum() && copies >= this->view.durableCopies()) {
         const std::int64_t total = this->tokensOfOthers() + this->opening.maximumTokens;
         return total <= *this->opening.budget ? TurnOutcome::Ready : TurnOutcome::BudgetSpent;
     }
     const auto open = static_cast<std::ptrdiff_t>(this->view.members.size())
                       - static_cast<std::ptrdiff_t>(this->answered.size())
                       - static_cast<std::ptrdiff_t>(this->failed.size());
-    if (known + open < this->view.reservationQuorum())
+    if (known + open < this->view.reservationQuorum() || copies + open < this->view.durableCopies())
         return TurnOutcome::Unavailable;
     return std::nullopt;
 }
--- a/modules/lacewingmux_records/members/RecordsView.cpp
+++ b/modules/lacewingmux_records/members/RecordsView.cpp
@@ -127,7 +127,10 @@
 {
     // A member that joins doesn't count before it has copied a quorum's reservations, or its
     // joining would stop what the loss of another member has left.
-    return std::max(this->durableCopies(), this->syncedCount() / 2 + 1);
+    const auto knowing =
+            std::count_if(this->members.begin(), this->members.end(),
+                          [](const auto &entry) { return entry.state != MemberState::Joining; });
+    return static_cast<int>(knowing) / 2 + 1;
 }
 
 int RecordsView::absenceQuorum() const
--- a/modules/lacewingmux_records/members/RecordsView.h
+++ b/modules/lacewingmux_records/members/RecordsView.h
@@ -53,7 +53,10 @@
     /** Returns how many disks must hold a record before it counts. */
     [[nodiscard]] int durableCopies() const;
 
-    /** Returns how many members must know a reservation before it counts. */
+    /** Returns how many members that hold all reservations must know another one before it counts,
+        so that of any two at least one sees the other. One that leaves is among them, as it may
+        still be the only one to hold a reservation besides a disk that was lost. The reservation
+        has to be on durableCopies() disks besides. */
     [[nodiscard]] int reservationQuorum() const;
 
     /** Returns how many members must lack a record before it is certain that there is none. */
--- a/tests/records/RecordsFleetTest.cpp
+++ b/tests/records/RecordsFleetTest.cpp
@@ -149,6 +149,23 @@
     cr_assert(open(fleet, 0, turn("t3", "t1", 1000)).outcome == TurnOutcome::Ready);
 }
 
+Test(records_fleet, the_last_synced_member_goes_on_with_one_that_copies)
+{
+    RecordsFleet fleet(2, 1);
+    cr_assert(store(fleet, 0, turn("t1", "", 1000), "a", "b\n"));
+    fleet.stopRecords(QStringLiteral("r2"), 0);
+    fleet.wipe(QStringLiteral("r2"));
+    fleet.network.cut(QStringLiteral("r1"), QStringLiteral("r2")); // so that it goes on copying
+    fleet.startRecords(QStringLiteral("r2"));
+    fleet.run(milliseconds(1000));
+    cr_assert_eq(fleet.storedView().syncedCount(), 1);
+    cr_assert(open(fleet, 0, turn("t2", "t1", 1000)).outcome == TurnOutcome::Ready);
+    cr_assert(store(fleet, 0, turn("t2", "t1", 1000), "c", "d\n"));
+    fleet.stopRecords(QStringLiteral("r2"), 0);
+    cr_assert(open(fleet, 0, turn("t3", "t2", 1000)).outcome == TurnOutcome::Unavailable,
+              "a single copy is not enough");
+}
+
 Test(records_fleet, a_replacement_takes_the_place_of_a_lost_member)
 {
     RecordsFleet fleet(3, 1);
--- a/tests/records/RecordsViewTest.cpp
+++ b/tests/records/RecordsViewTest.cpp
@@ -71,6 +71,17 @@
     cr_assert(!RecordsMembership::withJoined(view, moved, false, 1).has_value());
 }
 
+Test(records_view, a_member_that_leaves_is_still_asked_for_reservations)
+{
+    RecordsView view = firstView(3);
+    view.members[1].state = MemberState::Joining; // its disk was lost
+    view.members[2].state = MemberState::Leaving; // the others may not have everything yet
+    cr_assert_eq(view.reservationQuorum(), 2);
+    cr_assert_eq(view.durableCopies(), 2);
+    view.members.pop_back();
+    cr_assert_eq(view.reservationQuorum(), 1, "the other one has left only now");
+}
+
 Test(records_view, a_member_that_stands_by_counts_in_no_quorum)
 {
     const RecordsView three = firstView(3);
