Hold the index of the records in less memory and time

Each program had a hash table of its own (2.3 kB before its first turn) and each name was held three times.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -127,7 +127,7 @@
     std::chrono::milliseconds untilAdmitted{0};   ///< from the arrival to the quota's answer
     std::chrono::milliseconds untilSent{0};       ///< from the arrival to the first send
     std::chrono::milliseconds untilFirstEvent{0}; ///< from the arrival to a stream's first event
-    TimerService::SteadyTime lastHeard; ///< of the replica, or when the request was sent
+    TimerService::SteadyTime lastHeard;           ///< of the replica, or when the request was sent
     bool probing = false;
     Phase phase = Phase::Admitting;
 
--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -104,9 +104,9 @@
 {
     const bool takes =
             !this->whenDrained || this->timers.now() - this->stopBegan < this->settings.stopTaking;
-    const GatewayServices services{this->timers, this->dialect, this->fleet, this->quota,
-                                   this->ledger, this->metrics, this->table, takes,
-                                   this->detour()};
+    const GatewayServices services{this->timers, this->dialect, this->fleet,
+                                   this->quota,  this->ledger,  this->metrics,
+                                   this->table,  takes,         this->detour()};
     const IngressConnection *key = caller.get();
     auto call = std::make_shared<ForwardedCall>(services, caller, std::move(request), [this, key] {
         const auto ended = this->calls.find(key);
--- a/modules/lacewingmux_gateway/forwarding/Gateway.h
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.h
@@ -75,7 +75,8 @@
     std::unique_ptr<IngressServer> ingress;
     std::map<const IngressConnection *, std::shared_ptr<ForwardedCall>> calls;
     std::function<void()> whenDrained;
-    std::optional<TimerService::SteadyTime> recordsLost; ///< when they could not be reached any more
+    std::optional<TimerService::SteadyTime>
+            recordsLost; ///< when they could not be reached any more
     TimerSubscription detourTimer;
     TimerService::SteadyTime stopBegan;
     TimerSubscription stopTimer;
--- a/modules/lacewingmux_records/client/FleetQuota.cpp
+++ b/modules/lacewingmux_records/client/FleetQuota.cpp
@@ -97,8 +97,8 @@
                                                   RecordsCodec::encodeGrant(message)}))
         return;
     queue.asking = true;
-    this->unanswered.emplace(number, Question{{queue.request.team.name, queue.request.reserve},
-                                              this->timers.now()});
+    this->unanswered.emplace(
+            number, Question{{queue.request.team.name, queue.request.reserve}, this->timers.now()});
 }
 
 void FleetQuota::handleReply(const VmIncarnation &peer, const PeerFrame &frame)
--- a/modules/lacewingmux_records/log/RecordIndex.cpp
+++ b/modules/lacewingmux_records/log/RecordIndex.cpp
@@ -17,7 +17,7 @@
         return false;
     // Both grow at their ends, but for records that were copied from other members.
     this->names.emplace_hint(this->names.end(), sequence, name);
-    this->byExpiry.emplace_hint(this->byExpiry.end(), record.expires, name);
+    this->byExpiry.emplace_hint(this->byExpiry.end(), record.expires, sequence);
     if (record.kind == RecordKind::Turn)
         this->turns.insert(record.key, {sequence, record.team, record.parent, record.expires});
     if (!record.program.isEmpty())
@@ -29,7 +29,7 @@
 {
     Program &program = this->programs[record.program];
     program.expires = std::max(program.expires, record.expires);
-    TurnTokens &tokens = program.turns[record.key];
+    TurnTokens &tokens = tokensOf(program, record.key);
     if (record.kind == RecordKind::Reservation) {
         tokens.reserved = record.tokens;
         return;
@@ -38,6 +38,18 @@
     tokens.settled = true;
 }
 
+RecordIndex::TurnTokens &RecordIndex::tokensOf(Program &program, const QByteArray &turn)
+{
+    // A turn is settled soon after it was reserved, so the last ones come first.
+    const auto found = std::find_if(program.turns.rbegin(), program.turns.rend(),
+                                    [&turn](const auto &entry) { return entry.key == turn; });
+    if (found != program.turns.rend())
+        return *found;
+    program.turns.push_back({});
+    program.turns.back().key = turn;
+    return program.turns.back();
+}
+
 bool RecordIndex::contains(const RecordName &name) const
 {
     return this->sequences.contains(name);
@@ -56,11 +68,10 @@
     const auto found = this->programs.constFind(program);
     if (found == this->programs.cend())
         return states;
-    for (auto turn = found->turns.cbegin(); turn != found->turns.cend(); ++turn) {
-        if (turn.key() == exceptTurn)
-            continue;
-        states.push_back(
-                {turn.key(), turn->settled ? turn->handedOut : turn->reserved, turn->settled});
+    for (const TurnTokens &turn : found->turns) {
+        if (turn.key != exceptTurn)
+            states.push_back(
+                    {turn.key, turn.settled ? turn.handedOut : turn.reserved, turn.settled});
     }
     return states;
 }
@@ -107,12 +118,12 @@
 {
     const auto end = this->byExpiry.lower_bound(before);
     for (auto entry = this->byExpiry.begin(); entry != end; ++entry) {
-        const RecordName &name = entry->second;
-        const auto sequence = this->sequences.find(name);
-        this->names.erase(sequence->second);
-        this->sequences.erase(sequence);
+        const auto named = this->names.find(entry->second);
+        const RecordName &name = named->second;
+        this->sequences.erase(name);
         if (name.kind == RecordKind::Turn)
             this->turns.remove(name.key);
+        this->names.erase(named);
     }
     this->byExpiry.erase(this->byExpiry.begin(), end);
     this->programs.removeIf([before](auto program) { return program.value().expires < before; });
--- a/modules/lacewingmux_records/log/RecordIndex.h
+++ b/modules/lacewingmux_records/log/RecordIndex.h
@@ -77,6 +77,7 @@
 
     struct TurnTokens
     {
+        QByteArray key;
         std::int64_t reserved = 0;
         std::int64_t handedOut = 0;
         bool settled = false;
@@ -84,17 +85,18 @@
 
     struct Program
     {
-        QHash<QByteArray, TurnTokens> turns;
+        std::vector<TurnTokens> turns; ///< a few dozen, so that a search is cheaper than a hash
         WallTime expires;
     };
 
     void addTokens(const Record &record);
+    [[nodiscard]] static TurnTokens &tokensOf(Program &program, const QByteArray &turn);
 
     QHash<QByteArray, Turn> turns;
     QHash<QByteArray, Program> programs;
     std::unordered_map<RecordName, std::uint64_t, RecordNameHash> sequences;
     std::map<std::uint64_t, RecordName> names;
-    std::multimap<WallTime, RecordName> byExpiry;
+    std::multimap<WallTime, std::uint64_t> byExpiry; ///< places in the log
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_records/log/SegmentedLog.cpp
+++ b/modules/lacewingmux_records/log/SegmentedLog.cpp
@@ -130,9 +130,8 @@
     const Position &position = this->positions[sequence - this->firstKept];
     QByteArray entry(headBytes + position.bytes, Qt::Uninitialized);
     const int descriptor = this->segments.at(position.segment).descriptor;
-    const ssize_t count =
-            ::pread(descriptor, entry.data(), static_cast<std::size_t>(entry.size()),
-                    position.offset - headBytes);
+    const ssize_t count = ::pread(descriptor, entry.data(), static_cast<std::size_t>(entry.size()),
+                                  position.offset - headBytes);
     const QByteArray payload =
             QByteArray::fromRawData(entry.constData() + headBytes, position.bytes);
     // Checked here, as a restart that reads an index doesn't look at the bodies.
--- a/modules/lacewingmux_records/log/SegmentedLog.h
+++ b/modules/lacewingmux_records/log/SegmentedLog.h
@@ -89,7 +89,7 @@
     std::deque<Position> positions;            ///< of the records from firstKept on
     std::uint64_t firstKept = 1;
     std::uint64_t nextSequence = 1;
-    std::uint64_t durable = 0; ///< all records up to this one are on disk
+    std::uint64_t durable = 0;               ///< all records up to this one are on disk
     std::vector<std::uint64_t> withoutIndex; ///< files that get no more records, oldest first
     std::deque<Batch> waiting;
     bool writing = false;
--- a/modules/lacewingmux_records/members/RecordsView.cpp
+++ b/modules/lacewingmux_records/members/RecordsView.cpp
@@ -135,9 +135,8 @@
 
 int RecordsView::absenceQuorum() const
 {
-    const auto holders =
-            std::count_if(this->members.begin(), this->members.end(),
-                          [this](const auto &entry) { return !this->isSpare(entry); });
+    const auto holders = std::count_if(this->members.begin(), this->members.end(),
+                                       [this](const auto &entry) { return !this->isSpare(entry); });
     return std::max(1, static_cast<int>(holders) - this->durableCopies() + 1);
 }
 
--- a/modules/lacewingmux_records/messages/Record.h
+++ b/modules/lacewingmux_records/messages/Record.h
@@ -46,12 +46,12 @@
     }
 };
 
-/** Hashes names for unordered containers. */
+/** Hashes names for unordered containers, by the key alone: few programs share a request id. */
 struct RecordNameHash
 {
     [[nodiscard]] std::size_t operator()(const RecordName &name) const noexcept
     {
-        return qHashMulti(0, static_cast<int>(name.kind), name.key, name.program);
+        return qHash(name.key, static_cast<std::size_t>(name.kind));
     }
 };
 
--- a/modules/lacewingmux_records/server/RecordsSync.cpp
+++ b/modules/lacewingmux_records/server/RecordsSync.cpp
@@ -99,9 +99,8 @@
     source.unanswered.push_back({number, source.cursor, this->timers.now()});
     if (source.unanswered.size() > mostUnanswered)
         source.unanswered.pop_front();
-    this->hub.send(
-            peer,
-            {FrameKind::PullKeys, this->view.number, number, RecordsCodec::encodePull(message)});
+    this->hub.send(peer, {FrameKind::PullKeys, this->view.number, number,
+                          RecordsCodec::encodePull(message)});
 }
 
 std::optional<RecordsSync::Question> RecordsSync::takeQuestion(Source &source, std::uint64_t number)
--- a/modules/lacewingmux_records/server/RecordsSync.h
+++ b/modules/lacewingmux_records/server/RecordsSync.h
@@ -62,13 +62,13 @@
 
     struct Source
     {
-        std::uint64_t cursor = 0;        ///< the peer's names are known up to here
-        bool atEnd = false;              ///< the last answer reached the end of its log
-        std::deque<Question> unanswered; ///< oldest first; more than one when the peer is late
+        std::uint64_t cursor = 0;            ///< the peer's names are known up to here
+        bool atEnd = false;                  ///< the last answer reached the end of its log
+        std::deque<Question> unanswered;     ///< oldest first; more than one when the peer is late
         TimerService::SteadyTime answeredAt; ///< when the last question was asked that it answered
-        std::set<RecordName> missing;   ///< named by the peer, not on this disk
-        std::set<RecordName> fresh;     ///< of the missing ones: named in this round only
-        std::set<RecordName> requested; ///< asked of this peer, and not answered yet
+        std::set<RecordName> missing;        ///< named by the peer, not on this disk
+        std::set<RecordName> fresh;          ///< of the missing ones: named in this round only
+        std::set<RecordName> requested;      ///< asked of this peer, and not answered yet
         TimerService::SteadyTime requestedAt;
     };
 
--- a/tests/gateway/ForwardingTest.cpp
+++ b/tests/gateway/ForwardingTest.cpp
@@ -290,7 +290,7 @@
     fixture.loop.waitUntil([&] { return hasAnswer(caller) && hasAnswer(free); }, "the answers");
     cr_assert(caller.received().startsWith("HTTP/1.1 503"));
     cr_assert(caller.received().contains("Connection: close\r\n"));
-    cr_assert(caller.received().contains("Retry-After: 2.") , "when the balancer has noticed");
+    cr_assert(caller.received().contains("Retry-After: 2."), "when the balancer has noticed");
     cr_assert(free.received().startsWith("HTTP/1.1 200"), "it needs no quota and no history");
     cr_assert_eq(fixture.quota.taken, 0);
 
--- a/tests/records/RecordsFleetTest.cpp
+++ b/tests/records/RecordsFleetTest.cpp
@@ -219,8 +219,8 @@
     fleet.startRecords(QStringLiteral("r4"));
     fleet.run(milliseconds(3000));
     const std::uint64_t before = fleet.storedView().number;
-    fleet.network.cutGroups({QStringLiteral("r4")}, {QStringLiteral("r1"), QStringLiteral("r2"),
-                                                     QStringLiteral("r3")});
+    fleet.network.cutGroups({QStringLiteral("r4")},
+                            {QStringLiteral("r1"), QStringLiteral("r2"), QStringLiteral("r3")});
     fleet.run(milliseconds(5000));
     fleet.network.healAll();
     fleet.run(milliseconds(2000));
--- a/tests/records/SlowMemberTest.cpp
+++ b/tests/records/SlowMemberTest.cpp
@@ -94,8 +94,8 @@
     peerHub->setHandler(FrameKind::GrantTokens, [&](const auto &asker, const PeerFrame &frame) {
         const auto question = RecordsCodec::decodeGrant(frame.payload);
         GrantTokensReplyMessage reply;
-        reply.grants.push_back(
-                {question->demands.front().team, question->demands.front().wanted, milliseconds(5)});
+        reply.grants.push_back({question->demands.front().team, question->demands.front().wanted,
+                                milliseconds(5)});
         peerHub->send(asker, {FrameKind::GrantTokensReply, 1, frame.correlation,
                               RecordsCodec::encodeGrantReply(reply)});
     });
@@ -107,9 +107,8 @@
     team.burst = 90;
     int admitted = 0;
     for (int request = 0; request < 10; ++request) {
-        quota.take({team, 0}, [&admitted](const QuotaAnswer &answer) {
-            admitted += answer.admitted ? 1 : 0;
-        });
+        quota.take({team, 0},
+                   [&admitted](const QuotaAnswer &answer) { admitted += answer.admitted ? 1 : 0; });
         run(timers, milliseconds(50));
     }
     run(timers, milliseconds(500));
