--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -53,7 +53,7 @@
 {
     this->decisions.noteUnreachable(id, this->timers.now());
     this->idle.remove(id); // as silent as a new connection
-    if (this->unreachable.insert(id).second)
+    if (this->instances.contains(id) && this->unreachable.insert(id).second)
         this->crashes.noteUnreachable(id, this->timers.now());
 }
 
--- a/modules/lacewingmux_records/quota/GrantLease.cpp
+++ b/modules/lacewingmux_records/quota/GrantLease.cpp
@@ -99,8 +99,8 @@
         return false;
     const auto agreeing =
             1 + std::count_if(this->peers.begin(), this->peers.end(), [&](const auto &entry) {
-                const RecordsMember *peer = this->view.member(entry.first);
-                return entry.first != member && this->view.countsAsCopy(*peer)
+                const RecordsMember *witness = this->view.member(entry.first);
+                return entry.first != member && this->view.countsAsCopy(*witness)
                        && !this->isSilent(entry.second, now)
                        && entry.second.finds.contains(member.incarnation);
             });
