Answer under the view of the question when that one is newer

A member had been lost, so each turn needed both others, and the store had just come back: entry VMs learnt of view 4 at 7.12 s, store-co-centro-a-1 at 7.27 s. It stored what they sent, but put its own older view into its answers, and those didn't count under view 4. Ruled out: the disk (copies came from the other member in time), the loss itself (at 5 s).

A records VM now answers under the newer of both views. It still refuses questions under a view older than its own. an_entry_vm_that_learns_of_a_view_first_is_served fails on the old code: no turn was opened or kept until all had the same view.

--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -124,8 +124,8 @@
                 this->index.reservations(message->reservation->program, message->reservation->key);
     }
     this->lookUpChain(*message, reply);
-    const auto answer = [this, peer, correlation = frame.correlation, reply] {
-        this->hub.send(peer, {FrameKind::OpenTurnReply, this->view.number, correlation,
+    const auto answer = [this, peer, epoch = frame.epoch, correlation = frame.correlation, reply] {
+        this->hub.send(peer, {FrameKind::OpenTurnReply, this->replyEpoch(epoch), correlation,
                               RecordsCodec::encodeOpenReply(reply)});
     };
     if (sequence == 0)
@@ -165,8 +165,9 @@
         last = std::max(last, this->append(record));
     if (frame.correlation == 0 || last == 0)
         return;
-    this->log.whenDurable(last, [this, peer, correlation = frame.correlation] {
-        this->hub.send(peer, {FrameKind::WriteRecordsAck, this->view.number, correlation, {}});
+    this->log.whenDurable(last, [this, peer, epoch = frame.epoch, correlation = frame.correlation] {
+        this->hub.send(peer,
+                       {FrameKind::WriteRecordsAck, this->replyEpoch(epoch), correlation, {}});
     });
 }
 
@@ -285,6 +286,13 @@
     return true;
 }
 
+std::uint64_t RecordsServer::replyEpoch(std::uint64_t askedUnder) const
+{
+    // The asker may know of a view before this VM does; its question counts under that view. When
+    // this VM has learnt of a newer one meanwhile, the answer must not count under the old one.
+    return std::max(askedUnder, this->view.number);
+}
+
 std::uint64_t RecordsServer::append(const Record &record)
 {
     const std::uint64_t known = this->index.sequenceOf(nameOf(record));
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -52,6 +52,7 @@
     GrantBucket &bucketOf(const QByteArray &team);
     void writeFloor(const QByteArray &team, double tokens, std::function<void()> durable);
     [[nodiscard]] bool refuseOldView(const VmIncarnation &peer, const PeerFrame &frame);
+    [[nodiscard]] std::uint64_t replyEpoch(std::uint64_t askedUnder) const;
     void lookUpChain(const OpenTurnMessage &message, OpenTurnReplyMessage &reply);
     std::uint64_t append(const Record &record);
     void housekeep();
--- a/tests/records/RecordsFleetTest.cpp
+++ b/tests/records/RecordsFleetTest.cpp
@@ -166,6 +166,17 @@
               "a single copy is not enough");
 }
 
+Test(records_fleet, an_entry_vm_that_learns_of_a_view_first_is_served)
+{
+    RecordsFleet fleet(3, 1);
+    // As when the store comes back, and the VMs' watches of it at different times.
+    RecordsView newer = fleet.storedView();
+    ++newer.number;
+    fleet.entries[0].client->setView(newer);
+    cr_assert(open(fleet, 0, turn("t1", "", 1000)).outcome == TurnOutcome::Ready);
+    cr_assert(store(fleet, 0, turn("t1", "", 1000), "a", "b\n"));
+}
+
 Test(records_fleet, a_replacement_takes_the_place_of_a_lost_member)
 {
     RecordsFleet fleet(3, 1);
