--- a/tests/adapter/StoreClientTest.cpp
+++ b/tests/adapter/StoreClientTest.cpp
@@ -6,6 +6,9 @@
 
 #include <criterion/criterion.h>
 
+#include <QTcpServer>
+#include <QTcpSocket>
+
 using namespace lacewingmux;
 using std::chrono::milliseconds;
 
@@ -181,3 +184,69 @@
     store.loop.waitUntil([&] { return seen.size() == 1; }, "the change");
     cr_assert(store.contact == (std::vector<bool>{false, true}));
 }
+
+Test(store_watch, waits_only_briefly_until_the_store_is_reached_again)
+{
+    std::vector<QByteArray> polls;
+    Store store([&polls](const HttpRequest &request, const ScriptedReplica::Exchange &exchange) {
+        if (request.target.startsWith("/v1/kv-range")) {
+            exchange.write(reply(200, R"({"items":[],"hasMore":false,"storeRevision":9})"));
+            return;
+        }
+        polls.push_back(request.target);
+        if (polls.size() <= 2)
+            exchange.write(reply(503, "{}"));
+        else if (polls.size() == 3)
+            exchange.write(reply(200, R"({"events":[],"storeRevision":9})"));
+    });
+    const auto watch = store.client->watchPrefix("w/", 0, [](const StoreRecord &) {});
+    store.loop.waitUntil([&] { return polls.size() == 4; }, "four polls");
+    cr_assert(polls[0].contains("waitMs=100"));
+    // A long one, begun while the way was cut, would find out long after it is free again.
+    cr_assert(polls[1].contains("waitMs=50"));
+    cr_assert(polls[2].contains("waitMs=50"));
+    cr_assert(polls[3].contains("waitMs=100"));
+}
+
+Test(store_watch, is_back_soon_after_connections_to_the_store_hung)
+{
+    EventLoop loop;
+    QTcpServer server;
+    server.setListenBacklogSize(0);
+    cr_assert(server.listen(QHostAddress::LocalHost));
+    server.pauseAccepting();
+    QObject::connect(&server, &QTcpServer::newConnection, &server, [&server] {
+        QTcpSocket *socket = server.nextPendingConnection();
+        QObject::connect(socket, &QTcpSocket::readyRead, socket, [socket] {
+            socket->readAll();
+            socket->write(reply(200, R"({"items":[],"hasMore":false,"storeRevision":9})"));
+        });
+    });
+    // With its queue full the store drops what opens a connection, as a cut does.
+    std::vector<std::unique_ptr<QTcpSocket>> queue;
+    for (int number = 0; number < 4; ++number) {
+        queue.push_back(std::make_unique<QTcpSocket>());
+        queue.back()->connectToHost(QHostAddress::LocalHost, server.serverPort());
+    }
+    loop.runFor(milliseconds(100));
+
+    std::vector<bool> contact;
+    PlatformStoreSettings settings;
+    QUrl url(QStringLiteral("http://127.0.0.1"));
+    url.setPort(server.serverPort());
+    settings.endpoints = {url};
+    settings.clientName = QStringLiteral("test");
+    settings.callTimeout = milliseconds(300);
+    settings.contactChanged = [&contact](bool reachable) { contact.push_back(reachable); };
+    IgnoringMetricsRecorder metrics;
+    StoreClient client(loop.timers, metrics, settings);
+    const auto watch = client.watchPrefix("w/", 0, [](const StoreRecord &) {});
+    loop.runFor(milliseconds(3500));
+    cr_assert(contact == std::vector<bool>{false});
+    queue.clear();
+    server.resumeAccepting();
+    const auto freed = loop.timers.now();
+    loop.waitUntil([&contact] { return contact.size() == 2; }, "contact");
+    // The kernel would try the first connection again only seven seconds after it was begun.
+    cr_assert_lt((loop.timers.now() - freed) / milliseconds(1), 2500);
+}
