Suspect every request that breaks with its replica again

Since replicas that can't be reached are tried without calls, ReplicaFleet told CrashSuspicions only of the first time that one was found away. Of several requests under which a replica crashes, those that broke after that were no longer suspected, until a connection had come about. The guard was needless: CrashSuspicions forgets what it has confirmed. replica_fleet/a_request_that_breaks_after_its_replica_was_found_away_is_suspected_too fails without the change.

--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -53,8 +53,9 @@
 {
     this->decisions.noteUnreachable(id, this->timers.now());
     this->idle.remove(id); // as silent as a new connection
-    if (this->instances.contains(id) && this->unreachable.insert(id).second)
-        this->crashes.noteUnreachable(id, this->timers.now());
+    this->crashes.noteUnreachable(id, this->timers.now());
+    if (this->instances.contains(id))
+        this->unreachable.insert(id);
 }
 
 void ReplicaFleet::tryUnreachable()
