One copy of what the change had written twice, and less that can be derived

Found by reading the whole change again; behaviour is meant to stay as it was.

Written twice, now once: what a list of the store says to be gone and the keys that were reported (ReportedKeys, for both watches); giving Beast's parser what is pending (parsePending); a request with a query and the encoding of keys in it (StoreAccess::request, encodedKey); when a reservation counts (RecordsView::isReserved, three places); sending a record to all that store it (RecordsClient::sendRecord).

Dead: DurableLog::lastSequence.

Tests keep their assertions.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -258,7 +258,7 @@
     this->replica = instance;
     this->sentAt = this->now();
     this->lastHeard = this->sentAt;
-    if (this->untilSent.count() == 0)
+    if (!this->untilSent)
         this->untilSent = std::chrono::floor<milliseconds>(this->sentAt - this->arrived);
     ++this->runs;
     this->quotaTaken = false;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -17,6 +17,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace lacewingmux {
@@ -124,8 +125,8 @@
     CallDeadline deadline;
     TimerService::SteadyTime arrived;
     TimerService::SteadyTime sentAt;
-    std::chrono::milliseconds untilAdmitted{0};   ///< from the arrival to the quota's answer
-    std::chrono::milliseconds untilSent{0};       ///< from the arrival to the first send
+    std::chrono::milliseconds untilAdmitted{0};         ///< from the arrival to the quota's answer
+    std::optional<std::chrono::milliseconds> untilSent; ///< from the arrival to the first send
     std::chrono::milliseconds untilFirstEvent{0}; ///< from the arrival to a stream's first event
     TimerService::SteadyTime lastHeard;           ///< of the replica, or when the request was sent
     bool probing = false;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -388,7 +388,8 @@
                 .field("status", this->head.status)
                 .field("runs", this->runs)
                 .field("admittedAfter", static_cast<qint64>(this->untilAdmitted.count()))
-                .field("sentAfter", static_cast<qint64>(this->untilSent.count()));
+                .field("sentAfter",
+                       static_cast<qint64>(this->untilSent.value_or(milliseconds(0)).count()));
     if (this->rejections > 0)
         line.field("rejections", this->rejections);
     if (this->events.count() > 0)
--- a/modules/lacewingmux_gateway/http/ParserText.h
+++ b/modules/lacewingmux_gateway/http/ParserText.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/error.hpp>
 #include <boost/beast/core/string_type.hpp>
 
 #include <QByteArray>
@@ -12,4 +14,17 @@
     return {text.data(), static_cast<qsizetype>(text.size())};
 }
 
+/** Gives the parser what is pending, and removes what it took. */
+template <typename Parser>
+[[nodiscard]] boost::beast::error_code parsePending(Parser &parser, QByteArray &pending)
+{
+    boost::beast::error_code error;
+    const std::size_t used =
+            parser.put(boost::asio::const_buffer(pending.constData(),
+                                                 static_cast<std::size_t>(pending.size())),
+                       error);
+    pending.remove(0, static_cast<qsizetype>(used));
+    return error;
+}
+
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/http/RequestDecoder.cpp
+++ b/modules/lacewingmux_gateway/http/RequestDecoder.cpp
@@ -114,12 +114,7 @@
 void RequestDecoder::decode()
 {
     while (!this->pending.isEmpty() && this->currentState < DecodeState::Complete) {
-        boost::beast::error_code error;
-        const std::size_t used = this->parser->put(
-                boost::asio::const_buffer(this->pending.constData(),
-                                          static_cast<std::size_t>(this->pending.size())),
-                error);
-        this->pending.remove(0, static_cast<qsizetype>(used));
+        const boost::beast::error_code error = parsePending(*this->parser, this->pending);
         if (error && error != http::error::need_more) {
             this->currentState = stateOf(error);
             return;
--- a/modules/lacewingmux_keyvalue/client/HttpWatch.cpp
+++ b/modules/lacewingmux_keyvalue/client/HttpWatch.cpp
@@ -10,6 +10,7 @@
 #include <QNetworkReply>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace lacewingmux {
@@ -163,16 +164,12 @@
     }
     const std::int64_t readRevision =
             EtcdJson::toInteger(header.toObject().value(QLatin1String("revision")));
-    std::vector<StoreRecord> changes;
-    std::set<QByteArray> gone = this->reportedKeys;
-    for (const QJsonValue entry : result.body.value(QLatin1String("kvs")).toArray()) {
-        const StoreRecord record = EtcdJson::toRecord(entry.toObject());
-        gone.erase(record.key);
-        if (record.modRevision > this->seenRevision)
-            changes.push_back(record);
-    }
-    for (const QByteArray &key : gone)
-        changes.push_back(StoreRecord{key, {}, 0, readRevision, 0});
+    std::vector<StoreRecord> list;
+    for (const QJsonValue entry : result.body.value(QLatin1String("kvs")).toArray())
+        list.push_back(EtcdJson::toRecord(entry.toObject()));
+    std::vector<StoreRecord> changes = this->reportedKeys.missingFrom(list, readRevision);
+    std::copy_if(list.begin(), list.end(), std::back_inserter(changes),
+                 [this](const auto &record) { return record.modRevision > this->seenRevision; });
     std::sort(changes.begin(), changes.end(),
               [](const StoreRecord &left, const StoreRecord &right) {
                   return left.modRevision < right.modRevision;
@@ -190,10 +187,7 @@
 
 void HttpWatch::report(const StoreRecord &record)
 {
-    if (record.createRevision == 0)
-        this->reportedKeys.erase(record.key);
-    else
-        this->reportedKeys.insert(record.key);
+    this->reportedKeys.note(record);
     const PlatformStore::WatchCallback notify = this->callback;
     notify(record);
 }
--- a/modules/lacewingmux_keyvalue/client/HttpWatch.h
+++ b/modules/lacewingmux_keyvalue/client/HttpWatch.h
@@ -3,6 +3,7 @@
 #include "lacewingmux_core/time/JitteredBackoff.h"
 #include "lacewingmux_core/time/TimerSubscription.h"
 #include "lacewingmux_keyvalue/client/HttpCall.h"
+#include "lacewingmux_keyvalue/client/ReportedKeys.h"
 #include "lacewingmux_keyvalue/store/KeyRange.h"
 #include "lacewingmux_keyvalue/store/PlatformStore.h"
 
@@ -12,7 +13,6 @@
 
 #include <cstdint>
 #include <memory>
-#include <set>
 
 class QNetworkReply;
 
@@ -53,7 +53,7 @@
     KeyRange keys;
     std::int64_t seenRevision;
     PlatformStore::WatchCallback callback;
-    std::set<QByteArray> reportedKeys; ///< keys that exist as far as was reported
+    ReportedKeys reportedKeys;
     JitteredBackoff backoff;
     std::size_t endpoint = 0;
     QByteArray buffer;
--- a/modules/lacewingmux_keyvalue/client/StoreAccess.cpp
+++ b/modules/lacewingmux_keyvalue/client/StoreAccess.cpp
@@ -32,10 +32,12 @@
     return taken;
 }
 
-QNetworkRequest StoreAccess::request(const char *path) const
+QNetworkRequest StoreAccess::request(const char *path, const QUrlQuery &query) const
 {
     QUrl url = this->currentSettings.endpoints[this->currentEndpoint];
     url.setPath(QString::fromLatin1(path));
+    if (!query.isEmpty())
+        url.setQuery(query);
     QNetworkRequest request(url);
     request.setHeader(QNetworkRequest::ContentTypeHeader, QStringLiteral("application/json"));
     request.setHeader(QNetworkRequest::UserAgentHeader, this->currentSettings.clientName);
--- a/modules/lacewingmux_keyvalue/client/StoreAccess.h
+++ b/modules/lacewingmux_keyvalue/client/StoreAccess.h
@@ -6,6 +6,7 @@
 #include "lacewingmux_keyvalue/client/PlatformStoreSettings.h"
 
 #include <QNetworkRequest>
+#include <QUrlQuery>
 
 #include <cstddef>
 #include <random>
@@ -24,8 +25,8 @@
     /** Takes one call out of the budget and counts it; returns false when the budget is spent. */
     [[nodiscard]] bool takeCall(CallPriority priority, const char *path);
 
-    /** Returns the request for the path at the present endpoint. */
-    [[nodiscard]] QNetworkRequest request(const char *path) const;
+    /** Returns the request for the path, with a query if any, at the present endpoint. */
+    [[nodiscard]] QNetworkRequest request(const char *path, const QUrlQuery &query = {}) const;
 
     /** Returns the number of the present endpoint. */
     [[nodiscard]] std::size_t endpoint() const noexcept
--- a/modules/lacewingmux_records/client/RecordsClient.cpp
+++ b/modules/lacewingmux_records/client/RecordsClient.cpp
@@ -132,13 +132,7 @@
 
 void RecordsClient::settle(const TurnOpening &turn, std::int64_t tokens)
 {
-    const Record record = this->recordOf(turn, RecordKind::Settlement, tokens);
-    const QByteArray payload = RecordsCodec::encodeRecords({record});
-    for (const RecordsMember &member : this->view.members) {
-        if (member.state != MemberState::Leaving)
-            this->hub.send(member.vm.incarnation,
-                           {FrameKind::WriteRecords, this->view.number, 0, payload});
-    }
+    this->sendRecord(this->recordOf(turn, RecordKind::Settlement, tokens), 0);
 }
 
 bool RecordsClient::hasQuorum() const
@@ -151,8 +145,7 @@
         knowing += member.state != MemberState::Joining ? 1 : 0;
         storing += this->view.countsAsCopy(member) ? 1 : 0;
     }
-    return this->view.number > 0 && knowing >= this->view.reservationQuorum()
-           && storing >= this->view.durableCopies();
+    return this->view.number > 0 && this->view.isReserved(knowing, storing);
 }
 
 void RecordsClient::sendOpening(std::uint64_t number, Opening &opening)
@@ -257,14 +250,20 @@
 
 void RecordsClient::sendWriting(std::uint64_t number, Writing &writing)
 {
-    writing.pending.clear();
-    const QByteArray payload = RecordsCodec::encodeRecords({writing.record});
+    writing.pending = this->sendRecord(writing.record, number);
+}
+
+std::set<VmIncarnation> RecordsClient::sendRecord(const Record &record, std::uint64_t number)
+{
+    const QByteArray payload = RecordsCodec::encodeRecords({record});
+    std::set<VmIncarnation> reached;
     for (const RecordsMember &member : this->view.members) {
         if (member.state != MemberState::Leaving
             && this->hub.send(member.vm.incarnation,
                               {FrameKind::WriteRecords, this->view.number, number, payload}))
-            writing.pending.insert(member.vm.incarnation);
+            reached.insert(member.vm.incarnation);
     }
+    return reached;
 }
 
 void RecordsClient::handleAck(const VmIncarnation &peer, const PeerFrame &frame)
--- a/modules/lacewingmux_records/client/RecordsClient.h
+++ b/modules/lacewingmux_records/client/RecordsClient.h
@@ -70,6 +70,8 @@
     void advance(std::uint64_t number);
     void finishOpening(std::uint64_t number, TurnOutcome outcome);
     void sendWriting(std::uint64_t number, Writing &writing);
+    /** Sends the record to all members that are to store it; returns those that a link led to. */
+    std::set<VmIncarnation> sendRecord(const Record &record, std::uint64_t number);
     void finishWriting(std::uint64_t number, bool durable);
     [[nodiscard]] OpenTurnMessage openMessage(const Opening &opening) const;
     [[nodiscard]] const RecordsMember *preferredSource() const;
--- a/modules/lacewingmux_records/client/TurnQuorum.cpp
+++ b/modules/lacewingmux_records/client/TurnQuorum.cpp
@@ -88,14 +88,14 @@
         return TurnOutcome::Ready;
     const auto known = static_cast<std::ptrdiff_t>(this->synced.size());
     const auto copies = static_cast<std::ptrdiff_t>(this->storing.size());
-    if (known >= this->view.reservationQuorum() && copies >= this->view.durableCopies()) {
+    if (this->view.isReserved(known, copies)) {
         const std::int64_t total = this->tokensOfOthers() + this->opening.maximumTokens;
         return total <= *this->opening.budget ? TurnOutcome::Ready : TurnOutcome::BudgetSpent;
     }
     const auto open = static_cast<std::ptrdiff_t>(this->view.members.size())
                       - static_cast<std::ptrdiff_t>(this->answered.size())
                       - static_cast<std::ptrdiff_t>(this->failed.size());
-    if (known + open < this->view.reservationQuorum() || copies + open < this->view.durableCopies())
+    if (!this->view.isReserved(known + open, copies + open))
         return TurnOutcome::Unavailable;
     return std::nullopt;
 }
--- a/modules/lacewingmux_records/log/DurableLog.h
+++ b/modules/lacewingmux_records/log/DurableLog.h
@@ -32,9 +32,6 @@
     /** Returns a record; nothing when it has been dropped. */
     [[nodiscard]] virtual std::optional<Record> read(std::uint64_t sequence) = 0;
 
-    /** Returns the number of the record that was appended last; 0 when there is none. */
-    [[nodiscard]] virtual std::uint64_t lastSequence() const = 0;
-
     /** Drops what nobody may ask for any more, as far as that frees disk space. */
     virtual void dropExpired(std::chrono::system_clock::time_point now) = 0;
 };
--- a/modules/lacewingmux_records/log/SegmentedLog.cpp
+++ b/modules/lacewingmux_records/log/SegmentedLog.cpp
@@ -146,11 +146,6 @@
     return RecordsCodec::decodeRecord(payload);
 }
 
-std::uint64_t SegmentedLog::lastSequence() const
-{
-    return this->nextSequence - 1;
-}
-
 void SegmentedLog::dropExpired(std::chrono::system_clock::time_point now)
 {
     while (this->segments.size() > 1) {
@@ -235,15 +230,19 @@
 
 void SegmentedLog::addToIndex(Segment &segment, const Record &record, qint64 payloadBytes)
 {
-    if (!segment.worthIndexing)
+    if (!segment.indexing)
         return;
     segment.index.add(record, payloadBytes);
-    segment.worthIndexing = segment.bytes < bytesThatTell
-                            || segment.index.size() * leastIndexSaving <= segment.bytes;
-    if (!segment.worthIndexing)
+    segment.indexing = segment.bytes < bytesThatTell || isWorthIndexing(segment);
+    if (!segment.indexing)
         segment.index = {};
 }
 
+bool SegmentedLog::isWorthIndexing(const Segment &segment)
+{
+    return segment.index.size() > 0 && segment.index.size() * leastIndexSaving <= segment.bytes;
+}
+
 void SegmentedLog::writeIndexes()
 {
     while (!this->withoutIndex.empty()) {
@@ -254,12 +253,12 @@
         if (found == this->segments.end())
             continue;
         Segment &segment = found->second;
+        const bool worthIndexing = isWorthIndexing(segment);
         const SegmentIndex index = std::exchange(segment.index, {});
-        if (!segment.worthIndexing || index.size() * leastIndexSaving > segment.bytes)
-            continue;
-        this->diskQueue.post([index, path = this->pathOf(segment.number, indexSuffix)] {
-            writeIndex(path, index.toBytes());
-        });
+        if (worthIndexing)
+            this->diskQueue.post([index, path = this->pathOf(segment.number, indexSuffix)] {
+                writeIndex(path, index.toBytes());
+            });
     }
 }
 
--- a/modules/lacewingmux_records/log/SegmentedLog.h
+++ b/modules/lacewingmux_records/log/SegmentedLog.h
@@ -38,7 +38,6 @@
     std::uint64_t append(const Record &record) override;
     void whenDurable(std::uint64_t sequence, std::function<void()> callback) override;
     [[nodiscard]] std::optional<Record> read(std::uint64_t sequence) override;
-    [[nodiscard]] std::uint64_t lastSequence() const override;
     void dropExpired(std::chrono::system_clock::time_point now) override;
 
 private:
@@ -50,8 +49,8 @@
         qint64 bytes = 0; ///< with what is still to be written
         std::chrono::system_clock::time_point lastExpiry;
         std::uint64_t lastSequence = 0;
-        SegmentIndex index;        ///< until it is on disk
-        bool worthIndexing = true; ///< as far as its records tell
+        SegmentIndex index;   ///< until it is on disk
+        bool indexing = true; ///< until its records turn out to be too small for an index
     };
 
     /** Where the payload of a record lies. */
@@ -74,6 +73,7 @@
     [[nodiscard]] bool replayIndex(Segment &segment, const ReplayFunction &report);
     void replayEntries(Segment &segment, const ReplayFunction &report);
     static void addToIndex(Segment &segment, const Record &record, qint64 payloadBytes);
+    [[nodiscard]] static bool isWorthIndexing(const Segment &segment);
     void writeIndexes();
     void openSegment(std::uint64_t number);
     void startBatch();
--- a/modules/lacewingmux_records/members/RecordsView.cpp
+++ b/modules/lacewingmux_records/members/RecordsView.cpp
@@ -133,6 +133,11 @@
     return static_cast<int>(knowing) / 2 + 1;
 }
 
+bool RecordsView::isReserved(std::ptrdiff_t knowing, std::ptrdiff_t copies) const
+{
+    return knowing >= this->reservationQuorum() && copies >= this->durableCopies();
+}
+
 int RecordsView::absenceQuorum() const
 {
     const auto holders = std::count_if(this->members.begin(), this->members.end(),
--- a/modules/lacewingmux_records/members/RecordsView.h
+++ b/modules/lacewingmux_records/members/RecordsView.h
@@ -4,6 +4,7 @@
 
 #include <QByteArray>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -59,6 +60,9 @@
         has to be on durableCopies() disks besides. */
     [[nodiscard]] int reservationQuorum() const;
 
+    /** Tells whether a reservation counts that so many members know and so many disks keep. */
+    [[nodiscard]] bool isReserved(std::ptrdiff_t knowing, std::ptrdiff_t copies) const;
+
     /** Returns how many members must lack a record before it is certain that there is none. */
     [[nodiscard]] int absenceQuorum() const;
 
--- a/tests/records/model/ModelLog.h
+++ b/tests/records/model/ModelLog.h
@@ -22,7 +22,6 @@
     std::uint64_t append(const Record &record) override;
     void whenDurable(std::uint64_t sequence, std::function<void()> callback) override;
     [[nodiscard]] std::optional<Record> read(std::uint64_t sequence) override;
-    [[nodiscard]] std::uint64_t lastSequence() const override;
     void dropExpired(std::chrono::system_clock::time_point now) override;
 
     /** Writes the first records that wait, as a torn write does before the power goes. */
@@ -30,6 +29,7 @@
 
 private:
     void startSync();
+    [[nodiscard]] std::uint64_t lastSequence() const;
 
     ModelDisk &disk;
     TimerService &timers;
