Stop sending calls to a replica that announces that it is leaving

Cause: a replica that leaves says so in its answers (Server-Leaving), possibly without telling the platform's store. No code read the field, so an entry VM could send calls to such a replica until it was gone.

--- a/modules/lacewingmux_gateway/calls/ReplicaResponseInfo.h
+++ b/modules/lacewingmux_gateway/calls/ReplicaResponseInfo.h
@@ -21,6 +21,7 @@
     QByteArray requestId;     ///< the request id as echoed by the replica
     bool notExecuted = false; ///< the replica promises that it did not run the request
     bool wrongInstance = false;
+    bool isLeaving = false;        ///< the replica announces that it is leaving
     bool hasServerStamp = false;   ///< has the replica's stamp, which a success must carry
     bool hasContentCoding = false; ///< has a content coding, which was not requested
     std::optional<ReplicaLoadReport> load;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -266,6 +266,7 @@
     }
     this->phase = Phase::Sent;
     this->replica = instance;
+    this->replicaStartMilliseconds = this->context.fleet.instance(instance)->startMilliseconds;
     this->sentAt = this->now();
     this->lastReplicaActivity = this->sentAt;
     if (!this->timeToFirstSend)
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -145,6 +145,7 @@
 
     std::shared_ptr<ReplicaConnection> connection;
     QByteArray replica;                        ///< instance that the request was sent to
+    std::int64_t replicaStartMilliseconds = 0; ///< start time of that instance, Unix time
     std::vector<QByteArray> excludedInstances; ///< not to be tried again
     int possibleRuns = 0;                      ///< sends that may have run the request
     int rejections = 0;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -68,6 +68,9 @@
 bool ForwardedCall::matchesRequest(const HttpResponseHead &responseHead)
 {
     this->responseInfo = this->context.dialect.parseResponse(responseHead);
+    // Also a response to another request comes from the replica at the end of this connection.
+    if (this->responseInfo.isLeaving)
+        this->context.fleet.recordLeaving(this->replica, this->replicaStartMilliseconds);
     if (this->responseInfo.requestId.isEmpty())
         return !isSuccess(responseHead); // refusals before the request was read carry no id
     return this->responseInfo.requestId == this->description.requestId;
@@ -295,7 +298,8 @@
                     ? std::chrono::seconds(*this->responseInfo.keepAliveSeconds) - keepAliveMargin
                     : defaultIdleTime;
     this->connection->setReusableUntil(this->now() + kept);
-    this->context.fleet.release(this->replica, std::move(this->connection));
+    this->context.fleet.release(this->replica, this->replicaStartMilliseconds,
+                                std::move(this->connection));
     this->connection.reset();
 }
 
--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -32,7 +32,7 @@
     , quota(teamQuota)
     , turnStore(turnStoreClient)
     , metrics(metricsRecorder)
-    , fleet(gatewaySettings.zone, timerService, std::move(crashHook))
+    , fleet(gatewaySettings.zone, gatewaySettings.placement, timerService, std::move(crashHook))
 {
     this->ingress = std::make_unique<IngressServer>(
             this->settings.address, this->settings.port, this->settings.connectionLimit,
--- a/modules/lacewingmux_gateway/forwarding/GatewaySettings.h
+++ b/modules/lacewingmux_gateway/forwarding/GatewaySettings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "lacewingmux_gateway/replicas/PlacementSettings.h"
+
 #include <QByteArray>
 #include <QHostAddress>
 
@@ -15,6 +17,7 @@
     QHostAddress address;
     std::uint16_t port = 0; ///< 0 selects a free port
     QByteArray zone;
+    PlacementSettings placement;
     std::size_t connectionLimit = 2000; ///< half of the descriptors; the others are for replicas
 
     /** How long a stopping VM still accepts connections and keeps them open: the load balancer
--- a/modules/lacewingmux_gateway/replicas/Placement.cpp
+++ b/modules/lacewingmux_gateway/replicas/Placement.cpp
@@ -64,11 +64,22 @@
     const auto candidates = this->byService.constFind(request.service);
     if (candidates == this->byService.cend())
         return std::nullopt;
+    const std::optional<QByteArray> best = this->cheapest(*candidates, request, false);
+    return best ? best : this->cheapest(*candidates, request, true);
+}
+
+std::optional<QByteArray> Placement::cheapest(const std::vector<QByteArray> &candidates,
+                                              const PlacementRequest &request, bool leaving) const
+{
     std::optional<QByteArray> best;
     double bestCost = std::numeric_limits<double>::infinity();
-    for (const QByteArray &id : *candidates) {
+    for (const QByteArray &id : candidates) {
         const Replica &replica = *this->replicas.constFind(id);
-        if (!this->isAllowed(replica, request))
+        const auto leavingSince =
+                this->leavingReplicas.leavingSince(id, replica.instance.startMilliseconds);
+        const bool drained =
+                leavingSince && request.now - *leavingSince >= this->settings.drainLimit;
+        if (leavingSince.has_value() != leaving || drained || !this->isAllowed(replica, request))
             continue;
         const double candidateCost = this->cost(replica, request);
         if (candidateCost < bestCost) {
@@ -167,6 +178,17 @@
     serving.erase(std::remove(serving.begin(), serving.end(), instance), serving.end());
 }
 
+bool Placement::recordLeaving(const QByteArray &instance, std::int64_t startMilliseconds,
+                              SteadyTime now)
+{
+    return this->leavingReplicas.record(instance, startMilliseconds, now);
+}
+
+bool Placement::isLeaving(const ReplicaInstance &instance) const
+{
+    return this->leavingReplicas.leavingSince(instance.id, instance.startMilliseconds).has_value();
+}
+
 void Placement::recordPrompt(const QByteArray &instance, const std::vector<PromptPart> &parts)
 {
     if (this->replicas.contains(instance))
--- a/modules/lacewingmux_gateway/replicas/Placement.h
+++ b/modules/lacewingmux_gateway/replicas/Placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lacewingmux_gateway/calls/ReplicaResponseInfo.h"
+#include "lacewingmux_gateway/replicas/LeavingReplicas.h"
 #include "lacewingmux_gateway/replicas/PlacementRequest.h"
 #include "lacewingmux_gateway/replicas/PlacementSettings.h"
 #include "lacewingmux_gateway/replicas/PromptCacheIndex.h"
@@ -35,7 +36,8 @@
     /** Sets the registered replicas. New ones start without recorded state. */
     void setReplicas(const std::vector<ReplicaInstance> &instances);
 
-    /** Returns the instance for the call, or nothing when no replica is eligible. */
+    /** Returns the instance for the call, or nothing when no replica is eligible. A replica that is
+        leaving is eligible only within the drain limit, and only if no other replica is. */
     [[nodiscard]] std::optional<QByteArray> choose(const PlacementRequest &request) const;
 
     /** Records that a call was sent. An unreachable replica is retried by one call at a time. */
@@ -65,6 +67,14 @@
     /** Records that another instance responded at the replica's address: it gets no more calls. */
     void markReplaced(const QByteArray &instance);
 
+    /** Records that the replica, in the incarnation with this start time (Unix time in
+        milliseconds), announced that it is leaving; returns whether this is its first
+        announcement. */
+    bool recordLeaving(const QByteArray &instance, std::int64_t startMilliseconds, SteadyTime now);
+
+    /** Returns whether the registered instance has announced that it is leaving. */
+    [[nodiscard]] bool isLeaving(const ReplicaInstance &instance) const;
+
     /** Records that the replica has processed the prompt. */
     void recordPrompt(const QByteArray &instance, const std::vector<PromptPart> &parts);
 
@@ -87,6 +97,11 @@
 
     [[nodiscard]] Replica *find(const QByteArray &instance);
     [[nodiscard]] bool isAllowed(const Replica &replica, const PlacementRequest &request) const;
+    /** Returns the eligible instance with the lowest cost, among those that are leaving or among
+        the others. */
+    [[nodiscard]] std::optional<QByteArray> cheapest(const std::vector<QByteArray> &candidates,
+                                                     const PlacementRequest &request,
+                                                     bool leaving) const;
     [[nodiscard]] double cost(const Replica &replica, const PlacementRequest &request) const;
     [[nodiscard]] double engineCost(const Replica &replica, const PlacementRequest &request) const;
     [[nodiscard]] double callCost(const Replica &replica, const PlacementRequest &request) const;
@@ -100,6 +115,7 @@
     QHash<QByteArray, Replica> replicas;
     QHash<QByteArray, std::vector<QByteArray>> byService; ///< instances that accept new calls
     PromptCacheIndex promptCaches;
+    LeavingReplicas leavingReplicas;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/replicas/PlacementSettings.h
+++ b/modules/lacewingmux_gateway/replicas/PlacementSettings.h
@@ -33,6 +33,9 @@
     std::chrono::milliseconds slowdownDecayTime{4000};
     /** Initial delay before an unreachable replica is retried. */
     std::chrono::milliseconds unreachableBackoff{1000};
+    /** How long a replica that announced that it is leaving still gets calls if no other replica
+        can take them. */
+    std::chrono::milliseconds drainLimit{2000};
     /** How much slower a replica is while it warms up. */
     double warmUpFactor = 1.6;
     /** Maximum number of prompt parts that are tracked, with the replicas that cached them. */
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -1,5 +1,6 @@
 #include "lacewingmux_gateway/replicas/ReplicaFleet.h"
 
+#include "lacewingmux_core/logging/StructuredLog.h"
 #include "lacewingmux_gateway/replicas/ReachabilityProbe.h"
 #include "lacewingmux_gateway/replicas/ReplicaConnection.h"
 
@@ -16,10 +17,10 @@
 
 } // namespace
 
-ReplicaFleet::ReplicaFleet(const QByteArray &zone, TimerService &timerService,
-                           CrashCorrelator::CrashHook crashHook)
+ReplicaFleet::ReplicaFleet(const QByteArray &zone, const PlacementSettings &placementSettings,
+                           TimerService &timerService, CrashCorrelator::CrashHook crashHook)
     : timers(timerService)
-    , replicaPlacement(zone, {})
+    , replicaPlacement(zone, placementSettings)
     , correlator(std::move(crashHook))
 {
     this->cleanupTimer =
@@ -60,6 +61,18 @@
         this->unreachable.insert(id);
 }
 
+void ReplicaFleet::recordLeaving(const QByteArray &id, std::int64_t startMilliseconds)
+{
+    if (!this->replicaPlacement.recordLeaving(id, startMilliseconds, this->timers.now()))
+        return;
+    LogEvent(LogSeverity::Info, "replicaLeaving")
+            .field("replica", QString::fromUtf8(id))
+            .field("started", static_cast<qint64>(startMilliseconds));
+    const ReplicaInstance *replica = this->instance(id);
+    if (replica != nullptr && replica->startMilliseconds == startMilliseconds)
+        this->idle.remove(id);
+}
+
 void ReplicaFleet::probeUnreachable()
 {
     const std::vector<QByteArray> all(this->unreachable.begin(), this->unreachable.end());
@@ -117,10 +130,12 @@
     this->timers.post([ended = std::shared_ptr(std::move(entry.mapped().attempt))] {});
 }
 
-void ReplicaFleet::release(const QByteArray &id, std::shared_ptr<ReplicaConnection> connection)
+void ReplicaFleet::release(const QByteArray &id, std::int64_t startMilliseconds,
+                           std::shared_ptr<ReplicaConnection> connection)
 {
     const ReplicaInstance *replica = this->instance(id);
-    if (replica == nullptr || replica->draining || !connection->isReusable())
+    if (replica == nullptr || replica->startMilliseconds != startMilliseconds || replica->draining
+        || this->replicaPlacement.isLeaving(*replica) || !connection->isReusable())
         return;
     this->idle[id].push_back(std::move(connection));
 }
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
@@ -24,8 +24,8 @@
 {
 public:
     /** The hook receives each crash, while running a request, that this VM detects. */
-    ReplicaFleet(const QByteArray &zone, TimerService &timerService,
-                 CrashCorrelator::CrashHook crashHook);
+    ReplicaFleet(const QByteArray &zone, const PlacementSettings &placementSettings,
+                 TimerService &timerService, CrashCorrelator::CrashHook crashHook);
     ~ReplicaFleet();
     ReplicaFleet(const ReplicaFleet &) = delete;
     ReplicaFleet &operator=(const ReplicaFleet &) = delete;
@@ -37,6 +37,12 @@
         reachable, and gets calls only when no other replica can take them. */
     void recordUnreachable(const QByteArray &id);
 
+    /** Records that the replica announced that it is leaving. The start time (Unix time in
+        milliseconds) is that of the incarnation to which the request was sent. Its idle connections
+        are closed, and it gets calls only when no other replica can take them, until the drain
+        limit. */
+    void recordLeaving(const QByteArray &id, std::int64_t startMilliseconds);
+
     /** Returns the detector of requests that crash replicas. */
     [[nodiscard]] CrashCorrelator &crashCorrelator() noexcept
     {
@@ -58,8 +64,10 @@
         replica share one connection attempt. */
     void probe(const QByteArray &id, std::function<void(bool reachable)> callback);
 
-    /** Returns a connection after its exchange; it is pooled if it is reusable. */
-    void release(const QByteArray &id, std::shared_ptr<ReplicaConnection> connection);
+    /** Returns a connection to the incarnation with this start time after its exchange. It is
+       pooled if it is reusable and that incarnation still accepts calls. */
+    void release(const QByteArray &id, std::int64_t startMilliseconds,
+                 std::shared_ptr<ReplicaConnection> connection);
 
 private:
     using ConnectionList = std::vector<std::shared_ptr<ReplicaConnection>>;
--- a/modules/lacewingmux_node/front/FrontTrafficServices.cpp
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.cpp
@@ -28,6 +28,7 @@
     gateway.address = settings.address;
     gateway.port = settings.ingressPort;
     gateway.zone = settings.zone;
+    gateway.placement.drainLimit = settings.drainLimit;
     // Callers and replicas get equally many descriptors; the rest is for files and peers.
     gateway.connectionLimit = static_cast<std::size_t>(settings.descriptorLimit * 4 / 10);
     gateway.stopLimit = settings.stopLimit * 7 / 8;
--- a/modules/lacewingmux_node/settings/NodeSettings.h
+++ b/modules/lacewingmux_node/settings/NodeSettings.h
@@ -26,6 +26,8 @@
     int memoryMegabytes = 128;
     QByteArray sharedSecret; ///< authenticates the nodes of a deployment to each other
     std::chrono::milliseconds stopLimit{8000}; ///< time from SIGTERM to SIGKILL
+    /** How long after the start of its drain a replica may still get calls. */
+    std::chrono::milliseconds drainLimit{2000};
 };
 
 } // namespace lacewingmux
--- a/tests/gateway/ReplicaFleetTest.cpp
+++ b/tests/gateway/ReplicaFleetTest.cpp
@@ -10,7 +10,7 @@
 {
     EventLoop loop;
     int crashes = 0;
-    ReplicaFleet fleet("a", loop.timers, [&crashes](const CrashCoincidence &) { ++crashes; });
+    ReplicaFleet fleet("a", {}, loop.timers, [&crashes](const CrashCoincidence &) { ++crashes; });
     ReplicaInstance instance;
     instance.id = "i-0";
     instance.service = "service";
--- a/tests/gateway/support/GatewayFixture.cpp
+++ b/tests/gateway/support/GatewayFixture.cpp
@@ -84,12 +84,12 @@
     GatewaySettings settings;
     settings.address = QHostAddress(QHostAddress::LocalHost);
     settings.zone = "a";
+    settings.placement.drainLimit = drainLimit;
     settings.stopListeningAfter = milliseconds(100);
     settings.stopAcceptingAfter = milliseconds(600);
     this->gateway = std::make_unique<Gateway>(settings, this->loop.timers, platformDialect(),
                                               this->quota, this->turnStore, this->metrics,
                                               [](const CrashCoincidence &) {});
-    std::vector<ReplicaInstance> instances;
     for (int number = 0; number < replicaCount; ++number) {
         this->replicas.push_back(std::make_unique<ScriptedReplica>(handler));
         ReplicaInstance instance;
@@ -99,9 +99,9 @@
         instance.address = QHostAddress(QHostAddress::LocalHost);
         instance.port = this->replicas.back()->port();
         instance.slots = 4;
-        instances.push_back(instance);
+        this->instances.push_back(instance);
     }
-    this->gateway->setReplicas(instances);
+    this->gateway->setReplicas(this->instances);
     this->gateway->setRoutingTable(makeTable());
 }
 
@@ -114,12 +114,13 @@
            + "Content-Length: " + QByteArray::number(body.size()) + "\r\n\r\n" + body;
 }
 
-QByteArray GatewayFixture::answer(const HttpRequest &request, const QByteArray &body)
+QByteArray GatewayFixture::answer(const HttpRequest &request, const QByteArray &body,
+                                  const QByteArray &fields)
 {
     return "HTTP/1.1 200 OK\r\nLacewingmux-Request-Id: "
            + fieldValue(request.fields, "Lacewingmux-Request-Id")
-           + "\r\nLacewingmux-Server-Stamp: stamp\r\nKeep-Alive: timeout=5\r\nContent-Length: "
-           + QByteArray::number(body.size()) + "\r\n\r\n" + body;
+           + "\r\nLacewingmux-Server-Stamp: stamp\r\nKeep-Alive: timeout=5\r\n" + fields
+           + "Content-Length: " + QByteArray::number(body.size()) + "\r\n\r\n" + body;
 }
 
 QByteArray GatewayFixture::streamHead(const HttpRequest &request)
--- a/tests/gateway/support/GatewayFixture.h
+++ b/tests/gateway/support/GatewayFixture.h
@@ -56,8 +56,9 @@
                                             const QByteArray &id, const QByteArray &fields = {},
                                             const QByteArray &body = {});
 
-    /** Returns a complete and valid response to the request. */
-    [[nodiscard]] static QByteArray answer(const HttpRequest &request, const QByteArray &body);
+    /** Returns a complete and valid response to the request, with additional header fields. */
+    [[nodiscard]] static QByteArray answer(const HttpRequest &request, const QByteArray &body,
+                                           const QByteArray &fields = {});
 
     /** Returns the head of a streamed response to the request. */
     [[nodiscard]] static QByteArray streamHead(const HttpRequest &request);
@@ -68,11 +69,15 @@
     /** Returns the number of requests that all replicas have received. */
     [[nodiscard]] int requestCount() const;
 
+    /** How long a replica that is leaving gets calls that no other replica can take. */
+    static constexpr std::chrono::milliseconds drainLimit{300};
+
     EventLoop loop;
     IgnoringMetricsRecorder metrics;
     ToggledQuota quota;
     ScriptedTurnStore turnStore;
     std::vector<std::unique_ptr<ScriptedReplica>> replicas;
+    std::vector<ReplicaInstance> instances; ///< as registered at the start
     std::unique_ptr<Gateway> gateway;
 };
 
