Hold a team's rate in few parts instead of one part per records VM

Cause: each team's rate and burst were divided evenly over all records VMs. With 24 of them a part of a small team's burst is below one token plus the reserve that a new program must leave, so new programs of small teams were never admitted, and entry VMs estimated the time to the next token from the number of all entry VMs.

Change: QuotaPlacement ranks the members for each team, zones first, and divides only large bursts, into three parts at most unless the rate is large; QuotaGrants holds the buckets; the next in rank takes over the part of a member that lost its lease. Tokens accrue only while a part is held, and are discarded when another member may have granted them meanwhile, which the others report in their answers. Limits of an older configuration are ignored. A full bucket always admits one request, however small its burst.

--- a/modules/lacewingmux_records/client/FleetQuota.cpp
+++ b/modules/lacewingmux_records/client/FleetQuota.cpp
@@ -1,5 +1,6 @@
 #include "lacewingmux_records/client/FleetQuota.h"
 
+#include "lacewingmux_core/hashing/StableHash.h"
 #include "lacewingmux_core/logging/StructuredLog.h"
 #include "lacewingmux_records/messages/RecordsCodec.h"
 
@@ -20,6 +21,10 @@
 constexpr milliseconds unreachableTimeout{1000}; // time for a connection to a records VM to recover
 constexpr milliseconds unreachableRetryDelay{1500}; // until the load balancer redirects callers
 constexpr milliseconds minimumRetryDelay{50};       // an earlier retry would only be refused again
+// Delay of the next round if no member has a lease for the team's rate at the moment.
+constexpr milliseconds noHolderRetryDelay{100};
+// Members that are asked beyond those that should hold the parts: two may have lost their leases.
+constexpr std::size_t successorsAsked = 2;
 
 } // namespace
 
@@ -69,8 +74,10 @@
 
 void FleetQuota::setView(const RecordsView &newView)
 {
-    if (newView.number > this->view.number)
-        this->view = newView;
+    if (newView.number <= this->view.number)
+        return;
+    this->view = newView;
+    this->placement = QuotaPlacement(newView);
 }
 
 void FleetQuota::setConfiguration(const ConfigurationDocumentMessage &newest)
@@ -84,10 +91,11 @@
         return;
     const int wanted =
             queue.tokenCache.wanted(static_cast<int>(queue.waiting.size()), this->timers.now());
-    const std::vector<VmIncarnation> candidates = this->sources();
+    const std::vector<VmIncarnation> candidates = this->sources(queue.request.team);
     if (wanted <= 0 || candidates.empty())
         return;
-    queue.sourcesAsked = queue.sourcesAsked < candidates.size() ? queue.sourcesAsked : 0;
+    if (queue.sourcesAsked >= candidates.size())
+        beginRound(queue);
     const std::uint64_t correlation = this->nextCorrelation++;
     GrantTokensMessage message;
     message.configurationVersion = this->configuration.version();
@@ -110,7 +118,6 @@
     if (!message)
         return;
     this->configuration.requestIfNewer(peer, message->configurationVersion);
-    this->entryVms = std::max(1, message->entryVms);
     if (entry.empty() || message->grants.empty())
         return; // too late: the tokens have expired
     const PendingRequest &request = entry.mapped();
@@ -122,18 +129,32 @@
     if (request.timedOut)
         return;
     queue.isRequesting = false;
-    queue.shortestRetryAfter = queue.sourcesAsked == 0
-                                       ? grant.retryAfter
-                                       : std::min(queue.shortestRetryAfter, grant.retryAfter);
     ++queue.sourcesAsked;
+    if (grant.isHolder) {
+        ++queue.holdersAsked;
+        queue.contenders = std::max(1, grant.contenders);
+        queue.shortestRetryAfter =
+                std::min(queue.shortestRetryAfter.value_or(grant.retryAfter), grant.retryAfter);
+    }
+    const GatewayTeam &team = queue.request.team;
+    const bool allAsked =
+            queue.holdersAsked >= QuotaPlacement::parts(team.requestsPerSecond, team.burst)
+            || queue.sourcesAsked >= this->sources(team).size();
     if (queue.waiting.empty())
-        queue.sourcesAsked = 0;
-    else if (queue.sourcesAsked < this->sources().size())
+        beginRound(queue);
+    else if (!allAsked)
         this->requestTokens(queue);
     else
         this->endRound(request.key, queue);
 }
 
+void FleetQuota::beginRound(Queue &queue)
+{
+    queue.sourcesAsked = 0;
+    queue.holdersAsked = 0;
+    queue.shortestRetryAfter.reset();
+}
+
 void FleetQuota::serveWaiting(Queue &queue)
 {
     const TimerService::SteadyTime now = this->timers.now();
@@ -146,8 +167,9 @@
 
 void FleetQuota::endRound(const QueueKey &key, Queue &queue)
 {
-    queue.sourcesAsked = 0;
-    const milliseconds wait = std::max(milliseconds(1), queue.shortestRetryAfter);
+    const milliseconds wait =
+            std::max(milliseconds(1), queue.shortestRetryAfter.value_or(noHolderRetryDelay));
+    beginRound(queue);
     queue.nextTokenAt = this->timers.now() + wait;
     queue.retryTimer =
             this->timers.after(wait, [this, key] { this->requestTokens(this->queues[key]); });
@@ -178,10 +200,10 @@
     return queue.request.reserve > 0 ? maximumStartWait : maximumCallWait;
 }
 
-milliseconds FleetQuota::timePerToken(const Queue &queue) const
+milliseconds FleetQuota::timePerToken(const Queue &queue)
 {
     constexpr double millisecondsPerSecond = 1000.0;
-    const double rate = std::max(1.0, queue.request.team.requestsPerSecond) / this->entryVms;
+    const double rate = std::max(1.0, queue.request.team.requestsPerSecond) / queue.contenders;
     return std::max(milliseconds(1),
                     milliseconds(static_cast<std::int64_t>(millisecondsPerSecond / rate)));
 }
@@ -197,7 +219,8 @@
             LogEvent(LogSeverity::Warning, "quotaUnknown")
                     .field("team", QString::fromUtf8(key.first))
                     .field("waiting", static_cast<qint64>(queue.waiting.size()))
-                    .field("recordsVms", static_cast<qint64>(this->sources().size()));
+                    .field("recordsVms",
+                           static_cast<qint64>(this->sources(queue.request.team).size()));
             this->refuseBeyond(queue, 0, unreachableRetryDelay);
             continue;
         }
@@ -220,18 +243,30 @@
     }
 }
 
-std::vector<VmIncarnation> FleetQuota::sources() const
+std::vector<VmIncarnation> FleetQuota::sources(const GatewayTeam &team) const
 {
-    std::vector<VmIncarnation> sameZone;
-    std::vector<VmIncarnation> otherZones;
-    for (const RecordsMember &member : this->view.members) {
-        const VmIncarnation &incarnation = member.vm.incarnation;
-        if (member.state == MemberState::Leaving || !this->hub.isConnected(incarnation))
-            continue;
-        (incarnation.zone == this->hub.self().zone ? sameZone : otherZones).push_back(incarnation);
-    }
-    sameZone.insert(sameZone.end(), otherZones.begin(), otherZones.end());
-    return sameZone;
+    const auto parts =
+            static_cast<std::size_t>(QuotaPlacement::parts(team.requestsPerSecond, team.burst));
+    const std::vector<VmIncarnation> &ranking = this->placement.ranking(team.name);
+    const std::size_t holders = std::min(parts, ranking.size());
+    std::vector<VmIncarnation> candidates(ranking.begin(),
+                                          ranking.begin() + static_cast<std::ptrdiff_t>(holders));
+    // Entry VMs start with different holders, so that none gets most of the requests.
+    if (holders > 0)
+        std::rotate(candidates.begin(),
+                    candidates.begin()
+                            + static_cast<std::ptrdiff_t>(stableHash(this->hub.self().vm.toUtf8())
+                                                          % holders),
+                    candidates.end());
+    std::stable_partition(candidates.begin(), candidates.end(), [this](const auto &member) {
+        return member.zone == this->hub.self().zone;
+    });
+    candidates.insert(candidates.end(), ranking.begin() + static_cast<std::ptrdiff_t>(holders),
+                      ranking.end());
+    std::erase_if(candidates,
+                  [this](const auto &member) { return !this->hub.isConnected(member); });
+    candidates.resize(std::min(candidates.size(), parts + successorsAsked));
+    return candidates;
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_records/client/FleetQuota.h
+++ b/modules/lacewingmux_records/client/FleetQuota.h
@@ -6,6 +6,7 @@
 #include "lacewingmux_records/configuration/ConfigurationRelay.h"
 #include "lacewingmux_records/members/RecordsView.h"
 #include "lacewingmux_records/messages/RecordMessages.h"
+#include "lacewingmux_records/quota/QuotaPlacement.h"
 #include "lacewingmux_records/quota/QuotaTokenCache.h"
 
 #include <QByteArray>
@@ -14,14 +15,16 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <set>
+#include <optional>
+#include <vector>
 
 namespace lacewingmux {
 
 /**
-    Admits requests with tokens granted by the records VMs. The records VM in the same zone is asked
-    first, the others if it has no tokens left. A request waits a short time for the next token; a
-    request that would wait longer is refused at once.
+    Admits requests with tokens granted by the records VMs that hold parts of the team's rate. The
+   one in the same zone is asked first, the others if it has no tokens left, and those next in rank
+   if it does not hold its part any more. A request waits a short time for the next token; a request
+    that would wait longer is refused at once.
 */
 class FleetQuota final : public TeamQuota
 {
@@ -57,8 +60,10 @@
         std::deque<Waiting> waiting;
         bool isRequesting = false;
         std::size_t sourcesAsked = 0; ///< number of sources() already asked in this round
-        std::chrono::milliseconds shortestRetryAfter{0}; ///< of the sources asked in this round
-        TimerService::SteadyTime nextTokenAt;            ///< when to repeat an unsuccessful round
+        int holdersAsked = 0;         ///< how many of them hold a part of the team's rate
+        int contenders = 1;           ///< entry VMs that wait for this team's tokens
+        std::optional<std::chrono::milliseconds> shortestRetryAfter; ///< of this round's holders
+        TimerService::SteadyTime nextTokenAt; ///< when to repeat an unsuccessful round
         TimerSubscription retryTimer;
     };
 
@@ -78,17 +83,19 @@
     void refuseBeyond(Queue &queue, std::size_t maximumWaiting,
                       std::chrono::milliseconds retryAfter);
     [[nodiscard]] static std::chrono::milliseconds maximumWait(const Queue &queue);
-    [[nodiscard]] std::chrono::milliseconds timePerToken(const Queue &queue) const;
+    [[nodiscard]] static std::chrono::milliseconds timePerToken(const Queue &queue);
+    static void beginRound(Queue &queue);
     void checkQueues();
-    /** Returns the connected records VMs to ask for tokens, those of the same zone first. */
-    [[nodiscard]] std::vector<VmIncarnation> sources() const;
+    /** Returns the connected records VMs to ask for the team's tokens: those that should hold its
+        parts, the one of the same zone first, and some successors. */
+    [[nodiscard]] std::vector<VmIncarnation> sources(const GatewayTeam &team) const;
 
     PeerHub &hub;
     TimerService &timers;
     RecordsView view;
+    QuotaPlacement placement;
     ConfigurationRelay configuration;
     std::map<QueueKey, Queue> queues;
-    int entryVms = 1; ///< number sharing the teams' rates, as last reported
     std::uint64_t nextCorrelation = 1;
     std::map<std::uint64_t, PendingRequest> unanswered; ///< by correlation
     TimerSubscription timer;
--- a/modules/lacewingmux_records/messages/RecordMessages.h
+++ b/modules/lacewingmux_records/messages/RecordMessages.h
@@ -60,6 +60,7 @@
     std::vector<RecordName> names;
     std::uint64_t next = 0;
     bool atEnd = false;
+    bool foundSilent = false; ///< the replier recently considered the requester silent
 };
 
 /** The demand of one team: its limits in force, and the number of requests to admit. */
@@ -85,6 +86,8 @@
     QByteArray team;
     int granted = 0;
     std::chrono::milliseconds retryAfter{0}; ///< until the next token, if too few were granted
+    bool isHolder = true;                    ///< the replier holds a part of the team's rate
+    int contenders = 1; ///< number of entry VMs whose demand the replier could not meet recently
 };
 
 /** Reply to a GrantTokensMessage. */
@@ -92,7 +95,6 @@
 {
     std::vector<TeamGrantMessage> grants;
     std::uint64_t configurationVersion = 0;
-    int entryVms = 0; ///< number connected to the replier
 };
 
 /** A version of the operators' configuration, as stored in the platform's store. */
--- a/modules/lacewingmux_records/messages/RecordsCodec.cpp
+++ b/modules/lacewingmux_records/messages/RecordsCodec.cpp
@@ -212,7 +212,8 @@
     for (const RecordName &name : message.names)
         offsets.push_back(createRecordName(builder, name));
     return finishedPayload(builder, fb::CreatePullKeysReply(builder, builder.CreateVector(offsets),
-                                                            message.next, message.atEnd));
+                                                            message.next, message.atEnd,
+                                                            message.foundSilent));
 }
 
 std::optional<PullKeysReplyMessage> RecordsCodec::decodePullReply(const QByteArray &bytes)
@@ -227,6 +228,7 @@
     }
     message.next = table->next();
     message.atEnd = table->at_end();
+    message.foundSilent = table->found_silent();
     return message;
 }
 
@@ -281,12 +283,12 @@
     FlatBufferBuilder builder;
     std::vector<Offset<fb::TeamGrant>> offsets;
     for (const TeamGrantMessage &grant : message.grants)
-        offsets.push_back(fb::CreateTeamGrant(builder, createBytes(builder, grant.team),
-                                              grant.granted,
-                                              static_cast<int>(grant.retryAfter.count())));
-    return finishedPayload(
-            builder, fb::CreateGrantTokensReply(builder, builder.CreateVector(offsets),
-                                                message.configurationVersion, message.entryVms));
+        offsets.push_back(fb::CreateTeamGrant(
+                builder, createBytes(builder, grant.team), grant.granted,
+                static_cast<int>(grant.retryAfter.count()), !grant.isHolder, grant.contenders));
+    return finishedPayload(builder,
+                           fb::CreateGrantTokensReply(builder, builder.CreateVector(offsets),
+                                                      message.configurationVersion));
 }
 
 std::optional<GrantTokensReplyMessage> RecordsCodec::decodeGrantReply(const QByteArray &bytes)
@@ -296,11 +298,11 @@
         return std::nullopt;
     GrantTokensReplyMessage message;
     message.configurationVersion = table->configuration_version();
-    message.entryVms = table->entry_vms();
     if (table->grants() != nullptr) {
         for (const fb::TeamGrant *grant : *table->grants())
             message.grants.push_back({bytesOf(grant->team()), grant->granted(),
-                                      milliseconds(grant->retry_after_ms())});
+                                      milliseconds(grant->retry_after_ms()), !grant->not_holder(),
+                                      grant->contenders()});
     }
     return message;
 }
--- a/modules/lacewingmux_records/messages/records_generated.h
+++ b/modules/lacewingmux_records/messages/records_generated.h
@@ -741,7 +741,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_KEYS = 4,
     VT_NEXT = 6,
-    VT_AT_END = 8
+    VT_AT_END = 8,
+    VT_FOUND_SILENT = 10
   };
   const flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::RecordKey>> *keys() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::RecordKey>> *>(VT_KEYS);
@@ -752,6 +753,9 @@
   bool at_end() const {
     return GetField<uint8_t>(VT_AT_END, 0) != 0;
   }
+  bool found_silent() const {
+    return GetField<uint8_t>(VT_FOUND_SILENT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_KEYS) &&
@@ -759,6 +763,7 @@
            verifier.VerifyVectorOfTables(keys()) &&
            VerifyField<uint64_t>(verifier, VT_NEXT, 8) &&
            VerifyField<uint8_t>(verifier, VT_AT_END, 1) &&
+           VerifyField<uint8_t>(verifier, VT_FOUND_SILENT, 1) &&
            verifier.EndTable();
   }
 };
@@ -776,6 +781,9 @@
   void add_at_end(bool at_end) {
     fbb_.AddElement<uint8_t>(PullKeysReply::VT_AT_END, static_cast<uint8_t>(at_end), 0);
   }
+  void add_found_silent(bool found_silent) {
+    fbb_.AddElement<uint8_t>(PullKeysReply::VT_FOUND_SILENT, static_cast<uint8_t>(found_silent), 0);
+  }
   explicit PullKeysReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -791,10 +799,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::RecordKey>>> keys = 0,
     uint64_t next = 0,
-    bool at_end = false) {
+    bool at_end = false,
+    bool found_silent = false) {
   PullKeysReplyBuilder builder_(_fbb);
   builder_.add_next(next);
   builder_.add_keys(keys);
+  builder_.add_found_silent(found_silent);
   builder_.add_at_end(at_end);
   return builder_.Finish();
 }
@@ -803,13 +813,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<lacewingmux::fb::RecordKey>> *keys = nullptr,
     uint64_t next = 0,
-    bool at_end = false) {
+    bool at_end = false,
+    bool found_silent = false) {
   auto keys__ = keys ? _fbb.CreateVector<flatbuffers::Offset<lacewingmux::fb::RecordKey>>(*keys) : 0;
   return lacewingmux::fb::CreatePullKeysReply(
       _fbb,
       keys__,
       next,
-      at_end);
+      at_end,
+      found_silent);
 }
 
 struct FetchRecords FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1035,7 +1047,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TEAM = 4,
     VT_GRANTED = 6,
-    VT_RETRY_AFTER_MS = 8
+    VT_RETRY_AFTER_MS = 8,
+    VT_NOT_HOLDER = 10,
+    VT_CONTENDERS = 12
   };
   const flatbuffers::Vector<uint8_t> *team() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_TEAM);
@@ -1046,12 +1060,20 @@
   int32_t retry_after_ms() const {
     return GetField<int32_t>(VT_RETRY_AFTER_MS, 0);
   }
+  bool not_holder() const {
+    return GetField<uint8_t>(VT_NOT_HOLDER, 0) != 0;
+  }
+  int32_t contenders() const {
+    return GetField<int32_t>(VT_CONTENDERS, 1);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_TEAM) &&
            verifier.VerifyVector(team()) &&
            VerifyField<int32_t>(verifier, VT_GRANTED, 4) &&
            VerifyField<int32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_NOT_HOLDER, 1) &&
+           VerifyField<int32_t>(verifier, VT_CONTENDERS, 4) &&
            verifier.EndTable();
   }
 };
@@ -1069,6 +1091,12 @@
   void add_retry_after_ms(int32_t retry_after_ms) {
     fbb_.AddElement<int32_t>(TeamGrant::VT_RETRY_AFTER_MS, retry_after_ms, 0);
   }
+  void add_not_holder(bool not_holder) {
+    fbb_.AddElement<uint8_t>(TeamGrant::VT_NOT_HOLDER, static_cast<uint8_t>(not_holder), 0);
+  }
+  void add_contenders(int32_t contenders) {
+    fbb_.AddElement<int32_t>(TeamGrant::VT_CONTENDERS, contenders, 1);
+  }
   explicit TeamGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1085,11 +1113,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> team = 0,
     int32_t granted = 0,
-    int32_t retry_after_ms = 0) {
+    int32_t retry_after_ms = 0,
+    bool not_holder = false,
+    int32_t contenders = 1) {
   TeamGrantBuilder builder_(_fbb);
+  builder_.add_contenders(contenders);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_granted(granted);
   builder_.add_team(team);
+  builder_.add_not_holder(not_holder);
   return builder_.Finish();
 }
 
@@ -1097,13 +1129,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<uint8_t> *team = nullptr,
     int32_t granted = 0,
-    int32_t retry_after_ms = 0) {
+    int32_t retry_after_ms = 0,
+    bool not_holder = false,
+    int32_t contenders = 1) {
   auto team__ = team ? _fbb.CreateVector<uint8_t>(*team) : 0;
   return lacewingmux::fb::CreateTeamGrant(
       _fbb,
       team__,
       granted,
-      retry_after_ms);
+      retry_after_ms,
+      not_holder,
+      contenders);
 }
 
 struct GrantTokensReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/modules/lacewingmux_records/quota/QuotaLease.cpp
+++ b/modules/lacewingmux_records/quota/QuotaLease.cpp
@@ -1,6 +1,7 @@
 #include "lacewingmux_records/quota/QuotaLease.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewingmux {
 
@@ -10,6 +11,12 @@
 
 constexpr milliseconds leaseTime{1000};        // four request intervals, to tolerate a lost request
 constexpr milliseconds silenceThreshold{1300}; // the lease time plus an allowance for clock drift
+// Age up to which a member's report about others counts: two intervals between its requests. An
+// older one may be outdated by the return of a silent member.
+constexpr milliseconds maximumReportAge{600};
+// How long a member that was silent is informed about it; several times the time until its lease is
+// valid again.
+constexpr milliseconds silenceMemory{5000};
 
 } // namespace
 
@@ -31,6 +38,7 @@
         retained.emplace(peer, known == this->peers.end() ? fresh : known->second);
     }
     this->peers = std::move(retained);
+    this->changedAt = now;
 }
 
 void QuotaLease::recordRequest(const VmIncarnation &peer,
@@ -43,8 +51,16 @@
     known->second.silentPeers = {silentDisks.begin(), silentDisks.end()};
 }
 
-void QuotaLease::recordAnswer(const VmIncarnation &peer, SteadyTime sentAt)
+void QuotaLease::recordAnswer(const VmIncarnation &peer, SteadyTime sentAt, bool foundSilent,
+                              SteadyTime now)
 {
+    // Several members report the same silence, and repeat it for a while.
+    const bool isKnownTakeover =
+            this->takeoverCount > 0 && now - this->lastTakeoverAt < 2 * silenceMemory;
+    if (foundSilent && !isKnownTakeover) {
+        ++this->takeoverCount;
+        this->lastTakeoverAt = now;
+    }
     const auto known = this->peers.find(peer);
     if (known == this->peers.end())
         return;
@@ -52,21 +68,31 @@
     known->second.everAnswered = true;
 }
 
-std::vector<std::uint64_t> QuotaLease::silentDisks(SteadyTime now) const
+std::vector<std::uint64_t> QuotaLease::reportSilentDisks(SteadyTime now)
 {
     std::vector<std::uint64_t> silent;
-    for (const auto &[incarnation, peer] : this->peers) {
-        if (this->isSilent(peer, now))
-            silent.push_back(incarnation.incarnation);
+    for (auto &[incarnation, peer] : this->peers) {
+        if (!this->isSilent(peer, now))
+            continue;
+        peer.reportedSilentAt = now;
+        peer.everReportedSilent = true;
+        silent.push_back(incarnation.incarnation);
     }
     return silent;
 }
 
-double QuotaLease::share(SteadyTime now) const
+bool QuotaLease::wasFoundSilent(const VmIncarnation &peer, SteadyTime now) const
+{
+    const auto known = this->peers.find(peer);
+    return known != this->peers.end() && known->second.everReportedSilent
+           && now - known->second.reportedSilentAt < silenceMemory;
+}
+
+bool QuotaLease::isHeld(SteadyTime now) const
 {
     const RecordsMember *own = this->view.member(this->self);
     if (own == nullptr || own->state != MemberState::Synced)
-        return 0;
+        return false;
     const int members = this->view.storingCount();
     const auto reachable =
             1
@@ -76,14 +102,38 @@
                          && now - entry.second.lastAnswered < leaseTime;
               });
     // With two members, neither can be replaced without the other, so one may continue alone.
-    if (reachable * 2 <= members && members > 2)
+    return reachable * 2 > members || members <= 2;
+}
+
+double QuotaLease::share(const std::vector<VmIncarnation> &ranking, int parts, SteadyTime now) const
+{
+    if (!this->isHeld(now))
         return 0;
-    int leaseHolders = 0;
-    for (const RecordsMember &member : this->view.members) {
-        if (member.state == MemberState::Synced && !this->hasLostLease(member.vm.incarnation, now))
-            ++leaseHolders;
+    int holders = 0;
+    bool isHolder = false;
+    for (const VmIncarnation &member : ranking) {
+        if (holders == parts)
+            break;
+        if (this->hasLostLease(member, now))
+            continue;
+        ++holders;
+        isHolder = isHolder || member == this->self;
+    }
+    return isHolder ? 1.0 / holders : 0;
+}
+
+void QuotaLease::update(SteadyTime now)
+{
+    std::set<VmIncarnation> without;
+    if (!this->isHeld(now))
+        without.insert(this->self);
+    for (const auto &[member, peer] : this->peers) {
+        if (this->hasLostLease(member, now))
+            without.insert(member);
     }
-    return leaseHolders == 0 ? 0 : 1.0 / leaseHolders;
+    if (without != this->leaseless)
+        this->changedAt = now;
+    this->leaseless = std::move(without);
 }
 
 bool QuotaLease::isSilent(const Peer &peer, SteadyTime now) const
@@ -101,7 +151,7 @@
             1 + std::count_if(this->peers.begin(), this->peers.end(), [&](const auto &entry) {
                 const RecordsMember *witness = this->view.member(entry.first);
                 return entry.first != member && this->view.countsAsCopy(*witness)
-                       && !this->isSilent(entry.second, now)
+                       && now - entry.second.lastHeard <= maximumReportAge
                        && entry.second.silentPeers.contains(member.incarnation);
             });
     return agreeingMembers * 2 > members;
--- a/modules/lacewingmux_records/quota/QuotaLease.h
+++ b/modules/lacewingmux_records/quota/QuotaLease.h
@@ -11,14 +11,15 @@
 namespace lacewingmux {
 
 /**
-    The share of the teams' rates that a records VM may grant, such that all shares together never
-    exceed the whole.
-
-    Each member has an equal share and may use it while a majority, including itself, has recently
-    answered one of its requests. If a majority has not heard a member for longer than that, its
-    share is divided among the others: two majorities have a member in common, so the lease of the
-    silent member has already expired. Reads no clock: the current time is a parameter, and
-    must advance while the machine is suspended.
+    Whether a records VM may grant its parts of the teams' rates, and which other members may not,
+    such that all parts together never exceed the whole.
+
+    A member has a lease while a majority, including itself, has recently answered one of its
+    requests. If a majority has not heard a member for longer than that, the member has lost its
+    lease: two majorities have a member in common. Its parts then pass to the next in rank.
+
+    Reads no clock: the current time is a parameter, and must advance while the machine is
+   suspended.
 */
 class QuotaLease
 {
@@ -33,14 +34,42 @@
     void recordRequest(const VmIncarnation &peer, const std::vector<std::uint64_t> &silentDisks,
                        SteadyTime now);
 
-    /** Records that a member has answered a request that was sent at the given time. */
-    void recordAnswer(const VmIncarnation &peer, SteadyTime sentAt);
+    /** Records that a member has answered a request that was sent at the given time, and whether it
+        recently considered this VM silent, so that another one may have taken over. */
+    void recordAnswer(const VmIncarnation &peer, SteadyTime sentAt, bool foundSilent,
+                      SteadyTime now);
+
+    /** Returns the disk identities of the members that are considered silent, and remembers them
+        for wasFoundSilent(). */
+    [[nodiscard]] std::vector<std::uint64_t> reportSilentDisks(SteadyTime now);
+
+    /** Returns whether the member was recently reported as silent. */
+    [[nodiscard]] bool wasFoundSilent(const VmIncarnation &peer, SteadyTime now) const;
+
+    /** Returns whether this VM has a lease. */
+    [[nodiscard]] bool isHeld(SteadyTime now) const;
 
-    /** Returns the disk identities of the members that are considered silent. */
-    [[nodiscard]] std::vector<std::uint64_t> silentDisks(SteadyTime now) const;
+    /** Returns this VM's fraction of a team's rate, from 0 to 1: it holds one of the parts if it is
+        among that many members, in order of rank, that have not lost their lease. */
+    [[nodiscard]] double share(const std::vector<VmIncarnation> &ranking, int parts,
+                               SteadyTime now) const;
 
-    /** Returns the share of the teams' rates that may be granted now, from 0 to 1. */
-    [[nodiscard]] double share(SteadyTime now) const;
+    /** Detects changes; must be called several times a second. */
+    void update(SteadyTime now);
+
+    /** Returns since when this VM has had its lease and no other member has lost or regained one;
+        meaningless while this VM has none. */
+    [[nodiscard]] SteadyTime unchangedSince() const noexcept
+    {
+        return this->changedAt;
+    }
+
+    /** Returns a number that increases when another member may have held parts of this VM, so that
+        tokens from before are no longer valid. */
+    [[nodiscard]] std::uint64_t generation() const noexcept
+    {
+        return this->takeoverCount;
+    }
 
 private:
     struct Peer
@@ -49,6 +78,8 @@
         SteadyTime lastAnswered; ///< send time of the last request that it answered
         bool everAnswered = false;
         std::set<std::uint64_t> silentPeers; ///< disk identities of members it considers silent
+        SteadyTime reportedSilentAt;         ///< last time it was reported as silent
+        bool everReportedSilent = false;
     };
 
     [[nodiscard]] bool isSilent(const Peer &peer, SteadyTime now) const;
@@ -57,6 +88,10 @@
     VmIncarnation self;
     RecordsView view;
     std::map<VmIncarnation, Peer> peers;
+    std::set<VmIncarnation> leaseless; ///< members without a lease at the last update
+    SteadyTime changedAt;
+    std::uint64_t takeoverCount = 0;
+    SteadyTime lastTakeoverAt;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_records/quota/QuotaTokenBucket.cpp
+++ b/modules/lacewingmux_records/quota/QuotaTokenBucket.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace lacewingmux {
 
@@ -12,6 +13,11 @@
 constexpr double lowerThreshold = 0.15;   // distance at which the floor is lowered
 constexpr double raiseThreshold = 0.75;   // distance at which the floor is raised
 
+constexpr double roundingError = 1e-6; // far above that of a sum of a few tokens
+
+// Three intervals in which the share is normally set again.
+constexpr std::chrono::milliseconds maximumAccrualGap{300};
+
 } // namespace
 
 QuotaTokenBucket::QuotaTokenBucket(double unspentTokens, SteadyTime now)
@@ -22,8 +28,11 @@
 
 void QuotaTokenBucket::setShare(double requestsPerSecond, double burst, SteadyTime now)
 {
-    if (this->rate > 0)
+    if (this->shareSetAt && now - *this->shareSetAt > maximumAccrualGap)
+        this->updated = now;
+    else if (this->shareSetAt)
         this->refill(now);
+    this->shareSetAt = now;
     this->rate = requestsPerSecond;
     // At least one token, as a small share of a small burst would otherwise never grant any.
     this->capacity = std::max(1.0, burst);
@@ -33,9 +42,9 @@
 int QuotaTokenBucket::take(int wanted, double reserve, SteadyTime now)
 {
     this->refill(now);
-    const double kept = std::max(this->floor, reserve * this->capacity);
+    const double kept = std::max(this->floor, this->tokensLeftBy(reserve));
     const double free = std::max(0.0, this->tokens - kept);
-    const int taken = std::min(wanted, static_cast<int>(free));
+    const int taken = std::min(wanted, static_cast<int>(free + roundingError));
     this->tokens -= taken;
     return taken;
 }
@@ -48,7 +57,7 @@
         return maximumWait;
     const std::chrono::duration<double> passed = now - this->updated;
     const double held = this->tokens + passed.count() * this->rate;
-    const double missing = std::max(0.0, 1.0 + reserve * this->capacity - held);
+    const double missing = std::max(0.0, 1.0 + this->tokensLeftBy(reserve) - held);
     const auto wait = std::chrono::milliseconds(
             static_cast<std::int64_t>(std::ceil(missing / this->rate * millisecondsPerSecond)));
     return std::min(maximumWait, wait);
@@ -73,10 +82,27 @@
     return this->floor;
 }
 
+bool QuotaTokenBucket::discard(SteadyTime now)
+{
+    const bool hadFloor = this->floor > 0;
+    this->tokens = 0;
+    this->floor = 0;
+    this->isLowering = false;
+    this->updated = now;
+    return hadFloor;
+}
+
 void QuotaTokenBucket::setFloor(double tokensKept)
 {
+    if (!std::exchange(this->isLowering, false))
+        return; // the tokens were discarded meanwhile
     this->floor = tokensKept;
-    this->isLowering = false;
+}
+
+double QuotaTokenBucket::tokensLeftBy(double reserve) const
+{
+    // A full bucket always admits one request, however small the burst is.
+    return std::min(reserve * this->capacity, this->capacity - 1.0);
 }
 
 void QuotaTokenBucket::refill(SteadyTime now)
--- a/modules/lacewingmux_records/quota/QuotaTokenBucket.h
+++ b/modules/lacewingmux_records/quota/QuotaTokenBucket.h
@@ -21,7 +21,9 @@
     /** Creates a bucket with the unspent tokens that were read from disk. */
     QuotaTokenBucket(double unspentTokens, SteadyTime now);
 
-    /** Sets the share of the rate and of the burst in requests; tokens beyond it are discarded. */
+    /** Sets the share of the rate and of the burst in requests; tokens beyond it are discarded.
+        Called regularly while the share is held: no tokens accrue for a longer pause between two
+        calls, in which another VM may have held the share. */
     void setShare(double requestsPerSecond, double burst, SteadyTime now);
 
     /** Takes up to the wanted number of whole tokens, but leaves the given fraction of the burst;
@@ -37,11 +39,16 @@
     /** Raises the floor at once and returns it for writing to disk, if many tokens lie above it. */
     [[nodiscard]] std::optional<double> raiseFloor(SteadyTime now);
 
+    /** Discards all tokens and the floor; returns whether the floor on disk has to be replaced. */
+    bool discard(SteadyTime now);
+
     /** Applies a lower floor after it has been written to disk. */
     void setFloor(double tokensKept);
 
 private:
     void refill(SteadyTime now);
+    /** Returns the tokens that a request with this reserve leaves in the bucket. */
+    [[nodiscard]] double tokensLeftBy(double reserve) const;
 
     double rate = 0;
     double capacity = 0;
@@ -49,6 +56,7 @@
     double floor;
     bool isLowering = false; ///< a lower floor is being written to disk
     SteadyTime updated;
+    std::optional<SteadyTime> shareSetAt; ///< when the share was last set
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -25,9 +25,6 @@
 constexpr std::chrono::seconds floorRetention{120};
 constexpr std::chrono::seconds clockSkewAllowance{20}; // the clocks of the VMs differ
 
-// Less than the interval between the members' pull requests, whose replies renew the lease.
-constexpr milliseconds leaseRetryDelay{100};
-
 // A member may be replaced after this silence, which is much longer than a restart takes.
 constexpr milliseconds replacementDelay{7500};
 // A standby may replace a silent member sooner, as the standby already has all records. The
@@ -52,13 +49,15 @@
               [this](const Record &record, std::function<void()> durable) {
                   this->log.whenDurable(this->append(record), std::move(durable));
               },
-              [this] { return this->lease.silentDisks(this->timers.now()); },
-              [this](const VmIncarnation &peer, TimerService::SteadyTime sentAt) {
-                  this->lease.recordAnswer(peer, sentAt);
+              [this] { return this->quotas.lease().reportSilentDisks(this->timers.now()); },
+              [this](const VmIncarnation &peer, TimerService::SteadyTime sentAt, bool foundSilent) {
+                  this->quotas.lease().recordAnswer(peer, sentAt, foundSilent, this->timers.now());
               },
               [this] { this->checkSynced(); })
-    , started(timerService.now())
-    , lease(peerHub.self())
+    , quotas(peerHub.self(),
+             [this](const QByteArray &team, double tokens, std::function<void()> durable) {
+                 this->writeFloor(team, tokens, std::move(durable));
+             })
     , configuration(peerHub, this->hooks.newerConfiguration)
 {
     this->log.replay([this](std::uint64_t sequence, const Record &record) {
@@ -90,6 +89,8 @@
     });
     this->maintenanceTimer =
             this->timers.every(maintenanceInterval, [this] { this->runMaintenance(); });
+    this->quotaTimer = this->timers.every(QuotaGrants::accrualInterval,
+                                          [this] { this->quotas.update(this->timers.now()); });
 }
 
 void RecordsServer::setView(const RecordsView &newView)
@@ -107,7 +108,7 @@
     std::erase_if(this->copiedTo,
                   [this](const auto &entry) { return this->view.member(entry.first) == nullptr; });
     this->sync.setView(newView);
-    this->lease.setView(newView, this->timers.now());
+    this->quotas.setView(newView, this->timers.now());
     newView.logAdoption();
     this->checkSynced();
 }
@@ -185,13 +186,14 @@
     if (!message || this->refuseOldView(peer, frame))
         return;
     this->lastHeard[peer] = this->timers.now();
-    this->lease.recordRequest(peer, message->silentDisks, this->timers.now());
+    this->quotas.lease().recordRequest(peer, message->silentDisks, this->timers.now());
     const auto found = this->index.namesAfter(message->after, namesPerPage);
     PullKeysReplyMessage reply;
     for (const auto &[sequence, name] : found)
         reply.names.push_back(name);
     reply.next = found.empty() ? message->after : found.back().first;
     reply.atEnd = found.size() < namesPerPage;
+    reply.foundSilent = this->quotas.lease().wasFoundSilent(peer, this->timers.now());
     this->hub.send(peer, {FrameKind::PullKeysReply, this->view.number, frame.correlation,
                           RecordsCodec::encodePullReply(reply)});
     if (message->complete)
@@ -226,27 +228,11 @@
         return;
     this->entryVms.insert(peer);
     this->configuration.requestIfNewer(peer, message->configurationVersion);
-    const TimerService::SteadyTime now = this->timers.now();
-    const double share = this->lease.share(now);
     GrantTokensReplyMessage reply;
-    for (const TeamDemandMessage &demand : message->demands) {
-        if (share <= 0) {
-            // Without a lease the bucket is left unchanged; the next pull reply may renew the
-            // lease.
-            reply.grants.push_back({demand.team, 0, leaseRetryDelay});
-            continue;
-        }
-        QuotaTokenBucket &bucket = this->bucketOf(demand.team);
-        bucket.setShare(demand.requestsPerSecond * share, demand.burst * share, now);
-        const int granted = bucket.take(demand.wanted, demand.reserve, now);
-        reply.grants.push_back({demand.team, granted, bucket.untilNext(demand.reserve, now)});
-        if (const std::optional<double> lower = bucket.lowerFloor(now))
-            this->writeFloor(demand.team, *lower, [this, team = demand.team, tokens = *lower] {
-                this->bucketOf(team).setFloor(tokens);
-            });
-    }
+    for (const TeamDemandMessage &demand : message->demands)
+        reply.grants.push_back(this->quotas.grant(peer, demand, message->configurationVersion,
+                                                  this->timers.now()));
     reply.configurationVersion = this->configuration.version();
-    reply.entryVms = static_cast<int>(this->entryVms.size());
     this->hub.send(peer, {FrameKind::GrantTokensReply, this->view.number, frame.correlation,
                           RecordsCodec::encodeGrantReply(reply)});
 }
@@ -255,20 +241,11 @@
 {
     // Floors are local to this VM: each team's last one applies, and no other member requests them.
     if (record.kind == RecordKind::QuotaFloor)
-        this->storedFloors[record.team] = static_cast<double>(record.tokens);
+        this->quotas.restoreFloor(record.team, static_cast<double>(record.tokens));
     else
         this->index.add(record, sequence);
 }
 
-QuotaTokenBucket &RecordsServer::bucketOf(const QByteArray &team)
-{
-    auto bucket = this->buckets.find(team);
-    if (bucket == this->buckets.end())
-        bucket = this->buckets.insert(
-                team, QuotaTokenBucket(this->storedFloors.value(team, 0), this->started));
-    return *bucket;
-}
-
 void RecordsServer::writeFloor(const QByteArray &team, double tokens, std::function<void()> durable)
 {
     Record record;
@@ -319,10 +296,7 @@
     const auto now = this->timers.wallNow();
     this->index.dropExpired(now - clockSkewAllowance);
     this->log.dropExpired(now);
-    for (auto bucket = this->buckets.begin(); bucket != this->buckets.end(); ++bucket) {
-        if (const std::optional<double> higher = bucket->raiseFloor(this->timers.now()))
-            this->writeFloor(bucket.key(), *higher, nullptr);
-    }
+    this->quotas.raiseFloors(this->timers.now());
     this->reportSilentMembers();
     this->metrics.set("lacewingmux_records_kept", {}, static_cast<double>(this->index.size()));
 }
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -6,13 +6,11 @@
 #include "lacewingmux_records/log/RecordIndex.h"
 #include "lacewingmux_records/members/RecordsView.h"
 #include "lacewingmux_records/messages/RecordMessages.h"
-#include "lacewingmux_records/quota/QuotaLease.h"
-#include "lacewingmux_records/quota/QuotaTokenBucket.h"
+#include "lacewingmux_records/quota/QuotaGrants.h"
 #include "lacewingmux_records/server/RecordsServerHooks.h"
 #include "lacewingmux_records/server/RecordsSync.h"
 
 #include <QByteArray>
-#include <QHash>
 
 #include <cstdint>
 #include <map>
@@ -49,7 +47,6 @@
     void handleFetch(const VmIncarnation &peer, const PeerFrame &frame);
     void handleGrant(const VmIncarnation &peer, const PeerFrame &frame);
     void replay(std::uint64_t sequence, const Record &record);
-    QuotaTokenBucket &bucketOf(const QByteArray &team);
     void writeFloor(const QByteArray &team, double tokens, std::function<void()> durable);
     /** Refuses a request that was sent under an older view, by replying with the newer view. */
     [[nodiscard]] bool refuseOldView(const VmIncarnation &peer, const PeerFrame &frame);
@@ -72,10 +69,7 @@
     RecordIndex index;
     RecordsSync sync;
     RecordsView view;
-    TimerService::SteadyTime started;
-    QuotaLease lease;
-    QHash<QByteArray, QuotaTokenBucket> buckets;
-    QHash<QByteArray, double> storedFloors; ///< quota floors read from disk at the start, by team
+    QuotaGrants quotas;
     ConfigurationRelay configuration;
     std::set<VmIncarnation> entryVms;
     std::map<VmIncarnation, TimerService::SteadyTime> lastHeard; ///< last request of each member
@@ -87,6 +81,7 @@
     bool syncedReported = false;
     bool copiedReported = false;
     TimerSubscription maintenanceTimer;
+    TimerSubscription quotaTimer;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_records/server/RecordsSync.cpp
+++ b/modules/lacewingmux_records/server/RecordsSync.cpp
@@ -161,7 +161,7 @@
     if (!request)
         return;
     source->second.answeredAt = request->sentAt;
-    this->answerHook(peer, request->sentAt);
+    this->answerHook(peer, request->sentAt, message->foundSilent);
     if (request->after != source->second.cursor)
         return; // an earlier answer contained these names
     for (const RecordName &name : message->names) {
--- a/modules/lacewingmux_records/server/RecordsSync.h
+++ b/modules/lacewingmux_records/server/RecordsSync.h
@@ -34,9 +34,10 @@
     /** Returns the disk identities of silent members, which are reported to the other members. */
     using SilentDisksFunction = std::function<std::vector<std::uint64_t>()>;
 
-    /** Called when a member has answered a request that was sent at the given time. */
-    using AnswerFunction =
-            std::function<void(const VmIncarnation &peer, TimerService::SteadyTime sentAt)>;
+    /** Called when a member has answered a request that was sent at the given time, with whether
+       the member recently considered this VM silent. */
+    using AnswerFunction = std::function<void(const VmIncarnation &peer,
+                                              TimerService::SteadyTime sentAt, bool foundSilent)>;
 
     /** Stores a fetched record; the callback is invoked once it is on disk. */
     using StoreFunction = std::function<void(const Record &, std::function<void()> durable)>;
--- a/tests/records/QuotaTest.cpp
+++ b/tests/records/QuotaTest.cpp
@@ -1,10 +1,14 @@
+#include "lacewingmux_records/quota/QuotaGrants.h"
 #include "lacewingmux_records/quota/QuotaLease.h"
+#include "lacewingmux_records/quota/QuotaPlacement.h"
 #include "lacewingmux_records/quota/QuotaTokenBucket.h"
 #include "lacewingmux_records/quota/QuotaTokenCache.h"
 
 #include <criterion/criterion.h>
 
+#include <map>
 #include <random>
+#include <set>
 #include <vector>
 
 using namespace lacewingmux;
@@ -33,6 +37,12 @@
     return view;
 }
 
+/** Returns the share of a member of three, of a team whose rate has the given number of parts. */
+double shareOf(const QuotaLease &lease, int parts, TimerService::SteadyTime now)
+{
+    return lease.share({member(1), member(2), member(3)}, parts, now);
+}
+
 } // namespace
 
 Test(quota_token_bucket, starts_with_unspent_tokens_and_never_exceeds_the_burst)
@@ -139,14 +149,86 @@
     cr_assert_leq(admitted, requestsPerSecond * (seconds + 1), "%d", admitted);
 }
 
+Test(quota_token_bucket, accrues_nothing_while_another_may_have_held_the_share)
+{
+    QuotaTokenBucket bucket(0, start);
+    bucket.setShare(10, 20, start);
+    for (int tick = 1; tick <= 10; ++tick)
+        bucket.setShare(10, 20, start + milliseconds(100 * tick));
+    const auto later = start + std::chrono::seconds(31);
+    bucket.setShare(10, 20, later);
+    cr_assert_eq(bucket.take(100, 0, later), 10, "only what accrued before the pause");
+}
+
+Test(quota_token_bucket, admits_a_new_program_of_a_team_with_a_tiny_burst)
+{
+    QuotaTokenBucket bucket(0, start);
+    bucket.setShare(2, 1.2, start);
+    const auto later = start + std::chrono::seconds(10);
+    cr_assert_eq(bucket.untilNext(0.5, start).count(), 600);
+    cr_assert_eq(bucket.take(1, 0.5, later), 1);
+}
+
+Test(quota_token_bucket, a_floor_written_late_does_not_return_after_the_tokens_were_discarded)
+{
+    QuotaTokenBucket bucket(50, start);
+    bucket.setShare(100, 100, start);
+    const double lower = bucket.lowerFloor(start).value();
+    cr_assert_gt(lower, 0);
+    cr_assert(bucket.discard(start));
+    bucket.setFloor(lower);
+    cr_assert_eq(bucket.take(100, 0, start + milliseconds(100)), 10);
+}
+
+Test(quota_placement, divides_only_large_bursts)
+{
+    cr_assert_eq(QuotaPlacement::parts(4, 4), 1);
+    cr_assert_eq(QuotaPlacement::parts(20, 20), 2);
+    cr_assert_eq(QuotaPlacement::parts(300, 300), 3);
+    cr_assert_eq(QuotaPlacement::parts(4500, 300), 5);
+}
+
+Test(quota_placement, spreads_teams_evenly_and_each_team_over_the_zones)
+{
+    RecordsView view;
+    for (std::uint64_t disk = 1; disk <= 24; ++disk) {
+        RecordsMember entry;
+        entry.vm.incarnation = member(disk);
+        entry.vm.incarnation.zone = QStringLiteral("zone-%1").arg(disk % 5);
+        entry.state = MemberState::Synced;
+        view.members.push_back(entry);
+    }
+    const QuotaPlacement placement(view);
+    RecordsView smaller = view;
+    smaller.members.pop_back();
+    const QuotaPlacement remaining(smaller);
+    constexpr int teams = 1200;
+    std::map<VmIncarnation, int> held;
+    int moved = 0;
+    for (int number = 0; number < teams; ++number) {
+        const QByteArray team = "team-" + QByteArray::number(number);
+        const std::vector<VmIncarnation> &ranking = placement.ranking(team);
+        cr_assert_eq(ranking.size(), 24);
+        std::set<QString> zones;
+        for (std::size_t rank = 0; rank < 5; ++rank)
+            zones.insert(ranking[rank].zone);
+        cr_assert_eq(zones.size(), 5);
+        ++held[ranking.front()];
+        moved += remaining.ranking(team).front() == ranking.front() ? 0 : 1;
+    }
+    for (const auto &[holder, count] : held)
+        cr_expect_leq(count, 2 * teams / 24, "%d", count);
+    cr_assert_leq(moved, 2 * teams / 24, "%d", moved);
+}
+
 Test(quota_lease, has_an_equal_share_while_a_majority_answers)
 {
     QuotaLease lease(member(1));
     lease.setView(viewOfThree(), start);
-    cr_assert_float_eq(lease.share(start), 0, 1e-9);
-    lease.recordAnswer(member(2), start);
-    cr_assert_float_eq(lease.share(start + milliseconds(500)), 1.0 / 3, 1e-9);
-    cr_assert_float_eq(lease.share(start + milliseconds(1100)), 0, 1e-9);
+    cr_assert_float_eq(shareOf(lease, 3, start), 0, 1e-9);
+    lease.recordAnswer(member(2), start, false, start);
+    cr_assert_float_eq(shareOf(lease, 3, start + milliseconds(500)), 1.0 / 3, 1e-9);
+    cr_assert_float_eq(shareOf(lease, 3, start + milliseconds(1100)), 0, 1e-9);
 }
 
 Test(quota_lease, takes_over_a_silent_members_share_only_when_a_majority_agrees)
@@ -154,13 +236,30 @@
     QuotaLease lease(member(1));
     lease.setView(viewOfThree(), start);
     const auto now = start + milliseconds(1500);
-    lease.recordAnswer(member(2), now);
+    lease.recordAnswer(member(2), now, false, now);
     lease.recordRequest(member(2), {}, now);
-    cr_assert_float_eq(lease.share(now), 1.0 / 3, 1e-9);
+    cr_assert_float_eq(shareOf(lease, 3, now), 1.0 / 3, 1e-9);
     lease.recordRequest(member(2), {3}, now);
-    cr_assert_float_eq(lease.share(now), 1.0 / 2, 1e-9);
+    cr_assert_float_eq(shareOf(lease, 3, now), 1.0 / 2, 1e-9);
     lease.recordRequest(member(3), {}, now);
-    cr_assert_float_eq(lease.share(now), 1.0 / 3, 1e-9);
+    cr_assert_float_eq(shareOf(lease, 3, now), 1.0 / 3, 1e-9);
+}
+
+Test(quota_lease, the_next_in_rank_takes_over_an_undivided_rate)
+{
+    const std::vector<VmIncarnation> ranking{member(3), member(1), member(2)};
+    QuotaLease lease(member(1));
+    lease.setView(viewOfThree(), start);
+    const auto now = start + milliseconds(1500);
+    lease.recordAnswer(member(2), now, false, now);
+    lease.recordRequest(member(2), {}, now);
+    cr_assert_float_eq(lease.share(ranking, 1, now), 0, 1e-9);
+    lease.recordRequest(member(2), {3}, now);
+    cr_assert_float_eq(lease.share(ranking, 1, now), 1, 1e-9);
+    const auto outdated = now + milliseconds(700);
+    lease.recordAnswer(member(2), outdated, false, outdated);
+    cr_assert_float_eq(lease.share(ranking, 1, outdated), 0, 1e-9,
+                       "member 3 may have returned since that report");
 }
 
 Test(quota_lease, a_joining_member_has_no_share)
@@ -169,11 +268,61 @@
     view.members[0].state = MemberState::Joining;
     QuotaLease joining(member(1));
     joining.setView(view, start);
-    joining.recordAnswer(member(2), start);
-    joining.recordAnswer(member(3), start);
-    cr_assert_float_eq(joining.share(start), 0, 1e-9);
+    joining.recordAnswer(member(2), start, false, start);
+    joining.recordAnswer(member(3), start, false, start);
+    cr_assert(!joining.isHeld(start));
     QuotaLease other(member(2));
     other.setView(view, start);
-    other.recordAnswer(member(3), start);
-    cr_assert_float_eq(other.share(start), 1.0 / 2, 1e-9);
+    other.recordAnswer(member(3), start, false, start);
+    const QuotaPlacement placement(view);
+    cr_assert_float_eq(other.share(placement.ranking("team"), 3, start), 1.0 / 2, 1e-9);
+}
+
+// Guards against a burst that is granted twice: by a member that was silent, and by the one that
+// took over its part meanwhile.
+Test(quota_grants, discards_tokens_from_before_a_silence_that_others_noticed)
+{
+    for (const bool foundSilent : {false, true}) {
+        QuotaGrants grants(member(1), [](const auto &, double, const auto &) {});
+        grants.setView(viewOfThree(), start);
+        auto now = start;
+        const auto runUntil = [&](TimerService::SteadyTime end) {
+            for (; now < end; now += QuotaGrants::accrualInterval) {
+                grants.lease().recordAnswer(member(2), now, false, now);
+                grants.lease().recordAnswer(member(3), now, false, now);
+                grants.update(now);
+            }
+        };
+        const VmIncarnation entryVm{QStringLiteral("e"), QStringLiteral("zone"), 9};
+        const TeamDemandMessage demand{"team", 30, 30, 100, 0};
+        runUntil(start + milliseconds(300));
+        cr_assert(grants.grant(entryVm, demand, 1, now).isHolder);
+        runUntil(start + std::chrono::seconds(4));
+        now += std::chrono::seconds(3); // the process is suspended
+        grants.update(now);
+        cr_assert(!grants.grant(entryVm, demand, 1, now).isHolder, "the lease has expired");
+        grants.lease().recordAnswer(member(2), now, foundSilent, now);
+        grants.lease().recordAnswer(member(3), now, foundSilent, now);
+        const int granted = grants.grant(entryVm, demand, 1, now).granted;
+        cr_assert_eq(granted, foundSilent ? 0 : 10, "%d", granted);
+    }
+}
+
+Test(quota_grants, ignore_limits_of_an_older_configuration)
+{
+    QuotaGrants grants(member(1), [](const auto &, double, const auto &) {});
+    grants.setView(viewOfThree(), start);
+    const VmIncarnation entryVm{QStringLiteral("e"), QStringLiteral("zone"), 9};
+    auto now = start;
+    const auto grantAt = [&](double rate, std::uint64_t version) {
+        grants.lease().recordAnswer(member(2), now, false, now);
+        grants.lease().recordAnswer(member(3), now, false, now);
+        grants.update(now);
+        return grants.grant(entryVm, {"team", rate, rate, 1000, 0}, version, now).granted;
+    };
+    grantAt(30, 2);
+    for (int tick = 0; tick < 20; ++tick) {
+        now += QuotaGrants::accrualInterval;
+        cr_assert_leq(grantAt(300, 1), 1, "the newer limit is in force");
+    }
 }
--- a/tests/records/SlowMemberTest.cpp
+++ b/tests/records/SlowMemberTest.cpp
@@ -72,7 +72,8 @@
     RecordsSync sync(
             *hub, index, timers, [](const Record &, const std::function<void()> &) {},
             [] { return std::vector<std::uint64_t>(); },
-            [&answers](const VmIncarnation &, TimerService::SteadyTime) { ++answers; }, [] {});
+            [&answers](const VmIncarnation &, TimerService::SteadyTime, bool) { ++answers; },
+            [] {});
     sync.setView(viewOf({self, peer}));
     run(timers, milliseconds(600 * pages));
     // One request for each page, and one repetition within each 600 ms, as the answer is late.
