Relay the store's contents to VMs instead of letting each VM watch the store

Cause: every VM watched the store by itself, three prefixes an entry VM and four a records VM.

Change: the new module lacewingmux_relay. A records VM that has subscribers watches the store and sends them each change with its revision; every VM subscribes to one relay of its zone and one of another, all to the same one of a zone. A subscriber checks the age of the relay's data and its revision, takes another relay when one stops, and watches the store itself when none has recent data, continuing at the revision that it has reached. Heartbeats of replicas are not passed on. Retirements are watched below one prefix.

--- a/modules/lacewingmux_http/forward/ForwardCodec.cpp
+++ b/modules/lacewingmux_http/forward/ForwardCodec.cpp
@@ -42,13 +42,6 @@
     return builder.CreateVector(offsets);
 }
 
-QByteArray bytesOf(const Bytes *bytes)
-{
-    if (bytes == nullptr)
-        return {};
-    return {reinterpret_cast<const char *>(bytes->data()), static_cast<qsizetype>(bytes->size())};
-}
-
 QString textOf(const flatbuffers::String *text)
 {
     if (text == nullptr)
--- a/modules/lacewingmux_keyvalue/client/StoreAccess.cpp
+++ b/modules/lacewingmux_keyvalue/client/StoreAccess.cpp
@@ -55,6 +55,8 @@
 
 void StoreAccess::noteContact(bool answered)
 {
+    if (answered)
+        this->lastAnswer = this->timerService.now();
     if (std::exchange(this->reachable, answered) != answered
         && this->currentSettings.contactChanged)
         this->currentSettings.contactChanged(answered);
--- a/modules/lacewingmux_keyvalue/client/StoreAccess.h
+++ b/modules/lacewingmux_keyvalue/client/StoreAccess.h
@@ -9,6 +9,7 @@
 #include <QUrlQuery>
 
 #include <cstddef>
+#include <optional>
 #include <random>
 
 namespace lacewingmux {
@@ -40,6 +41,12 @@
     /** Notes whether a call was answered, and tells the settings' hook when that has changed. */
     void noteContact(bool answered);
 
+    /** Returns when a watch was last answered, or nothing. */
+    [[nodiscard]] std::optional<TimerService::SteadyTime> lastContact() const noexcept
+    {
+        return this->lastAnswer;
+    }
+
     /** Returns a random number from 0 to 1. */
     [[nodiscard]] double random();
 
@@ -59,6 +66,7 @@
     CallBudget budget;
     std::size_t currentEndpoint = 0;
     bool reachable = true;
+    std::optional<TimerService::SteadyTime> lastAnswer;
     std::mt19937_64 generator;
 };
 
--- a/modules/lacewingmux_keyvalue/store/PlatformStore.h
+++ b/modules/lacewingmux_keyvalue/store/PlatformStore.h
@@ -37,6 +37,17 @@
         virtual ~Watch() = default;
         Watch(const Watch &) = delete;
         Watch &operator=(const Watch &) = delete;
+
+        /** Adds keys that the owner already knows, so that their deletion is reported. */
+        virtual void addKnownKeys(const std::vector<QByteArray> &)
+        { }
+
+        /** Returns the store revision up to which every change was reported; 0 while the watch has
+            not read the prefix yet, or if that is not known. */
+        [[nodiscard]] virtual std::int64_t revision() const
+        {
+            return 0;
+        }
     };
 
     PlatformStore() = default;
@@ -71,6 +82,16 @@
     /** Renews a lease; calls back with false when it has lapsed or the store did not answer. */
     virtual void keepAlive(std::int64_t leaseId, std::function<void(bool)> callback) = 0;
 
+    /** Returns when the store last answered a watch, or nothing if that is not known. */
+    [[nodiscard]] virtual std::optional<std::chrono::steady_clock::time_point> lastContact() const
+    {
+        return std::nullopt;
+    }
+
+    /** Treats the store as unreachable until it answers a watch again. */
+    virtual void assumeUnreachable()
+    { }
+
     /**
         Reports every change below the prefix after the given revision, reconnecting by itself.
         A deleted key is reported with an empty value and createRevision 0.
--- a/modules/lacewingmux_node/front/FrontNode.cpp
+++ b/modules/lacewingmux_node/front/FrontNode.cpp
@@ -7,12 +7,29 @@
 #include "lacewingmux_node/front/FrontTrafficServices.h"
 #include "lacewingmux_node/settings/MetricsServer.h"
 #include "lacewingmux_records/members/RecordsView.h"
+#include "lacewingmux_relay/links/RelayState.h"
+#include "lacewingmux_relay/store/RelayedStore.h"
 #include "lacewingmux_report/metrics/HistogramMetrics.h"
 
+#include <QRandomGenerator>
+
 #include <utility>
 
 namespace lacewingmux {
 
+namespace {
+
+using std::chrono::milliseconds;
+
+// Time to connect to the relays after a start; many times what it takes if they run.
+constexpr milliseconds relayStartTime{1000};
+// Delay of the fallback, plus a random part: a relay that restarts is back in less, and the entry
+// VMs of a zone should not all read the store at once.
+constexpr milliseconds minimumFallbackDelay{300};
+constexpr int fallbackJitter = 500; // milliseconds
+
+} // namespace
+
 FrontNode::FrontNode(const NodeSettings &nodeSettings, PlatformAdapter platformAdapter,
                      std::function<void()> stoppedHook)
     : settings(nodeSettings)
@@ -35,6 +52,12 @@
                     .field("view", static_cast<quint64>(this->viewNumber));
         });
     };
+    hooks.relayUpdate = [this](const RelayUpdate &update) {
+        this->queue.post([this, update] { this->store->applyUpdate(update); });
+    };
+    hooks.relayState = [this](RelayState state) {
+        this->queue.post([this, state] { this->handleRelayState(state); });
+    };
     hooks.drained = [this] { this->queue.post([this] { this->stopped(); }); };
     this->traffic = std::make_unique<ServiceThread<FrontTrafficServices>>(
             QStringLiteral("traffic"), [this, hooks] {
@@ -75,9 +98,15 @@
                     services.setReplicas(instances);
                 });
             });
-    this->store = this->platform.createStore(this->timers, *this->metrics, [this](bool reachable) {
-        this->replicas->setStoreReachable(reachable);
-    });
+    this->store = std::make_unique<RelayedStore>(
+            this->platform.createStore(
+                    this->timers, *this->metrics,
+                    [this](bool reachable) { this->replicas->setStoreReachable(reachable); }),
+            this->timers, RelayedStore::Source::Relays);
+    this->store->setRelevance(this->platform.replicaPrefix, this->platform.replicaRelevance());
+    // The view names the relays.
+    this->store->setBootstrapPrefix(recordsViewKey);
+    this->fallbackTimer = this->timers.after(relayStartTime, [this] { this->fallBackToStore(); });
     this->configurationWatch = this->store->watchValue(
             this->platform.configurationKey,
             [this](const QByteArray &document) { this->applyConfiguration(document); });
@@ -121,6 +150,29 @@
     this->traffic->post([view = *view](FrontTrafficServices &services) { services.setView(view); });
 }
 
+void FrontNode::handleRelayState(RelayState state)
+{
+    if (state == RelayState::Served) {
+        this->fallbackTimer.cancel();
+        this->store->setSource(RelayedStore::Source::Relays);
+        this->replicas->setStoreReachable(true);
+        return;
+    }
+    if (state == RelayState::StoreLost)
+        this->replicas->setStoreReachable(false);
+    const milliseconds delay = minimumFallbackDelay
+                               + milliseconds(QRandomGenerator::global()->bounded(fallbackJitter));
+    this->fallbackTimer = this->timers.after(delay, [this] { this->fallBackToStore(); });
+}
+
+void FrontNode::fallBackToStore()
+{
+    // Entries that lapsed during an outage of the store may be missing from what is read next.
+    this->replicas->setStoreReachable(false);
+    this->store->assumeUnreachable();
+    this->store->setSource(RelayedStore::Source::Store);
+}
+
 bool FrontNode::isReady() const
 {
     return !this->stopping && this->configurationVersion > 0 && this->replicasKnown
--- a/modules/lacewingmux_node/front/FrontNode.h
+++ b/modules/lacewingmux_node/front/FrontNode.h
@@ -10,6 +10,7 @@
 
 #include <QByteArray>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -20,12 +21,15 @@
 class MetricsServer;
 class ReadinessServer;
 class RecordsView;
+class RelayedStore;
 class ReplicaDirectory;
+enum class RelayState : std::uint8_t;
 
 /**
-    The node that runs on an entry VM. Its control thread watches the configuration, the replica
+    The node that runs on an entry VM. Its control thread follows the configuration, the replica
     entries and the view of the records VMs in the platform's store, and passes changes to the
-    traffic thread.
+    traffic thread. Records VMs relay the store's contents; without them the node watches the store
+    itself.
 */
 class FrontNode
 {
@@ -45,6 +49,9 @@
     void applyConfiguration(const QByteArray &document);
     void updateReplica(const StoreRecord &record);
     void applyView(const QByteArray &document);
+    void handleRelayState(RelayState state);
+    /** Watches the store itself, as no relay serves this VM. */
+    void fallBackToStore();
     [[nodiscard]] bool isReady() const;
 
     NodeSettings settings;
@@ -53,7 +60,7 @@
     QtTimerService timers;
     ThreadQueue queue; ///< runs functions from the traffic thread on the control thread
     std::unique_ptr<HistogramMetrics> metrics;
-    std::unique_ptr<PlatformStore> store;
+    std::unique_ptr<RelayedStore> store;
     std::unique_ptr<ReplicaDirectory> replicas;
     std::unique_ptr<ServiceThread<FrontTrafficServices>> traffic;
     std::unique_ptr<PlatformStore::Watch> configurationWatch;
@@ -66,6 +73,7 @@
     bool replicasKnown = false;
     bool recordsReachable = false;
     bool stopping = false;
+    TimerSubscription fallbackTimer;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_node/front/FrontTrafficServices.cpp
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.cpp
@@ -7,6 +7,7 @@
 #include "lacewingmux_records/client/FleetQuota.h"
 #include "lacewingmux_records/client/RecordsClient.h"
 #include "lacewingmux_records/messages/RecordsCodec.h"
+#include "lacewingmux_relay/links/RelayClient.h"
 
 #include <utility>
 
@@ -52,6 +53,9 @@
                                                     this->hooks.newerView);
     this->quota =
             std::make_unique<FleetQuota>(*this->hub, this->timers, this->hooks.newerConfiguration);
+    this->relays = std::make_unique<RelayClient>(
+            *this->hub, this->timers,
+            RelayClient::Hooks{this->hooks.relayUpdate, this->hooks.relayState, [](bool) {}});
     this->gateway = std::make_unique<Gateway>(
             gatewaySettings(settings), this->timers, dialect, *this->quota, *this->records, metrics,
             [this](const CrashCoincidence &coincidence) { this->sendCrashNotice(coincidence); });
@@ -104,6 +108,7 @@
     this->hub->setPeers(view.descriptors());
     this->records->setView(view);
     this->quota->setView(view);
+    this->relays->setCandidates(view.incarnations());
 }
 
 void FrontTrafficServices::beginStop()
--- a/modules/lacewingmux_node/front/FrontTrafficServices.h
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.h
@@ -7,6 +7,7 @@
 
 #include <QByteArray>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -18,10 +19,13 @@
 class Gateway;
 class MetricsRecorder;
 class RecordsClient;
+class RelayClient;
 class RecordsView;
 class RoutingTable;
 class TcpPeerHub;
 struct CallDialect;
+struct RelayUpdate;
+enum class RelayState : std::uint8_t;
 
 /** The services of an entry VM that run on its traffic thread. */
 class FrontTrafficServices
@@ -35,6 +39,10 @@
         std::function<void()> drained;
         /** Called with whether enough records VMs are reachable to open and store turns. */
         std::function<void(bool)> recordsReachable;
+        /** Called with each update of the store's contents from a relay. */
+        std::function<void(const RelayUpdate &)> relayUpdate;
+        /** Called when relays begin or cease to serve this VM. */
+        std::function<void(RelayState)> relayState;
     };
 
     FrontTrafficServices(const NodeSettings &settings, const CallDialect &dialect,
@@ -66,6 +74,7 @@
     std::unique_ptr<TcpPeerHub> hub;
     std::unique_ptr<RecordsClient> records;
     std::unique_ptr<FleetQuota> quota;
+    std::unique_ptr<RelayClient> relays;
     std::unique_ptr<Gateway> gateway;
     bool recordsAreReachable = false;
     TimerService::SteadyTime lastQuorumTime;
--- a/modules/lacewingmux_node/records/RecordsNode.cpp
+++ b/modules/lacewingmux_node/records/RecordsNode.cpp
@@ -5,9 +5,10 @@
 #include "lacewingmux_gateway/routing/RoutingTable.h"
 #include "lacewingmux_keyvalue/update/RecordUpdate.h"
 #include "lacewingmux_node/records/DiskIdentity.h"
-#include "lacewingmux_node/records/RecordsTrafficServices.h"
 #include "lacewingmux_node/settings/MetricsServer.h"
 #include "lacewingmux_records/members/RecordsMembership.h"
+#include "lacewingmux_relay/messages/RelayCodec.h"
+#include "lacewingmux_relay/store/RelayedStore.h"
 #include "lacewingmux_report/metrics/HistogramMetrics.h"
 
 #include <utility>
@@ -17,6 +18,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds statusRetryDelay{500}; // a few round trips to a slow store
+// Interval at which subscribers' data is confirmed as recent.
+constexpr std::chrono::milliseconds contactInterval{300};
 
 } // namespace
 
@@ -43,30 +46,34 @@
 {
     this->configurationWatch.reset();
     this->retirementWatch.reset();
+    this->replicaWatch.reset();
     this->membership.reset();
     this->traffic.reset();
 }
 
 void RecordsNode::startTraffic()
 {
-    RecordsServerHooks hooks;
-    hooks.synced = [this] { this->queue.post([this] { this->membership->declareSynced(); }); };
-    hooks.copied = [this] { this->queue.post([this] { this->finishRetirement(); }); };
-    hooks.memberSilent = [this](const VmIncarnation &member) {
+    RecordsTrafficServices::Hooks hooks;
+    hooks.records.synced = [this] {
+        this->queue.post([this] { this->membership->declareSynced(); });
+    };
+    hooks.records.copied = [this] { this->queue.post([this] { this->finishRetirement(); }); };
+    hooks.records.memberSilent = [this](const VmIncarnation &member) {
         this->queue.post([this, member] {
             if (RecordsMembership::withoutSilentMember(this->membership->view(), member))
                 this->membership->removeSilentMember(member);
         });
     };
-    hooks.standbyCanReplace = [this](const VmIncarnation &member) {
+    hooks.records.standbyCanReplace = [this](const VmIncarnation &member) {
         this->queue.post([this, member] { this->membership->replaceAsStandby(member); });
     };
-    hooks.newerView = [this](const QByteArray &document) {
+    hooks.records.newerView = [this](const QByteArray &document) {
         this->queue.post([this, document] { this->membership->adoptViewDocument(document); });
     };
-    hooks.newerConfiguration = [this](const ConfigurationDocumentMessage &message) {
+    hooks.records.newerConfiguration = [this](const ConfigurationDocumentMessage &message) {
         this->queue.post([this, message] { this->applyConfiguration(message.document); });
     };
+    this->connectRelays(hooks);
     this->traffic = std::make_unique<ServiceThread<RecordsTrafficServices>>(
             QStringLiteral("traffic"), [this, hooks] {
                 return std::make_unique<RecordsTrafficServices>(
@@ -76,7 +83,24 @@
 
 void RecordsNode::connectStore()
 {
-    this->store = this->platform.createStore(this->timers, *this->metrics, [](bool) {});
+    this->store =
+            std::make_unique<RelayedStore>(this->platform.createStore(this->timers, *this->metrics,
+                                                                      [this](bool reachable) {
+                                                                          this->storeReachable =
+                                                                                  reachable;
+                                                                          this->reportContact();
+                                                                      }),
+                                           this->timers, RelayedStore::Source::Store);
+    this->store->setRelevance(this->platform.replicaPrefix, this->platform.replicaRelevance());
+    this->store->setUpdateHook([this](const RelayUpdate &update) {
+        if (!this->hasSubscribers)
+            return;
+        this->traffic->post(
+                [bytes = RelayCodec::encodeUpdate(update)](RecordsTrafficServices &services) {
+                    services.relayServer().broadcast(bytes);
+                });
+    });
+    this->contactTimer = this->timers.every(contactInterval, [this] { this->reportContact(); });
     const bool isFirstStart = this->diskWasEmpty && this->settings.firstStart;
     this->membership = std::make_unique<RecordsMembership>(
             *this->store, this->timers, this->self, this->settings.toleratedDisks, isFirstStart,
@@ -88,8 +112,76 @@
     this->configurationWatch = this->store->watchValue(
             this->platform.configurationKey,
             [this](const QByteArray &document) { this->applyConfiguration(document); });
-    this->retirementWatch = this->store->watchValue(
-            this->platform.retirementKey, [this](const QByteArray &) { this->beginRetirement(); });
+    this->retirementWatch = this->store->watchPrefix(
+            this->platform.retirementPrefix, 0, [this](const StoreRecord &record) {
+                if (record.key == this->platform.retirementKey && record.createRevision != 0)
+                    this->beginRetirement();
+            });
+}
+
+void RecordsNode::connectRelays(RecordsTrafficServices::Hooks &hooks)
+{
+    hooks.relayServer.contentsNeeded = [this](const VmIncarnation &subscriber) {
+        this->queue.post([this, subscriber] { this->sendContents(subscriber); });
+    };
+    hooks.relayServer.demandChanged = [this](bool demanded) {
+        this->queue.post([this, demanded] {
+            this->hasSubscribers = demanded;
+            this->updateSource();
+        });
+    };
+    hooks.relayClient.update = [this](const RelayUpdate &update) {
+        this->queue.post([this, update] { this->store->applyUpdate(update); });
+    };
+    hooks.relayClient.stateChanged = [this](RelayState state) {
+        this->queue.post([this, state] {
+            this->relayState = state;
+            this->updateSource();
+        });
+    };
+    hooks.relayClient.isPreferredRelay = [this](bool ranks) {
+        this->queue.post([this, ranks] {
+            this->isPreferredRelay = ranks;
+            this->updateSource();
+        });
+    };
+}
+
+void RecordsNode::sendContents(const VmIncarnation &subscriber)
+{
+    // The subscriber asks again if the contents are not known yet.
+    if (!this->replicaWatch || !this->store->isComplete())
+        return;
+    std::vector<QByteArray> updates;
+    for (const RelayUpdate &update : this->store->contents())
+        updates.push_back(RelayCodec::encodeUpdate(update));
+    this->reportContact();
+    this->traffic->post([subscriber, updates](RecordsTrafficServices &services) {
+        services.relayServer().sendContents(subscriber, updates);
+    });
+}
+
+void RecordsNode::reportContact()
+{
+    const auto lastContact = this->store ? this->store->lastContact() : std::nullopt;
+    if (!this->hasSubscribers || !lastContact)
+        return;
+    this->traffic->post([reachable = this->storeReachable,
+                         contact = *lastContact](RecordsTrafficServices &services) {
+        services.relayServer().setContact(reachable, contact);
+    });
+}
+
+void RecordsNode::updateSource()
+{
+    const bool relays = this->hasSubscribers || this->isPreferredRelay;
+    const bool usesStore = relays || this->relayState != RelayState::Served;
+    this->store->setSource(usesStore ? RelayedStore::Source::Store : RelayedStore::Source::Relays);
+    if (!this->hasSubscribers)
+        this->replicaWatch.reset();
+    else if (!this->replicaWatch)
+        this->replicaWatch = this->store->watchPrefix(this->platform.replicaPrefix, 0,
+                                                      [](const StoreRecord &) {});
 }
 
 void RecordsNode::applyConfiguration(const QByteArray &document)
--- a/modules/lacewingmux_node/records/RecordsNode.h
+++ b/modules/lacewingmux_node/records/RecordsNode.h
@@ -4,9 +4,11 @@
 #include "lacewingmux_core/threads/ThreadQueue.h"
 #include "lacewingmux_core/time/QtTimerService.h"
 #include "lacewingmux_keyvalue/store/PlatformStore.h"
+#include "lacewingmux_node/records/RecordsTrafficServices.h"
 #include "lacewingmux_node/settings/NodeSettings.h"
 #include "lacewingmux_node/settings/PlatformAdapter.h"
 #include "lacewingmux_peer/messages/VmDescriptor.h"
+#include "lacewingmux_relay/links/RelayState.h"
 
 #include <QByteArray>
 
@@ -18,13 +20,14 @@
 class HistogramMetrics;
 class MetricsServer;
 class RecordsMembership;
-class RecordsTrafficServices;
+class RelayedStore;
 
 /**
     The node that runs on a records VM. Its control thread maintains this VM's membership in the
-    view of the records VMs, watches the configuration in order to pass it on to VMs that cannot
+    view of the records VMs, follows the configuration in order to pass it on to VMs that cannot
     reach the store, and retires the VM at the operators' request, once the other members have
-    copied its records.
+    copied its records. While other VMs subscribe to this one, it watches the store for them;
+    otherwise it is itself a subscriber of such a VM.
 */
 class RecordsNode
 {
@@ -37,6 +40,11 @@
 private:
     void startTraffic();
     void connectStore();
+    void connectRelays(RecordsTrafficServices::Hooks &hooks);
+    void sendContents(const VmIncarnation &subscriber);
+    void reportContact();
+    /** Selects where the contents of the store come from, and what is watched for others. */
+    void updateSource();
     void applyConfiguration(const QByteArray &document);
     void beginRetirement();
     void finishRetirement();
@@ -49,14 +57,20 @@
     std::unique_ptr<HistogramMetrics> metrics;
     VmDescriptor self;
     bool diskWasEmpty = false;
-    std::unique_ptr<PlatformStore> store;
+    std::unique_ptr<RelayedStore> store;
     std::unique_ptr<RecordsMembership> membership;
     std::unique_ptr<ServiceThread<RecordsTrafficServices>> traffic;
     std::unique_ptr<PlatformStore::Watch> configurationWatch;
     std::unique_ptr<PlatformStore::Watch> retirementWatch;
+    std::unique_ptr<PlatformStore::Watch> replicaWatch; ///< for subscribers only
     std::unique_ptr<MetricsServer> metricsServer;
     std::uint64_t configurationVersion = 0;
     bool retiring = false;
+    bool storeReachable = true;
+    bool hasSubscribers = false;
+    bool isPreferredRelay = false;
+    RelayState relayState = RelayState::NotServed;
+    TimerSubscription contactTimer;
     TimerSubscription statusRetryTimer;
 };
 
--- a/modules/lacewingmux_node/records/RecordsTrafficServices.h
+++ b/modules/lacewingmux_node/records/RecordsTrafficServices.h
@@ -4,6 +4,8 @@
 #include "lacewingmux_node/settings/NodeSettings.h"
 #include "lacewingmux_records/messages/RecordMessages.h"
 #include "lacewingmux_records/server/RecordsServerHooks.h"
+#include "lacewingmux_relay/links/RelayClient.h"
+#include "lacewingmux_relay/links/RelayServer.h"
 
 #include <cstdint>
 #include <memory>
@@ -21,8 +23,16 @@
 class RecordsTrafficServices
 {
 public:
+    /** Notifications for the control thread; called on the traffic thread. */
+    struct Hooks
+    {
+        RecordsServerHooks records;
+        RelayServer::Hooks relayServer;
+        RelayClient::Hooks relayClient;
+    };
+
     RecordsTrafficServices(const NodeSettings &settings, const VmIncarnation &self,
-                           MetricsRecorder &metrics, RecordsServerHooks hooks);
+                           MetricsRecorder &metrics, Hooks hooks);
     ~RecordsTrafficServices();
     RecordsTrafficServices(const RecordsTrafficServices &) = delete;
     RecordsTrafficServices &operator=(const RecordsTrafficServices &) = delete;
@@ -33,11 +43,19 @@
     /** Sets the operators' configuration that is passed on to other VMs. */
     void setConfiguration(const ConfigurationDocumentMessage &document);
 
+    /** Returns the server of this VM's subscribers. */
+    [[nodiscard]] RelayServer &relayServer() noexcept
+    {
+        return *this->relay;
+    }
+
 private:
     QtTimerService timers;
     std::unique_ptr<SegmentedLog> log;
     std::unique_ptr<TcpPeerHub> hub;
     std::unique_ptr<RecordsServer> server;
+    std::unique_ptr<RelayServer> relay;
+    std::unique_ptr<RelayClient> relays;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_node/settings/PlatformAdapter.h
+++ b/modules/lacewingmux_node/settings/PlatformAdapter.h
@@ -15,6 +15,7 @@
 class PlatformStore;
 class RoutingTable;
 class TimerService;
+struct StoreRecord;
 
 /** The platform-specific store client, HTTP fields, keys and document parsers of a node. */
 struct PlatformAdapter
@@ -35,6 +36,12 @@
     std::function<std::optional<ReplicaInstance>(const QByteArray &key, const QByteArray &document)>
             readReplica;
 
+    /** Returns a function that tells whether a change of a replica entry matters: heartbeats and
+        other writers change entries without changing the replica. */
+    [[nodiscard]] std::function<bool(const StoreRecord &before, const StoreRecord &after)>
+    replicaRelevance() const;
+
+    QByteArray retirementPrefix;    ///< store key prefix of the requests to retire a VM
     QByteArray retirementKey;       ///< store key of the request to retire this VM
     QByteArray retirementStatusKey; ///< store key of the retirement status of this VM
     QByteArray retirementRunning;   ///< status document while the retirement is in progress
--- a/modules/lacewingmux_peer/messages/FrameKind.h
+++ b/modules/lacewingmux_peer/messages/FrameKind.h
@@ -86,7 +86,12 @@
     GrantTokensReply = 150,
     ConfigurationDocumentRequest = 151, // without payload
     ConfigurationDocumentReply = 152,
-    CrashNotice = 153
+    CrashNotice = 153,
+
+    // lacewingmux_relay, traffic channel
+    RelaySubscribe = 160, // without payload
+    RelayUpdate = 161,
+    RelayStatus = 162
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_records/members/RecordsView.cpp
+++ b/modules/lacewingmux_records/members/RecordsView.cpp
@@ -86,6 +86,15 @@
     return all;
 }
 
+std::vector<VmIncarnation> RecordsView::incarnations() const
+{
+    std::vector<VmIncarnation> all;
+    all.reserve(this->members.size());
+    for (const RecordsMember &entry : this->members)
+        all.push_back(entry.vm.incarnation);
+    return all;
+}
+
 void RecordsView::logAdoption() const
 {
     LogEvent(LogSeverity::Info, "recordsViewAdopted")
--- a/modules/lacewingmux_records/members/RecordsView.h
+++ b/modules/lacewingmux_records/members/RecordsView.h
@@ -35,6 +35,9 @@
     /** Returns all members as peers to connect to. */
     [[nodiscard]] std::vector<VmDescriptor> descriptors() const;
 
+    /** Returns the incarnations of all members. */
+    [[nodiscard]] std::vector<VmIncarnation> incarnations() const;
+
     /** Logs that this VM has adopted the view. */
     void logAdoption() const;
 
--- a/modules/lacewingmux_records/messages/RecordsCodec.cpp
+++ b/modules/lacewingmux_records/messages/RecordsCodec.cpp
@@ -13,26 +13,12 @@
 using std::chrono::milliseconds;
 using std::chrono::system_clock;
 
-Offset<ByteVector> createBytes(FlatBufferBuilder &builder, const QByteArray &bytes)
-{
-    return builder.CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.constData()),
-                                static_cast<std::size_t>(bytes.size()));
-}
-
 /** As createBytes(), but omits the field if the bytes are empty. */
 Offset<ByteVector> createOptionalBytes(FlatBufferBuilder &builder, const QByteArray &bytes)
 {
     return bytes.isEmpty() ? Offset<ByteVector>() : createBytes(builder, bytes);
 }
 
-QByteArray bytesOf(const ByteVector *bytes)
-{
-    if (bytes == nullptr)
-        return {};
-    return QByteArray(reinterpret_cast<const char *>(bytes->data()),
-                      static_cast<qsizetype>(bytes->size()));
-}
-
 Offset<fb::Record> createRecord(FlatBufferBuilder &builder, const Record &record)
 {
     const auto key = createBytes(builder, record.key);
--- /dev/null
+++ b/modules/lacewingmux_relay/links/RelayClient.cpp
@@ -0,0 +1,189 @@
+#include "lacewingmux_relay/links/RelayClient.h"
+
+#include "lacewingmux_core/hashing/StableHash.h"
+#include "lacewingmux_core/logging/StructuredLog.h"
+#include "lacewingmux_relay/messages/RelayCodec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingmux {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds checkInterval{200};
+constexpr milliseconds renewalInterval{1000};
+constexpr milliseconds statusTimeout{1200};     // three status intervals of a relay
+constexpr milliseconds maximumContactAge{3200}; // above the longest poll of a relay's watches
+constexpr milliseconds trialTime{600};          // a new relay first reads the store
+constexpr std::size_t usualRelays = 2;          // one may stop without a gap
+
+} // namespace
+
+RelayClient::RelayClient(PeerHub &peerHub, TimerService &timerService, Hooks clientHooks)
+    : hub(peerHub)
+    , timers(timerService)
+    , hooks(std::move(clientHooks))
+{
+    this->hub.setHandler(FrameKind::RelayUpdate, [this](const auto &peer, const auto &frame) {
+        const auto relay = this->relays.find(peer);
+        const auto update = RelayCodec::decodeUpdate(frame.payload);
+        if (relay == this->relays.end() || !update)
+            return;
+        relay->second.hasContents = true;
+        this->hooks.update(*update);
+    });
+    this->hub.setHandler(FrameKind::RelayStatus, [this](const auto &peer, const auto &frame) {
+        const auto relay = this->relays.find(peer);
+        const auto status = RelayCodec::decodeStatus(frame.payload);
+        if (relay == this->relays.end() || !status)
+            return;
+        relay->second.status = status;
+        relay->second.statusAt = this->timers.now();
+        this->updateState();
+    });
+    this->hub.addLinkHandler([this](const VmIncarnation &peer, bool up) {
+        // After a start, the preferred relays are often not the first that are connected.
+        if (up)
+            return;
+        this->relays.erase(peer);
+        this->check();
+    });
+    this->checkTimer = this->timers.every(checkInterval, [this] { this->check(); });
+}
+
+void RelayClient::setCandidates(const std::vector<VmIncarnation> &candidates)
+{
+    this->preferences = ranked(candidates, this->hub.self().zone);
+}
+
+std::vector<VmIncarnation> RelayClient::ranked(const std::vector<VmIncarnation> &candidates,
+                                               const QString &zone)
+{
+    // Every zone prefers the same relay of its own, so that few VMs watch the store.
+    std::map<QString, std::vector<VmIncarnation>> byZone;
+    for (const VmIncarnation &candidate : candidates)
+        byZone[candidate.zone].push_back(candidate);
+    for (auto &[name, members] : byZone) {
+        const std::uint64_t zoneHash = stableHash(name.toUtf8());
+        const auto hashOf = [zoneHash](const VmIncarnation &member) {
+            return combineHashes(zoneHash, stableHash(member.vm.toUtf8()));
+        };
+        std::sort(members.begin(), members.end(), [&hashOf](const auto &left, const auto &right) {
+            return hashOf(left) < hashOf(right);
+        });
+    }
+    std::vector<VmIncarnation> own = std::move(byZone[zone]);
+    byZone.erase(zone);
+    std::vector<VmIncarnation> others;
+    for (std::size_t rank = 0; others.size() + own.size() < candidates.size(); ++rank) {
+        // The zones follow each other in a ring, which spreads the subscribers.
+        const auto next = byZone.upper_bound(zone);
+        const auto append = [&others, rank](auto first, auto last) {
+            for (auto entry = first; entry != last; ++entry) {
+                if (rank < entry->second.size())
+                    others.push_back(entry->second[rank]);
+            }
+        };
+        append(next, byZone.end());
+        append(byZone.begin(), next);
+    }
+    std::vector<VmIncarnation> order;
+    for (std::size_t rank = 0; order.size() < candidates.size(); ++rank) {
+        if (rank < own.size())
+            order.push_back(own[rank]);
+        if (rank < others.size())
+            order.push_back(others[rank]);
+    }
+    return order;
+}
+
+void RelayClient::check()
+{
+    if (std::exchange(this->isSelfRelay, this->selfIsFirst()) != this->isSelfRelay)
+        this->hooks.isPreferredRelay(this->isSelfRelay);
+    const std::vector<VmIncarnation> wanted = this->wantedRelays();
+    std::erase_if(this->relays, [&wanted](const auto &entry) {
+        return std::find(wanted.begin(), wanted.end(), entry.first) == wanted.end();
+    });
+    for (const VmIncarnation &peer : wanted) {
+        const auto [entry, isNew] = this->relays.try_emplace(peer);
+        Relay &relay = entry->second;
+        if (isNew)
+            relay.subscribedSince = this->timers.now();
+        // Until the contents arrive the request is repeated at each check.
+        if (isNew || !relay.hasContents
+            || this->timers.now() - relay.lastSubscribed >= renewalInterval) {
+            relay.lastSubscribed = this->timers.now();
+            this->hub.send(peer, {FrameKind::RelaySubscribe, 0, 0, {}});
+        }
+    }
+    this->updateState();
+}
+
+bool RelayClient::selfIsFirst() const
+{
+    return !this->preferences.empty() && this->preferences.front() == this->hub.self();
+}
+
+std::vector<VmIncarnation> RelayClient::wantedRelays() const
+{
+    if (this->isSelfRelay)
+        return {};
+    std::vector<VmIncarnation> wanted;
+    std::size_t limit = usualRelays;
+    std::size_t failing = 0;
+    for (const VmIncarnation &candidate : this->preferences) {
+        if (candidate == this->hub.self() || !this->hub.isConnected(candidate))
+            continue;
+        wanted.push_back(candidate);
+        failing += this->isFailing(candidate) ? 1 : 0;
+        if (failing == usualRelays)
+            limit = usualRelays + 1;
+        if (wanted.size() == limit)
+            break;
+    }
+    return wanted;
+}
+
+bool RelayClient::isFailing(const VmIncarnation &candidate) const
+{
+    const auto known = this->relays.find(candidate);
+    return known != this->relays.end() && !this->isRecent(known->second)
+           && this->timers.now() - known->second.subscribedSince > trialTime;
+}
+
+void RelayClient::updateState()
+{
+    const RelayState current = this->currentState();
+    if (std::exchange(this->state, current) == current)
+        return;
+    LogEvent(current == RelayState::Served ? LogSeverity::Info : LogSeverity::Warning, "relayState")
+            .field("state", static_cast<int>(current))
+            .field("relays", static_cast<qint64>(this->relays.size()));
+    this->hooks.stateChanged(current);
+}
+
+RelayState RelayClient::currentState() const
+{
+    bool storeLost = false;
+    for (const auto &[peer, relay] : this->relays) {
+        if (this->isRecent(relay))
+            return RelayState::Served;
+        const bool answers = relay.status && this->timers.now() - relay.statusAt <= statusTimeout;
+        storeLost = storeLost || answers;
+    }
+    return storeLost ? RelayState::StoreLost : RelayState::NotServed;
+}
+
+bool RelayClient::isRecent(const Relay &relay) const
+{
+    if (!relay.hasContents || !relay.status || !relay.status->storeReachable)
+        return false;
+    const auto silence = this->timers.now() - relay.statusAt;
+    return silence <= statusTimeout && relay.status->contactAge + silence <= maximumContactAge;
+}
+
+} // namespace lacewingmux
--- /dev/null
+++ b/modules/lacewingmux_relay/links/RelayClient.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_peer/links/PeerHub.h"
+#include "lacewingmux_relay/links/RelayState.h"
+#include "lacewingmux_relay/messages/RelayStatus.h"
+#include "lacewingmux_relay/messages/RelayUpdate.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace lacewingmux {
+
+/**
+    Subscribes this VM to two relays, one of its own availability zone and one of another, and to a
+    third one while none of them has recent data.
+
+    All VMs prefer the same relay of a zone, so one VM of each zone watches the store for the
+   others. If it stops, the next in rank gets the subscribers of its zone and begins to watch. A VM
+   that is the first of its own zone serves itself from the store.
+*/
+class RelayClient
+{
+public:
+    struct Hooks
+    {
+        std::function<void(const RelayUpdate &)> update;
+        std::function<void(RelayState)> stateChanged;
+        /** Called with whether this VM is the preferred relay of its zone. */
+        std::function<void(bool)> isPreferredRelay;
+    };
+
+    RelayClient(PeerHub &peerHub, TimerService &timerService, Hooks clientHooks);
+
+    /** Sets the VMs that can relay. */
+    void setCandidates(const std::vector<VmIncarnation> &candidates);
+
+    /** Returns the candidates in the order in which a VM of the zone prefers them. */
+    [[nodiscard]] static std::vector<VmIncarnation>
+    ranked(const std::vector<VmIncarnation> &candidates, const QString &zone);
+
+private:
+    struct Relay
+    {
+        TimerService::SteadyTime subscribedSince;
+        TimerService::SteadyTime lastSubscribed;
+        bool hasContents = false;
+        std::optional<RelayStatus> status; ///< as last received
+        TimerService::SteadyTime statusAt;
+    };
+
+    void check();
+    /** Returns the connected relays to subscribe to; skips this VM itself. */
+    [[nodiscard]] std::vector<VmIncarnation> wantedRelays() const;
+    [[nodiscard]] bool selfIsFirst() const;
+    void updateState();
+    [[nodiscard]] bool isRecent(const Relay &relay) const;
+    /** Returns whether a relay that has been subscribed to for a while has no recent data. */
+    [[nodiscard]] bool isFailing(const VmIncarnation &candidate) const;
+    [[nodiscard]] RelayState currentState() const;
+
+    PeerHub &hub;
+    TimerService &timers;
+    Hooks hooks;
+    std::vector<VmIncarnation> preferences;
+    std::map<VmIncarnation, Relay> relays; ///< subscribed to
+    RelayState state = RelayState::NotServed;
+    bool isSelfRelay = false;
+    TimerSubscription checkTimer;
+};
+
+} // namespace lacewingmux
--- /dev/null
+++ b/tests/relay/RelayLinksTest.cpp
@@ -0,0 +1,197 @@
+#include "lacewingmux_relay/links/RelayClient.h"
+#include "lacewingmux_relay/links/RelayServer.h"
+
+#include "lacewingmux_core/time/ManualTimerService.h"
+#include "lacewingmux_peer/links/InMemoryPeerNetwork.h"
+#include "lacewingmux_relay/messages/RelayCodec.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <memory>
+#include <set>
+
+using namespace lacewingmux;
+using std::chrono::milliseconds;
+
+namespace {
+
+VmIncarnation vm(const QString &name, const QString &zone)
+{
+    return {name, zone, 1};
+}
+
+VmDescriptor descriptor(const VmIncarnation &incarnation)
+{
+    VmDescriptor result;
+    result.incarnation = incarnation;
+    result.address = incarnation.vm;
+    result.trafficPort = 1;
+    return result;
+}
+
+/** Relays named r1 to r4 in two zones, and a subscriber in the first one. */
+class RelayFleet
+{
+public:
+    struct Relay
+    {
+        std::unique_ptr<PeerHub> hub;
+        std::unique_ptr<RelayServer> server;
+        bool demanded = false;
+        bool storeReachable = true;
+    };
+
+    RelayFleet()
+        : network(this->timers)
+    {
+        this->network.setDeliveryDelay(milliseconds(1));
+        this->network.setDetectionDelay(milliseconds(900));
+        for (int number = 1; number <= 4; ++number)
+            this->members.push_back(
+                    vm(QStringLiteral("r%1").arg(number), number <= 2 ? "near" : "far"));
+        for (const VmIncarnation &member : this->members)
+            this->startRelay(member);
+        this->hub = this->network.makeHub(vm("e1", "near"));
+        std::vector<VmDescriptor> peers;
+        for (const VmIncarnation &member : this->members)
+            peers.push_back(descriptor(member));
+        this->hub->setPeers(peers);
+        this->client = std::make_unique<RelayClient>(
+                *this->hub, this->timers,
+                RelayClient::Hooks{
+                        [this](const RelayUpdate &update) { this->updates.push_back(update); },
+                        [this](RelayState newState) { this->state = newState; }, [](bool) {}});
+        this->client->setCandidates(this->members);
+    }
+
+    void startRelay(const VmIncarnation &member)
+    {
+        Relay &relay = this->relays[member.vm];
+        relay.hub = this->network.makeHub(member);
+        relay.server = std::make_unique<RelayServer>(
+                *relay.hub, this->timers,
+                RelayServer::Hooks{[&relay](const VmIncarnation &subscriber) {
+                                       relay.server->sendContents(
+                                               subscriber,
+                                               {RelayCodec::encodeUpdate({"op/", 7, true, {}})});
+                                   },
+                                   [&relay](bool demanded) { relay.demanded = demanded; }});
+    }
+
+    void run(milliseconds duration)
+    {
+        for (milliseconds passed{0}; passed < duration; passed += milliseconds(1)) {
+            for (auto &[name, relay] : this->relays) {
+                // A relay whose store is away keeps the time of its last contact.
+                if (relay.server && relay.storeReachable)
+                    relay.server->setContact(true, this->timers.now());
+                else if (relay.server)
+                    relay.server->setContact(false, this->timers.now());
+            }
+            this->timers.advance(milliseconds(1));
+            this->timers.runPosted();
+        }
+    }
+
+    [[nodiscard]] std::set<QString> demandedRelays() const
+    {
+        std::set<QString> demanded;
+        for (const auto &[name, relay] : this->relays) {
+            if (relay.demanded)
+                demanded.insert(name);
+        }
+        return demanded;
+    }
+
+    void stop(const QString &name)
+    {
+        this->relays[name].demanded = false;
+        this->relays[name].server.reset();
+        this->relays[name].hub.reset();
+    }
+
+    ManualTimerService timers;
+    InMemoryPeerNetwork network;
+    std::vector<VmIncarnation> members;
+    std::map<QString, Relay> relays;
+    std::unique_ptr<PeerHub> hub;
+    std::unique_ptr<RelayClient> client;
+    RelayState state = RelayState::NotServed;
+    std::vector<RelayUpdate> updates;
+};
+
+} // namespace
+
+Test(relay_links, a_subscriber_is_served_by_one_relay_of_its_zone_and_one_of_another)
+{
+    RelayFleet fleet;
+    fleet.run(milliseconds(1000));
+    cr_assert(fleet.state == RelayState::Served);
+    const std::set<QString> demanded = fleet.demandedRelays();
+    cr_assert_eq(demanded.size(), 2);
+    cr_assert(demanded.contains("r1") != demanded.contains("r2"));
+    cr_assert(demanded.contains("r3") != demanded.contains("r4"));
+    cr_assert_eq(fleet.updates.size(), 2);
+}
+
+Test(relay_links, another_relay_takes_over_without_a_gap_when_one_stops)
+{
+    RelayFleet fleet;
+    fleet.run(milliseconds(1000));
+    const QString near = fleet.demandedRelays().contains("r1") ? "r1" : "r2";
+    fleet.stop(near);
+    for (int step = 0; step < 40; ++step) {
+        fleet.run(milliseconds(100));
+        cr_assert(fleet.state == RelayState::Served);
+    }
+    cr_assert(fleet.demandedRelays().contains(near == "r1" ? "r2" : "r1"));
+}
+
+Test(relay_links, relays_that_lost_the_store_do_not_serve)
+{
+    RelayFleet fleet;
+    fleet.run(milliseconds(1000));
+    for (auto &[name, relay] : fleet.relays)
+        relay.storeReachable = false;
+    fleet.run(milliseconds(20));
+    cr_assert(fleet.state == RelayState::StoreLost);
+    fleet.relays["r4"].storeReachable = true;
+    fleet.relays["r3"].storeReachable = true;
+    fleet.run(milliseconds(1500));
+    cr_assert(fleet.state == RelayState::Served);
+}
+
+Test(relay_links, a_subscriber_that_reaches_no_relay_is_not_served)
+{
+    RelayFleet fleet;
+    fleet.run(milliseconds(1000));
+    for (const VmIncarnation &member : fleet.members)
+        fleet.network.cut("e1", member.vm);
+    fleet.run(milliseconds(2000));
+    cr_assert(fleet.state == RelayState::NotServed);
+    fleet.run(milliseconds(3000));
+    cr_assert(fleet.demandedRelays().empty(), "its subscriptions expire");
+    fleet.network.healAll();
+    fleet.run(milliseconds(1500));
+    cr_assert(fleet.state == RelayState::Served);
+}
+
+Test(relay_links, all_zones_together_use_one_relay_of_each_zone)
+{
+    std::vector<VmIncarnation> candidates;
+    for (int number = 0; number < 24; ++number)
+        candidates.push_back(
+                vm(QStringLiteral("r%1").arg(number), QStringLiteral("zone-%1").arg(number % 5)));
+    std::set<VmIncarnation> used;
+    for (int zone = 0; zone < 5; ++zone) {
+        const QString name = QStringLiteral("zone-%1").arg(zone);
+        const std::vector<VmIncarnation> ranked = RelayClient::ranked(candidates, name);
+        cr_assert_eq(ranked.size(), candidates.size());
+        cr_assert(ranked[0].zone == name);
+        cr_assert(ranked[1].zone != name);
+        used.insert(ranked[0]);
+        used.insert(ranked[1]);
+    }
+    cr_assert_eq(used.size(), 5);
+}
