Confirm the ownership of a program before a call is sent late or again

An owner that was paused finds that connection closed when it continues, sends the call again before it learns from its backup that it was replaced, and its successor has gone on to later calls meanwhile. A call that still waited in the queue when the owner was paused was sent late in the same way.

Change: the dispatcher asks the owner before a second send, and before a first one 200 ms or more after its dispatch; the owner answers once its backup has confirmed the ownership. A call that is cancelled while it waits to be sent again is reported as unknown, not as not run.

--- a/modules/lacewingmux_backend/dispatch/DispatchedCall.h
+++ b/modules/lacewingmux_backend/dispatch/DispatchedCall.h
@@ -35,6 +35,7 @@
     TimerSubscription queueTimer;
     TimerService::SteadyTime queueDeadline;
     int attempts = 0;              ///< how often the call was sent to a replica
+    int confirmedAttempts = 0;     ///< attempts for which the ownership was confirmed
     std::vector<QString> excluded; ///< replicas on which an attempt failed
     /** Whether its content ran on a replica when that crashed. Such a call is not run on one
         replica with other suspects. */
--- a/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.cpp
+++ b/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds powerRetryInterval{100};
+// The owner has just journaled a call when it dispatches it. Far below the time in which a paused
+// owner is replaced.
+constexpr std::chrono::milliseconds ownershipConfirmationTime{200};
 
 } // namespace
 
@@ -79,7 +82,8 @@
     } else if (call->state == DispatchState::Starting) {
         this->releaseReplica(*call);
     }
-    this->finish(handle, failedResult(reason, sent ? Executed::Unknown : Executed::No,
+    const bool mayHaveRun = sent || call->mayHaveRun;
+    this->finish(handle, failedResult(reason, mayHaveRun ? Executed::Unknown : Executed::No,
                                       QStringLiteral("the call was cancelled")));
 }
 
@@ -337,11 +341,31 @@
     });
 }
 
+bool ReplicaDispatcher::confirmOwnership(DispatchedCall &call)
+{
+    const bool isRecent = this->timers.now() - call.receivedAt < ownershipConfirmationTime;
+    const bool isConfirmed =
+            call.confirmedAttempts > call.attempts || (call.attempts == 0 && isRecent);
+    if (isConfirmed || !call.listener.confirmOwnership)
+        return true;
+    call.listener.confirmOwnership([this, handle = call.handle, attempt = call.attempts + 1,
+                                    alive = std::weak_ptr<char>(this->lifetimeToken)] {
+        DispatchedCall *confirmed = alive.expired() ? nullptr : this->find(handle);
+        if (!confirmed || confirmed->state != DispatchState::Starting)
+            return;
+        confirmed->confirmedAttempts = attempt;
+        this->send(handle);
+    });
+    return false;
+}
+
 void ReplicaDispatcher::send(DispatchHandle handle)
 {
     DispatchedCall *call = this->find(handle);
     if (!call || call->state != DispatchState::Starting)
         return;
+    if (!this->confirmOwnership(*call))
+        return;
     const bool isEngine = call->replica.kind == RouteKind::ModelEngine;
     call->queueTimer.cancel();
     call->state = DispatchState::Running;
--- a/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.h
+++ b/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.h
@@ -123,6 +123,8 @@
     void powerDecided(DispatchHandle handle, std::optional<PowerReservation> reservation);
     void waitForPower(const QString &route);
     void send(DispatchHandle handle);
+    /** Asks the owner for permission if the call needs it; returns whether it can be sent now. */
+    [[nodiscard]] bool confirmOwnership(DispatchedCall &call);
     void runFinished(DispatchHandle handle, const BackendResponse &response);
     void responseReceived(DispatchedCall &call, const BackendResponse &response);
     void connectionLost(DispatchedCall &call, const BackendResponse &response);
--- a/modules/lacewingmux_program/owner/ProgramCalls.cpp
+++ b/modules/lacewingmux_program/owner/ProgramCalls.cpp
@@ -230,6 +230,10 @@
         if (*token)
             this->forwardChunk(key, serial, chunk);
     };
+    listener.confirmOwnership = [this, token = this->alive, key](std::function<void()> send) {
+        if (*token)
+            this->context.slots.confirm(programAggregate(key.root)->slot(), std::move(send));
+    };
     listener.finished = [this, token = this->alive, key, serial](const DispatchResult &result) {
         if (*token)
             this->finish(key, serial, result);
--- a/tests/backend/DispatcherFailureTest.cpp
+++ b/tests/backend/DispatcherFailureTest.cpp
@@ -59,6 +59,56 @@
     cr_assert_eq(f.coincidences.size(), 1);
 }
 
+// Guards against an owner that was paused while a call ran: when it continues, its connection to
+// the replica is closed, and another VM may own the program and have gone on to later calls.
+Test(ReplicaDispatcher, anIdempotentCallIsSentAgainOnlyByItsOwner)
+{
+    for (const bool isOwner : {false, true}) {
+        DispatcherFixture f;
+        int confirmations = 0;
+        f.confirmOwnership = [&](const std::function<void()> &send) {
+            ++confirmations;
+            if (isOwner)
+                send();
+        };
+        f.addEngine(slowEngine());
+        f.addEngine(slowEngine());
+        f.adopt();
+        const auto &call = f.dispatch(f.chat(QStringLiteral("r1"), QStringLiteral("hello")));
+        f.loop.waitUntil([&] { return totalRuns(f, QStringLiteral("r1")) == 1; }, "the first run");
+        cr_assert_eq(confirmations, 0, "the call was dispatched just now");
+        f.engines[f.engines[0]->runs(QStringLiteral("r1")) == 1 ? 0 : 1]->crash();
+        f.loop.waitUntil([&] { return confirmations == 1; }, "the question");
+        f.loop.runFor(200ms);
+        if (!isOwner) {
+            f.dispatcher.cancel(call.handle, ErrorKind::OwnerUnavailable);
+            cr_assert(f.finish(call).executed == Executed::Unknown, "it may have run");
+        }
+        cr_assert_eq(f.finish(call).completed, isOwner);
+        cr_assert_eq(call.startedAt.size(), isOwner ? 2 : 1);
+    }
+}
+
+Test(ReplicaDispatcher, aCallThatWaitedLongIsSentOnlyByItsOwner)
+{
+    DispatcherFixture f;
+    int confirmations = 0;
+    f.confirmOwnership = [&](const std::function<void()> &) { ++confirmations; };
+    standin::EngineSettings settings;
+    settings.stepTime = 30ms; // half a second a call
+    f.addEngine(settings);
+    f.replica(QStringLiteral("e0")).record.maxSequences = 1;
+    f.adopt();
+    const auto &first = f.dispatch(f.chat(QStringLiteral("r1"), QStringLiteral("one")));
+    f.loop.waitUntil([&first] { return !first.startedAt.empty(); }, "the first call");
+    const auto &second = f.dispatch(f.chat(QStringLiteral("r2"), QStringLiteral("two")));
+    f.loop.runFor(250ms);
+    cr_assert(f.finish(first).completed);
+    f.loop.waitUntil([&] { return confirmations == 1; }, "the question");
+    f.loop.runFor(100ms);
+    cr_assert(second.startedAt.empty());
+}
+
 Test(ReplicaDispatcher, aStreamWhoseEngineCrashesRestartsAndCompletes)
 {
     DispatcherFixture f;
--- a/tests/backend/support/DispatcherFixture.cpp
+++ b/tests/backend/support/DispatcherFixture.cpp
@@ -126,6 +126,7 @@
         call->result = result;
         ++call->results;
     };
+    listener.confirmOwnership = this->confirmOwnership;
     call->handle = this->dispatcher.dispatch(request, std::move(listener));
     return *call;
 }
--- a/tests/backend/support/DispatcherFixture.h
+++ b/tests/backend/support/DispatcherFixture.h
@@ -53,6 +53,9 @@
     /** Waits for the result of the call and returns it. */
     const DispatchResult &finish(const ObservedCall &call);
 
+    /** If set, stands for the owner that confirms its ownership to the dispatched calls. */
+    std::function<void(std::function<void()> send)> confirmOwnership;
+
     EventLoop loop;
     IgnoringMetricsRecorder metrics;
     std::vector<CrashCoincidence> coincidences;
