Refuse requests of a team at its limit when their wait would be too long

Change: after each round, the requests that would have waited too long when the next token comes are refused, with the time until that token.

--- a/modules/lacewingmux_records/client/FleetQuota.cpp
+++ b/modules/lacewingmux_records/client/FleetQuota.cpp
@@ -176,6 +176,19 @@
     const milliseconds spacing = this->timePerToken(queue);
     const milliseconds room = std::max(milliseconds(0), maximumWait(queue) - wait);
     this->refuseBeyond(queue, static_cast<std::size_t>(room / spacing), wait);
+    this->refuseImpatient(queue, wait);
+}
+
+void FleetQuota::refuseImpatient(Queue &queue, milliseconds nextTokenIn)
+{
+    const TimerService::SteadyTime nextTokenAt = this->timers.now() + nextTokenIn;
+    const milliseconds patience = maximumWait(queue);
+    // The longest waiting ones come first.
+    while (!queue.waiting.empty() && nextTokenAt - queue.waiting.front().since > patience) {
+        const Callback callback = std::move(queue.waiting.front().callback);
+        queue.waiting.pop_front();
+        callback({false, std::max(minimumRetryDelay, nextTokenIn)});
+    }
 }
 
 void FleetQuota::refuseBeyond(Queue &queue, std::size_t maximumWaiting, milliseconds retryAfter)
--- a/modules/lacewingmux_records/client/FleetQuota.h
+++ b/modules/lacewingmux_records/client/FleetQuota.h
@@ -82,6 +82,8 @@
     void endRound(const QueueKey &key, Queue &queue);
     void refuseBeyond(Queue &queue, std::size_t maximumWaiting,
                       std::chrono::milliseconds retryAfter);
+    /** Refuses the requests that would have waited too long when the next token comes. */
+    void refuseImpatient(Queue &queue, std::chrono::milliseconds nextTokenIn);
     [[nodiscard]] static std::chrono::milliseconds maximumWait(const Queue &queue);
     [[nodiscard]] static std::chrono::milliseconds timePerToken(const Queue &queue);
     static void beginRound(Queue &queue);
--- a/tests/records/QuotaTest.cpp
+++ b/tests/records/QuotaTest.cpp
@@ -326,3 +326,55 @@
         cr_assert_leq(grantAt(300, 1), 1, "the newer limit is in force");
     }
 }
+
+// Guards against a team at its limit whose new programs take the tokens of its running ones: each
+// program that is refused in its course wastes what it has already used. The load is that of a calm
+// day on which a team's limit was lowered far below its demand.
+Test(quota_grants, a_team_at_its_limit_finishes_the_programs_that_it_starts)
+{
+    QuotaGrants grants(member(1), [](const auto &, double, const auto &) {});
+    RecordsView alone = viewOfThree();
+    alone.members.resize(1);
+    grants.setView(alone, start);
+    const VmIncarnation entryVm{QStringLiteral("e"), QStringLiteral("zone"), 9};
+    constexpr double rate = 12;
+    constexpr int callsPerProgram = 8;
+    constexpr milliseconds callInterval{300};
+    constexpr milliseconds patience{900};
+    struct Program
+    {
+        int callsLeft = callsPerProgram - 1;
+        TimerService::SteadyTime nextCall;
+    };
+    std::vector<Program> running;
+    std::mt19937 random(1);
+    std::bernoulli_distribution arrives(0.004); // 4 programs a second, 1.5 of which fit
+    int finished = 0;
+    int failed = 0;
+    for (auto now = start; now < start + std::chrono::seconds(60); now += milliseconds(1)) {
+        if ((now - start) % QuotaGrants::accrualInterval == milliseconds(0))
+            grants.update(now);
+        for (Program &program : running) {
+            if (now < program.nextCall
+                || (now - program.nextCall) % milliseconds(50) != milliseconds(0))
+                continue;
+            if (grants.grant(entryVm, {"team", rate, rate, 1, 0}, 1, now).granted == 1) {
+                --program.callsLeft;
+                program.nextCall = now + callInterval;
+            }
+        }
+        const auto before = running.size();
+        std::erase_if(running,
+                      [&](const Program &program) { return now - program.nextCall > patience; });
+        failed += static_cast<int>(before - running.size());
+        finished += static_cast<int>(std::erase_if(
+                running, [](const Program &program) { return program.callsLeft == 0; }));
+        if (arrives(random)
+            && grants.grant(entryVm, {"team", rate, rate, 1, 0.25}, 1, now).granted == 1)
+            running.push_back({callsPerProgram - 1, now + callInterval});
+    }
+    // 60 s at the rate are 90 programs.
+    cr_assert_geq(finished, 75, "%d programs ended, %d were refused in their course", finished,
+                  failed);
+    cr_assert_leq(failed, finished / 10, "%d", failed);
+}
