Spread turns over the replicas that share a prompt part

Cause: each entry VM sent a shared prompt to the replicas where it had sent it before, and all of them preferred the same one for a new prompt.

Change: PromptPopularity estimates which fraction of the turns begins with a prompt part. By rendezvous hashing all VMs agree on the replicas that share a part, more of them for a frequent one, and each VM prefers different ones among equals. A sharer is assumed to have a frequent part in its cache.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -240,6 +240,8 @@
         this->handleTimeout();
         return;
     }
+    if (this->possibleRuns == 0 && this->rejections == 0 && this->placementRounds == 0)
+        this->context.fleet.placement().recordTurn(this->description.promptParts, this->now());
     PlacementRequest placementRequest;
     placementRequest.service = this->service;
     placementRequest.forEngine = this->forEngine;
--- a/modules/lacewingmux_gateway/replicas/Placement.cpp
+++ b/modules/lacewingmux_gateway/replicas/Placement.cpp
@@ -47,6 +47,7 @@
             }
         }
         replica.instance = instance;
+        replica.hash = stableHash(instance.id);
         kept.insert(instance.id, replica);
         if (!instance.draining && !replica.replaced)
             this->byService[instance.service].push_back(instance.id);
@@ -90,6 +91,12 @@
     return best;
 }
 
+void Placement::recordTurn(const std::vector<PromptPart> &parts, SteadyTime now)
+{
+    if (!parts.empty())
+        this->popularity.record(parts.front().id, now);
+}
+
 void Placement::callStarted(const QByteArray &instance, SteadyTime now)
 {
     Replica *replica = this->find(instance);
@@ -230,19 +237,23 @@
     std::int64_t tokens = 0;
     for (const PromptPart &part : request.promptParts)
         tokens += part.tokens;
-    const std::int64_t known =
-            this->promptCaches.cachedTokens(replica.instance.id, request.promptParts);
+    auto known = static_cast<double>(
+            this->promptCaches.cachedTokens(replica.instance.id, request.promptParts));
+    const bool shares =
+            !request.promptParts.empty() && this->isSharer(replica, request.promptParts.front());
+    if (shares)
+        known = std::max(known, this->assumedCachedTokens(request.promptParts.front()));
     const double load = this->loadEstimate(replica, request.now);
     const double queued = std::max(0.0, load + 1.0 - replica.instance.slots);
     const double slowdown = this->slowdownEstimate(replica, request.now);
-    double total = static_cast<double>(tokens - known) / this->settings.promptTokensPerMillisecond;
+    double total =
+            (static_cast<double>(tokens) - known) / this->settings.promptTokensPerMillisecond;
     total += load * this->settings.costPerSequence;
     total += slowdown * this->settings.typicalTurn * (1.0 + queued / replica.instance.slots);
-    if (!request.promptParts.empty()) {
-        const QByteArray subject = QByteArray::number(request.promptParts.front().id, 16);
-        total += this->rendezvousRank(replica, subject) * this->settings.rendezvousBias;
-    }
-    return total;
+    // Even a prompt that is new to this VM goes to the replicas that will share it.
+    if (!shares)
+        total += this->settings.vmBias;
+    return total + rendezvousRank(replica, this->settings.vmSeed) * this->settings.vmBias;
 }
 
 double Placement::callCost(const Replica &replica, const PlacementRequest &request) const
@@ -256,7 +267,7 @@
     // Penalises load before a queue forms, because the load reports lag behind.
     double total = call * (1.0 + queued / slots + 0.5 * load / slots);
     if (!request.affinityKey.isEmpty())
-        total += this->rendezvousRank(replica, request.affinityKey) * call
+        total += rendezvousRank(replica, stableHash(request.affinityKey)) * call
                  * this->settings.affinitySaving;
     return total;
 }
@@ -275,9 +286,31 @@
     return 1.0 + (replica.slowdown - 1.0) * weight;
 }
 
-double Placement::rendezvousRank(const Replica &replica, const QByteArray &subject) const
+bool Placement::isSharer(const Replica &replica, const PromptPart &part) const
+{
+    const auto replicaCount = static_cast<double>(this->replicaCountOf(replica.instance.service));
+    const double sharers =
+            std::max(this->settings.promptSpread * this->popularity.fraction(part.id),
+                     this->settings.minimumSharers / std::max(1.0, replicaCount));
+    return rendezvousRank(replica, part.id) >= 1.0 - sharers;
+}
+
+double Placement::assumedCachedTokens(const PromptPart &part) const
+{
+    const double turns = this->popularity.count(part.id);
+    const double confidence = turns / (turns + this->settings.turnsUntilHalfAssumed);
+    return this->settings.spreadCachedProbability * confidence * static_cast<double>(part.tokens);
+}
+
+std::size_t Placement::replicaCountOf(const QByteArray &service) const
+{
+    const auto serving = this->byService.constFind(service);
+    return serving == this->byService.cend() ? 0 : serving->size();
+}
+
+double Placement::rendezvousRank(const Replica &replica, std::uint64_t subjectHash)
 {
-    const std::uint64_t hash = combineHashes(stableHash(subject), stableHash(replica.instance.id));
+    const std::uint64_t hash = combineHashes(subjectHash, replica.hash);
     return static_cast<double>(hash)
            / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
 }
--- a/modules/lacewingmux_gateway/replicas/Placement.h
+++ b/modules/lacewingmux_gateway/replicas/Placement.h
@@ -5,6 +5,7 @@
 #include "lacewingmux_gateway/replicas/PlacementRequest.h"
 #include "lacewingmux_gateway/replicas/PlacementSettings.h"
 #include "lacewingmux_gateway/replicas/PromptCacheIndex.h"
+#include "lacewingmux_gateway/replicas/PromptPopularity.h"
 #include "lacewingmux_gateway/replicas/ReplicaInstance.h"
 
 #include <QByteArray>
@@ -20,7 +21,8 @@
     Selects the replica with the lowest estimated latency for a call. The estimate covers the prompt
     tokens that the replica has not cached, its speed and queue, the distance to its zone, and its
     recent failures. VMs do not coordinate: they learn about each other's calls from the replicas'
-    load reports, and agree on a replica for a new prompt by rendezvous hashing.
+    load reports. By rendezvous hashing they agree on the replicas that share a prompt part, the
+   more the larger its fraction of the turns, and each VM prefers different ones among them.
 
     Designed for many programs that share a few prompts, for bursts, for slow, crashed and
     overloaded replicas, and for plain services with few slots, where a queue at the wrong replica
@@ -40,6 +42,9 @@
         leaving is eligible only within the drain limit, and only if no other replica is. */
     [[nodiscard]] std::optional<QByteArray> choose(const PlacementRequest &request) const;
 
+    /** Records that a turn with this prompt arrived. */
+    void recordTurn(const std::vector<PromptPart> &parts, SteadyTime now);
+
     /** Records that a call was sent. An unreachable replica is retried by one call at a time. */
     void callStarted(const QByteArray &instance, SteadyTime now);
 
@@ -82,6 +87,7 @@
     struct Replica
     {
         ReplicaInstance instance;
+        std::uint64_t hash = 0;       ///< of its id
         int ownCalls = 0;             ///< active calls of this VM
         double otherCalls = 0;        ///< calls of other VMs, from the replica's last report
         SteadyTime otherCallsUpdated; ///< time of that report
@@ -107,7 +113,13 @@
     [[nodiscard]] double callCost(const Replica &replica, const PlacementRequest &request) const;
     [[nodiscard]] double loadEstimate(const Replica &replica, SteadyTime now) const;
     [[nodiscard]] double slowdownEstimate(const Replica &replica, SteadyTime now) const;
-    [[nodiscard]] double rendezvousRank(const Replica &replica, const QByteArray &subject) const;
+    /** Returns whether the replica is one of those that share the prompt part. */
+    [[nodiscard]] bool isSharer(const Replica &replica, const PromptPart &part) const;
+    /** Returns how many of the part's tokens a sharer probably has in its cache. */
+    [[nodiscard]] double assumedCachedTokens(const PromptPart &part) const;
+    [[nodiscard]] std::size_t replicaCountOf(const QByteArray &service) const;
+    /** Returns a number from 0 to 1 that depends on the replica and the subject only. */
+    [[nodiscard]] static double rendezvousRank(const Replica &replica, std::uint64_t subjectHash);
     void decayErrors(Replica &replica, SteadyTime now) const;
 
     QByteArray ownZone;
@@ -115,6 +127,7 @@
     QHash<QByteArray, Replica> replicas;
     QHash<QByteArray, std::vector<QByteArray>> byService; ///< instances that accept new calls
     PromptCacheIndex promptCaches;
+    PromptPopularity popularity;
     LeavingReplicas leavingReplicas;
 };
 
--- a/modules/lacewingmux_gateway/replicas/PlacementSettings.h
+++ b/modules/lacewingmux_gateway/replicas/PlacementSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace lacewingmux {
 
@@ -19,8 +20,21 @@
     double typicalCall = 25.0;
     /** Fraction of a call that a replica saves if it handled the same object before. */
     double affinitySaving = 0.4;
-    /** Weight of the rendezvous hash, by which VMs agree on a replica for a new prompt. */
-    double rendezvousBias = 3.0;
+    /** Weight of a hash of this VM and the replica: VMs prefer different replicas among equals, so
+        that they do not all choose the one that looked least loaded in the last reports. */
+    double vmBias = 7.0;
+    /** Distinguishes this VM from others in that hash. */
+    std::uint64_t vmSeed = 0;
+    /** How many replicas share a prompt part, as a multiple of its fraction of all turns times the
+        number of replicas. */
+    double promptSpread = 4.0;
+    /** Number of replicas that share even the rarest prompt part. */
+    double minimumSharers = 3.0;
+    /** How probable it is that one of these replicas has a frequent part in its cache, although
+       this VM did not send it there. */
+    double spreadCachedProbability = 0.75;
+    /** Number of turns with a part after which this VM assumes half of that probability. */
+    double turnsUntilHalfAssumed = 3.0;
     /** Cost of a failure that has just occurred. */
     double failureCost = 150.0;
     /** Cost of a rejection that has just occurred. */
--- a/modules/lacewingmux_node/front/FrontTrafficServices.cpp
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.cpp
@@ -1,5 +1,6 @@
 #include "lacewingmux_node/front/FrontTrafficServices.h"
 
+#include "lacewingmux_core/hashing/StableHash.h"
 #include "lacewingmux_gateway/forwarding/Gateway.h"
 #include "lacewingmux_gateway/routing/RoutingTable.h"
 #include "lacewingmux_node/settings/PeerSetup.h"
@@ -30,6 +31,7 @@
     gateway.port = settings.ingressPort;
     gateway.zone = settings.zone;
     gateway.placement.drainLimit = settings.drainLimit;
+    gateway.placement.vmSeed = stableHash(settings.vm.toUtf8());
     // Callers and replicas get equally many descriptors; the rest is for files and peers.
     gateway.connectionLimit = static_cast<std::size_t>(settings.descriptorLimit * 4 / 10);
     gateway.stopLimit = settings.stopLimit * 7 / 8;
--- a/tests/gateway/PlacementTest.cpp
+++ b/tests/gateway/PlacementTest.cpp
@@ -3,6 +3,8 @@
 #include <criterion/criterion.h>
 
 #include <map>
+#include <random>
+#include <set>
 
 using namespace lacewingmux;
 using std::chrono::milliseconds;
@@ -153,3 +155,67 @@
     placement.recordPrompt("2", parts);
     cr_assert(placement.choose(turnAt(start, parts)).value() == "2");
 }
+
+// Guards against many VMs that all send a popular prompt to the same few replicas: the load of a
+// large deployment, where each of 170 VMs sees a hundredth of the turns, and a few shared prompts
+// fit into the cache of every replica.
+Test(placement, many_vms_spread_a_few_popular_prompts_over_all_replicas)
+{
+    constexpr int vmCount = 170;
+    constexpr int replicaCount = 59;
+    constexpr int prompts = 8;
+    constexpr int turns = 6000;
+    std::vector<ReplicaInstance> replicas;
+    for (int number = 0; number < replicaCount; ++number)
+        replicas.push_back(replica("i-" + QByteArray::number(number), "a", 8));
+    std::vector<Placement> vms;
+    for (int number = 0; number < vmCount; ++number) {
+        PlacementSettings settings;
+        settings.vmSeed = static_cast<std::uint64_t>(number) * 977;
+        vms.emplace_back("a", settings);
+        vms.back().setReplicas(replicas);
+    }
+    std::mt19937 random(1);
+    std::map<QByteArray, int> sent;
+    std::map<QByteArray, std::set<std::uint64_t>> cached;
+    for (int turn = 0; turn < turns; ++turn) {
+        // 400 turns a second, and no load reports: the decisions alone must spread the turns.
+        const auto now = start + milliseconds(turn * 5 / 2);
+        Placement &vm = vms[random() % vmCount];
+        const std::uint64_t prompt = 1 + random() % prompts;
+        const std::vector<PromptPart> parts{{prompt * 7919, 12600}, {1000000U + turn, 800}};
+        vm.recordTurn(parts, now);
+        const QByteArray chosen = vm.choose(turnAt(now, parts)).value();
+        vm.recordPrompt(chosen, parts);
+        ++sent[chosen];
+        cached[chosen].insert(prompt);
+    }
+    constexpr double mean = static_cast<double>(turns) / replicaCount;
+    int most = 0;
+    std::size_t copies = 0;
+    for (const auto &[id, count] : sent) {
+        most = std::max(most, count);
+        copies += cached[id].size();
+    }
+    cr_assert_eq(sent.size(), replicaCount, "%zu replicas are used", sent.size());
+    cr_assert_leq(most, 2.5 * mean, "the busiest replica got %d of %.0f", most, mean);
+    cr_assert_leq(copies, 6 * replicaCount, "%zu copies of prompts", copies);
+}
+
+Test(placement, a_rare_prompt_stays_at_few_replicas_that_all_vms_agree_on)
+{
+    std::vector<ReplicaInstance> replicas;
+    for (int number = 0; number < 50; ++number)
+        replicas.push_back(replica("i-" + QByteArray::number(number), "a", 8));
+    std::set<QByteArray> chosen;
+    for (std::uint64_t vm = 0; vm < 40; ++vm) {
+        PlacementSettings settings;
+        settings.vmSeed = vm * 977;
+        Placement placement("a", settings);
+        placement.setReplicas(replicas);
+        for (std::uint64_t turn = 0; turn < 300; ++turn)
+            placement.recordTurn({{100 + turn, 12600}}, start);
+        chosen.insert(placement.choose(turnAt(start, {{42, 12600}})).value());
+    }
+    cr_assert_leq(chosen.size(), 5, "%zu", chosen.size());
+}
