Keep each program's records and each team's quota in a group of records VMs

Change: the view divides its members into groups of at least twice the tolerated disks plus one, spread over the zones. RecordsServer, its sync, its lease and all quorums work on the view of their own group. The groups are dealt while the members of the first start join, and fixed when none has joined for 1.5 s; nothing is stored before. A joiner goes to the group that lacks most, and a standby of another group moves to one that lost a member. A turn that continues a turn of another group's program is found by asking the other groups, and kept beside it; the gateway carries that location from the admission to the store. The document has a new key, so nodes of the build before keep to themselves.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -216,6 +216,7 @@
     switch (admission.outcome) {
     case TurnOutcome::Ready:
         this->history = admission.history;
+        this->turnRequest.historyLocation = admission.historyLocation;
         this->placeCall();
         break;
     case TurnOutcome::BudgetExhausted:
--- a/modules/lacewingmux_gateway/forwarding/TurnAdmission.h
+++ b/modules/lacewingmux_gateway/forwarding/TurnAdmission.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace lacewingmux {
 
@@ -21,6 +22,8 @@
     TurnOutcome outcome = TurnOutcome::Unavailable;
     QByteArray history;                      ///< inputs and outputs of previous turns, oldest first
     std::chrono::milliseconds retryAfter{0}; ///< if unavailable
+    /** Where the turn store keeps the history, if it differs from where it keeps the program. */
+    std::optional<int> historyLocation = std::nullopt;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/TurnRequest.h
+++ b/modules/lacewingmux_gateway/forwarding/TurnRequest.h
@@ -18,6 +18,8 @@
     std::optional<std::int64_t> budget; ///< tokens for the whole program; nullopt means no limit
     std::int64_t maximumTokens = 0;     ///< that this turn may generate
     std::chrono::milliseconds retention{0};
+    std::optional<int> historyLocation =
+            std::nullopt; ///< from the turn's admission; the turn is kept there too
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_node/records/RecordsNode.cpp
+++ b/modules/lacewingmux_node/records/RecordsNode.cpp
@@ -67,6 +67,9 @@
     hooks.records.standbyCanReplace = [this](const VmIncarnation &member) {
         this->queue.post([this, member] { this->membership->replaceAsStandby(member); });
     };
+    hooks.records.standbyNeeded = [this](const VmIncarnation &member) {
+        this->queue.post([this, member] { this->membership->requestStandby(member); });
+    };
     hooks.records.newerView = [this](const QByteArray &document) {
         this->queue.post([this, document] { this->membership->adoptViewDocument(document); });
     };
--- a/modules/lacewingmux_records/client/FleetQuota.cpp
+++ b/modules/lacewingmux_records/client/FleetQuota.cpp
@@ -77,7 +77,9 @@
     if (newView.number <= this->view.number)
         return;
     this->view = newView;
-    this->placement = QuotaPlacement(newView);
+    this->placements.clear();
+    for (int group = 0; group < newView.groupCount(); ++group)
+        this->placements.emplace_back(newView.ofGroup(group));
 }
 
 void FleetQuota::setConfiguration(const ConfigurationDocumentMessage &newest)
@@ -260,7 +262,10 @@
 {
     const auto parts =
             static_cast<std::size_t>(QuotaPlacement::parts(team.requestsPerSecond, team.burst));
-    const std::vector<VmIncarnation> &ranking = this->placement.ranking(team.name);
+    if (this->placements.empty())
+        return {};
+    const auto group = static_cast<std::size_t>(this->view.groupOf(team.name));
+    const std::vector<VmIncarnation> &ranking = this->placements[group].ranking(team.name);
     const std::size_t holders = std::min(parts, ranking.size());
     std::vector<VmIncarnation> candidates(ranking.begin(),
                                           ranking.begin() + static_cast<std::ptrdiff_t>(holders));
--- a/modules/lacewingmux_records/client/FleetQuota.h
+++ b/modules/lacewingmux_records/client/FleetQuota.h
@@ -95,7 +95,7 @@
     PeerHub &hub;
     TimerService &timers;
     RecordsView view;
-    QuotaPlacement placement;
+    std::vector<QuotaPlacement> placements; ///< by group
     ConfigurationRelay configuration;
     std::map<QueueKey, Queue> queues;
     std::uint64_t nextCorrelation = 1;
--- a/modules/lacewingmux_records/client/HistoryCache.cpp
+++ b/modules/lacewingmux_records/client/HistoryCache.cpp
@@ -6,19 +6,19 @@
     : capacityBytes(limitBytes)
 { }
 
-void HistoryCache::put(const QByteArray &turn, const QByteArray &team, const QByteArray &history,
+void HistoryCache::put(const QByteArray &turn, const QByteArray &team, const CachedHistory &history,
                        SteadyTime expires)
 {
     this->remove(turn);
     this->byUse.push_front(turn);
     this->entries.emplace(turn, Entry{team, history, expires, this->byUse.begin()});
-    this->usedBytes += history.size();
+    this->usedBytes += history.bytes.size();
     while (this->usedBytes > this->capacityBytes && !this->byUse.empty())
         this->remove(QByteArray(this->byUse.back()));
 }
 
-std::optional<QByteArray> HistoryCache::find(const QByteArray &turn, const QByteArray &team,
-                                             SteadyTime now)
+std::optional<CachedHistory> HistoryCache::find(const QByteArray &turn, const QByteArray &team,
+                                                SteadyTime now)
 {
     const auto found = this->entries.find(turn);
     if (found == this->entries.end() || found->second.team != team || found->second.expires <= now)
@@ -32,7 +32,7 @@
     const auto found = this->entries.find(turn);
     if (found == this->entries.end())
         return;
-    this->usedBytes -= found->second.history.size();
+    this->usedBytes -= found->second.history.bytes.size();
     this->byUse.erase(found->second.usePosition);
     this->entries.erase(found);
 }
--- a/modules/lacewingmux_records/client/HistoryCache.h
+++ b/modules/lacewingmux_records/client/HistoryCache.h
@@ -2,6 +2,8 @@
 
 #include "lacewingmux_core/time/TimerService.h"
 
+#include "lacewingmux_records/client/CachedHistory.h"
+
 #include <QByteArray>
 #include <QHash>
 
@@ -23,18 +25,18 @@
     explicit HistoryCache(qsizetype limitBytes);
 
     /** Stores the history of the chain that ends with the turn, until the given time. */
-    void put(const QByteArray &turn, const QByteArray &team, const QByteArray &history,
+    void put(const QByteArray &turn, const QByteArray &team, const CachedHistory &history,
              SteadyTime expires);
 
     /** Returns the history of the chain that ends with the turn, if it belongs to the team. */
-    [[nodiscard]] std::optional<QByteArray> find(const QByteArray &turn, const QByteArray &team,
-                                                 SteadyTime now);
+    [[nodiscard]] std::optional<CachedHistory> find(const QByteArray &turn, const QByteArray &team,
+                                                    SteadyTime now);
 
 private:
     struct Entry
     {
         QByteArray team;
-        QByteArray history;
+        CachedHistory history;
         SteadyTime expires;
         std::list<QByteArray>::iterator usePosition;
     };
--- a/modules/lacewingmux_records/client/RecordsClient.cpp
+++ b/modules/lacewingmux_records/client/RecordsClient.cpp
@@ -55,16 +55,19 @@
 
 void RecordsClient::setView(const RecordsView &newView)
 {
-    if (newView.number <= this->view.number)
+    // While the groups may change, nothing may be stored.
+    if (newView.number <= this->view.number || newView.isForming)
         return;
     this->view = newView;
+    this->groups.clear();
+    for (int group = 0; group < newView.groupCount(); ++group)
+        this->groups.push_back(newView.ofGroup(group));
     newView.logAdoption();
     // Replies under the earlier view can't be counted together with those under this one.
     std::vector<std::uint64_t> correlations;
     for (auto &[correlation, opening] : this->pendingOpenings) {
         opening.quorum =
-                TurnQuorum(opening.turn, this->view,
-                           !opening.cachedHistory.isEmpty() || opening.turn.previousTurn.isEmpty());
+                TurnQuorum(opening.turn, this->viewOf(opening.group), opening.history.has_value());
         this->sendOpening(correlation, opening);
         correlations.push_back(correlation);
     }
@@ -78,24 +81,53 @@
 
 void RecordsClient::open(const TurnRequest &turn, AdmissionCallback callback)
 {
-    std::optional<QByteArray> cached;
+    std::optional<CachedHistory> cached;
     if (!turn.previousTurn.isEmpty())
         cached = this->cache.find(turn.previousTurn, turn.team, this->timers.now());
-    const bool historyKnown = cached || turn.previousTurn.isEmpty();
-    if (historyKnown && !turn.budget) {
-        callback({TurnOutcome::Ready, cached.value_or(QByteArray()), milliseconds(0)});
+    const int group = this->view.groupOf(turn.program);
+    if (!cached && !turn.previousTurn.isEmpty()) {
+        this->openWithHistory(group, turn, std::move(callback));
         return;
     }
+    const CachedHistory history = cached.value_or(CachedHistory{{}, group});
+    if (!turn.budget)
+        callback({TurnOutcome::Ready, history.bytes, milliseconds(0), history.group});
+    else
+        this->openInGroup(group, turn, history, std::move(callback));
+}
+
+void RecordsClient::openWithHistory(int group, const TurnRequest &turn, AdmissionCallback callback)
+{
+    this->openInGroup(group, turn, std::nullopt,
+                      [this, group, turn, callback = std::move(callback),
+                       alive = std::weak_ptr(this->lifetimeToken)](const TurnAdmission &admission) {
+                          const bool mayBeElsewhere = admission.outcome == TurnOutcome::UnknownTurn
+                                                      && !alive.expired()
+                                                      && this->view.groupCount() > 1;
+                          if (mayBeElsewhere)
+                              this->searchOtherGroups(group, turn, callback);
+                          else
+                              callback(admission);
+                      });
+}
+
+void RecordsClient::openInGroup(int group, const TurnRequest &turn,
+                                const std::optional<CachedHistory> &history,
+                                AdmissionCallback callback)
+{
+    const bool historyKnown = history.has_value();
     const std::uint64_t correlation = this->nextCorrelation++;
     PendingOpening &opening =
             this->pendingOpenings
-                    .emplace(correlation, PendingOpening{turn,
-                                                         TurnQuorum(turn, this->view, historyKnown),
-                                                         std::move(callback),
-                                                         {},
-                                                         false,
-                                                         {},
-                                                         cached.value_or(QByteArray())})
+                    .emplace(correlation,
+                             PendingOpening{group,
+                                            turn,
+                                            TurnQuorum(turn, this->viewOf(group), historyKnown),
+                                            std::move(callback),
+                                            {},
+                                            false,
+                                            {},
+                                            history})
                     .first->second;
     opening.timeout = this->timers.after(openingTimeout, [this, correlation] {
         this->finishOpening(correlation, TurnOutcome::Unavailable);
@@ -109,56 +141,124 @@
     this->continueOpening(correlation);
 }
 
+void RecordsClient::searchOtherGroups(int ownGroup, const TurnRequest &turn,
+                                      AdmissionCallback callback)
+{
+    const auto search = std::make_shared<Search>();
+    search->turn = turn;
+    search->callback = std::move(callback);
+    search->pending = this->view.groupCount() - 1;
+    // The reservation stays in the program's group.
+    TurnRequest lookup = turn;
+    lookup.budget = std::nullopt;
+    for (int group = 0; group < this->view.groupCount(); ++group) {
+        if (group == ownGroup)
+            continue;
+        this->openInGroup(group, lookup, std::nullopt,
+                          [this, search](const TurnAdmission &admission) {
+                              this->handleSearchResult(*search, admission);
+                          });
+    }
+}
+
+void RecordsClient::handleSearchResult(Search &search, const TurnAdmission &admission)
+{
+    --search.pending;
+    if (search.ended)
+        return;
+    if (admission.outcome == TurnOutcome::Ready) {
+        search.ended = true;
+        if (search.turn.budget)
+            this->openInGroup(this->view.groupOf(search.turn.program), search.turn,
+                              CachedHistory{admission.history, *admission.historyLocation},
+                              search.callback);
+        else
+            search.callback(admission);
+        return;
+    }
+    search.isUncertain = search.isUncertain || admission.outcome == TurnOutcome::Unavailable;
+    search.retryAfter = std::max(search.retryAfter, admission.retryAfter);
+    if (search.pending > 0)
+        return;
+    search.ended = true;
+    search.callback({search.isUncertain ? TurnOutcome::Unavailable : TurnOutcome::UnknownTurn,
+                     {},
+                     search.retryAfter});
+}
+
 void RecordsClient::store(const TurnRequest &turn, const QByteArray &input,
                           const QByteArray &output, std::int64_t tokens, StoredCallback callback)
 {
     const std::uint64_t correlation = this->nextCorrelation++;
     PendingWrite write;
+    const int programGroup = this->view.groupOf(turn.program);
+    write.group = turn.historyLocation.value_or(programGroup);
     write.record = this->recordOf(turn, RecordKind::Turn, tokens);
     write.record.parent = turn.previousTurn;
     write.record.input = input;
     write.record.output = output;
     write.callback = std::move(callback);
+    // In the program's own group, the turn's record also settles the reservation.
+    if (write.group != programGroup)
+        this->settle(turn, tokens);
     PendingWrite &pendingWrite =
             this->pendingWrites.emplace(correlation, std::move(write)).first->second;
     pendingWrite.timeout = this->timers.after(
             writeTimeout, [this, correlation] { this->finishWrite(correlation, false); });
     this->sendWrite(correlation, pendingWrite);
 
-    std::optional<QByteArray> history = QByteArray();
+    std::optional<CachedHistory> history = CachedHistory();
     if (!turn.previousTurn.isEmpty())
         history = this->cache.find(turn.previousTurn, turn.team, this->timers.now());
     if (history)
-        this->cache.put(turn.request, turn.team, *history + input + output,
+        this->cache.put(turn.request, turn.team,
+                        {history->bytes + input + output, pendingWrite.group},
                         this->timers.now() + turn.retention);
 }
 
 void RecordsClient::settle(const TurnRequest &turn, std::int64_t tokens)
 {
-    this->sendRecord(this->recordOf(turn, RecordKind::Settlement, tokens), 0);
+    this->sendRecord(this->view.groupOf(turn.program),
+                     this->recordOf(turn, RecordKind::Settlement, tokens), 0);
 }
 
 bool RecordsClient::hasQuorum() const
+{
+    const auto reachable =
+            std::count_if(this->groups.begin(), this->groups.end(),
+                          [this](const auto &group) { return this->hasQuorum(group); });
+    return this->view.number > 0
+           && reachable * 2 > static_cast<std::ptrdiff_t>(this->groups.size());
+}
+
+bool RecordsClient::hasQuorum(const RecordsView &group) const
 {
     int membersWithReservations = 0;
     int membersStoringCopies = 0;
-    for (const RecordsMember &member : this->view.members) {
+    for (const RecordsMember &member : group.members) {
         if (!this->hub.isConnected(member.vm.incarnation))
             continue;
         membersWithReservations += member.state != MemberState::Joining ? 1 : 0;
-        membersStoringCopies += this->view.countsAsCopy(member) ? 1 : 0;
+        membersStoringCopies += group.countsAsCopy(member) ? 1 : 0;
     }
-    return this->view.number > 0
-           && this->view.isReservationQuorum(membersWithReservations, membersStoringCopies);
+    return group.isReservationQuorum(membersWithReservations, membersStoringCopies);
+}
+
+const RecordsView &RecordsClient::viewOf(int group) const
+{
+    // Before the first view, a view without members refuses every turn.
+    const auto index = static_cast<std::size_t>(group);
+    return index < this->groups.size() ? this->groups[index] : this->view;
 }
 
 void RecordsClient::sendOpening(std::uint64_t correlation, PendingOpening &opening)
 {
     OpenTurnMessage message = this->openMessage(opening);
     const bool needsHistory = !message.previousTurn.isEmpty();
-    const RecordsMember *source = needsHistory ? this->preferredSource() : nullptr;
+    const RecordsView &group = this->viewOf(opening.group);
+    const RecordsMember *source = needsHistory ? this->preferredSource(group) : nullptr;
     const QByteArray payloadWithoutHistory = RecordsCodec::encodeOpen(message);
-    for (const RecordsMember &member : this->view.members) {
+    for (const RecordsMember &member : group.members) {
         QByteArray payload = payloadWithoutHistory;
         if (&member == source) {
             message.wantsHistory = true;
@@ -178,15 +278,15 @@
     if (opening.turn.budget)
         message.reservation =
                 this->recordOf(opening.turn, RecordKind::Reservation, opening.turn.maximumTokens);
-    if (opening.cachedHistory.isEmpty())
+    if (!opening.history)
         message.previousTurn = opening.turn.previousTurn;
     return message;
 }
 
-const RecordsMember *RecordsClient::preferredSource() const
+const RecordsMember *RecordsClient::preferredSource(const RecordsView &group) const
 {
     const RecordsMember *preferred = nullptr;
-    for (const RecordsMember &member : this->view.members) {
+    for (const RecordsMember &member : group.members) {
         if (member.state == MemberState::Joining || !this->hub.isConnected(member.vm.incarnation))
             continue;
         const bool sameZone = member.vm.incarnation.zone == this->hub.self().zone;
@@ -234,16 +334,21 @@
         return;
     PendingOpening &opening = entry.mapped();
     opening.timeout.cancel();
-    TurnAdmission admission{outcome, opening.cachedHistory, milliseconds(0)};
+    TurnAdmission admission;
+    admission.outcome = outcome;
     if (outcome == TurnOutcome::Unavailable)
-        admission.retryAfter = this->hasQuorum() ? reconnectTime : rerouteTime;
-    if (outcome == TurnOutcome::Ready && admission.history.isEmpty()
-        && !opening.turn.previousTurn.isEmpty()) {
-        admission.history = opening.quorum.history();
-        this->cache.put(opening.turn.previousTurn, opening.turn.team, admission.history,
+        admission.retryAfter =
+                this->hasQuorum(this->viewOf(opening.group)) ? reconnectTime : rerouteTime;
+    if (outcome == TurnOutcome::Ready && !opening.history) {
+        opening.history = CachedHistory{opening.quorum.history(), opening.group};
+        this->cache.put(opening.turn.previousTurn, opening.turn.team, *opening.history,
                         this->timers.now() + opening.turn.retention);
         this->metrics.count("lacewingmux_histories_fetched_total", {}, 1);
     }
+    if (outcome == TurnOutcome::Ready) {
+        admission.history = opening.history->bytes;
+        admission.historyLocation = opening.history->group;
+    }
     if (outcome != TurnOutcome::Ready)
         LogEvent(LogSeverity::Info, "turnNotOpened")
                 .field("request", QString::fromLatin1(opening.turn.request))
@@ -255,14 +360,15 @@
 
 void RecordsClient::sendWrite(std::uint64_t correlation, PendingWrite &write)
 {
-    write.unacknowledged = this->sendRecord(write.record, correlation);
+    write.unacknowledged = this->sendRecord(write.group, write.record, correlation);
 }
 
-std::set<VmIncarnation> RecordsClient::sendRecord(const Record &record, std::uint64_t correlation)
+std::set<VmIncarnation> RecordsClient::sendRecord(int group, const Record &record,
+                                                  std::uint64_t correlation)
 {
     const QByteArray payload = RecordsCodec::encodeRecords({record});
     std::set<VmIncarnation> reached;
-    for (const RecordsMember &member : this->view.members) {
+    for (const RecordsMember &member : this->viewOf(group).members) {
         if (member.state != MemberState::Leaving
             && this->hub.send(member.vm.incarnation,
                               {FrameKind::WriteRecords, this->view.number, correlation, payload}))
@@ -274,11 +380,14 @@
 void RecordsClient::handleAck(const VmIncarnation &peer, const PeerFrame &frame)
 {
     const auto found = this->pendingWrites.find(frame.correlation);
-    const RecordsMember *member = this->view.member(peer);
-    if (found == this->pendingWrites.end() || member == nullptr || frame.epoch != this->view.number
-        || found->second.unacknowledged.erase(peer) == 0 || !this->view.countsAsCopy(*member))
+    if (found == this->pendingWrites.end())
+        return;
+    const RecordsView &group = this->viewOf(found->second.group);
+    const RecordsMember *member = group.member(peer);
+    if (member == nullptr || frame.epoch != this->view.number
+        || found->second.unacknowledged.erase(peer) == 0 || !group.countsAsCopy(*member))
         return;
-    if (++found->second.copies >= this->view.durableCopies())
+    if (++found->second.copies >= group.durableCopies())
         this->finishWrite(frame.correlation, true);
 }
 
@@ -311,6 +420,8 @@
     if (up) {
         // Records sent before the connection broke may be lost, so all pending ones are sent again.
         for (auto &[correlation, write] : this->pendingWrites) {
+            if (this->viewOf(write.group).member(peer) == nullptr)
+                continue;
             write.unacknowledged.insert(peer);
             this->hub.send(peer, {FrameKind::WriteRecords, this->view.number, correlation,
                                   RecordsCodec::encodeRecords({write.record})});
--- a/modules/lacewingmux_records/client/RecordsClient.h
+++ b/modules/lacewingmux_records/client/RecordsClient.h
@@ -21,7 +21,13 @@
 
 class MetricsRecorder;
 
-/** Stores the histories and budgets of programs on the records VMs. */
+/**
+    Stores the histories and budgets of programs on the records VMs.
+
+    A program's reservations are kept by the members of its group, and so are its turns, unless they
+    continue a turn of a program of another group: then they are kept beside that one, and found by
+    asking the other groups if the program's own group does not know it.
+*/
 class RecordsClient final : public TurnStore
 {
 public:
@@ -44,17 +50,19 @@
 private:
     struct PendingOpening
     {
+        int group = 0;
         TurnRequest turn;
         TurnQuorum quorum;
         AdmissionCallback callback;
         TimerSubscription timeout;
         bool historyLate = false; ///< the member that was asked for the history is late
         TimerSubscription historyHedgeTimer;
-        QByteArray cachedHistory;
+        std::optional<CachedHistory> history; ///< empty while it has to be requested
     };
 
     struct PendingWrite
     {
+        int group = 0;
         Record record;
         std::set<VmIncarnation> unacknowledged; ///< members whose acknowledgement is awaited
         int copies = 0;                         ///< acknowledged copies that count
@@ -62,6 +70,28 @@
         TimerSubscription timeout;
     };
 
+    /** The search for a turn in several groups. */
+    struct Search
+    {
+        TurnRequest turn;
+        AdmissionCallback callback;
+        int pending = 0; ///< groups that have not answered yet
+        bool ended = false;
+        bool isUncertain = false; ///< some group could not tell
+        std::chrono::milliseconds retryAfter{0};
+    };
+
+    /** Opens a turn whose history has to be requested, first from the program's group. */
+    void openWithHistory(int group, const TurnRequest &turn, AdmissionCallback callback);
+    /** Opens the turn in one group, with the reservation if the turn has a budget, and with a
+       request for the history if none is given. */
+    void openInGroup(int group, const TurnRequest &turn,
+                     const std::optional<CachedHistory> &history, AdmissionCallback callback);
+    /** Opens a turn whose previous turn is not known to the program's group. */
+    void searchOtherGroups(int ownGroup, const TurnRequest &turn, AdmissionCallback callback);
+    void handleSearchResult(Search &search, const TurnAdmission &admission);
+    [[nodiscard]] bool hasQuorum(const RecordsView &group) const;
+    [[nodiscard]] const RecordsView &viewOf(int group) const;
     void sendOpening(std::uint64_t correlation, PendingOpening &opening);
     void handleOpenReply(const VmIncarnation &peer, const PeerFrame &frame);
     void handleAck(const VmIncarnation &peer, const PeerFrame &frame);
@@ -72,11 +102,12 @@
     void continueOpening(std::uint64_t correlation);
     void finishOpening(std::uint64_t correlation, TurnOutcome outcome);
     void sendWrite(std::uint64_t correlation, PendingWrite &write);
-    /** Sends the record to all members that store it; returns the members that are connected. */
-    std::set<VmIncarnation> sendRecord(const Record &record, std::uint64_t correlation);
+    /** Sends the record to all members of the group that store it; returns those that are
+        connected. */
+    std::set<VmIncarnation> sendRecord(int group, const Record &record, std::uint64_t correlation);
     void finishWrite(std::uint64_t correlation, bool durable);
     [[nodiscard]] OpenTurnMessage openMessage(const PendingOpening &opening) const;
-    [[nodiscard]] const RecordsMember *preferredSource() const;
+    [[nodiscard]] const RecordsMember *preferredSource(const RecordsView &group) const;
     [[nodiscard]] Record recordOf(const TurnRequest &turn, RecordKind kind,
                                   std::int64_t tokens) const;
 
@@ -84,11 +115,14 @@
     TimerService &timers;
     MetricsRecorder &metrics;
     std::function<void(const QByteArray &)> newerView;
-    RecordsView view;
+    RecordsView view;                ///< of all groups
+    std::vector<RecordsView> groups; ///< the views of the single groups
     HistoryCache cache;
     std::uint64_t nextCorrelation = 1;
     std::map<std::uint64_t, PendingOpening> pendingOpenings;
     std::map<std::uint64_t, PendingWrite> pendingWrites;
+    /** Expires with this object, so that callbacks can check whether it still exists. */
+    std::shared_ptr<char> lifetimeToken = std::make_shared<char>();
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_records/client/TurnQuorum.cpp
+++ b/modules/lacewingmux_records/client/TurnQuorum.cpp
@@ -44,6 +44,8 @@
 
 void TurnQuorum::addFailure(const VmIncarnation &member)
 {
+    if (this->view.member(member) == nullptr)
+        return;
     if (!this->answered.contains(member))
         this->failed.insert(member);
     this->askedForHistory.erase(member);
--- a/modules/lacewingmux_records/members/RecordsMember.h
+++ b/modules/lacewingmux_records/members/RecordsMember.h
@@ -19,6 +19,7 @@
     VmDescriptor vm;
     MemberState state = MemberState::Joining;
     int syncSources = 0; ///< while joining: number of synced members to copy completely
+    int group = 0;       ///< the group of members that keep the same records
 
     friend bool operator==(const RecordsMember &, const RecordsMember &) = default;
 };
--- a/modules/lacewingmux_records/members/RecordsMembership.cpp
+++ b/modules/lacewingmux_records/members/RecordsMembership.cpp
@@ -3,6 +3,7 @@
 #include "lacewingmux_core/errors/LacewingmuxError.h"
 #include "lacewingmux_core/logging/StructuredLog.h"
 #include "lacewingmux_keyvalue/update/RecordUpdate.h"
+#include "lacewingmux_records/members/RecordsGroups.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,6 +13,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds retryDelay{400}; // a few round trips to a slow store
+// The VMs of a first start come within 0.3 s; several times that, as their processes start slowly.
+constexpr std::chrono::milliseconds formingTime{1500};
+constexpr std::chrono::milliseconds sealingStagger{150};
 
 RecordsMember *memberIn(RecordsView &view, const VmIncarnation &incarnation)
 {
@@ -64,7 +68,7 @@
                 RecordsView next = view;
                 RecordsMember *member = memberIn(next, this->self.incarnation);
                 if (member == nullptr || member->state != MemberState::Joining
-                    || view.isStandby(*member))
+                    || view.ofGroup(member->group).isStandby(*member))
                     return std::nullopt;
                 member->state = MemberState::Synced;
                 member->syncSources = 0;
@@ -122,6 +126,43 @@
             nullptr, RetryPolicy::Once);
 }
 
+void RecordsMembership::requestStandby(const VmIncarnation &silent)
+{
+    if (!RecordsGroups::withStandbyMoved(this->current, silent))
+        return;
+    this->update(
+            "standbyMoved",
+            [silent](const RecordsView &view) {
+                return RecordsGroups::withStandbyMoved(view, silent);
+            },
+            nullptr, RetryPolicy::Once);
+}
+
+std::optional<RecordsView> RecordsMembership::withSealedGroups(const RecordsView &view)
+{
+    if (!view.isForming)
+        return std::nullopt;
+    RecordsView next = view;
+    next.isForming = false;
+    return next;
+}
+
+void RecordsMembership::scheduleSealing()
+{
+    if (!this->current.isForming) {
+        this->sealTimer.cancel();
+        return;
+    }
+    // The first member does it; the others only if it fails.
+    const auto own = std::find_if(
+            this->current.members.begin(), this->current.members.end(),
+            [this](const auto &entry) { return entry.vm.incarnation == this->self.incarnation; });
+    const auto rank = own - this->current.members.begin();
+    this->sealTimer = this->timers.after(formingTime + rank * sealingStagger, [this] {
+        this->update("sealed", withSealedGroups, nullptr);
+    });
+}
+
 std::optional<RecordsView>
 RecordsMembership::withStandbyPromoted(const RecordsView &view, const VmIncarnation &silent,
                                        const VmIncarnation &standbyIncarnation)
@@ -129,7 +170,7 @@
     const RecordsMember *lost = view.member(silent);
     const RecordsMember *standby = view.member(standbyIncarnation);
     if (lost == nullptr || lost->state != MemberState::Synced || standby == nullptr
-        || !view.isStandby(*standby))
+        || standby->group != lost->group || !view.ofGroup(lost->group).isStandby(*standby))
         return std::nullopt;
     RecordsView next = view;
     RecordsMember *successor = memberIn(next, standbyIncarnation);
@@ -151,19 +192,33 @@
         known->vm = vm;
         return next;
     }
-    // Includes the disk that this one replaces, which is one of the disks that may be lost.
-    const int syncedBefore = view.syncedCount();
-    std::erase_if(next.members, [&vm](const auto &member) {
-        return member.vm.incarnation.vm == vm.incarnation.vm;
-    });
+    const RecordsMember *replaced = view.memberOnVm(vm.incarnation.vm);
     next.toleratedDisks = toleratedDisks;
     RecordsMember member;
     member.vm = vm;
-    if (firstStart) {
+    if (firstStart && (view.number == 0 || view.isForming)) {
+        std::erase_if(next.members, [&vm](const auto &entry) {
+            return entry.vm.incarnation.vm == vm.incarnation.vm;
+        });
         member.state = MemberState::Synced;
-        next.targetSize = std::max(next.targetSize, static_cast<int>(next.members.size()) + 1);
-    } else {
-        member.syncSources = std::max(1, syncedBefore - toleratedDisks);
+        next.members.push_back(member);
+        next.isForming = true;
+        next.targetSize = std::max(next.targetSize, static_cast<int>(next.members.size()));
+        RecordsGroups::deal(next);
+        return next;
+    }
+    member.group = replaced != nullptr ? replaced->group
+                                       : RecordsGroups::groupForJoiner(view, vm.incarnation);
+    // Includes the disk that this one replaces, which is one of the disks that may be lost.
+    member.syncSources = RecordsGroups::syncSources(view.ofGroup(member.group));
+    std::erase_if(next.members, [&vm](const auto &entry) {
+        return entry.vm.incarnation.vm == vm.incarnation.vm;
+    });
+    // A VM of the first start that comes late belongs to the members that were meant to be there.
+    if (firstStart) {
+        ++next.targetSize;
+        if (!next.groupSizes.empty())
+            ++next.groupSizes[static_cast<std::size_t>(member.group)];
     }
     next.members.push_back(member);
     return next;
@@ -175,8 +230,9 @@
     const RecordsMember *member = view.member(silent);
     if (member == nullptr)
         return std::nullopt;
-    const int others = view.syncedCount() - (member->state == MemberState::Synced ? 1 : 0);
-    if (others < view.targetSize)
+    const RecordsView group = view.ofGroup(member->group);
+    const int others = group.syncedCount() - (member->state == MemberState::Synced ? 1 : 0);
+    if (others < group.targetSize)
         return std::nullopt;
     RecordsView next = view;
     std::erase_if(next.members,
@@ -230,6 +286,7 @@
         return;
     this->current = *view;
     this->viewChanged(this->current);
+    this->scheduleSealing();
     // Another member may have removed this VM while it was silent.
     const bool missing = this->current.member(this->self.incarnation) == nullptr;
     if (this->joined && missing && !this->leaving)
--- a/modules/lacewingmux_records/members/RecordsMembership.h
+++ b/modules/lacewingmux_records/members/RecordsMembership.h
@@ -14,8 +14,8 @@
 namespace lacewingmux {
 
 /**
-    Maintains the entry of one records VM in the view in the platform's store: joins, declares
-    itself synced, and leaves on request.
+    Maintains the entry of one records VM in the view in the platform's store: joins a group,
+   declares itself synced, and leaves on request.
 
     Every change is a compare-and-swap that is recomputed from the stored view, so a write that is
     delayed or whose reply is lost does no harm.
@@ -70,6 +70,13 @@
     withStandbyPromoted(const RecordsView &view, const VmIncarnation &silent,
                         const VmIncarnation &standbyIncarnation);
 
+    /** Moves a standby of another group to the group of a silent member, if that has none. Not
+       retried if the store is unreachable. */
+    void requestStandby(const VmIncarnation &silent);
+
+    /** Returns the view whose groups do not change any more; nothing if they are fixed already. */
+    [[nodiscard]] static std::optional<RecordsView> withSealedGroups(const RecordsView &view);
+
     /** Replaces a silent member with this VM, a standby. Not retried if the store is unreachable:
         by then this VM may be the one that is partitioned. */
     void replaceAsStandby(const VmIncarnation &silent);
@@ -83,6 +90,8 @@
                 RetryPolicy retryPolicy = RetryPolicy::UntilSuccess);
     void adopt(const QByteArray &document);
     void join();
+    /** Fixes the groups once no further member has joined for a while. */
+    void scheduleSealing();
 
     PlatformStore &store;
     TimerService &timers;
@@ -95,6 +104,7 @@
     bool leaving = false;
     std::unique_ptr<PlatformStore::Watch> watch;
     TimerSubscription retry;
+    TimerSubscription sealTimer;
     /** Expires with this object, so that callbacks can check whether it still exists. */
     std::shared_ptr<char> lifetimeToken = std::make_shared<char>();
 };
--- a/modules/lacewingmux_records/members/RecordsView.cpp
+++ b/modules/lacewingmux_records/members/RecordsView.cpp
@@ -1,5 +1,6 @@
 #include "lacewingmux_records/members/RecordsView.h"
 
+#include "lacewingmux_core/hashing/StableHash.h"
 #include "lacewingmux_core/logging/StructuredLog.h"
 
 #include <QJsonArray>
@@ -44,6 +45,7 @@
     member.vm.hasDataFolder = true;
     member.state = stateOf(entry.value(QLatin1String("state")).toString());
     member.syncSources = entry.value(QLatin1String("syncSources")).toInt();
+    member.group = entry.value(QLatin1String("group")).toInt();
     return member;
 }
 
@@ -56,7 +58,8 @@
             {QStringLiteral("address"), member.vm.address},
             {QStringLiteral("port"), member.vm.trafficPort},
             {QStringLiteral("state"), stateName(member.state)},
-            {QStringLiteral("syncSources"), member.syncSources}};
+            {QStringLiteral("syncSources"), member.syncSources},
+            {QStringLiteral("group"), member.group}};
 }
 
 } // namespace
@@ -69,6 +72,26 @@
     return found == this->members.end() ? nullptr : &*found;
 }
 
+int RecordsView::groupCount() const
+{
+    return std::max(1, static_cast<int>(this->groupSizes.size()));
+}
+
+int RecordsView::groupOf(const QByteArray &name) const
+{
+    return static_cast<int>(stableHash(name) % static_cast<std::uint64_t>(this->groupCount()));
+}
+
+RecordsView RecordsView::ofGroup(int group) const
+{
+    if (this->groupCount() == 1)
+        return *this;
+    RecordsView part = *this;
+    part.targetSize = this->groupSizes[static_cast<std::size_t>(group)];
+    std::erase_if(part.members, [group](const auto &entry) { return entry.group != group; });
+    return part;
+}
+
 const RecordsMember *RecordsView::memberOnVm(const QString &vm) const
 {
     const auto found =
@@ -100,7 +123,9 @@
     LogEvent(LogSeverity::Info, "recordsViewAdopted")
             .field("number", static_cast<quint64>(this->number))
             .field("members", static_cast<qint64>(this->members.size()))
-            .field("synced", this->syncedCount());
+            .field("synced", this->syncedCount())
+            .field("groups", this->groupCount())
+            .field("forming", this->isForming);
 }
 
 bool RecordsView::isStandby(const RecordsMember &entry) const
@@ -160,9 +185,14 @@
     QJsonArray entries;
     for (const RecordsMember &member : this->members)
         entries.append(entryOf(member));
+    QJsonArray sizes;
+    for (const int size : this->groupSizes)
+        sizes.append(size);
     const QJsonObject document{{QStringLiteral("number"), static_cast<qint64>(this->number)},
                                {QStringLiteral("targetSize"), this->targetSize},
                                {QStringLiteral("toleratedDisks"), this->toleratedDisks},
+                               {QStringLiteral("groupSizes"), sizes},
+                               {QStringLiteral("forming"), this->isForming},
                                {QStringLiteral("members"), entries}};
     return QJsonDocument(document).toJson(QJsonDocument::Compact);
 }
@@ -176,7 +206,14 @@
     view.toleratedDisks = document.value(QLatin1String("toleratedDisks")).toInt(1);
     for (const QJsonValue entry : document.value(QLatin1String("members")).toArray())
         view.members.push_back(memberOf(entry.toObject()));
-    if (view.number == 0)
+    for (const QJsonValue size : document.value(QLatin1String("groupSizes")).toArray())
+        view.groupSizes.push_back(size.toInt());
+    view.isForming = document.value(QLatin1String("forming")).toBool();
+    const bool hasValidGroups =
+            std::all_of(view.members.begin(), view.members.end(), [&view](const auto &entry) {
+                return entry.group >= 0 && entry.group < view.groupCount();
+            });
+    if (view.number == 0 || !hasValidGroups)
         return std::nullopt;
     return view;
 }
--- a/modules/lacewingmux_records/members/RecordsView.h
+++ b/modules/lacewingmux_records/members/RecordsView.h
@@ -14,6 +14,10 @@
 /**
     The membership view of the records VMs, agreed on through the platform's store.
 
+    The members are divided into groups. Each program, and each team's quota, belongs to one group,
+    whose members alone keep its records. All quorums are those of a group: they are computed on the
+    view that ofGroup() returns.
+
     An acknowledged record is on one more disk than may be lost (toleratedDisks), so at least one
     copy is found when all but toleratedDisks members are asked. Reservations must also be known
     to a majority, so that of any two reservations at least one sees the other.
@@ -21,14 +25,27 @@
 class RecordsView
 {
 public:
-    std::uint64_t number = 0; ///< increases by one with each change; 0 before the first view
-    int targetSize = 0;       ///< members at the first start; further ones are temporary
-    int toleratedDisks = 1;   ///< number of disks that may be lost at the same time
+    std::uint64_t number = 0;    ///< increases by one with each change; 0 before the first view
+    int targetSize = 0;          ///< members at the first start; further ones are temporary
+    int toleratedDisks = 1;      ///< number of disks that may be lost at the same time
+    std::vector<int> groupSizes; ///< members of each group at the first start; empty for one group
+    /** Until the members of the first start are known, their groups may still change. Nothing is
+        stored before. */
+    bool isForming = false;
     std::vector<RecordsMember> members;
 
     /** Returns the member with the incarnation of its disk, or null. */
     [[nodiscard]] const RecordsMember *member(const VmIncarnation &incarnation) const;
 
+    /** Returns the number of groups, at least one. */
+    [[nodiscard]] int groupCount() const;
+
+    /** Returns the group of a program or team. */
+    [[nodiscard]] int groupOf(const QByteArray &name) const;
+
+    /** Returns the view of one group: its members only, under the same number. */
+    [[nodiscard]] RecordsView ofGroup(int group) const;
+
     /** Returns the member that runs on the VM, or null. */
     [[nodiscard]] const RecordsMember *memberOnVm(const QString &vm) const;
 
@@ -77,6 +94,6 @@
 };
 
 /** The key of the view in the platform's store. */
-inline constexpr const char *recordsViewKey = "lacewingmux/records";
+inline constexpr const char *recordsViewKey = "lacewingmux/records-groups";
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -99,16 +99,18 @@
         return;
     const RecordsMember *before = this->view.member(this->hub.self());
     const RecordsMember *after = newView.member(this->hub.self());
+    const RecordsView groupView = newView.ofGroup(after == nullptr ? 0 : after->group);
     const bool wasLeaving = before != nullptr && before->state == MemberState::Leaving;
     if (after != nullptr && after->state == MemberState::Leaving && !wasLeaving)
         this->lastCountedSequence = this->index.lastSequence();
-    this->view = newView;
+    this->wholeView = newView;
+    this->view = groupView;
     this->copiedReported = false;
     this->syncedReported = false;
     std::erase_if(this->copiedTo,
                   [this](const auto &entry) { return this->view.member(entry.first) == nullptr; });
-    this->sync.setView(newView);
-    this->quotas.setView(newView, this->timers.now());
+    this->sync.setView(groupView);
+    this->quotas.setView(groupView, this->timers.now());
     newView.logAdoption();
     this->checkSynced();
 }
@@ -230,13 +232,25 @@
     this->configuration.requestIfNewer(peer, message->configurationVersion);
     GrantTokensReplyMessage reply;
     for (const TeamDemandMessage &demand : message->demands)
-        reply.grants.push_back(this->quotas.grant(peer, demand, message->configurationVersion,
-                                                  this->timers.now()));
+        reply.grants.push_back(this->grantTokens(peer, demand, message->configurationVersion));
     reply.configurationVersion = this->configuration.version();
     this->hub.send(peer, {FrameKind::GrantTokensReply, this->view.number, frame.correlation,
                           RecordsCodec::encodeGrantReply(reply)});
 }
 
+TeamGrantMessage RecordsServer::grantTokens(const VmIncarnation &peer,
+                                            const TeamDemandMessage &demand,
+                                            std::uint64_t configurationVersion)
+{
+    const RecordsMember *self = this->wholeView.member(this->hub.self());
+    if (self != nullptr && self->group == this->wholeView.groupOf(demand.team))
+        return this->quotas.grant(peer, demand, configurationVersion, this->timers.now());
+    TeamGrantMessage refusal;
+    refusal.team = demand.team;
+    refusal.isHolder = false;
+    return refusal;
+}
+
 void RecordsServer::replay(std::uint64_t sequence, const Record &record)
 {
     // Floors are local to this VM: each team's last one applies, and no other member requests them.
@@ -269,7 +283,7 @@
     if (frame.epoch >= this->view.number && this->view.number > 0)
         return false;
     this->hub.send(peer, {FrameKind::RecordsViewNotice, this->view.number, frame.correlation,
-                          RecordsCodec::encodeNotice(this->view.toDocument())});
+                          RecordsCodec::encodeNotice(this->wholeView.toDocument())});
     return true;
 }
 
@@ -314,6 +328,8 @@
         if (now - last > standbyTakeoverDelay && member.state == MemberState::Synced
             && this->isUpToDateStandby(now))
             this->hooks.standbyCanReplace(peer);
+        else if (now - last > standbyTakeoverDelay && member.state == MemberState::Synced)
+            this->hooks.standbyNeeded(peer);
     }
 }
 
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -34,7 +34,7 @@
     RecordsServer(PeerHub &peerHub, DurableLog &durableLog, TimerService &timerService,
                   MetricsRecorder &metricsRecorder, RecordsServerHooks serverHooks);
 
-    /** Adopts a view, unless it is older than the current one. */
+    /** Adopts a view of all groups, unless it is older than the current one. */
     void setView(const RecordsView &newView);
 
     /** Sets the version of the operators' configuration that is passed on to VMs without it. */
@@ -46,6 +46,9 @@
     void handlePull(const VmIncarnation &peer, const PeerFrame &frame);
     void handleFetch(const VmIncarnation &peer, const PeerFrame &frame);
     void handleGrant(const VmIncarnation &peer, const PeerFrame &frame);
+    [[nodiscard]] TeamGrantMessage grantTokens(const VmIncarnation &peer,
+                                               const TeamDemandMessage &demand,
+                                               std::uint64_t configurationVersion);
     void replay(std::uint64_t sequence, const Record &record);
     void writeFloor(const QByteArray &team, double tokens, std::function<void()> durable);
     /** Refuses a request that was sent under an older view, by replying with the newer view. */
@@ -68,7 +71,8 @@
     RecordsServerHooks hooks;
     RecordIndex index;
     RecordsSync sync;
-    RecordsView view;
+    RecordsView wholeView;
+    RecordsView view; ///< of the own group
     QuotaGrants quotas;
     ConfigurationRelay configuration;
     std::set<VmIncarnation> entryVms;
--- a/modules/lacewingmux_records/server/RecordsServerHooks.h
+++ b/modules/lacewingmux_records/server/RecordsServerHooks.h
@@ -16,6 +16,8 @@
     std::function<void()> copied; ///< all synced members have every record on this disk
     /** A member has sent nothing for long enough to be replaced. */
     std::function<void(const VmIncarnation &)> memberSilent;
+    /** A synced member is silent, and its group has no standby. */
+    std::function<void(const VmIncarnation &)> standbyNeeded;
     /** A synced member is silent, and this VM is a standby that has every record of the others. */
     std::function<void(const VmIncarnation &)> standbyCanReplace;
     std::function<void(const QByteArray &document)> newerView;
--- a/tests/records/FleetScheduleTest.cpp
+++ b/tests/records/FleetScheduleTest.cpp
@@ -17,10 +17,10 @@
     return text == nullptr ? defaultSeeds : std::strtoull(text, nullptr, 10);
 }
 
-void runSeeds(std::uint64_t first, std::uint64_t count)
+void runSeeds(std::uint64_t first, std::uint64_t count, int recordsVms = 3)
 {
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
-        FleetSchedule schedule(seed);
+        FleetSchedule schedule(seed, recordsVms);
         const std::string violation = schedule.run();
         cr_assert(violation.empty(), "seed %llu: %s", static_cast<unsigned long long>(seed),
                   violation.c_str());
@@ -48,3 +48,13 @@
 {
     runSeeds(300001, seedCount() / 4);
 }
+
+Test(fleet_schedule, keeps_turns_budgets_and_quotas_in_two_groups_1)
+{
+    runSeeds(400001, seedCount() / 4, 6);
+}
+
+Test(fleet_schedule, keeps_turns_budgets_and_quotas_in_two_groups_2)
+{
+    runSeeds(500001, seedCount() / 4, 6);
+}
--- a/tests/records/simulation/FleetSchedule.cpp
+++ b/tests/records/simulation/FleetSchedule.cpp
@@ -20,9 +20,10 @@
 
 } // namespace
 
-FleetSchedule::FleetSchedule(std::uint64_t seedNumber)
+FleetSchedule::FleetSchedule(std::uint64_t seedNumber, int recordsVmCount)
     : random(seedNumber)
-    , fleet(3, 3)
+    , recordsVms(recordsVmCount)
+    , fleet(recordsVmCount, 3)
     , programs(4)
 {
     for (Program &program : this->programs)
@@ -74,9 +75,13 @@
     turnRequest.maximumTokens = turnTokens;
     turnRequest.retention = std::chrono::seconds(600);
     QByteArray expected;
-    if (!program.storedTurns.empty() && this->randomBelow(4) > 0) {
-        const StoredTurn &earlier = this->turns[program.storedTurns[static_cast<std::size_t>(
-                this->randomBelow(static_cast<int>(program.storedTurns.size())))]];
+    // Some programs continue a turn of another one, which may belong to another group.
+    const Program &origin = this->randomBelow(6) == 0 ? this->programs[static_cast<std::size_t>(
+                                    this->randomBelow(static_cast<int>(this->programs.size())))]
+                                                      : program;
+    if (!origin.storedTurns.empty() && this->randomBelow(4) > 0) {
+        const StoredTurn &earlier = this->turns[origin.storedTurns[static_cast<std::size_t>(
+                this->randomBelow(static_cast<int>(origin.storedTurns.size())))]];
         turnRequest.previousTurn = earlier.turnRequest.request;
         expected = earlier.history;
     }
@@ -88,10 +93,11 @@
     });
 }
 
-void FleetSchedule::finishTurn(std::size_t number, const TurnRequest &turnRequest,
+void FleetSchedule::finishTurn(std::size_t number, TurnRequest turnRequest,
                                const QByteArray &expected, const TurnAdmission &admission,
                                std::size_t entry)
 {
+    turnRequest.historyLocation = admission.historyLocation;
     Program &program = this->programs[number];
     if (admission.outcome == TurnOutcome::UnknownTurn)
         this->reportViolation("a stored turn was reported as unknown: "
@@ -160,7 +166,7 @@
             || this->fleet.timers.now() - this->stableSince < recoveryTime)
             break;
         this->stableSince = this->fleet.timers.now();
-        const QString member = QStringLiteral("r%1").arg(1 + this->randomBelow(3));
+        const QString member = this->randomMember();
         for (const auto &[name, vm] : this->fleet.recordsVms) {
             if (name != member)
                 this->fleet.network.cut(member, name);
@@ -169,14 +175,14 @@
     }
     case 3:
         this->fleet.network.cut(QStringLiteral("e%1").arg(1 + this->randomBelow(3)),
-                                QStringLiteral("r%1").arg(1 + this->randomBelow(3)));
+                                this->randomMember());
         break;
     case 4:
         if (!this->pausedMember.isEmpty() || !this->lostMember.isEmpty()
             || this->fleet.timers.now() - this->stableSince < recoveryTime)
             break;
         this->stableSince = this->fleet.timers.now();
-        this->pausedMember = QStringLiteral("r%1").arg(1 + this->randomBelow(3));
+        this->pausedMember = this->randomMember();
         this->fleet.network.pause(this->pausedMember);
         break;
     }
@@ -187,7 +193,7 @@
     if (!this->lostMember.isEmpty() || !this->pausedMember.isEmpty()
         || this->fleet.timers.now() - this->stableSince < recoveryTime)
         return;
-    this->lostMember = QStringLiteral("r%1").arg(1 + this->randomBelow(3));
+    this->lostMember = this->randomMember();
     this->fleet.stopRecordsVm(this->lostMember, static_cast<std::size_t>(this->randomBelow(4)));
     if (this->randomBelow(2) == 0)
         this->fleet.wipe(this->lostMember);
@@ -254,8 +260,12 @@
             this->fleet.run(milliseconds(1000));
         if (!admission || admission->outcome != TurnOutcome::Ready
             || admission->history != storedTurn.history) {
-            this->reportViolation("a stored turn is not found at the end: "
-                                  + storedTurn.turnRequest.request.toStdString());
+            this->reportViolation(
+                    "a stored turn is not found at the end: "
+                    + storedTurn.turnRequest.request.toStdString() + ", outcome "
+                    + (admission ? std::to_string(static_cast<int>(admission->outcome)) : "none")
+                    + (admission && admission->history == storedTurn.history ? ", same history"
+                                                                             : ", other history"));
             return;
         }
     }
@@ -267,6 +277,11 @@
         this->violation = what + " at step " + std::to_string(this->steps);
 }
 
+QString FleetSchedule::randomMember()
+{
+    return QStringLiteral("r%1").arg(1 + this->randomBelow(this->recordsVms));
+}
+
 int FleetSchedule::randomBelow(int below)
 {
     return std::uniform_int_distribution<int>(0, below - 1)(this->random);
--- a/tests/records/simulation/FleetSchedule.h
+++ b/tests/records/simulation/FleetSchedule.h
@@ -23,7 +23,8 @@
 class FleetSchedule
 {
 public:
-    explicit FleetSchedule(std::uint64_t seedNumber);
+    /** With six records VMs there are two groups, with three there is one. */
+    explicit FleetSchedule(std::uint64_t seedNumber, int recordsVmCount = 3);
 
     /** Runs the schedule; returns the first violated invariant, or an empty string. */
     [[nodiscard]] std::string run();
@@ -45,7 +46,7 @@
 
     void step();
     void startTurn();
-    void finishTurn(std::size_t program, const TurnRequest &turnRequest, const QByteArray &expected,
+    void finishTurn(std::size_t program, TurnRequest turnRequest, const QByteArray &expected,
                     const TurnAdmission &admission, std::size_t entry);
     void sendRequests();
     void injectFault();
@@ -55,9 +56,11 @@
     void reportViolation(const std::string &what);
     void checkQuota();
     void checkStoredTurnsAreFound();
+    [[nodiscard]] QString randomMember();
     [[nodiscard]] int randomBelow(int below);
 
     std::mt19937_64 random;
+    int recordsVms;
     RecordsFleet fleet;
     std::vector<Program> programs;
     std::vector<StoredTurn> turns;
--- a/tests/records/simulation/RecordsFleet.cpp
+++ b/tests/records/simulation/RecordsFleet.cpp
@@ -60,6 +60,9 @@
     hooks.standbyCanReplace = [&vm](const VmIncarnation &member) {
         vm.membership->replaceAsStandby(member);
     };
+    hooks.standbyNeeded = [&vm](const VmIncarnation &member) {
+        vm.membership->requestStandby(member);
+    };
     hooks.newerView = [&vm](const QByteArray &document) {
         vm.membership->adoptViewDocument(document);
     };
