--- a/modules/lacewingmux_records/client/RecordsClient.cpp
+++ b/modules/lacewingmux_records/client/RecordsClient.cpp
@@ -22,10 +22,6 @@
 constexpr milliseconds reconnectTime{250};
 // Time after which the load balancer sends callers to VMs that can reach the records VMs.
 constexpr milliseconds rerouteTime{1600};
-// A long wait is justified, as giving up costs the program a completed turn.
-constexpr milliseconds writeTimeout{1500};
-// Minimum retention of records, also for programs without retained turns.
-constexpr milliseconds minimumRetention{60000};
 
 } // namespace
 
@@ -186,42 +182,6 @@
                      search.retryAfter});
 }
 
-void RecordsClient::store(const TurnRequest &turn, const QByteArray &input,
-                          const QByteArray &output, std::int64_t tokens, StoredCallback callback)
-{
-    const std::uint64_t correlation = this->nextCorrelation++;
-    PendingWrite write;
-    const int programGroup = this->view.groupOf(turn.program);
-    write.group = turn.historyLocation.value_or(programGroup);
-    write.record = this->recordOf(turn, RecordKind::Turn, tokens);
-    write.record.parent = turn.previousTurn;
-    write.record.input = input;
-    write.record.output = output;
-    write.callback = std::move(callback);
-    // In the program's own group, the turn's record also settles the reservation.
-    if (write.group != programGroup)
-        this->settle(turn, tokens);
-    PendingWrite &pendingWrite =
-            this->pendingWrites.emplace(correlation, std::move(write)).first->second;
-    pendingWrite.timeout = this->timers.after(
-            writeTimeout, [this, correlation] { this->finishWrite(correlation, false); });
-    this->sendWrite(correlation, pendingWrite);
-
-    std::optional<CachedHistory> history = CachedHistory();
-    if (!turn.previousTurn.isEmpty())
-        history = this->cache.find(turn.previousTurn, turn.team, this->timers.now());
-    if (history)
-        this->cache.put(turn.request, turn.team,
-                        {history->bytes + input + output, pendingWrite.group},
-                        this->timers.now() + turn.retention);
-}
-
-void RecordsClient::settle(const TurnRequest &turn, std::int64_t tokens)
-{
-    this->sendRecord(this->view.groupOf(turn.program),
-                     this->recordOf(turn, RecordKind::Settlement, tokens), 0);
-}
-
 bool RecordsClient::hasQuorum() const
 {
     const auto reachable =
@@ -358,53 +318,6 @@
     opening.callback(admission);
 }
 
-void RecordsClient::sendWrite(std::uint64_t correlation, PendingWrite &write)
-{
-    write.unacknowledged = this->sendRecord(write.group, write.record, correlation);
-}
-
-std::set<VmIncarnation> RecordsClient::sendRecord(int group, const Record &record,
-                                                  std::uint64_t correlation)
-{
-    const QByteArray payload = RecordsCodec::encodeRecords({record});
-    std::set<VmIncarnation> reached;
-    for (const RecordsMember &member : this->viewOf(group).members) {
-        if (member.state != MemberState::Leaving
-            && this->hub.send(member.vm.incarnation,
-                              {FrameKind::WriteRecords, this->view.number, correlation, payload}))
-            reached.insert(member.vm.incarnation);
-    }
-    return reached;
-}
-
-void RecordsClient::handleAck(const VmIncarnation &peer, const PeerFrame &frame)
-{
-    const auto found = this->pendingWrites.find(frame.correlation);
-    if (found == this->pendingWrites.end())
-        return;
-    const RecordsView &group = this->viewOf(found->second.group);
-    const RecordsMember *member = group.member(peer);
-    if (member == nullptr || frame.epoch != this->view.number
-        || found->second.unacknowledged.erase(peer) == 0 || !group.countsAsCopy(*member))
-        return;
-    if (++found->second.copies >= group.durableCopies())
-        this->finishWrite(frame.correlation, true);
-}
-
-void RecordsClient::finishWrite(std::uint64_t correlation, bool durable)
-{
-    auto entry = this->pendingWrites.extract(correlation);
-    if (entry.empty())
-        return;
-    entry.mapped().timeout.cancel();
-    if (!durable)
-        LogEvent(LogSeverity::Warning, "turnNotKept")
-                .field("request", QString::fromLatin1(entry.mapped().record.key))
-                .field("copies", entry.mapped().copies)
-                .field("view", static_cast<quint64>(this->view.number));
-    entry.mapped().callback(durable);
-}
-
 void RecordsClient::handleViewNotice(const VmIncarnation &, const PeerFrame &frame)
 {
     const auto document = RecordsCodec::decodeNotice(frame.payload);
@@ -437,16 +350,4 @@
         this->continueOpening(correlation);
 }
 
-Record RecordsClient::recordOf(const TurnRequest &turn, RecordKind kind, std::int64_t tokens) const
-{
-    Record record;
-    record.kind = kind;
-    record.key = turn.request;
-    record.program = turn.program;
-    record.team = turn.team;
-    record.tokens = tokens;
-    record.expires = this->timers.wallNow() + std::max(minimumRetention, turn.retention);
-    return record;
-}
-
 } // namespace lacewingmux
--- a/modules/lacewingmux_records/members/RecordsGroups.h
+++ b/modules/lacewingmux_records/members/RecordsGroups.h
@@ -10,8 +10,8 @@
 class RecordsGroups
 {
 public:
-    /** Divides the members of a first start into groups, anew after each join, as long as all disks
-        are empty. A group has enough members to bear the loss of the tolerated disks, and the
+    /** Divides the members of a first start into groups. Called after each join, while all disks
+       are still empty. A group has enough members to bear the loss of the tolerated disks, and the
         members of an availability zone are spread over the groups. */
     static void deal(RecordsView &view);
 
