--- a/tests/gateway/PlacementTest.cpp
+++ b/tests/gateway/PlacementTest.cpp
@@ -37,6 +37,15 @@
     return request;
 }
 
+std::vector<ReplicaInstance> manyReplicas(int count)
+{
+    std::vector<ReplicaInstance> replicas;
+    replicas.reserve(static_cast<std::size_t>(count));
+    for (int number = 0; number < count; ++number)
+        replicas.push_back(replica("i-" + QByteArray::number(number), "a", 8));
+    return replicas;
+}
+
 const TimerService::SteadyTime start{std::chrono::seconds(1000)};
 
 } // namespace
@@ -165,9 +174,7 @@
     constexpr int replicaCount = 59;
     constexpr int prompts = 8;
     constexpr int turns = 6000;
-    std::vector<ReplicaInstance> replicas;
-    for (int number = 0; number < replicaCount; ++number)
-        replicas.push_back(replica("i-" + QByteArray::number(number), "a", 8));
+    const std::vector<ReplicaInstance> replicas = manyReplicas(replicaCount);
     std::vector<Placement> vms;
     for (int number = 0; number < vmCount; ++number) {
         PlacementSettings settings;
@@ -199,14 +206,12 @@
     }
     cr_assert_eq(sent.size(), replicaCount, "%zu replicas are used", sent.size());
     cr_assert_leq(most, 2.5 * mean, "the busiest replica got %d of %.0f", most, mean);
-    cr_assert_leq(copies, 6 * replicaCount, "%zu copies of prompts", copies);
+    cr_assert_leq(copies, std::size_t{6} * replicaCount, "%zu copies of prompts", copies);
 }
 
 Test(placement, a_rare_prompt_stays_at_few_replicas_that_all_vms_agree_on)
 {
-    std::vector<ReplicaInstance> replicas;
-    for (int number = 0; number < 50; ++number)
-        replicas.push_back(replica("i-" + QByteArray::number(number), "a", 8));
+    const std::vector<ReplicaInstance> replicas = manyReplicas(50);
     std::set<QByteArray> chosen;
     for (std::uint64_t vm = 0; vm < 40; ++vm) {
         PlacementSettings settings;
--- a/tests/relay/RelayLinksTest.cpp
+++ b/tests/relay/RelayLinksTest.cpp
@@ -180,6 +180,7 @@
 Test(relay_links, all_zones_together_use_one_relay_of_each_zone)
 {
     std::vector<VmIncarnation> candidates;
+    candidates.reserve(24);
     for (int number = 0; number < 24; ++number)
         candidates.push_back(
                 vm(QStringLiteral("r%1").arg(number), QStringLiteral("zone-%1").arg(number % 5)));
--- a/tests/relay/RelayedTopicTest.cpp
+++ b/tests/relay/RelayedTopicTest.cpp
@@ -70,8 +70,8 @@
 Test(relayed_topic, remembers_a_bounded_number_of_deletions)
 {
     RelayedTopic topic("servers/");
-    for (int number = 1; number <= 20000; ++number) {
-        const QByteArray key = "servers/" + QByteArray::number(number);
+    for (std::int64_t number = 1; number <= 20000; ++number) {
+        const QByteArray key = "servers/" + QByteArray::number(static_cast<qlonglong>(number));
         topic.apply(written(key, 2 * number));
         topic.apply(deleted(key, 2 * number + 1));
     }
--- a/tests/support/events/InvariantChecks.cpp
+++ b/tests/support/events/InvariantChecks.cpp
@@ -102,6 +102,7 @@
     std::vector<Violation> violations;
     for (const auto &[program, markers] : markersByProgram) {
         std::chrono::milliseconds lastStart{0};
+        QString lastRun; ///< where and when the latest of the earlier calls' runs was
         for (const auto &[number, marker] : markers) {
             for (const BackendRun *run : runsOf(marker, runs)) {
                 // A later call's request holds the markers of the history before it.
@@ -111,9 +112,18 @@
                 if (run->started < lastStart)
                     violations.push_back(
                             {QStringLiteral("order"),
-                             QStringLiteral("%1: call %2 started before an earlier one")
+                             QStringLiteral(
+                                     "%1: call %2 started before an earlier one, at %3 ms on "
+                                     "%4; before it %5")
                                      .arg(program)
-                                     .arg(number)});
+                                     .arg(number)
+                                     .arg(run->started.count())
+                                     .arg(run->server, lastRun)});
+                if (run->started >= lastStart)
+                    lastRun = QStringLiteral("call %1 at %2 ms on %3")
+                                      .arg(number)
+                                      .arg(run->started.count())
+                                      .arg(run->server);
                 lastStart = std::max(lastStart, run->started);
             }
         }
