Confirm the ownership also before a call is sent that was decided long ago

Its owner had journaled the call and was paused before it read the backup's acknowledgement (ProgramCalls::start(), continuation of record()). When it continued, it read it and dispatched the call, which counted as just decided, since the dispatch had just begun; its successor had run it and gone on.

Change: the decision to run a call carries its time; a call that is sent 200 ms or more after it is sent only after the owner's backup has confirmed the ownership.

--- a/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.cpp
+++ b/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds powerRetryInterval{100};
-// The owner has just journaled a call when it dispatches it. Far below the time in which a paused
-// owner is replaced.
+// Usually the owner journals and dispatches a call within a few milliseconds. Far below the time in
+// which a paused owner is replaced.
 constexpr std::chrono::milliseconds ownershipConfirmationTime{200};
 
 } // namespace
@@ -343,7 +343,7 @@
 
 bool ReplicaDispatcher::confirmOwnership(DispatchedCall &call)
 {
-    const bool isRecent = this->timers.now() - call.receivedAt < ownershipConfirmationTime;
+    const bool isRecent = this->timers.now() - call.request.decidedAt < ownershipConfirmationTime;
     const bool isConfirmed =
             call.confirmedAttempts > call.attempts || (call.attempts == 0 && isRecent);
     if (isConfirmed || !call.listener.confirmOwnership)
--- a/modules/lacewingmux_program/dispatch/CallDispatcher.h
+++ b/modules/lacewingmux_program/dispatch/CallDispatcher.h
@@ -21,10 +21,10 @@
     std::function<void(const QString &replica)> started;        ///< called again after a safe retry
     std::function<void(const QByteArray &chunk)> chunk;         ///< only if streaming was requested
     std::function<void(const DispatchResult &result)> finished; ///< called once, last
-    /** Called before the call is sent a second time, or long after its dispatch; empty if that
-       needs no permission. The function that it receives sends the call, and must be called only if
-       the owner still is the owner: an owner that was paused may have been replaced, and its
-       successor may have gone on to later calls. */
+    /** Called before the call is sent a second time, or long after the decision to run it; empty if
+       that needs no permission. The function that it receives sends the call, and must be called
+       only if the owner still is the owner: an owner that was paused may have been replaced, and
+       its successor may have gone on to later calls. */
     std::function<void(std::function<void()> send)> confirmOwnership;
 };
 
--- a/modules/lacewingmux_program/dispatch/DispatchRequest.h
+++ b/modules/lacewingmux_program/dispatch/DispatchRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_program/requests/HttpHeader.h"
 
 #include <QByteArray>
@@ -40,6 +41,9 @@
     bool stream = false;
     std::chrono::milliseconds queueTimeout{30000};
     std::chrono::milliseconds runTimeout{120000};
+    /** When the owner decided to run the call, before it was journaled. Between that and the
+       dispatch the owner may have been paused, and replaced meanwhile. */
+    TimerService::SteadyTime decidedAt;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_program/owner/CallRun.h
+++ b/modules/lacewingmux_program/owner/CallRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_program/dispatch/CallDispatcher.h"
 #include "lacewingmux_program/requests/FinalEventBuffer.h"
 #include "lacewingmux_program/requests/OwnerService.h"
@@ -15,6 +16,7 @@
 {
     std::uint64_t serial = 0; ///< distinguishes this run from an earlier one of the same call
     bool resumed = false;     ///< whether an earlier owner may have run it
+    TimerService::SteadyTime decidedAt; ///< when this owner decided to run it
     std::optional<DispatchHandle> dispatch;
     std::optional<ErrorKind> cancelReason; ///< set when cancelled; checked before dispatch
     std::vector<OwnerRequestHandle> waiters;
--- a/modules/lacewingmux_program/owner/ProgramCalls.cpp
+++ b/modules/lacewingmux_program/owner/ProgramCalls.cpp
@@ -116,6 +116,7 @@
     CallRun &run = this->runs[key];
     run = CallRun();
     run.serial = serial;
+    run.decidedAt = this->context.environment.timers.now();
     run.waiters.push_back(handle);
     if (PendingRequest *pending = this->context.requests.find(handle)) {
         pending->stage = RequestStage::Running;
@@ -183,9 +184,11 @@
         return;
     }
     const CallStarted &start = program->call(key.agent, key.number)->start;
-    run->dispatch = this->context.environment.dispatcher.dispatch(
-            this->dispatchRequest(*program, start, run->streamingWaiter.has_value()),
-            this->listener(key, serial));
+    DispatchRequest request =
+            this->dispatchRequest(*program, start, run->streamingWaiter.has_value());
+    request.decidedAt = run->decidedAt;
+    run->dispatch =
+            this->context.environment.dispatcher.dispatch(request, this->listener(key, serial));
 }
 
 DispatchRequest ProgramCalls::dispatchRequest(const Program &program, const CallStarted &start,
@@ -337,6 +340,7 @@
         CallRun &run = this->runs[key];
         run = CallRun();
         run.serial = this->nextSerial++;
+        run.decidedAt = this->context.environment.timers.now();
         run.resumed = true;
         run.cancelReason = agent.endReason;
         this->dispatch(key, run.serial);
--- a/tests/backend/DispatcherFailureTest.cpp
+++ b/tests/backend/DispatcherFailureTest.cpp
@@ -89,6 +89,23 @@
     }
 }
 
+// Guards against an owner that is paused after it journaled a call: it reads the acknowledgement
+// and dispatches the call when it continues, although its successor may have run it already.
+Test(ReplicaDispatcher, aCallThatWasDecidedLongAgoIsSentOnlyByItsOwner)
+{
+    DispatcherFixture f;
+    f.decisionAge = 1500ms;
+    int confirmations = 0;
+    f.confirmOwnership = [&](const std::function<void()> &) { ++confirmations; };
+    f.addEngine(slowEngine());
+    f.adopt();
+    const auto &call = f.dispatch(f.chat(QStringLiteral("r1"), QStringLiteral("hello")));
+    f.loop.waitUntil([&] { return confirmations == 1; }, "the question");
+    f.loop.runFor(100ms);
+    cr_assert(call.startedAt.empty());
+    cr_assert_eq(totalRuns(f, QStringLiteral("r1")), 0);
+}
+
 Test(ReplicaDispatcher, aCallThatWaitedLongIsSentOnlyByItsOwner)
 {
     DispatcherFixture f;
--- a/tests/backend/support/DispatcherFixture.cpp
+++ b/tests/backend/support/DispatcherFixture.cpp
@@ -127,7 +127,9 @@
         ++call->results;
     };
     listener.confirmOwnership = this->confirmOwnership;
-    call->handle = this->dispatcher.dispatch(request, std::move(listener));
+    DispatchRequest decided = request;
+    decided.decidedAt = this->loop.timers.now() - this->decisionAge;
+    call->handle = this->dispatcher.dispatch(decided, std::move(listener));
     return *call;
 }
 
--- a/tests/backend/support/DispatcherFixture.h
+++ b/tests/backend/support/DispatcherFixture.h
@@ -55,6 +55,8 @@
 
     /** If set, stands for the owner that confirms its ownership to the dispatched calls. */
     std::function<void(std::function<void()> send)> confirmOwnership;
+    /** How long before the dispatch the owner has decided to run the calls. */
+    std::chrono::milliseconds decisionAge{0};
 
     EventLoop loop;
     IgnoringMetricsRecorder metrics;
