Serve while at least half of the groups of records VMs have a quorum

Cause: with two groups, the loss of one made every entry VM refuse all calls that need records, and send its callers elsewhere, although the other group could serve.

Result: the extended test records_groups/a_turn_is_unknown_only_if_no_group_may_have_it fails without the change.

--- a/modules/lacewingmux_records/client/RecordsClient.cpp
+++ b/modules/lacewingmux_records/client/RecordsClient.cpp
@@ -188,7 +188,7 @@
             std::count_if(this->groups.begin(), this->groups.end(),
                           [this](const auto &group) { return this->hasQuorum(group); });
     return this->view.number > 0
-           && reachable * 2 > static_cast<std::ptrdiff_t>(this->groups.size());
+           && reachable * 2 >= static_cast<std::ptrdiff_t>(this->groups.size());
 }
 
 bool RecordsClient::hasQuorum(const RecordsView &group) const
--- a/tests/records/RecordsGroupsTest.cpp
+++ b/tests/records/RecordsGroupsTest.cpp
@@ -233,6 +233,7 @@
               "the other group may have it");
     cr_assert(open(fleet, 0, turnOf(program, "t3", "", 1000)).outcome == TurnOutcome::Ready,
               "the loss of one group does not stop the others");
+    cr_assert(fleet.entryVms[0].client->hasQuorum(), "callers are not sent elsewhere");
 }
 
 Test(records_groups, a_standby_of_one_group_replaces_a_lost_member_of_another)
