--- a/modules/lacewingmux_records/client/RecordsClient.h
+++ b/modules/lacewingmux_records/client/RecordsClient.h
@@ -44,8 +44,8 @@
                std::int64_t tokens, StoredCallback callback) override;
     void settle(const TurnRequest &turn, std::int64_t tokens) override;
 
-    /** Returns whether enough records VMs are reachable to open and store turns, in at least half of
-        the groups. */
+    /** Returns whether enough records VMs are reachable to open and store turns, in at least half
+       of the groups. */
     [[nodiscard]] bool hasQuorum() const;
 
 private:
