Log a replica whose entry is missing but which is kept

The logs could not tell a lost update from a replica that was kept on purpose: nothing was written when an entry was missing from the store. replicaMissing says so now, and replicaGone tells how long the entry was missing.

--- a/modules/lacewingmux_gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaDirectory.cpp
@@ -42,9 +42,13 @@
 {
     if (!this->known.contains(id))
         return;
-    this->missing.insert(id);
+    const bool isNew = this->missing.try_emplace(id, this->timers.now()).second;
     if (this->isStoreSettled())
         this->removeMissing();
+    else if (isNew)
+        LogEvent(LogSeverity::Info, "replicaMissing")
+                .field("replica", QString::fromUtf8(id))
+                .field("storeReachable", this->storeReachable);
 }
 
 void ReplicaDirectory::setStoreReachable(bool reachable)
@@ -81,14 +85,21 @@
 {
     if (this->missing.empty() || !this->storeReachable)
         return;
-    for (const QByteArray &id : this->missing) {
-        LogEvent(LogSeverity::Info, "replicaGone").field("replica", QString::fromUtf8(id));
+    for (const auto &[id, since] : this->missing) {
+        LogEvent(LogSeverity::Info, "replicaGone")
+                .field("replica", QString::fromUtf8(id))
+                .field("missingFor", static_cast<qint64>(this->timeSince(since).count()));
         this->known.erase(id);
     }
     this->missing.clear();
     this->schedulePublish();
 }
 
+std::chrono::milliseconds ReplicaDirectory::timeSince(TimerService::SteadyTime time) const
+{
+    return std::chrono::floor<std::chrono::milliseconds>(this->timers.now() - time);
+}
+
 bool ReplicaDirectory::isStoreSettled() const
 {
     return this->storeReachable
--- a/modules/lacewingmux_gateway/replicas/ReplicaDirectory.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaDirectory.h
@@ -5,10 +5,10 @@
 
 #include <QByteArray>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace lacewingmux {
@@ -43,11 +43,13 @@
     void schedulePublish();
     void removeMissing();
     [[nodiscard]] bool isStoreSettled() const;
+    [[nodiscard]] std::chrono::milliseconds timeSince(TimerService::SteadyTime time) const;
 
     TimerService &timers;
     ChangeHook changed;
     std::map<QByteArray, ReplicaInstance> known;
-    std::set<QByteArray> missing; ///< known replicas without an entry, not yet removed
+    /** When the entries of known replicas were found to be missing; not yet removed. */
+    std::map<QByteArray, TimerService::SteadyTime> missing;
     bool storeReachable = true;
     TimerService::SteadyTime storeRecoveredAt;
     bool storeWasLost = false;
