Move what an entry VM follows in the store out of FrontNode

StoreFollower holds the relayed store, the directory of replicas and the fallback to the store, on any timer service, so that a test can drive it with relays on an in-memory network. No change of behaviour.

--- a/modules/lacewingmux_node/front/FrontNode.h
+++ b/modules/lacewingmux_node/front/FrontNode.h
@@ -3,7 +3,6 @@
 #include "lacewingmux_core/threads/ServiceThread.h"
 #include "lacewingmux_core/threads/ThreadQueue.h"
 #include "lacewingmux_core/time/QtTimerService.h"
-#include "lacewingmux_keyvalue/store/PlatformStore.h"
 #include "lacewingmux_node/settings/NodeSettings.h"
 #include "lacewingmux_node/settings/PlatformAdapter.h"
 #include "lacewingmux_records/messages/RecordMessages.h"
@@ -21,15 +20,12 @@
 class MetricsServer;
 class ReadinessServer;
 class RecordsView;
-class RelayedStore;
-class ReplicaDirectory;
-enum class RelayState : std::uint8_t;
+class StoreFollower;
 
 /**
     The node that runs on an entry VM. Its control thread follows the configuration, the replica
     entries and the view of the records VMs in the platform's store, and passes changes to the
-    traffic thread. Records VMs relay the store's contents; without them the node watches the store
-    itself.
+    traffic thread.
 */
 class FrontNode
 {
@@ -47,11 +43,7 @@
 private:
     void connectStore();
     void applyConfiguration(const QByteArray &document);
-    void updateReplica(const StoreRecord &record);
     void applyView(const QByteArray &document);
-    void handleRelayState(RelayState state);
-    /** Watches the store itself, as no relay serves this VM. */
-    void fallBackToStore();
     [[nodiscard]] bool isReady() const;
 
     NodeSettings settings;
@@ -60,12 +52,8 @@
     QtTimerService timers;
     ThreadQueue queue; ///< runs functions from the traffic thread on the control thread
     std::unique_ptr<HistogramMetrics> metrics;
-    std::unique_ptr<RelayedStore> store;
-    std::unique_ptr<ReplicaDirectory> replicas;
+    std::unique_ptr<StoreFollower> follower;
     std::unique_ptr<ServiceThread<FrontTrafficServices>> traffic;
-    std::unique_ptr<PlatformStore::Watch> configurationWatch;
-    std::unique_ptr<PlatformStore::Watch> replicaWatch;
-    std::unique_ptr<PlatformStore::Watch> viewWatch;
     std::unique_ptr<ReadinessServer> readiness;
     std::unique_ptr<MetricsServer> metricsServer;
     std::uint64_t configurationVersion = 0;
@@ -73,7 +61,6 @@
     bool replicasKnown = false;
     bool recordsReachable = false;
     bool stopping = false;
-    TimerSubscription fallbackTimer;
 };
 
 } // namespace lacewingmux
