Add the failing test of a replica that leaves while an entry VM is cut off

An entry VM that was cut off from the records VMs and the store goes on to use a replica that left meanwhile, 2.4 s longer than its reconnection takes.

--- a/tests/node/StoreFollowerTest.cpp
+++ b/tests/node/StoreFollowerTest.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/** Time in which a VM must act on what it could not learn during a cut: the platform grants three
+    seconds after the cut, of which the links take up to one to reconnect. */
+constexpr milliseconds timeToCatchUp{2000};
+
 const std::set<QByteArray> both{"1", "2"};
 const std::set<QByteArray> onlyTheSecond{"2"};
 
@@ -26,6 +30,19 @@
 
 } // namespace
 
+// A replica that left while the entry VM was cut off got calls for 2.4 s after the reconnection.
+Test(cut_entry_vm, drops_a_replica_that_left_during_the_cut_once_relays_serve_it_again)
+{
+    TwoReplicas test;
+    test.vm.setCut(true);
+    test.vm.run(milliseconds(4000));
+    test.vm.removeReplica("1");
+    test.vm.run(milliseconds(8000));
+    test.vm.setCut(false);
+    test.vm.run(timeToCatchUp);
+    cr_assert(test.vm.replicas() == onlyTheSecond);
+}
+
 Test(store_follower, drops_a_replica_at_once_while_relays_serve_it)
 {
     TwoReplicas test;
