Drop replicas that left during a cut once a relay vouches for the store

Cause: ReplicaDirectory keeps replicas without an entry for 2.4 s after the store is reachable again, because entries expire while the store is away. It counted from when this VM reached the store again, so it took its own cut for an outage of the store. Reconnection (0.9 to 1.1 s) and 2.4 s are more than the 3 s after which a VM must act on what it missed.

Change: a relay tells for how long it has reached the store without interruption (a long time between two answers interrupts it). The directory counts from the earliest time that is known. A VM that was cut off drops what left at once if a relay was not; after an outage of the store the relays lost it too, and lapsed replicas are kept as before.

--- a/modules/lacewingmux_gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaDirectory.cpp
@@ -16,6 +16,7 @@
 ReplicaDirectory::ReplicaDirectory(TimerService &timerService, ChangeHook changeHook)
     : timers(timerService)
     , changed(std::move(changeHook))
+    , settledAt(timers.now())
 { }
 
 void ReplicaDirectory::update(const QByteArray &id, const std::optional<ReplicaInstance> &instance)
@@ -48,18 +49,29 @@
     else if (isNew)
         LogEvent(LogSeverity::Info, "replicaMissing")
                 .field("replica", QString::fromUtf8(id))
-                .field("storeReachable", this->storeReachable);
+                .field("storeReachable", this->settledAt.has_value());
 }
 
-void ReplicaDirectory::setStoreReachable(bool reachable)
+void ReplicaDirectory::setStoreUnreachable()
 {
-    if (reachable && !this->storeReachable) {
-        this->storeRecoveredAt = this->timers.now();
-        this->storeWasLost = true;
-        this->removalTimer =
-                this->timers.after(reregistrationTime, [this] { this->removeMissing(); });
+    this->settledAt.reset();
+    this->removalTimer.cancel();
+}
+
+void ReplicaDirectory::setStoreReachable(TimerService::SteadyTime since)
+{
+    const TimerService::SteadyTime settled = since + reregistrationTime;
+    if (this->settledAt && *this->settledAt <= settled)
+        return;
+    this->settledAt = settled;
+    if (this->isStoreSettled()) {
+        this->removalTimer.cancel();
+        this->removeMissing();
+        return;
     }
-    this->storeReachable = reachable;
+    const auto remaining =
+            std::chrono::ceil<std::chrono::milliseconds>(settled - this->timers.now());
+    this->removalTimer = this->timers.after(remaining, [this] { this->removeMissing(); });
 }
 
 std::vector<ReplicaInstance> ReplicaDirectory::instances() const
@@ -83,7 +95,7 @@
 
 void ReplicaDirectory::removeMissing()
 {
-    if (this->missing.empty() || !this->storeReachable)
+    if (this->missing.empty())
         return;
     for (const auto &[id, since] : this->missing) {
         LogEvent(LogSeverity::Info, "replicaGone")
@@ -102,9 +114,7 @@
 
 bool ReplicaDirectory::isStoreSettled() const
 {
-    return this->storeReachable
-           && (!this->storeWasLost
-               || this->timers.now() - this->storeRecoveredAt >= reregistrationTime);
+    return this->settledAt && this->timers.now() >= *this->settledAt;
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/replicas/ReplicaDirectory.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaDirectory.h
@@ -17,8 +17,9 @@
     The replicas registered in the platform's store.
 
     Entries expire during a store outage although their replicas are alive. Replicas register again
-    within about two seconds of the store's recovery, so missing entries are kept for that time
-    before they are removed.
+    within about two seconds of the store's recovery, so replicas without an entry are kept until
+   the store has been reachable for that long. The time counts from when the store was reachable,
+   not from when this VM reached it: a VM that was cut off must drop what left meanwhile at once.
 */
 class ReplicaDirectory
 {
@@ -34,8 +35,12 @@
     /** Records that the entry is missing from the store. */
     void remove(const QByteArray &id);
 
-    /** Sets whether the store is reachable. */
-    void setStoreReachable(bool reachable);
+    /** Records that neither this VM nor a relay of it is known to reach the store. */
+    void setStoreUnreachable();
+
+    /** Records that the store has been reachable without interruption since a time, for this VM or
+        for a relay of it. */
+    void setStoreReachable(TimerService::SteadyTime since);
 
     [[nodiscard]] std::vector<ReplicaInstance> instances() const;
 
@@ -50,9 +55,8 @@
     std::map<QByteArray, ReplicaInstance> known;
     /** When the entries of known replicas were found to be missing; not yet removed. */
     std::map<QByteArray, TimerService::SteadyTime> missing;
-    bool storeReachable = true;
-    TimerService::SteadyTime storeRecoveredAt;
-    bool storeWasLost = false;
+    /** When every live replica has registered again; nothing while the store is unreachable. */
+    std::optional<TimerService::SteadyTime> settledAt;
     bool publishPosted = false;
     TimerSubscription removalTimer;
 };
--- a/modules/lacewingmux_node/front/FrontNode.cpp
+++ b/modules/lacewingmux_node/front/FrontNode.cpp
@@ -7,6 +7,7 @@
 #include "lacewingmux_node/front/StoreFollower.h"
 #include "lacewingmux_node/settings/MetricsServer.h"
 #include "lacewingmux_records/members/RecordsView.h"
+#include "lacewingmux_relay/links/RelayContact.h"
 #include "lacewingmux_relay/messages/RelayUpdate.h"
 #include "lacewingmux_report/metrics/HistogramMetrics.h"
 
@@ -39,8 +40,8 @@
     hooks.relayUpdate = [this](const RelayUpdate &update) {
         this->queue.post([this, update] { this->follower->applyUpdate(update); });
     };
-    hooks.relayState = [this](RelayState state) {
-        this->queue.post([this, state] { this->follower->handleRelayState(state); });
+    hooks.relayContact = [this](const RelayContact &contact) {
+        this->queue.post([this, contact] { this->follower->handleRelayContact(contact); });
     };
     hooks.drained = [this] { this->queue.post([this] { this->stopped(); }); };
     this->traffic = std::make_unique<ServiceThread<FrontTrafficServices>>(
--- a/modules/lacewingmux_node/front/FrontTrafficServices.cpp
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.cpp
@@ -57,7 +57,7 @@
             std::make_unique<FleetQuota>(*this->hub, this->timers, this->hooks.newerConfiguration);
     this->relays = std::make_unique<RelayClient>(
             *this->hub, this->timers,
-            RelayClient::Hooks{this->hooks.relayUpdate, this->hooks.relayState, [](bool) {}});
+            RelayClient::Hooks{this->hooks.relayUpdate, this->hooks.relayContact, [](bool) {}});
     this->gateway = std::make_unique<Gateway>(
             gatewaySettings(settings), this->timers, dialect, *this->quota, *this->records, metrics,
             [this](const CrashCoincidence &coincidence) { this->sendCrashNotice(coincidence); });
--- a/modules/lacewingmux_node/front/FrontTrafficServices.h
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.h
@@ -24,8 +24,8 @@
 class RoutingTable;
 class TcpPeerHub;
 struct CallDialect;
+struct RelayContact;
 struct RelayUpdate;
-enum class RelayState : std::uint8_t;
 
 /** The services of an entry VM that run on its traffic thread. */
 class FrontTrafficServices
@@ -41,8 +41,8 @@
         std::function<void(bool)> recordsReachable;
         /** Called with each update of the store's contents from a relay. */
         std::function<void(const RelayUpdate &)> relayUpdate;
-        /** Called when relays begin or cease to serve this VM. */
-        std::function<void(RelayState)> relayState;
+        /** Called when relays begin or cease to serve this VM, or know more of the store. */
+        std::function<void(const RelayContact &)> relayContact;
     };
 
     FrontTrafficServices(const NodeSettings &settings, const CallDialect &dialect,
--- a/modules/lacewingmux_node/front/StoreFollower.cpp
+++ b/modules/lacewingmux_node/front/StoreFollower.cpp
@@ -1,7 +1,7 @@
 #include "lacewingmux_node/front/StoreFollower.h"
 
 #include "lacewingmux_records/members/RecordsView.h"
-#include "lacewingmux_relay/links/RelayState.h"
+#include "lacewingmux_relay/links/RelayContact.h"
 #include "lacewingmux_relay/store/RelayedStore.h"
 
 #include <QRandomGenerator>
@@ -29,9 +29,8 @@
     , platform(std::move(platformAdapter))
     , replicas(timerService, std::move(followerHooks.replicas))
     , store(std::make_unique<RelayedStore>(
-              platform.createStore(
-                      timerService, metrics,
-                      [this](bool reachable) { this->replicas.setStoreReachable(reachable); }),
+              platform.createStore(timerService, metrics,
+                                   [this](bool reachable) { this->handleStoreContact(reachable); }),
               timerService, RelayedStore::Source::Relays))
 {
     this->store->setRelevance(this->platform.replicaPrefix, this->platform.replicaRelevance());
@@ -53,16 +52,24 @@
     this->store->applyUpdate(update);
 }
 
-void StoreFollower::handleRelayState(RelayState state)
+void StoreFollower::handleStoreContact(bool reachable)
 {
-    if (state == RelayState::Served) {
+    if (reachable)
+        this->replicas.setStoreReachable(this->timers.now());
+    else
+        this->replicas.setStoreUnreachable();
+}
+
+void StoreFollower::handleRelayContact(const RelayContact &contact)
+{
+    if (contact.state == RelayState::Served) {
         this->fallbackTimer.cancel();
         this->store->setSource(RelayedStore::Source::Relays);
-        this->replicas.setStoreReachable(true);
+        this->replicas.setStoreReachable(contact.storeReachableSince);
         return;
     }
-    if (state == RelayState::StoreLost)
-        this->replicas.setStoreReachable(false);
+    if (contact.state == RelayState::StoreLost)
+        this->replicas.setStoreUnreachable();
     const milliseconds delay = minimumFallbackDelay
                                + milliseconds(QRandomGenerator::global()->bounded(fallbackJitter));
     this->fallbackTimer = this->timers.after(delay, [this] { this->fallBackToStore(); });
@@ -71,7 +78,7 @@
 void StoreFollower::fallBackToStore()
 {
     // Entries that lapsed during an outage of the store may be missing from what is read next.
-    this->replicas.setStoreReachable(false);
+    this->replicas.setStoreUnreachable();
     this->store->assumeUnreachable();
     this->store->setSource(RelayedStore::Source::Store);
 }
--- a/modules/lacewingmux_node/front/StoreFollower.h
+++ b/modules/lacewingmux_node/front/StoreFollower.h
@@ -15,7 +15,7 @@
 
 class MetricsRecorder;
 class RelayedStore;
-enum class RelayState : std::uint8_t;
+struct RelayContact;
 struct RelayUpdate;
 
 /**
@@ -44,9 +44,10 @@
     void applyUpdate(const RelayUpdate &update);
 
     /** Follows the relays while they serve this VM, and otherwise, after a delay, the store. */
-    void handleRelayState(RelayState state);
+    void handleRelayContact(const RelayContact &contact);
 
 private:
+    void handleStoreContact(bool reachable);
     void fallBackToStore();
     void updateReplica(const StoreRecord &record);
 
--- a/modules/lacewingmux_node/records/RecordsNode.cpp
+++ b/modules/lacewingmux_node/records/RecordsNode.cpp
@@ -103,7 +103,10 @@
                     services.relayServer().broadcast(bytes);
                 });
     });
-    this->contactTimer = this->timers.every(contactInterval, [this] { this->reportContact(); });
+    this->contactTimer = this->timers.every(contactInterval, [this] {
+        if (this->hasSubscribers)
+            this->reportContact();
+    });
     const bool isFirstStart = this->diskWasEmpty && this->settings.firstStart;
     this->membership = std::make_unique<RecordsMembership>(
             *this->store, this->timers, this->self, this->settings.toleratedDisks, isFirstStart,
@@ -136,8 +139,8 @@
     hooks.relayClient.update = [this](const RelayUpdate &update) {
         this->queue.post([this, update] { this->store->applyUpdate(update); });
     };
-    hooks.relayClient.stateChanged = [this](RelayState state) {
-        this->queue.post([this, state] {
+    hooks.relayClient.contactChanged = [this](const RelayContact &contact) {
+        this->queue.post([this, state = contact.state] {
             this->relayState = state;
             this->updateSource();
         });
@@ -167,7 +170,7 @@
 void RecordsNode::reportContact()
 {
     const auto lastContact = this->store ? this->store->lastContact() : std::nullopt;
-    if (!this->hasSubscribers || !lastContact)
+    if (!lastContact)
         return;
     this->traffic->post([reachable = this->storeReachable,
                          contact = *lastContact](RecordsTrafficServices &services) {
--- a/modules/lacewingmux_relay/links/RelayClient.cpp
+++ b/modules/lacewingmux_relay/links/RelayClient.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds maximumContactAge{3200}; // above the longest poll of a relay's watches
 constexpr milliseconds trialTime{600};          // a new relay first reads the store
 constexpr std::size_t usualRelays = 2;          // one may stop without a gap
+// Above the jitter with which the statuses of a relay arrive.
+constexpr milliseconds reachableSinceTolerance{100};
 
 } // namespace
 
@@ -42,7 +44,7 @@
             return;
         relay->second.status = status;
         relay->second.statusAt = this->timers.now();
-        this->updateState();
+        this->updateContact();
     });
     this->hub.addLinkHandler([this](const VmIncarnation &peer, bool up) {
         // After a start, the preferred relays are often not the first that are connected.
@@ -120,7 +122,7 @@
             this->hub.send(peer, {FrameKind::RelaySubscribe, 0, 0, {}});
         }
     }
-    this->updateState();
+    this->updateContact();
 }
 
 bool RelayClient::selfIsFirst() const
@@ -155,27 +157,44 @@
            && this->timers.now() - known->second.subscribedSince > trialTime;
 }
 
-void RelayClient::updateState()
+void RelayClient::updateContact()
 {
-    const RelayState current = this->currentState();
-    if (std::exchange(this->state, current) == current)
+    const RelayContact current = this->currentContact();
+    const bool isSameState = current.state == this->contact.state;
+    const auto gain = this->contact.storeReachableSince - current.storeReachableSince;
+    if (isSameState && (current.state != RelayState::Served || gain <= reachableSinceTolerance))
         return;
-    LogEvent(current == RelayState::Served ? LogSeverity::Info : LogSeverity::Warning, "relayState")
-            .field("state", static_cast<int>(current))
+    this->contact = current;
+    const auto reachableFor = this->timers.now() - current.storeReachableSince;
+    LogEvent line(current.state == RelayState::Served ? LogSeverity::Info : LogSeverity::Warning,
+                  "relayState");
+    line.field("state", static_cast<int>(current.state))
             .field("relays", static_cast<qint64>(this->relays.size()));
-    this->hooks.stateChanged(current);
+    if (current.state == RelayState::Served)
+        line.field("storeReachableFor",
+                   static_cast<qint64>(std::chrono::floor<milliseconds>(reachableFor).count()));
+    this->hooks.contactChanged(current);
 }
 
-RelayState RelayClient::currentState() const
+RelayContact RelayClient::currentContact() const
 {
-    bool storeLost = false;
+    RelayContact current;
     for (const auto &[peer, relay] : this->relays) {
-        if (this->isRecent(relay))
-            return RelayState::Served;
-        const bool answers = relay.status && this->timers.now() - relay.statusAt <= statusTimeout;
-        storeLost = storeLost || answers;
+        if (this->isRecent(relay)) {
+            const auto since = relay.statusAt - relay.status->reachableFor;
+            if (current.state != RelayState::Served || since < current.storeReachableSince)
+                current.storeReachableSince = since;
+            current.state = RelayState::Served;
+        } else if (current.state == RelayState::NotServed && this->isAnswering(relay)) {
+            current.state = RelayState::StoreLost;
+        }
     }
-    return storeLost ? RelayState::StoreLost : RelayState::NotServed;
+    return current;
+}
+
+bool RelayClient::isAnswering(const Relay &relay) const
+{
+    return relay.status && this->timers.now() - relay.statusAt <= statusTimeout;
 }
 
 bool RelayClient::isRecent(const Relay &relay) const
--- a/modules/lacewingmux_relay/links/RelayClient.h
+++ b/modules/lacewingmux_relay/links/RelayClient.h
@@ -2,7 +2,7 @@
 
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_peer/links/PeerHub.h"
-#include "lacewingmux_relay/links/RelayState.h"
+#include "lacewingmux_relay/links/RelayContact.h"
 #include "lacewingmux_relay/messages/RelayStatus.h"
 #include "lacewingmux_relay/messages/RelayUpdate.h"
 
@@ -27,7 +27,9 @@
     struct Hooks
     {
         std::function<void(const RelayUpdate &)> update;
-        std::function<void(RelayState)> stateChanged;
+        /** Called when the state changes, and when a relay turns out to have reached the store for
+            longer than was known. */
+        std::function<void(const RelayContact &)> contactChanged;
         /** Called with whether this VM is the preferred relay of its zone. */
         std::function<void(bool)> isPreferredRelay;
     };
@@ -55,18 +57,19 @@
     /** Returns the connected relays to subscribe to; skips this VM itself. */
     [[nodiscard]] std::vector<VmIncarnation> wantedRelays() const;
     [[nodiscard]] bool selfIsFirst() const;
-    void updateState();
+    void updateContact();
     [[nodiscard]] bool isRecent(const Relay &relay) const;
+    [[nodiscard]] bool isAnswering(const Relay &relay) const;
     /** Returns whether a relay that has been subscribed to for a while has no recent data. */
     [[nodiscard]] bool isFailing(const VmIncarnation &candidate) const;
-    [[nodiscard]] RelayState currentState() const;
+    [[nodiscard]] RelayContact currentContact() const;
 
     PeerHub &hub;
     TimerService &timers;
     Hooks hooks;
     std::vector<VmIncarnation> preferences;
     std::map<VmIncarnation, Relay> relays; ///< subscribed to
-    RelayState state = RelayState::NotServed;
+    RelayContact contact;                  ///< as last reported to the hook
     bool isSelfRelay = false;
     TimerSubscription checkTimer;
 };
--- /dev/null
+++ b/modules/lacewingmux_relay/links/RelayContact.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "lacewingmux_core/time/TimerService.h"
+#include "lacewingmux_relay/links/RelayState.h"
+
+namespace lacewingmux {
+
+/** Whether relays serve this VM, and what they know of the store's availability. */
+struct RelayContact
+{
+    RelayState state = RelayState::NotServed;
+    /** Since when a relay has reached the store without interruption; set while relays serve. */
+    TimerService::SteadyTime storeReachableSince;
+};
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_relay/links/RelayServer.cpp
+++ b/modules/lacewingmux_relay/links/RelayServer.cpp
@@ -13,6 +13,7 @@
 
 constexpr milliseconds statusInterval{400};
 constexpr milliseconds subscriptionTime{3000}; // three renewals
+constexpr milliseconds maximumAnswerGap{3200}; // above the longest poll of a relay's watches
 
 } // namespace
 
@@ -55,6 +56,8 @@
 
 void RelayServer::setContact(bool reachable, TimerService::SteadyTime lastAnswer)
 {
+    if (!this->storeReachable || lastAnswer - this->lastContact > maximumAnswerGap)
+        this->reachableSince = lastAnswer;
     this->lastContact = lastAnswer;
     if (std::exchange(this->storeReachable, reachable) != reachable)
         this->sendStatusToAll();
@@ -91,8 +94,12 @@
 
 void RelayServer::sendStatus(const VmIncarnation &subscriber)
 {
-    const RelayStatus status{this->storeReachable, std::chrono::floor<milliseconds>(
-                                                           this->timers.now() - this->lastContact)};
+    const TimerService::SteadyTime now = this->timers.now();
+    RelayStatus status;
+    status.storeReachable = this->storeReachable;
+    status.contactAge = std::chrono::floor<milliseconds>(now - this->lastContact);
+    if (this->storeReachable)
+        status.reachableFor = std::chrono::floor<milliseconds>(now - this->reachableSince);
     this->hub.send(subscriber, {FrameKind::RelayStatus, 0, 0, RelayCodec::encodeStatus(status)});
 }
 
--- a/modules/lacewingmux_relay/links/RelayServer.h
+++ b/modules/lacewingmux_relay/links/RelayServer.h
@@ -36,7 +36,8 @@
     /** Sends an encoded update to all subscribers that have the contents. */
     void broadcast(const QByteArray &update);
 
-    /** Sets whether the store is reachable, and when it last answered. */
+    /** Sets whether the store is reachable, and when it last answered. A long time between two
+        answers counts as an interruption. */
     void setContact(bool reachable, TimerService::SteadyTime lastAnswer);
 
     /** Number of subscribers. */
@@ -64,6 +65,7 @@
     std::map<VmIncarnation, Subscriber> subscribers;
     bool storeReachable = false;
     TimerService::SteadyTime lastContact;
+    TimerService::SteadyTime reachableSince; ///< without interruption
     TimerSubscription statusTimer;
 };
 
--- a/modules/lacewingmux_relay/messages/RelayCodec.cpp
+++ b/modules/lacewingmux_relay/messages/RelayCodec.cpp
@@ -45,7 +45,8 @@
 {
     FlatBufferBuilder builder;
     builder.Finish(fb::CreateRelayStatus(builder, status.storeReachable,
-                                         static_cast<int>(status.contactAge.count())));
+                                         static_cast<int>(status.contactAge.count()),
+                                         status.reachableFor.count()));
     return payloadOf(builder);
 }
 
@@ -54,7 +55,9 @@
     const auto *table = verifiedTable<fb::RelayStatus>(bytes);
     if (table == nullptr)
         return std::nullopt;
-    return RelayStatus{table->reachable(), std::chrono::milliseconds(table->contact_age_ms())};
+    using std::chrono::milliseconds;
+    return RelayStatus{table->reachable(), milliseconds(table->contact_age_ms()),
+                       milliseconds(table->reachable_for_ms())};
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_relay/messages/RelayStatus.h
+++ b/modules/lacewingmux_relay/messages/RelayStatus.h
@@ -9,6 +9,8 @@
 {
     bool storeReachable = false;
     std::chrono::milliseconds contactAge{0}; ///< time since the store last answered the relay
+    /** Time for which the relay has reached the store without interruption. */
+    std::chrono::milliseconds reachableFor{0};
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_relay/messages/relay_generated.h
+++ b/modules/lacewingmux_relay/messages/relay_generated.h
@@ -210,7 +210,8 @@
   typedef RelayStatusBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REACHABLE = 4,
-    VT_CONTACT_AGE_MS = 6
+    VT_CONTACT_AGE_MS = 6,
+    VT_REACHABLE_FOR_MS = 8
   };
   bool reachable() const {
     return GetField<uint8_t>(VT_REACHABLE, 0) != 0;
@@ -218,10 +219,14 @@
   int32_t contact_age_ms() const {
     return GetField<int32_t>(VT_CONTACT_AGE_MS, 0);
   }
+  int64_t reachable_for_ms() const {
+    return GetField<int64_t>(VT_REACHABLE_FOR_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_REACHABLE, 1) &&
            VerifyField<int32_t>(verifier, VT_CONTACT_AGE_MS, 4) &&
+           VerifyField<int64_t>(verifier, VT_REACHABLE_FOR_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -236,6 +241,9 @@
   void add_contact_age_ms(int32_t contact_age_ms) {
     fbb_.AddElement<int32_t>(RelayStatus::VT_CONTACT_AGE_MS, contact_age_ms, 0);
   }
+  void add_reachable_for_ms(int64_t reachable_for_ms) {
+    fbb_.AddElement<int64_t>(RelayStatus::VT_REACHABLE_FOR_MS, reachable_for_ms, 0);
+  }
   explicit RelayStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -250,8 +258,10 @@
 inline flatbuffers::Offset<RelayStatus> CreateRelayStatus(
     flatbuffers::FlatBufferBuilder &_fbb,
     bool reachable = false,
-    int32_t contact_age_ms = 0) {
+    int32_t contact_age_ms = 0,
+    int64_t reachable_for_ms = 0) {
   RelayStatusBuilder builder_(_fbb);
+  builder_.add_reachable_for_ms(reachable_for_ms);
   builder_.add_contact_age_ms(contact_age_ms);
   builder_.add_reachable(reachable);
   return builder_.Finish();
--- a/tests/gateway/ReplicaDirectoryTest.cpp
+++ b/tests/gateway/ReplicaDirectoryTest.cpp
@@ -40,8 +40,8 @@
     DirectoryFixture test;
     test.directory.update("1", replica("1"));
     test.directory.update("2", replica("2"));
-    test.directory.setStoreReachable(false);
-    test.directory.setStoreReachable(true);
+    test.directory.setStoreUnreachable();
+    test.directory.setStoreReachable(test.timers.now());
     test.directory.remove("1");
     test.directory.remove("2");
     test.timers.advance(milliseconds(1900));
@@ -53,6 +53,37 @@
     cr_assert_eq(test.count, 1, "what is still missing is gone");
 }
 
+Test(replica_directory, counts_from_when_the_store_was_reachable_not_from_when_this_vm_was)
+{
+    DirectoryFixture test;
+    test.directory.update("1", replica("1"));
+    test.directory.setStoreUnreachable();
+    test.directory.setStoreReachable(test.timers.now());
+    test.directory.remove("1");
+    test.timers.runPosted();
+    cr_assert_eq(test.count, 1, "the store may have been away");
+    test.directory.setStoreReachable(test.timers.now() - milliseconds(1400));
+    test.timers.advance(milliseconds(900));
+    test.timers.runPosted();
+    cr_assert_eq(test.count, 1);
+    test.timers.advance(milliseconds(200));
+    test.timers.runPosted();
+    cr_assert_eq(test.count, 0);
+}
+
+Test(replica_directory, keeps_entries_while_the_store_is_lost_again)
+{
+    DirectoryFixture test;
+    test.directory.update("1", replica("1"));
+    test.directory.setStoreUnreachable();
+    test.directory.setStoreReachable(test.timers.now());
+    test.directory.remove("1");
+    test.directory.setStoreUnreachable();
+    test.timers.advance(milliseconds(10000));
+    test.timers.runPosted();
+    cr_assert_eq(test.count, 1);
+}
+
 Test(replica_directory, an_unreadable_entry_removes_its_replica)
 {
     DirectoryFixture test;
--- a/tests/node/support/RelayedEntryVm.cpp
+++ b/tests/node/support/RelayedEntryVm.cpp
@@ -2,7 +2,6 @@
 
 #include "support/UnreachableStore.h"
 
-#include "lacewingmux_relay/links/RelayState.h"
 #include "lacewingmux_relay/messages/RelayCodec.h"
 
 namespace lacewingmux {
@@ -72,7 +71,9 @@
             *this->hub, this->timers,
             RelayClient::Hooks{
                     [this](const RelayUpdate &update) { this->follower->applyUpdate(update); },
-                    [this](const auto &state) { this->follower->handleRelayState(state); },
+                    [this](const RelayContact &contact) {
+                        this->follower->handleRelayContact(contact);
+                    },
                     [](bool) {}});
     this->relays->setCandidates(candidates);
 }
--- a/tests/relay/RelayLinksTest.cpp
+++ b/tests/relay/RelayLinksTest.cpp
@@ -40,6 +40,7 @@
         std::unique_ptr<RelayServer> server;
         bool demanded = false;
         bool storeReachable = true;
+        bool reportsContact = true; ///< else it says nothing while its store is away
     };
 
     RelayFleet()
@@ -61,7 +62,11 @@
                 *this->hub, this->timers,
                 RelayClient::Hooks{
                         [this](const RelayUpdate &update) { this->updates.push_back(update); },
-                        [this](RelayState newState) { this->state = newState; }, [](bool) {}});
+                        [this](const RelayContact &contact) {
+                            this->state = contact.state;
+                            this->storeReachableSince = contact.storeReachableSince;
+                        },
+                        [](bool) {}});
         this->client->setCandidates(this->members);
     }
 
@@ -86,7 +91,7 @@
                 // A relay whose store is away keeps the time of its last contact.
                 if (relay.server && relay.storeReachable)
                     relay.server->setContact(true, this->timers.now());
-                else if (relay.server)
+                else if (relay.server && relay.reportsContact)
                     relay.server->setContact(false, this->timers.now());
             }
             this->timers.advance(milliseconds(1));
@@ -118,6 +123,7 @@
     std::unique_ptr<PeerHub> hub;
     std::unique_ptr<RelayClient> client;
     RelayState state = RelayState::NotServed;
+    TimerService::SteadyTime storeReachableSince;
     std::vector<RelayUpdate> updates;
 };
 
@@ -177,6 +183,53 @@
     cr_assert(fleet.state == RelayState::Served);
 }
 
+Test(relay_links, a_subscriber_learns_for_how_long_a_relay_has_reached_the_store)
+{
+    RelayFleet fleet;
+    const auto start = fleet.timers.now();
+    fleet.run(milliseconds(5000));
+    for (const VmIncarnation &member : fleet.members)
+        fleet.network.cut("e1", member.vm);
+    fleet.run(milliseconds(8000));
+    fleet.network.healAll();
+    fleet.run(milliseconds(1500));
+    cr_assert(fleet.state == RelayState::Served);
+    cr_assert(fleet.storeReachableSince <= start + milliseconds(50), "the relays never lost it");
+}
+
+Test(relay_links, an_outage_of_the_store_begins_the_time_anew)
+{
+    RelayFleet fleet;
+    fleet.run(milliseconds(5000));
+    for (auto &[name, relay] : fleet.relays)
+        relay.storeReachable = false;
+    fleet.run(milliseconds(4000));
+    const auto back = fleet.timers.now();
+    for (auto &[name, relay] : fleet.relays)
+        relay.storeReachable = true;
+    fleet.run(milliseconds(1500));
+    cr_assert(fleet.state == RelayState::Served);
+    cr_assert(fleet.storeReachableSince >= back);
+}
+
+// A relay that watched nothing for a while, or stood still, cannot tell what happened meanwhile.
+Test(relay_links, a_long_time_without_an_answer_begins_the_time_anew)
+{
+    RelayFleet fleet;
+    fleet.run(milliseconds(5000));
+    for (auto &[name, relay] : fleet.relays) {
+        relay.storeReachable = false;
+        relay.reportsContact = false;
+    }
+    fleet.run(milliseconds(4000));
+    const auto back = fleet.timers.now();
+    for (auto &[name, relay] : fleet.relays)
+        relay.storeReachable = true;
+    fleet.run(milliseconds(1500));
+    cr_assert(fleet.state == RelayState::Served);
+    cr_assert(fleet.storeReachableSince >= back);
+}
+
 Test(relay_links, all_zones_together_use_one_relay_of_each_zone)
 {
     std::vector<VmIncarnation> candidates;
