--- a/tests/gateway/support/GatewayFixture.cpp
+++ b/tests/gateway/support/GatewayFixture.cpp
@@ -4,6 +4,7 @@
 #include "lacewingmux_gateway/routing/RoutingTable.h"
 #include "platform/HttpDialect.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lacewingmux {
@@ -49,12 +50,32 @@
 
 } // namespace
 
-void ToggledQuota::take(const QuotaRequest &, Callback callback)
+void ToggledQuota::take(const QuotaRequest &request, Callback callback)
 {
+    if (request.team.name != "team") {
+        callback(this->takeAtRate(request.team));
+        return;
+    }
     this->taken += this->open ? 1 : 0;
     callback({this->open, milliseconds(700)});
 }
 
+QuotaDecision ToggledQuota::takeAtRate(const GatewayTeam &holder)
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto [last, isNew] = this->refilled.try_emplace(holder.name, now);
+    const std::chrono::duration<double> passed = now - last->second;
+    double &tokens = this->rateTokens[holder.name];
+    tokens = isNew ? 1.0 : std::min(1.0, tokens + passed.count() * holder.requestsPerSecond);
+    last->second = now;
+    if (tokens < 1.0) {
+        const double missing = (1.0 - tokens) / holder.requestsPerSecond;
+        return {false, std::chrono::ceil<milliseconds>(std::chrono::duration<double>(missing))};
+    }
+    tokens -= 1.0;
+    return {true, milliseconds(0)};
+}
+
 void ToggledQuota::refund(const QuotaRequest &)
 {
     ++this->refunded;
--- a/tests/gateway/support/GatewayFixture.h
+++ b/tests/gateway/support/GatewayFixture.h
@@ -10,12 +10,15 @@
 
 #include <QByteArray>
 
+#include <chrono>
+#include <map>
 #include <memory>
 #include <vector>
 
 namespace lacewingmux {
 
-/** A quota that admits all requests or none, as the test selects. */
+/** A quota that admits all requests of the team "team" or none, as the test selects, and those in
+    any other name at the rate that they state. */
 class ToggledQuota final : public TeamQuota
 {
 public:
@@ -23,8 +26,14 @@
     void refund(const QuotaRequest &request) override;
 
     bool open = true;
+    std::map<QByteArray, double> rateTokens; ///< by name; below 1 if the next request has to wait
     int taken = 0;
     int refunded = 0;
+
+private:
+    [[nodiscard]] QuotaDecision takeAtRate(const GatewayTeam &holder);
+
+    std::map<QByteArray, std::chrono::steady_clock::time_point> refilled; ///< by name
 };
 
 /** A turn store that gives the responses set by the test and records its calls. */
