Grant a small burst again after a pause

Cause: the floor that is kept on disk was raised to 55 in 100 of the burst, however small that is. Less than one whole token was left above it, and the floor is lowered only when tokens were taken.

Change: the floor leaves room for one token in a full bucket. The test failed before: with a burst of 0.5, which counts as one request, none of ten requests was granted.

--- a/modules/lacewingmux_records/quota/QuotaTokenBucket.cpp
+++ b/modules/lacewingmux_records/quota/QuotaTokenBucket.cpp
@@ -78,7 +78,9 @@
     this->refill(now);
     if (this->isLowering || this->tokens - this->floor < raiseThreshold * this->capacity)
         return std::nullopt;
-    this->floor = std::max(0.0, this->tokens - newFloorDistance * this->capacity);
+    // A full bucket must have a whole token above the floor.
+    const double highest = this->capacity - 1.0;
+    this->floor = std::clamp(this->tokens - newFloorDistance * this->capacity, 0.0, highest);
     return this->floor;
 }
 
--- a/tests/records/QuotaTest.cpp
+++ b/tests/records/QuotaTest.cpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <tuple>
 #include <vector>
 
 using namespace lacewingmux;
@@ -54,6 +55,33 @@
     cr_assert_eq(bucket.take(100, 0, start + std::chrono::seconds(60)), 5);
 }
 
+// After a pause the floor lay so high that a burst of less than two requests was never granted
+// again.
+Test(quota_token_bucket, grants_a_small_burst_again_after_a_pause)
+{
+    for (const double burst : {0.5, 1.0, 1.5, 1.8, 2.0, 2.2, 3.0}) {
+        QuotaTokenBucket bucket(0, start);
+        auto now = start;
+        bucket.setShare(5, burst, now);
+        const auto runFor = [&](std::chrono::seconds duration) {
+            for (const auto end = now + duration; now < end;) {
+                now += milliseconds(100);
+                bucket.setShare(5, burst, now);
+                std::ignore = bucket.raiseFloor(now);
+            }
+        };
+        runFor(std::chrono::seconds(5));
+        int granted = 0;
+        for (int request = 0; request < 10; ++request) {
+            granted += bucket.take(1, 0, now);
+            if (const auto lower = bucket.lowerFloor(now))
+                bucket.setFloor(*lower);
+            runFor(std::chrono::seconds(1));
+        }
+        cr_assert_eq(granted, 10, "burst %f: %d", burst, granted);
+    }
+}
+
 Test(quota_token_bucket, leaves_the_reserve_to_running_programs)
 {
     QuotaTokenBucket bucket(0, start);
