Keep the limit that a replica names, over all entry VMs together

Cause: nothing read the limit, and a limit on each entry VM alone would not hold for all of them.

Change: each response is searched for the limit, which belongs to one start of the replica. A call to such a replica takes a token first, from the records VM that is first in rank for it, like those of a team's rate. Without a token at hand the call goes to the next replica; if every replica is at its limit it waits like a call of a team at its limit, or is refused at once with the time until the next token.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -27,6 +27,7 @@
 constexpr milliseconds quarantineRetry{30000};
 constexpr milliseconds otherVmRetry{50};          // a new connection reaches another VM
 constexpr milliseconds noReplicaRetry{400};       // about the time until a replica registers
+constexpr milliseconds minimumLimitWait{10};      // before a replica at its limit is asked again
 constexpr milliseconds initialPlacementDelay{15}; // about half the duration of a tool call
 constexpr milliseconds maximumPlacementDelay{120};
 // Much longer than a plain call or a pause within a stream takes; with a shorter time, replicas
@@ -250,13 +251,52 @@
     placementRequest.affinityKey =
             this->route.sticky ? this->description.affinityKey : QByteArray();
     placementRequest.excludedInstances = this->excludedInstances;
+    placementRequest.ignoresReachedLimits = this->waitsForLimit;
     placementRequest.now = this->now();
     const std::optional<QByteArray> chosen =
             this->context.fleet.placement().choose(placementRequest);
-    if (chosen)
-        this->sendToReplica(*chosen);
-    else
+    if (!chosen) {
         this->schedulePlacementRetry();
+        return;
+    }
+    const ReplicaInstance *instance = this->context.fleet.instance(*chosen);
+    const auto limit =
+            instance == nullptr ? std::nullopt : this->context.fleet.placement().limit(*instance);
+    if (limit)
+        this->takeReplicaQuota(*instance, *limit);
+    else
+        this->sendToReplica(*chosen);
+}
+
+void ForwardedCall::takeReplicaQuota(const ReplicaInstance &chosen, double requestsPerSecond)
+{
+    QuotaRequest replicaQuota = replicaQuotaRequest(chosen, requestsPerSecond);
+    replicaQuota.reserve = this->quotaRequest.reserve;
+    replicaQuota.mayWait = this->waitsForLimit;
+    this->context.quota.take(replicaQuota,
+                             [weakSelf = this->weak_from_this(), instance = chosen.id, replicaQuota,
+                              &quota = this->context.quota](const QuotaDecision &decision) {
+                                 const auto self = weakSelf.lock();
+                                 if (self && self->phase == Phase::Placing)
+                                     self->handleReplicaQuota(instance, decision);
+                                 else if (decision.admitted)
+                                     quota.refund(replicaQuota);
+                             });
+}
+
+void ForwardedCall::handleReplicaQuota(const QByteArray &instance, const QuotaDecision &decision)
+{
+    if (decision.admitted) {
+        this->sendToReplica(instance);
+        return;
+    }
+    const milliseconds wait = std::max(minimumLimitWait, decision.retryAfter);
+    this->limitRetryAfter = std::min(this->limitRetryAfter.value_or(wait), wait);
+    if (const ReplicaInstance *known = this->context.fleet.instance(instance))
+        this->context.fleet.placement().recordLimitReached(*known, this->now(), this->now() + wait);
+    if (this->waitsForLimit)
+        this->excludedInstances.push_back(instance);
+    this->placeCall();
 }
 
 void ForwardedCall::sendToReplica(const QByteArray &instance)
@@ -268,6 +308,8 @@
         return;
     }
     this->phase = Phase::Sent;
+    this->waitsForLimit = false;
+    this->limitRetryAfter.reset();
     this->replica = instance;
     this->replicaStartMilliseconds = this->context.fleet.instance(instance)->startMilliseconds;
     this->sentAt = this->now();
@@ -350,6 +392,17 @@
 
 void ForwardedCall::schedulePlacementRetry()
 {
+    if (!this->waitsForLimit
+        && this->context.fleet.placement().hasReachedLimits(this->service, this->now())) {
+        this->waitsForLimit = true;
+        this->placeCall();
+        return;
+    }
+    if (this->limitRetryAfter) {
+        this->refuse(ErrorKind::Overloaded, "every replica is at the limit that it named",
+                     *this->limitRetryAfter);
+        return;
+    }
     // No replica is left: each one refused or could not be connected to, or none is known. Replicas
     // at capacity may have capacity again soon.
     if (this->rejections == 0 && this->possibleRuns == 0 && this->placementRounds > 0) {
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -24,6 +24,8 @@
 
 class IngressConnection;
 class ReplicaConnection;
+struct QuotaDecision;
+struct ReplicaInstance;
 struct TurnAdmission;
 
 /**
@@ -77,6 +79,9 @@
 
     // Placement
     void placeCall();
+    /** Takes a request from the limit that the replica has named, before the call is sent. */
+    void takeReplicaQuota(const ReplicaInstance &chosen, double requestsPerSecond);
+    void handleReplicaQuota(const QByteArray &instance, const QuotaDecision &decision);
     void sendToReplica(const QByteArray &replica);
     void schedulePlacementRetry();
 
@@ -149,7 +154,10 @@
     std::vector<QByteArray> excludedInstances; ///< not to be tried again
     int possibleRuns = 0;                      ///< sends that may have run the request
     int rejections = 0;
-    int placementRounds = 0; ///< times that no replica was available
+    int placementRounds = 0;    ///< times that no replica was available
+    bool waitsForLimit = false; ///< every replica is excluded or at the limit that it named
+    /** Shortest time until a replica that refused this call is below its limit again. */
+    std::optional<std::chrono::milliseconds> limitRetryAfter;
     HttpResponseHead head;
     ReplicaResponseInfo responseInfo;
     bool isStream = false;          ///< the current response is an event stream
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -71,6 +71,9 @@
     // Also a response to another request comes from the replica at the end of this connection.
     if (this->responseInfo.isLeaving)
         this->context.fleet.recordLeaving(this->replica, this->replicaStartMilliseconds);
+    if (!this->responseInfo.wrongInstance)
+        this->context.fleet.recordLimit(this->replica, this->replicaStartMilliseconds,
+                                        this->responseInfo.requestLimit);
     if (this->responseInfo.requestId.isEmpty())
         return !isSuccess(responseHead); // refusals before the request was read carry no id
     return this->responseInfo.requestId == this->description.requestId;
--- a/modules/lacewingmux_gateway/replicas/Placement.cpp
+++ b/modules/lacewingmux_gateway/replicas/Placement.cpp
@@ -82,6 +82,8 @@
                 leavingSince && request.now - *leavingSince >= this->settings.drainLimit;
         if (leavingSince.has_value() != leaving || drained || !this->isAllowed(replica, request))
             continue;
+        if (!request.ignoresReachedLimits && this->isAtLimit(id, request.now))
+            continue;
         const double candidateCost = this->cost(replica, request);
         if (candidateCost < bestCost) {
             bestCost = candidateCost;
@@ -196,6 +198,31 @@
     return this->leavingReplicas.leavingSince(instance.id, instance.startMilliseconds).has_value();
 }
 
+bool Placement::recordLimit(const QByteArray &instance, std::int64_t startMilliseconds,
+                            std::optional<double> requestsPerSecond, SteadyTime now)
+{
+    return this->limits.record(instance, startMilliseconds, requestsPerSecond, now);
+}
+
+std::optional<double> Placement::limit(const ReplicaInstance &instance) const
+{
+    return this->limits.limit(instance.id, instance.startMilliseconds);
+}
+
+void Placement::recordLimitReached(const ReplicaInstance &instance, SteadyTime now,
+                                   SteadyTime until)
+{
+    this->limits.recordReached(instance.id, instance.startMilliseconds, now, until);
+}
+
+bool Placement::hasReachedLimits(const QByteArray &service, SteadyTime now) const
+{
+    const auto candidates = this->byService.constFind(service);
+    return candidates != this->byService.cend()
+           && std::any_of(candidates->begin(), candidates->end(),
+                          [this, now](const QByteArray &id) { return this->isAtLimit(id, now); });
+}
+
 void Placement::recordPrompt(const QByteArray &instance, const std::vector<PromptPart> &parts)
 {
     if (this->replicas.contains(instance))
@@ -208,6 +235,12 @@
     return found == this->replicas.end() ? nullptr : &*found;
 }
 
+bool Placement::isAtLimit(const QByteArray &instance, SteadyTime now) const
+{
+    return this->limits.isReached(
+            instance, this->replicas.constFind(instance)->instance.startMilliseconds, now);
+}
+
 bool Placement::isAllowed(const Replica &replica, const PlacementRequest &request) const
 {
     return std::find(request.excludedInstances.begin(), request.excludedInstances.end(),
--- a/modules/lacewingmux_gateway/replicas/Placement.h
+++ b/modules/lacewingmux_gateway/replicas/Placement.h
@@ -7,6 +7,7 @@
 #include "lacewingmux_gateway/replicas/PromptCacheIndex.h"
 #include "lacewingmux_gateway/replicas/PromptPopularity.h"
 #include "lacewingmux_gateway/replicas/ReplicaInstance.h"
+#include "lacewingmux_gateway/replicas/ReplicaLimits.h"
 
 #include <QByteArray>
 #include <QHash>
@@ -39,7 +40,8 @@
     void setReplicas(const std::vector<ReplicaInstance> &instances);
 
     /** Returns the instance for the call, or nothing when no replica is eligible. A replica that is
-        leaving is eligible only within the drain limit, and only if no other replica is. */
+        leaving is eligible only within the drain limit, and only if no other replica is; one that
+        is at its limit only if the request says so. */
     [[nodiscard]] std::optional<QByteArray> choose(const PlacementRequest &request) const;
 
     /** Records that a turn with this prompt arrived. */
@@ -80,6 +82,22 @@
     /** Returns whether the registered instance has announced that it is leaving. */
     [[nodiscard]] bool isLeaving(const ReplicaInstance &instance) const;
 
+    /** Records the limit in requests per second that a response of the replica, in the incarnation
+        with this start time (Unix time in milliseconds), names, if any; returns whether it has
+        changed. */
+    bool recordLimit(const QByteArray &instance, std::int64_t startMilliseconds,
+                     std::optional<double> requestsPerSecond, SteadyTime now);
+
+    /** Returns the limit in requests per second that the registered instance has named, if any. */
+    [[nodiscard]] std::optional<double> limit(const ReplicaInstance &instance) const;
+
+    /** Records that the replica is at its limit until a time; it gets no calls until then, except
+        those that may wait for it. */
+    void recordLimitReached(const ReplicaInstance &instance, SteadyTime now, SteadyTime until);
+
+    /** Returns whether calls to the service may wait for a replica that is at its limit. */
+    [[nodiscard]] bool hasReachedLimits(const QByteArray &service, SteadyTime now) const;
+
     /** Records that the replica has processed the prompt. */
     void recordPrompt(const QByteArray &instance, const std::vector<PromptPart> &parts);
 
@@ -102,6 +120,7 @@
     };
 
     [[nodiscard]] Replica *find(const QByteArray &instance);
+    [[nodiscard]] bool isAtLimit(const QByteArray &instance, SteadyTime now) const;
     [[nodiscard]] bool isAllowed(const Replica &replica, const PlacementRequest &request) const;
     /** Returns the eligible instance with the lowest cost, among those that are leaving or among
         the others. */
@@ -129,6 +148,7 @@
     PromptCacheIndex promptCaches;
     PromptPopularity popularity;
     LeavingReplicas leavingReplicas;
+    ReplicaLimits limits;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/replicas/PlacementRequest.h
+++ b/modules/lacewingmux_gateway/replicas/PlacementRequest.h
@@ -17,6 +17,7 @@
     std::vector<PromptPart> promptParts;
     QByteArray affinityKey; ///< empty when the call concerns no particular object
     std::vector<QByteArray> excludedInstances; ///< instances that were already tried
+    bool ignoresReachedLimits = false;         ///< also considers replicas that are at their limit
     TimerService::SteadyTime now;
 };
 
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -73,6 +73,18 @@
         this->idle.remove(id);
 }
 
+void ReplicaFleet::recordLimit(const QByteArray &id, std::int64_t startMilliseconds,
+                               std::optional<double> requestsPerSecond)
+{
+    if (!this->replicaPlacement.recordLimit(id, startMilliseconds, requestsPerSecond,
+                                            this->timers.now()))
+        return;
+    LogEvent line(LogSeverity::Info, requestsPerSecond ? "replicaLimited" : "replicaNotLimited");
+    line.field("replica", QString::fromUtf8(id));
+    if (requestsPerSecond)
+        line.field("requestsPerSecond", *requestsPerSecond);
+}
+
 void ReplicaFleet::probeUnreachable()
 {
     const std::vector<QByteArray> all(this->unreachable.begin(), this->unreachable.end());
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -43,6 +44,12 @@
         limit. */
     void recordLeaving(const QByteArray &id, std::int64_t startMilliseconds);
 
+    /** Records the limit in requests per second that a response of the replica names, if any. The
+        start time (Unix time in milliseconds) is that of the incarnation to which the request was
+        sent. */
+    void recordLimit(const QByteArray &id, std::int64_t startMilliseconds,
+                     std::optional<double> requestsPerSecond);
+
     /** Returns the detector of requests that crash replicas. */
     [[nodiscard]] CrashCorrelator &crashCorrelator() noexcept
     {
--- a/modules/lacewingmux_records/client/FleetQuota.cpp
+++ b/modules/lacewingmux_records/client/FleetQuota.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds minimumRetryDelay{50};       // an earlier retry would only be refused again
 // Delay of the next round if no member has a lease for the team's rate at the moment.
 constexpr milliseconds noHolderRetryDelay{100};
+// Replicas come and go, so the queues of their limits are not kept for ever.
+constexpr std::chrono::seconds queueRetention{60};
 // Members that are asked beyond those that should hold the parts: two may have lost their leases.
 constexpr std::size_t successorsAsked = 2;
 
@@ -45,8 +47,9 @@
 void FleetQuota::take(const QuotaRequest &request, Callback callback)
 {
     const TimerService::SteadyTime now = this->timers.now();
-    Queue &queue = this->queues[{request.team.name, request.reserve}];
+    Queue &queue = this->queues[keyOf(request)];
     queue.request = request;
+    queue.lastUsed = now;
     queue.tokenCache.recordDemand(now);
     if (queue.waiting.empty() && queue.tokenCache.take(now)) {
         this->requestTokens(queue);
@@ -67,7 +70,7 @@
 
 void FleetQuota::refund(const QuotaRequest &request)
 {
-    Queue &queue = this->queues[{request.team.name, request.reserve}];
+    Queue &queue = this->queues[keyOf(request)];
     queue.tokenCache.put(1, this->timers.now());
     this->serveWaiting(queue);
 }
@@ -108,9 +111,7 @@
                          RecordsCodec::encodeGrant(message)}))
         return;
     queue.isRequesting = true;
-    this->unanswered.emplace(
-            correlation,
-            PendingRequest{{queue.request.team.name, queue.request.reserve}, this->timers.now()});
+    this->unanswered.emplace(correlation, PendingRequest{keyOf(queue.request), this->timers.now()});
 }
 
 void FleetQuota::handleReply(const VmIncarnation &peer, const PeerFrame &frame)
@@ -176,6 +177,11 @@
     queue.retryTimer =
             this->timers.after(wait, [this, key] { this->requestTokens(this->queues[key]); });
     const milliseconds spacing = this->timePerToken(queue);
+    if (!queue.request.mayWait) {
+        // Until then the other entry VMs get the tokens.
+        this->refuseBeyond(queue, 0, std::max(wait, spacing));
+        return;
+    }
     const milliseconds room = std::max(milliseconds(0), maximumWait(queue) - wait);
     this->refuseBeyond(queue, static_cast<std::size_t>(room / spacing), wait);
     this->refuseImpatient(queue, wait);
@@ -210,8 +216,15 @@
     }
 }
 
+FleetQuota::QueueKey FleetQuota::keyOf(const QuotaRequest &request)
+{
+    return {request.team.name, request.reserve, request.mayWait};
+}
+
 milliseconds FleetQuota::maximumWait(const Queue &queue)
 {
+    if (!queue.request.mayWait)
+        return milliseconds(0);
     return queue.request.reserve > 0 ? maximumStartWait : maximumCallWait;
 }
 
@@ -227,12 +240,14 @@
 {
     const TimerService::SteadyTime now = this->timers.now();
     this->expireLateRequests(now);
+    this->removeUnusedQueues(now);
     for (auto &[key, queue] : this->queues) {
         if (queue.waiting.empty())
             continue;
-        if (now - queue.waiting.front().since > unreachableTimeout) {
+        const milliseconds timeout = key.mayWait ? unreachableTimeout : replyTimeout;
+        if (now - queue.waiting.front().since > timeout) {
             LogEvent(LogSeverity::Warning, "quotaUnknown")
-                    .field("team", QString::fromUtf8(key.first))
+                    .field("team", QString::fromUtf8(key.team))
                     .field("waiting", static_cast<qint64>(queue.waiting.size()))
                     .field("recordsVms",
                            static_cast<qint64>(this->sources(queue.request.team).size()));
@@ -243,6 +258,15 @@
     }
 }
 
+void FleetQuota::removeUnusedQueues(TimerService::SteadyTime now)
+{
+    std::erase_if(this->queues, [now](const auto &entry) {
+        const Queue &queue = entry.second;
+        return queue.waiting.empty() && !queue.isRequesting
+               && now - queue.lastUsed > queueRetention;
+    });
+}
+
 void FleetQuota::expireLateRequests(TimerService::SteadyTime now)
 {
     std::erase_if(this->unanswered, [now](const auto &entry) {
--- a/modules/lacewingmux_records/client/FleetQuota.h
+++ b/modules/lacewingmux_records/client/FleetQuota.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <vector>
 
 namespace lacewingmux {
@@ -44,7 +45,19 @@
     void setConfiguration(const ConfigurationDocumentMessage &newest);
 
 private:
-    using QueueKey = std::pair<QByteArray, double>; ///< team and reserve
+    /** Waiting requests with equal keys are served in order. */
+    struct QueueKey
+    {
+        QByteArray team;
+        double reserve = 0;
+        bool mayWait = true;
+
+        friend bool operator<(const QueueKey &left, const QueueKey &right) noexcept
+        {
+            return std::tie(left.team, left.reserve, left.mayWait)
+                   < std::tie(right.team, right.reserve, right.mayWait);
+        }
+    };
 
     struct Waiting
     {
@@ -64,6 +77,7 @@
         int contenders = 1;           ///< entry VMs that wait for this team's tokens
         std::optional<std::chrono::milliseconds> shortestRetryAfter; ///< of this round's holders
         TimerService::SteadyTime nextTokenAt; ///< when to repeat an unsuccessful round
+        TimerService::SteadyTime lastUsed;
         TimerSubscription retryTimer;
     };
 
@@ -84,10 +98,12 @@
                       std::chrono::milliseconds retryAfter);
     /** Refuses the requests that would have waited too long when the next token comes. */
     void refuseImpatient(Queue &queue, std::chrono::milliseconds nextTokenIn);
+    [[nodiscard]] static QueueKey keyOf(const QuotaRequest &request);
     [[nodiscard]] static std::chrono::milliseconds maximumWait(const Queue &queue);
     [[nodiscard]] static std::chrono::milliseconds timePerToken(const Queue &queue);
     static void beginRound(Queue &queue);
     void checkQueues();
+    void removeUnusedQueues(TimerService::SteadyTime now);
     /** Returns the connected records VMs to ask for the team's tokens: those that should hold its
         parts, the one of the same zone first, and some successors. */
     [[nodiscard]] std::vector<VmIncarnation> sources(const GatewayTeam &team) const;
--- a/modules/lacewingmux_records/quota/QuotaGrants.cpp
+++ b/modules/lacewingmux_records/quota/QuotaGrants.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds leaseRetryDelay{100};
 // Entry VMs with unmet demand ask again well within this time.
 constexpr milliseconds contenderMemory{1000};
+// Replicas that name limits come and go, so their buckets are not kept for ever.
+constexpr std::chrono::seconds holdingRetention{120};
 
 } // namespace
 
@@ -42,6 +44,7 @@
     reply.retryAfter = leaseRetryDelay;
     this->discardAfterTakeover(now);
     Holding &holding = this->holdingOf(demand.team, now);
+    holding.lastAsked = now;
     if (configurationVersion >= holding.configurationVersion) {
         holding.configurationVersion = configurationVersion;
         holding.requestsPerSecond = demand.requestsPerSecond;
@@ -70,6 +73,7 @@
 {
     this->ownLease.update(now);
     this->discardAfterTakeover(now);
+    this->removeUnused(now);
     for (auto holding = this->holdings.begin(); holding != this->holdings.end(); ++holding)
         this->refresh(holding.key(), *holding, now);
     if (!this->ownLease.isHeld(now))
@@ -100,7 +104,8 @@
         const SteadyTime heldSince =
                 this->ownLease.isHeld(now) ? this->ownLease.unchangedSince() : now;
         holding = this->holdings.insert(
-                team, {QuotaTokenBucket(this->storedFloors.take(team), heldSince), 0, 0, 0, {}});
+                team,
+                {QuotaTokenBucket(this->storedFloors.take(team), heldSince), 0, 0, 0, {}, now});
     }
     return *holding;
 }
@@ -135,6 +140,23 @@
     }
 }
 
+void QuotaGrants::removeUnused(SteadyTime now)
+{
+    this->holdings.removeIf([this, now](const auto &holding) {
+        if (!isUnused(*holding, now))
+            return false;
+        if (holding->bucket.discard(now))
+            this->writeFloor(holding.key(), 0, nullptr);
+        return true;
+    });
+}
+
+bool QuotaGrants::isUnused(const Holding &holding, SteadyTime now)
+{
+    const std::chrono::duration<double> unused = now - holding.lastAsked;
+    return unused > holdingRetention && holding.requestsPerSecond * unused.count() > holding.burst;
+}
+
 int QuotaGrants::countContenders(Holding &holding, SteadyTime now)
 {
     std::erase_if(holding.contenders,
--- a/modules/lacewingmux_records/quota/QuotaGrants.h
+++ b/modules/lacewingmux_records/quota/QuotaGrants.h
@@ -53,6 +53,12 @@
     /** Accrues tokens; must be called at least every accrualInterval. */
     void update(SteadyTime now);
 
+    /** Returns the number of teams and replicas whose tokens this VM keeps count of. */
+    [[nodiscard]] qsizetype holdingCount() const noexcept
+    {
+        return this->holdings.size();
+    }
+
     /** Raises the floors on disk where many tokens lie above them. */
     void raiseFloors(SteadyTime now);
 
@@ -68,12 +74,16 @@
         double burst = 0;             ///< of the whole team
         std::uint64_t configurationVersion = 0;
         std::map<VmIncarnation, SteadyTime> contenders; ///< entry VMs whose demand was not met
+        SteadyTime lastAsked;
     };
 
     Holding &holdingOf(const QByteArray &team, SteadyTime now);
     /** Updates the bucket; returns whether this VM holds a part of the team's rate now. */
     bool refresh(const QByteArray &team, Holding &holding, SteadyTime now);
     void discardAfterTakeover(SteadyTime now);
+    void removeUnused(SteadyTime now);
+    /** Returns whether nobody has asked for so long that the bucket is full again. */
+    [[nodiscard]] static bool isUnused(const Holding &holding, SteadyTime now);
     [[nodiscard]] static int countContenders(Holding &holding, SteadyTime now);
 
     FloorWriter writeFloor;
--- a/tests/gateway/LimitedReplicaTest.cpp
+++ b/tests/gateway/LimitedReplicaTest.cpp
@@ -71,3 +71,64 @@
     cr_assert_geq(test.received(0), 3, "it still gets what it takes");
     cr_assert_eq(answered, test.requests, "the other replica takes the rest");
 }
+
+Test(limited_replica, refuses_a_call_at_once_that_no_replica_can_take)
+{
+    LimitedReplicas test(2, 2);
+    for (int number = 0; number < 4; ++number)
+        test.response(); // the first responses tell the limits, and use them up
+    const auto sent = test.fixture.loop.timers.now();
+    const QByteArray refusal = test.response();
+    cr_assert(refusal.startsWith("HTTP/1.1 503"), "%s", refusal.constData());
+    cr_assert(refusal.contains("Retry-After: 0."), "%s", refusal.constData());
+    cr_assert_lt((test.fixture.loop.timers.now() - sent).count(),
+                 std::chrono::nanoseconds(milliseconds(100)).count());
+}
+
+Test(limited_replica, is_used_again_once_it_names_no_limit)
+{
+    LimitedReplicas test(1, 1);
+    test.answeredWithin(milliseconds(500));
+    test.limited = 0;
+    cr_assert_geq(test.answeredWithin(milliseconds(1000)), 20);
+}
+
+Test(limited_replica, keeps_its_limit_when_its_entry_lapses_and_returns)
+{
+    LimitedReplicas test(1, 1);
+    cr_assert(test.response().endsWith("ran"));
+    cr_assert(test.response().endsWith("ran"));
+    test.fixture.gateway->setReplicas({});
+    test.fixture.gateway->setReplicas(test.fixture.instances);
+    cr_assert(test.response().startsWith("HTTP/1.1 503"));
+}
+
+Test(limited_replica, has_no_limit_after_a_new_start)
+{
+    LimitedReplicas test(1, 1);
+    cr_assert(test.response().endsWith("ran"));
+    cr_assert(test.response().endsWith("ran"));
+    cr_assert(test.response().startsWith("HTTP/1.1 503"));
+    ++test.fixture.instances[0].startMilliseconds;
+    test.fixture.gateway->setReplicas(test.fixture.instances);
+    cr_assert(test.response().endsWith("ran"));
+}
+
+Test(limited_replica, names_its_limit_in_a_refusal_too)
+{
+    GatewayFixture fixture(2, [](const HttpRequest &request, const auto &exchange) {
+        const QByteArray id = fieldValue(request.fields, "Lacewingmux-Request-Id");
+        if (fieldValue(request.fields, "Lacewingmux-Expect-Instance") == "i-0")
+            exchange.write("HTTP/1.1 503 Full\r\nLacewingmux-Request-Id: " + id
+                           + "\r\nLacewingmux-Not-Executed: 1\r\nServer-Limit: 0.5\r\n"
+                             "Content-Length: 0\r\n\r\n");
+        else
+            exchange.write(GatewayFixture::answer(request, "ran"));
+    });
+    for (int number = 0; number < 20; ++number) {
+        RawCaller caller(fixture.gateway->port());
+        caller.send(GatewayFixture::request("POST", "/once/x", "r" + QByteArray::number(number)));
+        fixture.loop.waitUntil([&] { return caller.received().endsWith("ran"); }, "the answer");
+    }
+    cr_assert_leq(fixture.replicas[0]->requests().size(), 3);
+}
--- a/tests/records/QuotaTest.cpp
+++ b/tests/records/QuotaTest.cpp
@@ -406,3 +406,27 @@
                   failed);
     cr_assert_leq(failed, finished / 10, "%d", failed);
 }
+
+// Replicas that name limits come and go; each of them has a bucket.
+Test(quota_grants, forget_a_bucket_that_is_full_again_and_unused)
+{
+    QuotaGrants grants(member(1), [](const auto &, double, const auto &) {});
+    grants.setView(viewOfThree(), start);
+    const VmIncarnation entryVm{QStringLiteral("e"), QStringLiteral("zone"), 9};
+    auto now = start;
+    const auto runFor = [&](std::chrono::seconds duration) {
+        for (const auto end = now + duration; now < end; now += QuotaGrants::accrualInterval) {
+            grants.lease().recordAnswer(member(2), now, false, now);
+            grants.lease().recordAnswer(member(3), now, false, now);
+            grants.update(now);
+        }
+    };
+    runFor(std::chrono::seconds(1));
+    const TeamDemandMessage demand{"team", 30, 30, 100, 0};
+    cr_assert_eq(grants.grant(entryVm, demand, 1, now).granted, 10);
+    runFor(std::chrono::seconds(100));
+    cr_assert_eq(grants.holdingCount(), 1);
+    runFor(std::chrono::seconds(30));
+    cr_assert_eq(grants.holdingCount(), 0);
+    cr_assert_eq(grants.grant(entryVm, demand, 1, now).granted, 10, "the whole share, not more");
+}
