Cut replicas that send bytes without end, in a head or a body

Seen by operators: a replica in trouble may send bytes that are no answer until its caller closes. Held until the deadline of the call, they can take more memory than an entry VM has, which ends its process and every call on it.

Cause: only the head of a response and the body of one call were bounded. Not bounded were the header of a chunk, a trailer, informational responses, a response to another request, one event of a stream, the events of a stream, and the bodies of several calls together.

Change: the decoder bounds what it holds of a head, chunk header or trailer, and the informational responses; a connection bounds what it discards and is closed when bytes come outside an exchange; and all calls share a memory for unfinished responses, of which small ones always get a part.

--- a/modules/lacewingmux_gateway/forwarding/CallContext.h
+++ b/modules/lacewingmux_gateway/forwarding/CallContext.h
@@ -8,6 +8,7 @@
 
 class MetricsRecorder;
 class ReplicaFleet;
+class ResponseMemory;
 class RoutingTable;
 class TeamQuota;
 class TimerService;
@@ -22,6 +23,7 @@
     ReplicaFleet &fleet;
     TeamQuota &quota;
     TurnStore &turnStore;
+    ResponseMemory &responseMemory;
     MetricsRecorder &metrics;
     std::shared_ptr<const RoutingTable> table; ///< null until a configuration is loaded
     bool acceptsRequests = true;               ///< false late in a planned stop
--- a/modules/lacewingmux_gateway/forwarding/EventStreamParser.h
+++ b/modules/lacewingmux_gateway/forwarding/EventStreamParser.h
@@ -40,6 +40,12 @@
         return !this->pending.isEmpty();
     }
 
+    /** Returns the bytes that the events and the incomplete event take. */
+    [[nodiscard]] qsizetype bufferedBytes() const noexcept
+    {
+        return this->eventData.size() + this->pending.size();
+    }
+
     /** Discards the incomplete event, before the stream resumes from another replica. */
     void dropPartialEvent();
 
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -14,6 +14,7 @@
 #include <QCryptographicHash>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace lacewingmux {
@@ -73,6 +74,7 @@
 {
     if (this->connection)
         this->abortExchange();
+    std::ignore = this->accountResponse(0);
 }
 
 void ForwardedCall::begin()
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -92,6 +92,8 @@
     void handleComplete();
     void handleFailure(ExchangeFailure reason);
     void handleRejection();
+    /** Records the bytes that the response takes; returns whether it may go on. */
+    [[nodiscard]] bool accountResponse(qsizetype bytes);
     void forwardEvents(const QByteArray &bytes);
     void forwardResponse();
     void finishStream();
@@ -164,8 +166,9 @@
     bool isInvalidResponse = false; ///< a success that must not be forwarded
     QByteArray body;                ///< of a response that is not streamed
     EventStreamParser eventParser;
-    bool streamStarted = false; ///< the head of a stream was sent to the caller
-    QByteArray endReason;       ///< why the call was refused or aborted, for the log
+    qsizetype accountedBytes = 0; ///< of the response, in the memory of all calls
+    bool streamStarted = false;   ///< the head of a stream was sent to the caller
+    QByteArray endReason;         ///< why the call was refused or aborted, for the log
     TimerSubscription deadlineTimer;
     TimerSubscription placementTimer;
     TimerSubscription activityTimer;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -1,6 +1,7 @@
 #include "lacewingmux_gateway/forwarding/ForwardedCall.h"
 
 #include "lacewingmux_gateway/calls/CallDialect.h"
+#include "lacewingmux_gateway/forwarding/ResponseMemory.h"
 #include "lacewingmux_gateway/forwarding/TeamQuota.h"
 #include "lacewingmux_gateway/forwarding/TurnStore.h"
 #include "lacewingmux_gateway/http/HttpText.h"
@@ -17,6 +18,7 @@
 #include <QJsonObject>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace lacewingmux {
@@ -107,10 +109,16 @@
         return;
     }
     this->body += bytes;
-    if (this->body.size() > maximumBufferedResponse)
+    if (!this->accountResponse(this->body.size()))
         this->handleFailure(ExchangeFailure::Malformed);
 }
 
+bool ForwardedCall::accountResponse(qsizetype bytes)
+{
+    const qsizetype before = std::exchange(this->accountedBytes, bytes);
+    return this->context.responseMemory.resize(before, bytes) && bytes <= maximumBufferedResponse;
+}
+
 void ForwardedCall::handleComplete()
 {
     this->releaseConnection();
@@ -184,6 +192,10 @@
 void ForwardedCall::forwardEvents(const QByteArray &bytes)
 {
     const QByteArray whole = this->eventParser.append(bytes);
+    if (!this->accountResponse(this->eventParser.bufferedBytes())) {
+        this->handleFailure(ExchangeFailure::Malformed);
+        return;
+    }
     if (whole.isEmpty())
         return;
     if (this->streamStarted) {
@@ -363,6 +375,7 @@
     this->deadlineTimer.cancel();
     this->placementTimer.cancel();
     this->activityTimer.cancel();
+    std::ignore = this->accountResponse(0);
     if (std::exchange(this->quotaHeld, false))
         this->context.quota.refund(this->quotaRequest);
     this->logOutcome(outcome);
--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -33,6 +33,7 @@
     , turnStore(turnStoreClient)
     , metrics(metricsRecorder)
     , fleet(gatewaySettings.zone, gatewaySettings.placement, timerService, std::move(crashHook))
+    , responseMemory(gatewaySettings.bufferedResponseLimit)
 {
     this->ingress = std::make_unique<IngressServer>(
             this->settings.address, this->settings.port, this->settings.connectionLimit,
@@ -107,9 +108,11 @@
     const bool accepts =
             !this->drainedHook
             || this->timers.now() - this->stopStarted < this->settings.stopAcceptingAfter;
-    const CallContext context{this->timers, this->dialect,   this->fleet,
-                              this->quota,  this->turnStore, this->metrics,
-                              this->table,  accepts,         this->recordsUnreachableRetryDelay()};
+    const CallContext context{this->timers,    this->dialect,
+                              this->fleet,     this->quota,
+                              this->turnStore, this->responseMemory,
+                              this->metrics,   this->table,
+                              accepts,         this->recordsUnreachableRetryDelay()};
     const IngressConnection *key = caller.get();
     auto call = std::make_shared<ForwardedCall>(context, caller, std::move(request), [this, key] {
         const auto ended = this->calls.find(key);
--- a/modules/lacewingmux_gateway/forwarding/Gateway.h
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.h
@@ -3,6 +3,7 @@
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_gateway/calls/CallDialect.h"
 #include "lacewingmux_gateway/forwarding/GatewaySettings.h"
+#include "lacewingmux_gateway/forwarding/ResponseMemory.h"
 #include "lacewingmux_gateway/replicas/ReplicaFleet.h"
 #include "lacewingmux_gateway/replicas/ReplicaInstance.h"
 
@@ -51,6 +52,12 @@
         use other VMs. */
     void setRecordsReachable(bool reachable);
 
+    /** Returns the bytes that the unfinished responses of all calls take. */
+    [[nodiscard]] qsizetype bufferedResponseBytes() const noexcept
+    {
+        return this->responseMemory.usedBytes();
+    }
+
     /** Starts a planned stop: answers all requests that have been read, and closes connections.
         The hook is called when all calls and connections have ended, or the limit has passed. */
     void beginStop(std::function<void()> drained);
@@ -72,6 +79,7 @@
     TurnStore &turnStore;
     MetricsRecorder &metrics;
     ReplicaFleet fleet;
+    ResponseMemory responseMemory;
     std::shared_ptr<const RoutingTable> table;
     std::unique_ptr<IngressServer> ingress;
     std::map<const IngressConnection *, std::shared_ptr<ForwardedCall>> calls;
--- a/modules/lacewingmux_gateway/forwarding/GatewaySettings.h
+++ b/modules/lacewingmux_gateway/forwarding/GatewaySettings.h
@@ -20,6 +20,9 @@
     PlacementSettings placement;
     std::size_t connectionLimit = 2000; ///< half of the descriptors; the others are for replicas
 
+    /** Bytes that the unfinished responses of all calls may take together. */
+    qsizetype bufferedResponseLimit = qsizetype{12} * 1024 * 1024;
+
     /** How long a stopping VM still accepts connections and keeps them open: the load balancer
         checks once a second, and needs two results to direct new connections to other VMs. */
     std::chrono::milliseconds stopListeningAfter{2300};
--- a/modules/lacewingmux_gateway/http/ResponseDecoder.cpp
+++ b/modules/lacewingmux_gateway/http/ResponseDecoder.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::uint32_t headLimitBytes = 64 * 1024; // far above the heads that backend servers send
 constexpr int firstFinalStatus = 200;
+constexpr int maximumInformational = 16; // in one response; one is usual
 
 } // namespace
 
@@ -121,8 +122,13 @@
             return;
         }
         this->updateState();
-        if (error == http::error::need_more)
+        if (error == http::error::need_more) {
+            // Bytes of a body are consumed at once; what is left is part of a head or a chunk
+            // header.
+            if (this->pending.size() > headLimitBytes)
+                this->currentState = DecodeState::Malformed;
             return;
+        }
     }
 }
 
@@ -134,6 +140,8 @@
     }
     if (this->parser->is_done() && this->parser->head.status < firstFinalStatus) {
         this->startNext();
+        if (++this->informationalCount > maximumInformational)
+            this->currentState = DecodeState::Malformed;
         return;
     }
     this->parser->head.keepAlive = this->parser->keep_alive();
--- a/modules/lacewingmux_gateway/http/ResponseDecoder.h
+++ b/modules/lacewingmux_gateway/http/ResponseDecoder.h
@@ -48,6 +48,7 @@
     void updateState();
 
     bool headOnly;
+    int informationalCount = 0; ///< responses before the final one
     QByteArray pending;
     DecodeState currentState = DecodeState::Empty;
     std::unique_ptr<Parser> parser;
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -17,6 +17,8 @@
 
 // Limits unacknowledged data and keep-alive probes, not the time to a response.
 constexpr std::chrono::milliseconds networkTimeout{3000};
+// Of responses to other requests; far above a response that was sent twice.
+constexpr qsizetype maximumDiscardedBytes = qsizetype{1024} * 1024;
 
 } // namespace
 
@@ -54,6 +56,7 @@
     this->decoder = std::make_unique<ResponseDecoder>(isHead);
     this->headDelivered = false;
     this->isUnrelatedResponse = false;
+    this->discardedBytes = 0;
     this->busy = true;
     if (this->broken) {
         this->timers.post([this, guard = std::weak_ptr(this->lifetime)] {
@@ -128,7 +131,7 @@
     if (bytes.isEmpty())
         return;
     if (!this->busy) {
-        this->broken = true; // unsolicited bytes
+        this->abort(); // unsolicited bytes
         return;
     }
     this->decoder->append(bytes);
@@ -160,6 +163,13 @@
                 return;
         }
         const QByteArray body = this->decoder->takeBody();
+        if (this->isUnrelatedResponse)
+            this->discardedBytes += body.size();
+        if (this->discardedBytes > maximumDiscardedBytes) {
+            this->broken = true;
+            this->fail(ExchangeFailure::Malformed);
+            return;
+        }
         if (!body.isEmpty() && !this->isUnrelatedResponse) {
             active->body(body);
             if (guard.expired() || !this->busy)
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
@@ -84,6 +84,7 @@
     bool isHeadRequest = false;
     bool headDelivered = false;
     bool isUnrelatedResponse = false; ///< the current response belongs to another request
+    qsizetype discardedBytes = 0;     ///< of such responses, in this exchange
     bool broken = false;
     int resetDescriptor = -1; ///< duplicate descriptor of the socket, to detect a reset
     std::shared_ptr<char> lifetime = std::make_shared<char>();
--- a/modules/lacewingmux_node/front/FrontTrafficServices.cpp
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.cpp
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds recordsLossDelay{300};
 // A fifth of the VM's memory caches the histories of turns that passed through this VM.
 constexpr int cacheMemoryDivisor = 5;
+// An eighth buffers responses until they are whole.
+constexpr int responseMemoryDivisor = 8;
 
 GatewaySettings gatewaySettings(const NodeSettings &settings)
 {
@@ -35,6 +37,8 @@
     // Callers and replicas get equally many descriptors; the rest is for files and peers.
     gateway.connectionLimit = static_cast<std::size_t>(settings.descriptorLimit * 4 / 10);
     gateway.stopLimit = settings.stopLimit * 7 / 8;
+    gateway.bufferedResponseLimit =
+            settings.memoryMegabytes * bytesPerMegabyte / responseMemoryDivisor;
     return gateway;
 }
 
--- a/tests/gateway/support/GatewayFixture.cpp
+++ b/tests/gateway/support/GatewayFixture.cpp
@@ -106,6 +106,7 @@
     settings.address = QHostAddress(QHostAddress::LocalHost);
     settings.zone = "a";
     settings.placement.drainLimit = drainLimit;
+    settings.bufferedResponseLimit = bufferedResponseLimit;
     settings.stopListeningAfter = milliseconds(100);
     settings.stopAcceptingAfter = milliseconds(600);
     this->gateway = std::make_unique<Gateway>(settings, this->loop.timers, platformDialect(),
--- a/tests/gateway/support/GatewayFixture.h
+++ b/tests/gateway/support/GatewayFixture.h
@@ -81,6 +81,9 @@
     /** How long a replica that is leaving gets calls that no other replica can take. */
     static constexpr std::chrono::milliseconds drainLimit{300};
 
+    /** Bytes that the unfinished responses of all calls may take together. */
+    static constexpr qsizetype bufferedResponseLimit = qsizetype{4} * 1024 * 1024;
+
     EventLoop loop;
     IgnoringMetricsRecorder metrics;
     ToggledQuota quota;
