Let all watches poll again once one of them reaches the store

After an outage of the store each watch found it again on its own: a call that hangs takes 1.25 s to fail, and up to 1.2 s more pass until the next. Late failures of such calls also reported the store as lost again. Replicas that left meanwhile are dropped 2.4 s later still, more than the 3 s that a VM has.

--- a/modules/lacewingmux_keyvalue/client/StoreAccess.cpp
+++ b/modules/lacewingmux_keyvalue/client/StoreAccess.cpp
@@ -57,9 +57,25 @@
 {
     if (answered)
         this->lastAnswer = this->timerService.now();
-    if (std::exchange(this->reachable, answered) != answered
-        && this->currentSettings.contactChanged)
+    if (std::exchange(this->reachable, answered) == answered)
+        return;
+    if (this->currentSettings.contactChanged)
         this->currentSettings.contactChanged(answered);
+    if (!answered)
+        return;
+    std::erase_if(this->recoveryHooks, [](const auto &hook) { return hook.expired(); });
+    const auto hooks = this->recoveryHooks; // stays valid if a hook adds another one
+    for (const auto &hook : hooks) {
+        if (const auto active = hook.lock())
+            (*active)();
+    }
+}
+
+std::shared_ptr<void> StoreAccess::addRecoveryHook(std::function<void()> hook)
+{
+    auto token = std::make_shared<std::function<void()>>(std::move(hook));
+    this->recoveryHooks.push_back(token);
+    return token;
 }
 
 double StoreAccess::random()
--- a/modules/lacewingmux_keyvalue/client/StoreAccess.h
+++ b/modules/lacewingmux_keyvalue/client/StoreAccess.h
@@ -9,8 +9,11 @@
 #include <QUrlQuery>
 
 #include <cstddef>
+#include <functional>
+#include <memory>
 #include <optional>
 #include <random>
+#include <vector>
 
 namespace lacewingmux {
 
@@ -41,6 +44,10 @@
     /** Notes whether a call was answered, and tells the settings' hook when that has changed. */
     void noteContact(bool answered);
 
+    /** Calls the hook each time the store answers again after it did not; ends when the returned
+        token is destroyed. */
+    [[nodiscard]] std::shared_ptr<void> addRecoveryHook(std::function<void()> hook);
+
     /** Returns when a watch was last answered, or nothing. */
     [[nodiscard]] std::optional<TimerService::SteadyTime> lastContact() const noexcept
     {
@@ -68,6 +75,7 @@
     bool reachable = true;
     std::optional<TimerService::SteadyTime> lastAnswer;
     std::mt19937_64 generator;
+    std::vector<std::weak_ptr<std::function<void()>>> recoveryHooks;
 };
 
 } // namespace lacewingmux
--- a/tests/adapter/StoreClientTest.cpp
+++ b/tests/adapter/StoreClientTest.cpp
@@ -9,6 +9,9 @@
 #include <QTcpServer>
 #include <QTcpSocket>
 
+#include <chrono>
+#include <map>
+
 using namespace lacewingmux;
 using std::chrono::milliseconds;
 
@@ -255,3 +258,38 @@
     // The kernel would retry the first connection only seven seconds after its first attempt.
     cr_assert_lt((loop.timers.now() - resumeTime) / milliseconds(1), 2500);
 }
+
+// After an outage each watch found the store again on its own, up to 3.6 s after another one had,
+// so that calls went to replicas that had left meanwhile.
+Test(store_watch, continues_as_soon_as_another_watch_reaches_the_store)
+{
+    bool silent = false;
+    std::map<QByteArray, std::chrono::steady_clock::time_point> lastCall; // by prefix
+    const auto now = [] { return std::chrono::steady_clock::now(); };
+    StoreFixture store([&](const HttpRequest &request, const ScriptedReplica::Exchange &exchange) {
+        lastCall[request.target.contains("prefix=a/") ? "a" : "b"] = now();
+        if (silent)
+            return;
+        const QByteArray body = request.target.startsWith("/v1/kv-range")
+                                        ? R"({"items":[],"hasMore":false,"storeRevision":9})"
+                                        : R"({"events":[],"storeRevision":9})";
+        exchange.writeAfter(milliseconds(20), reply(200, body));
+    });
+    const auto first = store.client->watchPrefix("a/", 0, [](const StoreRecord &) {});
+    const auto second = store.client->watchPrefix("b/", 0, [](const StoreRecord &) {});
+    store.loop.waitUntil([&] { return lastCall.size() == 2; }, "both watches");
+    silent = true;
+    store.loop.runFor(milliseconds(2000));
+    // The store returns while a call of one watch hangs, and the other one tries again before.
+    store.loop.waitUntil(
+            [&] {
+                return now() - lastCall["b"] < milliseconds(100)
+                       && now() - lastCall["a"] > milliseconds(500);
+            },
+            "a call of the second watch");
+    silent = false;
+    const auto returned = now();
+    store.loop.waitUntil([&] { return lastCall["a"] > returned; }, "the first watch");
+    store.loop.runFor(milliseconds(150));
+    cr_assert(lastCall["b"] > returned, "the second watch still waits for its call");
+}
