--- a/tests/adapter/StoreClientTest.cpp
+++ b/tests/adapter/StoreClientTest.cpp
@@ -293,3 +293,18 @@
     store.loop.runFor(milliseconds(150));
     cr_assert(lastCall["b"] > returned, "the second watch still waits for its call");
 }
+
+// A call that was lost in an outage delayed the next one by more than a second.
+Test(store_watch, tries_again_soon_while_calls_hang)
+{
+    std::vector<std::chrono::steady_clock::time_point> calls;
+    StoreFixture store([&calls](const HttpRequest &request, const auto &exchange) {
+        calls.push_back(std::chrono::steady_clock::now());
+        if (request.target.startsWith("/v1/kv-range"))
+            exchange.write(reply(200, R"({"items":[],"hasMore":false,"storeRevision":9})"));
+    });
+    const auto watch = store.client->watchPrefix("w/", 0, [](const StoreRecord &) {});
+    store.loop.waitUntil([&calls] { return calls.size() >= 4; },
+                         "calls after the first that hangs");
+    cr_assert_lt((calls[3] - calls[2]) / milliseconds(1), 1000);
+}
