Bound the time that a relay's status names

A damaged status could name any time, and subtracting it from the current one overflows. Found by reading, not by a run; the test covers the extreme values.

--- a/modules/lacewingmux_relay/messages/RelayCodec.cpp
+++ b/modules/lacewingmux_relay/messages/RelayCodec.cpp
@@ -3,6 +3,8 @@
 #include "lacewingmux_peer/messages/FlatBufferPayload.h"
 #include "lacewingmux_relay/messages/relay_generated.h"
 
+#include <algorithm>
+
 namespace lacewingmux {
 
 namespace {
@@ -10,6 +12,10 @@
 using flatbuffers::FlatBufferBuilder;
 using flatbuffers::Offset;
 
+// Longer times make no difference to a subscriber, and a damaged one must not overflow a time
+// point.
+constexpr std::chrono::milliseconds maximumReachableFor = std::chrono::hours(1);
+
 } // namespace
 
 QByteArray RelayCodec::encodeUpdate(const RelayUpdate &update)
@@ -56,8 +62,9 @@
     if (table == nullptr)
         return std::nullopt;
     using std::chrono::milliseconds;
+    const milliseconds reachableFor{table->reachable_for_ms()};
     return RelayStatus{table->reachable(), milliseconds(table->contact_age_ms()),
-                       milliseconds(table->reachable_for_ms())};
+                       std::clamp(reachableFor, milliseconds(0), maximumReachableFor)};
 }
 
 } // namespace lacewingmux
--- a/tests/relay/RelayLinksTest.cpp
+++ b/tests/relay/RelayLinksTest.cpp
@@ -7,6 +7,7 @@
 
 #include <criterion/criterion.h>
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
@@ -197,6 +198,17 @@
     cr_assert(fleet.storeReachableSince <= start + milliseconds(50), "the relays never lost it");
 }
 
+Test(relay_codec, bounds_the_time_in_a_damaged_status)
+{
+    for (const std::int64_t value : {std::int64_t{-1}, INT64_MIN, INT64_MAX}) {
+        const RelayStatus damaged{true, milliseconds(0), milliseconds(value)};
+        const auto decoded = RelayCodec::decodeStatus(RelayCodec::encodeStatus(damaged));
+        cr_assert(decoded.has_value());
+        cr_assert_geq(decoded->reachableFor.count(), 0);
+        cr_assert_leq(decoded->reachableFor / std::chrono::hours(1), 1);
+    }
+}
+
 Test(relay_links, an_outage_of_the_store_begins_the_time_anew)
 {
     RelayFleet fleet;
