Keep a replica's limit after a response that is not surely its own

A spoilt or second response without the limit lifted it, so that the calls until the next response were not counted. Found by reading, not by a run.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -87,6 +87,8 @@
 
     // Responses
     [[nodiscard]] bool matchesRequest(const HttpResponseHead &responseHead);
+    /** Records what the replica announces about itself in the head of a response. */
+    void recordAnnouncements();
     void handleHead(const HttpResponseHead &responseHead);
     void handleBody(const QByteArray &bytes);
     void handleComplete();
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -70,17 +70,26 @@
 bool ForwardedCall::matchesRequest(const HttpResponseHead &responseHead)
 {
     this->responseInfo = this->context.dialect.parseResponse(responseHead);
-    // Also a response to another request comes from the replica at the end of this connection.
-    if (this->responseInfo.isLeaving)
-        this->context.fleet.recordLeaving(this->replica, this->replicaStartMilliseconds);
-    if (!this->responseInfo.wrongInstance)
-        this->context.fleet.recordLimit(this->replica, this->replicaStartMilliseconds,
-                                        this->responseInfo.requestLimit);
+    this->recordAnnouncements();
     if (this->responseInfo.requestId.isEmpty())
         return !isSuccess(responseHead); // refusals before the request was read carry no id
     return this->responseInfo.requestId == this->description.requestId;
 }
 
+void ForwardedCall::recordAnnouncements()
+{
+    // Also a response to another request comes from the replica at the end of this connection.
+    if (this->responseInfo.isLeaving)
+        this->context.fleet.recordLeaving(this->replica, this->replicaStartMilliseconds);
+    // Only a response that is surely the replica's own means that a limit has ended.
+    const bool isOwnResponse = this->responseInfo.hasServerStamp
+                               && this->responseInfo.requestId == this->description.requestId;
+    if (this->responseInfo.wrongInstance || (!this->responseInfo.requestLimit && !isOwnResponse))
+        return;
+    this->context.fleet.recordLimit(this->replica, this->replicaStartMilliseconds,
+                                    this->responseInfo.requestLimit);
+}
+
 void ForwardedCall::handleHead(const HttpResponseHead &responseHead)
 {
     this->head = responseHead;
--- a/tests/gateway/LimitedReplicaTest.cpp
+++ b/tests/gateway/LimitedReplicaTest.cpp
@@ -132,3 +132,25 @@
     }
     cr_assert_leq(fixture.replicas[0]->requests().size(), 3);
 }
+
+// Unlike a response of the replica without a limit, bytes that are none say nothing about the
+// limit.
+Test(limited_replica, keeps_its_limit_after_an_unusable_response)
+{
+    int count = 0;
+    GatewayFixture fixture(1, [&count](const HttpRequest &request, const auto &exchange) {
+        ++count;
+        if (count % 4 != 1)
+            exchange.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno");
+        else
+            exchange.write(GatewayFixture::answer(request, "ran", "Server-Limit: 1\r\n"));
+    });
+    for (int number = 0; number < 20; ++number) {
+        RawCaller caller(fixture.gateway->port());
+        caller.send(GatewayFixture::request("POST", "/once/x", "r" + QByteArray::number(number),
+                                            "Lacewingmux-Deadline-Ms: 300\r\n"));
+        fixture.loop.waitUntil([&] { return caller.received().contains("\r\n\r\n"); },
+                               "the answer");
+    }
+    cr_assert_leq(count, 3);
+}
