--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -81,7 +81,7 @@
     // Also a response to another request comes from the replica at the end of this connection.
     if (this->responseInfo.isLeaving)
         this->context.fleet.recordLeaving(this->replica, this->replicaStartMilliseconds);
-    // Only a response that is surely the replica's own means that a limit has ended.
+    // A spoilt response, or one to another request, does not mean that a limit has ended.
     const bool isOwnResponse = this->responseInfo.hasServerStamp
                                && this->responseInfo.requestId == this->description.requestId;
     if (this->responseInfo.wrongInstance || (!this->responseInfo.requestLimit && !isOwnResponse))
--- /dev/null
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
@@ -0,0 +1,215 @@
+#include "lacewingmux_gateway/forwarding/ForwardedCall.h"
+
+#include "lacewingmux_gateway/calls/CallDialect.h"
+#include "lacewingmux_gateway/forwarding/TeamQuota.h"
+#include "lacewingmux_gateway/http/HttpText.h"
+#include "lacewingmux_gateway/replicas/ReplicaConnection.h"
+#include "lacewingmux_gateway/replicas/ReplicaFleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingmux {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds minimumUsefulTime{20};     // no replica responds in less
+constexpr milliseconds noReplicaRetry{400};       // about the time until a replica registers
+constexpr milliseconds minimumLimitWait{10};      // before a replica at its limit is asked again
+constexpr milliseconds initialPlacementDelay{15}; // about half the duration of a tool call
+constexpr milliseconds maximumPlacementDelay{120};
+// Much longer than a plain call or a pause within a stream takes; with a shorter time, replicas
+// that are merely slow would be probed.
+constexpr milliseconds inactivityBeforeProbe{600};
+
+} // namespace
+
+void ForwardedCall::placeCall()
+{
+    this->phase = Phase::Placing;
+    if (this->deadline.remaining(this->now()) < minimumUsefulTime) {
+        this->handleTimeout();
+        return;
+    }
+    if (this->possibleRuns == 0 && this->rejections == 0 && this->placementRounds == 0)
+        this->context.fleet.placement().recordTurn(this->description.promptParts, this->now());
+    PlacementRequest placementRequest;
+    placementRequest.service = this->service;
+    placementRequest.forEngine = this->forEngine;
+    placementRequest.promptParts = this->description.promptParts;
+    placementRequest.affinityKey =
+            this->route.sticky ? this->description.affinityKey : QByteArray();
+    placementRequest.excludedInstances = this->excludedInstances;
+    placementRequest.ignoresReachedLimits = this->waitsForLimit;
+    placementRequest.now = this->now();
+    const std::optional<QByteArray> chosen =
+            this->context.fleet.placement().choose(placementRequest);
+    if (!chosen) {
+        this->schedulePlacementRetry();
+        return;
+    }
+    const ReplicaInstance *instance = this->context.fleet.instance(*chosen);
+    const auto limit =
+            instance == nullptr ? std::nullopt : this->context.fleet.placement().limit(*instance);
+    if (limit)
+        this->takeReplicaQuota(*instance, *limit);
+    else
+        this->sendToReplica(*chosen);
+}
+
+void ForwardedCall::takeReplicaQuota(const ReplicaInstance &chosen, double requestsPerSecond)
+{
+    QuotaRequest replicaQuota = replicaQuotaRequest(chosen, requestsPerSecond);
+    replicaQuota.reserve = this->quotaRequest.reserve;
+    replicaQuota.mayWait = this->waitsForLimit;
+    this->context.quota.take(replicaQuota,
+                             [weakSelf = this->weak_from_this(), instance = chosen.id, replicaQuota,
+                              &quota = this->context.quota](const QuotaDecision &decision) {
+                                 const auto self = weakSelf.lock();
+                                 if (self && self->phase == Phase::Placing)
+                                     self->handleReplicaQuota(instance, decision);
+                                 else if (decision.admitted)
+                                     quota.refund(replicaQuota);
+                             });
+}
+
+void ForwardedCall::handleReplicaQuota(const QByteArray &instance, const QuotaDecision &decision)
+{
+    if (decision.admitted) {
+        this->sendToReplica(instance);
+        return;
+    }
+    const milliseconds wait = std::max(minimumLimitWait, decision.retryAfter);
+    this->limitRetryAfter = std::min(this->limitRetryAfter.value_or(wait), wait);
+    if (const ReplicaInstance *known = this->context.fleet.instance(instance))
+        this->context.fleet.placement().recordLimitReached(*known, this->now(), this->now() + wait);
+    if (this->waitsForLimit)
+        this->excludedInstances.push_back(instance);
+    this->placeCall();
+}
+
+void ForwardedCall::sendToReplica(const QByteArray &instance)
+{
+    this->connection = this->context.fleet.acquire(instance);
+    if (!this->connection) {
+        this->excludedInstances.push_back(instance);
+        this->placeCall();
+        return;
+    }
+    this->phase = Phase::Sent;
+    this->waitsForLimit = false;
+    this->limitRetryAfter.reset();
+    this->replica = instance;
+    this->replicaStartMilliseconds = this->context.fleet.instance(instance)->startMilliseconds;
+    this->sentAt = this->now();
+    this->lastReplicaActivity = this->sentAt;
+    if (!this->timeToFirstSend)
+        this->timeToFirstSend = std::chrono::floor<milliseconds>(this->sentAt - this->arrived);
+    ++this->possibleRuns;
+    this->quotaHeld = false;
+    this->context.fleet.placement().callStarted(instance, this->sentAt);
+
+    ReplicaRequestInfo requestInfo;
+    requestInfo.instance = instance;
+    requestInfo.team = this->team.name;
+    requestInfo.timeLeft = this->deadline.remainingForReplica(this->sentAt);
+    requestInfo.resumeAfter = this->eventParser.lastId();
+    const HttpFields fields = this->context.dialect.fieldsForReplica(this->request, requestInfo);
+    QByteArray text = requestHeadText(this->request.method, this->request.target, fields,
+                                      this->history.size() + this->request.body.size());
+    text += this->history;
+    text += this->request.body;
+
+    ReplicaConnection::Hooks hooks;
+    const auto weakSelf = this->weak_from_this();
+    hooks.matches = [weakSelf](const HttpResponseHead &responseHead) {
+        const auto self = weakSelf.lock();
+        return self && self->matchesRequest(responseHead);
+    };
+    hooks.head = [weakSelf](const HttpResponseHead &responseHead) {
+        if (const auto self = weakSelf.lock())
+            self->handleHead(responseHead);
+    };
+    hooks.body = [weakSelf](const QByteArray &bytes) {
+        if (const auto self = weakSelf.lock())
+            self->handleBody(bytes);
+    };
+    hooks.complete = [weakSelf] {
+        if (const auto self = weakSelf.lock())
+            self->handleComplete();
+    };
+    hooks.failed = [weakSelf](ExchangeFailure reason) {
+        if (const auto self = weakSelf.lock())
+            self->handleFailure(reason);
+    };
+    this->activityTimer = this->context.timers.after(inactivityBeforeProbe,
+                                                     [this] { this->checkReplicaActivity(); });
+    this->connection->exchange(text, this->request.method == "HEAD", std::move(hooks));
+}
+
+void ForwardedCall::checkReplicaActivity()
+{
+    const auto inactivity = this->now() - this->lastReplicaActivity;
+    if (!this->connection || this->probing)
+        return;
+    if (inactivity < inactivityBeforeProbe) {
+        this->activityTimer = this->context.timers.after(
+                std::chrono::ceil<milliseconds>(inactivityBeforeProbe - inactivity),
+                [this] { this->checkReplicaActivity(); });
+        return;
+    }
+    this->probing = true;
+    const TimerService::SteadyTime probedSendTime = this->sentAt;
+    this->context.fleet.probe(this->replica, [weakSelf = this->weak_from_this(),
+                                              probedSendTime](bool reachable) {
+        const auto self = weakSelf.lock();
+        if (!self)
+            return;
+        self->probing = false;
+        const bool sameSend = self->connection && self->sentAt == probedSendTime;
+        const bool stillInactive = self->now() - self->lastReplicaActivity >= inactivityBeforeProbe;
+        if (sameSend && stillInactive && !reachable) {
+            self->handleFailure(ExchangeFailure::Unreachable);
+            return;
+        }
+        if (!self->connection)
+            return;
+        self->activityTimer = self->context.timers.after(
+                inactivityBeforeProbe, [rawSelf = self.get()] { rawSelf->checkReplicaActivity(); });
+    });
+}
+
+void ForwardedCall::schedulePlacementRetry()
+{
+    if (!this->waitsForLimit
+        && this->context.fleet.placement().hasReachedLimits(this->service, this->now())) {
+        this->waitsForLimit = true;
+        this->placeCall();
+        return;
+    }
+    if (this->limitRetryAfter) {
+        this->refuse(ErrorKind::Overloaded, "every replica is at the limit that it named",
+                     *this->limitRetryAfter);
+        return;
+    }
+    // No replica is left: each one refused or could not be connected to, or none is known. Replicas
+    // at capacity may have capacity again soon.
+    if (this->rejections == 0 && this->possibleRuns == 0 && this->placementRounds > 0) {
+        this->refuse(ErrorKind::BackendUnavailable, "the service has no replica", noReplicaRetry);
+        return;
+    }
+    const milliseconds pause =
+            std::min(maximumPlacementDelay,
+                     initialPlacementDelay * (1 << std::min(this->placementRounds, 3)));
+    if (this->deadline.remaining(this->now()) < pause + minimumUsefulTime) {
+        this->refuse(ErrorKind::Overloaded, "every replica is full", noReplicaRetry);
+        return;
+    }
+    ++this->placementRounds;
+    this->excludedInstances.clear();
+    this->placementTimer = this->context.timers.after(pause, [this] { this->placeCall(); });
+}
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_gateway/replicas/ReplicaDirectory.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaDirectory.h
@@ -18,8 +18,8 @@
 
     Entries expire during a store outage although their replicas are alive. Replicas register again
     within about two seconds of the store's recovery, so replicas without an entry are kept until
-   the store has been reachable for that long. The time counts from when the store was reachable,
-   not from when this VM reached it: a VM that was cut off must drop what left meanwhile at once.
+    the store has been reachable for that long. The time does not count from when this VM reached
+    it: a VM that was cut off must drop at once what left meanwhile.
 */
 class ReplicaDirectory
 {
--- a/tests/gateway/LimitedReplicaTest.cpp
+++ b/tests/gateway/LimitedReplicaTest.cpp
@@ -76,7 +76,7 @@
 {
     LimitedReplicas test(2, 2);
     for (int number = 0; number < 4; ++number)
-        test.response(); // the first responses tell the limits, and use them up
+        test.response(); // the first responses name the limits, and use them up
     const auto sent = test.fixture.loop.timers.now();
     const QByteArray refusal = test.response();
     cr_assert(refusal.startsWith("HTTP/1.1 503"), "%s", refusal.constData());
--- a/tests/relay/RelayLinksTest.cpp
+++ b/tests/relay/RelayLinksTest.cpp
@@ -209,7 +209,7 @@
     }
 }
 
-Test(relay_links, an_outage_of_the_store_begins_the_time_anew)
+Test(relay_links, an_outage_of_the_store_restarts_the_time)
 {
     RelayFleet fleet;
     fleet.run(milliseconds(5000));
@@ -225,7 +225,7 @@
 }
 
 // A relay that watched nothing for a while, or stood still, cannot tell what happened meanwhile.
-Test(relay_links, a_long_time_without_an_answer_begins_the_time_anew)
+Test(relay_links, a_long_time_without_an_answer_restarts_the_time)
 {
     RelayFleet fleet;
     fleet.run(milliseconds(5000));
