--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -57,8 +57,15 @@
     this->replicaPlacement.recordUnreachable(id, this->timers.now());
     this->idle.remove(id); // idle connections are as unresponsive as a new one
     this->correlator.recordUnreachable(id, this->timers.now());
-    if (this->instances.contains(id))
-        this->unreachable.insert(id);
+    const ReplicaInstance *replica = this->instance(id);
+    if (replica == nullptr || !this->unreachable.insert(id).second)
+        return;
+    LogEvent(LogSeverity::Warning, "replicaUnreachable")
+            .field("replica", QString::fromUtf8(id))
+            .field("address", replica->address.toString())
+            .field("port", replica->port)
+            .field("unreachable", static_cast<qint64>(this->unreachable.size()))
+            .field("replicas", static_cast<qint64>(this->instances.size()));
 }
 
 void ReplicaFleet::recordLeaving(const QByteArray &id, std::int64_t startMilliseconds)
@@ -135,6 +142,9 @@
         this->recordUnreachable(id);
     } else if (this->unreachable.erase(id) > 0) {
         this->replicaPlacement.recordReachable(id);
+        LogEvent(LogSeverity::Info, "replicaReachable")
+                .field("replica", QString::fromUtf8(id))
+                .field("unreachable", static_cast<qint64>(this->unreachable.size()));
     }
     for (const auto &callback : entry.mapped().waiting)
         callback(reachable);
