--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -14,6 +14,7 @@
 #include "lacewingmux_gateway/replicas/ExchangeFailure.h"
 #include "lacewingmux_gateway/routing/GatewayRoute.h"
 #include "lacewingmux_gateway/routing/GatewayTeam.h"
+#include "lacewingmux_tunnel/client/ConnectResult.h"
 
 #include <functional>
 #include <memory>
@@ -24,6 +25,7 @@
 
 class IngressConnection;
 class ReplicaConnection;
+class TunnelUse;
 struct QuotaDecision;
 struct ReplicaInstance;
 struct TurnAdmission;
@@ -101,7 +103,16 @@
     void finishStream();
     void resumeOrAbortStream(const char *reason);
     void handleTimeout();
+    /** Records that data arrived from the replica. */
+    void recordReplicaActivity();
+    /** Continues a call whose request could not be sent, as no connection came about. */
+    void handleNotConnected(const std::shared_ptr<const TunnelUse> &tunnel);
     void checkReplicaActivity();
+    /** Checks whether the replica is reachable directly or, unless null, through the tunnel's VM.
+     */
+    void probeReplica(const std::shared_ptr<const TunnelUse> &tunnel);
+    void handleProbeResult(ConnectResult result, bool throughTunnel,
+                           TimerService::SteadyTime probedSendTime);
     void abortExchange();
     void releaseConnection();
 
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -40,21 +40,6 @@
 constexpr milliseconds defaultIdleTime{400};
 constexpr milliseconds keepAliveMargin{500}; // for the latency of the response and the next request
 
-const char *failureText(ExchangeFailure reason)
-{
-    switch (reason) {
-    case ExchangeFailure::NotConnected:
-        return "no connection to the replica came about";
-    case ExchangeFailure::Closed:
-        return "the replica closed the connection";
-    case ExchangeFailure::Malformed:
-        return "the replica's answer is unreadable";
-    case ExchangeFailure::Unreachable:
-        return "the replica can't be reached any more";
-    }
-    return "the replica failed";
-}
-
 bool isEventStream(const HttpResponseHead &head)
 {
     return fieldValue(head.fields, "Content-Type").startsWith("text/event-stream");
@@ -93,7 +78,7 @@
 void ForwardedCall::handleHead(const HttpResponseHead &responseHead)
 {
     this->head = responseHead;
-    this->lastReplicaActivity = this->now();
+    this->recordReplicaActivity();
     this->body.clear();
     this->isStream = this->route.kind == RouteKind::Stream && responseHead.status == okStatus
                      && isEventStream(responseHead);
@@ -106,9 +91,16 @@
                                                    this->now());
 }
 
-void ForwardedCall::handleBody(const QByteArray &bytes)
+void ForwardedCall::recordReplicaActivity()
 {
     this->lastReplicaActivity = this->now();
+    if (!this->connection->tunnel())
+        this->context.fleet.recordDirectContact();
+}
+
+void ForwardedCall::handleBody(const QByteArray &bytes)
+{
+    this->recordReplicaActivity();
     if (this->isInvalidResponse) {
         this->handleFailure(ExchangeFailure::Malformed);
         return;
@@ -161,15 +153,22 @@
 
 void ForwardedCall::handleFailure(ExchangeFailure reason)
 {
+    const std::shared_ptr<const TunnelUse> tunnel =
+            this->connection ? this->connection->tunnel() : nullptr;
     this->abortExchange();
-    Placement &placement = this->context.fleet.placement();
-    this->excludedInstances.push_back(this->replica);
+    if (reason == ExchangeFailure::TunnelFailed) {
+        --this->possibleRuns;
+        this->context.fleet.recordTunnelFailure(*tunnel);
+        this->placeCall(); // the same replica may be reachable through another VM
+        return;
+    }
     if (reason == ExchangeFailure::NotConnected) {
         --this->possibleRuns;
-        this->context.fleet.recordUnreachable(this->replica);
-        this->placeCall();
+        this->handleNotConnected(tunnel);
         return;
     }
+    this->excludedInstances.push_back(this->replica);
+    Placement &placement = this->context.fleet.placement();
     placement.recordFailure(this->replica, this->now());
     // An unreachable replica does not count against the route's limit of attempts.
     if (reason == ExchangeFailure::Unreachable && this->route.isRepeatable())
@@ -178,11 +177,11 @@
         this->context.fleet.crashCorrelator().recordBrokenConnection(
                 this->replica, this->contentDigest(), this->now());
     if (this->streamStarted)
-        this->resumeOrAbortStream(failureText(reason));
+        this->resumeOrAbortStream(describe(reason));
     else if (this->mayRetry())
         this->placeCall();
     else
-        this->fail(ErrorKind::BackendFailed, failureText(reason));
+        this->fail(ErrorKind::BackendFailed, describe(reason));
 }
 
 void ForwardedCall::handleRejection()
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
@@ -161,24 +161,60 @@
         return;
     }
     this->probing = true;
-    const TimerService::SteadyTime probedSendTime = this->sentAt;
-    this->context.fleet.probe(this->replica, [weakSelf = this->weak_from_this(),
-                                              probedSendTime](bool reachable) {
-        const auto self = weakSelf.lock();
-        if (!self)
-            return;
-        self->probing = false;
-        const bool sameSend = self->connection && self->sentAt == probedSendTime;
-        const bool stillInactive = self->now() - self->lastReplicaActivity >= inactivityBeforeProbe;
-        if (sameSend && stillInactive && !reachable) {
-            self->handleFailure(ExchangeFailure::Unreachable);
+    this->probeReplica(this->connection->tunnel());
+}
+
+void ForwardedCall::probeReplica(const std::shared_ptr<const TunnelUse> &tunnel)
+{
+    this->context.fleet.probe(this->replica, tunnel,
+                              [weakSelf = this->weak_from_this(), probedSendTime = this->sentAt,
+                               throughTunnel = tunnel != nullptr](ConnectResult result) {
+                                  if (const auto self = weakSelf.lock())
+                                      self->handleProbeResult(result, throughTunnel,
+                                                              probedSendTime);
+                              });
+}
+
+void ForwardedCall::handleProbeResult(ConnectResult result, bool throughTunnel,
+                                      TimerService::SteadyTime probedSendTime)
+{
+    const bool sameSend = this->connection && this->sentAt == probedSendTime;
+    const bool stillInactive = this->now() - this->lastReplicaActivity >= inactivityBeforeProbe;
+    const bool awaitsData = sameSend && stillInactive;
+    if (awaitsData && result == ConnectResult::Refused && !throughTunnel) {
+        // Open connections may live on while this VM alone is refused new ones.
+        if (const auto tunnel = this->context.fleet.takeTunnel()) {
+            this->probeReplica(tunnel);
             return;
         }
-        if (!self->connection)
-            return;
-        self->activityTimer = self->context.timers.after(
-                inactivityBeforeProbe, [rawSelf = self.get()] { rawSelf->checkReplicaActivity(); });
-    });
+    }
+    this->probing = false;
+    if (awaitsData && result != ConnectResult::Connected) {
+        this->handleFailure(ExchangeFailure::Unreachable);
+        return;
+    }
+    if (this->connection)
+        this->activityTimer = this->context.timers.after(inactivityBeforeProbe,
+                                                         [this] { this->checkReplicaActivity(); });
+}
+
+void ForwardedCall::handleNotConnected(const std::shared_ptr<const TunnelUse> &tunnel)
+{
+    ReplicaFleet &fleet = this->context.fleet;
+    if (tunnel)
+        fleet.recordUnreachableThroughTunnel(this->replica);
+    else
+        fleet.recordUnreachable(this->replica);
+    // Connections to other replicas would fail likewise, after the same time.
+    const ReplicaInstance *instance = fleet.instance(this->replica);
+    const bool takesCalls =
+            instance != nullptr && !instance->draining && !fleet.placement().isLeaving(*instance);
+    if (!tunnel && takesCalls && fleet.mayHaveLostLinks(this->sentAt)) {
+        this->sendToReplica(this->replica);
+        return;
+    }
+    this->excludedInstances.push_back(this->replica);
+    this->placeCall();
 }
 
 void ForwardedCall::schedulePlacementRetry()
--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -32,7 +32,8 @@
     , quota(teamQuota)
     , turnStore(turnStoreClient)
     , metrics(metricsRecorder)
-    , fleet(gatewaySettings.zone, gatewaySettings.placement, timerService, std::move(crashHook))
+    , fleet(gatewaySettings.zone, gatewaySettings.placement, timerService, std::move(crashHook),
+            gatewaySettings.tunnelSecret)
     , responseMemory(gatewaySettings.bufferedResponseLimit)
 {
     this->ingress = std::make_unique<IngressServer>(
@@ -63,6 +64,11 @@
     this->fleet.setReplicas(instances);
 }
 
+void Gateway::setTunnelEndpoints(const std::vector<TunnelEndpoint> &endpoints)
+{
+    this->fleet.setTunnelEndpoints(endpoints);
+}
+
 void Gateway::addRemoteCoincidence(const CrashCoincidence &coincidence)
 {
     this->fleet.crashCorrelator().addRemoteCoincidence(coincidence, this->timers.now());
--- a/modules/lacewingmux_gateway/forwarding/Gateway.h
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.h
@@ -44,6 +44,9 @@
     /** Sets the registered replicas. */
     void setReplicas(const std::vector<ReplicaInstance> &instances);
 
+    /** Sets the VMs that open tunnels to replicas that this VM cannot reach directly. */
+    void setTunnelEndpoints(const std::vector<TunnelEndpoint> &endpoints);
+
     /** Adds a crash coincidence that another VM observed. */
     void addRemoteCoincidence(const CrashCoincidence &coincidence);
 
--- a/modules/lacewingmux_gateway/forwarding/GatewaySettings.h
+++ b/modules/lacewingmux_gateway/forwarding/GatewaySettings.h
@@ -18,6 +18,7 @@
     std::uint16_t port = 0; ///< 0 selects a free port
     QByteArray zone;
     PlacementSettings placement;
+    QByteArray tunnelSecret; ///< proves to other VMs of the deployment that they may open tunnels
     std::size_t connectionLimit = 2000; ///< half of the descriptors; the others are for replicas
 
     /** Bytes that the unfinished responses of all calls may take together. */
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
@@ -1,7 +1,7 @@
 #include "lacewingmux_gateway/ingress/IngressConnection.h"
 
 #include "lacewingmux_gateway/http/HttpText.h"
-#include "lacewingmux_gateway/http/SocketOptions.h"
+#include "lacewingmux_tunnel/sockets/SocketOptions.h"
 
 #include <QPointer>
 #include <QTcpSocket>
--- /dev/null
+++ b/modules/lacewingmux_gateway/replicas/ExchangeFailure.cpp
@@ -0,0 +1,22 @@
+#include "lacewingmux_gateway/replicas/ExchangeFailure.h"
+
+namespace lacewingmux {
+
+const char *describe(ExchangeFailure failure)
+{
+    switch (failure) {
+    case ExchangeFailure::NotConnected:
+        return "no connection to the replica came about";
+    case ExchangeFailure::Closed:
+        return "the replica closed the connection";
+    case ExchangeFailure::Malformed:
+        return "the replica's answer is unreadable";
+    case ExchangeFailure::Unreachable:
+        return "the replica can't be reached any more";
+    case ExchangeFailure::TunnelFailed:
+        return "another VM opened no tunnel to the replica";
+    }
+    return "the replica failed";
+}
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_gateway/replicas/ExchangeFailure.h
+++ b/modules/lacewingmux_gateway/replicas/ExchangeFailure.h
@@ -9,7 +9,11 @@
     NotConnected, ///< the connection could not be established; nothing was sent
     Closed,       ///< the connection ended after the request was sent
     Malformed,    ///< the received bytes are not a valid response
-    Unreachable   ///< no data came after the request, and connecting again failed
+    Unreachable,  ///< no data came after the request, and connecting again failed
+    TunnelFailed  ///< another VM opened no tunnel to the replica; nothing was sent
 };
 
+/** Returns a description for logs and error responses. */
+[[nodiscard]] const char *describe(ExchangeFailure failure);
+
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/replicas/Placement.cpp
+++ b/modules/lacewingmux_gateway/replicas/Placement.cpp
@@ -118,6 +118,13 @@
     replica->unreachableUntil = {};
 }
 
+void Placement::recordReachablePath(const QByteArray &instance, bool throughTunnel)
+{
+    this->recordReachable(instance);
+    if (Replica *replica = this->find(instance))
+        replica->tunnelled = throughTunnel;
+}
+
 void Placement::callEnded(const QByteArray &instance)
 {
     Replica *replica = this->find(instance);
@@ -254,6 +261,8 @@
                                      : this->callCost(replica, request);
     if (replica.instance.zone != this->ownZone)
         total += this->settings.crossZoneCost;
+    if (replica.tunnelled)
+        total += this->settings.tunnelCost;
     const double weight =
             decayFactor(request.now, replica.errorsUpdated, this->settings.errorDecayTime);
     total += weight
--- a/modules/lacewingmux_gateway/replicas/Placement.h
+++ b/modules/lacewingmux_gateway/replicas/Placement.h
@@ -71,6 +71,9 @@
     /** Records that connecting to the replica failed. */
     void recordUnreachable(const QByteArray &instance, SteadyTime now);
 
+    /** Records that the replica is reachable through tunnels only, or directly. */
+    void recordReachablePath(const QByteArray &instance, bool throughTunnel);
+
     /** Records that another instance responded at the replica's address: it gets no more calls. */
     void markReplaced(const QByteArray &instance);
 
@@ -116,6 +119,7 @@
         SteadyTime errorsUpdated;
         SteadyTime unreachableUntil;
         int consecutiveUnreachable = 0;
+        bool tunnelled = false; ///< reachable through tunnels only
         bool replaced = false;
     };
 
--- a/modules/lacewingmux_gateway/replicas/PlacementSettings.h
+++ b/modules/lacewingmux_gateway/replicas/PlacementSettings.h
@@ -10,6 +10,9 @@
 {
     /** Round trip between two availability zones, including the billed traffic between them. */
     double crossZoneCost = 6.0;
+    /** Latency that a tunnel adds to a call: connecting to the VM in between, its connection to the
+        replica, and the longer way; each about a round trip between zones. */
+    double tunnelCost = 9.0;
     /** Prompt tokens that an engine processes per millisecond; the lower of two deployments. */
     double promptTokensPerMillisecond = 160.0;
     /** Latency that each running sequence adds to an engine's turn: 256 steps of 0.009 ms. */
--- a/modules/lacewingmux_gateway/replicas/ReachabilityProbe.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReachabilityProbe.cpp
@@ -1,28 +1,16 @@
 #include "lacewingmux_gateway/replicas/ReachabilityProbe.h"
 
-#include "lacewingmux_gateway/replicas/ReplicaConnection.h"
-
-#include <QNetworkProxy>
 #include <QTcpSocket>
 
 #include <utility>
 
 namespace lacewingmux {
 
-ReachabilityProbe::ReachabilityProbe(const QHostAddress &address, std::uint16_t port,
-                                     TimerService &timerService,
-                                     std::function<void(bool)> resultHook)
+ReachabilityProbe::ReachabilityProbe(const StreamRoute &streamRoute, TimerService &timerService,
+                                     StreamConnector::ResultHook resultHook)
     : socket(new QTcpSocket)
-    , resultCallback(std::move(resultHook))
-{
-    this->socket->setProxy(QNetworkProxy::NoProxy);
-    QObject::connect(this->socket, &QTcpSocket::connected, this->socket,
-                     [this] { this->finish(true); });
-    QObject::connect(this->socket, &QTcpSocket::errorOccurred, this->socket,
-                     [this] { this->finish(false); });
-    this->timeout = timerService.after(replicaConnectTimeout, [this] { this->finish(false); });
-    this->socket->connectToHost(address, port);
-}
+    , connector(*this->socket, streamRoute, timerService, std::move(resultHook))
+{ }
 
 ReachabilityProbe::~ReachabilityProbe()
 {
@@ -31,10 +19,4 @@
     this->socket->deleteLater();
 }
 
-void ReachabilityProbe::finish(bool reachable)
-{
-    if (const auto hook = std::exchange(this->resultCallback, nullptr))
-        hook(reachable);
-}
-
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/replicas/ReachabilityProbe.h
+++ b/modules/lacewingmux_gateway/replicas/ReachabilityProbe.h
@@ -1,12 +1,6 @@
 #pragma once
 
-#include "lacewingmux_core/time/TimerService.h"
-
-#include <QHostAddress>
-
-#include <cstdint>
-#include <functional>
-#include <memory>
+#include "lacewingmux_tunnel/client/StreamConnector.h"
 
 class QTcpSocket;
 
@@ -17,18 +11,15 @@
 {
 public:
     /** Starts to connect. The hook is called at most once, and never after destruction. */
-    ReachabilityProbe(const QHostAddress &address, std::uint16_t port, TimerService &timerService,
-                      std::function<void(bool reachable)> resultHook);
+    ReachabilityProbe(const StreamRoute &streamRoute, TimerService &timerService,
+                      StreamConnector::ResultHook resultHook);
     ~ReachabilityProbe();
     ReachabilityProbe(const ReachabilityProbe &) = delete;
     ReachabilityProbe &operator=(const ReachabilityProbe &) = delete;
 
 private:
-    void finish(bool reachable);
-
     QTcpSocket *socket;
-    std::function<void(bool)> resultCallback;
-    TimerSubscription timeout;
+    StreamConnector connector;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -1,16 +1,12 @@
 #include "lacewingmux_gateway/replicas/ReplicaConnection.h"
 
 #include "lacewingmux_gateway/http/ResponseDecoder.h"
-#include "lacewingmux_gateway/http/SocketOptions.h"
+#include "lacewingmux_tunnel/sockets/SocketOptions.h"
 
-#include <QNetworkProxy>
 #include <QTcpSocket>
 
 #include <utility>
 
-#include <poll.h>
-#include <unistd.h>
-
 namespace lacewingmux {
 
 namespace {
@@ -22,22 +18,15 @@
 
 } // namespace
 
-ReplicaConnection::ReplicaConnection(const QHostAddress &address, std::uint16_t port,
-                                     TimerService &timerService)
+ReplicaConnection::ReplicaConnection(const StreamRoute &streamRoute, TimerService &timerService)
     : socket(new QTcpSocket)
     , timers(timerService)
+    , tunnelUse(streamRoute.tunnel)
     , reusableUntil(timerService.now())
 {
-    this->socket->setProxy(QNetworkProxy::NoProxy);
-    QObject::connect(this->socket, &QTcpSocket::connected, this->socket,
-                     [this] { this->handleConnected(); });
-    QObject::connect(this->socket, &QTcpSocket::readyRead, this->socket,
-                     [this] { this->readAvailable(); });
-    QObject::connect(this->socket, &QTcpSocket::errorOccurred, this->socket,
-                     [this] { this->handleDisconnected(); });
-    this->connectTimeout =
-            this->timers.after(replicaConnectTimeout, [this] { this->handleDisconnected(); });
-    this->socket->connectToHost(address, port);
+    this->connector = std::make_unique<StreamConnector>(
+            *this->socket, streamRoute, this->timers,
+            [this](ConnectResult result) { this->handleConnectResult(result); });
 }
 
 ReplicaConnection::~ReplicaConnection()
@@ -45,8 +34,6 @@
     QObject::disconnect(this->socket, nullptr, nullptr, nullptr);
     this->socket->abort();
     this->socket->deleteLater();
-    if (this->resetDescriptor >= 0)
-        ::close(this->resetDescriptor);
 }
 
 void ReplicaConnection::exchange(const QByteArray &request, bool isHead, Hooks exchangeHooks)
@@ -61,7 +48,7 @@
     if (this->broken) {
         this->timers.post([this, guard = std::weak_ptr(this->lifetime)] {
             if (!guard.expired())
-                this->fail(ExchangeFailure::NotConnected);
+                this->fail(this->connectFailure);
         });
         return;
     }
@@ -77,7 +64,7 @@
     this->busy = false;
     this->broken = true;
     QObject::disconnect(this->socket, nullptr, nullptr, nullptr);
-    this->connectTimeout.cancel();
+    this->connector.reset();
     this->socket->abort();
 }
 
@@ -87,10 +74,22 @@
            && this->timers.now() < this->reusableUntil;
 }
 
-void ReplicaConnection::handleConnected()
+void ReplicaConnection::handleConnectResult(ConnectResult result)
 {
+    if (result != ConnectResult::Connected) {
+        this->connectFailure = result == ConnectResult::TunnelFailed
+                                       ? ExchangeFailure::TunnelFailed
+                                       : ExchangeFailure::NotConnected;
+        this->broken = true;
+        if (this->busy)
+            this->fail(this->connectFailure);
+        return;
+    }
     this->connected = true;
-    this->connectTimeout.cancel();
+    QObject::connect(this->socket, &QTcpSocket::readyRead, this->socket,
+                     [this] { this->readAvailable(); });
+    QObject::connect(this->socket, &QTcpSocket::errorOccurred, this->socket,
+                     [this] { this->handleDisconnected(); });
     configureSocket(*this->socket, networkTimeout);
     if (!this->unsentRequest.isEmpty())
         this->writeNow(std::exchange(this->unsentRequest, {}));
@@ -107,12 +106,12 @@
     if (this->broken)
         return;
     const std::weak_ptr guard = this->lifetime;
-    if (this->connected && this->busy) {
+    if (this->busy) {
         this->readAvailable(); // bytes received before the close are still valid
         if (guard.expired() || !this->busy)
             return;
         const bool openEnded = this->headDelivered && this->decoder->head().bodyEndsAtClose;
-        if (openEnded && !this->isUnrelatedResponse && !this->wasReset()) {
+        if (openEnded && !this->isUnrelatedResponse && !this->resetDetector.wasReset()) {
             this->decoder->appendEnd();
             this->deliverDecoded();
             if (guard.expired() || !this->busy)
@@ -120,9 +119,8 @@
         }
     }
     this->broken = true;
-    this->connectTimeout.cancel();
     if (this->busy)
-        this->fail(this->connected ? ExchangeFailure::Closed : ExchangeFailure::NotConnected);
+        this->fail(ExchangeFailure::Closed);
 }
 
 void ReplicaConnection::readAvailable()
@@ -156,7 +154,7 @@
             const HttpResponseHead &head = this->decoder->head();
             this->isUnrelatedResponse = !active->matches(head);
             if (head.bodyEndsAtClose)
-                this->watchForReset();
+                this->resetDetector.watch(*this->socket);
             if (!this->isUnrelatedResponse)
                 active->head(head);
             if (guard.expired() || !this->busy)
@@ -201,21 +199,4 @@
         ended->failed(reason);
 }
 
-void ReplicaConnection::watchForReset()
-{
-    // Qt reports a reset like an orderly close; a duplicate descriptor allows to distinguish them.
-    if (this->resetDescriptor < 0)
-        this->resetDescriptor = ::dup(static_cast<int>(this->socket->socketDescriptor()));
-}
-
-bool ReplicaConnection::wasReset() const
-{
-    if (this->resetDescriptor < 0)
-        return true;
-    pollfd watched{this->resetDescriptor, POLLIN, 0};
-    if (::poll(&watched, 1, 0) < 0)
-        return true;
-    return (watched.revents & (POLLERR | POLLHUP)) != 0;
-}
-
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
@@ -3,12 +3,12 @@
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_gateway/http/HttpResponseHead.h"
 #include "lacewingmux_gateway/replicas/ExchangeFailure.h"
+#include "lacewingmux_tunnel/client/StreamConnector.h"
+#include "lacewingmux_tunnel/client/StreamRoute.h"
+#include "lacewingmux_tunnel/sockets/ResetDetector.h"
 
 #include <QByteArray>
-#include <QHostAddress>
 
-#include <chrono>
-#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -18,11 +18,9 @@
 
 class ResponseDecoder;
 
-/** Maximum time to connect to a replica: hundreds of round trips between zones. */
-inline constexpr std::chrono::milliseconds replicaConnectTimeout{400};
-
 /**
-    One connection to a replica, which carries one request/response exchange at a time.
+    One connection to a replica, direct or through a tunnel, which carries one request/response
+    exchange at a time.
 
     A response that names another request is discarded, because replicas may repeat a response late.
     A connection that receives bytes outside an exchange is not reused.
@@ -42,7 +40,7 @@
     };
 
     /** Starts to connect. */
-    ReplicaConnection(const QHostAddress &address, std::uint16_t port, TimerService &timerService);
+    ReplicaConnection(const StreamRoute &streamRoute, TimerService &timerService);
     ~ReplicaConnection();
     ReplicaConnection(const ReplicaConnection &) = delete;
     ReplicaConnection &operator=(const ReplicaConnection &) = delete;
@@ -53,6 +51,12 @@
     /** Cancels the exchange without calling its hooks, and closes the connection. */
     void abort();
 
+    /** Returns the tunnel that the connection uses; null for a direct connection. */
+    [[nodiscard]] const std::shared_ptr<const TunnelUse> &tunnel() const noexcept
+    {
+        return this->tunnelUse;
+    }
+
     /** Tells whether another exchange may use the connection now. */
     [[nodiscard]] bool isReusable() const;
 
@@ -64,17 +68,17 @@
 
 private:
     void writeNow(const QByteArray &request);
-    void handleConnected();
+    void handleConnectResult(ConnectResult result);
     void handleDisconnected();
     void readAvailable();
     void deliverDecoded();
     void fail(ExchangeFailure reason);
-    void watchForReset();
-    [[nodiscard]] bool wasReset() const;
 
     QTcpSocket *socket;
     TimerService &timers;
-    TimerSubscription connectTimeout;
+    std::shared_ptr<const TunnelUse> tunnelUse;
+    std::unique_ptr<StreamConnector> connector; ///< until connected
+    ExchangeFailure connectFailure = ExchangeFailure::NotConnected;
     TimerService::SteadyTime reusableUntil;
     std::shared_ptr<const Hooks> hooks;
     std::unique_ptr<ResponseDecoder> decoder;
@@ -86,7 +90,7 @@
     bool isUnrelatedResponse = false; ///< the current response belongs to another request
     qsizetype discardedBytes = 0;     ///< of such responses, in this exchange
     bool broken = false;
-    int resetDescriptor = -1; ///< duplicate descriptor of the socket, to detect a reset
+    ResetDetector resetDetector;
     std::shared_ptr<char> lifetime = std::make_shared<char>();
 };
 
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -3,6 +3,7 @@
 #include "lacewingmux_core/logging/StructuredLog.h"
 #include "lacewingmux_gateway/replicas/ReachabilityProbe.h"
 #include "lacewingmux_gateway/replicas/ReplicaConnection.h"
+#include "lacewingmux_tunnel/client/TunnelUse.h"
 
 #include <algorithm>
 #include <utility>
@@ -14,14 +15,19 @@
 constexpr std::chrono::milliseconds cleanupInterval{1000};
 // Half of the initial delay in which an unreachable replica gets no calls.
 constexpr std::chrono::milliseconds probeInterval{500};
+// Bounds the connection attempts of a VM that has lost its links to a hundred replicas or more.
+constexpr std::size_t maximumProbesPerInterval = 8;
 
 } // namespace
 
 ReplicaFleet::ReplicaFleet(const QByteArray &zone, const PlacementSettings &placementSettings,
-                           TimerService &timerService, CrashCorrelator::CrashHook crashHook)
+                           TimerService &timerService, CrashCorrelator::CrashHook crashHook,
+                           QByteArray tunnelSecret)
     : timers(timerService)
     , replicaPlacement(zone, placementSettings)
     , correlator(std::move(crashHook))
+    , tunnels(zone, placementSettings.vmSeed)
+    , secret(std::move(tunnelSecret))
 {
     this->cleanupTimer =
             this->timers.every(cleanupInterval, [this] { this->closeStaleConnections(); });
@@ -42,30 +48,100 @@
                     || previous->startMilliseconds != instance.startMilliseconds);
         if (replaced || instance.draining)
             this->idle.remove(instance.id);
+        if (replaced)
+            this->unreachable.erase(instance.id);
     }
     for (auto old = this->instances.cbegin(); old != this->instances.cend(); ++old) {
         if (!next.contains(old.key()))
             this->idle.remove(old.key());
     }
-    std::erase_if(this->unreachable, [&next](const auto &id) { return !next.contains(id); });
+    std::erase_if(this->unreachable,
+                  [&next](const auto &entry) { return !next.contains(entry.first); });
     this->instances = std::move(next);
     this->replicaPlacement.setReplicas(newInstances);
 }
 
+void ReplicaFleet::setTunnelEndpoints(const std::vector<TunnelEndpoint> &endpoints)
+{
+    this->tunnels.setEndpoints(endpoints);
+}
+
 void ReplicaFleet::recordUnreachable(const QByteArray &id)
 {
-    this->replicaPlacement.recordUnreachable(id, this->timers.now());
     this->idle.remove(id); // idle connections are as unresponsive as a new one
-    this->correlator.recordUnreachable(id, this->timers.now());
     const ReplicaInstance *replica = this->instance(id);
-    if (replica == nullptr || !this->unreachable.insert(id).second)
+    if (replica == nullptr) {
+        this->correlator.recordUnreachable(id, this->timers.now());
         return;
-    LogEvent(LogSeverity::Warning, "replicaUnreachable")
-            .field("replica", QString::fromUtf8(id))
-            .field("address", replica->address.toString())
-            .field("port", replica->port)
-            .field("unreachable", static_cast<qint64>(this->unreachable.size()))
-            .field("replicas", static_cast<qint64>(this->instances.size()));
+    }
+    const auto [entry, isNew] = this->unreachable.try_emplace(id, false);
+    if (entry->second)
+        return; // calls that began before the tunnel was found
+    this->replicaPlacement.recordUnreachable(id, this->timers.now());
+    if (isNew)
+        LogEvent(LogSeverity::Warning, "replicaUnreachable")
+                .field("replica", QString::fromUtf8(id))
+                .field("address", replica->address.toString())
+                .field("port", replica->port)
+                .field("unreachable", static_cast<qint64>(this->unreachable.size()))
+                .field("replicas", static_cast<qint64>(this->instances.size()));
+    this->tryTunnel(id);
+    if (isNew && this->mayHaveLostLinks(this->timers.now() - replicaConnectTimeout))
+        this->probeOthers();
+}
+
+bool ReplicaFleet::mayHaveLostLinks(TimerService::SteadyTime since) const
+{
+    return this->lastDirectContact < since && this->tunnels.isAvailable(this->timers.now());
+}
+
+void ReplicaFleet::tryTunnel(const QByteArray &id)
+{
+    const auto tunnel = this->takeTunnel();
+    if (!tunnel) {
+        this->correlator.recordUnreachable(id, this->timers.now());
+        return;
+    }
+    this->probe(id, tunnel,
+                [this, id](ConnectResult result) { this->handleTunnelProbe(id, result); });
+}
+
+void ReplicaFleet::handleTunnelProbe(const QByteArray &id, ConnectResult result)
+{
+    const auto entry = this->unreachable.find(id);
+    if (entry == this->unreachable.end())
+        return;
+    if (result == ConnectResult::TunnelFailed) {
+        this->tryTunnel(id); // with another VM, as this one is skipped for a while
+        return;
+    }
+    if (result != ConnectResult::Connected)
+        return; // recorded by finishProbe()
+    if (!std::exchange(entry->second, true))
+        LogEvent(LogSeverity::Info, "replicaTunnelled").field("replica", QString::fromUtf8(id));
+    this->replicaPlacement.recordReachablePath(id, true);
+    // The replica runs, so it is this VM that has lost a link, and probably not only this one.
+    this->probeOthers();
+}
+
+void ReplicaFleet::recordUnreachableThroughTunnel(const QByteArray &id)
+{
+    this->replicaPlacement.recordUnreachable(id, this->timers.now());
+    this->correlator.recordUnreachable(id, this->timers.now());
+    const auto entry = this->unreachable.find(id);
+    if (entry != this->unreachable.end())
+        entry->second = false;
+}
+
+std::shared_ptr<const TunnelUse> ReplicaFleet::takeTunnel()
+{
+    return this->tunnels.take(this->timers.now());
+}
+
+void ReplicaFleet::recordTunnelFailure(const TunnelUse &tunnel)
+{
+    LogEvent(LogSeverity::Warning, "tunnelFailed").field("vm", tunnel.endpoint().vm);
+    this->tunnels.recordFailure(tunnel.endpoint().vm, this->timers.now());
 }
 
 void ReplicaFleet::recordLeaving(const QByteArray &id, std::int64_t startMilliseconds)
@@ -94,9 +170,38 @@
 
 void ReplicaFleet::probeUnreachable()
 {
-    const std::vector<QByteArray> all(this->unreachable.begin(), this->unreachable.end());
-    for (const QByteArray &id : all)
-        this->probe(id, [](bool) {});
+    std::vector<QByteArray> ids;
+    auto next = this->unreachable.upper_bound(this->lastProbed);
+    const std::size_t count = std::min(this->unreachable.size(), maximumProbesPerInterval);
+    while (ids.size() < count) {
+        if (next == this->unreachable.end())
+            next = this->unreachable.begin();
+        ids.push_back(next->first);
+        ++next;
+    }
+    if (!ids.empty())
+        this->lastProbed = ids.back();
+    this->probeDirectly(ids);
+}
+
+void ReplicaFleet::probeOthers()
+{
+    const TimerService::SteadyTime now = this->timers.now();
+    if (now - this->othersProbed < probeInterval)
+        return;
+    this->othersProbed = now;
+    std::vector<QByteArray> ids;
+    for (const ReplicaInstance &replica : std::as_const(this->instances)) {
+        if (!this->unreachable.contains(replica.id))
+            ids.push_back(replica.id);
+    }
+    this->probeDirectly(ids);
+}
+
+void ReplicaFleet::probeDirectly(const std::vector<QByteArray> &ids)
+{
+    for (const QByteArray &id : ids)
+        this->probe(id, nullptr, [](ConnectResult) {});
 }
 
 const ReplicaInstance *ReplicaFleet::instance(const QByteArray &id) const
@@ -117,47 +222,73 @@
         if (connection->isReusable())
             return connection;
     }
-    return std::make_shared<ReplicaConnection>(replica->address, replica->port, this->timers);
+    std::shared_ptr<const TunnelUse> tunnel;
+    if (this->unreachable.contains(id))
+        tunnel = this->takeTunnel();
+    return std::make_shared<ReplicaConnection>(this->routeTo(*replica, std::move(tunnel)),
+                                               this->timers);
 }
 
-void ReplicaFleet::probe(const QByteArray &id, std::function<void(bool)> callback)
+StreamRoute ReplicaFleet::routeTo(const ReplicaInstance &replica,
+                                  std::shared_ptr<const TunnelUse> tunnel) const
+{
+    return {replica.address, replica.port, std::move(tunnel), this->secret};
+}
+
+void ReplicaFleet::probe(const QByteArray &id, const std::shared_ptr<const TunnelUse> &tunnel,
+                         std::function<void(ConnectResult)> callback)
 {
     const ReplicaInstance *replica = this->instance(id);
     if (replica == nullptr) {
-        this->timers.post([callback = std::move(callback)] { callback(false); });
+        this->timers.post([callback = std::move(callback)] { callback(ConnectResult::Silent); });
         return;
     }
-    Probe &entry = this->probes[id];
+    const ProbeKey key{id, tunnel ? tunnel->endpoint().vm : QString()};
+    Probe &entry = this->probes[key];
     entry.waiting.push_back(std::move(callback));
     if (!entry.attempt)
         entry.attempt = std::make_unique<ReachabilityProbe>(
-                replica->address, replica->port, this->timers,
-                [this, id](bool reachable) { this->finishProbe(id, reachable); });
+                this->routeTo(*replica, tunnel), this->timers,
+                [this, key](ConnectResult result) { this->finishProbe(key, result); });
 }
 
-void ReplicaFleet::finishProbe(const QByteArray &id, bool reachable)
+void ReplicaFleet::finishProbe(const ProbeKey &key, ConnectResult result)
 {
-    auto entry = this->probes.extract(id);
-    if (!reachable) {
-        this->recordUnreachable(id);
-    } else if (this->unreachable.erase(id) > 0) {
-        this->replicaPlacement.recordReachable(id);
-        LogEvent(LogSeverity::Info, "replicaReachable")
-                .field("replica", QString::fromUtf8(id))
-                .field("unreachable", static_cast<qint64>(this->unreachable.size()));
-    }
+    auto entry = this->probes.extract(key);
+    const auto &[id, tunnelVm] = entry.key();
+    if (tunnelVm.isEmpty())
+        this->handleDirectProbe(id, result);
+    else if (result == ConnectResult::TunnelFailed)
+        this->tunnels.recordFailure(tunnelVm, this->timers.now());
+    else if (result != ConnectResult::Connected)
+        this->recordUnreachableThroughTunnel(id);
     for (const auto &callback : entry.mapped().waiting)
-        callback(reachable);
+        callback(result);
     // The attempt is still on the call stack, so it is destroyed later.
     this->timers.post([ended = std::shared_ptr(std::move(entry.mapped().attempt))] {});
 }
 
+void ReplicaFleet::handleDirectProbe(const QByteArray &id, ConnectResult result)
+{
+    if (result != ConnectResult::Connected) {
+        this->recordUnreachable(id);
+        return;
+    }
+    if (this->unreachable.erase(id) == 0)
+        return;
+    this->replicaPlacement.recordReachablePath(id, false);
+    LogEvent(LogSeverity::Info, "replicaReachable")
+            .field("replica", QString::fromUtf8(id))
+            .field("unreachable", static_cast<qint64>(this->unreachable.size()));
+}
+
 void ReplicaFleet::release(const QByteArray &id, std::int64_t startMilliseconds,
                            std::shared_ptr<ReplicaConnection> connection)
 {
     const ReplicaInstance *replica = this->instance(id);
     if (replica == nullptr || replica->startMilliseconds != startMilliseconds || replica->draining
-        || this->replicaPlacement.isLeaving(*replica) || !connection->isReusable())
+        || this->replicaPlacement.isLeaving(*replica) || !connection->isReusable()
+        || connection->tunnel())
         return;
     this->idle[id].push_back(std::move(connection));
 }
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
@@ -4,6 +4,9 @@
 #include "lacewingmux_gateway/replicas/CrashCorrelator.h"
 #include "lacewingmux_gateway/replicas/Placement.h"
 #include "lacewingmux_gateway/replicas/ReplicaInstance.h"
+#include "lacewingmux_tunnel/client/ConnectResult.h"
+#include "lacewingmux_tunnel/client/StreamRoute.h"
+#include "lacewingmux_tunnel/client/TunnelDirectory.h"
 
 #include <QByteArray>
 #include <QHash>
@@ -12,7 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
+#include <utility>
 #include <vector>
 
 namespace lacewingmux {
@@ -20,13 +23,20 @@
 class ReachabilityProbe;
 class ReplicaConnection;
 
-/** The registered replicas, the connection pool, and the placement of calls on replicas. */
+/**
+    The registered replicas, the connection pool, and the placement of calls on replicas.
+
+    A replica that this VM cannot connect to directly is reached through tunnels of other VMs, if
+   one of them can connect to it. So a VM that has lost its links to the replicas, but not those to
+    other VMs, goes on serving its callers. Tunnelled connections are not pooled.
+*/
 class ReplicaFleet
 {
 public:
     /** The hook receives each crash, while running a request, that this VM detects. */
     ReplicaFleet(const QByteArray &zone, const PlacementSettings &placementSettings,
-                 TimerService &timerService, CrashCorrelator::CrashHook crashHook);
+                 TimerService &timerService, CrashCorrelator::CrashHook crashHook,
+                 QByteArray tunnelSecret = {});
     ~ReplicaFleet();
     ReplicaFleet(const ReplicaFleet &) = delete;
     ReplicaFleet &operator=(const ReplicaFleet &) = delete;
@@ -34,10 +44,34 @@
     /** Sets the registered replicas, and closes idle connections to all others. */
     void setReplicas(const std::vector<ReplicaInstance> &instances);
 
-    /** Records that connecting to the replica failed. It is then probed periodically until it is
-        reachable, and gets calls only when no other replica can take them. */
+    /** Sets the VMs that open tunnels to replicas. */
+    void setTunnelEndpoints(const std::vector<TunnelEndpoint> &endpoints);
+
+    /** Records that connecting to the replica directly failed. It is then probed periodically until
+        it is reachable, and gets calls through tunnels. If no tunnel reaches it either, it gets
+        calls only when no other replica can take them. */
     void recordUnreachable(const QByteArray &id);
 
+    /** Records that data arrived on a direct connection to a replica. */
+    void recordDirectContact()
+    {
+        this->lastDirectContact = this->timers.now();
+    }
+
+    /** Returns whether this VM, rather than one replica, may have lost its links: no data has
+        arrived on direct connections since the time, and other VMs can open tunnels. */
+    [[nodiscard]] bool mayHaveLostLinks(TimerService::SteadyTime since) const;
+
+    /** Records that the replica could not be reached through a tunnel, although the tunnel's VM
+        tried. */
+    void recordUnreachableThroughTunnel(const QByteArray &id);
+
+    /** Returns the use of a VM for a tunnel; null if no VM can open one now. */
+    [[nodiscard]] std::shared_ptr<const TunnelUse> takeTunnel();
+
+    /** Records that the VM of a tunnel did not open it. */
+    void recordTunnelFailure(const TunnelUse &tunnel);
+
     /** Records that the replica announced that it is leaving. The start time (Unix time in
         milliseconds) is that of the incarnation to which the request was sent. Its idle connections
         are closed, and it gets calls only when no other replica can take them, until the drain
@@ -64,12 +98,14 @@
     /** Returns the replica, or null when it is not registered. */
     [[nodiscard]] const ReplicaInstance *instance(const QByteArray &id) const;
 
-    /** Returns an idle or new connection to the replica; null when it is not registered. */
+    /** Returns an idle or new connection to the replica, through a tunnel if the replica is not
+        reachable directly; null when it is not registered. */
     [[nodiscard]] std::shared_ptr<ReplicaConnection> acquire(const QByteArray &id);
 
-    /** Checks whether an unresponsive replica is still reachable. Concurrent checks of the same
-        replica share one connection attempt. */
-    void probe(const QByteArray &id, std::function<void(bool reachable)> callback);
+    /** Checks whether an unresponsive replica is still reachable directly or, unless null, through
+        the tunnel's VM. Concurrent checks of the same way share one connection attempt. */
+    void probe(const QByteArray &id, const std::shared_ptr<const TunnelUse> &tunnel,
+               std::function<void(ConnectResult)> callback);
 
     /** Returns a connection to the incarnation with this start time after its exchange. It is
        pooled if it is reusable and that incarnation still accepts calls. */
@@ -83,11 +119,23 @@
     struct Probe
     {
         std::unique_ptr<ReachabilityProbe> attempt;
-        std::vector<std::function<void(bool)>> waiting;
+        std::vector<std::function<void(ConnectResult)>> waiting;
     };
 
-    void finishProbe(const QByteArray &id, bool reachable);
+    using ProbeKey = std::pair<QByteArray, QString>; ///< instance, and VM of the tunnel if any
+
+    [[nodiscard]] StreamRoute routeTo(const ReplicaInstance &replica,
+                                      std::shared_ptr<const TunnelUse> tunnel) const;
+    void finishProbe(const ProbeKey &key, ConnectResult result);
+    void handleDirectProbe(const QByteArray &id, ConnectResult result);
+    /** Finds out whether a replica that is unreachable directly is reachable through a tunnel. */
+    void tryTunnel(const QByteArray &id);
+    void handleTunnelProbe(const QByteArray &id, ConnectResult result);
+    /** Probes the replicas that have not been found unreachable yet, at most once per interval. */
+    void probeOthers();
+    void probeDirectly(const std::vector<QByteArray> &ids);
     void closeStaleConnections();
+    /** Probes the next few of the unreachable replicas. */
     void probeUnreachable();
 
     TimerService &timers;
@@ -95,8 +143,13 @@
     CrashCorrelator correlator;
     QHash<QByteArray, ReplicaInstance> instances;
     QHash<QByteArray, ConnectionList> idle; ///< by instance, most recently used last
-    std::map<QByteArray, Probe> probes;     ///< in progress, by instance
-    std::set<QByteArray> unreachable;       ///< instances
+    TunnelDirectory tunnels;
+    QByteArray secret;
+    std::map<ProbeKey, Probe> probes;       ///< in progress
+    std::map<QByteArray, bool> unreachable; ///< directly; whether a tunnel reaches the instance
+    TimerService::SteadyTime lastDirectContact;
+    QByteArray lastProbed;                 ///< of the unreachable instances
+    TimerService::SteadyTime othersProbed; ///< when probeOthers() last probed
     TimerSubscription probeTimer;
     TimerSubscription cleanupTimer;
 };
--- a/modules/lacewingmux_node/front/FrontTrafficServices.cpp
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.cpp
@@ -32,6 +32,7 @@
     gateway.address = settings.address;
     gateway.port = settings.ingressPort;
     gateway.zone = settings.zone;
+    gateway.tunnelSecret = settings.sharedSecret;
     gateway.placement.drainLimit = settings.drainLimit;
     gateway.placement.vmSeed = stableHash(settings.vm.toUtf8());
     // Callers and replicas get equally many descriptors; the rest is for files and peers.
@@ -47,6 +48,7 @@
 FrontTrafficServices::FrontTrafficServices(const NodeSettings &settings, const CallDialect &dialect,
                                            MetricsRecorder &metrics, Hooks trafficHooks)
     : hooks(std::move(trafficHooks))
+    , tunnelPort(settings.tunnelPort)
 {
     const auto startTime = std::chrono::duration_cast<std::chrono::microseconds>(
             this->timers.wallNow().time_since_epoch());
@@ -115,6 +117,18 @@
     this->records->setView(view);
     this->quota->setView(view);
     this->relays->setCandidates(view.incarnations());
+    this->gateway->setTunnelEndpoints(this->tunnelEndpointsOf(view));
+}
+
+std::vector<TunnelEndpoint> FrontTrafficServices::tunnelEndpointsOf(const RecordsView &view) const
+{
+    std::vector<TunnelEndpoint> endpoints;
+    if (this->tunnelPort == 0)
+        return endpoints;
+    for (const VmDescriptor &vm : view.descriptors())
+        endpoints.push_back({vm.incarnation.vm, vm.incarnation.zone.toUtf8(),
+                             QHostAddress(vm.address), this->tunnelPort});
+    return endpoints;
 }
 
 void FrontTrafficServices::beginStop()
--- a/modules/lacewingmux_node/front/FrontTrafficServices.h
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.h
@@ -4,6 +4,7 @@
 #include "lacewingmux_gateway/replicas/ReplicaInstance.h"
 #include "lacewingmux_node/settings/NodeSettings.h"
 #include "lacewingmux_records/messages/RecordMessages.h"
+#include "lacewingmux_tunnel/client/TunnelEndpoint.h"
 
 #include <QByteArray>
 
@@ -66,11 +67,14 @@
 
 private:
     void updateRecordsReachable();
+    /** Returns the records VMs, which open tunnels to replicas. */
+    [[nodiscard]] std::vector<TunnelEndpoint> tunnelEndpointsOf(const RecordsView &view) const;
     /** Notifies the other entry VMs that a replica crashed while it ran a request's content. */
     void sendCrashNotice(const CrashCoincidence &coincidence);
 
     QtTimerService timers;
     Hooks hooks;
+    std::uint16_t tunnelPort;
     std::unique_ptr<TcpPeerHub> hub;
     std::unique_ptr<RecordsClient> records;
     std::unique_ptr<FleetQuota> quota;
--- a/modules/lacewingmux_node/records/RecordsNode.cpp
+++ b/modules/lacewingmux_node/records/RecordsNode.cpp
@@ -23,9 +23,11 @@
 
 } // namespace
 
-RecordsNode::RecordsNode(const NodeSettings &nodeSettings, PlatformAdapter platformAdapter)
+RecordsNode::RecordsNode(const NodeSettings &nodeSettings, PlatformAdapter platformAdapter,
+                         std::function<void()> stoppedHook)
     : settings(nodeSettings)
     , platform(std::move(platformAdapter))
+    , stopped(std::move(stoppedHook))
     , metrics(std::make_unique<HistogramMetrics>())
 {
     const DiskIdentity disk = loadOrCreateDiskIdentity(this->settings.dataFolder);
@@ -51,6 +53,16 @@
     this->traffic.reset();
 }
 
+void RecordsNode::beginStop()
+{
+    if (std::exchange(this->stopping, true))
+        return;
+    LogEvent(LogSeverity::Info, "stopBegins").field("vm", this->settings.vm);
+    this->traffic->post([this](RecordsTrafficServices &services) {
+        services.beginStop([this] { this->queue.post([this] { this->stopped(); }); });
+    });
+}
+
 void RecordsNode::startTraffic()
 {
     RecordsTrafficServices::Hooks hooks;
--- a/modules/lacewingmux_node/records/RecordsNode.h
+++ b/modules/lacewingmux_node/records/RecordsNode.h
@@ -13,6 +13,7 @@
 #include <QByteArray>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 namespace lacewingmux {
@@ -32,11 +33,17 @@
 class RecordsNode
 {
 public:
-    RecordsNode(const NodeSettings &nodeSettings, PlatformAdapter platformAdapter);
+    /** Starts the node. The hook is called when a planned stop has completed. */
+    RecordsNode(const NodeSettings &nodeSettings, PlatformAdapter platformAdapter,
+                std::function<void()> stoppedHook);
     ~RecordsNode();
     RecordsNode(const RecordsNode &) = delete;
     RecordsNode &operator=(const RecordsNode &) = delete;
 
+    /** Starts a planned stop: ends once the tunnels of other VMs have. Every acknowledged record is
+        on disk, so nothing else has to be waited for. */
+    void beginStop();
+
 private:
     void startTraffic();
     void connectStore();
@@ -52,6 +59,7 @@
 
     NodeSettings settings;
     PlatformAdapter platform;
+    std::function<void()> stopped;
     QtTimerService timers;
     ThreadQueue queue; ///< runs functions from the traffic thread on the control thread
     std::unique_ptr<HistogramMetrics> metrics;
@@ -66,6 +74,7 @@
     std::unique_ptr<MetricsServer> metricsServer;
     std::uint64_t configurationVersion = 0;
     bool retiring = false;
+    bool stopping = false;
     bool storeReachable = true;
     bool hasSubscribers = false;
     bool isPreferredRelay = false;
--- a/modules/lacewingmux_node/records/RecordsTrafficServices.cpp
+++ b/modules/lacewingmux_node/records/RecordsTrafficServices.cpp
@@ -4,11 +4,34 @@
 #include "lacewingmux_peer/links/TcpPeerHub.h"
 #include "lacewingmux_records/log/SegmentedLog.h"
 #include "lacewingmux_records/server/RecordsServer.h"
+#include "lacewingmux_tunnel/server/TunnelServer.h"
 
 #include <utility>
 
 namespace lacewingmux {
 
+namespace {
+
+// An eighth of the VM's memory buffers the bytes of tunnels.
+constexpr qint64 tunnelMemoryDivisor = 8;
+constexpr qint64 bytesPerMegabyte = qint64{1024} * 1024;
+constexpr qint64 buffersPerTunnel = 4; // to read from and to write to each of its two connections
+
+TunnelServerSettings tunnelSettings(const NodeSettings &settings)
+{
+    TunnelServerSettings tunnels;
+    tunnels.address = settings.address;
+    tunnels.port = settings.tunnelPort;
+    tunnels.secret = settings.sharedSecret;
+    tunnels.tunnelLimit = static_cast<std::size_t>(settings.memoryMegabytes * bytesPerMegabyte
+                                                   / tunnelMemoryDivisor
+                                                   / (buffersPerTunnel * tunnels.bufferBytes));
+    tunnels.stopLimit = settings.stopLimit * 7 / 8;
+    return tunnels;
+}
+
+} // namespace
+
 RecordsTrafficServices::RecordsTrafficServices(const NodeSettings &settings,
                                                const VmIncarnation &self, MetricsRecorder &metrics,
                                                Hooks hooks)
@@ -18,7 +41,11 @@
                                              std::move(hooks.records)))
     , relay(std::make_unique<RelayServer>(*this->hub, this->timers, std::move(hooks.relayServer)))
     , relays(std::make_unique<RelayClient>(*this->hub, this->timers, std::move(hooks.relayClient)))
-{ }
+{
+    if (settings.tunnelPort != 0)
+        this->tunnels =
+                std::make_unique<TunnelServer>(tunnelSettings(settings), this->timers, metrics);
+}
 
 RecordsTrafficServices::~RecordsTrafficServices() = default;
 
@@ -29,6 +56,14 @@
     this->relays->setCandidates(view.incarnations());
 }
 
+void RecordsTrafficServices::beginStop(std::function<void()> stopped)
+{
+    if (this->tunnels)
+        this->tunnels->beginStop(std::move(stopped));
+    else
+        stopped();
+}
+
 void RecordsTrafficServices::setConfiguration(const ConfigurationDocumentMessage &document)
 {
     this->server->setConfiguration(document);
--- a/modules/lacewingmux_node/records/RecordsTrafficServices.h
+++ b/modules/lacewingmux_node/records/RecordsTrafficServices.h
@@ -8,6 +8,7 @@
 #include "lacewingmux_relay/links/RelayServer.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 namespace lacewingmux {
@@ -17,6 +18,7 @@
 class RecordsView;
 class SegmentedLog;
 class TcpPeerHub;
+class TunnelServer;
 struct VmIncarnation;
 
 /** The services of a records VM that run on its traffic thread. */
@@ -43,6 +45,9 @@
     /** Sets the operators' configuration that is passed on to other VMs. */
     void setConfiguration(const ConfigurationDocumentMessage &document);
 
+    /** Starts a planned stop. The hook is called when the tunnels of other VMs have ended. */
+    void beginStop(std::function<void()> stopped);
+
     /** Returns the server of this VM's subscribers. */
     [[nodiscard]] RelayServer &relayServer() noexcept
     {
@@ -56,6 +61,7 @@
     std::unique_ptr<RecordsServer> server;
     std::unique_ptr<RelayServer> relay;
     std::unique_ptr<RelayClient> relays;
+    std::unique_ptr<TunnelServer> tunnels; ///< null if tunnels are disabled
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_node/settings/NodeSettings.h
+++ b/modules/lacewingmux_node/settings/NodeSettings.h
@@ -18,6 +18,7 @@
     std::uint16_t ingressPort = 0;   ///< for callers; entry VMs only
     std::uint16_t readinessPort = 0; ///< for the load balancer; entry VMs only
     std::uint16_t peerPort = 0;      ///< for other nodes
+    std::uint16_t tunnelPort = 0;    ///< for tunnels of other nodes, on all VMs; 0 disables tunnels
     std::uint16_t metricsPort = 0;   ///< 0 disables the metrics server
     QString dataFolder;              ///< records VMs only
     bool firstStart = false; ///< the whole system starts for the first time, with empty disks
--- a/modules/lacewingmux_peer/messages/FrameKind.h
+++ b/modules/lacewingmux_peer/messages/FrameKind.h
@@ -91,7 +91,11 @@
     // lacewingmux_relay, traffic channel
     RelaySubscribe = 160, // without payload
     RelayUpdate = 161,
-    RelayStatus = 162
+    RelayStatus = 162,
+
+    // lacewingmux_tunnel, a connection of its own
+    TunnelRequest = 170,
+    TunnelReply = 171
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/http/SocketOptions.cpp
+++ b/modules/lacewingmux_tunnel/sockets/SocketOptions.cpp
@@ -1,4 +1,4 @@
-#include "lacewingmux_gateway/http/SocketOptions.h"
+#include "lacewingmux_tunnel/sockets/SocketOptions.h"
 
 #include "lacewingmux_core/logging/StructuredLog.h"
 
--- a/programs/lacewingmuxd/PlatformDaemon.cpp
+++ b/programs/lacewingmuxd/PlatformDaemon.cpp
@@ -40,9 +40,9 @@
 
 int runRecords(const PlatformSettings &settings)
 {
-    const RecordsNode node(nodeSettingsFor(settings), platformAdapterFor(settings));
-    // Every acknowledged record is on disk, so the process can exit immediately.
-    const StopSignals signals([] { QCoreApplication::exit(StoppedAsPlanned); }, logSettingsReload);
+    RecordsNode node(nodeSettingsFor(settings), platformAdapterFor(settings),
+                     [] { QCoreApplication::exit(StoppedAsPlanned); });
+    const StopSignals signals([&node] { node.beginStop(); }, logSettingsReload);
     return QCoreApplication::exec();
 }
 
--- a/standins/replica/ScriptedReplica.cpp
+++ b/standins/replica/ScriptedReplica.cpp
@@ -54,7 +54,8 @@
     return !this->socket || this->socket->state() != QAbstractSocket::ConnectedState;
 }
 
-ScriptedReplica::ScriptedReplica(Handler requestHandler)
+ScriptedReplica::ScriptedReplica(Handler requestHandler, const QHostAddress &address,
+                                 std::uint16_t port)
     : handler(std::move(requestHandler))
     , server(std::make_unique<QTcpServer>())
 {
@@ -62,7 +63,7 @@
         while (QTcpSocket *socket = this->server->nextPendingConnection())
             this->accept(socket);
     });
-    this->server->listen(QHostAddress::LocalHost);
+    this->server->listen(address, port);
 }
 
 ScriptedReplica::~ScriptedReplica() = default;
--- a/standins/replica/ScriptedReplica.h
+++ b/standins/replica/ScriptedReplica.h
@@ -3,6 +3,7 @@
 #include "lacewingmux_gateway/http/HttpRequest.h"
 
 #include <QByteArray>
+#include <QHostAddress>
 #include <QPointer>
 
 #include <chrono>
@@ -50,8 +51,10 @@
 
     using Handler = std::function<void(const HttpRequest &, const Exchange &)>;
 
-    /** Listens at once on a free port. */
-    explicit ScriptedReplica(Handler requestHandler);
+    /** Listens at once, on a free port unless one is given. */
+    explicit ScriptedReplica(Handler requestHandler,
+                             const QHostAddress &address = QHostAddress::LocalHost,
+                             std::uint16_t port = 0);
     ~ScriptedReplica();
     ScriptedReplica(const ScriptedReplica &) = delete;
     ScriptedReplica &operator=(const ScriptedReplica &) = delete;
--- /dev/null
+++ b/tests/gateway/StrandedGatewayTest.cpp
@@ -0,0 +1,230 @@
+#include "sockets/SilentListener.h"
+#include "support/GatewayFixture.h"
+
+#include "lacewingmux_gateway/replicas/ReplicaConnection.h"
+#include "lacewingmux_gateway/replicas/ReplicaFleet.h"
+#include "lacewingmux_tunnel/server/TunnelServer.h"
+
+#include <QTcpSocket>
+
+#include <criterion/criterion.h>
+
+using namespace lacewingmux;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** An address of this machine where no replica listens, so that connections are refused. */
+const QHostAddress refusingAddress(QStringLiteral("127.0.0.9"));
+
+/** A gateway that cannot connect to its replicas, and a VM that can. */
+class StrandedFixture : public GatewayFixture
+{
+public:
+    StrandedFixture(int replicaCount, const ScriptedReplica::Handler &handler)
+        : GatewayFixture(replicaCount, handler)
+    {
+        TunnelServerSettings settings;
+        settings.address = QHostAddress(QHostAddress::LocalHost);
+        settings.secret = tunnelSecret;
+        this->tunnels = std::make_unique<TunnelServer>(
+                settings, this->loop.timers, this->metrics,
+                [this](QTcpSocket &socket, const QHostAddress &, std::uint16_t port) {
+                    const auto known = this->realPorts.find(port);
+                    socket.connectToHost(QHostAddress(QHostAddress::LocalHost),
+                                         known == this->realPorts.end() ? port : known->second);
+                });
+        this->setTunnels({this->endpoint(QStringLiteral("vm"), this->tunnels->port())});
+    }
+
+    /** Lets connections of the gateway be refused. */
+    void refuseConnections()
+    {
+        for (ReplicaInstance &instance : this->instances)
+            instance.address = refusingAddress;
+        this->gateway->setReplicas(this->instances);
+    }
+
+    /** Lets connections of the gateway hang. */
+    void silenceConnections()
+    {
+        for (ReplicaInstance &instance : this->instances) {
+            this->silent.push_back(std::make_unique<SilentListener>());
+            this->realPorts[this->silent.back()->port()] = instance.port;
+            instance.address = this->silent.back()->address();
+            instance.port = this->silent.back()->port();
+        }
+        this->gateway->setReplicas(this->instances);
+    }
+
+    /** Lets tunnels to a port lead to another port. */
+    void leadTunnels(std::uint16_t port, std::uint16_t realPort)
+    {
+        this->realPorts[port] = realPort;
+    }
+
+    void setTunnels(const std::vector<TunnelEndpoint> &endpoints)
+    {
+        this->gateway->setTunnelEndpoints(endpoints);
+    }
+
+    [[nodiscard]] static TunnelEndpoint endpoint(const QString &vm, std::uint16_t port)
+    {
+        return {vm, "a", QHostAddress(QHostAddress::LocalHost), port};
+    }
+
+    /** Sends a request on an own connection and returns the whole response. */
+    [[nodiscard]] QByteArray responseTo(const QByteArray &path, const QByteArray &id)
+    {
+        RawCaller caller(this->gateway->port());
+        caller.send(request("POST", path, id, "Connection: close\r\n"));
+        this->loop.waitUntil([&] { return caller.isClosed(); }, "the answer");
+        return caller.received();
+    }
+
+    std::unique_ptr<TunnelServer> tunnels;
+
+private:
+    std::vector<std::unique_ptr<SilentListener>> silent;
+    std::map<std::uint16_t, std::uint16_t> realPorts; ///< of replicas, by port of a silent listener
+};
+
+} // namespace
+
+Test(stranded_gateway, serves_its_callers_although_every_replica_refuses_its_connections)
+{
+    StrandedFixture fixture(3, [](const HttpRequest &request, const auto &exchange) {
+        exchange.write(GatewayFixture::answer(request, "ran"));
+    });
+    fixture.refuseConnections();
+    for (int number = 0; number < 20; ++number) {
+        const QByteArray response = fixture.responseTo("/once/x", "r" + QByteArray::number(number));
+        cr_assert(response.endsWith("ran"), "%s", response.constData());
+    }
+    cr_assert_eq(fixture.requestCount(), 20);
+}
+
+Test(stranded_gateway, serves_its_callers_although_its_connections_hang)
+{
+    StrandedFixture fixture(3, [](const HttpRequest &request, const auto &exchange) {
+        exchange.write(GatewayFixture::answer(request, "ran"));
+    });
+    fixture.silenceConnections();
+    const auto begin = fixture.loop.timers.now();
+    cr_assert(fixture.responseTo("/once/x", "r0").endsWith("ran"));
+    cr_assert(fixture.loop.timers.now() - begin < 3 * replicaConnectTimeout,
+              "one connection that hangs tells enough about the others");
+    fixture.loop.runFor(replicaConnectTimeout); // the others are found unreachable
+    const auto second = fixture.loop.timers.now();
+    cr_assert(fixture.responseTo("/once/x", "r1").endsWith("ran"));
+    cr_assert(fixture.loop.timers.now() - second < replicaConnectTimeout);
+    cr_assert_eq(fixture.requestCount(), 2);
+}
+
+Test(stranded_gateway, passes_on_streams_event_by_event)
+{
+    StrandedFixture fixture(1, [](const HttpRequest &request, const auto &exchange) {
+        exchange.write(GatewayFixture::streamHead(request) + GatewayFixture::event(1, "a"));
+        exchange.writeAfter(milliseconds(200), GatewayFixture::event(2, "b") + "0\r\n\r\n");
+    });
+    fixture.refuseConnections();
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", "/stream/x", "r1"));
+    fixture.loop.waitUntil([&] { return caller.received().contains("data: a"); }, "an event");
+    cr_assert(!caller.received().contains("data: b"));
+    fixture.loop.waitUntil([&] { return caller.received().endsWith("0\r\n\r\n"); }, "the end");
+}
+
+Test(stranded_gateway, connects_directly_again_when_its_links_are_back)
+{
+    const auto handler = [](const HttpRequest &request, const auto &exchange) {
+        exchange.write(GatewayFixture::answer(request, "ran"));
+    };
+    StrandedFixture fixture(1, handler);
+    fixture.refuseConnections();
+    cr_assert(fixture.responseTo("/once/x", "r0").endsWith("ran"));
+    const ScriptedReplica reachable(handler, refusingAddress, fixture.instances[0].port);
+    int number = 0;
+    fixture.loop.waitUntil(
+            [&] {
+                std::ignore = fixture.responseTo("/once/x", "s" + QByteArray::number(++number));
+                return !reachable.requests().empty();
+            },
+            "a direct call");
+    cr_assert_eq(fixture.tunnels->tunnelCount(), 0);
+}
+
+Test(stranded_gateway, does_not_repeat_a_call_whose_tunnel_breaks_after_it_was_sent)
+{
+    StrandedFixture *current = nullptr;
+    StrandedFixture fixture(2,
+                            [&current](const auto &, const auto &) { current->tunnels.reset(); });
+    current = &fixture;
+    fixture.refuseConnections();
+    const QByteArray response = fixture.responseTo("/once/x", "r0");
+    cr_assert(response.startsWith("HTTP/1.1 502"), "%s", response.constData());
+    fixture.loop.runFor(milliseconds(300));
+    cr_assert_eq(fixture.requestCount(), 1);
+}
+
+Test(stranded_gateway, uses_another_vm_when_one_opens_no_tunnel)
+{
+    StrandedFixture fixture(1, [](const HttpRequest &request, const auto &exchange) {
+        exchange.write(GatewayFixture::answer(request, "ran"));
+    });
+    fixture.refuseConnections();
+    const SilentListener silent;
+    fixture.setTunnels({StrandedFixture::endpoint(QStringLiteral("stopped"), 1),
+                        StrandedFixture::endpoint(QStringLiteral("silent"), silent.port()),
+                        StrandedFixture::endpoint(QStringLiteral("vm"), fixture.tunnels->port())});
+    for (int number = 0; number < 5; ++number)
+        cr_assert(fixture.responseTo("/safe/x", "r" + QByteArray::number(number)).endsWith("ran"));
+}
+
+Test(stranded_gateway, refuses_at_once_what_no_vm_can_reach)
+{
+    StrandedFixture fixture(2, [](const auto &, const auto &) {});
+    fixture.refuseConnections();
+    fixture.replicas.clear();
+    const QByteArray response = fixture.responseTo("/once/x", "r0");
+    cr_assert(response.startsWith("HTTP/1.1 503"), "%s", response.constData());
+    cr_assert(response.contains("Retry-After"));
+}
+
+Test(stranded_gateway, does_not_take_its_lost_links_for_crashes_of_replicas)
+{
+    int sent = 0;
+    StrandedFixture fixture(4, [&sent](const HttpRequest &request, const auto &exchange) {
+        if (++sent <= 4)
+            exchange.reset();
+        else
+            exchange.write(GatewayFixture::answer(request, "ran"));
+    });
+    // The connections to four replicas are reset in turn while they run the same request; after
+    // each, the gateway cannot connect to that replica any more.
+    for (int number = 0; number < 4; ++number) {
+        std::ignore = fixture.responseTo("/once/x", "r" + QByteArray::number(number));
+    }
+    fixture.refuseConnections();
+    cr_assert(fixture.responseTo("/once/y", "other").endsWith("ran"));
+    fixture.loop.runFor(milliseconds(100));
+    const QByteArray response = fixture.responseTo("/once/x", "r9");
+    cr_assert(response.endsWith("ran"), "%s", response.constData());
+}
+
+Test(stranded_gateway, keeps_a_quiet_call_whose_replica_refuses_new_connections)
+{
+    StrandedFixture fixture(2, [](const HttpRequest &request, const auto &exchange) {
+        exchange.writeAfter(milliseconds(1300), GatewayFixture::answer(request, "ran"));
+    });
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", "/once/x", "r0"));
+    fixture.loop.waitUntil([&] { return fixture.requestCount() == 1; }, "the request");
+    const ScriptedReplica listening([](const auto &, const auto &) {});
+    for (const auto &replica : fixture.replicas) {
+        fixture.leadTunnels(replica->port(), listening.port());
+        replica->stopListening();
+    }
+    fixture.loop.waitUntil([&] { return caller.received().contains("\r\n\r\n"); }, "the answer");
+    cr_assert(caller.received().endsWith("ran"), "%s", caller.received().constData());
+}
--- a/tests/gateway/support/GatewayFixture.cpp
+++ b/tests/gateway/support/GatewayFixture.cpp
@@ -105,6 +105,7 @@
     GatewaySettings settings;
     settings.address = QHostAddress(QHostAddress::LocalHost);
     settings.zone = "a";
+    settings.tunnelSecret = tunnelSecret;
     settings.placement.drainLimit = drainLimit;
     settings.bufferedResponseLimit = bufferedResponseLimit;
     settings.stopListeningAfter = milliseconds(100);
--- a/tests/gateway/support/GatewayFixture.h
+++ b/tests/gateway/support/GatewayFixture.h
@@ -84,6 +84,9 @@
     /** Bytes that the unfinished responses of all calls may take together. */
     static constexpr qsizetype bufferedResponseLimit = qsizetype{4} * 1024 * 1024;
 
+    /** The secret of the deployment, for tunnels. */
+    static constexpr const char *tunnelSecret = "secret";
+
     EventLoop loop;
     IgnoringMetricsRecorder metrics;
     ToggledQuota quota;
