Use open tunnels again until their VM stops

Open tunnels are now pooled like direct connections. A records VM that begins a planned stop tells its peers, which use its open tunnels to their end but not again, so that no call crosses the close.

--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -69,6 +69,11 @@
     this->fleet.setTunnelEndpoints(endpoints);
 }
 
+void Gateway::recordTunnelStop(const QString &vm)
+{
+    this->fleet.recordTunnelStop(vm);
+}
+
 void Gateway::addRemoteCoincidence(const CrashCoincidence &coincidence)
 {
     this->fleet.crashCorrelator().addRemoteCoincidence(coincidence, this->timers.now());
--- a/modules/lacewingmux_gateway/forwarding/Gateway.h
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.h
@@ -47,6 +47,9 @@
     /** Sets the VMs that open tunnels to replicas that this VM cannot reach directly. */
     void setTunnelEndpoints(const std::vector<TunnelEndpoint> &endpoints);
 
+    /** Uses no open tunnel of the VM again, because it has begun a planned stop. */
+    void recordTunnelStop(const QString &vm);
+
     /** Adds a crash coincidence that another VM observed. */
     void addRemoteCoincidence(const CrashCoincidence &coincidence);
 
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -68,15 +68,17 @@
 
 void ReplicaFleet::recordUnreachable(const QByteArray &id)
 {
-    this->idle.remove(id); // idle connections are as unresponsive as a new one
     const ReplicaInstance *replica = this->instance(id);
     if (replica == nullptr) {
         this->correlator.recordUnreachable(id, this->timers.now());
         return;
     }
+    // Calls that began before the replica was found unreachable may still report it.
     const auto [entry, isNew] = this->unreachable.try_emplace(id, false);
+    if (isNew)
+        this->idle.remove(id); // idle connections are as unresponsive as a new one
     if (entry->second)
-        return; // calls that began before the tunnel was found
+        return;
     this->replicaPlacement.recordUnreachable(id, this->timers.now());
     if (isNew)
         LogEvent(LogSeverity::Warning, "replicaUnreachable")
@@ -124,8 +126,16 @@
     this->probeOthers();
 }
 
+void ReplicaFleet::recordTunnelStop(const QString &vm)
+{
+    LogEvent(LogSeverity::Info, "tunnelVmStops").field("vm", vm);
+    this->tunnels.recordStop(vm, this->timers.now());
+    this->closeStaleConnections();
+}
+
 void ReplicaFleet::recordUnreachableThroughTunnel(const QByteArray &id)
 {
+    this->idle.remove(id);
     this->replicaPlacement.recordUnreachable(id, this->timers.now());
     this->correlator.recordUnreachable(id, this->timers.now());
     const auto entry = this->unreachable.find(id);
@@ -219,7 +229,7 @@
     while (!connections.empty()) {
         std::shared_ptr<ReplicaConnection> connection = std::move(connections.back());
         connections.pop_back();
-        if (connection->isReusable())
+        if (this->isReusable(*connection))
             return connection;
     }
     std::shared_ptr<const TunnelUse> tunnel;
@@ -229,6 +239,12 @@
                                                this->timers);
 }
 
+bool ReplicaFleet::isReusable(const ReplicaConnection &connection) const
+{
+    const auto &tunnel = connection.tunnel();
+    return connection.isReusable() && (!tunnel || this->tunnels.isReusable(*tunnel));
+}
+
 StreamRoute ReplicaFleet::routeTo(const ReplicaInstance &replica,
                                   std::shared_ptr<const TunnelUse> tunnel) const
 {
@@ -276,6 +292,7 @@
     }
     if (this->unreachable.erase(id) == 0)
         return;
+    this->idle.remove(id); // tunnels
     this->replicaPlacement.recordReachablePath(id, false);
     LogEvent(LogSeverity::Info, "replicaReachable")
             .field("replica", QString::fromUtf8(id))
@@ -287,8 +304,7 @@
 {
     const ReplicaInstance *replica = this->instance(id);
     if (replica == nullptr || replica->startMilliseconds != startMilliseconds || replica->draining
-        || this->replicaPlacement.isLeaving(*replica) || !connection->isReusable()
-        || connection->tunnel())
+        || this->replicaPlacement.isLeaving(*replica) || !this->isReusable(*connection))
         return;
     this->idle[id].push_back(std::move(connection));
 }
@@ -296,10 +312,11 @@
 void ReplicaFleet::closeStaleConnections()
 {
     for (ConnectionList &connections : this->idle)
-        connections.erase(
-                std::remove_if(connections.begin(), connections.end(),
-                               [](const auto &connection) { return !connection->isReusable(); }),
-                connections.end());
+        connections.erase(std::remove_if(connections.begin(), connections.end(),
+                                         [this](const auto &connection) {
+                                             return !this->isReusable(*connection);
+                                         }),
+                          connections.end());
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
@@ -28,7 +28,7 @@
 
     A replica that this VM cannot connect to directly is reached through tunnels of other VMs, if
    one of them can connect to it. So a VM that has lost its links to the replicas, but not those to
-    other VMs, goes on serving its callers. Tunnelled connections are not pooled.
+    other VMs, goes on serving its callers.
 */
 class ReplicaFleet
 {
@@ -72,6 +72,10 @@
     /** Records that the VM of a tunnel did not open it. */
     void recordTunnelFailure(const TunnelUse &tunnel);
 
+    /** Records that a VM that opens tunnels has begun a planned stop. Its idle tunnels are closed.
+     */
+    void recordTunnelStop(const QString &vm);
+
     /** Records that the replica announced that it is leaving. The start time (Unix time in
         milliseconds) is that of the incarnation to which the request was sent. Its idle connections
         are closed, and it gets calls only when no other replica can take them, until the drain
@@ -126,6 +130,7 @@
 
     [[nodiscard]] StreamRoute routeTo(const ReplicaInstance &replica,
                                       std::shared_ptr<const TunnelUse> tunnel) const;
+    [[nodiscard]] bool isReusable(const ReplicaConnection &connection) const;
     void finishProbe(const ProbeKey &key, ConnectResult result);
     void handleDirectProbe(const QByteArray &id, ConnectResult result);
     /** Finds out whether a replica that is unreachable directly is reachable through a tunnel. */
--- a/modules/lacewingmux_node/front/FrontTrafficServices.cpp
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.cpp
@@ -71,6 +71,10 @@
         if (const auto coincidence = RecordsCodec::decodeCrash(frame.payload))
             this->gateway->addRemoteCoincidence(*coincidence);
     });
+    this->hub->setHandler(FrameKind::TunnelStopNotice,
+                          [this](const VmIncarnation &sender, const PeerFrame &) {
+                              this->gateway->recordTunnelStop(sender.vm);
+                          });
     this->recordsCheckTimer =
             this->timers.every(recordsCheckInterval, [this] { this->updateRecordsReachable(); });
 }
--- a/modules/lacewingmux_node/records/RecordsTrafficServices.cpp
+++ b/modules/lacewingmux_node/records/RecordsTrafficServices.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-// An eighth of the VM's memory buffers the bytes of tunnels.
-constexpr qint64 tunnelMemoryDivisor = 8;
+// A quarter of the VM's memory buffers the bytes of tunnels.
+constexpr qint64 tunnelMemoryDivisor = 4;
 constexpr qint64 bytesPerMegabyte = qint64{1024} * 1024;
 constexpr qint64 buffersPerTunnel = 4; // to read from and to write to each of its two connections
 
@@ -58,10 +58,13 @@
 
 void RecordsTrafficServices::beginStop(std::function<void()> stopped)
 {
-    if (this->tunnels)
-        this->tunnels->beginStop(std::move(stopped));
-    else
+    if (!this->tunnels) {
         stopped();
+        return;
+    }
+    for (const VmIncarnation &peer : this->hub->connectedPeers())
+        this->hub->send(peer, {FrameKind::TunnelStopNotice, 0, 0, {}});
+    this->tunnels->beginStop(std::move(stopped));
 }
 
 void RecordsTrafficServices::setConfiguration(const ConfigurationDocumentMessage &document)
--- a/modules/lacewingmux_peer/messages/FrameKind.h
+++ b/modules/lacewingmux_peer/messages/FrameKind.h
@@ -95,7 +95,10 @@
 
     // lacewingmux_tunnel, a connection of its own
     TunnelRequest = 170,
-    TunnelReply = 171
+    TunnelReply = 171,
+
+    // lacewingmux_node, traffic channel
+    TunnelStopNotice = 172 // without payload; the sender opens no more tunnels
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_tunnel/client/TunnelDirectory.cpp
+++ b/modules/lacewingmux_tunnel/client/TunnelDirectory.cpp
@@ -48,7 +48,8 @@
         return nullptr;
     ++best->tunnels;
     return std::make_shared<TunnelUse>(
-            best->endpoint, [vm = best->endpoint.vm, weakVms = std::weak_ptr(this->vms)] {
+            best->endpoint, best->stops,
+            [vm = best->endpoint.vm, weakVms = std::weak_ptr(this->vms)] {
                 const auto all = weakVms.lock();
                 if (!all)
                     return;
@@ -74,6 +75,21 @@
         found->second.failedUntil = now + failureDelay;
 }
 
+void TunnelDirectory::recordStop(const QString &vm, SteadyTime now)
+{
+    const auto found = this->vms->find(vm);
+    if (found == this->vms->end())
+        return;
+    ++found->second.stops;
+    found->second.failedUntil = now + failureDelay;
+}
+
+bool TunnelDirectory::isReusable(const TunnelUse &tunnel) const
+{
+    const auto found = this->vms->find(tunnel.endpoint().vm);
+    return found != this->vms->end() && found->second.stops == tunnel.stopCount();
+}
+
 bool TunnelDirectory::isPreferred(const Vm &left, const Vm &right) const
 {
     const auto order = [this](const Vm &vm) {
--- a/modules/lacewingmux_tunnel/client/TunnelDirectory.h
+++ b/modules/lacewingmux_tunnel/client/TunnelDirectory.h
@@ -47,12 +47,20 @@
     /** Records that the VM did not open a tunnel, whatever the target. */
     void recordFailure(const QString &vm, SteadyTime now);
 
+    /** Records that the VM has begun a planned stop: tunnels that are open may be used to their
+        end, but not again. */
+    void recordStop(const QString &vm, SteadyTime now);
+
+    /** Returns whether another call may use the open tunnel. */
+    [[nodiscard]] bool isReusable(const TunnelUse &tunnel) const;
+
 private:
     struct Vm
     {
         TunnelEndpoint endpoint;
         std::uint64_t rank = 0; ///< order of preference among equals
         int tunnels = 0;        ///< of this VM
+        int stops = 0;          ///< planned stops that were announced
         SteadyTime failedUntil;
     };
 
--- a/modules/lacewingmux_tunnel/client/TunnelUse.h
+++ b/modules/lacewingmux_tunnel/client/TunnelUse.h
@@ -12,8 +12,10 @@
 class TunnelUse
 {
 public:
-    TunnelUse(TunnelEndpoint chosenEndpoint, std::function<void()> endedHook)
+    /** The hook is called on destruction. */
+    TunnelUse(TunnelEndpoint chosenEndpoint, int stopCount, std::function<void()> endedHook)
         : tunnelEndpoint(std::move(chosenEndpoint))
+        , stops(stopCount)
         , ended(std::move(endedHook))
     { }
 
@@ -30,8 +32,15 @@
         return this->tunnelEndpoint;
     }
 
+    /** Returns how many planned stops the VM had announced before. */
+    [[nodiscard]] int stopCount() const noexcept
+    {
+        return this->stops;
+    }
+
 private:
     TunnelEndpoint tunnelEndpoint;
+    int stops;
     std::function<void()> ended;
 };
 
--- a/modules/lacewingmux_tunnel/server/TunnelServerSettings.h
+++ b/modules/lacewingmux_tunnel/server/TunnelServerSettings.h
@@ -16,7 +16,7 @@
     std::uint16_t port = 0; ///< 0 selects a free port
     QByteArray secret;      ///< of the deployment; requests must prove that they know it
     std::size_t tunnelLimit = 512;
-    qint64 bufferBytes = qint64{32} * 1024; ///< of each direction of a tunnel
+    qint64 bufferBytes = qint64{16} * 1024; ///< of each direction of a tunnel
     /** Maximum time to connect to a target: shorter than what the requester waits for the reply. */
     std::chrono::milliseconds connectTimeout{300};
     /** Time after which a planned stop no longer waits for open tunnels. */
--- a/tests/gateway/StrandedGatewayTest.cpp
+++ b/tests/gateway/StrandedGatewayTest.cpp
@@ -154,6 +154,37 @@
     cr_assert_eq(fixture.tunnels->tunnelCount(), 0);
 }
 
+Test(stranded_gateway, uses_an_open_tunnel_again_until_its_vm_stops)
+{
+    StrandedFixture fixture(1, [](const HttpRequest &request, const auto &exchange) {
+        exchange.write(GatewayFixture::answer(request, "ran"));
+    });
+    fixture.refuseConnections();
+    for (int number = 0; number < 5; ++number)
+        cr_assert(fixture.responseTo("/once/x", "r" + QByteArray::number(number)).endsWith("ran"));
+    const int connections = fixture.replicas[0]->connectionCount();
+    cr_assert_leq(connections, 2, "one is the probe's");
+    cr_assert_eq(fixture.tunnels->tunnelCount(), 1);
+    fixture.gateway->recordTunnelStop(QStringLiteral("vm"));
+    fixture.loop.waitUntil([&] { return fixture.tunnels->tunnelCount() == 0; }, "the close");
+}
+
+Test(stranded_gateway, completes_a_call_whose_tunnel_vm_stops)
+{
+    StrandedFixture fixture(1, [](const HttpRequest &request, const auto &exchange) {
+        exchange.writeAfter(milliseconds(300), GatewayFixture::answer(request, "ran"));
+    });
+    fixture.refuseConnections();
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", "/once/x", "r0"));
+    fixture.loop.waitUntil([&] { return fixture.requestCount() == 1; }, "the request");
+    bool stopped = false;
+    fixture.gateway->recordTunnelStop(QStringLiteral("vm"));
+    fixture.tunnels->beginStop([&stopped] { stopped = true; });
+    fixture.loop.waitUntil([&] { return caller.received().endsWith("ran"); }, "the answer");
+    fixture.loop.waitUntil([&] { return stopped; }, "the stop, as the tunnel is not used again");
+}
+
 Test(stranded_gateway, does_not_repeat_a_call_whose_tunnel_breaks_after_it_was_sent)
 {
     StrandedFixture *current = nullptr;
--- a/tests/tunnel/TunnelTest.cpp
+++ b/tests/tunnel/TunnelTest.cpp
@@ -87,7 +87,7 @@
     [[nodiscard]] StreamRoute route(const QHostAddress &address, std::uint16_t port) const
     {
         const TunnelEndpoint endpoint{QStringLiteral("vm"), "a", loopback, this->server.port()};
-        return {address, port, std::make_shared<TunnelUse>(endpoint, [] {}), secret};
+        return {address, port, std::make_shared<TunnelUse>(endpoint, 0, [] {}), secret};
     }
 
     /** Connects the socket through the VM, and returns how that ended. */
@@ -269,7 +269,7 @@
     listener.listen(loopback);
     const TunnelEndpoint endpoint{QStringLiteral("vm"), "a", loopback, server.port()};
     const StreamRoute route{loopback, listener.serverPort(),
-                            std::make_shared<TunnelUse>(endpoint, [] {}), secret};
+                            std::make_shared<TunnelUse>(endpoint, 0, [] {}), secret};
     QTcpSocket requester;
     std::optional<ConnectResult> result;
     const StreamConnector connector(requester, route, loop.timers,
