Give up the open tunnels of a records VM that opens no more

Calls failed one after the other on open tunnels of a records VM that had lost power, each after a second: a failure to open a tunnel said nothing about those that were open. Now it does, as a planned stop does.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -158,7 +158,7 @@
     this->abortExchange();
     if (reason == ExchangeFailure::TunnelFailed) {
         --this->possibleRuns;
-        this->context.fleet.recordTunnelFailure(*tunnel);
+        this->context.fleet.recordTunnelFailure(tunnel->endpoint().vm);
         this->placeCall(); // the same replica may be reachable through another VM
         return;
     }
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -129,7 +129,7 @@
 void ReplicaFleet::recordTunnelStop(const QString &vm)
 {
     LogEvent(LogSeverity::Info, "tunnelVmStops").field("vm", vm);
-    this->tunnels.recordStop(vm, this->timers.now());
+    this->tunnels.recordUnavailable(vm, this->timers.now());
     this->closeStaleConnections();
 }
 
@@ -148,10 +148,11 @@
     return this->tunnels.take(this->timers.now());
 }
 
-void ReplicaFleet::recordTunnelFailure(const TunnelUse &tunnel)
+void ReplicaFleet::recordTunnelFailure(const QString &vm)
 {
-    LogEvent(LogSeverity::Warning, "tunnelFailed").field("vm", tunnel.endpoint().vm);
-    this->tunnels.recordFailure(tunnel.endpoint().vm, this->timers.now());
+    LogEvent(LogSeverity::Warning, "tunnelFailed").field("vm", vm);
+    this->tunnels.recordUnavailable(vm, this->timers.now());
+    this->closeStaleConnections();
 }
 
 void ReplicaFleet::recordLeaving(const QByteArray &id, std::int64_t startMilliseconds)
@@ -275,7 +276,7 @@
     if (tunnelVm.isEmpty())
         this->handleDirectProbe(id, result);
     else if (result == ConnectResult::TunnelFailed)
-        this->tunnels.recordFailure(tunnelVm, this->timers.now());
+        this->recordTunnelFailure(tunnelVm);
     else if (result != ConnectResult::Connected)
         this->recordUnreachableThroughTunnel(id);
     for (const auto &callback : entry.mapped().waiting)
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
@@ -69,8 +69,8 @@
     /** Returns the use of a VM for a tunnel; null if no VM can open one now. */
     [[nodiscard]] std::shared_ptr<const TunnelUse> takeTunnel();
 
-    /** Records that the VM of a tunnel did not open it. */
-    void recordTunnelFailure(const TunnelUse &tunnel);
+    /** Records that a VM did not open a tunnel. Its idle tunnels are closed. */
+    void recordTunnelFailure(const QString &vm);
 
     /** Records that a VM that opens tunnels has begun a planned stop. Its idle tunnels are closed.
      */
--- a/modules/lacewingmux_tunnel/client/TunnelDirectory.cpp
+++ b/modules/lacewingmux_tunnel/client/TunnelDirectory.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 // About the time in which a process restarts.
-constexpr std::chrono::milliseconds failureDelay{1000};
+constexpr std::chrono::milliseconds unavailableTime{1000};
 
 } // namespace
 
@@ -41,14 +41,14 @@
 {
     Vm *best = nullptr;
     for (auto &[name, vm] : *this->vms) {
-        if (now >= vm.failedUntil && (best == nullptr || this->isPreferred(vm, *best)))
+        if (now >= vm.unavailableUntil && (best == nullptr || this->isPreferred(vm, *best)))
             best = &vm;
     }
     if (best == nullptr)
         return nullptr;
     ++best->tunnels;
     return std::make_shared<TunnelUse>(
-            best->endpoint, best->stops,
+            best->endpoint, best->generation,
             [vm = best->endpoint.vm, weakVms = std::weak_ptr(this->vms)] {
                 const auto all = weakVms.lock();
                 if (!all)
@@ -62,32 +62,25 @@
 bool TunnelDirectory::isAvailable(SteadyTime now) const
 {
     for (const auto &[name, vm] : *this->vms) {
-        if (now >= vm.failedUntil)
+        if (now >= vm.unavailableUntil)
             return true;
     }
     return false;
 }
 
-void TunnelDirectory::recordFailure(const QString &vm, SteadyTime now)
-{
-    const auto found = this->vms->find(vm);
-    if (found != this->vms->end())
-        found->second.failedUntil = now + failureDelay;
-}
-
-void TunnelDirectory::recordStop(const QString &vm, SteadyTime now)
+void TunnelDirectory::recordUnavailable(const QString &vm, SteadyTime now)
 {
     const auto found = this->vms->find(vm);
     if (found == this->vms->end())
         return;
-    ++found->second.stops;
-    found->second.failedUntil = now + failureDelay;
+    ++found->second.generation;
+    found->second.unavailableUntil = now + unavailableTime;
 }
 
 bool TunnelDirectory::isReusable(const TunnelUse &tunnel) const
 {
     const auto found = this->vms->find(tunnel.endpoint().vm);
-    return found != this->vms->end() && found->second.stops == tunnel.stopCount();
+    return found != this->vms->end() && found->second.generation == tunnel.generation();
 }
 
 bool TunnelDirectory::isPreferred(const Vm &left, const Vm &right) const
--- a/modules/lacewingmux_tunnel/client/TunnelDirectory.h
+++ b/modules/lacewingmux_tunnel/client/TunnelDirectory.h
@@ -44,12 +44,9 @@
     /** Returns whether a VM can be selected. */
     [[nodiscard]] bool isAvailable(SteadyTime now) const;
 
-    /** Records that the VM did not open a tunnel, whatever the target. */
-    void recordFailure(const QString &vm, SteadyTime now);
-
-    /** Records that the VM has begun a planned stop: tunnels that are open may be used to their
-        end, but not again. */
-    void recordStop(const QString &vm, SteadyTime now);
+    /** Records that the VM opened no tunnel, whatever the target, or has begun a planned stop. Its
+        open tunnels may be used to their end, but not again. */
+    void recordUnavailable(const QString &vm, SteadyTime now);
 
     /** Returns whether another call may use the open tunnel. */
     [[nodiscard]] bool isReusable(const TunnelUse &tunnel) const;
@@ -60,8 +57,8 @@
         TunnelEndpoint endpoint;
         std::uint64_t rank = 0; ///< order of preference among equals
         int tunnels = 0;        ///< of this VM
-        int stops = 0;          ///< planned stops that were announced
-        SteadyTime failedUntil;
+        int generation = 0;     ///< how often it became unavailable
+        SteadyTime unavailableUntil;
     };
 
     [[nodiscard]] bool isPreferred(const Vm &left, const Vm &right) const;
--- a/modules/lacewingmux_tunnel/client/TunnelUse.h
+++ b/modules/lacewingmux_tunnel/client/TunnelUse.h
@@ -13,9 +13,9 @@
 {
 public:
     /** The hook is called on destruction. */
-    TunnelUse(TunnelEndpoint chosenEndpoint, int stopCount, std::function<void()> endedHook)
+    TunnelUse(TunnelEndpoint chosenEndpoint, int vmGeneration, std::function<void()> endedHook)
         : tunnelEndpoint(std::move(chosenEndpoint))
-        , stops(stopCount)
+        , generationOfVm(vmGeneration)
         , ended(std::move(endedHook))
     { }
 
@@ -32,15 +32,15 @@
         return this->tunnelEndpoint;
     }
 
-    /** Returns how many planned stops the VM had announced before. */
-    [[nodiscard]] int stopCount() const noexcept
+    /** Returns how often the VM had become unavailable before. */
+    [[nodiscard]] int generation() const noexcept
     {
-        return this->stops;
+        return this->generationOfVm;
     }
 
 private:
     TunnelEndpoint tunnelEndpoint;
-    int stops;
+    int generationOfVm;
     std::function<void()> ended;
 };
 
--- a/tests/gateway/StrandedGatewayTest.cpp
+++ b/tests/gateway/StrandedGatewayTest.cpp
@@ -9,6 +9,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace lacewingmux;
 using std::chrono::milliseconds;
 
@@ -169,6 +171,39 @@
     fixture.loop.waitUntil([&] { return fixture.tunnels->tunnelCount() == 0; }, "the close");
 }
 
+Test(stranded_gateway, gives_up_the_open_tunnels_of_a_vm_that_opens_no_more)
+{
+    int answers = 0;
+    StrandedFixture fixture(1, [&answers](const HttpRequest &request, const auto &exchange) {
+        if (++answers <= 3)
+            exchange.writeAfter(
+                    milliseconds(200),
+                    GatewayFixture::answer(request, "ran", "Keep-Alive: timeout=30\r\n"));
+    });
+    fixture.refuseConnections();
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int number = 0; number < 3; ++number) {
+        callers.push_back(std::make_unique<RawCaller>(fixture.gateway->port()));
+        callers.back()->send(
+                GatewayFixture::request("POST", "/once/x", "r" + QByteArray::number(number)));
+    }
+    fixture.loop.waitUntil(
+            [&] {
+                return std::all_of(callers.begin(), callers.end(), [](const auto &caller) {
+                    return caller->received().endsWith("ran");
+                });
+            },
+            "the answers");
+    cr_assert_eq(fixture.tunnels->tunnelCount(), 3);
+    fixture.tunnels->beginStop([] {}); // without a notice
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", "/once/x", "r3"));
+    fixture.loop.waitUntil([&] { return caller.received().contains("\r\n\r\n"); }, "the answer");
+    cr_assert(caller.received().startsWith("HTTP/1.1 502"));
+    fixture.loop.runFor(milliseconds(100)); // the closes arrive
+    cr_assert_eq(fixture.tunnels->tunnelCount(), 0);
+}
+
 Test(stranded_gateway, completes_a_call_whose_tunnel_vm_stops)
 {
     StrandedFixture fixture(1, [](const HttpRequest &request, const auto &exchange) {
--- a/tests/tunnel/TunnelDirectoryTest.cpp
+++ b/tests/tunnel/TunnelDirectoryTest.cpp
@@ -59,21 +59,21 @@
 {
     TunnelDirectory directory("a", 1);
     directory.setEndpoints({vm("1", "a"), vm("2", "b")});
-    directory.recordFailure(QStringLiteral("1"), start);
+    directory.recordUnavailable(QStringLiteral("1"), start);
     cr_assert(directory.take(start)->endpoint().vm == QStringLiteral("2"));
-    directory.recordFailure(QStringLiteral("2"), start);
+    directory.recordUnavailable(QStringLiteral("2"), start);
     cr_assert_null(directory.take(start));
     cr_assert_not(directory.isAvailable(start));
     cr_assert(directory.isAvailable(start + milliseconds(1500)));
 }
 
-Test(tunnel_directory, reuses_no_tunnel_of_a_vm_that_stopped_or_left)
+Test(tunnel_directory, reuses_no_tunnel_of_a_vm_that_became_unavailable_or_left)
 {
     TunnelDirectory directory("a", 1);
     directory.setEndpoints({vm("1", "a")});
     const auto before = directory.take(start);
     cr_assert(directory.isReusable(*before));
-    directory.recordStop(QStringLiteral("1"), start);
+    directory.recordUnavailable(QStringLiteral("1"), start);
     cr_assert_not(directory.isReusable(*before));
     const auto after = directory.take(start + milliseconds(1500));
     cr_assert(directory.isReusable(*after));
