--- a/modules/lacewingmux_tunnel/client/StreamConnector.h
+++ b/modules/lacewingmux_tunnel/client/StreamConnector.h
@@ -43,7 +43,6 @@
     QTcpSocket &socket;
     StreamRoute route;
     ResultHook resultHook;
-    bool requestSent = false;
     QMetaObject::Connection connectedSignal;
     QMetaObject::Connection errorSignal;
     QMetaObject::Connection readSignal;
--- a/tests/support/sockets/SilentListener.cpp
+++ b/tests/support/sockets/SilentListener.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <tuple>
+
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -32,7 +34,7 @@
     for (int number = 0; number < maximumQueue; ++number) {
         const int queued = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
         this->descriptors.push_back(queued);
-        ::connect(queued, generic, length);
+        std::ignore = ::connect(queued, generic, length); // in progress
         pollfd watched{queued, POLLOUT, 0};
         if (::poll(&watched, 1, connectWaitMilliseconds) == 0)
             return; // the queue is full
