--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -108,8 +108,7 @@
     /** Continues a call whose request could not be sent, as no connection came about. */
     void handleNotConnected(const std::shared_ptr<const TunnelUse> &tunnel);
     void checkReplicaActivity();
-    /** Checks whether the replica is reachable directly or, unless null, through the tunnel's VM.
-     */
+    /** Checks whether the replica is reachable through the tunnel's VM, or directly if null. */
     void probeReplica(const std::shared_ptr<const TunnelUse> &tunnel);
     void handleProbeResult(ConnectResult result, bool throughTunnel,
                            TimerService::SteadyTime probedSendTime);
--- a/modules/lacewingmux_tunnel/client/StreamConnector.h
+++ b/modules/lacewingmux_tunnel/client/StreamConnector.h
@@ -4,11 +4,11 @@
 #include "lacewingmux_tunnel/client/ConnectResult.h"
 #include "lacewingmux_tunnel/client/StreamRoute.h"
 
+#include <QMetaObject>
+
 #include <chrono>
 #include <functional>
 
-#include <QMetaObject>
-
 class QTcpSocket;
 
 namespace lacewingmux {
