Count a send whose tunnel was lost as an attempt

A replica that can no longer be reached does not count against the attempts of a route, and a call on a tunnel whose VM had died was taken for such a one, although its replica went on.

stranded_gateway/counts_a_send_whose_tunnel_was_lost_as_an_attempt failed before.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -169,7 +169,8 @@
     }
     this->excludedInstances.push_back(this->replica);
     Placement &placement = this->context.fleet.placement();
-    placement.recordFailure(this->replica, this->now());
+    if (reason != ExchangeFailure::TunnelLost)
+        placement.recordFailure(this->replica, this->now());
     // An unreachable replica does not count against the route's limit of attempts.
     if (reason == ExchangeFailure::Unreachable && this->route.isRepeatable())
         --this->possibleRuns;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
@@ -190,7 +190,8 @@
     }
     this->probing = false;
     if (awaitsData && result != ConnectResult::Connected) {
-        this->handleFailure(ExchangeFailure::Unreachable);
+        this->handleFailure(result == ConnectResult::TunnelFailed ? ExchangeFailure::TunnelLost
+                                                                  : ExchangeFailure::Unreachable);
         return;
     }
     if (this->connection)
--- a/modules/lacewingmux_gateway/replicas/ExchangeFailure.cpp
+++ b/modules/lacewingmux_gateway/replicas/ExchangeFailure.cpp
@@ -15,6 +15,8 @@
         return "the replica can't be reached any more";
     case ExchangeFailure::TunnelFailed:
         return "another VM opened no tunnel to the replica";
+    case ExchangeFailure::TunnelLost:
+        return "the VM of the tunnel to the replica can't be reached any more";
     }
     return "the replica failed";
 }
--- a/modules/lacewingmux_gateway/replicas/ExchangeFailure.h
+++ b/modules/lacewingmux_gateway/replicas/ExchangeFailure.h
@@ -10,7 +10,8 @@
     Closed,       ///< the connection ended after the request was sent
     Malformed,    ///< the received bytes are not a valid response
     Unreachable,  ///< no data came after the request, and connecting again failed
-    TunnelFailed  ///< another VM opened no tunnel to the replica; nothing was sent
+    TunnelFailed, ///< another VM opened no tunnel to the replica; nothing was sent
+    TunnelLost    ///< no data came after the request, and the tunnel's VM opens no other tunnel
 };
 
 /** Returns a description for logs and error responses. */
--- a/tests/gateway/StrandedGatewayTest.cpp
+++ b/tests/gateway/StrandedGatewayTest.cpp
@@ -25,18 +25,24 @@
 public:
     StrandedFixture(int replicaCount, const ScriptedReplica::Handler &handler)
         : GatewayFixture(replicaCount, handler)
+    {
+        this->tunnels = this->startTunnelVm();
+        this->setTunnels({this->endpoint(QStringLiteral("vm"), this->tunnels->port())});
+    }
+
+    /** Returns another VM that opens tunnels. */
+    [[nodiscard]] std::unique_ptr<TunnelServer> startTunnelVm()
     {
         TunnelServerSettings settings;
         settings.address = QHostAddress(QHostAddress::LocalHost);
         settings.secret = tunnelSecret;
-        this->tunnels = std::make_unique<TunnelServer>(
+        return std::make_unique<TunnelServer>(
                 settings, this->loop.timers, this->metrics,
                 [this](QTcpSocket &socket, const QHostAddress &, std::uint16_t port) {
                     const auto known = this->realPorts.find(port);
                     socket.connectToHost(QHostAddress(QHostAddress::LocalHost),
                                          known == this->realPorts.end() ? port : known->second);
                 });
-        this->setTunnels({this->endpoint(QStringLiteral("vm"), this->tunnels->port())});
     }
 
     /** Lets connections of the gateway be refused. */
@@ -233,6 +239,33 @@
     cr_assert_eq(fixture.requestCount(), 1);
 }
 
+Test(stranded_gateway, counts_a_send_whose_tunnel_was_lost_as_an_attempt)
+{
+    StrandedFixture *current = nullptr;
+    std::vector<std::unique_ptr<TunnelServer>> vms;
+    std::vector<TimerSubscription> stops;
+    StrandedFixture fixture(3, [&](const auto &, const auto &) {
+        // The request's tunnel stays open, and its VM opens no other one.
+        stops.push_back(current->loop.timers.after(milliseconds(100), [&vms] {
+            for (const auto &vm : vms) {
+                if (vm->tunnelCount() > 0)
+                    vm->beginStop([] {});
+            }
+        }));
+    });
+    current = &fixture;
+    fixture.refuseConnections();
+    std::vector<TunnelEndpoint> endpoints;
+    for (int number = 0; number < 4; ++number) {
+        vms.push_back(fixture.startTunnelVm());
+        endpoints.push_back(StrandedFixture::endpoint(QString::number(number), vms.back()->port()));
+    }
+    fixture.setTunnels(endpoints);
+    const QByteArray response = fixture.responseTo("/safe/x", "r0");
+    cr_assert(response.startsWith("HTTP/1.1 50"), "%s", response.constData());
+    cr_assert_leq(fixture.requestCount(), 2, "the route allows two attempts");
+}
+
 Test(stranded_gateway, uses_another_vm_when_one_opens_no_tunnel)
 {
     StrandedFixture fixture(1, [](const HttpRequest &request, const auto &exchange) {
