Promise that a call has not run only while no replica may have run it

A repeatable call that had been sent to a replica that then became unreachable was answered 503, which promises that it has not run: the count of sends that may have run it was lowered, so that they do not count against the attempts of the route. The two counts are now separate, and a refusal after a send becomes a failure. Found while tracing the lost tunnels.

forwarding/does_not_promise_that_an_unreachable_replica_has_not_run_the_call failed before.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -229,9 +229,14 @@
     }
 }
 
+int ForwardedCall::countedRuns() const
+{
+    return this->possibleRuns - this->uncountedRuns;
+}
+
 bool ForwardedCall::mayRetry() const
 {
-    return this->route.isRepeatable() && this->possibleRuns < this->route.attempts;
+    return this->route.isRepeatable() && this->countedRuns() < this->route.attempts;
 }
 
 QByteArray ForwardedCall::contentDigest() const
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -116,8 +116,8 @@
     void releaseConnection();
 
     // Completion
-    /** Refuses the call. Kinds that promise "not run" are used only while no replica can have run
-        it. */
+    /** Refuses the call. The kind may promise "not run": if a replica may have run the call, the
+        call fails instead. */
     void refuse(ErrorKind kind, const char *reason, std::chrono::milliseconds retryAfter);
     void fail(ErrorKind kind, const char *reason);
     void sendErrorResponse(ErrorKind kind, const char *reason,
@@ -127,6 +127,8 @@
     void end(const char *outcome);
     void logOutcome(const char *outcome) const;
 
+    /** Returns the number of sends that count as attempts of the route. */
+    [[nodiscard]] int countedRuns() const;
     [[nodiscard]] bool mayRetry() const;
 
     /** Returns a digest of the request that is equal for each of its attempts. */
@@ -167,6 +169,7 @@
     std::int64_t replicaStartMilliseconds = 0; ///< start time of that instance, Unix time
     std::vector<QByteArray> excludedInstances; ///< not to be tried again
     int possibleRuns = 0;                      ///< sends that may have run the request
+    int uncountedRuns = 0; ///< of these, those that do not count as attempts of the route
     int rejections = 0;
     int placementRounds = 0;    ///< times that no replica was available
     bool waitsForLimit = false; ///< every replica is excluded or at the limit that it named
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -173,7 +173,7 @@
         placement.recordFailure(this->replica, this->now());
     // An unreachable replica does not count against the route's limit of attempts.
     if (reason == ExchangeFailure::Unreachable && this->route.isRepeatable())
-        --this->possibleRuns;
+        ++this->uncountedRuns;
     if (reason == ExchangeFailure::Closed)
         this->context.fleet.crashCorrelator().recordBrokenConnection(
                 this->replica, this->contentDigest(), this->now());
@@ -329,15 +329,18 @@
 
 void ForwardedCall::refuse(ErrorKind kind, const char *reason, milliseconds retryAfter)
 {
-    if (this->streamStarted)
-        this->abortResponse(reason);
+    if (this->possibleRuns > 0)
+        this->fail(ErrorKind::BackendFailed, reason);
     else
         this->sendErrorResponse(kind, reason, retryAfter);
 }
 
 void ForwardedCall::fail(ErrorKind kind, const char *reason)
 {
-    this->refuse(kind, reason, milliseconds(0));
+    if (this->streamStarted)
+        this->abortResponse(reason);
+    else
+        this->sendErrorResponse(kind, reason, milliseconds(0));
 }
 
 void ForwardedCall::sendErrorResponse(ErrorKind kind, const char *reason, milliseconds retryAfter)
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
@@ -233,7 +233,7 @@
     }
     // No replica is left: each one refused or could not be connected to, or none is known. Replicas
     // at capacity may have capacity again soon.
-    if (this->rejections == 0 && this->possibleRuns == 0 && this->placementRounds > 0) {
+    if (this->rejections == 0 && this->countedRuns() == 0 && this->placementRounds > 0) {
         this->refuse(ErrorKind::BackendUnavailable, "the service has no replica", noReplicaRetry);
         return;
     }
--- a/tests/gateway/ForwardingTest.cpp
+++ b/tests/gateway/ForwardingTest.cpp
@@ -217,6 +217,20 @@
     cr_assert(caller.received().startsWith("HTTP/1.1 504"));
 }
 
+Test(forwarding, does_not_promise_that_an_unreachable_replica_has_not_run_the_call)
+{
+    GatewayFixture *current = nullptr;
+    GatewayFixture fixture(
+            1, [&current](const auto &, const auto &) { current->replicas[0]->stopListening(); });
+    current = &fixture;
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("GET", "/safe/x", "r1"));
+    fixture.loop.waitUntil([&] { return hasAnswer(caller); }, "the answer");
+    cr_assert(caller.received().startsWith("HTTP/1.1 50"));
+    cr_assert_not(caller.received().startsWith("HTTP/1.1 503"), "it may have run");
+    cr_assert_eq(fixture.requestCount(), 1);
+}
+
 Test(forwarding, fails_a_call_when_its_unresponsive_replica_is_unreachable)
 {
     GatewayFixture fixture(2, [](const auto &, const auto &) {});
