--- a/modules/lacewingmux_report/metrics/MetricsCatalogue.cpp
+++ b/modules/lacewingmux_report/metrics/MetricsCatalogue.cpp
@@ -58,6 +58,8 @@
                           "Parts of a rate, burst or power cap given to another zone."},
         MetricDescription{"lacewingmux_slots_lost_total", MetricType::Counter,
                           "Slots that went on without the state of their last activation."},
+        MetricDescription{"lacewingmux_tunnels_total", MetricType::Counter,
+                          "Tunnels that other VMs requested, by whether they were accepted."},
         MetricDescription{"lacewingmux_view_changes_total", MetricType::Counter,
                           "Views of the own zone that were adopted."},
         MetricDescription{"lacewingmux_view_epoch", MetricType::Gauge,
