Deliver the result of a connection that fails at once after its caller has kept it

A connection attempt may fail within connect(). A probe then wrote its attempt into an entry that its own result had removed, which can end the process; the same held before tunnels. The result is now always delivered later.

replica_fleet/survives_a_probe_that_fails_at_once failed before: the result came within the call.

--- a/modules/lacewingmux_tunnel/client/StreamConnector.cpp
+++ b/modules/lacewingmux_tunnel/client/StreamConnector.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
 ConnectResult resultOf(TunnelStatus status)
 {
     switch (status) {
@@ -35,6 +37,16 @@
     , resultHook(std::move(hook))
 {
     this->socket.setProxy(QNetworkProxy::NoProxy);
+    if (this->route.tunnel)
+        this->socket.connectToHost(this->route.tunnel->endpoint().address,
+                                   this->route.tunnel->endpoint().port);
+    else
+        this->socket.connectToHost(this->route.address, this->route.port);
+    // What has happened by now is handled later, as the caller does not have this object yet.
+    if (this->socket.state() == QAbstractSocket::ConnectedState)
+        this->early = timerService.after(milliseconds(0), [this] { this->handleConnected(); });
+    else if (this->socket.state() == QAbstractSocket::UnconnectedState)
+        this->early = timerService.after(milliseconds(0), [this] { this->handleError(); });
     this->connectedSignal = QObject::connect(&this->socket, &QTcpSocket::connected, &this->socket,
                                              [this] { this->handleConnected(); });
     this->errorSignal = QObject::connect(&this->socket, &QTcpSocket::errorOccurred, &this->socket,
@@ -42,11 +54,6 @@
     this->timeout = timerService.after(replicaConnectTimeout, [this] {
         this->finish(this->route.tunnel ? ConnectResult::TunnelFailed : ConnectResult::Silent);
     });
-    if (this->route.tunnel)
-        this->socket.connectToHost(this->route.tunnel->endpoint().address,
-                                   this->route.tunnel->endpoint().port);
-    else
-        this->socket.connectToHost(this->route.address, this->route.port);
 }
 
 StreamConnector::~StreamConnector()
@@ -99,6 +106,7 @@
 
 void StreamConnector::stopWatching()
 {
+    this->early.cancel();
     this->timeout.cancel();
     QObject::disconnect(this->connectedSignal);
     QObject::disconnect(this->errorSignal);
--- a/modules/lacewingmux_tunnel/client/StreamConnector.h
+++ b/modules/lacewingmux_tunnel/client/StreamConnector.h
@@ -46,6 +46,7 @@
     QMetaObject::Connection connectedSignal;
     QMetaObject::Connection errorSignal;
     QMetaObject::Connection readSignal;
+    TimerSubscription early; ///< handles what happened within the constructor
     TimerSubscription timeout;
 };
 
