Send a call only while the permission to send it holds

Change: HttpExchange uses a ReplicaConnection, whose hook maySend() is asked right before the request is written. A server that does not answer a connection attempt is no longer reported as possibly having run the call. Records of replicas need an http URL with an IP address, as the platform's do.

--- a/modules/lacewingmux_backend/clients/ConnectionPool.cpp
+++ b/modules/lacewingmux_backend/clients/ConnectionPool.cpp
@@ -1,68 +1,53 @@
 #include "lacewingmux_backend/clients/ConnectionPool.h"
 
-#include <QHash>
-#include <QNetworkAccessManager>
-#include <QNetworkProxy>
+#include "lacewingmux_gateway/replicas/ReplicaConnection.h"
 
 #include <algorithm>
-#include <vector>
+#include <utility>
 
 namespace lacewingmux {
 
 namespace {
 
-constexpr int connectionsPerManager = 6; ///< limit of QNetworkAccessManager per server
-
-struct PooledManager
-{
-    std::unique_ptr<QNetworkAccessManager> manager;
-    QHash<QString, int> activeExchanges; ///< by server
-};
-
-std::unique_ptr<QNetworkAccessManager> makeManager()
-{
-    auto manager = std::make_unique<QNetworkAccessManager>();
-    manager->setProxy(QNetworkProxy::NoProxy);
-    manager->setRedirectPolicy(QNetworkRequest::ManualRedirectPolicy);
-    return manager;
-}
+constexpr int defaultHttpPort = 80;
+// Servers that send no Keep-Alive timeout may close idle connections in less than 1 s.
+constexpr std::chrono::milliseconds idleTime{500};
 
 } // namespace
 
-struct ConnectionPool::State
-{
-    std::vector<std::shared_ptr<PooledManager>> managers;
-};
-
-ConnectionPool::ConnectionPool()
-    : state(std::make_shared<State>())
+ConnectionPool::ConnectionPool(TimerService &timerService)
+    : timers(timerService)
 { }
 
 ConnectionPool::~ConnectionPool() = default;
 
-std::shared_ptr<QNetworkAccessManager> ConnectionPool::acquire(const QUrl &server)
+std::unique_ptr<ReplicaConnection> ConnectionPool::acquire(const QUrl &server)
 {
-    const QString key = server.authority();
-    auto &managers = this->state->managers;
-    auto found = std::find_if(managers.begin(), managers.end(), [&key](const auto &pooled) {
-        return pooled->activeExchanges.value(key) < connectionsPerManager;
-    });
-    if (found == managers.end()) {
-        managers.push_back(std::make_shared<PooledManager>(PooledManager{makeManager(), {}}));
-        found = std::prev(managers.end());
+    auto &connections = this->idle[server.authority()];
+    while (!connections.empty()) {
+        std::unique_ptr<ReplicaConnection> connection = std::move(connections.back());
+        connections.pop_back();
+        if (connection->isReusable())
+            return connection;
     }
-    const std::shared_ptr<PooledManager> pooled = *found;
-    ++pooled->activeExchanges[key];
-    return {pooled->manager.get(), [pooled, key](QNetworkAccessManager *) {
-                if (--pooled->activeExchanges[key] == 0)
-                    pooled->activeExchanges.remove(key);
-            }};
+    return this->createDedicated(server);
+}
+
+std::unique_ptr<ReplicaConnection> ConnectionPool::createDedicated(const QUrl &server)
+{
+    StreamRoute route;
+    route.address = QHostAddress(server.host());
+    route.port = static_cast<std::uint16_t>(server.port(defaultHttpPort));
+    return std::make_unique<ReplicaConnection>(route, this->timers);
 }
 
-std::shared_ptr<QNetworkAccessManager> ConnectionPool::createDedicated()
+void ConnectionPool::release(const QUrl &server, std::unique_ptr<ReplicaConnection> connection)
 {
-    return {makeManager().release(),
-            [](QNetworkAccessManager *manager) { manager->deleteLater(); }};
+    connection->setReusableUntil(this->timers.now() + idleTime);
+    auto &connections = this->idle[server.authority()];
+    std::erase_if(connections, [](const auto &kept) { return !kept->isReusable(); });
+    if (connection->isReusable())
+        connections.push_back(std::move(connection));
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_backend/clients/ConnectionPool.h
+++ b/modules/lacewingmux_backend/clients/ConnectionPool.h
@@ -1,38 +1,39 @@
 #pragma once
 
+#include "lacewingmux_core/time/TimerService.h"
+
+#include <QString>
 #include <QUrl>
 
+#include <map>
 #include <memory>
-
-class QNetworkAccessManager;
+#include <vector>
 
 namespace lacewingmux {
 
-/**
-    Network access managers for the exchanges of one thread.
+class ReplicaConnection;
 
-    A manager opens at most six connections to one server and queues further requests without limit,
-    so the pool keeps as many managers as the busiest server needs.
-*/
+/** Connections to backend servers that are kept open between the exchanges of one thread. */
 class ConnectionPool
 {
 public:
-    ConnectionPool();
+    explicit ConnectionPool(TimerService &timerService);
     ~ConnectionPool();
     ConnectionPool(const ConnectionPool &) = delete;
     ConnectionPool &operator=(const ConnectionPool &) = delete;
 
-    /** Returns a manager that has a free connection to the server. The connection counts as in
-        use until the pointer is released. */
-    [[nodiscard]] std::shared_ptr<QNetworkAccessManager> acquire(const QUrl &server);
+    /** Returns an idle connection to the server, or a new one that is still connecting. */
+    [[nodiscard]] std::unique_ptr<ReplicaConnection> acquire(const QUrl &server);
 
-    /** Returns a new manager outside the pool. Its first request opens a new connection. */
-    [[nodiscard]] static std::shared_ptr<QNetworkAccessManager> createDedicated();
+    /** Returns a new connection. A late response to an earlier request cannot arrive on it. */
+    [[nodiscard]] std::unique_ptr<ReplicaConnection> createDedicated(const QUrl &server);
 
-private:
-    struct State;
+    /** Keeps the connection for a later exchange if it can still be used. */
+    void release(const QUrl &server, std::unique_ptr<ReplicaConnection> connection);
 
-    std::shared_ptr<State> state; ///< shared with the returned pointers, which may outlive the pool
+private:
+    TimerService &timers;
+    std::map<QString, std::vector<std::unique_ptr<ReplicaConnection>>> idle; ///< by server
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_backend/clients/EngineRun.cpp
+++ b/modules/lacewingmux_backend/clients/EngineRun.cpp
@@ -58,6 +58,7 @@
             + "/stream?after=" + QByteArray::number(static_cast<qint64>(this->nextSequenceNumber));
     request.body.clear();
     request.idempotent = true;
+    request.sendBefore.reset(); // resuming starts no run
     request.timeout = std::max(std::chrono::milliseconds(1),
                                std::chrono::duration_cast<std::chrono::milliseconds>(
                                        this->deadline - this->timers.now()));
--- a/modules/lacewingmux_backend/clients/HttpExchange.cpp
+++ b/modules/lacewingmux_backend/clients/HttpExchange.cpp
@@ -3,11 +3,8 @@
 #include "lacewingmux_backend/clients/ConnectionPool.h"
 #include "lacewingmux_backend/clients/ForwardedHeaders.h"
 #include "lacewingmux_core/time/TimerService.h"
-#include "lacewingmux_keyvalue/client/SingleUseBody.h"
-
-#include <QNetworkAccessManager>
-#include <QNetworkReply>
-#include <QNetworkRequest>
+#include "lacewingmux_gateway/http/HttpText.h"
+#include "lacewingmux_gateway/replicas/ReplicaConnection.h"
 
 #include <algorithm>
 #include <utility>
@@ -16,10 +13,10 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds connectTimeLimit{2000};
-constexpr qint64 readBufferBytes = qint64{1024} * 1024;
+constexpr int httpOk = 200;
 
-QNetworkRequest requestFor(const BackendCall &call)
+/** Returns the path and query of the request, as they are sent. */
+QByteArray targetOf(const BackendCall &call)
 {
     QUrl url = call.server;
     const qsizetype queryStart = call.path.indexOf('?');
@@ -27,197 +24,175 @@
     url.setPath(url.path() + QString::fromUtf8(path));
     if (queryStart >= 0)
         url.setQuery(QString::fromUtf8(call.path.mid(queryStart + 1)));
+    const QByteArray target =
+            url.toEncoded(QUrl::RemoveScheme | QUrl::RemoveAuthority | QUrl::RemoveFragment);
+    return target.startsWith('/') ? target : '/' + target;
+}
 
-    QNetworkRequest request(url);
-    request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
-    request.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
-    request.setAttribute(QNetworkRequest::CookieLoadControlAttribute, QNetworkRequest::Manual);
-    request.setAttribute(QNetworkRequest::CookieSaveControlAttribute, QNetworkRequest::Manual);
-    request.setAttribute(QNetworkRequest::AuthenticationReuseAttribute, QNetworkRequest::Manual);
-    request.setHeader(QNetworkRequest::ContentLengthHeader, call.body.size());
-    request.setHeader(QNetworkRequest::ContentTypeHeader, QByteArray("application/octet-stream"));
-    request.setRawHeader("User-Agent", "lacewingmux");
-    request.setRawHeader("Accept-Encoding", "identity");
+HttpFields fieldsOf(const BackendCall &call)
+{
+    HttpFields fields;
+    fields.push_back({"Host", call.server.authority(QUrl::FullyEncoded).toUtf8()});
+    fields.push_back({"User-Agent", "lacewingmux"});
+    fields.push_back({"Accept-Encoding", "identity"});
     for (const HttpHeader &header : call.headers) {
         if (isForwardedToBackend(header.name))
-            request.setRawHeader(header.name, header.value);
+            fields.push_back({header.name, header.value});
     }
+    if (fieldValue(fields, "Content-Type").isNull())
+        fields.push_back({"Content-Type", "application/octet-stream"});
     if (!call.requestId.isEmpty())
-        request.setRawHeader("Lacewingmux-Request-Id", call.requestId.toUtf8());
+        fields.push_back({"Lacewingmux-Request-Id", call.requestId.toUtf8()});
     if (!call.idempotent) {
-        request.setRawHeader("Connection", "close");
-        if (!request.hasRawHeader("Idempotency-Key"))
-            request.setRawHeader("Idempotency-Key", call.requestId.toUtf8());
+        fields.push_back({"Connection", "close"});
+        if (fieldValue(fields, "Idempotency-Key").isNull())
+            fields.push_back({"Idempotency-Key", call.requestId.toUtf8()});
     }
-    return request;
-}
-
-/** Returns whether the error only reflects the status of a complete response. */
-bool isStatusError(QNetworkReply::NetworkError error)
-{
-    const bool content = error >= QNetworkReply::ContentAccessDenied
-                         && error <= QNetworkReply::UnknownContentError
-                         && error != QNetworkReply::ContentReSendError;
-    const bool server = error >= QNetworkReply::InternalServerError
-                        && error <= QNetworkReply::UnknownServerError;
-    return content || server;
-}
-
-/** Returns whether the error means that no connection was established. */
-bool isConnectError(QNetworkReply::NetworkError error)
-{
-    return error == QNetworkReply::ConnectionRefusedError
-           || error == QNetworkReply::HostNotFoundError;
+    return fields;
 }
 
 } // namespace
 
-HttpExchange::HttpExchange(ConnectionPool &connections, TimerService &timers,
+HttpExchange::HttpExchange(ConnectionPool &connectionPool, TimerService &timerService,
                            const BackendCall &call, BackendRunListener runListener)
     : listener(std::move(runListener))
-    , requestId(call.requestId)
+    , connections(connectionPool)
+    , timers(timerService)
+    , server(call.server)
+    , requestId(call.requestId.toUtf8())
     , maxResponseBytes(call.maxResponseBytes)
-    , manager(call.idempotent ? connections.acquire(call.server)
-                              : ConnectionPool::createDedicated())
+    , connection(call.idempotent ? connectionPool.acquire(call.server)
+                                 : connectionPool.createDedicated(call.server))
+    , keepsConnection(call.idempotent)
 {
+    this->timeout = this->timers.after(call.timeout, [this] { this->timedOut(); });
     this->send(call);
-    this->connectHandlers(timers, call);
 }
 
 HttpExchange::~HttpExchange()
 {
-    if (!this->reply)
-        return;
-    this->reply->disconnect();
-    this->reply->abort();
-    this->reply->deleteLater();
+    if (this->connection)
+        this->connection->abort();
 }
 
 void HttpExchange::send(const BackendCall &call)
 {
-    this->body = new SingleUseBody(call.body);
-    this->reply = this->manager->sendCustomRequest(requestFor(call), call.method, this->body);
-    this->body->setParent(this->reply);
-    this->reply->setReadBufferSize(readBufferBytes);
+    ReplicaConnection::Hooks hooks;
+    hooks.maySend = [this, sendBefore = call.sendBefore] { return this->maySend(sendBefore); };
+    hooks.matches = [](const HttpResponseHead &) { return true; };
+    hooks.head = [this](const HttpResponseHead &head) { this->readHead(head); };
+    hooks.body = [this](const QByteArray &bytes) { this->readBody(bytes); };
+    hooks.complete = [this] { this->completeResponse(); };
+    hooks.failed = [this](ExchangeFailure reason) { this->exchangeFailed(reason); };
+    const QByteArray request =
+            requestHeadText(call.method, targetOf(call), fieldsOf(call), call.body.size())
+            + call.body;
+    this->connection->exchange(request, call.method == "HEAD", std::move(hooks));
 }
 
-void HttpExchange::connectHandlers(TimerService &timers, const BackendCall &call)
+bool HttpExchange::maySend(std::optional<TimerService::SteadyTime> sendBefore)
 {
-    QObject::connect(this->reply, &QNetworkReply::readyRead, this->reply,
-                     [this] { this->readBody(); });
-    // Queued, so that the exchange cannot finish before the constructor returns.
-    QObject::connect(
-            this->reply, &QNetworkReply::finished, this->reply, [this] { this->finish(); },
-            Qt::QueuedConnection);
-    QObject::connect(this->reply, &QNetworkReply::requestSent, this->reply,
-                     [this] { this->connectTimeout.cancel(); });
-    this->timeout =
-            timers.after(call.timeout, [this] { this->abortWith(BackendFailure::TimedOut); });
-    this->connectTimeout = timers.after(std::min(connectTimeLimit, call.timeout), [this] {
-        // The request's header may have been sent, so it is unknown whether the call ran.
-        if (this->body->size() > 0 && this->body->isUntouched())
-            this->abortWith(BackendFailure::ConnectionLost);
-    });
+    this->connectedTooLate = sendBefore && this->timers.now() >= *sendBefore;
+    this->sent = !this->connectedTooLate;
+    return this->sent;
 }
 
-void HttpExchange::readBody()
+void HttpExchange::readHead(const HttpResponseHead &head)
 {
-    if (this->abortReason != BackendFailure::None || !this->reply->isOpen())
-        return;
-    const QByteArray bytes = this->reply->readAll();
-    if (bytes.isEmpty())
-        return;
-    this->received += bytes;
-    if (this->received.size() > this->maxResponseBytes) {
-        this->abortWith(BackendFailure::ResponseTooLarge);
-        return;
+    this->response.httpStatus = head.status;
+    const QByteArray markedRequestId = fieldValue(head.fields, "Lacewingmux-Request-Id");
+    this->mismatched = !markedRequestId.isEmpty() && markedRequestId != this->requestId;
+    for (const HttpField &field : head.fields) {
+        if (isForwardedToCaller(field.name))
+            this->response.headers.push_back({field.name, field.value});
     }
-    const int status = this->reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-    if (this->listener.chunk && status == 200 && !this->isForAnotherRequest())
-        this->listener.chunk(bytes);
 }
 
-void HttpExchange::abortWith(BackendFailure reason)
+void HttpExchange::readBody(const QByteArray &bytes)
 {
-    if (!this->reply || this->reply->isFinished())
+    this->response.body += bytes;
+    if (this->response.body.size() > this->maxResponseBytes) {
+        this->abortWith(
+                BackendFailure::ResponseTooLarge, Executed::Unknown,
+                QStringLiteral("the response exceeds %1 bytes").arg(this->maxResponseBytes));
         return;
-    this->abortReason = reason;
-    this->reply->abort();
+    }
+    if (this->listener.chunk && this->response.httpStatus == httpOk && !this->mismatched)
+        this->listener.chunk(bytes);
 }
 
-void HttpExchange::finish()
+void HttpExchange::completeResponse()
 {
-    this->timeout.cancel();
-    this->connectTimeout.cancel();
-    const std::weak_ptr<char> alive = this->lifetimeToken;
-    this->readBody();
-    if (alive.expired())
-        return; // the chunk callback destroyed this exchange
-    const BackendResponse response = this->makeResponse();
-    this->reply->disconnect();
-    this->reply->deleteLater();
-    this->reply.clear();
-    this->manager.reset();
-    const auto finished = std::move(this->listener.finished);
-    finished(response);
+    if (this->mismatched) {
+        this->response.failure = BackendFailure::MismatchedResponse;
+        this->response.executed = Executed::Unknown;
+        this->response.message = QStringLiteral("the answer is marked as another request's");
+    }
+    if (this->keepsConnection && !this->mismatched)
+        this->connections.release(this->server, std::move(this->connection));
+    this->finishSoon();
 }
 
-BackendResponse HttpExchange::makeResponse()
+void HttpExchange::exchangeFailed(ExchangeFailure reason)
 {
-    BackendResponse response;
-    response.message = this->reply->errorString();
-    if (this->abortReason == BackendFailure::None && this->isResponseComplete()) {
-        this->readStatusAndHeaders(response);
-        response.body = this->received;
-        if (this->isForAnotherRequest()) {
-            response.failure = BackendFailure::MismatchedResponse;
-            response.executed = Executed::Unknown;
-            response.message = QStringLiteral("the answer is marked as another request's");
-        }
-        return response;
+    if (this->sent) {
+        this->abortWith(BackendFailure::ConnectionLost, Executed::Unknown,
+                        QString::fromLatin1(describe(reason)));
+        return;
     }
+    BackendFailure failure = BackendFailure::NotSent;
+    QString message = QStringLiteral("the connection was refused");
+    if (this->connectedTooLate) {
+        failure = BackendFailure::ConnectedTooLate;
+        message = QStringLiteral("the connection was established too late");
+    } else if (this->connection->connectResult() == ConnectResult::Silent) {
+        failure = BackendFailure::ConnectTimedOut;
+        message = QStringLiteral("the connection could not be established in time");
+    }
+    this->abortWith(failure, Executed::No, message);
+}
 
-    // Only a refusal of the first connection proves that nothing was sent: a server can run a
-    // request by its header alone.
-    const bool notSent = isConnectError(this->reply->error()) && this->body->isUntouched();
-    if (notSent)
-        response.failure = BackendFailure::NotSent;
-    else if (this->abortReason != BackendFailure::None)
-        response.failure = this->abortReason;
+void HttpExchange::timedOut()
+{
+    if (this->finishing)
+        return;
+    if (this->sent)
+        this->abortWith(BackendFailure::TimedOut, Executed::Unknown,
+                        QStringLiteral("no complete response in time"));
     else
-        response.failure = BackendFailure::ConnectionLost;
-    response.executed = notSent ? Executed::No : Executed::Unknown;
-    return response;
+        this->abortWith(BackendFailure::ConnectTimedOut, Executed::No,
+                        QStringLiteral("the connection could not be established in time"));
 }
 
-void HttpExchange::readStatusAndHeaders(BackendResponse &response) const
+void HttpExchange::abortWith(BackendFailure reason, Executed executed, const QString &message)
 {
-    response.httpStatus = this->reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-    for (const auto &field : this->reply->rawHeaderPairs()) {
-        if (isForwardedToCaller(field.first))
-            response.headers.push_back({field.first, field.second});
-    }
+    this->response.failure = reason;
+    this->response.executed = executed;
+    this->response.message = message;
+    this->connection->abort();
+    this->finishSoon();
 }
 
-bool HttpExchange::isResponseComplete() const
+void HttpExchange::finishSoon()
 {
-    const int status = this->reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-    const QNetworkReply::NetworkError error = this->reply->error();
-    if (status == 0 || (error != QNetworkReply::NoError && !isStatusError(error)))
-        return false;
-    // QNetworkAccessManager accepts a body that is shorter than its Content-Length as complete.
-    const QVariant length = this->reply->header(QNetworkRequest::ContentLengthHeader);
-    const bool isHead =
-            this->reply->operation() == QNetworkAccessManager::HeadOperation
-            || this->reply->request().attribute(QNetworkRequest::CustomVerbAttribute).toByteArray()
-                       == "HEAD";
-    return isHead || !length.isValid() || length.toLongLong() == this->received.size();
+    this->finishing = true;
+    this->timeout.cancel();
+    this->timers.post([this, alive = std::weak_ptr<char>(this->lifetimeToken)] {
+        if (!alive.expired())
+            this->finish();
+    });
 }
 
-bool HttpExchange::isForAnotherRequest() const
+void HttpExchange::finish()
 {
-    const QByteArray markedRequestId = this->reply->rawHeader("Lacewingmux-Request-Id");
-    return !markedRequestId.isEmpty() && markedRequestId != this->requestId.toUtf8();
+    if (this->response.failure != BackendFailure::None) {
+        this->response.httpStatus = 0;
+        this->response.headers.clear();
+        this->response.body.clear();
+    }
+    const auto finished = std::move(this->listener.finished);
+    const BackendResponse result = std::move(this->response);
+    finished(result);
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_backend/clients/HttpExchange.h
+++ b/modules/lacewingmux_backend/clients/HttpExchange.h
@@ -5,59 +5,69 @@
 #include "lacewingmux_backend/clients/BackendRun.h"
 #include "lacewingmux_core/time/TimerSubscription.h"
 
-#include <QPointer>
-
 #include <functional>
 #include <memory>
-
-class QNetworkAccessManager;
-class QNetworkReply;
+#include <optional>
 
 namespace lacewingmux {
 
 class ConnectionPool;
-class SingleUseBody;
+class ReplicaConnection;
 class TimerService;
+enum class ExchangeFailure : std::uint8_t;
+struct HttpResponseHead;
 
 /**
     One request to a backend server and its response. The request is sent at most once.
 
+    It uses a ReplicaConnection and not QNetworkAccessManager, which may send a request again by
+    itself and writes it whenever the connection is established, even after a pause of the process.
+
     A call that is not idempotent uses a new connection, so that leftover bytes on a kept-alive
-    connection cannot be mistaken for its response. Cookies, redirects, caches and decompression are
-    disabled. Credentials and hop-by-hop fields are never forwarded, even if the call contains them.
+    connection cannot be mistaken for its response. Redirects are not followed and responses are not
+    decompressed. Credentials and hop-by-hop fields are never forwarded, even if the call contains
+    them.
 */
 class HttpExchange final : public BackendRun
 {
 public:
     /** Starts the exchange. For a response with status 200, the listener's chunk receives the bytes
         of the body as they arrive, not split into events. */
-    HttpExchange(ConnectionPool &connections, TimerService &timers, const BackendCall &call,
-                 BackendRunListener runListener);
+    HttpExchange(ConnectionPool &connectionPool, TimerService &timerService,
+                 const BackendCall &call, BackendRunListener runListener);
     ~HttpExchange() override;
     HttpExchange(const HttpExchange &) = delete;
     HttpExchange &operator=(const HttpExchange &) = delete;
 
 private:
     void send(const BackendCall &call);
-    void connectHandlers(TimerService &timers, const BackendCall &call);
-    void readBody();
-    void abortWith(BackendFailure reason);
+    [[nodiscard]] bool maySend(std::optional<TimerService::SteadyTime> sendBefore);
+    void readHead(const HttpResponseHead &head);
+    void readBody(const QByteArray &bytes);
+    void completeResponse();
+    void exchangeFailed(ExchangeFailure reason);
+    void timedOut();
+    /** Closes the connection and reports the failure. */
+    void abortWith(BackendFailure reason, Executed executed, const QString &message);
+    /** Reports the response on the next turn of the event loop, so that the exchange cannot finish
+        before the constructor returns. */
+    void finishSoon();
     void finish();
-    [[nodiscard]] BackendResponse makeResponse();
-    void readStatusAndHeaders(BackendResponse &response) const;
-    [[nodiscard]] bool isResponseComplete() const;
-    [[nodiscard]] bool isForAnotherRequest() const;
 
     BackendRunListener listener;
-    QString requestId;
+    ConnectionPool &connections;
+    TimerService &timers;
+    QUrl server;
+    QByteArray requestId;
     std::int64_t maxResponseBytes;
-    std::shared_ptr<QNetworkAccessManager> manager;
-    QPointer<QNetworkReply> reply;
-    SingleUseBody *body = nullptr; ///< owned by the reply
-    QByteArray received;
-    BackendFailure abortReason = BackendFailure::None;
+    std::unique_ptr<ReplicaConnection> connection;
+    BackendResponse response;
+    bool keepsConnection;
+    bool sent = false; ///< the request was written, at least in part
+    bool connectedTooLate = false;
+    bool mismatched = false; ///< the response names another request
+    bool finishing = false;  ///< the response is decided
     TimerSubscription timeout;
-    TimerSubscription connectTimeout;
     /** Expires with this object, so that callbacks can check whether it still exists. */
     std::shared_ptr<char> lifetimeToken = std::make_shared<char>();
 };
--- a/modules/lacewingmux_backend/dispatch/DispatchResults.cpp
+++ b/modules/lacewingmux_backend/dispatch/DispatchResults.cpp
@@ -57,7 +57,7 @@
     ErrorKind kind = idempotent ? ErrorKind::BackendFailed : ErrorKind::ExecutionUnknown;
     if (response.failure == BackendFailure::TimedOut)
         kind = ErrorKind::BackendTimeout;
-    if (response.failure == BackendFailure::NotSent)
+    if (response.executed == Executed::No)
         kind = ErrorKind::BackendUnavailable;
     return failedResult(kind, response.executed, response.message);
 }
--- a/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.cpp
+++ b/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.cpp
@@ -24,6 +24,7 @@
     , settings(dispatcherSettings)
     , timers(dispatcherEnvironment.timers)
     , random(dispatcherSettings.seed)
+    , connections(dispatcherEnvironment.timers)
     , engineClient(this->connections, this->timers)
     , serviceClient(this->connections, this->timers)
     , monitor(this->connections, this->timers, this->random,
@@ -354,6 +355,7 @@
         if (!confirmed || confirmed->state != DispatchState::Starting)
             return;
         confirmed->confirmedAttempts = attempt;
+        confirmed->confirmedAt = this->timers.now();
         this->send(handle);
     });
     return false;
@@ -381,7 +383,11 @@
     runListener.finished = [this, handle](const BackendResponse &response) {
         this->runFinished(handle, response);
     };
-    const BackendCall backendCall = backendCallFor(*call, this->settings.maxResponseBytes);
+    BackendCall backendCall = backendCallFor(*call, this->settings.maxResponseBytes);
+    // A process that is paused while it connects must not send with a permission from before.
+    if (call->listener.confirmOwnership)
+        backendCall.sendBefore =
+                std::max(call->request.decidedAt, call->confirmedAt) + ownershipConfirmationTime;
     call->run = isEngine ? this->engineClient.start(backendCall, std::move(runListener))
                          : this->serviceClient.start(backendCall, std::move(runListener));
     // This must be the last step, because the listener may cancel the call.
--- a/modules/lacewingmux_backend/dispatch/ReplicaDispatcherResponses.cpp
+++ b/modules/lacewingmux_backend/dispatch/ReplicaDispatcherResponses.cpp
@@ -28,11 +28,15 @@
     case BackendFailure::NotSent:
         this->monitor.unreachable(call->replica.name);
         break;
+    case BackendFailure::ConnectTimedOut:
+        this->monitor.timedOut(call->replica.name);
+        break;
     case BackendFailure::TimedOut:
         this->monitor.timedOut(call->replica.name);
         if (call->replica.kind == RouteKind::ModelEngine && call->request.idempotent)
             this->engineClient.cancel(call->replica.url, call->request.requestId);
         break;
+    case BackendFailure::ConnectedTooLate:
     case BackendFailure::ResponseTooLarge:
     case BackendFailure::MismatchedResponse:
     case BackendFailure::Cancelled:
--- a/modules/lacewingmux_backend/replicas/ReplicaRecord.cpp
+++ b/modules/lacewingmux_backend/replicas/ReplicaRecord.cpp
@@ -2,6 +2,7 @@
 
 #include "lacewingmux_core/errors/LacewingmuxError.h"
 
+#include <QHostAddress>
 #include <QJsonDocument>
 #include <QJsonObject>
 
@@ -41,8 +42,9 @@
     record.name = name;
     record.zone = zone;
     record.url = QUrl(object.value(QStringLiteral("url")).toString());
-    if (!record.url.isValid() || record.url.host().isEmpty())
-        fail(name, "url", "must be a valid URL with a host");
+    const bool isHttp = record.url.scheme() == QLatin1String("http");
+    if (!record.url.isValid() || !isHttp || QHostAddress(record.url.host()).isNull())
+        fail(name, "url", "must be an http URL with an IP address");
     record.route = object.value(QStringLiteral("route")).toString();
     if (record.route.isEmpty())
         fail(name, "route", "must not be empty");
--- a/modules/lacewingmux_backend/replicas/ReplicaRegistry.cpp
+++ b/modules/lacewingmux_backend/replicas/ReplicaRegistry.cpp
@@ -40,6 +40,7 @@
     , settings(registrySettings)
     , timers(registryEnvironment.timers)
     , random(registrySettings.seed)
+    , connections(registryEnvironment.timers)
     , engineClient(this->connections, this->timers)
     , replicaPrefix("lacewingmux/backends/" + registryEnvironment.self.zone.toUtf8() + '/')
     , unreadKeyPrefixes{this->replicaPrefix, vmPrefix}
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -46,10 +46,7 @@
     this->discardedBytes = 0;
     this->busy = true;
     if (this->broken) {
-        this->timers.post([this, guard = std::weak_ptr(this->lifetime)] {
-            if (!guard.expired())
-                this->fail(this->connectFailure);
-        });
+        this->failLater(this->connectFailure);
         return;
     }
     if (this->connected)
@@ -76,6 +73,7 @@
 
 void ReplicaConnection::handleConnectResult(ConnectResult result)
 {
+    this->lastConnectResult = result;
     if (result != ConnectResult::Connected) {
         this->connectFailure = result == ConnectResult::TunnelFailed
                                        ? ExchangeFailure::TunnelFailed
@@ -97,6 +95,11 @@
 
 void ReplicaConnection::writeNow(const QByteArray &request)
 {
+    if (this->hooks->maySend && !this->hooks->maySend()) {
+        this->broken = true;
+        this->failLater(ExchangeFailure::NotConnected);
+        return;
+    }
     this->socket->write(request);
     this->socket->flush(); // writes now instead of on the next event loop iteration
 }
@@ -192,6 +195,14 @@
     }
 }
 
+void ReplicaConnection::failLater(ExchangeFailure reason)
+{
+    this->timers.post([this, reason, guard = std::weak_ptr(this->lifetime)] {
+        if (!guard.expired())
+            this->fail(reason);
+    });
+}
+
 void ReplicaConnection::fail(ExchangeFailure reason)
 {
     this->busy = false;
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
@@ -3,6 +3,7 @@
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_gateway/http/HttpResponseHead.h"
 #include "lacewingmux_gateway/replicas/ExchangeFailure.h"
+#include "lacewingmux_tunnel/client/ConnectResult.h"
 #include "lacewingmux_tunnel/client/StreamConnector.h"
 #include "lacewingmux_tunnel/client/StreamRoute.h"
 #include "lacewingmux_tunnel/sockets/ResetDetector.h"
@@ -31,6 +32,9 @@
     /** Callbacks of an exchange. None is called after complete or failed. */
     struct Hooks
     {
+        /** Tells whether the request may still be written; asked once, right before it is
+            written. If not, the exchange fails as NotConnected. May be null. */
+        std::function<bool()> maySend;
         /** Tells whether the response with this head belongs to the exchange. */
         std::function<bool(const HttpResponseHead &)> matches;
         std::function<void(const HttpResponseHead &)> head;
@@ -51,6 +55,12 @@
     /** Cancels the exchange without calling its hooks, and closes the connection. */
     void abort();
 
+    /** Returns how the attempt to connect ended; Connected while it lasts. */
+    [[nodiscard]] ConnectResult connectResult() const noexcept
+    {
+        return this->lastConnectResult;
+    }
+
     /** Returns the tunnel that the connection uses; null for a direct connection. */
     [[nodiscard]] const std::shared_ptr<const TunnelUse> &tunnel() const noexcept
     {
@@ -72,12 +82,15 @@
     void handleDisconnected();
     void readAvailable();
     void deliverDecoded();
+    /** Fails the exchange on the next turn of the event loop. */
+    void failLater(ExchangeFailure reason);
     void fail(ExchangeFailure reason);
 
     QTcpSocket *socket;
     TimerService &timers;
     std::shared_ptr<const TunnelUse> tunnelUse;
     std::unique_ptr<StreamConnector> connector; ///< until connected
+    ConnectResult lastConnectResult = ConnectResult::Connected;
     ExchangeFailure connectFailure = ExchangeFailure::NotConnected;
     TimerService::SteadyTime reusableUntil;
     std::shared_ptr<const Hooks> hooks;
--- a/tests/backend/ClientTest.cpp
+++ b/tests/backend/ClientTest.cpp
@@ -71,7 +71,7 @@
 struct Fixture
 {
     EventLoop loop;
-    ConnectionPool connections;
+    ConnectionPool connections{loop.timers};
     EngineClient engineClient{connections, loop.timers};
     ServiceClient serviceClient{connections, loop.timers};
     std::optional<BackendResponse> response;
@@ -154,6 +154,27 @@
     cr_assert(response.executed == Executed::No);
 }
 
+// Guards against a silent server that is taken for one that crashed, and against a call that is
+// reported as possibly run although no connection was established.
+Test(ServiceClient, aServerThatAnswersNoConnectionAttemptHasCertainlyNotRun)
+{
+    Fixture f;
+    QTcpServer server; // never accepts, so its queue of connections stays full
+    server.setListenBacklogSize(1);
+    server.listen(QHostAddress::LocalHost);
+    server.pauseAccepting();
+    std::vector<std::unique_ptr<QTcpSocket>> waiting;
+    for (int count = 0; count < 8; ++count) {
+        waiting.push_back(std::make_unique<QTcpSocket>());
+        waiting.back()->connectToHost(QHostAddress::LocalHost, server.serverPort());
+    }
+    f.loop.runFor(50ms);
+    const auto &response = f.finish(
+            f.serviceClient.start(f.call(loopback(server.serverPort()), false), f.listener()));
+    cr_assert(response.failure == BackendFailure::ConnectTimedOut);
+    cr_assert(response.executed == Executed::No);
+}
+
 Test(ServiceClient, aTruncatedResponseIsALostConnection)
 {
     for (const char *cut : {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
--- a/tests/backend/DispatcherFailureTest.cpp
+++ b/tests/backend/DispatcherFailureTest.cpp
@@ -5,6 +5,8 @@
 
 #include <criterion/criterion.h>
 
+#include <thread>
+
 using namespace lacewingmux;
 using namespace std::chrono_literals;
 
@@ -126,6 +128,39 @@
     cr_assert(second.startedAt.empty());
 }
 
+// Guards against an owner that is paused between the decision to send a call and the moment at
+// which the connection to the replica is ready: when it continues, its successor may have run the
+// call and gone on to later ones.
+Test(ReplicaDispatcher, aCallWhoseConnectionIsReadyLateIsSentOnlyByItsOwner)
+{
+    for (const bool isOwner : {false, true}) {
+        DispatcherFixture f;
+        int confirmations = 0;
+        f.confirmOwnership = [&](const std::function<void()> &send) {
+            ++confirmations;
+            if (isOwner)
+                send();
+        };
+        f.addEngine(slowEngine());
+        f.adopt();
+        bool paused = false;
+        f.callStarted = [&paused] {
+            if (!std::exchange(paused, true))
+                std::this_thread::sleep_for(300ms);
+        };
+        const auto &call = f.dispatch(f.chat(QStringLiteral("r1"), QStringLiteral("hello")));
+        f.loop.waitUntil([&] { return confirmations == 1; }, "the question");
+        f.loop.runFor(100ms);
+        cr_assert_eq(totalRuns(f, QStringLiteral("r1")), isOwner ? 1 : 0);
+        if (isOwner) {
+            cr_assert(f.finish(call).completed);
+        } else {
+            f.dispatcher.cancel(call.handle, ErrorKind::OwnerUnavailable);
+            cr_assert(f.finish(call).executed == Executed::No, "nothing was sent");
+        }
+    }
+}
+
 Test(ReplicaDispatcher, aStreamWhoseEngineCrashesRestartsAndCompletes)
 {
     DispatcherFixture f;
--- a/tests/backend/support/DispatcherFixture.cpp
+++ b/tests/backend/support/DispatcherFixture.cpp
@@ -120,7 +120,11 @@
     this->calls.push_back(std::make_unique<ObservedCall>());
     ObservedCall *call = this->calls.back().get();
     DispatchListener listener;
-    listener.started = [call](const QString &replica) { call->startedAt.push_back(replica); };
+    listener.started = [this, call](const QString &replica) {
+        call->startedAt.push_back(replica);
+        if (this->callStarted)
+            this->callStarted();
+    };
     listener.chunk = [call](const QByteArray &chunk) { call->chunks += chunk; };
     listener.finished = [call](const DispatchResult &result) {
         call->result = result;
--- a/tests/backend/support/DispatcherFixture.h
+++ b/tests/backend/support/DispatcherFixture.h
@@ -55,6 +55,8 @@
 
     /** If set, stands for the owner that confirms its ownership to the dispatched calls. */
     std::function<void(std::function<void()> send)> confirmOwnership;
+    /** If set, called when a call is handed to its replica's client. */
+    std::function<void()> callStarted;
     /** How long before the dispatch the owner has decided to run the calls. */
     std::chrono::milliseconds decisionAge{0};
 
