Spread the return of all rejected programs again

The others all got the same time and returned as a burst of their own.

Change: Retry-After counts all earlier places; the decision to reject counts those that return about now, as before.

--- a/modules/lacewingmux_scheduling/admission/ProgramAdmission.cpp
+++ b/modules/lacewingmux_scheduling/admission/ProgramAdmission.cpp
@@ -54,15 +54,17 @@
         return decision;
     decision.rejection =
             *wait > allowance ? ProgramRejection::StartsTooLate : ProgramRejection::BehindEarlier;
-    this->setReturn(decision, allowance);
+    this->setReturn(decision, request, *wait - allowance, allowance);
     return decision;
 }
 
-void ProgramAdmission::setReturn(ProgramDecision &decision, milliseconds allowance) const
+void ProgramAdmission::setReturn(ProgramDecision &decision, const ProgramAdmissionRequest &request,
+                                 milliseconds excess, milliseconds allowance) const
 {
     const milliseconds shortest = this->settings.minimumRetryDelay;
     const milliseconds remaining = allowance - decision.waited;
-    const milliseconds untilShortEnough = std::max(shortest, *decision.expectedWait - allowance);
+    const int earlier = this->placesBefore(request, SteadyTime::max());
+    const milliseconds untilShortEnough = std::max(shortest, excess + this->startTime(earlier));
     decision.keepsPlace = untilShortEnough <= remaining;
     decision.retryAfter = std::min(untilShortEnough, std::max(shortest, remaining));
 }
@@ -70,9 +72,13 @@
 milliseconds ProgramAdmission::waitBehindPlaces(const ProgramAdmissionRequest &request,
                                                 milliseconds reported, SteadyTime now) const
 {
-    const milliseconds wait(static_cast<std::int64_t>(this->placesBefore(request, now)
-                                                      * this->startIntervalMilliseconds));
-    return std::min(wait, reported);
+    const int earlier = this->placesBefore(request, now + this->settings.returnWindow);
+    return std::min(this->startTime(earlier), reported);
+}
+
+milliseconds ProgramAdmission::startTime(int programs) const
+{
+    return milliseconds(static_cast<std::int64_t>(programs * this->startIntervalMilliseconds));
 }
 
 void ProgramAdmission::recordStart(SteadyTime now)
@@ -137,13 +143,13 @@
     return found == this->places.end() ? nullptr : &*found;
 }
 
-int ProgramAdmission::placesBefore(const ProgramAdmissionRequest &request, SteadyTime now) const
+int ProgramAdmission::placesBefore(const ProgramAdmissionRequest &request,
+                                   SteadyTime latestReturn) const
 {
     const Place *own = this->find(request.program);
-    const SteadyTime windowEnd = now + this->settings.returnWindow;
     return static_cast<int>(
             std::count_if(this->places.begin(), this->places.end(), [&](const Place &place) {
-                if (&place == own || place.level > request.level || place.returnAt > windowEnd)
+                if (&place == own || place.level > request.level || place.returnAt > latestReturn)
                     return false;
                 return own == nullptr || place.level < request.level || &place < own;
             }));
--- a/modules/lacewingmux_scheduling/admission/ProgramAdmission.h
+++ b/modules/lacewingmux_scheduling/admission/ProgramAdmission.h
@@ -54,12 +54,17 @@
 
     [[nodiscard]] ProgramDecision evaluate(const ProgramAdmissionRequest &request,
                                            const ServiceLoad &load, SteadyTime now) const;
-    /** Sets when the caller that was rejected may return, and whether it keeps a place. */
-    void setReturn(ProgramDecision &decision, std::chrono::milliseconds allowance) const;
+    /** Sets when the caller that was rejected may return, and whether it keeps a place. The return
+        times of rejected callers are spread in the order of their claims. The excess is how much
+        the reported wait exceeds the allowance; negative for a caller behind earlier ones. */
+    void setReturn(ProgramDecision &decision, const ProgramAdmissionRequest &request,
+                   std::chrono::milliseconds excess, std::chrono::milliseconds allowance) const;
     /** Returns the wait that callers rejected earlier add to the one that the reports predict. */
     [[nodiscard]] std::chrono::milliseconds waitBehindPlaces(const ProgramAdmissionRequest &request,
                                                              std::chrono::milliseconds reported,
                                                              SteadyTime now) const;
+    /** Returns the time in which that many programs start at the observed rate. */
+    [[nodiscard]] std::chrono::milliseconds startTime(int programs) const;
     /** Records that a program starts. */
     void recordStart(SteadyTime now);
     /** Returns the time until the best replica starts a new program; nothing if a report is
@@ -76,9 +81,10 @@
     [[nodiscard]] std::chrono::milliseconds
     longestUsefulWait(const ProgramAdmissionRequest &request) const;
     [[nodiscard]] const Place *find(const QByteArray &program) const;
-    /** Returns the number of rejected callers that return about now and whose claim precedes the
-        program's. */
-    [[nodiscard]] int placesBefore(const ProgramAdmissionRequest &request, SteadyTime now) const;
+    /** Returns the number of rejected callers that may return by the time and whose claim precedes
+        the program's. */
+    [[nodiscard]] int placesBefore(const ProgramAdmissionRequest &request,
+                                   SteadyTime latestReturn) const;
     void erasePlace(const QByteArray &program);
     void keepPlace(const ProgramAdmissionRequest &request, SteadyTime returnAt, SteadyTime now);
     void removeExpiredPlaces(SteadyTime now);
