--- a/modules/lacewingmux_node/front/FrontTrafficServices.cpp
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.cpp
@@ -17,15 +17,10 @@
 namespace {
 
 constexpr qsizetype bytesPerMegabyte = qsizetype{1024} * 1024;
-constexpr std::chrono::milliseconds recordsCheckInterval{100};
-// The quorum must be missing this long before it is reported, so that a link that reconnects
-// quickly does not make the load balancer take this VM out of service.
-constexpr std::chrono::milliseconds recordsLossDelay{300};
 // Silence of the records VMs after which this VM is not ready: one ping interval and a round trip
 // more than usual. The load balancer needs two checks, a second apart, so a short silence has no
 // effect, and callers in a partitioned zone are sent elsewhere before the links are closed.
 constexpr std::chrono::milliseconds maximumRecordsSilence{500};
-constexpr int requiredSilentChecks = 2;
 // A fifth of the VM's memory caches the histories of turns that passed through this VM.
 constexpr int cacheMemoryDivisor = 5;
 // An eighth buffers responses until they are whole.
@@ -80,8 +75,8 @@
                           [this](const VmIncarnation &sender, const PeerFrame &) {
                               this->gateway->recordTunnelStop(sender.vm);
                           });
-    this->recordsCheckTimer =
-            this->timers.every(recordsCheckInterval, [this] { this->updateRecordsReachable(); });
+    this->recordsCheckTimer = this->timers.every(RecordsReachability::checkInterval,
+                                                 [this] { this->updateRecordsReachable(); });
 }
 
 FrontTrafficServices::~FrontTrafficServices() = default;
@@ -98,28 +93,15 @@
 void FrontTrafficServices::updateRecordsReachable()
 {
     const bool hasQuorum = this->records->hasQuorum();
-    const TimerService::SteadyTime now = this->timers.now();
-    if (hasQuorum)
-        this->lastQuorumTime = now;
-    const bool isReachable = hasQuorum || now - this->lastQuorumTime < recordsLossDelay;
-    if (std::exchange(this->recordsAreReachable, isReachable) != isReachable)
-        this->gateway->setRecordsReachable(isReachable);
-    // While links are missing, a VM that was found silent stays so: its links are being closed.
-    const bool isReady =
-            hasQuorum ? !this->isQuorumSilent() : isReachable && this->reportedReachable;
-    if (std::exchange(this->reportedReachable, isReady) != isReady)
-        this->hooks.recordsReachable(isReady);
-}
-
-bool FrontTrafficServices::isQuorumSilent()
-{
-    // A check that ran late says that this VM was suspended; the sockets are read after it.
-    const TimerService::SteadyTime now = this->timers.now();
-    const bool ranLate =
-            now - std::exchange(this->lastSilenceCheck, now) > 2 * recordsCheckInterval;
-    const bool isSilent = !this->records->hasResponsiveQuorum(maximumRecordsSilence);
-    this->silentChecks = isSilent && !ranLate ? this->silentChecks + 1 : 0;
-    return this->silentChecks >= requiredSilentChecks;
+    const bool isResponsive =
+            hasQuorum && this->records->hasResponsiveQuorum(maximumRecordsSilence);
+    const RecordsReachability::State state =
+            this->reachability.check(hasQuorum, isResponsive, this->timers.now());
+    const RecordsReachability::State before = std::exchange(this->recordsState, state);
+    if (before.reachable != state.reachable)
+        this->gateway->setRecordsReachable(state.reachable);
+    if (before.ready != state.ready)
+        this->hooks.recordsReachable(state.ready);
 }
 
 void FrontTrafficServices::setConfiguration(const std::shared_ptr<const RoutingTable> &table,
--- a/modules/lacewingmux_node/front/FrontTrafficServices.h
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.h
@@ -2,6 +2,7 @@
 
 #include "lacewingmux_core/time/QtTimerService.h"
 #include "lacewingmux_gateway/replicas/ReplicaInstance.h"
+#include "lacewingmux_node/front/RecordsReachability.h"
 #include "lacewingmux_node/settings/NodeSettings.h"
 #include "lacewingmux_records/messages/RecordMessages.h"
 #include "lacewingmux_tunnel/client/TunnelEndpoint.h"
@@ -72,8 +73,6 @@
 
 private:
     void updateRecordsReachable();
-    /** Returns whether too many records VMs are silent for a quorum; called while links are up. */
-    [[nodiscard]] bool isQuorumSilent();
     /** Returns the records VMs, which open tunnels to replicas. */
     [[nodiscard]] std::vector<TunnelEndpoint> tunnelEndpointsOf(const RecordsView &view) const;
     /** Notifies the other entry VMs that a replica crashed while it ran a request's content. */
@@ -87,11 +86,8 @@
     std::unique_ptr<FleetQuota> quota;
     std::unique_ptr<RelayClient> relays;
     std::unique_ptr<Gateway> gateway;
-    bool recordsAreReachable = false; ///< links to a quorum are up, or were a moment ago
-    TimerService::SteadyTime lastSilenceCheck;
-    int silentChecks = 0;           ///< consecutive checks that found a silent quorum
-    bool reportedReachable = false; ///< to the hook; also requires that the quorum is not silent
-    TimerService::SteadyTime lastQuorumTime;
+    RecordsReachability reachability;
+    RecordsReachability::State recordsState; ///< as last reported
     TimerSubscription recordsCheckTimer;
 };
 
