--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -52,7 +52,7 @@
     , metrics(metricsRecorder)
     , fleet(gatewaySettings.zone, gatewaySettings.placement, timerService, std::move(crashHook),
             gatewaySettings.tunnelSecret)
-    , admission(this->fleet.placement(), metricsRecorder)
+    , admission(this->fleet.placement(), metricsRecorder, gatewaySettings.placement.features)
     , responseMemory(gatewaySettings.bufferedResponseLimit)
 {
     this->ingress = std::make_unique<IngressServer>(
--- a/modules/lacewingmux_gateway/forwarding/ServiceAdmission.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ServiceAdmission.cpp
@@ -15,15 +15,16 @@
 } // namespace
 
 ServiceAdmission::ServiceAdmission(const Placement &replicaPlacement,
-                                   MetricsRecorder &metricsRecorder)
+                                   MetricsRecorder &metricsRecorder, FeatureSet enabledFeatures)
     : placement(replicaPlacement)
     , metrics(metricsRecorder)
+    , features(std::move(enabledFeatures))
 { }
 
 ProgramDecision ServiceAdmission::decide(const QByteArray &service, ProgramAdmissionRequest request,
                                          SteadyTime now)
 {
-    if (!this->placement.hasReportedPace(service))
+    if (!this->features.has(Feature::ProgramAdmission) || !this->placement.hasReportedPace(service))
         return {};
     const ServiceLoad load = this->placement.loadSummary(service, now);
     if (!load.reportsPace)
@@ -45,7 +46,7 @@
                                               TurnPriorityRequest request,
                                               std::int64_t maximumTokens, SteadyTime now)
 {
-    if (!this->reportsPace(service, now))
+    if (!this->features.has(Feature::ReplicaPriorities) || !this->reportsPace(service, now))
         return std::nullopt;
     Service &known = this->services[service];
     if (request.isStream)
--- a/modules/lacewingmux_gateway/forwarding/ServiceAdmission.h
+++ b/modules/lacewingmux_gateway/forwarding/ServiceAdmission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lacewingmux_core/settings/FeatureSet.h"
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_scheduling/admission/ProgramAdmission.h"
 #include "lacewingmux_scheduling/admission/TurnDurations.h"
@@ -27,7 +28,8 @@
 public:
     using SteadyTime = TimerService::SteadyTime;
 
-    ServiceAdmission(const Placement &replicaPlacement, MetricsRecorder &metricsRecorder);
+    ServiceAdmission(const Placement &replicaPlacement, MetricsRecorder &metricsRecorder,
+                     FeatureSet enabledFeatures = {});
 
     /** Decides whether a program may start. The turn time of the request is filled in here. */
     [[nodiscard]] ProgramDecision decide(const QByteArray &service, ProgramAdmissionRequest request,
@@ -57,6 +59,7 @@
 
     const Placement &placement;
     MetricsRecorder &metrics;
+    FeatureSet features;
     std::map<QByteArray, Service> services;
 };
 
--- a/modules/lacewingmux_gateway/replicas/Placement.cpp
+++ b/modules/lacewingmux_gateway/replicas/Placement.cpp
@@ -29,7 +29,10 @@
     : ownZone(std::move(zoneOfThisVm))
     , settings(placementSettings)
     , promptCaches(static_cast<std::size_t>(placementSettings.maximumPromptParts))
-{ }
+{
+    if (!this->settings.features.has(Feature::VmPreference))
+        this->settings.vmBias = 0;
+}
 
 void Placement::setReplicas(const std::vector<ReplicaInstance> &instances)
 {
@@ -394,7 +397,7 @@
 
 bool Placement::isSharer(const Replica &replica, const std::vector<PromptPart> &parts) const
 {
-    if (parts.empty())
+    if (parts.empty() || !this->settings.features.has(Feature::PromptSharing))
         return false;
     const PromptPart &part = parts.front();
     const auto replicaCount = static_cast<double>(this->replicaCountOf(replica.instance.service));
--- a/modules/lacewingmux_gateway/replicas/PlacementPace.cpp
+++ b/modules/lacewingmux_gateway/replicas/PlacementPace.cpp
@@ -107,6 +107,8 @@
 
 const ReplicaPace *Placement::paceOfService(const Replica &replica) const
 {
+    if (!this->settings.features.has(Feature::ReplicaPace))
+        return nullptr;
     const auto pace = this->paces.constFind(replica.instance.service);
     return pace == this->paces.cend() || pace->isEmpty() ? nullptr : &*pace;
 }
--- a/modules/lacewingmux_gateway/replicas/PlacementSettings.h
+++ b/modules/lacewingmux_gateway/replicas/PlacementSettings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "lacewingmux_core/settings/FeatureSet.h"
+
 #include <chrono>
 #include <cstdint>
 
@@ -8,6 +10,7 @@
 /** Parameters of Placement; costs are estimated milliseconds of latency. */
 struct PlacementSettings
 {
+    FeatureSet features; ///< that are switched on
     /** Round trip between two availability zones, including the billed traffic between them. */
     double crossZoneCost = 6.0;
     /** Latency that a tunnel adds to a call: connecting to the VM in between, its connection to the
--- a/modules/lacewingmux_node/front/FrontTrafficServices.cpp
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.cpp
@@ -33,6 +33,7 @@
     gateway.port = settings.ingressPort;
     gateway.zone = settings.zone;
     gateway.tunnelSecret = settings.sharedSecret;
+    gateway.placement.features = settings.features;
     gateway.placement.drainLimit = settings.drainLimit;
     gateway.placement.vmSeed = stableHash(settings.vm.toUtf8());
     // Callers and replicas get equally many descriptors; the rest is for files and peers.
@@ -49,6 +50,7 @@
                                            MetricsRecorder &metrics, Hooks trafficHooks)
     : hooks(std::move(trafficHooks))
     , tunnelPort(settings.tunnelPort)
+    , detectsSilence(settings.features.has(Feature::ReadinessBySilence))
 {
     const auto startTime = std::chrono::duration_cast<std::chrono::microseconds>(
             this->timers.wallNow().time_since_epoch());
@@ -94,7 +96,8 @@
 {
     const bool hasQuorum = this->records->hasQuorum();
     const bool isResponsive =
-            hasQuorum && this->records->hasResponsiveQuorum(maximumRecordsSilence);
+            hasQuorum
+            && (!this->detectsSilence || this->records->hasResponsiveQuorum(maximumRecordsSilence));
     const RecordsReachability::State state =
             this->reachability.check(hasQuorum, isResponsive, this->timers.now());
     const RecordsReachability::State before = std::exchange(this->recordsState, state);
--- a/modules/lacewingmux_node/front/FrontTrafficServices.h
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.h
@@ -81,6 +81,7 @@
     QtTimerService timers;
     Hooks hooks;
     std::uint16_t tunnelPort;
+    bool detectsSilence; ///< whether silent records VMs make this VM not ready
     std::unique_ptr<TcpPeerHub> hub;
     std::unique_ptr<RecordsClient> records;
     std::unique_ptr<FleetQuota> quota;
--- a/modules/lacewingmux_node/settings/NodeSettings.h
+++ b/modules/lacewingmux_node/settings/NodeSettings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "lacewingmux_core/settings/FeatureSet.h"
+
 #include <QByteArray>
 #include <QHostAddress>
 #include <QString>
@@ -27,6 +29,7 @@
     int memoryMegabytes = 128;
     QByteArray sharedSecret; ///< authenticates the nodes of a deployment to each other
     std::chrono::milliseconds stopLimit{8000}; ///< time from SIGTERM to SIGKILL
+    FeatureSet features;                       ///< that are switched on
     /** How long after the start of its drain a replica may still get calls. */
     std::chrono::milliseconds drainLimit{2000};
 };
--- a/programs/lacewingmuxd/PlatformDaemon.cpp
+++ b/programs/lacewingmuxd/PlatformDaemon.cpp
@@ -30,17 +30,17 @@
             .field("faults", findings.faultText());
 }
 
-int runFront(const PlatformSettings &settings)
+int runFront(const PlatformSettings &settings, const FeatureSet &features)
 {
-    FrontNode node(nodeSettingsFor(settings), platformAdapterFor(settings),
+    FrontNode node(nodeSettingsFor(settings, features), platformAdapterFor(settings),
                    [] { QCoreApplication::exit(StoppedAsPlanned); });
     const StopSignals signals([&node] { node.beginStop(); }, logSettingsReload);
     return QCoreApplication::exec();
 }
 
-int runRecords(const PlatformSettings &settings)
+int runRecords(const PlatformSettings &settings, const FeatureSet &features)
 {
-    RecordsNode node(nodeSettingsFor(settings), platformAdapterFor(settings),
+    RecordsNode node(nodeSettingsFor(settings, features), platformAdapterFor(settings),
                      [] { QCoreApplication::exit(StoppedAsPlanned); });
     const StopSignals signals([&node] { node.beginStop(); }, logSettingsReload);
     return QCoreApplication::exec();
@@ -48,7 +48,7 @@
 
 } // namespace
 
-int runPlatformNode(const std::string &role)
+int runPlatformNode(const std::string &role, const std::string &disabledFeatures)
 {
     if (role != "front" && role != "records") {
         std::cerr << "--platform-role must be front or records, not \"" << role << "\"\n";
@@ -56,6 +56,8 @@
     }
     SettingsFindings findings;
     const PlatformSettings settings = PlatformSettings::readFromEnvironment(findings);
+    const FeatureSet features =
+            FeatureSet::without(QString::fromStdString(disabledFeatures), findings);
     if (!findings.faults.empty()) {
         std::cerr << findings.faultText().toStdString() << '\n';
         return InvalidSettings;
@@ -64,9 +66,11 @@
     LogEvent(LogSeverity::Info, "start")
             .field("vm", settings.vm)
             .field("role", QString::fromStdString(role))
-            .field("firstStart", settings.firstStart);
+            .field("firstStart", settings.firstStart)
+            .field("without", features.disabledNames().join(u','));
     try {
-        const int code = role == "front" ? runFront(settings) : runRecords(settings);
+        const int code =
+                role == "front" ? runFront(settings, features) : runRecords(settings, features);
         LogEvent(LogSeverity::Info, "stop").field("code", code);
         return code;
     } catch (const LacewingmuxError &error) {
--- a/programs/lacewingmuxd/main.cpp
+++ b/programs/lacewingmuxd/main.cpp
@@ -29,6 +29,8 @@
     add("config", "settings file, JSON", cxxopts::value<std::string>());
     add("platform-role", "run on the operators' platform with the role front or records",
         cxxopts::value<std::string>());
+    add("without", "features to switch off, separated by commas; with --platform-role only",
+        cxxopts::value<std::string>()->default_value(""));
     add("check-config", "check the settings, print every error, and exit");
     add("describe-settings", "print the settings fields as a table, and exit");
     add("version", "print the version, and exit");
@@ -94,7 +96,8 @@
         return StoppedAsPlanned;
     }
     if (arguments.count("platform-role") > 0)
-        return runPlatformNode(arguments["platform-role"].as<std::string>());
+        return runPlatformNode(arguments["platform-role"].as<std::string>(),
+                               arguments["without"].as<std::string>());
     if (arguments.count("config") == 0) {
         std::cerr << "--config is missing\n" << options.help();
         return WrongCommandLine;
