--- a/programs/lacewingmuxd/main.cpp
+++ b/programs/lacewingmuxd/main.cpp
@@ -98,6 +98,10 @@
     if (arguments.count("platform-role") > 0)
         return runPlatformNode(arguments["platform-role"].as<std::string>(),
                                arguments["without"].as<std::string>());
+    if (arguments.count("without") > 0) {
+        std::cerr << "--without needs --platform-role\n";
+        return WrongCommandLine;
+    }
     if (arguments.count("config") == 0) {
         std::cerr << "--config is missing\n" << options.help();
         return WrongCommandLine;
