Log each attempt at a replica that fails, is repeated or meets foreign answers

What callers saw: an answer with a piece that isn't of the request.

attemptEnded names the replica, how the answer ended and was framed, the bytes of an event that it broke off in, the answers to other requests that were passed over, and which exchange on its connection it was. Calls of one attempt that completes get no further line. Three counters: attempts by outcome, cut events, discarded answers.

--- a/modules/lacewingmux_gateway/forwarding/EventStreamParser.h
+++ b/modules/lacewingmux_gateway/forwarding/EventStreamParser.h
@@ -40,6 +40,12 @@
         return !this->pending.isEmpty();
     }
 
+    /** Returns the number of bytes of the incomplete event; 0 if none is pending. */
+    [[nodiscard]] qsizetype partialBytes() const noexcept
+    {
+        return this->pending.size();
+    }
+
     /** Returns the bytes that the events and the incomplete event take. */
     [[nodiscard]] qsizetype bufferedBytes() const noexcept
     {
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -62,8 +62,7 @@
 
 ForwardedCall::~ForwardedCall()
 {
-    if (this->connection)
-        this->abortExchange();
+    this->abortExchange("cancelled");
     std::ignore = this->accountResponse(0);
 }
 
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -134,7 +134,8 @@
     void probeReplica(const std::shared_ptr<const TunnelUse> &tunnel);
     void handleProbeResult(ConnectResult result, bool throughTunnel,
                            TimerService::SteadyTime probedSendTime);
-    void abortExchange();
+    /** Ends the attempt, if one is under way, and logs the outcome. */
+    void abortExchange(const char *outcome);
     void releaseConnection();
 
     // Completion
@@ -148,6 +149,9 @@
     void settleReservation();
     void end(const char *outcome);
     void logOutcome(const char *outcome) const;
+    /** Logs how an attempt at a replica ended, and counts it. The only attempt of a call that ended
+        with a complete response or was cancelled is only counted: "callEnded" describes it. */
+    void logAttempt(const char *outcome) const;
 
     /** Returns the number of sends that count as attempts of the route. */
     [[nodiscard]] int countedRuns() const;
@@ -196,6 +200,9 @@
     QByteArray replica;                        ///< instance that the request was sent to
     std::int64_t replicaStartMilliseconds = 0; ///< start time of that instance, Unix time
     std::vector<QByteArray> excludedInstances; ///< not to be tried again
+    int attempts = 0;                          ///< sends of the request to replicas
+    std::int64_t eventsBeforeAttempt = 0;      ///< complete events of the earlier attempts
+    QByteArray resumedAfter;                   ///< event id after which the attempt continues
     int possibleRuns = 0;                      ///< sends that may have run the request
     int uncountedRuns = 0; ///< of these, those that do not count as attempts of the route
     int rejections = 0;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -18,6 +18,7 @@
 #include <QJsonObject>
 
 #include <algorithm>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -27,6 +28,10 @@
 
 using std::chrono::milliseconds;
 
+// Outcomes of attempts, for the log.
+constexpr const char *completeOutcome = "complete";
+constexpr const char *cancelledOutcome = "cancelled";
+
 constexpr int okStatus = 200;
 constexpr int firstErrorStatus = 300;
 constexpr int firstServerErrorStatus = 500;
@@ -50,6 +55,16 @@
     return head.status >= okStatus && head.status < firstErrorStatus;
 }
 
+/** Returns how the end of the response is marked, for the log. */
+const char *framingOf(const HttpResponseHead &head)
+{
+    if (head.status == 0)
+        return "none";
+    if (head.bodyEndsAtClose)
+        return "close";
+    return fieldValue(head.fields, "Transfer-Encoding").isEmpty() ? "length" : "chunked";
+}
+
 } // namespace
 
 bool ForwardedCall::matchesRequest(const HttpResponseHead &responseHead)
@@ -123,6 +138,7 @@
 
 void ForwardedCall::handleComplete()
 {
+    this->logAttempt(completeOutcome);
     this->releaseConnection();
     this->context.fleet.placement().callEnded(this->replica);
     if (this->responseInfo.notExecuted || this->responseInfo.wrongInstance) {
@@ -156,7 +172,7 @@
 {
     const std::shared_ptr<const TunnelUse> tunnel =
             this->connection ? this->connection->tunnel() : nullptr;
-    this->abortExchange();
+    this->abortExchange(describe(reason));
     if (reason == ExchangeFailure::TunnelFailed) {
         --this->possibleRuns;
         this->context.fleet.recordTunnelFailure(tunnel->endpoint().vm);
@@ -309,10 +325,11 @@
     this->end("callerLeft");
 }
 
-void ForwardedCall::abortExchange()
+void ForwardedCall::abortExchange(const char *outcome)
 {
     if (!this->connection)
         return;
+    this->logAttempt(outcome);
     this->connection->abort();
     this->connection.reset();
     this->context.fleet.placement().callEnded(this->replica);
@@ -350,7 +367,7 @@
 
 void ForwardedCall::sendErrorResponse(ErrorKind kind, const char *reason, milliseconds retryAfter)
 {
-    this->abortExchange();
+    this->abortExchange(cancelledOutcome);
     this->settleReservation();
     const ErrorAnswer &answer = answerFor(kind);
     HttpFields fields = this->context.dialect.fieldsForOwnResponse(this->description);
@@ -370,7 +387,7 @@
 void ForwardedCall::abortResponse(const char *reason)
 {
     this->endReason = reason;
-    this->abortExchange();
+    this->abortExchange(cancelledOutcome);
     this->settleReservation();
     this->caller->abort();
     this->end("brokenOff");
@@ -388,7 +405,7 @@
     if (this->phase == Phase::Ended)
         return;
     this->phase = Phase::Ended;
-    this->abortExchange();
+    this->abortExchange(cancelledOutcome);
     this->deadlineTimer.cancel();
     this->placementTimer.cancel();
     this->activityTimer.cancel();
@@ -407,6 +424,39 @@
         hook();
 }
 
+void ForwardedCall::logAttempt(const char *outcome) const
+{
+    const bool streamed = this->head.status != 0 && this->isStream;
+    const qsizetype cutBytes = streamed ? this->eventParser.partialBytes() : 0;
+    const int discarded = this->connection->discardedResponses();
+    this->context.metrics.count("lacewingmux_replica_attempts_total",
+                                {{QStringLiteral("outcome"), QLatin1String(outcome)}}, 1);
+    if (cutBytes > 0)
+        this->context.metrics.count("lacewingmux_cut_events_total", {}, 1);
+    if (discarded > 0)
+        this->context.metrics.count("lacewingmux_discarded_responses_total", {}, discarded);
+    const std::string_view name = outcome;
+    const bool isUsual = name == completeOutcome || name == cancelledOutcome;
+    if (isUsual && this->attempts == 1 && cutBytes == 0 && discarded == 0)
+        return;
+    LogEvent(LogSeverity::Info, "attemptEnded")
+            .field("request", this->description.requestId)
+            .field("attempt", this->attempts)
+            .field("replica", this->replica)
+            .field("started", static_cast<qint64>(this->replicaStartMilliseconds))
+            .field("outcome", outcome)
+            .field("status", this->head.status)
+            .field("framing", framingOf(this->head))
+            .field("bodyBytes", static_cast<qint64>(this->body.size()))
+            .field("events",
+                   static_cast<qint64>(this->eventParser.count() - this->eventsBeforeAttempt))
+            .field("resumedAfter", this->resumedAfter)
+            .field("lastEvent", this->eventParser.lastId())
+            .field("cutBytes", static_cast<qint64>(cutBytes))
+            .field("exchange", this->connection->exchangeCount())
+            .field("discarded", discarded);
+}
+
 void ForwardedCall::logOutcome(const char *outcome) const
 {
     const auto elapsed = std::chrono::floor<milliseconds>(this->now() - this->arrived);
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
@@ -139,6 +139,10 @@
     if (!this->timeToFirstSend)
         this->timeToFirstSend = std::chrono::floor<milliseconds>(this->sentAt - this->arrived);
     ++this->possibleRuns;
+    ++this->attempts;
+    this->head = HttpResponseHead();
+    this->eventsBeforeAttempt = this->eventParser.count();
+    this->resumedAfter = this->eventParser.lastId();
     this->quotaHeld = false;
     this->context.fleet.placement().callStarted(instance, this->sentAt);
     this->firstEvents = 0;
@@ -150,7 +154,7 @@
     requestInfo.team = this->team.name;
     requestInfo.timeLeft = this->deadline.remainingForReplica(this->sentAt);
     requestInfo.priority = this->replicaPriority();
-    requestInfo.resumeAfter = this->eventParser.lastId();
+    requestInfo.resumeAfter = this->resumedAfter;
     const HttpFields fields = this->context.dialect.fieldsForReplica(this->request, requestInfo);
     QByteArray text = requestHeadText(this->request.method, this->request.target, fields,
                                       this->history.size() + this->request.body.size());
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -44,6 +44,8 @@
     this->headDelivered = false;
     this->isUnrelatedResponse = false;
     this->discardedBytes = 0;
+    this->discarded = 0;
+    ++this->exchanges;
     this->busy = true;
     if (this->broken) {
         this->failLater(this->connectFailure);
@@ -156,6 +158,7 @@
             this->headDelivered = true;
             const HttpResponseHead &head = this->decoder->head();
             this->isUnrelatedResponse = !active->matches(head);
+            this->discarded += this->isUnrelatedResponse ? 1 : 0;
             if (head.bodyEndsAtClose)
                 this->resetDetector.watch(*this->socket);
             if (!this->isUnrelatedResponse)
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
@@ -67,6 +67,19 @@
         return this->tunnelUse;
     }
 
+    /** Returns the number of exchanges begun on the connection, the current one included. */
+    [[nodiscard]] int exchangeCount() const noexcept
+    {
+        return this->exchanges;
+    }
+
+    /** Returns the number of responses that the current or last exchange has discarded, because
+        they name another request. */
+    [[nodiscard]] int discardedResponses() const noexcept
+    {
+        return this->discarded;
+    }
+
     /** Tells whether another exchange may use the connection now. */
     [[nodiscard]] bool isReusable() const;
 
@@ -102,6 +115,8 @@
     bool headDelivered = false;
     bool isUnrelatedResponse = false; ///< the current response belongs to another request
     qsizetype discardedBytes = 0;     ///< of such responses, in this exchange
+    int discarded = 0;                ///< number of such responses, in this exchange
+    int exchanges = 0;
     bool broken = false;
     ResetDetector resetDetector;
     std::shared_ptr<char> lifetime = std::make_shared<char>();
