--- a/tests/gateway/support/GatewayFixture.cpp
+++ b/tests/gateway/support/GatewayFixture.cpp
@@ -27,14 +27,20 @@
 
 std::shared_ptr<const RoutingTable> makeTable(bool isEngine)
 {
-    std::vector<GatewayRoute> routes{
-            makeRoute("/safe/", RouteKind::Idempotent), makeRoute("/once/", RouteKind::SingleRun),
-            makeRoute("/stream/", RouteKind::Stream),   makeRoute("/resume/", RouteKind::Stream),
-            makeRoute("/turn/", RouteKind::Stream),     makeRoute("/open/", RouteKind::Idempotent)};
+    std::vector<GatewayRoute> routes{makeRoute("/safe/", RouteKind::Idempotent),
+                                     makeRoute("/once/", RouteKind::SingleRun),
+                                     makeRoute("/stream/", RouteKind::Stream),
+                                     makeRoute("/resume/", RouteKind::Stream),
+                                     makeRoute("/turn/", RouteKind::Stream),
+                                     makeRoute("/open/", RouteKind::Idempotent),
+                                     makeRoute("/resumable-turn/", RouteKind::Stream)};
     routes[3].resumable = true;
     routes[4].keepsHistory = true;
     routes[4].retention = milliseconds(60000);
     routes[5].isPublic = true;
+    routes[6].resumable = true;
+    routes[6].keepsHistory = true;
+    routes[6].retention = milliseconds(60000);
     GatewayService service;
     service.name = "service";
     service.isEngine = isEngine;
