Keep what belongs to one attempt at a replica in an object of that attempt

What callers saw: an answer with a piece that isn't of the request (MIXED).

Cause: a replica broke off within the first event of its stream, and the call was sent to another one. The part of the event stayed in the call's parser, and the next replica's first event was appended to it. dropPartialEvent was called only for a stream that had started. Class of fault: what belongs to one attempt lived in members that live as long as the call.

ReplicaAttempt holds the connection, the head and what it says, the parser, the body, the counts of events and the probe of one send; the next send begins with a new one. DeliveredStream holds what the caller was sent by all of them. Hooks and probes of an earlier attempt are ignored. The parser has no reset any more.

--- /dev/null
+++ b/modules/lacewingmux_gateway/forwarding/DeliveredStream.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <QByteArray>
+
+#include <cstdint>
+
+namespace lacewingmux {
+
+struct StreamEvents;
+
+/** What the caller of a stream has been sent so far, by all replicas that the stream came from. */
+class DeliveredStream
+{
+public:
+    /** Records that the head of the response was sent. */
+    void start()
+    {
+        this->started = true;
+    }
+
+    /** Adds events that were sent. */
+    void append(const StreamEvents &events);
+
+    /** Tells whether the head of the response was sent. */
+    [[nodiscard]] bool isStarted() const noexcept
+    {
+        return this->started;
+    }
+
+    /** Returns the number of events with data. */
+    [[nodiscard]] std::int64_t count() const noexcept
+    {
+        return this->eventCount;
+    }
+
+    /** Returns the id of the last event that had one; empty if none had. */
+    [[nodiscard]] const QByteArray &lastId() const noexcept
+    {
+        return this->lastEventId;
+    }
+
+    /** Returns the data of all events, each followed by a line feed. */
+    [[nodiscard]] const QByteArray &data() const noexcept
+    {
+        return this->eventData;
+    }
+
+private:
+    bool started = false;
+    std::int64_t eventCount = 0;
+    QByteArray lastEventId;
+    QByteArray eventData;
+};
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
+++ b/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
@@ -30,32 +30,8 @@
     return value;
 }
 
-} // namespace
-
-QByteArray EventStreamParser::append(const QByteArray &bytes)
-{
-    this->pending += bytes;
-    qsizetype completeBytes = 0;
-    qsizetype searchStart = this->searchedBytes;
-    for (qsizetype end = endOfEvent(this->pending, std::max(completeBytes, searchStart)); end >= 0;
-         end = endOfEvent(this->pending, completeBytes)) {
-        this->readEvent(QByteArrayView(this->pending).sliced(completeBytes, end - completeBytes));
-        completeBytes = end;
-    }
-    QByteArray complete = this->pending.left(completeBytes);
-    this->pending.remove(0, completeBytes);
-    // The end of an event takes up to three bytes, some of which may be pending already.
-    this->searchedBytes = std::max<qsizetype>(0, this->pending.size() - 3);
-    return complete;
-}
-
-void EventStreamParser::dropPartialEvent()
-{
-    this->pending.clear();
-    this->searchedBytes = 0;
-}
-
-void EventStreamParser::readEvent(QByteArrayView event)
+/** Adds one complete event. */
+void appendEvent(StreamEvents &events, QByteArrayView event)
 {
     qsizetype start = 0;
     bool hasData = false;
@@ -67,16 +43,37 @@
         if (!line.isEmpty() && line.back() == '\r')
             line.chop(1);
         if (line.startsWith("data:")) {
-            this->eventData += valueOf(line, 4);
-            this->eventData += '\n';
+            events.data += valueOf(line, 4);
+            events.data += '\n';
             hasData = true;
         } else if (line.startsWith("id:")) {
-            this->lastEventId = valueOf(line, 2).toByteArray();
+            events.lastId = valueOf(line, 2).toByteArray();
         }
         start = end + 1;
     }
     if (hasData)
-        ++this->eventCount;
+        ++events.count;
+}
+
+} // namespace
+
+StreamEvents EventStreamParser::append(const QByteArray &bytes)
+{
+    this->pending += bytes;
+    StreamEvents events;
+    qsizetype completeBytes = 0;
+    qsizetype searchStart = this->searchedBytes;
+    for (qsizetype end = endOfEvent(this->pending, std::max(completeBytes, searchStart)); end >= 0;
+         end = endOfEvent(this->pending, completeBytes)) {
+        appendEvent(events,
+                    QByteArrayView(this->pending).sliced(completeBytes, end - completeBytes));
+        completeBytes = end;
+    }
+    events.text = this->pending.left(completeBytes);
+    this->pending.remove(0, completeBytes);
+    // The end of an event takes up to three bytes, some of which may be pending already.
+    this->searchedBytes = std::max<qsizetype>(0, this->pending.size() - 3);
+    return events;
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -62,8 +62,8 @@
 
 ForwardedCall::~ForwardedCall()
 {
-    this->abortExchange("cancelled");
-    std::ignore = this->accountResponse(0);
+    this->abortExchange(ReplicaAttempt::cancelled);
+    this->releaseResponseMemory();
 }
 
 void ForwardedCall::begin()
@@ -248,7 +248,7 @@
 
 std::int64_t ForwardedCall::deliveredTokens() const
 {
-    return this->eventParser.count() * this->tokensPerEvent;
+    return this->delivered.count() * this->tokensPerEvent;
 }
 
 TimerService::SteadyTime ForwardedCall::now() const
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -3,15 +3,16 @@
 #include "lacewingmux_core/errors/ErrorKind.h"
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_gateway/calls/CallDescription.h"
-#include "lacewingmux_gateway/calls/ReplicaResponseInfo.h"
 #include "lacewingmux_gateway/forwarding/CallContext.h"
 #include "lacewingmux_gateway/forwarding/CallDeadline.h"
-#include "lacewingmux_gateway/forwarding/EventStreamParser.h"
+#include "lacewingmux_gateway/forwarding/DeliveredStream.h"
 #include "lacewingmux_gateway/forwarding/QuotaRequest.h"
+#include "lacewingmux_gateway/forwarding/ReplicaAttempt.h"
 #include "lacewingmux_gateway/forwarding/TurnRequest.h"
 #include "lacewingmux_gateway/http/HttpRequest.h"
 #include "lacewingmux_gateway/http/HttpResponseHead.h"
 #include "lacewingmux_gateway/replicas/ExchangeFailure.h"
+#include "lacewingmux_gateway/replicas/ReplicaConnection.h"
 #include "lacewingmux_gateway/routing/GatewayRoute.h"
 #include "lacewingmux_gateway/routing/GatewayTeam.h"
 #include "lacewingmux_scheduling/replicas/ReplicaPace.h"
@@ -25,7 +26,6 @@
 namespace lacewingmux {
 
 class IngressConnection;
-class ReplicaConnection;
 class TunnelUse;
 struct QuotaDecision;
 struct ReplicaInstance;
@@ -91,7 +91,13 @@
     /** Takes a request from the quota of the replica, before the call is sent. */
     void takeReplicaQuota(const QByteArray &instance, QuotaRequest replicaQuota);
     void handleReplicaQuota(const QByteArray &instance, const QuotaDecision &decision);
-    void sendToReplica(const QByteArray &replica);
+    void sendToReplica(const QByteArray &instance);
+    /** Starts an attempt at the replica; nothing of the one before is kept. */
+    void beginAttempt(const ReplicaInstance &instance,
+                      std::shared_ptr<ReplicaConnection> connection);
+    /** Returns the request as it is sent in the current attempt. */
+    [[nodiscard]] QByteArray requestText() const;
+    [[nodiscard]] ReplicaConnection::Hooks exchangeHooks();
     void schedulePlacementRetry();
     /** Returns the priority of the request at a replica; nothing if the service knows none. */
     [[nodiscard]] std::optional<int> replicaPriority() const;
@@ -110,10 +116,12 @@
     void handleFailure(ExchangeFailure reason);
     void handleRejection();
     /** Records the bytes that the response takes; returns whether it may go on. */
-    [[nodiscard]] bool accountResponse(qsizetype bytes);
+    [[nodiscard]] bool accountResponse();
+    /** Stops counting the bytes of the response. */
+    void releaseResponseMemory();
     void forwardEvents(const QByteArray &bytes);
     /** Records the arrival of events, and learns from the first one how fast the replica reads. */
-    void recordEvents();
+    void recordEvents(const StreamEvents &events);
     /** Learns from the events of a complete stream how fast the replica writes. */
     void recordWriting();
     /** Learns from a complete response how fast a plain service is. */
@@ -132,8 +140,7 @@
     void checkReplicaActivity();
     /** Checks whether the replica is reachable through the tunnel's VM, or directly if null. */
     void probeReplica(const std::shared_ptr<const TunnelUse> &tunnel);
-    void handleProbeResult(ConnectResult result, bool throughTunnel,
-                           TimerService::SteadyTime probedSendTime);
+    void handleProbeResult(ConnectResult result, bool throughTunnel);
     /** Ends the attempt, if one is under way, and logs the outcome. */
     void abortExchange(const char *outcome);
     void releaseConnection();
@@ -180,13 +187,10 @@
     GatewayTeam team;
     CallDeadline deadline;
     TimerService::SteadyTime arrived;
-    TimerService::SteadyTime sentAt;
     std::chrono::milliseconds programWait{0};   ///< since the program was rejected first
     std::chrono::milliseconds admissionTime{0}; ///< from arrival to quota decision
     std::optional<std::chrono::milliseconds> timeToFirstSend; ///< from arrival
     std::chrono::milliseconds timeToFirstEvent{0};            ///< of a stream, from arrival
-    TimerService::SteadyTime lastReplicaActivity;             ///< last data, or time of sending
-    bool probing = false;
     Phase phase = Phase::Admitting;
 
     QuotaRequest quotaRequest;
@@ -196,13 +200,7 @@
     bool budgetReserved = false;
     QByteArray history;
 
-    std::shared_ptr<ReplicaConnection> connection;
-    QByteArray replica;                        ///< instance that the request was sent to
-    std::int64_t replicaStartMilliseconds = 0; ///< start time of that instance, Unix time
     std::vector<QByteArray> excludedInstances; ///< not to be tried again
-    int attempts = 0;                          ///< sends of the request to replicas
-    std::int64_t eventsBeforeAttempt = 0;      ///< complete events of the earlier attempts
-    QByteArray resumedAfter;                   ///< event id after which the attempt continues
     int possibleRuns = 0;                      ///< sends that may have run the request
     int uncountedRuns = 0; ///< of these, those that do not count as attempts of the route
     int rejections = 0;
@@ -210,22 +208,12 @@
     bool waitsForLimit = false; ///< every replica is excluded or at its limit
     /** Shortest time until a replica that refused this call is below its limit again. */
     std::optional<std::chrono::milliseconds> limitRetryAfter;
-    HttpResponseHead head;
-    ReplicaResponseInfo responseInfo;
-    bool isStream = false;          ///< the current response is an event stream
-    bool isInvalidResponse = false; ///< a success that must not be forwarded
-    QByteArray body;                ///< of a response that is not streamed
-    EventStreamParser eventParser;
-    double uncachedTokens = 0;    ///< of the prompt at the replica, as estimated before sending
-    std::int64_t firstEvents = 0; ///< number of events up to the first arrival since sending
-    TimerService::SteadyTime firstEventArrived;
-    TimerService::SteadyTime lastEventArrived;
+    ReplicaAttempt attempt; ///< the current or last one
+    DeliveredStream delivered;
     qsizetype accountedBytes = 0; ///< of the response, in the memory of all calls
-    bool streamStarted = false;   ///< the head of a stream was sent to the caller
     QByteArray endReason;         ///< why the call was refused or aborted, for the log
     TimerSubscription deadlineTimer;
     TimerSubscription placementTimer;
-    TimerSubscription activityTimer;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAdmission.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAdmission.cpp
@@ -53,7 +53,7 @@
 std::optional<int> ForwardedCall::replicaPriority() const
 {
     const milliseconds passed = std::chrono::floor<milliseconds>(this->now() - this->arrived);
-    const bool hasEvents = !this->eventParser.lastId().isEmpty();
+    const bool hasEvents = !this->delivered.lastId().isEmpty();
     TurnPriorityRequest priorityRequest;
     priorityRequest.isStream = this->route.kind == RouteKind::Stream;
     priorityRequest.inProgram = !this->description.program.isEmpty();
@@ -69,12 +69,13 @@
 
 void ForwardedCall::recordTurnDuration()
 {
-    if (this->possibleRuns != 1 || this->eventParser.count() < minimumEventsOfDuration)
+    if (this->possibleRuns != 1 || this->delivered.count() < minimumEventsOfDuration)
         return;
     const auto firstEvent = this->arrived + this->timeToFirstEvent;
     this->context.admission.recordTurn(
             this->service,
-            std::max(milliseconds(0), std::chrono::floor<milliseconds>(firstEvent - this->sentAt)),
+            std::max(milliseconds(0),
+                     std::chrono::floor<milliseconds>(firstEvent - this->attempt.sentAt)),
             std::chrono::floor<milliseconds>(this->now() - firstEvent),
             this->description.maximumOutputTokens);
 }
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -8,17 +8,14 @@
 #include "lacewingmux_gateway/ingress/IngressConnection.h"
 #include "lacewingmux_gateway/replicas/ReplicaConnection.h"
 #include "lacewingmux_gateway/replicas/ReplicaFleet.h"
-#include "lacewingmux_gateway/routing/RoutingTable.h"
 
 #include "lacewingmux_core/errors/ErrorTable.h"
-#include "lacewingmux_core/logging/StructuredLog.h"
 #include "lacewingmux_core/metrics/MetricsRecorder.h"
 
 #include <QJsonDocument>
 #include <QJsonObject>
 
 #include <algorithm>
-#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -28,10 +25,6 @@
 
 using std::chrono::milliseconds;
 
-// Outcomes of attempts, for the log.
-constexpr const char *completeOutcome = "complete";
-constexpr const char *cancelledOutcome = "cancelled";
-
 constexpr int okStatus = 200;
 constexpr int firstErrorStatus = 300;
 constexpr int firstServerErrorStatus = 500;
@@ -55,99 +48,97 @@
     return head.status >= okStatus && head.status < firstErrorStatus;
 }
 
-/** Returns how the end of the response is marked, for the log. */
-const char *framingOf(const HttpResponseHead &head)
-{
-    if (head.status == 0)
-        return "none";
-    if (head.bodyEndsAtClose)
-        return "close";
-    return fieldValue(head.fields, "Transfer-Encoding").isEmpty() ? "length" : "chunked";
-}
-
 } // namespace
 
 bool ForwardedCall::matchesRequest(const HttpResponseHead &responseHead)
 {
-    this->responseInfo = this->context.dialect.parseResponse(responseHead);
+    this->attempt.responseInfo = this->context.dialect.parseResponse(responseHead);
     this->recordAnnouncements();
-    if (this->responseInfo.requestId.isEmpty())
+    if (this->attempt.responseInfo.requestId.isEmpty())
         return !isSuccess(responseHead); // refusals before the request was read carry no id
-    return this->responseInfo.requestId == this->description.requestId;
+    return this->attempt.responseInfo.requestId == this->description.requestId;
 }
 
 void ForwardedCall::recordAnnouncements()
 {
     // Also a response to another request comes from the replica at the end of this connection.
-    if (this->responseInfo.isLeaving)
-        this->context.fleet.recordLeaving(this->replica, this->replicaStartMilliseconds);
+    if (this->attempt.responseInfo.isLeaving)
+        this->context.fleet.recordLeaving(this->attempt.replica, this->attempt.startMilliseconds);
     // A spoilt response, or one to another request, does not mean that a limit has ended.
-    const bool isOwnResponse = this->responseInfo.hasServerStamp
-                               && this->responseInfo.requestId == this->description.requestId;
-    if (this->responseInfo.wrongInstance)
+    const bool isOwnResponse =
+            this->attempt.responseInfo.hasServerStamp
+            && this->attempt.responseInfo.requestId == this->description.requestId;
+    if (this->attempt.responseInfo.wrongInstance)
         return;
     this->recordColdness(isOwnResponse);
-    if (!this->responseInfo.requestLimit && !isOwnResponse)
+    if (!this->attempt.responseInfo.requestLimit && !isOwnResponse)
         return;
-    this->context.fleet.recordLimit(this->replica, this->replicaStartMilliseconds,
-                                    this->responseInfo.requestLimit);
+    this->context.fleet.recordLimit(this->attempt.replica, this->attempt.startMilliseconds,
+                                    this->attempt.responseInfo.requestLimit);
 }
 
 void ForwardedCall::handleHead(const HttpResponseHead &responseHead)
 {
-    this->head = responseHead;
+    this->attempt.head = responseHead;
     this->recordReplicaActivity();
-    this->body.clear();
-    this->isStream = this->route.kind == RouteKind::Stream && responseHead.status == okStatus
-                     && isEventStream(responseHead);
-    this->isInvalidResponse =
-            isSuccess(responseHead)
-            && (!this->responseInfo.hasServerStamp || this->responseInfo.hasContentCoding);
-    this->context.fleet.placement().recordReachable(this->replica);
+    this->attempt.isStream = this->route.kind == RouteKind::Stream
+                             && responseHead.status == okStatus && isEventStream(responseHead);
+    this->attempt.isInvalidResponse = isSuccess(responseHead)
+                                      && (!this->attempt.responseInfo.hasServerStamp
+                                          || this->attempt.responseInfo.hasContentCoding);
+    this->context.fleet.placement().recordReachable(this->attempt.replica);
     this->recordLoadReport();
 }
 
 void ForwardedCall::recordReplicaActivity()
 {
-    this->lastReplicaActivity = this->now();
-    if (!this->connection->tunnel())
+    this->attempt.lastActivity = this->now();
+    if (!this->attempt.connection->tunnel())
         this->context.fleet.recordDirectContact();
 }
 
 void ForwardedCall::handleBody(const QByteArray &bytes)
 {
     this->recordReplicaActivity();
-    if (this->isInvalidResponse) {
+    if (this->attempt.isInvalidResponse) {
         this->handleFailure(ExchangeFailure::Malformed);
         return;
     }
-    if (this->isStream) {
+    if (this->attempt.isStream) {
         this->forwardEvents(bytes);
         return;
     }
-    this->body += bytes;
-    if (!this->accountResponse(this->body.size()))
+    this->attempt.body += bytes;
+    if (!this->accountResponse())
         this->handleFailure(ExchangeFailure::Malformed);
 }
 
-bool ForwardedCall::accountResponse(qsizetype bytes)
+bool ForwardedCall::accountResponse()
 {
+    const qsizetype bytes = this->delivered.data().size() + this->attempt.bufferedBytes();
     const qsizetype before = std::exchange(this->accountedBytes, bytes);
     return this->context.responseMemory.resize(before, bytes) && bytes <= maximumBufferedResponse;
 }
 
+void ForwardedCall::releaseResponseMemory()
+{
+    const qsizetype before = std::exchange(this->accountedBytes, 0);
+    std::ignore = this->context.responseMemory.resize(before, 0);
+}
+
 void ForwardedCall::handleComplete()
 {
-    this->logAttempt(completeOutcome);
+    this->logAttempt(ReplicaAttempt::complete);
     this->releaseConnection();
-    this->context.fleet.placement().callEnded(this->replica);
-    if (this->responseInfo.notExecuted || this->responseInfo.wrongInstance) {
+    this->context.fleet.placement().callEnded(this->attempt.replica);
+    if (this->attempt.responseInfo.notExecuted || this->attempt.responseInfo.wrongInstance) {
         this->handleRejection();
         return;
     }
-    if (this->isInvalidResponse || (this->isStream && this->eventParser.hasPartialEvent())) {
-        this->context.fleet.placement().recordFailure(this->replica, this->now());
-        if (this->isStream)
+    if (this->attempt.isInvalidResponse
+        || (this->attempt.isStream && this->attempt.eventParser.partialBytes() > 0)) {
+        this->context.fleet.placement().recordFailure(this->attempt.replica, this->now());
+        if (this->attempt.isStream)
             this->resumeOrAbortStream("the stream ended within an event");
         else if (this->mayRetry())
             this->placeCall();
@@ -155,13 +146,13 @@
             this->fail(ErrorKind::BackendFailed, "the replica's answer is unusable");
         return;
     }
-    if (this->isStream) {
+    if (this->attempt.isStream) {
         this->finishStream();
         return;
     }
-    if (this->head.status >= firstServerErrorStatus && this->mayRetry()) {
-        this->context.fleet.placement().recordFailure(this->replica, this->now());
-        this->excludedInstances.push_back(this->replica);
+    if (this->attempt.head.status >= firstServerErrorStatus && this->mayRetry()) {
+        this->context.fleet.placement().recordFailure(this->attempt.replica, this->now());
+        this->excludedInstances.push_back(this->attempt.replica);
         this->placeCall();
         return;
     }
@@ -171,7 +162,7 @@
 void ForwardedCall::handleFailure(ExchangeFailure reason)
 {
     const std::shared_ptr<const TunnelUse> tunnel =
-            this->connection ? this->connection->tunnel() : nullptr;
+            this->attempt.connection ? this->attempt.connection->tunnel() : nullptr;
     this->abortExchange(describe(reason));
     if (reason == ExchangeFailure::TunnelFailed) {
         --this->possibleRuns;
@@ -184,17 +175,17 @@
         this->handleNotConnected(tunnel);
         return;
     }
-    this->excludedInstances.push_back(this->replica);
+    this->excludedInstances.push_back(this->attempt.replica);
     Placement &placement = this->context.fleet.placement();
     if (reason != ExchangeFailure::TunnelLost)
-        placement.recordFailure(this->replica, this->now());
+        placement.recordFailure(this->attempt.replica, this->now());
     // An unreachable replica does not count against the route's limit of attempts.
     if (reason == ExchangeFailure::Unreachable && this->route.isRepeatable())
         ++this->uncountedRuns;
     if (reason == ExchangeFailure::Closed)
         this->context.fleet.crashCorrelator().recordBrokenConnection(
-                this->replica, this->contentDigest(), this->now());
-    if (this->streamStarted)
+                this->attempt.replica, this->contentDigest(), this->now());
+    if (this->delivered.isStarted())
         this->resumeOrAbortStream(describe(reason));
     else if (this->mayRetry())
         this->placeCall();
@@ -207,32 +198,34 @@
     --this->possibleRuns;
     ++this->rejections;
     Placement &placement = this->context.fleet.placement();
-    if (this->responseInfo.wrongInstance)
-        placement.markReplaced(this->replica);
+    if (this->attempt.responseInfo.wrongInstance)
+        placement.markReplaced(this->attempt.replica);
     else
-        placement.recordRejection(this->replica, this->now());
-    this->excludedInstances.push_back(this->replica);
+        placement.recordRejection(this->attempt.replica, this->now());
+    this->excludedInstances.push_back(this->attempt.replica);
     this->placeCall();
 }
 
 void ForwardedCall::forwardEvents(const QByteArray &bytes)
 {
-    const QByteArray whole = this->eventParser.append(bytes);
-    if (!this->accountResponse(this->eventParser.bufferedBytes())) {
+    const StreamEvents events = this->attempt.eventParser.append(bytes);
+    if (!this->accountResponse()) {
         this->handleFailure(ExchangeFailure::Malformed);
         return;
     }
-    if (whole.isEmpty())
+    if (events.text.isEmpty())
         return;
-    this->recordEvents();
-    if (this->streamStarted) {
-        this->caller->sendChunk(whole);
+    this->recordEvents(events);
+    this->delivered.append(events);
+    if (this->delivered.isStarted()) {
+        this->caller->sendChunk(events.text);
     } else {
-        this->streamStarted = true;
+        this->delivered.start();
         this->timeToFirstEvent = std::chrono::floor<milliseconds>(this->now() - this->arrived);
         this->phase = Phase::Streaming;
-        this->caller->beginStream(this->head.status, this->head.reason,
-                                  this->context.dialect.fieldsForCaller(this->head), whole);
+        this->caller->beginStream(this->attempt.head.status, this->attempt.head.reason,
+                                  this->context.dialect.fieldsForCaller(this->attempt.head),
+                                  events.text);
     }
     if (this->caller->unsentBytes() > maximumUnreadBytes)
         this->abortResponse("the caller does not read");
@@ -240,24 +233,27 @@
 
 void ForwardedCall::forwardResponse()
 {
-    const milliseconds elapsed = std::chrono::floor<milliseconds>(this->now() - this->sentAt);
+    const milliseconds elapsed =
+            std::chrono::floor<milliseconds>(this->now() - this->attempt.sentAt);
     this->context.metrics.observe("lacewingmux_replica_answer_seconds", {}, elapsed);
     this->recordCallDuration();
     this->settleReservation();
-    this->caller->sendResponse(this->head.status, this->head.reason,
-                               this->context.dialect.fieldsForCaller(this->head), this->body);
+    this->caller->sendResponse(this->attempt.head.status, this->attempt.head.reason,
+                               this->context.dialect.fieldsForCaller(this->attempt.head),
+                               this->attempt.body);
     this->end("answered");
 }
 
 void ForwardedCall::finishStream()
 {
-    if (!this->streamStarted) {
-        this->streamStarted = true;
-        this->caller->beginStream(this->head.status, this->head.reason,
-                                  this->context.dialect.fieldsForCaller(this->head), {});
+    if (!this->delivered.isStarted()) {
+        this->delivered.start();
+        this->caller->beginStream(this->attempt.head.status, this->attempt.head.reason,
+                                  this->context.dialect.fieldsForCaller(this->attempt.head), {});
     }
     this->recordWriting();
-    this->context.fleet.placement().recordPrompt(this->replica, this->description.promptParts);
+    this->context.fleet.placement().recordPrompt(this->attempt.replica,
+                                                 this->description.promptParts);
     this->recordTurnDuration();
     if (!this->isTurn()) {
         this->settleReservation();
@@ -267,7 +263,7 @@
     }
     this->phase = Phase::Storing;
     this->budgetReserved = false;
-    this->context.turnStore.store(this->turnRequest, this->request.body, this->eventParser.data(),
+    this->context.turnStore.store(this->turnRequest, this->request.body, this->delivered.data(),
                                   this->deliveredTokens(),
                                   [weakSelf = this->weak_from_this()](bool durable) {
                                       const auto self = weakSelf.lock();
@@ -284,8 +280,7 @@
 
 void ForwardedCall::resumeOrAbortStream(const char *reason)
 {
-    this->eventParser.dropPartialEvent();
-    if (this->mayRetry() && !this->eventParser.lastId().isEmpty()) {
+    if (this->mayRetry() && !this->delivered.lastId().isEmpty()) {
         this->placeCall();
         return;
     }
@@ -304,7 +299,8 @@
                          milliseconds(0));
         break;
     case Phase::Sent:
-        this->context.fleet.placement().recordSlowdown(this->replica, timeoutSlowdown, this->now());
+        this->context.fleet.placement().recordSlowdown(this->attempt.replica, timeoutSlowdown,
+                                                       this->now());
         this->fail(ErrorKind::BackendTimeout, "the replica did not answer in time");
         break;
     case Phase::Streaming:
@@ -327,26 +323,27 @@
 
 void ForwardedCall::abortExchange(const char *outcome)
 {
-    if (!this->connection)
+    if (!this->attempt.connection)
         return;
     this->logAttempt(outcome);
-    this->connection->abort();
-    this->connection.reset();
-    this->context.fleet.placement().callEnded(this->replica);
+    this->attempt.connection->abort();
+    this->attempt.connection.reset();
+    this->context.fleet.placement().callEnded(this->attempt.replica);
 }
 
 void ForwardedCall::releaseConnection()
 {
-    if (!this->connection)
+    if (!this->attempt.connection)
         return;
     const milliseconds kept =
-            this->responseInfo.keepAliveSeconds
-                    ? std::chrono::seconds(*this->responseInfo.keepAliveSeconds) - keepAliveMargin
+            this->attempt.responseInfo.keepAliveSeconds
+                    ? std::chrono::seconds(*this->attempt.responseInfo.keepAliveSeconds)
+                              - keepAliveMargin
                     : defaultIdleTime;
-    this->connection->setReusableUntil(this->now() + kept);
-    this->context.fleet.release(this->replica, this->replicaStartMilliseconds,
-                                std::move(this->connection));
-    this->connection.reset();
+    this->attempt.connection->setReusableUntil(this->now() + kept);
+    this->context.fleet.release(this->attempt.replica, this->attempt.startMilliseconds,
+                                std::move(this->attempt.connection));
+    this->attempt.connection.reset();
 }
 
 void ForwardedCall::refuse(ErrorKind kind, const char *reason, milliseconds retryAfter)
@@ -359,7 +356,7 @@
 
 void ForwardedCall::fail(ErrorKind kind, const char *reason)
 {
-    if (this->streamStarted)
+    if (this->delivered.isStarted())
         this->abortResponse(reason);
     else
         this->sendErrorResponse(kind, reason, milliseconds(0));
@@ -367,7 +364,7 @@
 
 void ForwardedCall::sendErrorResponse(ErrorKind kind, const char *reason, milliseconds retryAfter)
 {
-    this->abortExchange(cancelledOutcome);
+    this->abortExchange(ReplicaAttempt::cancelled);
     this->settleReservation();
     const ErrorAnswer &answer = answerFor(kind);
     HttpFields fields = this->context.dialect.fieldsForOwnResponse(this->description);
@@ -387,7 +384,7 @@
 void ForwardedCall::abortResponse(const char *reason)
 {
     this->endReason = reason;
-    this->abortExchange(cancelledOutcome);
+    this->abortExchange(ReplicaAttempt::cancelled);
     this->settleReservation();
     this->caller->abort();
     this->end("brokenOff");
@@ -405,11 +402,10 @@
     if (this->phase == Phase::Ended)
         return;
     this->phase = Phase::Ended;
-    this->abortExchange(cancelledOutcome);
+    this->abortExchange(ReplicaAttempt::cancelled);
     this->deadlineTimer.cancel();
     this->placementTimer.cancel();
-    this->activityTimer.cancel();
-    std::ignore = this->accountResponse(0);
+    this->releaseResponseMemory();
     if (std::exchange(this->quotaHeld, false))
         this->context.quota.refund(this->quotaRequest);
     this->logOutcome(outcome);
@@ -424,74 +420,4 @@
         hook();
 }
 
-void ForwardedCall::logAttempt(const char *outcome) const
-{
-    const bool streamed = this->head.status != 0 && this->isStream;
-    const qsizetype cutBytes = streamed ? this->eventParser.partialBytes() : 0;
-    const int discarded = this->connection->discardedResponses();
-    this->context.metrics.count("lacewingmux_replica_attempts_total",
-                                {{QStringLiteral("outcome"), QLatin1String(outcome)}}, 1);
-    if (cutBytes > 0)
-        this->context.metrics.count("lacewingmux_cut_events_total", {}, 1);
-    if (discarded > 0)
-        this->context.metrics.count("lacewingmux_discarded_responses_total", {}, discarded);
-    const std::string_view name = outcome;
-    const bool isUsual = name == completeOutcome || name == cancelledOutcome;
-    if (isUsual && this->attempts == 1 && cutBytes == 0 && discarded == 0)
-        return;
-    LogEvent(LogSeverity::Info, "attemptEnded")
-            .field("request", this->description.requestId)
-            .field("attempt", this->attempts)
-            .field("replica", this->replica)
-            .field("started", static_cast<qint64>(this->replicaStartMilliseconds))
-            .field("outcome", outcome)
-            .field("status", this->head.status)
-            .field("framing", framingOf(this->head))
-            .field("bodyBytes", static_cast<qint64>(this->body.size()))
-            .field("events",
-                   static_cast<qint64>(this->eventParser.count() - this->eventsBeforeAttempt))
-            .field("resumedAfter", this->resumedAfter)
-            .field("lastEvent", this->eventParser.lastId())
-            .field("cutBytes", static_cast<qint64>(cutBytes))
-            .field("exchange", this->connection->exchangeCount())
-            .field("discarded", discarded);
-}
-
-void ForwardedCall::logOutcome(const char *outcome) const
-{
-    const auto elapsed = std::chrono::floor<milliseconds>(this->now() - this->arrived);
-    LogEvent line(LogSeverity::Info, "callEnded");
-    line.field("request", this->description.requestId)
-            .field("outcome", outcome)
-            .field("milliseconds", static_cast<qint64>(elapsed.count()))
-            .field("route", this->route.name);
-    if (!this->endReason.isEmpty())
-        line.field("reason", this->endReason);
-    if (!this->team.name.isEmpty())
-        line.field("team", this->team.name);
-    if (this->quotaRefused)
-        line.field("requestsPerSecond", this->team.requestsPerSecond)
-                .field("burst", this->team.burst)
-                .field("reserve", this->quotaRequest.reserve);
-    if (!this->description.program.isEmpty())
-        line.field("program", this->description.program);
-    if (!this->turnRequest.previousTurn.isEmpty())
-        line.field("previousTurn", this->turnRequest.previousTurn);
-    if (!this->replica.isEmpty())
-        line.field("replica", this->replica)
-                .field("status", this->head.status)
-                .field("runs", this->possibleRuns)
-                .field("admittedAfter", static_cast<qint64>(this->admissionTime.count()))
-                .field("sentAfter",
-                       static_cast<qint64>(
-                               this->timeToFirstSend.value_or(milliseconds(0)).count()));
-    if (this->rejections > 0)
-        line.field("rejections", this->rejections);
-    if (this->eventParser.count() > 0)
-        line.field("events", static_cast<qint64>(this->eventParser.count()))
-                .field("firstEventAfter", static_cast<qint64>(this->timeToFirstEvent.count()));
-    if (this->context.table)
-        line.field("configuration", static_cast<quint64>(this->context.table->version()));
-}
-
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallPace.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallPace.cpp
@@ -27,46 +27,50 @@
 void ForwardedCall::recordLoadReport()
 {
     // Another instance answered: its report says nothing about the one that was sent the request.
-    if (this->responseInfo.wrongInstance)
+    if (this->attempt.responseInfo.wrongInstance)
         return;
-    if (this->responseInfo.load) {
-        this->context.fleet.placement().recordLoad(this->replica, this->replicaStartMilliseconds,
-                                                   *this->responseInfo.load, this->now());
-    } else if (this->responseInfo.invalidLoad) {
+    if (this->attempt.responseInfo.load) {
+        this->context.fleet.placement().recordLoad(this->attempt.replica,
+                                                   this->attempt.startMilliseconds,
+                                                   *this->attempt.responseInfo.load, this->now());
+    } else if (this->attempt.responseInfo.invalidLoad) {
         this->context.metrics.count("lacewingmux_load_reports_invalid_total", {}, 1);
-        this->context.fleet.recordInvalidLoad(this->replica, *this->responseInfo.invalidLoad);
+        this->context.fleet.recordInvalidLoad(this->attempt.replica,
+                                              *this->attempt.responseInfo.invalidLoad);
     }
 }
 
-void ForwardedCall::recordEvents()
+void ForwardedCall::recordEvents(const StreamEvents &events)
 {
-    this->lastEventArrived = this->now();
-    if (this->firstEvents > 0)
+    this->attempt.events += events.count;
+    this->attempt.lastEventArrived = this->now();
+    if (this->attempt.firstEvents > 0)
         return;
-    this->firstEvents = this->eventParser.count();
-    this->firstEventArrived = this->lastEventArrived;
+    this->attempt.firstEvents = this->attempt.events;
+    this->attempt.firstEventArrived = this->attempt.lastEventArrived;
     // The time to the first event must not contain a wait for a slot, or events that a replica
     // skips when it resumes a stream. Plain services learn reading per call, in another unit.
-    if (this->forEngine && startedAtOnce(this->responseInfo.load)
-        && this->uncachedTokens >= minimumReadTokens && !this->streamStarted)
-        this->recordWork(ReplicaWork::Reading, this->uncachedTokens,
-                         this->firstEventArrived - this->sentAt);
+    if (this->forEngine && startedAtOnce(this->attempt.responseInfo.load)
+        && this->attempt.uncachedTokens >= minimumReadTokens && !this->delivered.isStarted())
+        this->recordWork(ReplicaWork::Reading, this->attempt.uncachedTokens,
+                         this->attempt.firstEventArrived - this->attempt.sentAt);
 }
 
 void ForwardedCall::recordWriting()
 {
-    if (this->firstEvents == 0)
+    if (this->attempt.firstEvents == 0)
         return;
     this->recordWork(ReplicaWork::Writing,
-                     static_cast<double>(this->eventParser.count() - this->firstEvents),
-                     this->lastEventArrived - this->firstEventArrived);
+                     static_cast<double>(this->attempt.events - this->attempt.firstEvents),
+                     this->attempt.lastEventArrived - this->attempt.firstEventArrived);
 }
 
 void ForwardedCall::recordCallDuration()
 {
-    const bool succeeded = this->head.status >= okStatus && this->head.status < firstErrorStatus;
-    if (!this->forEngine && succeeded && startedAtOnce(this->responseInfo.load))
-        this->recordWork(ReplicaWork::Reading, 1, this->now() - this->sentAt);
+    const bool succeeded =
+            this->attempt.head.status >= okStatus && this->attempt.head.status < firstErrorStatus;
+    if (!this->forEngine && succeeded && startedAtOnce(this->attempt.responseInfo.load))
+        this->recordWork(ReplicaWork::Reading, 1, this->now() - this->attempt.sentAt);
 }
 
 void ForwardedCall::recordWork(ReplicaWork work, double amount, ReplicaPace::Milliseconds duration)
@@ -74,10 +78,10 @@
     if (amount <= 0)
         return;
     Placement &placement = this->context.fleet.placement();
-    placement.recordWork(this->replica, this->replicaStartMilliseconds, work, amount, duration,
-                         this->now());
+    placement.recordWork(this->attempt.replica, this->attempt.startMilliseconds, work, amount,
+                         duration, this->now());
     const std::optional<double> learned =
-            placement.learnedDuration(this->replica, work, this->now());
+            placement.learnedDuration(this->attempt.replica, work, this->now());
     if (!learned)
         return;
     const ReplicaPace::Milliseconds seconds(*learned * 1000.0);
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
@@ -74,11 +74,11 @@
 void ForwardedCall::recordColdness(bool isOwnResponse)
 {
     ColdReplicas &coldReplicas = this->context.fleet.placement().coldReplicas();
-    coldReplicas.recordContact(this->replica, this->now());
-    const std::optional<milliseconds> remaining = this->responseInfo.coldRemaining;
+    coldReplicas.recordContact(this->attempt.replica, this->now());
+    const std::optional<milliseconds> remaining = this->attempt.responseInfo.coldRemaining;
     if (remaining && (remaining->count() > 0 || isOwnResponse))
-        coldReplicas.recordStatement(this->replica, this->replicaStartMilliseconds, *remaining,
-                                     this->now());
+        coldReplicas.recordStatement(this->attempt.replica, this->attempt.startMilliseconds,
+                                     *remaining, this->now());
 }
 
 bool ForwardedCall::isCold(const QByteArray &instance) const
@@ -121,105 +121,124 @@
 void ForwardedCall::sendToReplica(const QByteArray &instance)
 {
     const ReplicaInstance *registered = this->context.fleet.instance(instance);
+    std::shared_ptr<ReplicaConnection> connection;
     // The zone may have been evacuated since the replica was chosen.
     if (registered != nullptr && !this->context.fleet.isEvacuated(*registered))
-        this->connection = this->context.fleet.acquire(instance);
-    if (!this->connection) {
+        connection = this->context.fleet.acquire(instance);
+    if (!connection) {
         this->excludedInstances.push_back(instance);
         this->placeCall();
         return;
     }
+    this->beginAttempt(*registered, std::move(connection));
+    this->attempt.connection->exchange(this->requestText(), this->request.method == "HEAD",
+                                       this->exchangeHooks());
+}
+
+void ForwardedCall::beginAttempt(const ReplicaInstance &instance,
+                                 std::shared_ptr<ReplicaConnection> connection)
+{
+    ReplicaAttempt next;
+    next.number = this->attempt.number + 1;
+    next.replica = instance.id;
+    next.startMilliseconds = instance.startMilliseconds;
+    next.resumedAfter = this->delivered.lastId();
+    next.uncachedTokens = this->context.fleet.placement().uncachedTokens(
+            instance.id, this->description.promptParts);
+    next.sentAt = this->now();
+    next.lastActivity = next.sentAt;
+    next.connection = std::move(connection);
+    next.activityTimer = this->context.timers.after(inactivityBeforeProbe,
+                                                    [this] { this->checkReplicaActivity(); });
+    this->attempt = std::move(next);
     this->phase = Phase::Sent;
     this->waitsForLimit = false;
     this->limitRetryAfter.reset();
-    this->replica = instance;
-    this->replicaStartMilliseconds = registered->startMilliseconds;
-    this->sentAt = this->now();
-    this->lastReplicaActivity = this->sentAt;
     if (!this->timeToFirstSend)
-        this->timeToFirstSend = std::chrono::floor<milliseconds>(this->sentAt - this->arrived);
+        this->timeToFirstSend =
+                std::chrono::floor<milliseconds>(this->attempt.sentAt - this->arrived);
     ++this->possibleRuns;
-    ++this->attempts;
-    this->head = HttpResponseHead();
-    this->eventsBeforeAttempt = this->eventParser.count();
-    this->resumedAfter = this->eventParser.lastId();
     this->quotaHeld = false;
-    this->context.fleet.placement().callStarted(instance, this->sentAt);
-    this->firstEvents = 0;
-    this->uncachedTokens =
-            this->context.fleet.placement().uncachedTokens(instance, this->description.promptParts);
+    this->context.fleet.placement().callStarted(instance.id, this->attempt.sentAt);
+}
 
+QByteArray ForwardedCall::requestText() const
+{
     ReplicaRequestInfo requestInfo;
-    requestInfo.instance = instance;
+    requestInfo.instance = this->attempt.replica;
     requestInfo.team = this->team.name;
-    requestInfo.timeLeft = this->deadline.remainingForReplica(this->sentAt);
+    requestInfo.timeLeft = this->deadline.remainingForReplica(this->attempt.sentAt);
     requestInfo.priority = this->replicaPriority();
-    requestInfo.resumeAfter = this->resumedAfter;
+    requestInfo.resumeAfter = this->attempt.resumedAfter;
     const HttpFields fields = this->context.dialect.fieldsForReplica(this->request, requestInfo);
     QByteArray text = requestHeadText(this->request.method, this->request.target, fields,
                                       this->history.size() + this->request.body.size());
     text += this->history;
     text += this->request.body;
+    return text;
+}
 
-    ReplicaConnection::Hooks hooks;
-    const auto weakSelf = this->weak_from_this();
-    hooks.matches = [weakSelf](const HttpResponseHead &responseHead) {
+ReplicaConnection::Hooks ForwardedCall::exchangeHooks()
+{
+    // Nothing that an earlier attempt's connection delivers may reach the current attempt.
+    const auto current = [weakSelf = this->weak_from_this(), number = this->attempt.number] {
         const auto self = weakSelf.lock();
+        return self && self->attempt.number == number ? self : nullptr;
+    };
+    ReplicaConnection::Hooks hooks;
+    hooks.matches = [current](const HttpResponseHead &responseHead) {
+        const auto self = current();
         return self && self->matchesRequest(responseHead);
     };
-    hooks.head = [weakSelf](const HttpResponseHead &responseHead) {
-        if (const auto self = weakSelf.lock())
+    hooks.head = [current](const HttpResponseHead &responseHead) {
+        if (const auto self = current())
             self->handleHead(responseHead);
     };
-    hooks.body = [weakSelf](const QByteArray &bytes) {
-        if (const auto self = weakSelf.lock())
+    hooks.body = [current](const QByteArray &bytes) {
+        if (const auto self = current())
             self->handleBody(bytes);
     };
-    hooks.complete = [weakSelf] {
-        if (const auto self = weakSelf.lock())
+    hooks.complete = [current] {
+        if (const auto self = current())
             self->handleComplete();
     };
-    hooks.failed = [weakSelf](ExchangeFailure reason) {
-        if (const auto self = weakSelf.lock())
+    hooks.failed = [current](ExchangeFailure reason) {
+        if (const auto self = current())
             self->handleFailure(reason);
     };
-    this->activityTimer = this->context.timers.after(inactivityBeforeProbe,
-                                                     [this] { this->checkReplicaActivity(); });
-    this->connection->exchange(text, this->request.method == "HEAD", std::move(hooks));
+    return hooks;
 }
 
 void ForwardedCall::checkReplicaActivity()
 {
-    const auto inactivity = this->now() - this->lastReplicaActivity;
-    if (!this->connection || this->probing)
+    const auto inactivity = this->now() - this->attempt.lastActivity;
+    if (!this->attempt.connection || this->attempt.probing)
         return;
     if (inactivity < inactivityBeforeProbe) {
-        this->activityTimer = this->context.timers.after(
+        this->attempt.activityTimer = this->context.timers.after(
                 std::chrono::ceil<milliseconds>(inactivityBeforeProbe - inactivity),
                 [this] { this->checkReplicaActivity(); });
         return;
     }
-    this->probing = true;
-    this->probeReplica(this->connection->tunnel());
+    this->attempt.probing = true;
+    this->probeReplica(this->attempt.connection->tunnel());
 }
 
 void ForwardedCall::probeReplica(const std::shared_ptr<const TunnelUse> &tunnel)
 {
-    this->context.fleet.probe(this->replica, tunnel,
-                              [weakSelf = this->weak_from_this(), probedSendTime = this->sentAt,
+    this->context.fleet.probe(this->attempt.replica, tunnel,
+                              [weakSelf = this->weak_from_this(), number = this->attempt.number,
                                throughTunnel = tunnel != nullptr](ConnectResult result) {
-                                  if (const auto self = weakSelf.lock())
-                                      self->handleProbeResult(result, throughTunnel,
-                                                              probedSendTime);
+                                  const auto self = weakSelf.lock();
+                                  if (self && self->attempt.number == number)
+                                      self->handleProbeResult(result, throughTunnel);
                               });
 }
 
-void ForwardedCall::handleProbeResult(ConnectResult result, bool throughTunnel,
-                                      TimerService::SteadyTime probedSendTime)
+void ForwardedCall::handleProbeResult(ConnectResult result, bool throughTunnel)
 {
-    const bool sameSend = this->connection && this->sentAt == probedSendTime;
-    const bool stillInactive = this->now() - this->lastReplicaActivity >= inactivityBeforeProbe;
-    const bool awaitsData = sameSend && stillInactive;
+    const bool stillInactive = this->now() - this->attempt.lastActivity >= inactivityBeforeProbe;
+    const bool awaitsData = this->attempt.connection && stillInactive;
     if (awaitsData && result == ConnectResult::Refused && !throughTunnel) {
         // Open connections may live on while this VM alone is refused new ones.
         if (const auto tunnel = this->context.fleet.takeTunnel()) {
@@ -227,35 +246,35 @@
             return;
         }
     }
-    this->probing = false;
+    this->attempt.probing = false;
     if (awaitsData && result != ConnectResult::Connected) {
         this->handleFailure(result == ConnectResult::TunnelFailed ? ExchangeFailure::TunnelLost
                                                                   : ExchangeFailure::Unreachable);
         return;
     }
-    if (this->connection)
-        this->activityTimer = this->context.timers.after(inactivityBeforeProbe,
-                                                         [this] { this->checkReplicaActivity(); });
+    if (this->attempt.connection)
+        this->attempt.activityTimer = this->context.timers.after(
+                inactivityBeforeProbe, [this] { this->checkReplicaActivity(); });
 }
 
 void ForwardedCall::handleNotConnected(const std::shared_ptr<const TunnelUse> &tunnel)
 {
     ReplicaFleet &fleet = this->context.fleet;
     if (tunnel)
-        fleet.recordUnreachableThroughTunnel(this->replica);
+        fleet.recordUnreachableThroughTunnel(this->attempt.replica);
     else
-        fleet.recordUnreachable(this->replica);
+        fleet.recordUnreachable(this->attempt.replica);
     // Connections to other replicas would fail likewise, after the same time.
-    const ReplicaInstance *instance = fleet.instance(this->replica);
+    const ReplicaInstance *instance = fleet.instance(this->attempt.replica);
     // A cold replica would get the request long after the token for it was granted.
     const bool takesCalls = instance != nullptr && !instance->draining
                             && !fleet.placement().isLeaving(*instance)
-                            && !this->isCold(this->replica);
-    if (!tunnel && takesCalls && fleet.mayHaveLostLinks(this->sentAt)) {
-        this->sendToReplica(this->replica);
+                            && !this->isCold(this->attempt.replica);
+    if (!tunnel && takesCalls && fleet.mayHaveLostLinks(this->attempt.sentAt)) {
+        this->sendToReplica(QByteArray(this->attempt.replica));
         return;
     }
-    this->excludedInstances.push_back(this->replica);
+    this->excludedInstances.push_back(this->attempt.replica);
     this->placeCall();
 }
 
--- /dev/null
+++ b/modules/lacewingmux_gateway/forwarding/StreamEvents.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <QByteArray>
+
+#include <cstdint>
+
+namespace lacewingmux {
+
+/** Complete events of a stream. */
+struct StreamEvents
+{
+    QByteArray text;        ///< the events as received, each with its empty line
+    std::int64_t count = 0; ///< number of events with data
+    QByteArray lastId;      ///< id of the last event that had one; otherwise empty
+    QByteArray data;        ///< data of the events, each followed by a line feed
+};
+
+} // namespace lacewingmux
--- a/tests/adapter/DamagedDocumentsTest.cpp
+++ b/tests/adapter/DamagedDocumentsTest.cpp
@@ -95,7 +95,7 @@
             responses.appendEnd();
         EventStreamParser parser;
         const QByteArray damagedEvents = mutation.damaged(events, request);
-        const QByteArray whole = parser.append(damagedEvents);
+        const QByteArray whole = parser.append(damagedEvents).text;
         cr_assert(damagedEvents.startsWith(whole), "an event stream is passed on as it is");
     }
     cr_assert_gt(complete, 0);
--- a/tests/gateway/EventStreamParserTest.cpp
+++ b/tests/gateway/EventStreamParserTest.cpp
@@ -1,4 +1,5 @@
 #include "lacewingmux_gateway/forwarding/EventStreamParser.h"
+#include "lacewingmux_gateway/forwarding/DeliveredStream.h"
 
 #include <criterion/criterion.h>
 
@@ -7,14 +8,19 @@
 Test(event_stream_parser, forwards_complete_events_only)
 {
     EventStreamParser events;
-    cr_assert(events.append("id: 1\ndata: a").isEmpty());
-    cr_assert(events.append("b\n").isEmpty());
-    cr_assert(events.append("\nid: 2\nda") == "id: 1\ndata: ab\n\n");
-    cr_assert(events.hasPartialEvent());
-    cr_assert(events.append("ta: c\n\n") == "id: 2\ndata: c\n\n");
-    cr_assert_eq(events.count(), 2);
-    cr_assert(events.lastId() == "2");
-    cr_assert(events.data() == "ab\nc\n");
+    DeliveredStream delivered;
+    cr_assert(events.append("id: 1\ndata: a").text.isEmpty());
+    cr_assert(events.append("b\n").text.isEmpty());
+    const StreamEvents first = events.append("\nid: 2\nda");
+    cr_assert(first.text == "id: 1\ndata: ab\n\n");
+    delivered.append(first);
+    cr_assert_eq(events.partialBytes(), 8);
+    const StreamEvents second = events.append("ta: c\n\n");
+    cr_assert(second.text == "id: 2\ndata: c\n\n");
+    delivered.append(second);
+    cr_assert_eq(delivered.count(), 2);
+    cr_assert(delivered.lastId() == "2");
+    cr_assert(delivered.data() == "ab\nc\n");
 }
 
 Test(event_stream_parser, gives_the_same_result_for_any_split_of_the_bytes)
@@ -23,20 +29,26 @@
             "id: 1\r\ndata: a\r\n\r\nx-version: 3\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
     for (qsizetype cut = 1; cut < text.size(); ++cut) {
         EventStreamParser events;
-        QByteArray passed = events.append(text.left(cut));
-        passed += events.append(text.mid(cut));
-        cr_assert(passed == text, "cut at %d", static_cast<int>(cut));
-        cr_assert_eq(events.count(), 3);
-        cr_assert(events.data() == "a\nb\nc\n");
+        DeliveredStream delivered;
+        const StreamEvents first = events.append(text.left(cut));
+        const StreamEvents second = events.append(text.mid(cut));
+        delivered.append(first);
+        delivered.append(second);
+        cr_assert(first.text + second.text == text, "cut at %d", static_cast<int>(cut));
+        cr_assert_eq(delivered.count(), 3);
+        cr_assert(delivered.data() == "a\nb\nc\n");
     }
 }
 
 Test(event_stream_parser, discards_a_partial_event_before_resuming)
 {
-    EventStreamParser events;
-    const QByteArray first = events.append("id: 1\ndata: a\n\nid: 2\ndata: brok");
-    events.dropPartialEvent();
-    const QByteArray second = events.append("id: 2\ndata: b\n\n");
-    cr_assert(first + second == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
-    cr_assert(events.data() == "a\nb\n");
+    EventStreamParser first;
+    EventStreamParser second;
+    DeliveredStream delivered;
+    const StreamEvents before = first.append("id: 1\ndata: a\n\nid: 2\ndata: brok");
+    const StreamEvents after = second.append("id: 2\ndata: b\n\n");
+    delivered.append(before);
+    delivered.append(after);
+    cr_assert(before.text + after.text == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    cr_assert(delivered.data() == "a\nb\n");
 }
