Break a stream off when the replica that is to resume it answers otherwise

A caller whose stream had begun waited for the rest until its own time was up, if the replica that was to resume the stream answered with a 4xx, with a 5xx on the last attempt, or with a 200 that is no event stream.

Cause: handleComplete passed such an answer on as a whole one, which IngressConnection ignores while it streams, and ended the call.

faultOf decides which complete responses must not be passed on; a failed attempt ends in one place, continueElsewhere, which resumes, repeats, breaks off or fails. A stream that ended within its first event with an orderly close is now repeated like one that was reset; before, it was broken off.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -131,7 +131,9 @@
     void finishStream();
     /** Records how long the turn has occupied a replica. */
     void recordTurnDuration();
-    void resumeOrAbortStream(const char *reason);
+    /** Sends the call to another replica after a failed attempt, if it may run again; otherwise
+        ends it. A stream that has started is resumed or broken off. */
+    void continueElsewhere(const char *reason);
     void handleTimeout();
     /** Records that data arrived from the replica. */
     void recordReplicaActivity();
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -1,6 +1,7 @@
 #include "lacewingmux_gateway/forwarding/ForwardedCall.h"
 
 #include "lacewingmux_gateway/calls/CallDialect.h"
+#include "lacewingmux_gateway/forwarding/ResponseFault.h"
 #include "lacewingmux_gateway/forwarding/ResponseMemory.h"
 #include "lacewingmux_gateway/forwarding/TeamQuota.h"
 #include "lacewingmux_gateway/forwarding/TurnStore.h"
@@ -135,15 +136,10 @@
         this->handleRejection();
         return;
     }
-    if (this->attempt.isInvalidResponse
-        || (this->attempt.isStream && this->attempt.eventParser.partialBytes() > 0)) {
+    if (const char *fault = faultOf(this->attempt, this->delivered.isStarted())) {
         this->context.fleet.placement().recordFailure(this->attempt.replica, this->now());
-        if (this->attempt.isStream)
-            this->resumeOrAbortStream("the stream ended within an event");
-        else if (this->mayRetry())
-            this->placeCall();
-        else
-            this->fail(ErrorKind::BackendFailed, "the replica's answer is unusable");
+        this->excludedInstances.push_back(this->attempt.replica);
+        this->continueElsewhere(fault);
         return;
     }
     if (this->attempt.isStream) {
@@ -185,12 +181,17 @@
     if (reason == ExchangeFailure::Closed)
         this->context.fleet.crashCorrelator().recordBrokenConnection(
                 this->attempt.replica, this->contentDigest(), this->now());
-    if (this->delivered.isStarted())
-        this->resumeOrAbortStream(describe(reason));
-    else if (this->mayRetry())
+    this->continueElsewhere(describe(reason));
+}
+
+void ForwardedCall::continueElsewhere(const char *reason)
+{
+    // Without the id of an event that was sent, another replica would begin the stream anew.
+    const bool canContinue = !this->delivered.isStarted() || !this->delivered.lastId().isEmpty();
+    if (this->mayRetry() && canContinue)
         this->placeCall();
     else
-        this->fail(ErrorKind::BackendFailed, describe(reason));
+        this->fail(ErrorKind::BackendFailed, reason);
 }
 
 void ForwardedCall::handleRejection()
@@ -278,15 +279,6 @@
                                   });
 }
 
-void ForwardedCall::resumeOrAbortStream(const char *reason)
-{
-    if (this->mayRetry() && !this->delivered.lastId().isEmpty()) {
-        this->placeCall();
-        return;
-    }
-    this->abortResponse(reason);
-}
-
 void ForwardedCall::handleTimeout()
 {
     switch (this->phase) {
--- /dev/null
+++ b/tests/gateway/ResumedStreamTest.cpp
@@ -0,0 +1,61 @@
+#include "support/GatewayFixture.h"
+
+#include <criterion/criterion.h>
+
+#include <memory>
+
+using namespace lacewingmux;
+
+namespace {
+
+using Answer = std::function<QByteArray(const HttpRequest &)>;
+
+/** Sends one event for the first request and resets the connection; the next requests get the
+    given answer, and then an orderly close. */
+ScriptedReplica::Handler resetThenAnswer(const Answer &answer)
+{
+    return [answer, requests = std::make_shared<int>(0)](const HttpRequest &request,
+                                                         const auto &exchange) {
+        if (++*requests == 1) {
+            exchange.write(GatewayFixture::streamHead(request) + GatewayFixture::event(1, "a"));
+            exchange.reset();
+            return;
+        }
+        exchange.write(answer(request));
+        exchange.close();
+    };
+}
+
+/** Returns what the caller of a resumable stream receives until its connection ends. */
+QByteArray receivedUntilClosed(GatewayFixture &fixture)
+{
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", "/resume/x", "r1"));
+    fixture.loop.waitUntil([&] { return caller.isClosed(); }, "the end of the connection");
+    return caller.received();
+}
+
+QByteArray failure(const HttpRequest &request, const QByteArray &status)
+{
+    return GatewayFixture::answer(request, "no").replace("200 OK", status);
+}
+
+} // namespace
+
+// A stream that has begun can only be continued or broken off: a caller whose connection is left
+// open waits for the rest until its own time is up.
+Test(resumed_stream, is_broken_off_if_the_next_replica_does_not_resume_it)
+{
+    const std::vector<Answer> answers{
+            [](const HttpRequest &request) { return failure(request, "404 Not Found"); },
+            [](const HttpRequest &request) { return failure(request, "500 Server Error"); },
+            [](const HttpRequest &request) { return GatewayFixture::answer(request, "plain"); }};
+    for (const Answer &answer : answers) {
+        GatewayFixture fixture(2, resetThenAnswer(answer));
+        const QByteArray received = receivedUntilClosed(fixture);
+        cr_assert(received.contains("data: a"));
+        cr_assert(!received.endsWith("0\r\n\r\n"), "a broken stream must not look complete");
+        cr_assert_eq(received.count("HTTP/1.1"), 1);
+        cr_assert_eq(fixture.requestCount(), 2);
+    }
+}
