--- a/modules/lacewingmux_gateway/forwarding/ReplicaAttempt.h
+++ b/modules/lacewingmux_gateway/forwarding/ReplicaAttempt.h
@@ -28,6 +28,7 @@
     QByteArray replica;                 ///< instance that the request was sent to
     std::int64_t startMilliseconds = 0; ///< start time of that instance, Unix time
     QByteArray resumedAfter;            ///< event id after which the stream is to continue
+    bool resumesStream = false;         ///< the caller has events of the stream already
     double uncachedTokens = 0;          ///< of the prompt at the replica, as estimated
     TimerService::SteadyTime sentAt;
     std::shared_ptr<ReplicaConnection> connection; ///< null once the exchange has ended
