Forward only events that follow those the caller has

Cause: the events of a resumed stream were forwarded whatever their ids.

EventSequence checks that ids ascend, within one answer and where another replica goes on; where they have counted up by one, a replica that resumes must go on with the next number. An attempt with another event counts as failed: the stream is resumed elsewhere or broken off.

--- a/modules/lacewingmux_gateway/forwarding/DeliveredStream.h
+++ b/modules/lacewingmux_gateway/forwarding/DeliveredStream.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "lacewingmux_gateway/forwarding/EventSequence.h"
+
 #include <QByteArray>
 
 #include <cstdint>
@@ -21,6 +23,12 @@
     /** Adds events that were sent. */
     void append(const StreamEvents &events);
 
+    /** Returns the order of the events, for the parser of the response that adds to them. */
+    [[nodiscard]] EventSequence &sequence() noexcept
+    {
+        return this->eventSequence;
+    }
+
     /** Tells whether the head of the response was sent. */
     [[nodiscard]] bool isStarted() const noexcept
     {
@@ -46,6 +54,7 @@
     }
 
 private:
+    EventSequence eventSequence;
     bool started = false;
     std::int64_t eventCount = 0;
     QByteArray lastEventId;
--- /dev/null
+++ b/modules/lacewingmux_gateway/forwarding/EventSequence.cpp
@@ -0,0 +1,30 @@
+#include "lacewingmux_gateway/forwarding/EventSequence.h"
+
+#include <utility>
+
+namespace lacewingmux {
+
+bool EventSequence::accept(QByteArrayView id)
+{
+    if (id.isEmpty())
+        return true;
+    bool isNumber = false;
+    const std::int64_t number = id.toLongLong(&isNumber);
+    if (!isNumber) {
+        this->last.reset();
+        return true;
+    }
+    const bool resumed = std::exchange(this->resuming, false);
+    if (!this->last) {
+        this->last = number;
+        return true;
+    }
+    const bool isNext = number == *this->last + 1;
+    if (number <= *this->last || (resumed && this->countsByOne.value_or(false) && !isNext))
+        return false;
+    this->countsByOne = isNext && this->countsByOne.value_or(true);
+    this->last = number;
+    return true;
+}
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
+++ b/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
@@ -1,5 +1,7 @@
 #include "lacewingmux_gateway/forwarding/EventStreamParser.h"
 
+#include "lacewingmux_gateway/forwarding/EventSequence.h"
+
 #include <algorithm>
 
 namespace lacewingmux {
@@ -30,11 +32,12 @@
     return value;
 }
 
-/** Adds one complete event. */
-void appendEvent(StreamEvents &events, QByteArrayView event)
+/** Returns the data of the event, each line followed by a line feed; its id is set if it has one.
+ */
+QByteArray readEvent(QByteArrayView event, QByteArray &id)
 {
+    QByteArray data;
     qsizetype start = 0;
-    bool hasData = false;
     while (start < event.size()) {
         qsizetype end = start;
         while (end < event.size() && event[end] != '\n')
@@ -43,33 +46,44 @@
         if (!line.isEmpty() && line.back() == '\r')
             line.chop(1);
         if (line.startsWith("data:")) {
-            events.data += valueOf(line, 4);
-            events.data += '\n';
-            hasData = true;
+            data += valueOf(line, 4);
+            data += '\n';
         } else if (line.startsWith("id:")) {
-            events.lastId = valueOf(line, 2).toByteArray();
+            id = valueOf(line, 2).toByteArray();
         }
         start = end + 1;
     }
-    if (hasData)
-        ++events.count;
+    return data;
+}
+
+/** Adds a complete event, if it follows in the sequence; returns whether it does. */
+bool appendEvent(StreamEvents &events, QByteArrayView event, EventSequence &sequence)
+{
+    QByteArray id;
+    const QByteArray data = readEvent(event, id);
+    if (!sequence.accept(id))
+        return false;
+    events.text += event;
+    events.data += data;
+    events.count += data.isEmpty() ? 0 : 1;
+    if (!id.isEmpty())
+        events.lastId = id;
+    return true;
 }
 
 } // namespace
 
-StreamEvents EventStreamParser::append(const QByteArray &bytes)
+StreamEvents EventStreamParser::append(const QByteArray &bytes, EventSequence &sequence)
 {
     this->pending += bytes;
     StreamEvents events;
     qsizetype completeBytes = 0;
-    qsizetype searchStart = this->searchedBytes;
-    for (qsizetype end = endOfEvent(this->pending, std::max(completeBytes, searchStart)); end >= 0;
-         end = endOfEvent(this->pending, completeBytes)) {
-        appendEvent(events,
-                    QByteArrayView(this->pending).sliced(completeBytes, end - completeBytes));
+    for (qsizetype end = endOfEvent(this->pending, this->searchedBytes);
+         end >= 0 && !this->outOfSequence; end = endOfEvent(this->pending, completeBytes)) {
+        const auto event = QByteArrayView(this->pending).sliced(completeBytes, end - completeBytes);
+        this->outOfSequence = !appendEvent(events, event, sequence);
         completeBytes = end;
     }
-    events.text = this->pending.left(completeBytes);
     this->pending.remove(0, completeBytes);
     // The end of an event takes up to three bytes, some of which may be pending already.
     this->searchedBytes = std::max<qsizetype>(0, this->pending.size() - 3);
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -120,6 +120,7 @@
     /** Stops counting the bytes of the response. */
     void releaseResponseMemory();
     void forwardEvents(const QByteArray &bytes);
+    void deliverEvents(const StreamEvents &events);
     /** Records the arrival of events, and learns from the first one how fast the replica reads. */
     void recordEvents(const StreamEvents &events);
     /** Learns from the events of a complete stream how fast the replica writes. */
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -209,13 +209,19 @@
 
 void ForwardedCall::forwardEvents(const QByteArray &bytes)
 {
-    const StreamEvents events = this->attempt.eventParser.append(bytes);
+    const StreamEvents events = this->attempt.eventParser.append(bytes, this->delivered.sequence());
     if (!this->accountResponse()) {
         this->handleFailure(ExchangeFailure::Malformed);
         return;
     }
-    if (events.text.isEmpty())
-        return;
+    if (!events.text.isEmpty())
+        this->deliverEvents(events);
+    if (this->phase != Phase::Ended && this->attempt.eventParser.isOutOfSequence())
+        this->handleFailure(ExchangeFailure::OutOfSequence);
+}
+
+void ForwardedCall::deliverEvents(const StreamEvents &events)
+{
     this->recordEvents(events);
     this->delivered.append(events);
     if (this->delivered.isStarted()) {
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
@@ -152,6 +152,7 @@
     next.activityTimer = this->context.timers.after(inactivityBeforeProbe,
                                                     [this] { this->checkReplicaActivity(); });
     this->attempt = std::move(next);
+    this->delivered.sequence().resume();
     this->phase = Phase::Sent;
     this->waitsForLimit = false;
     this->limitRetryAfter.reset();
--- a/modules/lacewingmux_gateway/replicas/ExchangeFailure.h
+++ b/modules/lacewingmux_gateway/replicas/ExchangeFailure.h
@@ -6,12 +6,13 @@
 
 /** How an exchange with a replica failed. */
 enum class ExchangeFailure : std::uint8_t {
-    NotConnected, ///< the connection could not be established; nothing was sent
-    Closed,       ///< the connection ended after the request was sent
-    Malformed,    ///< the received bytes are not a valid response
-    Unreachable,  ///< no data came after the request, and connecting again failed
-    TunnelFailed, ///< another VM opened no tunnel to the replica; nothing was sent
-    TunnelLost    ///< no data came after the request, and the tunnel's VM opens no other tunnel
+    NotConnected,  ///< the connection could not be established; nothing was sent
+    Closed,        ///< the connection ended after the request was sent
+    Malformed,     ///< the received bytes are not a valid response
+    OutOfSequence, ///< an event of a stream does not follow those before it
+    Unreachable,   ///< no data came after the request, and connecting again failed
+    TunnelFailed,  ///< another VM opened no tunnel to the replica; nothing was sent
+    TunnelLost     ///< no data came after the request, and the tunnel's VM opens no other tunnel
 };
 
 /** Returns a description for logs and error responses. */
--- a/tests/adapter/DamagedDocumentsTest.cpp
+++ b/tests/adapter/DamagedDocumentsTest.cpp
@@ -1,5 +1,6 @@
 #include "bytes/MutatedBytes.h"
 #include "lacewingmux_core/settings/SettingsFindings.h"
+#include "lacewingmux_gateway/forwarding/EventSequence.h"
 #include "lacewingmux_gateway/forwarding/EventStreamParser.h"
 #include "lacewingmux_gateway/http/RequestDecoder.h"
 #include "lacewingmux_gateway/http/ResponseDecoder.h"
@@ -94,8 +95,9 @@
         if (responses.state() == DecodeState::Body && responses.head().bodyEndsAtClose)
             responses.appendEnd();
         EventStreamParser parser;
+        EventSequence sequence;
         const QByteArray damagedEvents = mutation.damaged(events, request);
-        const QByteArray whole = parser.append(damagedEvents).text;
+        const QByteArray whole = parser.append(damagedEvents, sequence).text;
         cr_assert(damagedEvents.startsWith(whole), "an event stream is passed on as it is");
     }
     cr_assert_gt(complete, 0);
--- a/tests/gateway/EventStreamParserTest.cpp
+++ b/tests/gateway/EventStreamParserTest.cpp
@@ -9,13 +9,13 @@
 {
     EventStreamParser events;
     DeliveredStream delivered;
-    cr_assert(events.append("id: 1\ndata: a").text.isEmpty());
-    cr_assert(events.append("b\n").text.isEmpty());
-    const StreamEvents first = events.append("\nid: 2\nda");
+    cr_assert(events.append("id: 1\ndata: a", delivered.sequence()).text.isEmpty());
+    cr_assert(events.append("b\n", delivered.sequence()).text.isEmpty());
+    const StreamEvents first = events.append("\nid: 2\nda", delivered.sequence());
     cr_assert(first.text == "id: 1\ndata: ab\n\n");
     delivered.append(first);
     cr_assert_eq(events.partialBytes(), 8);
-    const StreamEvents second = events.append("ta: c\n\n");
+    const StreamEvents second = events.append("ta: c\n\n", delivered.sequence());
     cr_assert(second.text == "id: 2\ndata: c\n\n");
     delivered.append(second);
     cr_assert_eq(delivered.count(), 2);
@@ -30,8 +30,8 @@
     for (qsizetype cut = 1; cut < text.size(); ++cut) {
         EventStreamParser events;
         DeliveredStream delivered;
-        const StreamEvents first = events.append(text.left(cut));
-        const StreamEvents second = events.append(text.mid(cut));
+        const StreamEvents first = events.append(text.left(cut), delivered.sequence());
+        const StreamEvents second = events.append(text.mid(cut), delivered.sequence());
         delivered.append(first);
         delivered.append(second);
         cr_assert(first.text + second.text == text, "cut at %d", static_cast<int>(cut));
@@ -45,8 +45,9 @@
     EventStreamParser first;
     EventStreamParser second;
     DeliveredStream delivered;
-    const StreamEvents before = first.append("id: 1\ndata: a\n\nid: 2\ndata: brok");
-    const StreamEvents after = second.append("id: 2\ndata: b\n\n");
+    const StreamEvents before =
+            first.append("id: 1\ndata: a\n\nid: 2\ndata: brok", delivered.sequence());
+    const StreamEvents after = second.append("id: 2\ndata: b\n\n", delivered.sequence());
     delivered.append(before);
     delivered.append(after);
     cr_assert(before.text + after.text == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
--- a/tests/gateway/ResumedStreamTest.cpp
+++ b/tests/gateway/ResumedStreamTest.cpp
@@ -59,3 +59,45 @@
         cr_assert_eq(fixture.requestCount(), 2);
     }
 }
+
+// A replica that ignores where it is to resume, or that skips events, runs the request anew or
+// leaves a hole: its events must not follow those that the caller has.
+Test(resumed_stream, is_broken_off_if_the_next_replica_starts_elsewhere)
+{
+    for (const int firstId : {1, 2, 4}) {
+        GatewayFixture fixture(2, [firstId, requests = std::make_shared<int>(0)](
+                                          const HttpRequest &request, const auto &exchange) {
+            const QByteArray head = GatewayFixture::streamHead(request);
+            if (++*requests == 1) {
+                exchange.write(head + GatewayFixture::event(1, "a")
+                               + GatewayFixture::event(2, "b"));
+                exchange.reset();
+                return;
+            }
+            exchange.write(head + GatewayFixture::event(firstId, "other") + "0\r\n\r\n");
+        });
+        const QByteArray received = receivedUntilClosed(fixture);
+        cr_assert(received.contains("data: b"));
+        cr_assert(!received.contains("other"), "first id %d", firstId);
+        cr_assert(!received.endsWith("0\r\n\r\n"));
+    }
+}
+
+// Two answers in one stream: the second one begins again at the first event.
+Test(resumed_stream, is_asked_for_when_the_ids_of_a_stream_start_anew)
+{
+    GatewayFixture fixture(2, [requests = std::make_shared<int>(0)](const HttpRequest &request,
+                                                                    const auto &exchange) {
+        const QByteArray head = GatewayFixture::streamHead(request);
+        if (++*requests == 1)
+            exchange.write(head + GatewayFixture::event(1, "a") + GatewayFixture::event(2, "b")
+                           + GatewayFixture::event(1, "again"));
+        else
+            exchange.write(head + GatewayFixture::event(3, "c") + "0\r\n\r\n");
+    });
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", "/resume/x", "r1"));
+    fixture.loop.waitUntil([&] { return caller.received().endsWith("0\r\n\r\n"); }, "the end");
+    cr_assert(!caller.received().contains("again"));
+    cr_assert_eq(caller.received().count("data: "), 3);
+}
