Tell an answer without a length from another answer behind it

What callers saw: the head and the events of another answer within their own (MIXED), or another answer's body behind theirs, when a replica answered twice on a connection whose end was to end the first answer.

Cause: all bytes up to the end of the connection counted as the body.

A stream ends where the head of another response begins: no line of an event begins like a status line. In another body such a head may be part of it, so the answer is not passed on if it holds one that names a request or bears a replica's stamp: it is repeated where it may be, else the caller gets a 502.

--- a/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
+++ b/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+constexpr const char *httpVersionPrefix =
+        "HTTP/1."; // begins a status line, and no line of an event
+
 /** Returns the end of the event that starts at the position, after its empty line; -1 if the
     event is incomplete. */
 qsizetype endOfEvent(const QByteArray &bytes, qsizetype from)
@@ -75,19 +78,32 @@
 
 StreamEvents EventStreamParser::append(const QByteArray &bytes, EventSequence &sequence)
 {
+    if (this->otherResponseFollows)
+        return {};
     this->pending += bytes;
     StreamEvents events;
     qsizetype completeBytes = 0;
     for (qsizetype end = endOfEvent(this->pending, this->searchedBytes);
-         end >= 0 && !this->outOfSequence; end = endOfEvent(this->pending, completeBytes)) {
+         end >= 0 && !this->outOfSequence && !this->isAtOtherResponse(completeBytes);
+         end = endOfEvent(this->pending, completeBytes)) {
         const auto event = QByteArrayView(this->pending).sliced(completeBytes, end - completeBytes);
         this->outOfSequence = !appendEvent(events, event, sequence);
         completeBytes = end;
     }
     this->pending.remove(0, completeBytes);
+    if (this->isAtOtherResponse(0)) {
+        this->otherResponseFollows = true;
+        this->pending.clear();
+    }
     // The end of an event takes up to three bytes, some of which may be pending already.
     this->searchedBytes = std::max<qsizetype>(0, this->pending.size() - 3);
     return events;
 }
 
+bool EventStreamParser::isAtOtherResponse(qsizetype position) const
+{
+    return this->endsAtClose
+           && QByteArrayView(this->pending).sliced(position).startsWith(httpVersionPrefix);
+}
+
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -84,6 +84,7 @@
     this->recordReplicaActivity();
     this->attempt.isStream = this->route.kind == RouteKind::Stream
                              && responseHead.status == okStatus && isEventStream(responseHead);
+    this->attempt.eventParser = EventStreamParser(responseHead.bodyEndsAtClose);
     this->attempt.isInvalidResponse = isSuccess(responseHead)
                                       && (!this->attempt.responseInfo.hasServerStamp
                                           || this->attempt.responseInfo.hasContentCoding);
@@ -136,7 +137,8 @@
         this->handleRejection();
         return;
     }
-    if (const char *fault = faultOf(this->attempt, this->delivered.isStarted())) {
+    if (const char *fault =
+                faultOf(this->attempt, this->delivered.isStarted(), this->context.dialect)) {
         this->context.fleet.placement().recordFailure(this->attempt.replica, this->now());
         this->excludedInstances.push_back(this->attempt.replica);
         this->continueElsewhere(fault);
--- a/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
@@ -1,11 +1,18 @@
 #include "lacewingmux_gateway/forwarding/ResponseFault.h"
 
+#include "lacewingmux_gateway/calls/CallDialect.h"
 #include "lacewingmux_gateway/forwarding/ReplicaAttempt.h"
+#include "lacewingmux_gateway/http/ResponseDecoder.h"
 
 namespace lacewingmux {
 
 namespace {
 
+constexpr const char *httpVersionPrefix = "HTTP/1.";
+// Bound the work for a body that quotes many responses.
+constexpr int maximumSearchedResponses = 64;
+constexpr qsizetype searchedHeadBytes = 4096;
+
 /** Tells whether the response broke off behind its head. A stream that is resumed may have no event
     left, but then its end must be marked. */
 bool brokeOffBehindHead(const ReplicaAttempt &attempt)
@@ -15,9 +22,36 @@
     return attempt.events == 0 && (attempt.head.bodyEndsAtClose || !attempt.resumesStream);
 }
 
+/** Tells whether the bytes begin with the head of a replica's response. */
+bool beginsWithResponse(const QByteArray &bytes, const CallDialect &dialect)
+{
+    ResponseDecoder decoder(false);
+    decoder.append(bytes);
+    if (decoder.state() < DecodeState::Body || decoder.state() > DecodeState::Complete)
+        return false;
+    const ReplicaResponseInfo info = dialect.parseResponse(decoder.head());
+    return info.hasServerStamp || !info.requestId.isEmpty();
+}
+
+/** Tells whether another response may have been read as part of the body, because the body ends
+    with its connection. */
+bool holdsOtherResponse(const ReplicaAttempt &attempt, const CallDialect &dialect)
+{
+    if (!attempt.head.bodyEndsAtClose)
+        return false;
+    const QByteArray &body = attempt.body;
+    qsizetype start = body.indexOf(httpVersionPrefix);
+    for (int searched = 0; start >= 0 && searched < maximumSearchedResponses; ++searched) {
+        if (beginsWithResponse(body.mid(start, searchedHeadBytes), dialect))
+            return true;
+        start = body.indexOf(httpVersionPrefix, start + 1);
+    }
+    return false;
+}
+
 } // namespace
 
-const char *faultOf(const ReplicaAttempt &attempt, bool streamStarted)
+const char *faultOf(const ReplicaAttempt &attempt, bool streamStarted, const CallDialect &dialect)
 {
     if (attempt.isInvalidResponse)
         return "the replica's answer is unusable";
@@ -27,6 +61,8 @@
         return "the stream ended within an event";
     if (brokeOffBehindHead(attempt))
         return "the answer ended behind its head";
+    if (holdsOtherResponse(attempt, dialect))
+        return "another answer follows in the body";
     return nullptr;
 }
 
--- /dev/null
+++ b/tests/gateway/UnframedAnswerTest.cpp
@@ -0,0 +1,92 @@
+#include "support/GatewayFixture.h"
+
+#include <criterion/criterion.h>
+
+#include <memory>
+
+using namespace lacewingmux;
+
+namespace {
+
+QByteArray head(const QByteArray &id, const QByteArray &contentType)
+{
+    return "HTTP/1.1 200 OK\r\nLacewingmux-Request-Id: " + id
+           + "\r\nLacewingmux-Server-Stamp: stamp\r\nContent-Type: " + contentType + "\r\n\r\n";
+}
+
+QByteArray event(int id, const QByteArray &data)
+{
+    return "id: " + QByteArray::number(id) + "\ndata: " + data + "\n\n";
+}
+
+/** Writes the parts of an answer one after the other, and then closes the connection. */
+ScriptedReplica::Handler writeInParts(const QList<QByteArray> &parts)
+{
+    return [parts](const HttpRequest &, const auto &exchange) {
+        for (const QByteArray &part : parts)
+            exchange.write(part);
+        exchange.close();
+    };
+}
+
+QByteArray responseTo(GatewayFixture &fixture, const QByteArray &path)
+{
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", path, "r1"));
+    fixture.loop.waitUntil(
+            [&] {
+                return caller.isClosed() || caller.received().endsWith("0\r\n\r\n")
+                       || caller.received().endsWith("}") || caller.received().endsWith("body");
+            },
+            "the response");
+    return caller.received();
+}
+
+} // namespace
+
+// A replica that answers twice: nothing but the head of the second answer parts it from the first,
+// whose end is that of the connection.
+Test(unframed_answer, of_a_stream_ends_before_the_head_of_another_answer)
+{
+    const QByteArray first = head("r1", "text/event-stream") + event(1, "a") + event(2, "b");
+    const QByteArray second = head("r0", "text/event-stream") + event(3, "foreign");
+    for (qsizetype cut = first.size() - 3; cut <= first.size() + second.size(); ++cut) {
+        const QByteArray both = first + second;
+        GatewayFixture fixture(1, writeInParts({both.left(cut), both.mid(cut)}));
+        const QByteArray response = responseTo(fixture, "/stream/x");
+        cr_assert(response.contains("data: b"));
+        cr_assert(!response.contains("foreign"), "cut at %d", static_cast<int>(cut));
+        cr_assert(!response.contains("r0"));
+        cr_assert(response.endsWith("0\r\n\r\n"));
+    }
+}
+
+Test(unframed_answer, with_another_answer_in_its_body_is_not_passed_on)
+{
+    for (const char *path : {"/once/x", "/safe/x"}) {
+        GatewayFixture fixture(2, writeInParts({head("r1", "text/plain") + "mine",
+                                                head("r0", "text/plain") + "foreign body"}));
+        const QByteArray response = responseTo(fixture, path);
+        cr_assert(response.startsWith("HTTP/1.1 502"), "%s", response.constData());
+        cr_assert(!response.contains("foreign"));
+    }
+}
+
+Test(unframed_answer, that_quotes_a_status_line_is_passed_on)
+{
+    GatewayFixture fixture(1, writeInParts({head("r1", "text/plain")
+                                            + "HTTP/1.1 200 OK\r\nServer: quoted\r\n\r\nbody"}));
+    const QByteArray response = responseTo(fixture, "/once/x");
+    cr_assert(response.startsWith("HTTP/1.1 200"));
+    cr_assert(response.contains("Server: quoted"));
+}
+
+// A reset says that the answer broke off, also at the end of an event.
+Test(unframed_answer, that_is_reset_is_not_passed_on_as_whole)
+{
+    GatewayFixture fixture(1, [](const HttpRequest &, const auto &exchange) {
+        exchange.write(head("r1", "text/event-stream") + event(1, "a"));
+        exchange.reset();
+    });
+    cr_assert(!responseTo(fixture, "/stream/x").endsWith("0\r\n\r\n"));
+}
