Compare the events of a stream with the last one that its caller has

Cause: the order of events was checked from the first event of the answer on.

Evidence: resumed_stream/of_a_caller_goes_on_after_the_callers_last_event fails on the commit before (the caller gets events 1 and 2 after event 4).

On routes whose streams may be resumed the order begins with the id that the caller sends. Elsewhere the field means nothing.

--- a/modules/lacewingmux_gateway/calls/CallDescription.h
+++ b/modules/lacewingmux_gateway/calls/CallDescription.h
@@ -28,8 +28,14 @@
     std::vector<PromptPart> promptParts; ///< in order; the last one is specific to this request
     /** Until the program should be finished; negative once that time has passed. */
     std::optional<std::chrono::milliseconds> programTimeLeft;
-    bool resumesStream = false; ///< continues a stream after its last event
-    QByteArray affinityKey;     ///< identifies the object that the request concerns
+    QByteArray lastEventId; ///< of a stream that the caller resumes after it; otherwise empty
+    QByteArray affinityKey; ///< identifies the object that the request concerns
+
+    /** Tells whether the request continues a stream of which the caller has events already. */
+    [[nodiscard]] bool resumesStream() const noexcept
+    {
+        return !this->lastEventId.isEmpty();
+    }
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/DeliveredStream.cpp
+++ b/modules/lacewingmux_gateway/forwarding/DeliveredStream.cpp
@@ -2,8 +2,15 @@
 
 #include "lacewingmux_gateway/forwarding/StreamEvents.h"
 
+#include <tuple>
+
 namespace lacewingmux {
 
+DeliveredStream::DeliveredStream(const QByteArray &callersLastId)
+{
+    std::ignore = this->eventSequence.accept(callersLastId);
+}
+
 void DeliveredStream::append(const StreamEvents &events)
 {
     this->eventCount += events.count;
--- a/modules/lacewingmux_gateway/forwarding/DeliveredStream.h
+++ b/modules/lacewingmux_gateway/forwarding/DeliveredStream.h
@@ -14,6 +14,10 @@
 class DeliveredStream
 {
 public:
+    /** Creates the record of a stream whose caller has the events up to the given id already; the
+        id is empty if it has none. */
+    explicit DeliveredStream(const QByteArray &callersLastId = {});
+
     /** Records that the head of the response was sent. */
     void start()
     {
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -99,6 +99,8 @@
         return false;
     }
     this->route = *found;
+    if (this->route.resumable)
+        this->delivered = DeliveredStream(this->description.lastEventId);
     this->service = selectService(this->route, this->description.session.isEmpty()
                                                        ? this->description.requestId
                                                        : this->description.session);
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAdmission.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAdmission.cpp
@@ -22,7 +22,7 @@
 {
     // A later turn without a description of its prompt could be taken for a first one.
     if (!this->startsProgram() || this->description.promptParts.empty()
-        || this->description.resumesStream || !this->description.programTimeLeft)
+        || this->description.resumesStream() || !this->description.programTimeLeft)
         return true;
     ProgramAdmissionRequest admissionRequest;
     admissionRequest.program = this->description.program;
@@ -58,7 +58,7 @@
     priorityRequest.isStream = this->route.kind == RouteKind::Stream;
     priorityRequest.inProgram = !this->description.program.isEmpty();
     priorityRequest.startsProgram =
-            this->startsProgram() && !this->description.resumesStream && !hasEvents;
+            this->startsProgram() && !this->description.resumesStream() && !hasEvents;
     priorityRequest.level = this->level();
     if (this->description.programTimeLeft)
         priorityRequest.programTimeLeft = *this->description.programTimeLeft - passed;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -326,6 +326,7 @@
     if (!this->attempt.connection)
         return;
     this->logAttempt(outcome);
+    this->attempt.activityTimer.cancel();
     this->attempt.connection->abort();
     this->attempt.connection.reset();
     this->context.fleet.placement().callEnded(this->attempt.replica);
@@ -340,6 +341,7 @@
                     ? std::chrono::seconds(*this->attempt.responseInfo.keepAliveSeconds)
                               - keepAliveMargin
                     : defaultIdleTime;
+    this->attempt.activityTimer.cancel();
     this->attempt.connection->setReusableUntil(this->now() + kept);
     this->context.fleet.release(this->attempt.replica, this->attempt.startMilliseconds,
                                 std::move(this->attempt.connection));
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
@@ -143,7 +143,7 @@
     next.replica = instance.id;
     next.startMilliseconds = instance.startMilliseconds;
     next.resumedAfter = this->delivered.lastId();
-    next.resumesStream = this->description.resumesStream || !next.resumedAfter.isEmpty();
+    next.resumesStream = this->description.resumesStream() || !next.resumedAfter.isEmpty();
     next.uncachedTokens = this->context.fleet.placement().uncachedTokens(
             instance.id, this->description.promptParts);
     next.sentAt = this->now();
--- a/tests/adapter/HttpDialectPriorityTest.cpp
+++ b/tests/adapter/HttpDialectPriorityTest.cpp
@@ -56,7 +56,7 @@
 Test(http_dialect, knows_a_stream_that_is_resumed)
 {
     HttpRequest request;
-    cr_assert_not(platformDialect().parseRequest(request).resumesStream);
+    cr_assert_not(platformDialect().parseRequest(request).resumesStream());
     request.fields = {{"Last-Event-Id", "3"}};
-    cr_assert(platformDialect().parseRequest(request).resumesStream);
+    cr_assert(platformDialect().parseRequest(request).resumesStream());
 }
--- a/tests/gateway/ResumedStreamTest.cpp
+++ b/tests/gateway/ResumedStreamTest.cpp
@@ -101,3 +101,21 @@
     cr_assert(!caller.received().contains("again"));
     cr_assert_eq(caller.received().count("data: "), 3);
 }
+
+// The caller has the events up to the id that it sends: a replica that begins before it would give
+// it the same events twice.
+Test(resumed_stream, of_a_caller_goes_on_after_the_callers_last_event)
+{
+    GatewayFixture fixture(2, [requests = std::make_shared<int>(0)](const HttpRequest &request,
+                                                                    const auto &exchange) {
+        const int first = ++*requests == 1 ? 1 : 5;
+        exchange.write(GatewayFixture::streamHead(request) + GatewayFixture::event(first, "a")
+                       + GatewayFixture::event(first + 1, "b") + "0\r\n\r\n");
+    });
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", "/resume/x", "r1", "Last-Event-Id: 4\r\n"));
+    fixture.loop.waitUntil([&] { return caller.received().endsWith("0\r\n\r\n"); }, "the end");
+    cr_assert_eq(caller.received().count("data: "), 2);
+    cr_assert(caller.received().contains("id: 5\n"));
+    cr_assert(!caller.received().contains("id: 1\n"));
+}
