Do not take a failure without an id for the answer to the call at hand

What callers saw: "not run, try again" for requests that a replica had run or was running (REFUSED), or such a request ran at a second replica (TWICE), when a faulty replica wrote an earlier refusal once more on a kept connection.

Cause: ForwardedCall::matchesRequest took any failure without a request id as the answer to the call, also where it may answer an earlier request on the connection.

Evidence: late_refusal, without_an_id_is_not_taken_for_not_run fails without the change: request r2 of a route that may run once was sent again while its first run was under way, and the caller got the second run's "HTTP/1.1 200 OK".

attributeResponse() decides to which request a response belongs. A response that names an id goes by it. A failure without one belongs to the call only on a connection that has carried nothing else. Otherwise the exchange fails as one that may have run: the connection is closed, the call is repeated where its route may be, and else the caller gets a 502.

Passed before, and had no test: a refusal without an id on an unused connection holds; a late refusal that names another request is discarded, an interim response ahead of a late answer as well; a late answer between two exchanges closes the connection; one larger than the bound fails the exchange; a failure without an id on a kept connection does not end a call that may be repeated.

--- a/modules/lacewingmux_backend/clients/HttpExchange.cpp
+++ b/modules/lacewingmux_backend/clients/HttpExchange.cpp
@@ -79,7 +79,7 @@
 {
     ReplicaConnection::Hooks hooks;
     hooks.maySend = [this, sendBefore = call.sendBefore] { return this->maySend(sendBefore); };
-    hooks.matches = [](const HttpResponseHead &) { return true; };
+    hooks.attribute = [](const HttpResponseHead &) { return ResponseAttribution::Own; };
     hooks.head = [this](const HttpResponseHead &head) { this->readHead(head); };
     hooks.body = [this](const QByteArray &bytes) { this->readBody(bytes); };
     hooks.complete = [this] { this->completeResponse(); };
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -103,7 +103,8 @@
     [[nodiscard]] std::optional<int> replicaPriority() const;
 
     // Responses
-    [[nodiscard]] bool matchesRequest(const HttpResponseHead &responseHead);
+    /** Tells whether a response on the connection of the current attempt belongs to it. */
+    [[nodiscard]] ResponseAttribution attribute(const HttpResponseHead &responseHead);
     /** Records what the replica announces about itself in the head of a response. */
     void recordAnnouncements();
     /** Records what the head of a response says about whether the replica is cold; only a valid
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -51,13 +51,15 @@
 
 } // namespace
 
-bool ForwardedCall::matchesRequest(const HttpResponseHead &responseHead)
+ResponseAttribution ForwardedCall::attribute(const HttpResponseHead &responseHead)
 {
     this->attempt.responseInfo = this->context.dialect.parseResponse(responseHead);
     this->recordAnnouncements();
-    if (this->attempt.responseInfo.requestId.isEmpty())
-        return !isSuccess(responseHead); // refusals before the request was read carry no id
-    return this->attempt.responseInfo.requestId == this->description.requestId;
+    const ReplicaConnection &connection = *this->attempt.connection;
+    const bool carriedEarlierRequests =
+            connection.exchangeCount() > 1 || connection.discardedResponses() > 0;
+    return attributeResponse(this->description.requestId, this->attempt.responseInfo.requestId,
+                             isSuccess(responseHead), carriedEarlierRequests);
 }
 
 void ForwardedCall::recordAnnouncements()
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
@@ -188,9 +188,9 @@
         return self && self->attempt.number == number ? self : nullptr;
     };
     ReplicaConnection::Hooks hooks;
-    hooks.matches = [current](const HttpResponseHead &responseHead) {
+    hooks.attribute = [current](const HttpResponseHead &responseHead) {
         const auto self = current();
-        return self && self->matchesRequest(responseHead);
+        return self ? self->attribute(responseHead) : ResponseAttribution::Unknown;
     };
     hooks.head = [current](const HttpResponseHead &responseHead) {
         if (const auto self = current())
--- a/modules/lacewingmux_gateway/replicas/ExchangeFailure.h
+++ b/modules/lacewingmux_gateway/replicas/ExchangeFailure.h
@@ -9,6 +9,7 @@
     NotConnected,  ///< the connection could not be established; nothing was sent
     Closed,        ///< the connection ended after the request was sent
     Malformed,     ///< the received bytes are not a valid response
+    Unattributed,  ///< a response could not be attributed to the request or to an earlier one
     OutOfSequence, ///< an event of a stream does not follow those before it
     Unreachable,   ///< no data came after the request, and connecting again failed
     TunnelFailed,  ///< another VM opened no tunnel to the replica; nothing was sent
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -154,18 +154,8 @@
             this->fail(ExchangeFailure::Malformed);
             return;
         }
-        if (!this->headDelivered) {
-            this->headDelivered = true;
-            const HttpResponseHead &head = this->decoder->head();
-            this->isUnrelatedResponse = !active->matches(head);
-            this->discarded += this->isUnrelatedResponse ? 1 : 0;
-            if (head.bodyEndsAtClose)
-                this->resetDetector.watch(*this->socket);
-            if (!this->isUnrelatedResponse)
-                active->head(head);
-            if (guard.expired() || !this->busy)
-                return;
-        }
+        if (!this->headDelivered && !this->beginResponse())
+            return;
         const QByteArray body = this->decoder->takeBody();
         if (this->isUnrelatedResponse)
             this->discardedBytes += body.size();
@@ -198,6 +188,27 @@
     }
 }
 
+bool ReplicaConnection::beginResponse()
+{
+    const std::weak_ptr guard = this->lifetime;
+    const std::shared_ptr active = this->hooks; // stays valid if a hook calls abort()
+    const HttpResponseHead &head = this->decoder->head();
+    const ResponseAttribution attribution = active->attribute(head);
+    if (attribution == ResponseAttribution::Unknown) {
+        this->broken = true;
+        this->fail(ExchangeFailure::Unattributed);
+        return false;
+    }
+    this->headDelivered = true;
+    this->isUnrelatedResponse = attribution == ResponseAttribution::Other;
+    this->discarded += this->isUnrelatedResponse ? 1 : 0;
+    if (head.bodyEndsAtClose)
+        this->resetDetector.watch(*this->socket);
+    if (!this->isUnrelatedResponse)
+        active->head(head);
+    return !guard.expired() && this->busy;
+}
+
 void ReplicaConnection::failLater(ExchangeFailure reason)
 {
     this->timers.post([this, reason, guard = std::weak_ptr(this->lifetime)] {
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
@@ -3,6 +3,7 @@
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_gateway/http/HttpResponseHead.h"
 #include "lacewingmux_gateway/replicas/ExchangeFailure.h"
+#include "lacewingmux_gateway/replicas/ResponseAttribution.h"
 #include "lacewingmux_tunnel/client/ConnectResult.h"
 #include "lacewingmux_tunnel/client/StreamConnector.h"
 #include "lacewingmux_tunnel/client/StreamRoute.h"
@@ -23,8 +24,9 @@
     One connection to a replica, direct or through a tunnel, which carries one request/response
     exchange at a time.
 
-    A response that names another request is discarded, because replicas may repeat a response late.
-    A connection that receives bytes outside an exchange is not reused.
+    A response to another request is discarded, because replicas may repeat a response late. One
+   that cannot be attributed fails the exchange. A connection that receives bytes outside an
+   exchange is not reused.
 */
 class ReplicaConnection
 {
@@ -36,7 +38,7 @@
             written. If not, the exchange fails as NotConnected. May be null. */
         std::function<bool()> maySend;
         /** Tells whether the response with this head belongs to the exchange. */
-        std::function<bool(const HttpResponseHead &)> matches;
+        std::function<ResponseAttribution(const HttpResponseHead &)> attribute;
         std::function<void(const HttpResponseHead &)> head;
         std::function<void(const QByteArray &)> body;
         std::function<void()> complete;
@@ -74,7 +76,7 @@
     }
 
     /** Returns the number of responses that the current or last exchange has discarded, because
-        they name another request. */
+        they belong to other requests. */
     [[nodiscard]] int discardedResponses() const noexcept
     {
         return this->discarded;
@@ -95,6 +97,9 @@
     void handleDisconnected();
     void readAvailable();
     void deliverDecoded();
+    /** Begins with the response whose head has been decoded; returns whether its body may follow.
+     */
+    [[nodiscard]] bool beginResponse();
     /** Fails the exchange on the next turn of the event loop. */
     void failLater(ExchangeFailure reason);
     void fail(ExchangeFailure reason);
--- /dev/null
+++ b/tests/gateway/KeptConnectionTest.cpp
@@ -0,0 +1,170 @@
+#include "support/GatewayFixture.h"
+
+#include <criterion/criterion.h>
+
+#include <vector>
+
+using namespace lacewingmux;
+using std::chrono::milliseconds;
+
+namespace {
+
+using Exchange = ScriptedReplica::Exchange;
+
+constexpr milliseconds waitForRepetition{300}; // several times the delay before a call is repeated
+const QByteArray notExecuted = "Lacewingmux-Not-Executed: 1\r\n";
+
+QByteArray idLine(const QByteArray &id)
+{
+    return "Lacewingmux-Request-Id: " + id + "\r\n";
+}
+
+/** Returns a failure with the given status line and fields, whose body is the status line. */
+QByteArray failure(const QByteArray &statusLine, const QByteArray &fields)
+{
+    return "HTTP/1.1 " + statusLine + "\r\nKeep-Alive: timeout=5\r\n" + fields
+           + "Content-Length: " + QByteArray::number(statusLine.size()) + "\r\n\r\n" + statusLine;
+}
+
+QByteArray success(const QByteArray &id, const QByteArray &body, const QByteArray &fields = {})
+{
+    HttpRequest request;
+    request.fields.push_back({"Lacewingmux-Request-Id", id});
+    return GatewayFixture::answer(request, body, fields);
+}
+
+/** A gateway with one replica, which writes a scripted text for each of its first requests and a
+    whole answer for the next ones. */
+class ScriptedExchanges
+{
+public:
+    explicit ScriptedExchanges(std::vector<QByteArray> texts)
+        : script(std::move(texts))
+        , fixture(1, [this](const HttpRequest &request, const Exchange &exchange) {
+            this->exchanges.push_back(exchange);
+            const std::size_t number = this->exchanges.size();
+            exchange.write(number <= this->script.size() ? this->script[number - 1]
+                                                         : GatewayFixture::answer(request, "own."));
+        })
+    { }
+
+    /** Returns what the caller gets for one request, up to the end of the first response. */
+    QByteArray call(const QByteArray &method, const QByteArray &path, const QByteArray &id)
+    {
+        return this->responseTo(GatewayFixture::request(method, path, id));
+    }
+
+    QByteArray responseTo(const QByteArray &request)
+    {
+        RawCaller caller(this->fixture.gateway->port());
+        caller.send(request);
+        this->fixture.loop.waitUntil(
+                [&] { return caller.isClosed() || isWhole(caller.received()); }, "the response");
+        return caller.received();
+    }
+
+    [[nodiscard]] int requestCount() const
+    {
+        return this->fixture.requestCount();
+    }
+
+    [[nodiscard]] int connectionCount() const
+    {
+        return this->fixture.replicas[0]->connectionCount();
+    }
+
+    std::vector<QByteArray> script;
+    std::vector<Exchange> exchanges;
+    GatewayFixture fixture;
+
+private:
+    static bool isWhole(const QByteArray &text)
+    {
+        const qsizetype headEnd = text.indexOf("\r\n\r\n");
+        if (headEnd < 0)
+            return false;
+        constexpr const char *lengthField = "\r\nContent-Length: ";
+        const qsizetype field = text.indexOf(lengthField);
+        const qsizetype start = field + static_cast<qsizetype>(qstrlen(lengthField));
+        const qsizetype length = text.mid(start, text.indexOf('\r', start) - start).toLongLong();
+        return field >= 0 && text.size() >= headEnd + 4 + length;
+    }
+};
+
+} // namespace
+
+// A faulty replica wrote an earlier refusal once more on a kept connection.
+Test(late_refusal, without_an_id_is_not_taken_for_not_run)
+{
+    for (const QByteArray &status : {QByteArray("503 Full"), QByteArray("429 Slow down"),
+                                     QByteArray("421 Other"), QByteArray("400 No id")}) {
+        ScriptedExchanges test({success("r1", "first"), failure(status, notExecuted)});
+        test.call("POST", "/once/x", "r1");
+        const QByteArray response = test.call("POST", "/once/x", "r2");
+        cr_assert(response.startsWith("HTTP/1.1 502"), "%s", response.constData());
+        test.fixture.loop.runFor(waitForRepetition);
+        cr_assert_eq(test.requestCount(), 2, "it must not run twice");
+        cr_assert(test.call("POST", "/once/x", "r3").endsWith("own."));
+        cr_assert_eq(test.connectionCount(), 2, "the connection must not be used again");
+    }
+}
+
+Test(late_failure, without_an_id_does_not_end_a_call_that_may_be_repeated)
+{
+    ScriptedExchanges test({success("r1", "first"), failure("500 Broken", {})});
+    test.call("POST", "/safe/x", "r1");
+    const QByteArray response = test.call("POST", "/safe/x", "r2");
+    cr_assert(response.endsWith("own."), "%s", response.constData());
+    cr_assert_eq(test.requestCount(), 3);
+}
+
+Test(refusal, without_an_id_holds_on_a_connection_without_earlier_requests)
+{
+    ScriptedExchanges test({failure("503 Full", notExecuted)});
+    const QByteArray response = test.call("POST", "/once/x", "r1");
+    cr_assert(response.endsWith("own."), "%s", response.constData());
+    cr_assert_eq(test.requestCount(), 2);
+}
+
+Test(late_answer, is_discarded_behind_an_interim_response)
+{
+    const QByteArray interim = "HTTP/1.1 103 Early Hints\r\nLacewingmux-Request-Id: r2\r\n\r\n";
+    ScriptedExchanges test({success("r1", "first"),
+                            interim + success("r1", "first") + interim + success("r2", "own.")});
+    test.call("POST", "/once/x", "r1");
+    cr_assert(test.call("POST", "/once/x", "r2").endsWith("own."));
+    cr_assert_eq(test.connectionCount(), 1);
+}
+
+Test(late_refusal, that_names_another_request_is_discarded)
+{
+    for (const QByteArray &status :
+         {QByteArray("503 Full"), QByteArray("421 Other"), QByteArray("500 Broken")}) {
+        const QByteArray late = failure(status, idLine("r1") + notExecuted);
+        ScriptedExchanges test({success("r1", "first"), late + success("r2", "own.")});
+        test.call("POST", "/once/x", "r1");
+        const QByteArray response = test.call("POST", "/once/x", "r2");
+        cr_assert(response.endsWith("own."), "%s", response.constData());
+        cr_assert_eq(test.requestCount(), 2);
+    }
+}
+
+Test(late_answer, between_two_exchanges_closes_the_connection)
+{
+    ScriptedExchanges test({success("r1", "first")});
+    test.call("POST", "/once/x", "r1");
+    test.exchanges.front().write(success("r1", "first"));
+    test.fixture.loop.waitUntil([&] { return test.exchanges.front().isClosed(); }, "the close");
+    cr_assert(test.call("POST", "/once/x", "r2").endsWith("own."));
+    cr_assert_eq(test.connectionCount(), 2);
+}
+
+Test(late_answer, that_is_larger_than_the_bound_fails_the_exchange)
+{
+    const QByteArray large(2 * 1024 * 1024, 'x');
+    ScriptedExchanges test({success("r1", "first"), success("r1", large) + success("r2", "own.")});
+    test.call("POST", "/once/x", "r1");
+    const QByteArray response = test.call("POST", "/once/x", "r2");
+    cr_assert(response.startsWith("HTTP/1.1 502"), "%s", response.constData());
+    cr_assert_eq(test.requestCount(), 2);
+}
