Never send a request over a connection that has carried its id before

What callers saw: a request that may run once ran twice (TWICE), or the answer to its earlier attempt came as that to the later one. A call that a replica had rejected was placed there again, over the same connection; the replica wrote the refusal once more, and it was taken for the second attempt's answer, while the replica ran the request.

Cause: an id tells requests apart, not two sends of the same request. The pool gave the call the connection that had carried it, as the one used last.

A connection remembers hashes of the ids that it has carried, and the pool gives a call only one that has not carried its id; others may go on using it. A request without an id gets a connection that has carried nothing, on which any response can only be its own; a success is passed on there, which timed out before. A connection ends after 1000 exchanges, which bounds the hashes at 4 KB.

--- a/modules/lacewingmux_backend/clients/HttpExchange.cpp
+++ b/modules/lacewingmux_backend/clients/HttpExchange.cpp
@@ -5,6 +5,7 @@
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_gateway/http/HttpText.h"
 #include "lacewingmux_gateway/replicas/ReplicaConnection.h"
+#include "lacewingmux_gateway/replicas/ReplicaRequest.h"
 
 #include <algorithm>
 #include <utility>
@@ -87,7 +88,7 @@
     const QByteArray request =
             requestHeadText(call.method, targetOf(call), fieldsOf(call), call.body.size())
             + call.body;
-    this->connection->exchange(request, call.method == "HEAD", std::move(hooks));
+    this->connection->exchange({this->requestId, request, call.method == "HEAD"}, std::move(hooks));
 }
 
 bool HttpExchange::maySend(std::optional<TimerService::SteadyTime> sendBefore)
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
@@ -6,6 +6,7 @@
 #include "lacewingmux_gateway/http/HttpText.h"
 #include "lacewingmux_gateway/replicas/ReplicaConnection.h"
 #include "lacewingmux_gateway/replicas/ReplicaFleet.h"
+#include "lacewingmux_gateway/replicas/ReplicaRequest.h"
 
 #include <algorithm>
 #include <utility>
@@ -124,15 +125,16 @@
     std::shared_ptr<ReplicaConnection> connection;
     // The zone may have been evacuated since the replica was chosen.
     if (registered != nullptr && !this->context.fleet.isEvacuated(*registered))
-        connection = this->context.fleet.acquire(instance);
+        connection = this->context.fleet.acquire(instance, this->description.requestId);
     if (!connection) {
         this->excludedInstances.push_back(instance);
         this->placeCall();
         return;
     }
     this->beginAttempt(*registered, std::move(connection));
-    this->attempt.connection->exchange(this->requestText(), this->request.method == "HEAD",
-                                       this->exchangeHooks());
+    this->attempt.connection->exchange(
+            {this->description.requestId, this->requestText(), this->request.method == "HEAD"},
+            this->exchangeHooks());
 }
 
 void ForwardedCall::beginAttempt(const ReplicaInstance &instance,
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -1,10 +1,12 @@
 #include "lacewingmux_gateway/replicas/ReplicaConnection.h"
 
 #include "lacewingmux_gateway/http/ResponseDecoder.h"
+#include "lacewingmux_gateway/replicas/ReplicaRequest.h"
 #include "lacewingmux_tunnel/sockets/SocketOptions.h"
 
 #include <QTcpSocket>
 
+#include <algorithm>
 #include <utility>
 
 namespace lacewingmux {
@@ -15,6 +17,14 @@
 constexpr std::chrono::milliseconds networkTimeout{3000};
 // Of responses to other requests; far above a response that was sent twice.
 constexpr qsizetype maximumDiscardedBytes = qsizetype{1024} * 1024;
+// Bounds the memory for the ids that a connection has carried, at one new connection in so many
+// requests.
+constexpr int maximumExchanges = 1000;
+
+std::uint32_t hashOf(const QByteArray &requestId)
+{
+    return static_cast<std::uint32_t>(qHash(requestId));
+}
 
 } // namespace
 
@@ -36,25 +46,26 @@
     this->socket->deleteLater();
 }
 
-void ReplicaConnection::exchange(const QByteArray &request, bool isHead, Hooks exchangeHooks)
+void ReplicaConnection::exchange(const ReplicaRequest &request, Hooks exchangeHooks)
 {
     this->hooks = std::make_shared<const Hooks>(std::move(exchangeHooks));
-    this->isHeadRequest = isHead;
-    this->decoder = std::make_unique<ResponseDecoder>(isHead);
+    this->isHeadRequest = request.isHead;
+    this->decoder = std::make_unique<ResponseDecoder>(request.isHead);
     this->headDelivered = false;
     this->isUnrelatedResponse = false;
     this->discardedBytes = 0;
     this->discarded = 0;
     ++this->exchanges;
+    this->carriedIds.push_back(hashOf(request.id));
     this->busy = true;
     if (this->broken) {
         this->failLater(this->connectFailure);
         return;
     }
     if (this->connected)
-        this->writeNow(request);
+        this->writeNow(request.text);
     else
-        this->unsentRequest = request;
+        this->unsentRequest = request.text;
 }
 
 void ReplicaConnection::abort()
@@ -67,10 +78,19 @@
     this->socket->abort();
 }
 
+bool ReplicaConnection::distinguishes(const QByteArray &requestId) const
+{
+    if (this->exchanges == 0)
+        return true;
+    // Equal hashes of different ids cost no more than another connection.
+    return !requestId.isEmpty()
+           && std::ranges::find(this->carriedIds, hashOf(requestId)) == this->carriedIds.end();
+}
+
 bool ReplicaConnection::isReusable() const
 {
-    return !this->broken && !this->busy && this->connected && this->socket->bytesToWrite() == 0
-           && this->timers.now() < this->reusableUntil;
+    return this->exchanges < maximumExchanges && !this->broken && !this->busy && this->connected
+           && this->socket->bytesToWrite() == 0 && this->timers.now() < this->reusableUntil;
 }
 
 void ReplicaConnection::handleConnectResult(ConnectResult result)
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
@@ -13,12 +13,14 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 class QTcpSocket;
 
 namespace lacewingmux {
 
 class ResponseDecoder;
+struct ReplicaRequest;
 
 /**
     One connection to a replica, direct or through a tunnel, which carries one request/response
@@ -52,7 +54,7 @@
     ReplicaConnection &operator=(const ReplicaConnection &) = delete;
 
     /** Sends a request once connected, and reads its response. */
-    void exchange(const QByteArray &request, bool isHead, Hooks exchangeHooks);
+    void exchange(const ReplicaRequest &request, Hooks exchangeHooks);
 
     /** Cancels the exchange without calling its hooks, and closes the connection. */
     void abort();
@@ -82,6 +84,10 @@
         return this->discarded;
     }
 
+    /** Tells whether a response to a request with this id, which may be empty, can be told from
+        late responses to the requests that the connection has carried. */
+    [[nodiscard]] bool distinguishes(const QByteArray &requestId) const;
+
     /** Tells whether another exchange may use the connection now. */
     [[nodiscard]] bool isReusable() const;
 
@@ -122,6 +128,7 @@
     qsizetype discardedBytes = 0;     ///< of such responses, in this exchange
     int discarded = 0;                ///< number of such responses, in this exchange
     int exchanges = 0;
+    std::vector<std::uint32_t> carriedIds; ///< hashes of the requests' ids
     bool broken = false;
     ResetDetector resetDetector;
     std::shared_ptr<char> lifetime = std::make_shared<char>();
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -262,18 +262,14 @@
     return found == this->instances.cend() ? nullptr : &*found;
 }
 
-std::shared_ptr<ReplicaConnection> ReplicaFleet::acquire(const QByteArray &id)
+std::shared_ptr<ReplicaConnection> ReplicaFleet::acquire(const QByteArray &id,
+                                                         const QByteArray &requestId)
 {
     const ReplicaInstance *replica = this->instance(id);
     if (replica == nullptr)
         return nullptr;
-    ConnectionList &connections = this->idle[id];
-    while (!connections.empty()) {
-        std::shared_ptr<ReplicaConnection> connection = std::move(connections.back());
-        connections.pop_back();
-        if (this->isReusable(*connection))
-            return connection;
-    }
+    if (auto connection = this->takeIdle(id, requestId))
+        return connection;
     std::shared_ptr<const TunnelUse> tunnel;
     if (this->unreachable.contains(id))
         tunnel = this->takeTunnel();
@@ -281,6 +277,22 @@
                                                this->timers);
 }
 
+std::shared_ptr<ReplicaConnection> ReplicaFleet::takeIdle(const QByteArray &id,
+                                                          const QByteArray &requestId)
+{
+    ConnectionList &connections = this->idle[id];
+    std::erase_if(connections,
+                  [this](const auto &connection) { return !this->isReusable(*connection); });
+    const auto found = std::find_if(
+            connections.rbegin(), connections.rend(),
+            [&requestId](const auto &connection) { return connection->distinguishes(requestId); });
+    if (found == connections.rend())
+        return nullptr;
+    std::shared_ptr<ReplicaConnection> connection = std::move(*found);
+    connections.erase(std::next(found).base());
+    return connection;
+}
+
 bool ReplicaFleet::isReusable(const ReplicaConnection &connection) const
 {
     const auto &tunnel = connection.tunnel();
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
@@ -115,9 +115,11 @@
     /** Returns the replica, or null when it is not registered. */
     [[nodiscard]] const ReplicaInstance *instance(const QByteArray &id) const;
 
-    /** Returns an idle or new connection to the replica, through a tunnel if the replica is not
-        reachable directly; null when it is not registered. */
-    [[nodiscard]] std::shared_ptr<ReplicaConnection> acquire(const QByteArray &id);
+    /** Returns a connection to the replica for a request with this id, which may be empty: an idle
+        one that can tell its response from late ones, or a new one. It leads through a tunnel if
+        the replica is not reachable directly. Returns null when the replica is not registered. */
+    [[nodiscard]] std::shared_ptr<ReplicaConnection> acquire(const QByteArray &id,
+                                                             const QByteArray &requestId);
 
     /** Checks whether an unresponsive replica is still reachable directly or, unless null, through
         the tunnel's VM. Concurrent checks of the same way share one connection attempt. */
@@ -144,6 +146,10 @@
     [[nodiscard]] StreamRoute routeTo(const ReplicaInstance &replica,
                                       std::shared_ptr<const TunnelUse> tunnel) const;
     [[nodiscard]] bool isReusable(const ReplicaConnection &connection) const;
+    /** Removes and returns the idle connection that was used last, of those that suit the request;
+        null if there is none. */
+    [[nodiscard]] std::shared_ptr<ReplicaConnection> takeIdle(const QByteArray &id,
+                                                              const QByteArray &requestId);
     void finishProbe(const ProbeKey &key, ConnectResult result);
     void handleDirectProbe(const QByteArray &id, ConnectResult result);
     /** Finds out whether a replica that is unreachable directly is reachable through a tunnel. */
--- a/tests/gateway/KeptConnectionTest.cpp
+++ b/tests/gateway/KeptConnectionTest.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <optional>
 #include <vector>
 
 using namespace lacewingmux;
@@ -126,6 +127,79 @@
     cr_assert_eq(test.requestCount(), 2);
 }
 
+Test(late_failure, is_not_taken_for_the_answer_to_a_request_without_an_id)
+{
+    const QByteArray request = "POST /once/x HTTP/1.1\r\nHost: shop.example\r\n"
+                               "Authorization: Token good\r\nContent-Length: 0\r\n\r\n";
+    ScriptedExchanges test({success("r1", "first"), failure("400 No id", notExecuted)});
+    test.call("POST", "/once/x", "r1");
+    test.script.push_back("HTTP/1.1 200 OK\r\nLacewingmux-Server-Stamp: s\r\n"
+                          "Content-Length: 4\r\n\r\nmine");
+    const QByteArray response = test.responseTo(request);
+    cr_assert(response.endsWith("mine"), "%s", response.constData());
+    cr_assert_eq(test.connectionCount(), 3, "each gets a connection without earlier requests");
+}
+
+// The call was rejected, and then placed at the same replica again.
+Test(late_refusal, of_the_same_call_is_not_taken_for_its_second_answer)
+{
+    std::vector<Exchange> exchanges;
+    const QByteArray refusal = failure("503 Full", idLine("r1") + notExecuted);
+    GatewayFixture fixture(1, [&](const HttpRequest &request, const Exchange &exchange) {
+        exchanges.push_back(exchange);
+        if (exchanges.size() > 1) {
+            exchanges.front().write(refusal);
+            exchange.writeAfter(milliseconds(100), GatewayFixture::answer(request, "own."));
+        } else {
+            exchange.write(refusal);
+        }
+    });
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", "/once/x", "r1"));
+    fixture.loop.waitUntil([&] { return caller.received().contains("\r\n\r\n"); }, "the answer");
+    cr_assert(caller.received().endsWith("own."), "%s", caller.received().constData());
+    fixture.loop.runFor(waitForRepetition);
+    cr_assert_eq(fixture.requestCount(), 2, "it must not run twice");
+}
+
+Test(rejected_call, leaves_its_connection_to_other_calls)
+{
+    ScriptedExchanges test({failure("503 Full", idLine("r1") + notExecuted)});
+    cr_assert(test.call("POST", "/once/x", "r1").endsWith("own."));
+    cr_assert_eq(test.connectionCount(), 2, "its second attempt needs another connection");
+    // Both are idle now; two calls at a time use both.
+    RawCaller first(test.fixture.gateway->port());
+    RawCaller second(test.fixture.gateway->port());
+    first.send(GatewayFixture::request("POST", "/once/x", "r2"));
+    second.send(GatewayFixture::request("POST", "/once/x", "r3"));
+    test.fixture.loop.waitUntil(
+            [&] { return first.received().endsWith("own.") && second.received().endsWith("own."); },
+            "the answers");
+    cr_assert_eq(test.connectionCount(), 2);
+}
+
+Test(late_answer, to_an_earlier_request_with_the_same_id_is_not_taken_for_the_second_one)
+{
+    const QByteArray first = success("r1", "first");
+    std::optional<Exchange> earlier;
+    GatewayFixture fixture(1, [&](const HttpRequest &request, const Exchange &exchange) {
+        if (!earlier) {
+            exchange.write(first);
+            earlier = exchange;
+            return;
+        }
+        earlier->write(first);
+        exchange.writeAfter(milliseconds(50), GatewayFixture::answer(request, "second"));
+    });
+    for (const char *expected : {"first", "second"}) {
+        RawCaller caller(fixture.gateway->port());
+        caller.send(GatewayFixture::request("POST", "/once/x", "r1"));
+        fixture.loop.waitUntil([&] { return caller.received().contains("\r\n\r\n"); },
+                               "the answer");
+        cr_assert(caller.received().endsWith(expected), "%s", caller.received().constData());
+    }
+}
+
 Test(late_answer, is_discarded_behind_an_interim_response)
 {
     const QByteArray interim = "HTTP/1.1 103 Early Hints\r\nLacewingmux-Request-Id: r2\r\n\r\n";
