Pass no "not run" status on that the replica has not stated

Callers of a request that may run once could be told 408, 429 or 503 by a replica that had run it, and sent it again: these statuses promise that the request has not run and never will.

Cause: only a response with Lacewingmux-Not-Executed says that the replica has not run a request. Any other complete response was passed on as it came, also with a status that is a promise at our end.

Evidence: a replica that answers without the statement.

Change: such a response is a fault. It is repeated at another replica where the route allows that, and otherwise answered with 502, which promises nothing. 421 stays: it states by itself that the request has not run.

--- a/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
@@ -13,6 +13,16 @@
 constexpr int maximumSearchedResponses = 64;
 constexpr qsizetype searchedHeadBytes = 4096;
 
+/** Tells whether the status promises the caller that the call has not run. That of the wrong
+    instance is not among them, as it states so itself. */
+bool promisesNotRun(int status)
+{
+    constexpr int requestTimeout = 408;
+    constexpr int tooManyRequests = 429;
+    constexpr int serviceUnavailable = 503;
+    return status == requestTimeout || status == tooManyRequests || status == serviceUnavailable;
+}
+
 /** Tells whether the response broke off behind its head. A stream that is resumed may have no event
     left, but then its end must be marked. */
 bool brokeOffBehindHead(const ReplicaAttempt &attempt)
@@ -55,6 +65,8 @@
 {
     if (attempt.isInvalidResponse)
         return "the replica's answer is unusable";
+    if (promisesNotRun(attempt.head.status) && !attempt.responseInfo.notExecuted)
+        return "the replica refused the call without stating that it has not run it";
     if (streamStarted && !attempt.isStream)
         return "the replica did not resume the stream";
     if (attempt.isStream && attempt.eventParser.partialBytes() > 0)
