Count a records VM once that acknowledges a turn again

A caller's turn could end as stored with its record on one disk alone, and be unknown (404) once that disk was lost.

A write counted acknowledgements, not the members that acknowledged. When the link to a member came back, the record was sent to it once more and it was entered among those still to acknowledge, also if it had done so already: its second acknowledgement was counted as a second copy.

Evidence: copy_count/counts_a_member_once_that_acknowledges_again_after_ a_broken_link, with two of three records VMs paused and the link to the third broken once. Before: "Assertion Failed: it is on one disk".

Change: the members whose copy is acknowledged are kept as a set, which is emptied, as the count was, when a new view is adopted.

--- a/modules/lacewingmux_records/client/RecordsClient.cpp
+++ b/modules/lacewingmux_records/client/RecordsClient.cpp
@@ -70,7 +70,7 @@
     for (const std::uint64_t correlation : correlations)
         this->continueOpening(correlation);
     for (auto &[correlation, write] : this->pendingWrites) {
-        write.copies = 0;
+        write.copies.clear();
         this->sendWrite(correlation, write);
     }
 }
--- a/modules/lacewingmux_records/client/RecordsClient.h
+++ b/modules/lacewingmux_records/client/RecordsClient.h
@@ -72,7 +72,7 @@
         int group = 0;
         Record record;
         std::set<VmIncarnation> unacknowledged; ///< members whose acknowledgement is awaited
-        int copies = 0;                         ///< acknowledged copies that count
+        std::set<VmIncarnation> copies;         ///< members whose acknowledged copy counts
         StoredCallback callback;
         TimerSubscription timeout;
     };
--- a/modules/lacewingmux_records/client/RecordsClientWrites.cpp
+++ b/modules/lacewingmux_records/client/RecordsClientWrites.cpp
@@ -84,7 +84,9 @@
     if (member == nullptr || frame.epoch != this->view.number
         || found->second.unacknowledged.erase(peer) == 0 || !group.countsAsCopy(*member))
         return;
-    if (++found->second.copies >= group.durableCopies())
+    // A member acknowledges once more after its link broke: its disk still holds one copy.
+    found->second.copies.insert(peer);
+    if (static_cast<int>(found->second.copies.size()) >= group.durableCopies())
         this->finishWrite(frame.correlation, true);
 }
 
@@ -97,7 +99,7 @@
     if (!durable)
         LogEvent(LogSeverity::Warning, "turnNotKept")
                 .field("request", QString::fromLatin1(entry.mapped().record.key))
-                .field("copies", entry.mapped().copies)
+                .field("copies", static_cast<int>(entry.mapped().copies.size()))
                 .field("view", static_cast<quint64>(this->view.number));
     entry.mapped().callback(durable);
 }
