Compare event ids without a sum that can overflow

A replica that sends the largest number as an event id, and then another event, led to a signed overflow, which is undefined.

Evidence: two ids through EventSequence, built with -fsanitize=undefined, printed "EventSequence.cpp:22:47: runtime error: signed integer overflow: + 1 cannot be represented in type 'long int'"; none with this change. event_sequence/ends_at_the_largest_number passed before too, as the usual build has no sanitizer.

Change: ids that do not ascend are refused first, so that one can be subtracted from the new id.

Measured: event_sequence/*, all pass.

--- a/modules/lacewingmux_gateway/forwarding/EventSequence.cpp
+++ b/modules/lacewingmux_gateway/forwarding/EventSequence.cpp
@@ -19,8 +19,10 @@
         this->last = number;
         return true;
     }
-    const bool isNext = number == *this->last + 1;
-    if (number <= *this->last || (resumed && this->countsByOne.value_or(false) && !isNext))
+    if (number <= *this->last)
+        return false;
+    const bool isNext = number - 1 == *this->last;
+    if (resumed && this->countsByOne.value_or(false) && !isNext)
         return false;
     this->countsByOne = isNext && this->countsByOne.value_or(true);
     this->last = number;
--- a/tests/gateway/EventSequenceTest.cpp
+++ b/tests/gateway/EventSequenceTest.cpp
@@ -52,3 +52,12 @@
     EventSequence sequence;
     cr_assert_eq(acceptedOf(sequence, {"b", "a", "", "7", "x", "3", "99999999999999999999"}), 7);
 }
+
+// A sum beyond the largest number is undefined, and ends a daemon that is built with sanitizers.
+Test(event_sequence, ends_at_the_largest_number)
+{
+    EventSequence sequence;
+    cr_assert_eq(acceptedOf(sequence, {"9223372036854775807"}), 1);
+    for (const char *next : {"-9223372036854775808", "1", "9223372036854775807"})
+        cr_assert(!sequence.accept(next), "%s", next);
+}
