Use no replica whose id or address can't be one

What callers would see: a request with a header that nobody sent, if another writer leaves an entry among those of the replicas whose key holds a line break and whose address is that of a sound replica.

Cause: the id of a replica is the value of Lacewingmux-Expect-Instance in each request to it and was never checked: "servers/a\r\nX-Injected: 1" adds a field. The address was whatever QHostAddress accepts: 0.0.0.0, a broadcast or multicast address, an IPv6 form, short and octal forms of IPv4; the port took signs and spaces.

The values of a listing are base64 text, so one deep entry does not spoil its page, and Qt's parser gives an error beyond 1,024 levels. The tests keep it so: each odd entry stands beside sound ones in a listing and a watch, replaces one of them, and is read by entry VMs from relays and from the store; the fleet of the adapter's tests now reads the platform's entries.

--- a/tests/adapter/support/StoreFleet.cpp
+++ b/tests/adapter/support/StoreFleet.cpp
@@ -1,5 +1,6 @@
 #include "support/StoreFleet.h"
 
+#include "platform/ReplicaEntry.h"
 #include "platform/StoreClient.h"
 
 #include "lacewingmux_core/hashing/StableHash.h"
@@ -21,6 +22,8 @@
 constexpr milliseconds contactInterval{300};
 constexpr int zoneCount = 3;
 const QByteArray retirementPrefix = "op/retire/";
+const QByteArray replicaEntry = R"({"service":"s","address":"10.0.0.1:80","zone":"zone-0",
+ "slots":4,"state":"ready","born":1700000000123})";
 
 VmDescriptor descriptorOf(const VmIncarnation &incarnation)
 {
@@ -101,8 +104,8 @@
     this->network.setDetectionDelay(milliseconds(900));
     this->store.put(configurationKey, "first");
     this->store.put(recordsViewKey, "view");
-    this->store.put(replicaPrefix + "1", "entry");
-    this->store.put(replicaPrefix + "2", "entry");
+    this->store.put(replicaPrefix + "1", replicaEntry);
+    this->store.put(replicaPrefix + "2", replicaEntry);
     for (int number = 0; number < recordsVmCount; ++number)
         this->relayCandidates.push_back(numbered("records", number));
     for (const VmIncarnation &candidate : this->relayCandidates) {
@@ -227,11 +230,7 @@
     };
     adapter.configurationKey = configurationKey;
     adapter.replicaPrefix = replicaPrefix;
-    adapter.readReplica = [](const QByteArray &key, const QByteArray &) {
-        ReplicaInstance replica;
-        replica.id = key.mid(replicaPrefix.size());
-        return std::optional(replica);
-    };
+    adapter.readReplica = readReplicaEntry;
     return adapter;
 }
 
