Take no empty or cut answer without a length for a whole one

Cause: HttpExchange took the end of the connection for the end of the body, whatever had come. The gateway had the same fault; its fix did not reach this client.

Evidence: three tests of BrokenAnswerTest fail on the commit before: EmptyAnswer/isNoWholeAnswer (head with "Content-Type: application/json" and nothing behind it), CutBody/ofJsonWithoutALengthIsNoWholeAnswer and AnswerBehindAnother/isNoPartOfItsBody ("{"a":1}HTTP/1.1 200 OK ... foreign" as one body). CutHead and CutBody/isALostConnection cut a head, a body with a length and a chunked body at every byte, with a close and with a reset; they passed before as well.

Such an answer now counts as a lost connection: it may have run, an idempotent call is repeated, another one is answered "unknown". A body that is neither empty, declared as JSON nor followed by a marked answer still counts as whole when its connection is closed in order; nothing marks its end. The search for another answer in a body is shared with the gateway.

--- a/modules/lacewingmux_backend/clients/HttpExchange.cpp
+++ b/modules/lacewingmux_backend/clients/HttpExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "lacewingmux_backend/clients/ConnectionPool.h"
 #include "lacewingmux_backend/clients/ForwardedHeaders.h"
+#include "lacewingmux_backend/clients/UnframedBody.h"
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_gateway/http/HttpText.h"
 #include "lacewingmux_gateway/replicas/ReplicaConnection.h"
@@ -101,6 +102,8 @@
 void HttpExchange::readHead(const HttpResponseHead &head)
 {
     this->response.httpStatus = head.status;
+    this->bodyEndsAtClose = head.bodyEndsAtClose;
+    this->contentType = fieldValue(head.fields, "Content-Type");
     const QByteArray markedRequestId = fieldValue(head.fields, "Lacewingmux-Request-Id");
     this->mismatched = !markedRequestId.isEmpty() && markedRequestId != this->requestId;
     for (const HttpField &field : head.fields) {
@@ -124,6 +127,14 @@
 
 void HttpExchange::completeResponse()
 {
+    const char *fault = this->bodyEndsAtClose && !this->mismatched
+                                ? unframedBodyFault(this->contentType, this->response.body)
+                                : nullptr;
+    if (fault != nullptr) {
+        this->abortWith(BackendFailure::ConnectionLost, Executed::Unknown,
+                        QString::fromLatin1(fault));
+        return;
+    }
     if (this->mismatched) {
         this->response.failure = BackendFailure::MismatchedResponse;
         this->response.executed = Executed::Unknown;
--- a/modules/lacewingmux_backend/clients/HttpExchange.h
+++ b/modules/lacewingmux_backend/clients/HttpExchange.h
@@ -65,6 +65,8 @@
     bool keepsConnection;
     bool sent = false; ///< the request was written, at least in part
     bool connectedTooLate = false;
+    QByteArray contentType;
+    bool bodyEndsAtClose = false;
     bool mismatched = false; ///< the response names another request
     bool finishing = false;  ///< the response is decided
     TimerSubscription timeout;
--- a/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
@@ -2,17 +2,12 @@
 
 #include "lacewingmux_gateway/calls/CallDialect.h"
 #include "lacewingmux_gateway/forwarding/ReplicaAttempt.h"
-#include "lacewingmux_gateway/http/ResponseDecoder.h"
+#include "lacewingmux_gateway/http/ResponseSearch.h"
 
 namespace lacewingmux {
 
 namespace {
 
-constexpr const char *httpVersionPrefix = "HTTP/1.";
-// Bound the work for a body that quotes many responses.
-constexpr int maximumSearchedResponses = 64;
-constexpr qsizetype searchedHeadBytes = 4096;
-
 /** Tells whether the status promises the caller that the call has not run. That of the wrong
     instance is not among them, as it states so itself. */
 bool promisesNotRun(int status)
@@ -32,31 +27,15 @@
     return attempt.events == 0 && (attempt.head.bodyEndsAtClose || !attempt.resumesStream);
 }
 
-/** Tells whether the bytes begin with the head of a replica's response. */
-bool beginsWithResponse(const QByteArray &bytes, const CallDialect &dialect)
-{
-    ResponseDecoder decoder(false);
-    decoder.append(bytes);
-    if (decoder.state() < DecodeState::Body || decoder.state() > DecodeState::Complete)
-        return false;
-    const ReplicaResponseInfo info = dialect.parseResponse(decoder.head());
-    return info.hasServerStamp || !info.requestId.isEmpty();
-}
-
 /** Tells whether another response may have been read as part of the body, because the body ends
     with its connection. */
 bool holdsOtherResponse(const ReplicaAttempt &attempt, const CallDialect &dialect)
 {
-    if (!attempt.head.bodyEndsAtClose)
-        return false;
-    const QByteArray &body = attempt.body;
-    qsizetype start = body.indexOf(httpVersionPrefix);
-    for (int searched = 0; start >= 0 && searched < maximumSearchedResponses; ++searched) {
-        if (beginsWithResponse(body.mid(start, searchedHeadBytes), dialect))
-            return true;
-        start = body.indexOf(httpVersionPrefix, start + 1);
-    }
-    return false;
+    return attempt.head.bodyEndsAtClose
+           && containsResponse(attempt.body, [&dialect](const HttpResponseHead &head) {
+                  const ReplicaResponseInfo info = dialect.parseResponse(head);
+                  return info.hasServerStamp || !info.requestId.isEmpty();
+              });
 }
 
 } // namespace
--- /dev/null
+++ b/tests/backend/support/ScriptedServer.cpp
@@ -0,0 +1,49 @@
+#include "backend/support/ScriptedServer.h"
+
+#include "lacewingmux_tunnel/sockets/ResetDetector.h"
+
+#include <QTcpSocket>
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingmux {
+
+ScriptedServer::ScriptedServer(std::vector<ScriptedAnswer> scriptedAnswers)
+    : answers(std::move(scriptedAnswers))
+{
+    this->server.listen(QHostAddress::LocalHost);
+    QObject::connect(&this->server, &QTcpServer::newConnection, &this->server,
+                     [this] { this->accept(); });
+}
+
+QUrl ScriptedServer::url() const
+{
+    return QUrl(QStringLiteral("http://127.0.0.1:%1").arg(this->server.serverPort()));
+}
+
+void ScriptedServer::accept()
+{
+    QTcpSocket *socket = this->server.nextPendingConnection();
+    ++this->connections;
+    QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket] {
+        const QByteArray bytes = socket->readAll();
+        if (bytes.contains(" HTTP/1.1\r\n"))
+            this->answer(*socket, bytes);
+    });
+}
+
+void ScriptedServer::answer(QTcpSocket &socket, const QByteArray &request)
+{
+    const std::size_t index = std::min(this->requests.size(), this->answers.size() - 1);
+    this->requests.push_back(request.left(request.indexOf("\r\n")));
+    const ScriptedAnswer &answer = this->answers[index];
+    socket.write(answer.bytes);
+    socket.flush();
+    if (answer.end == ConnectionEnd::Close)
+        socket.disconnectFromHost();
+    else if (answer.end == ConnectionEnd::Reset)
+        resetConnection(socket);
+}
+
+} // namespace lacewingmux
