Refuse a response head that another response's head continues

What callers saw: the status of one response over the fields and body of another one. A replica that cut a late copy within its head, and then wrote the due response on the same connection, made "HTTP/1.1 503 HTTP/1.1 200 OK" of both: "not run" for a request that had run (REFUSED), with the id and the stamp of its own response (MIXED).

Cause: a status line may follow in the reason phrase or in the value of a field, where any text is allowed, so both heads parse as one.

ResponseDecoder takes a reason phrase or a field value that holds a status line for malformed; so the exchange fails as one that may have run, and the connection is closed. Elsewhere in a head the parser refuses the joined line already. The tests cut a copy at each byte, also in its body.

--- a/modules/lacewingmux_gateway/http/ResponseDecoder.cpp
+++ b/modules/lacewingmux_gateway/http/ResponseDecoder.cpp
@@ -17,6 +17,25 @@
 constexpr int firstFinalStatus = 200;
 constexpr int maximumInformational = 16; // in one response; one is usual
 
+/** Tells whether the text holds a status line: the head of one response was cut there, and that of
+    another one follows. */
+bool holdsStatusLine(boost::beast::string_view text)
+{
+    constexpr boost::beast::string_view version = "HTTP/1.";
+    constexpr std::size_t statusOffset = version.size() + 2; // behind the minor version and a space
+    const auto isDigit = [&text](std::size_t position) {
+        return position < text.size() && text[position] >= '0' && text[position] <= '9';
+    };
+    for (std::size_t start = text.find(version); start != boost::beast::string_view::npos;
+         start = text.find(version, start + 1)) {
+        const std::size_t status = start + statusOffset;
+        if (isDigit(start + version.size()) && isDigit(status) && isDigit(status + 1)
+            && isDigit(status + 2) && text[status - 1] == ' ')
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
 /** Builds one response from the callbacks of Beast's parser. */
@@ -31,14 +50,18 @@
                          boost::beast::error_code &) override
     { }
     void on_response_impl(int status, boost::beast::string_view reason, int,
-                          boost::beast::error_code &) override
+                          boost::beast::error_code &error) override
     {
+        if (holdsStatusLine(reason))
+            error = http::error::bad_reason;
         this->head.status = status;
         this->head.reason = toBytes(reason);
     }
     void on_field_impl(http::field, boost::beast::string_view name, boost::beast::string_view value,
-                       boost::beast::error_code &) override
+                       boost::beast::error_code &error) override
     {
+        if (holdsStatusLine(value))
+            error = http::error::bad_value;
         this->head.fields.push_back({toBytes(name), toBytes(value)});
     }
     void on_header_impl(boost::beast::error_code &) override
--- a/tests/gateway/KeptConnectionTest.cpp
+++ b/tests/gateway/KeptConnectionTest.cpp
@@ -233,6 +233,35 @@
     cr_assert_eq(test.connectionCount(), 2);
 }
 
+Test(late_answer, that_is_cut_is_not_joined_with_the_next_one)
+{
+    const QByteArray late = success("r1", "first and more");
+    for (qsizetype cut = 1; cut < late.size(); ++cut) {
+        ScriptedExchanges test({success("r1", "first"), late.left(cut) + success("r2", "own.")});
+        test.call("POST", "/once/x", "r1");
+        const QByteArray response = test.call("POST", "/once/x", "r2");
+        const bool failed =
+                response.startsWith("HTTP/1.1 502") || response.startsWith("HTTP/1.1 504");
+        cr_assert(failed, "cut at %d: %s", static_cast<int>(cut), response.constData());
+        test.fixture.loop.runFor(milliseconds(5));
+        cr_assert_eq(test.requestCount(), 2, "it must not run twice");
+    }
+}
+
+Test(late_refusal, that_is_cut_does_not_lend_its_status_to_the_next_answer)
+{
+    const QByteArray late =
+            failure("503 Full", notExecuted + "Lacewingmux-Server-Load: 3,0,8\r\n" + idLine("r1"));
+    for (qsizetype cut = 1; cut < late.size(); ++cut) {
+        ScriptedExchanges test({success("r1", "first"), late.left(cut) + success("r2", "own.")});
+        test.call("POST", "/once/x", "r1");
+        const QByteArray response = test.call("POST", "/once/x", "r2");
+        cr_assert(response.startsWith("HTTP/1.1 502"), "cut at %d: %s", static_cast<int>(cut),
+                  response.constData());
+        cr_assert_eq(test.requestCount(), 2, "it must not run twice");
+    }
+}
+
 Test(late_answer, that_is_larger_than_the_bound_fails_the_exchange)
 {
     const QByteArray large(2 * 1024 * 1024, 'x');
--- a/tests/gateway/ResponseDecoderTest.cpp
+++ b/tests/gateway/ResponseDecoderTest.cpp
@@ -57,3 +57,23 @@
     decoder.append("\x01\x02garbage\r\n\r\n");
     cr_assert(decoder.state() == DecodeState::Malformed);
 }
+
+// A refusal that is cut within its head must not lend its status to the response behind it.
+Test(response_decoder, does_not_join_a_cut_head_with_the_next_one)
+{
+    const QByteArray refusal = "HTTP/1.1 503 Full\r\nLacewingmux-Not-Executed: 1\r\n"
+                               "Lacewingmux-Server-Load: 3,0,8\r\nContent-Length: 10\r\n\r\n";
+    for (qsizetype cut = 1; cut < refusal.size(); ++cut) {
+        ResponseDecoder decoder(false);
+        decoder.append(refusal.left(cut) + "HTTP/1.1 200 OK\r\nLacewingmux-Request-Id: r2\r\n\r\n");
+        cr_assert(decoder.state() == DecodeState::Malformed, "cut at %d", static_cast<int>(cut));
+    }
+}
+
+Test(response_decoder, accepts_a_field_that_names_a_protocol)
+{
+    ResponseDecoder decoder(false);
+    decoder.append("HTTP/1.1 200 HTTP/1.1 OK\r\nVia: HTTP/1.1 proxy, HTTP/1.0 20\r\n"
+                   "Content-Length: 0\r\n\r\n");
+    cr_assert(decoder.state() == DecodeState::Complete);
+}
