Discard a late response only if its end is certain

What callers saw: the head of a response that was quoted in another one's body (MIXED), or a time-out while the answer had come, when a replica wrote a late copy on a kept connection.

Cause: a late response was discarded by its framing, also where that is unknown: one without a length ends with its connection, so the own response counted as its body; and whether a body follows a head depends on the method of the request that was answered, not on that of the request at hand.

Evidence: without the change, late_answer, with_a_body_does_not_answer_a_head_request_with_it fails (the caller of a HEAD request got the quoted "HTTP/1.1 200 OK"), as do to_a_head_request_does_not_swallow_the_next_one and without_a_length_ends_the_exchange_at_once (both 504 at the time-out of 1.5 s).

Such a response now fails the exchange at once, as one that may have run, and the connection is closed. Connections stay in use for requests of either kind.

--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -57,6 +57,7 @@
     this->discarded = 0;
     ++this->exchanges;
     this->carriedIds.push_back(hashOf(request.id));
+    this->headExchanges += request.isHead ? 1 : 0;
     this->busy = true;
     if (this->broken) {
         this->failLater(this->connectFailure);
@@ -136,7 +137,7 @@
         if (guard.expired() || !this->busy)
             return;
         const bool openEnded = this->headDelivered && this->decoder->head().bodyEndsAtClose;
-        if (openEnded && !this->isUnrelatedResponse && !this->resetDetector.wasReset()) {
+        if (openEnded && !this->resetDetector.wasReset()) {
             this->decoder->appendEnd();
             this->deliverDecoded();
             if (guard.expired() || !this->busy)
@@ -208,19 +209,27 @@
     }
 }
 
+bool ReplicaConnection::hasKnownEnd(const HttpResponseHead &head) const
+{
+    // Whether a body follows depends on the method of the request that was answered.
+    const bool hasKnownMethod = this->headExchanges == 0 || this->headExchanges == this->exchanges;
+    return hasKnownMethod && !head.bodyEndsAtClose;
+}
+
 bool ReplicaConnection::beginResponse()
 {
     const std::weak_ptr guard = this->lifetime;
     const std::shared_ptr active = this->hooks; // stays valid if a hook calls abort()
     const HttpResponseHead &head = this->decoder->head();
     const ResponseAttribution attribution = active->attribute(head);
-    if (attribution == ResponseAttribution::Unknown) {
+    const bool isOther = attribution == ResponseAttribution::Other;
+    if (attribution == ResponseAttribution::Unknown || (isOther && !this->hasKnownEnd(head))) {
         this->broken = true;
         this->fail(ExchangeFailure::Unattributed);
         return false;
     }
     this->headDelivered = true;
-    this->isUnrelatedResponse = attribution == ResponseAttribution::Other;
+    this->isUnrelatedResponse = isOther;
     this->discarded += this->isUnrelatedResponse ? 1 : 0;
     if (head.bodyEndsAtClose)
         this->resetDetector.watch(*this->socket);
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
@@ -27,8 +27,8 @@
     exchange at a time.
 
     A response to another request is discarded, because replicas may repeat a response late. One
-   that cannot be attributed fails the exchange. A connection that receives bytes outside an
-   exchange is not reused.
+    that cannot be attributed, or whose end is uncertain, fails the exchange. A connection that
+    receives bytes outside an exchange is not reused.
 */
 class ReplicaConnection
 {
@@ -103,8 +103,9 @@
     void handleDisconnected();
     void readAvailable();
     void deliverDecoded();
-    /** Begins with the response whose head has been decoded; returns whether its body may follow.
-     */
+    /** Tells whether it is certain where a response to an earlier request ends. */
+    [[nodiscard]] bool hasKnownEnd(const HttpResponseHead &head) const;
+    /** Begins with the response whose head was decoded; returns whether its body may follow. */
     [[nodiscard]] bool beginResponse();
     /** Fails the exchange on the next turn of the event loop. */
     void failLater(ExchangeFailure reason);
@@ -129,6 +130,7 @@
     int discarded = 0;                ///< number of such responses, in this exchange
     int exchanges = 0;
     std::vector<std::uint32_t> carriedIds; ///< hashes of the requests' ids
+    int headExchanges = 0;                 ///< of all exchanges, those of a HEAD request
     bool broken = false;
     ResetDetector resetDetector;
     std::shared_ptr<char> lifetime = std::make_shared<char>();
--- a/tests/gateway/KeptConnectionTest.cpp
+++ b/tests/gateway/KeptConnectionTest.cpp
@@ -262,6 +262,18 @@
     }
 }
 
+// Whatever follows a response without a length is its body, so the own response never comes.
+Test(late_answer, without_a_length_ends_the_exchange_at_once)
+{
+    const QByteArray late = "HTTP/1.1 200 OK\r\nLacewingmux-Request-Id: r1\r\n"
+                            "Lacewingmux-Server-Stamp: s\r\n\r\nfirst";
+    ScriptedExchanges test({success("r1", "first"), late + success("r2", "own.")});
+    test.call("POST", "/once/x", "r1");
+    const QByteArray response = test.call("POST", "/once/x", "r2");
+    cr_assert(response.startsWith("HTTP/1.1 502"), "%s", response.constData());
+    cr_assert_eq(test.requestCount(), 2);
+}
+
 Test(late_answer, that_is_larger_than_the_bound_fails_the_exchange)
 {
     const QByteArray large(2 * 1024 * 1024, 'x');
@@ -271,3 +283,29 @@
     cr_assert(response.startsWith("HTTP/1.1 502"), "%s", response.constData());
     cr_assert_eq(test.requestCount(), 2);
 }
+
+// Whether a response has a body depends on the method of the request that it answers.
+Test(late_answer, with_a_body_does_not_answer_a_head_request_with_it)
+{
+    const QByteArray quoted = success("r2", {}, "Quoted: 1\r\n");
+    ScriptedExchanges test({success("r1", quoted), success("r1", quoted) + success("r2", {})});
+    test.call("GET", "/once/x", "r1");
+    const QByteArray response = test.call("HEAD", "/once/x", "r2");
+    cr_assert(!response.contains("Quoted"), "%s", response.constData());
+    cr_assert(response.startsWith("HTTP/1.1 502"), "%s", response.constData());
+}
+
+Test(late_answer, to_a_head_request_does_not_swallow_the_next_one)
+{
+    constexpr int statedLength = 1000; // longer than the next response
+    QByteArray headAnswer = success("r1", QByteArray(statedLength, 'x'));
+    headAnswer.chop(statedLength);
+    ScriptedExchanges test({headAnswer, headAnswer + success("r2", "own.")});
+    RawCaller caller(test.fixture.gateway->port());
+    caller.send(GatewayFixture::request("HEAD", "/once/x", "r1"));
+    test.fixture.loop.waitUntil([&] { return caller.received().contains("\r\n\r\n"); },
+                                "the answer");
+    const QByteArray response = test.call("POST", "/once/x", "r2");
+    cr_assert(response.startsWith("HTTP/1.1 502"), "%s", response.constData());
+    cr_assert_eq(test.requestCount(), 2);
+}
