Break a caller's stream off when it is answered in another way

What callers would see: a stream that neither ends nor breaks off, until they give up; or the events of one response behind those of another (MIXED).

Cause: IngressConnection::sendResponse did nothing while a stream had begun; beginStream as well, and the chunks after it would have gone into the stream before.

Both calls now reset the connection, which leaves the stream incomplete.

--- a/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
@@ -67,7 +67,7 @@
 void IngressConnection::sendResponse(int status, const QByteArray &reason, HttpFields fields,
                                      const QByteArray &body)
 {
-    if (this->state != State::Serving)
+    if (!this->mayBeginResponse())
         return;
     fields.push_back({QByteArrayLiteral("Content-Length"), QByteArray::number(body.size())});
     QByteArray text =
@@ -81,7 +81,7 @@
 void IngressConnection::beginStream(int status, const QByteArray &reason, HttpFields fields,
                                     const QByteArray &firstChunk)
 {
-    if (this->state != State::Serving)
+    if (!this->mayBeginResponse())
         return;
     this->state = State::Streaming;
     fields.push_back({QByteArrayLiteral("Transfer-Encoding"), QByteArrayLiteral("chunked")});
@@ -257,6 +257,13 @@
     this->hooks.closed();
 }
 
+bool IngressConnection::mayBeginResponse()
+{
+    if (this->state == State::Streaming)
+        this->abort();
+    return this->state == State::Serving;
+}
+
 HttpFields IngressConnection::withConnectionField(HttpFields fields)
 {
     this->closeAnnounced = !this->keepAlive || this->closeRequested;
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.h
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.h
@@ -45,11 +45,12 @@
     /** Starts reading; requestArrived is not called before this. */
     void start();
 
-    /** Writes a complete response. */
+    /** Writes a complete response. A stream that has begun is broken off instead. */
     void sendResponse(int status, const QByteArray &reason, HttpFields fields,
                       const QByteArray &body);
 
-    /** Writes the head of a streamed response together with its first data. */
+    /** Writes the head of a streamed response together with its first data. A stream that has begun
+        is broken off instead. */
     void beginStream(int status, const QByteArray &reason, HttpFields fields,
                      const QByteArray &firstChunk);
 
@@ -93,6 +94,8 @@
     void lingerAndClose();
     void closeNow();
     void handleDisconnect();
+    /** Tells whether the head of a response may be written; breaks a stream off that has begun. */
+    [[nodiscard]] bool mayBeginResponse();
     [[nodiscard]] HttpFields withConnectionField(HttpFields fields);
 
     QTcpSocket *socket;
