Take no response to HEAD for an event stream

A caller that asks for the head of a stream got 502, and its request was repeated where the route allows that.

Cause: the response was taken for an event stream by its Content-Type, and refused since as one that ends behind its head.

Evidence: head_request/of_a_stream_is_answered_with_the_head_alone.

Change: a response to HEAD is no event stream, and is passed on as a plain one.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -84,7 +84,7 @@
 {
     this->attempt.head = responseHead;
     this->recordReplicaActivity();
-    this->attempt.isStream = this->route.kind == RouteKind::Stream
+    this->attempt.isStream = this->route.kind == RouteKind::Stream && this->request.method != "HEAD"
                              && responseHead.status == okStatus && isEventStream(responseHead);
     this->attempt.eventParser = EventStreamParser(responseHead.bodyEndsAtClose);
     this->attempt.isInvalidResponse = isSuccess(responseHead)
