Pass on a failure that has no body and no length

A caller whose request a replica answered with 400 or 404, with neither a body nor a length, got 502 instead, and may repeat a request that can not succeed; on routes that allow it, the request was also run at another replica.

Cause: since every response without a length whose connection ends behind the head counts as broken off. That guards against a success without its body, but a failure needs none.

Evidence: empty_answer/of_a_failure_is_passed_on. Before: "/once/x: HTTP/1.1 502 Bad Gateway", "the answer ended behind its head".

Change: the check holds for responses below status 300 alone.

--- a/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
@@ -19,11 +19,13 @@
 }
 
 /** Tells whether the response broke off behind its head. A stream that is resumed may have no event
-    left, but then its end must be marked. */
+    left, but then its end must be marked. A failure needs no body. */
 bool brokeOffBehindHead(const ReplicaAttempt &attempt)
 {
+    constexpr int firstFailureStatus = 300;
     if (!attempt.isStream)
-        return attempt.head.bodyEndsAtClose && attempt.body.isEmpty();
+        return attempt.head.bodyEndsAtClose && attempt.body.isEmpty()
+               && attempt.head.status < firstFailureStatus;
     return attempt.events == 0 && (attempt.head.bodyEndsAtClose || !attempt.resumesStream);
 }
 
--- a/tests/gateway/EmptyAnswerTest.cpp
+++ b/tests/gateway/EmptyAnswerTest.cpp
@@ -107,6 +107,24 @@
     cr_assert_eq(fixture.requestCount(), 1);
 }
 
+// The status of a failure says all that a caller needs, and a caller that is told 502 instead of
+// 400 or 404 repeats a request that can't succeed.
+Test(empty_answer, of_a_failure_is_passed_on)
+{
+    for (const char *path : {"/once/x", "/safe/x", "/stream/x", "/resume/x"}) {
+        for (const char *status : {"400 Bad Request", "404 Not Found"}) {
+            GatewayFixture fixture(2, answerAndClose([status](const HttpRequest &request) {
+                                       return plainHeadWithoutLength(request).replace("200 OK",
+                                                                                      status);
+                                   }));
+            const QByteArray response = responseTo(fixture, path);
+            cr_assert(response.startsWith("HTTP/1.1 " + QByteArray(status)), "%s: %s", path,
+                      response.constData());
+            cr_assert_eq(fixture.requestCount(), 1);
+        }
+    }
+}
+
 Test(empty_answer, with_a_length_of_zero_is_passed_on)
 {
     GatewayFixture fixture(1, answerAndClose([](const HttpRequest &request) {
