Never replace a view of the records VMs that can't be read

What callers would see: turns answered 404 or budgets forgotten after one odd value in the store's view of the records VMs, and a view that no later one replaces.

Cause: a view that couldn't be parsed was taken for one that doesn't exist, so the next VM to join wrote a view of itself alone over it. A negative number became the largest one, which no later view exceeds; member entries that are no object were members without name and disk; a port beyond 65535 was cut to another port; sizes up to INT_MAX overflowed sums of them.

A change of a view that is there but can't be read now fails, is logged and tried again; nothing is written until somebody repairs it, as members that know different views could otherwise write two with the same number. The document is a view only if its numbers and all members are valid: quorums are computed from all of them. Absent fields have the defaults that they had, so documents of older builds are read as before.

--- a/modules/lacewingmux_records/members/RecordsMembership.cpp
+++ b/modules/lacewingmux_records/members/RecordsMembership.cpp
@@ -25,6 +25,21 @@
     return found == view.members.end() ? nullptr : &*found;
 }
 
+/** Returns the view in the store, with the number 0 if there is none. Throws if it can't be read:
+    a change would replace all members. */
+RecordsView storedView(const QByteArray &document)
+{
+    const std::optional<RecordsView> view = RecordsView::fromDocument(document);
+    if (!view && !document.isEmpty()) {
+        LogEvent(LogSeverity::Error, "recordsViewUnreadable")
+                .field("bytes", static_cast<qint64>(document.size()));
+        throw LacewingmuxError(ErrorKind::StoreUnavailable,
+                               QStringLiteral("the value of %1 in the store is no view")
+                                       .arg(QLatin1String(recordsViewKey)));
+    }
+    return view.value_or(RecordsView());
+}
+
 } // namespace
 
 RecordsMembership::RecordsMembership(PlatformStore &platformStore, TimerService &timerService,
@@ -249,8 +264,7 @@
                     const QByteArray &document) -> std::optional<QByteArray> {
                 if (guard.expired())
                     return std::nullopt;
-                const RecordsView view =
-                        RecordsView::fromDocument(document).value_or(RecordsView());
+                const RecordsView view = storedView(document);
                 if (view.number > 0)
                     this->adopt(document);
                 std::optional<RecordsView> next = change(view);
--- a/modules/lacewingmux_records/members/RecordsView.cpp
+++ b/modules/lacewingmux_records/members/RecordsView.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+constexpr int maximumCount = 65535;               // sums of such counts do not overflow
+constexpr qint64 maximumNumber = qint64{1} << 53; // JSON numbers represent all integers up to this
+
 QString stateName(MemberState state)
 {
     switch (state) {
@@ -33,22 +36,66 @@
     return name == QLatin1String("leaving") ? MemberState::Leaving : MemberState::Joining;
 }
 
-RecordsMember memberOf(const QJsonObject &entry)
+/** Returns a count of members, disks or groups, or the fallback if it is absent; nothing if it is
+   no whole number from 0 to maximumCount. */
+std::optional<int> countOf(const QJsonValue &value, int fallback)
+{
+    const int count = value.isUndefined() ? fallback : value.toInt(-1);
+    return count >= 0 && count <= maximumCount ? std::optional(count) : std::nullopt;
+}
+
+std::optional<RecordsMember> memberOf(const QJsonObject &entry)
 {
     RecordsMember member;
     member.vm.incarnation.vm = entry.value(QLatin1String("vm")).toString();
     member.vm.incarnation.zone = entry.value(QLatin1String("zone")).toString();
     // Stored as a string, because JSON numbers can't represent all 64-bit integers.
-    member.vm.incarnation.incarnation = entry.value(QLatin1String("disk")).toString().toULongLong();
+    bool hasDisk = false;
+    member.vm.incarnation.incarnation =
+            entry.value(QLatin1String("disk")).toString().toULongLong(&hasDisk);
     member.vm.address = entry.value(QLatin1String("address")).toString();
-    member.vm.trafficPort = static_cast<std::uint16_t>(entry.value(QLatin1String("port")).toInt());
+    const auto port = countOf(entry.value(QLatin1String("port")), 0);
+    const auto syncSources = countOf(entry.value(QLatin1String("syncSources")), 0);
+    const auto group = countOf(entry.value(QLatin1String("group")), 0);
+    if (member.vm.incarnation.vm.isEmpty() || !hasDisk || !port || !syncSources || !group)
+        return std::nullopt;
+    member.vm.trafficPort = static_cast<std::uint16_t>(*port);
     member.vm.hasDataFolder = true;
     member.state = stateOf(entry.value(QLatin1String("state")).toString());
-    member.syncSources = entry.value(QLatin1String("syncSources")).toInt();
-    member.group = entry.value(QLatin1String("group")).toInt();
+    member.syncSources = *syncSources;
+    member.group = *group;
     return member;
 }
 
+/** Returns the members; nothing if one of them is invalid, as quorums are computed from all. */
+std::optional<std::vector<RecordsMember>> membersOf(const QJsonValue &entries)
+{
+    if (!entries.isUndefined() && !entries.isArray())
+        return std::nullopt;
+    std::vector<RecordsMember> members;
+    for (const QJsonValue entry : entries.toArray()) {
+        const auto member = memberOf(entry.toObject());
+        if (!member)
+            return std::nullopt;
+        members.push_back(*member);
+    }
+    return members;
+}
+
+std::optional<std::vector<int>> groupSizesOf(const QJsonValue &entries)
+{
+    if (!entries.isUndefined() && !entries.isArray())
+        return std::nullopt;
+    std::vector<int> sizes;
+    for (const QJsonValue entry : entries.toArray()) {
+        const auto size = countOf(entry, 0);
+        if (!size)
+            return std::nullopt;
+        sizes.push_back(*size);
+    }
+    return sizes;
+}
+
 QJsonObject entryOf(const RecordsMember &member)
 {
     const VmIncarnation &incarnation = member.vm.incarnation;
@@ -200,22 +247,25 @@
 std::optional<RecordsView> RecordsView::fromDocument(const QByteArray &text)
 {
     const QJsonObject document = QJsonDocument::fromJson(text).object();
+    const qint64 number = document.value(QLatin1String("number")).toInteger();
+    const auto targetSize = countOf(document.value(QLatin1String("targetSize")), 0);
+    const auto toleratedDisks = countOf(document.value(QLatin1String("toleratedDisks")), 1);
+    const auto groupSizes = groupSizesOf(document.value(QLatin1String("groupSizes")));
+    const auto members = membersOf(document.value(QLatin1String("members")));
+    if (number <= 0 || number > maximumNumber || !targetSize || !toleratedDisks || !groupSizes
+        || !members)
+        return std::nullopt;
     RecordsView view;
-    view.number = static_cast<std::uint64_t>(document.value(QLatin1String("number")).toInteger());
-    view.targetSize = document.value(QLatin1String("targetSize")).toInt();
-    view.toleratedDisks = document.value(QLatin1String("toleratedDisks")).toInt(1);
-    for (const QJsonValue entry : document.value(QLatin1String("members")).toArray())
-        view.members.push_back(memberOf(entry.toObject()));
-    for (const QJsonValue size : document.value(QLatin1String("groupSizes")).toArray())
-        view.groupSizes.push_back(size.toInt());
+    view.number = static_cast<std::uint64_t>(number);
+    view.targetSize = *targetSize;
+    view.toleratedDisks = *toleratedDisks;
+    view.groupSizes = *groupSizes;
     view.isForming = document.value(QLatin1String("forming")).toBool();
+    view.members = *members;
     const bool hasValidGroups =
-            std::all_of(view.members.begin(), view.members.end(), [&view](const auto &entry) {
-                return entry.group >= 0 && entry.group < view.groupCount();
-            });
-    if (view.number == 0 || !hasValidGroups)
-        return std::nullopt;
-    return view;
+            std::all_of(view.members.begin(), view.members.end(),
+                        [&view](const auto &entry) { return entry.group < view.groupCount(); });
+    return hasValidGroups ? std::optional(view) : std::nullopt;
 }
 
 } // namespace lacewingmux
