Continue an engine's stream only with events that belong to it

What callers saw: bytes in their stream that belong to no event of it. The head of another answer and its events when an engine answered twice on a connection whose end was to end the stream (MIXED); the body of an answer that is no stream, output from the beginning, or output of another run under the same request id, when an engine did not resume the stream as asked (ORDER).

Cause: EngineRun passed on all that stood between two blank lines. Only events with a number were compared with those before.

StreamSequence decides about each event: whether it is one, and whether it follows those that the caller has. An answer with an event that doesn't belong to the stream is not read further; the stream is resumed or broken off. What belongs to one answer (the partial event and that verdict) is StreamAttempt, which each exchange begins anew. Only an answer that is declared as an event stream, or not declared, is read as one. An id that the engine changes within one answer is not compared.

--- a/modules/lacewingmux_backend/clients/EngineRun.cpp
+++ b/modules/lacewingmux_backend/clients/EngineRun.cpp
@@ -43,7 +43,7 @@
     exchangeListener.finished = [this](const BackendResponse &response) {
         this->exchangeFinished(response);
     };
-    this->reader = EventStreamReader();
+    this->attempt = StreamAttempt();
     this->exchange = std::make_unique<HttpExchange>(this->connections, this->timers, request,
                                                     std::move(exchangeListener));
 }
@@ -53,9 +53,9 @@
     ++this->resumeCount;
     BackendCall request = this->call;
     request.method = "GET";
-    request.path =
-            "/v1/requests/" + this->call.requestId.toUtf8().toPercentEncoding()
-            + "/stream?after=" + QByteArray::number(static_cast<qint64>(this->nextSequenceNumber));
+    request.path = "/v1/requests/" + this->call.requestId.toUtf8().toPercentEncoding()
+                   + "/stream?after="
+                   + QByteArray::number(static_cast<qint64>(this->sequence.nextNumber()));
     request.body.clear();
     request.idempotent = true;
     request.sendBefore.reset(); // resuming starts no run
@@ -68,7 +68,7 @@
 void EngineRun::readStream(const QByteArray &bytes)
 {
     QByteArray acceptedBytes;
-    const std::vector<StreamEvent> events = this->reader.append(bytes);
+    const std::vector<StreamEvent> events = this->attempt.reader.append(bytes);
     for (const StreamEvent &event : events) {
         if (this->acceptEvent(event))
             acceptedBytes += event.bytes;
@@ -79,17 +79,12 @@
 
 bool EngineRun::acceptEvent(const StreamEvent &event)
 {
-    if (this->endReceived || this->missedEvent)
+    if (this->endReceived || this->attempt.isUnusable)
+        return false;
+    const EventVerdict verdict = this->sequence.accept(event, this->resumeCount > 0);
+    this->attempt.isUnusable = verdict == EventVerdict::Unusable;
+    if (verdict != EventVerdict::Accept)
         return false;
-    if (const auto sequenceNumber = event.sequenceNumber()) {
-        if (*sequenceNumber < this->nextSequenceNumber)
-            return false; // duplicate event
-        if (*sequenceNumber > this->nextSequenceNumber) {
-            this->missedEvent = true;
-            return false;
-        }
-        ++this->nextSequenceNumber;
-    }
     readUsage(event.json, this->usage);
     this->assembler.add(event.json);
     this->endReceived = event.isEnd;
@@ -116,7 +111,6 @@
         return;
     }
     if (this->canResumeStream(response)) {
-        this->missedEvent = false;
         this->resumeStream();
         return;
     }
@@ -133,7 +127,7 @@
 bool EngineRun::canResumeStream(const BackendResponse &response) const
 {
     // Without sequence numbers the first missing event is unknown.
-    const bool hasSequenceNumbers = this->nextSequenceNumber > 0;
+    const bool hasSequenceNumbers = this->sequence.nextNumber() > 0;
     // The response body or the connection ended before the end event.
     const bool endedEarly =
             response.completed() || response.failure == BackendFailure::ConnectionLost;
--- a/modules/lacewingmux_backend/clients/EngineRun.h
+++ b/modules/lacewingmux_backend/clients/EngineRun.h
@@ -4,6 +4,7 @@
 #include "lacewingmux_backend/clients/BackendRun.h"
 #include "lacewingmux_backend/clients/CompletionAssembler.h"
 #include "lacewingmux_backend/clients/EventStreamReader.h"
+#include "lacewingmux_backend/clients/StreamSequence.h"
 
 #include <memory>
 
@@ -30,6 +31,13 @@
     EngineRun &operator=(const EngineRun &) = delete;
 
 private:
+    /** What belongs to one answer of the engine and not to the stream. */
+    struct StreamAttempt
+    {
+        EventStreamReader reader;
+        bool isUnusable = false; ///< an event does not belong to the stream
+    };
+
     void startExchange(const BackendCall &call);
     void resumeStream();
     void readStream(const QByteArray &bytes);
@@ -44,12 +52,11 @@
     BackendRunListener listener;
     std::chrono::steady_clock::time_point deadline;
     std::unique_ptr<BackendRun> exchange;
-    EventStreamReader reader;
+    StreamAttempt attempt;
+    StreamSequence sequence;
     CompletionAssembler assembler;
-    std::int64_t nextSequenceNumber = 0;
     int resumeCount = 0;
     bool endReceived = false; ///< the end event was received
-    bool missedEvent = false; ///< an event is missing, so later ones cannot be passed on
     BackendResponse usage;    ///< only the token counts are used
 };
 
--- a/modules/lacewingmux_backend/clients/EventStreamReader.cpp
+++ b/modules/lacewingmux_backend/clients/EventStreamReader.cpp
@@ -3,6 +3,8 @@
 #include <QJsonDocument>
 #include <QList>
 
+#include <algorithm>
+
 namespace lacewingmux {
 
 namespace {
@@ -12,6 +14,19 @@
 constexpr char dataField[] = "data:";
 constexpr qsizetype dataFieldLength = 5;
 
+bool isFieldNameCharacter(char character)
+{
+    return QChar::isLetterOrNumber(static_cast<uchar>(character)) || character == '-'
+           || character == '_';
+}
+
+/** Tells whether the line is a field, a comment or empty. A status line is none of them. */
+bool isFieldOrComment(const QByteArray &line)
+{
+    const QByteArray name = line.split(':').front();
+    return std::all_of(name.begin(), name.end(), isFieldNameCharacter);
+}
+
 StreamEvent parseEvent(const QByteArray &bytes)
 {
     StreamEvent event;
@@ -19,12 +34,16 @@
     QByteArray data;
     const QList<QByteArray> lines = bytes.split('\n');
     for (const QByteArray &line : lines) {
+        event.isValid = event.isValid && isFieldOrComment(line);
         if (line.startsWith(dataField))
             data += line.mid(dataFieldLength).trimmed();
     }
     event.isEnd = data == "[DONE]";
-    if (!event.isEnd)
-        event.json = QJsonDocument::fromJson(data).object();
+    if (event.isEnd || data.isEmpty())
+        return event;
+    const QJsonDocument document = QJsonDocument::fromJson(data);
+    event.isValid = event.isValid && document.isObject();
+    event.json = document.object();
     return event;
 }
 
--- a/modules/lacewingmux_backend/clients/HttpExchange.cpp
+++ b/modules/lacewingmux_backend/clients/HttpExchange.cpp
@@ -121,10 +121,17 @@
                 QStringLiteral("the response exceeds %1 bytes").arg(this->maxResponseBytes));
         return;
     }
-    if (this->listener.chunk && this->response.httpStatus == httpOk && !this->mismatched)
+    if (this->listener.chunk && this->isEventStream())
         this->listener.chunk(bytes);
 }
 
+bool HttpExchange::isEventStream() const
+{
+    return this->response.httpStatus == httpOk && !this->mismatched
+           && (this->contentType.isEmpty()
+               || this->contentType.toLower().startsWith("text/event-stream"));
+}
+
 void HttpExchange::completeResponse()
 {
     const char *fault = this->bodyEndsAtClose && !this->mismatched
--- a/modules/lacewingmux_backend/clients/HttpExchange.h
+++ b/modules/lacewingmux_backend/clients/HttpExchange.h
@@ -31,8 +31,8 @@
 class HttpExchange final : public BackendRun
 {
 public:
-    /** Starts the exchange. For a response with status 200, the listener's chunk receives the bytes
-        of the body as they arrive, not split into events. */
+    /** Starts the exchange. For an event stream with status 200, the listener's chunk receives the
+        bytes of the body as they arrive, not split into events. */
     HttpExchange(ConnectionPool &connectionPool, TimerService &timerService,
                  const BackendCall &call, BackendRunListener runListener);
     ~HttpExchange() override;
@@ -44,6 +44,7 @@
     [[nodiscard]] bool maySend(std::optional<TimerService::SteadyTime> sendBefore);
     void readHead(const HttpResponseHead &head);
     void readBody(const QByteArray &bytes);
+    [[nodiscard]] bool isEventStream() const;
     void completeResponse();
     void exchangeFailed(ExchangeFailure reason);
     void timedOut();
