Keep a connection only after an answer that names its request

What callers saw: the answer to another request, when an engine or a service wrote an earlier answer once more on a kept connection, late, at the place of the next one.

Cause: an answer without an id was accepted on a connection that had carried other requests. The daemon's own requests (load, orders, cancellations, transfers of a prefix) carried no id, so neither their answers nor late copies of them could be told.

A connection now goes back to the pool only after a success that names its request: what comes late on it bears another id than the next request. A refusal is not enough, as the call is tried again with the same id. The daemon's own requests have an id each. Servers that don't name the request cost a connection for each. The stand-in of an engine names the request in answers about load, orders and caches, as docs/ENGINES.md asks.

--- a/modules/lacewingmux_backend/clients/EngineClient.cpp
+++ b/modules/lacewingmux_backend/clients/EngineClient.cpp
@@ -158,6 +158,7 @@
     call.maxResponseBytes = maxControlResponseBytes;
 
     const std::uint64_t number = ++this->lastExchangeNumber;
+    call.requestId = QStringLiteral("control/%1").arg(number);
     BackendRunListener listener;
     listener.finished = [this, number,
                          callback = std::move(callback)](const BackendResponse &response) {
--- a/modules/lacewingmux_backend/clients/HttpExchange.cpp
+++ b/modules/lacewingmux_backend/clients/HttpExchange.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr int httpOk = 200;
+constexpr int firstErrorStatus = 400;
 
 /** Returns the path and query of the request, as they are sent. */
 QByteArray targetOf(const BackendCall &call)
@@ -65,7 +66,7 @@
     , maxResponseBytes(call.maxResponseBytes)
     , connection(call.idempotent ? connectionPool.acquire(call.server)
                                  : connectionPool.createDedicated(call.server))
-    , keepsConnection(call.idempotent)
+    , isIdempotent(call.idempotent)
 {
     this->timeout = this->timers.after(call.timeout, [this] { this->timedOut(); });
     this->send(call);
@@ -105,7 +106,8 @@
     this->bodyEndsAtClose = head.bodyEndsAtClose;
     this->contentType = fieldValue(head.fields, "Content-Type");
     const QByteArray markedRequestId = fieldValue(head.fields, "Lacewingmux-Request-Id");
-    this->mismatched = !markedRequestId.isEmpty() && markedRequestId != this->requestId;
+    this->isMarked = !markedRequestId.isEmpty();
+    this->mismatched = this->isMarked && markedRequestId != this->requestId;
     for (const HttpField &field : head.fields) {
         if (isForwardedToCaller(field.name))
             this->response.headers.push_back({field.name, field.value});
@@ -132,6 +134,14 @@
                || this->contentType.toLower().startsWith("text/event-stream"));
 }
 
+bool HttpExchange::mayKeepConnection() const
+{
+    // The server may send a second copy of the answer late. It is told from the answer to the next
+    // request by its id alone, and a refused call is tried again with the same id.
+    return this->isIdempotent && this->isMarked && !this->mismatched
+           && this->response.httpStatus < firstErrorStatus;
+}
+
 void HttpExchange::completeResponse()
 {
     const char *fault = this->bodyEndsAtClose && !this->mismatched
@@ -147,7 +157,7 @@
         this->response.executed = Executed::Unknown;
         this->response.message = QStringLiteral("the answer is marked as another request's");
     }
-    if (this->keepsConnection && !this->mismatched)
+    if (this->mayKeepConnection())
         this->connections.release(this->server, std::move(this->connection));
     this->finishSoon();
 }
--- a/modules/lacewingmux_backend/clients/HttpExchange.h
+++ b/modules/lacewingmux_backend/clients/HttpExchange.h
@@ -24,7 +24,9 @@
     itself and writes it whenever the connection is established, even after a pause of the process.
 
     A call that is not idempotent uses a new connection, so that leftover bytes on a kept-alive
-    connection cannot be mistaken for its response. Redirects are not followed and responses are not
+    connection cannot be mistaken for its response. A connection is kept only after a success that
+    names its request, so that a late second copy of it can be told from the next response.
+    Redirects are not followed and responses are not
     decompressed. Credentials and hop-by-hop fields are never forwarded, even if the call contains
     them.
 */
@@ -45,6 +47,7 @@
     void readHead(const HttpResponseHead &head);
     void readBody(const QByteArray &bytes);
     [[nodiscard]] bool isEventStream() const;
+    [[nodiscard]] bool mayKeepConnection() const;
     void completeResponse();
     void exchangeFailed(ExchangeFailure reason);
     void timedOut();
@@ -63,11 +66,12 @@
     std::int64_t maxResponseBytes;
     std::unique_ptr<ReplicaConnection> connection;
     BackendResponse response;
-    bool keepsConnection;
+    bool isIdempotent;
     bool sent = false; ///< the request was written, at least in part
     bool connectedTooLate = false;
     QByteArray contentType;
     bool bodyEndsAtClose = false;
+    bool isMarked = false;   ///< the response names a request
     bool mismatched = false; ///< the response names another request
     bool finishing = false;  ///< the response is decided
     TimerSubscription timeout;
--- a/standins/engine/library/EngineStandin.cpp
+++ b/standins/engine/library/EngineStandin.cpp
@@ -158,6 +158,10 @@
 {
     this->remember(request);
     const QString &path = request.path;
+    const bool concernsSequence = path.endsWith(QStringLiteral("/completions"))
+                                  || path.endsWith(QStringLiteral("/stream"));
+    if (!concernsSequence && !request.requestId().isEmpty())
+        exchange->addHeader("Lacewingmux-Request-Id", request.requestId().toUtf8());
     if (path == QStringLiteral("/v1/chat/completions")) {
         this->complete(request, exchange);
     } else if (path == QStringLiteral("/v1/load")) {
--- a/tests/backend/support/ScriptedServer.cpp
+++ b/tests/backend/support/ScriptedServer.cpp
@@ -9,6 +9,20 @@
 
 namespace lacewingmux {
 
+namespace {
+
+QByteArray requestIdOf(const QByteArray &request)
+{
+    const QByteArray field = "\r\nLacewingmux-Request-Id: ";
+    const qsizetype found = request.indexOf(field);
+    if (found < 0)
+        return {};
+    const qsizetype start = found + field.size();
+    return request.mid(start, request.indexOf("\r\n", start) - start);
+}
+
+} // namespace
+
 ScriptedServer::ScriptedServer(std::vector<ScriptedAnswer> scriptedAnswers)
     : answers(std::move(scriptedAnswers))
 {
@@ -26,20 +40,24 @@
 {
     QTcpSocket *socket = this->server.nextPendingConnection();
     ++this->connections;
-    QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket] {
-        const QByteArray bytes = socket->readAll();
-        if (bytes.contains(" HTTP/1.1\r\n"))
-            this->answer(*socket, bytes);
-    });
+    QObject::connect(socket, &QTcpSocket::readyRead, socket,
+                     [this, socket, previous = QByteArray()]() mutable {
+                         const QByteArray bytes = socket->readAll();
+                         if (bytes.contains(" HTTP/1.1\r\n"))
+                             this->answer(*socket, previous, bytes);
+                     });
 }
 
-void ScriptedServer::answer(QTcpSocket &socket, const QByteArray &request)
+void ScriptedServer::answer(QTcpSocket &socket, QByteArray &previous, const QByteArray &request)
 {
     const std::size_t index = std::min(this->requests.size(), this->answers.size() - 1);
     this->requests.push_back(request.left(request.indexOf("\r\n")));
     const ScriptedAnswer &answer = this->answers[index];
-    socket.write(answer.bytes);
+    QByteArray bytes = answer.bytes;
+    bytes.replace("%ID%", requestIdOf(request));
+    socket.write(answer.followsLateCopy ? previous + bytes : bytes);
     socket.flush();
+    previous = bytes;
     if (answer.end == ConnectionEnd::Close)
         socket.disconnectFromHost();
     else if (answer.end == ConnectionEnd::Reset)
--- a/tests/backend/support/ScriptedServer.h
+++ b/tests/backend/support/ScriptedServer.h
@@ -17,8 +17,11 @@
 /** What a scripted server does with one request. */
 struct ScriptedAnswer
 {
-    QByteArray bytes;
+    QByteArray bytes; ///< "%ID%" stands for the id of the request
     ConnectionEnd end = ConnectionEnd::Keep;
+    /** Whether a second copy of the answer before it on the connection comes late, ahead of this
+        one. */
+    bool followsLateCopy = false;
 };
 
 /** A server whose answers are given byte by byte, one for each request in the order of arrival. The
@@ -35,7 +38,7 @@
 
 private:
     void accept();
-    void answer(QTcpSocket &socket, const QByteArray &request);
+    void answer(QTcpSocket &socket, QByteArray &previous, const QByteArray &request);
 
     QTcpServer server;
     std::vector<ScriptedAnswer> answers;
