--- a/tests/gateway/ResumedStreamTest.cpp
+++ b/tests/gateway/ResumedStreamTest.cpp
@@ -35,6 +35,28 @@
     return caller.received();
 }
 
+/** Answers every request with a whole stream of one event. */
+ScriptedReplica::Handler streamOf(int eventId)
+{
+    return [eventId](const HttpRequest &request, const auto &exchange) {
+        exchange.write(GatewayFixture::streamHead(request) + GatewayFixture::event(eventId, "e")
+                       + "0\r\n\r\n");
+    };
+}
+
+/** Returns the response to a caller that has the events of a stream up to the twelfth. */
+QByteArray responseToResumingCaller(GatewayFixture &fixture, const QByteArray &path)
+{
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", path, "r1", "Last-Event-Id: 12\r\n"));
+    fixture.loop.waitUntil(
+            [&] {
+                return caller.received().endsWith("0\r\n\r\n") || caller.received().endsWith("}");
+            },
+            "the response");
+    return caller.received();
+}
+
 QByteArray failure(const HttpRequest &request, const QByteArray &status)
 {
     return GatewayFixture::answer(request, "no").replace("200 OK", status);
@@ -119,3 +141,23 @@
     cr_assert(caller.received().contains("id: 5\n"));
     cr_assert(!caller.received().contains("id: 1\n"));
 }
+
+// A caller that resumes a stream must not be sent events that it has already.
+Test(resumed_stream, of_a_caller_does_not_begin_with_events_that_the_caller_has)
+{
+    for (const int firstId : {1, 12}) {
+        GatewayFixture fixture(2, streamOf(firstId));
+        const QByteArray response = responseToResumingCaller(fixture, "/resume/x");
+        cr_assert(response.startsWith("HTTP/1.1 502"), "first id %d", firstId);
+        cr_assert(!response.contains("data: e"));
+        cr_assert_eq(fixture.requestCount(), 2);
+    }
+    GatewayFixture fixture(2, streamOf(13));
+    cr_assert(responseToResumingCaller(fixture, "/resume/x").contains("data: e"));
+}
+
+Test(resumed_stream, is_not_expected_where_the_route_does_not_allow_it)
+{
+    GatewayFixture fixture(1, streamOf(1));
+    cr_assert(responseToResumingCaller(fixture, "/stream/x").contains("data: e"));
+}
