--- a/tests/gateway/StrandedGatewayTest.cpp
+++ b/tests/gateway/StrandedGatewayTest.cpp
@@ -177,6 +177,22 @@
     fixture.loop.waitUntil([&] { return fixture.tunnels->tunnelCount() == 0; }, "the close");
 }
 
+Test(stranded_gateway, does_not_take_a_late_refusal_in_an_open_tunnel_for_not_run)
+{
+    StrandedFixture fixture(1, [](const HttpRequest &request, const auto &exchange) {
+        if (fieldValue(request.fields, "Lacewingmux-Request-Id") == "r1")
+            exchange.write("HTTP/1.1 503 Full\r\nLacewingmux-Not-Executed: 1\r\n"
+                           "Content-Length: 0\r\n\r\n");
+        else
+            exchange.write(GatewayFixture::answer(request, "ran"));
+    });
+    fixture.refuseConnections();
+    cr_assert(fixture.responseTo("/once/x", "r0").endsWith("ran"));
+    cr_assert(fixture.responseTo("/once/x", "r1").startsWith("HTTP/1.1 502"));
+    cr_assert(fixture.responseTo("/once/x", "r2").endsWith("ran"));
+    cr_assert_eq(fixture.requestCount(), 3, "none may be sent twice");
+}
+
 Test(stranded_gateway, gives_up_the_open_tunnels_of_a_vm_that_opens_no_more)
 {
     int answers = 0;
