Do not send over an idle connection on which something has arrived

What callers saw: a failure of a request that had been sent in vain, when a late response, or the end of the connection, had arrived at an idle connection just before a call took it.

Cause: the pool went by what the event loop had read. A late failure without an id then met the request that was sent over the connection, which counts as one that may have run.

The pool polls the socket of the connection that it is about to hand out, and closes it if there is anything to read. The poll is one system call for each request over a kept connection; its cost was not measured.

--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <poll.h>
+
 namespace lacewingmux {
 
 namespace {
@@ -88,6 +90,12 @@
            && std::ranges::find(this->carriedIds, hashOf(requestId)) == this->carriedIds.end();
 }
 
+bool ReplicaConnection::hasUnreadInput() const
+{
+    pollfd watched{static_cast<int>(this->socket->socketDescriptor()), POLLIN, 0};
+    return this->socket->bytesAvailable() > 0 || ::poll(&watched, 1, 0) != 0;
+}
+
 bool ReplicaConnection::isReusable() const
 {
     return this->exchanges < maximumExchanges && !this->broken && !this->busy && this->connected
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
@@ -88,6 +88,9 @@
         late responses to the requests that the connection has carried. */
     [[nodiscard]] bool distinguishes(const QByteArray &requestId) const;
 
+    /** Tells whether bytes or the end of the connection have arrived that were not read yet. */
+    [[nodiscard]] bool hasUnreadInput() const;
+
     /** Tells whether another exchange may use the connection now. */
     [[nodiscard]] bool isReusable() const;
 
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -283,14 +283,18 @@
     ConnectionList &connections = this->idle[id];
     std::erase_if(connections,
                   [this](const auto &connection) { return !this->isReusable(*connection); });
-    const auto found = std::find_if(
-            connections.rbegin(), connections.rend(),
-            [&requestId](const auto &connection) { return connection->distinguishes(requestId); });
-    if (found == connections.rend())
-        return nullptr;
-    std::shared_ptr<ReplicaConnection> connection = std::move(*found);
-    connections.erase(std::next(found).base());
-    return connection;
+    while (true) {
+        const auto found = std::find_if(connections.rbegin(), connections.rend(),
+                                        [&requestId](const auto &connection) {
+                                            return connection->distinguishes(requestId);
+                                        });
+        if (found == connections.rend())
+            return nullptr;
+        std::shared_ptr<ReplicaConnection> connection = std::move(*found);
+        connections.erase(std::next(found).base());
+        if (!connection->hasUnreadInput())
+            return connection;
+    }
 }
 
 bool ReplicaFleet::isReusable(const ReplicaConnection &connection) const
--- a/tests/gateway/EarlyAnswerTest.cpp
+++ b/tests/gateway/EarlyAnswerTest.cpp
@@ -77,7 +77,7 @@
     EarlyReplica replica;
     fixture.instances[0].port = replica.server.serverPort();
     fixture.gateway->setReplicas(fixture.instances);
-    const QByteArray body(3 * 1024 * 1024, 'x');
+    const QByteArray body(qsizetype{3} * 1024 * 1024, 'x');
     RawCaller first(fixture.gateway->port());
     first.send(GatewayFixture::request("POST", "/once/x", "r1", {}, body));
     fixture.loop.waitUntil([&] { return first.received().endsWith("early"); }, "the answer");
--- a/tests/gateway/IngressConnectionTest.cpp
+++ b/tests/gateway/IngressConnectionTest.cpp
@@ -8,6 +8,7 @@
 #include <criterion/criterion.h>
 
 #include <optional>
+#include <utility>
 #include <vector>
 
 using namespace lacewingmux;
@@ -29,7 +30,9 @@
                 "the connection");
         socket->setParent(nullptr);
         IngressConnection::Hooks hooks;
-        hooks.requestArrived = [this](HttpRequest request) { this->requests.push_back(request); };
+        hooks.requestArrived = [this](HttpRequest request) {
+            this->requests.push_back(std::move(request));
+        };
         hooks.callerDisconnected = [this] { ++this->disconnects; };
         hooks.closed = [this] { ++this->closes; };
         this->connection.emplace(socket, HttpLimits(), this->loop.timers, std::move(hooks));
--- a/tests/gateway/KeptConnectionTest.cpp
+++ b/tests/gateway/KeptConnectionTest.cpp
@@ -276,7 +276,7 @@
 
 Test(late_answer, that_is_larger_than_the_bound_fails_the_exchange)
 {
-    const QByteArray large(2 * 1024 * 1024, 'x');
+    const QByteArray large(qsizetype{2} * 1024 * 1024, 'x');
     ScriptedExchanges test({success("r1", "first"), success("r1", large) + success("r2", "own.")});
     test.call("POST", "/once/x", "r1");
     const QByteArray response = test.call("POST", "/once/x", "r2");
