Refuse a success that states that it was not executed

A request that may run once was sent to replicas over and over if they answered with a success and Lacewingmux-Not-Executed, and the caller of a stream could be left with events but neither an end nor a close.

Cause: the statement was believed whatever the status. The events of such a response were forwarded as they came, and at its end it counted as a rejection: no run, to be placed again. A refusal is no longer possible once a stream has begun, so that its caller got nothing more.

Evidence: unproven_refusal/with_a_success_counts_as_a_run.

Change: a success that denies its run is an invalid response, like one without the replica's stamp. It counts as a run, and nothing of it is forwarded.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -89,7 +89,8 @@
     this->attempt.eventParser = EventStreamParser(responseHead.bodyEndsAtClose);
     this->attempt.isInvalidResponse = isSuccess(responseHead)
                                       && (!this->attempt.responseInfo.hasServerStamp
-                                          || this->attempt.responseInfo.hasContentCoding);
+                                          || this->attempt.responseInfo.hasContentCoding
+                                          || this->attempt.responseInfo.notExecuted);
     this->context.fleet.placement().recordReachable(this->attempt.replica);
     this->recordLoadReport();
 }
@@ -135,7 +136,9 @@
     this->logAttempt(ReplicaAttempt::complete);
     this->releaseConnection();
     this->context.fleet.placement().callEnded(this->attempt.replica);
-    if (this->attempt.responseInfo.notExecuted || this->attempt.responseInfo.wrongInstance) {
+    const bool isRejection =
+            this->attempt.responseInfo.notExecuted || this->attempt.responseInfo.wrongInstance;
+    if (isRejection && !this->attempt.isInvalidResponse) {
         this->handleRejection();
         return;
     }
--- a/tests/gateway/UnprovenRefusalTest.cpp
+++ b/tests/gateway/UnprovenRefusalTest.cpp
@@ -18,6 +18,16 @@
     };
 }
 
+/** Answers every request with a stream of one event, and states that the request did not run. */
+ScriptedReplica::Handler streamAndDenyRun()
+{
+    return [](const HttpRequest &request, const auto &exchange) {
+        const QByteArray head = GatewayFixture::streamHead(request);
+        exchange.write(head.left(head.size() - 2) + "Lacewingmux-Not-Executed: 1\r\n\r\n"
+                       + GatewayFixture::event(1, "a") + "0\r\n\r\n");
+    };
+}
+
 /** Returns the response to a request, up to the end of its head. */
 QByteArray responseTo(GatewayFixture &fixture, const QByteArray &path)
 {
@@ -52,3 +62,15 @@
         }
     }
 }
+
+// A success that denies its run contradicts itself. The request may have run, so that one which may
+// run once is not sent again, and the caller of a stream is not left without its end.
+Test(unproven_refusal, with_a_success_counts_as_a_run)
+{
+    for (const char *path : {"/once/x", "/stream/x", "/turn/x"}) {
+        GatewayFixture fixture(3, streamAndDenyRun());
+        cr_assert(responseTo(fixture, path).startsWith("HTTP/1.1 502"), "%s", path);
+        fixture.loop.runFor(std::chrono::milliseconds(100));
+        cr_assert_eq(fixture.requestCount(), 1, "%s", path);
+    }
+}
