Ignore relayed records that name no key below the prefix or no revision

Cause: RelayedTopic took over every record of a relay's update. Relays of builds before the check of the store's items pass on an item without a key as a record with the key "", and one without a revision as a record at revision 0; a key of another prefix would be cut to a name that stands for nothing. Such a record was part of the contents that a relay sends to its own subscribers.

The topic now ignores such records. Everything else that an old relay sends is read as before, and what a new relay sends contains none of them, so old subscribers need no change: an entry whose value can't be read has an empty value, which names no replica for them either.

DamagedDocumentsTest now also damages listings, polls and relayed updates.

--- a/modules/lacewingmux_relay/store/RelayedTopic.cpp
+++ b/modules/lacewingmux_relay/store/RelayedTopic.cpp
@@ -19,6 +19,9 @@
 
 bool RelayedTopic::apply(const StoreRecord &change)
 {
+    // Relays of earlier builds also pass on items that name neither.
+    if (!change.key.startsWith(this->topicPrefix) || change.modRevision <= 0)
+        return false;
     const auto [entry, isNew] = this->known.try_emplace(change.key, change);
     const bool isDeletion = change.createRevision == 0;
     if (isNew) {
--- a/modules/lacewingmux_relay/store/RelayedTopic.h
+++ b/modules/lacewingmux_relay/store/RelayedTopic.h
@@ -27,7 +27,8 @@
 
     explicit RelayedTopic(QByteArray watchedPrefix, RelevanceFunction relevanceFunction = nullptr);
 
-    /** Applies one change; returns whether it is newer than what is known, and relevant. */
+    /** Applies one change; returns whether it is newer than what is known, and relevant. A change
+        of no key below the prefix, or without a revision, is ignored. */
     bool apply(const StoreRecord &change);
 
     /** Applies an update of a relay; returns the changes that are newer and relevant. */
--- a/tests/adapter/DamagedDocumentsTest.cpp
+++ b/tests/adapter/DamagedDocumentsTest.cpp
@@ -5,11 +5,15 @@
 #include "lacewingmux_gateway/http/RequestDecoder.h"
 #include "lacewingmux_gateway/http/ResponseDecoder.h"
 #include "lacewingmux_gateway/routing/RoutingTable.h"
+#include "lacewingmux_relay/messages/RelayCodec.h"
+#include "lacewingmux_relay/store/RelayedTopic.h"
 #include "platform/ConfigurationDocument.h"
 #include "platform/HttpDialect.h"
 #include "platform/PlatformSettings.h"
 #include "platform/ReplicaEntry.h"
+#include "platform/StoreChanges.h"
 #include "platform/StoreItem.h"
+#include "platform/StoreListing.h"
 
 #include <criterion/criterion.h>
 
@@ -74,6 +78,52 @@
     cr_assert_gt(replicas, 0);
 }
 
+Test(damaged_documents, of_the_store_lose_no_item_beside_them)
+{
+    MutatedBytes mutation(3);
+    const QByteArray page = R"({"items":[{"key":"op/a","value":"e30=","rev":12,"createdRev":3,)"
+                            R"("lease":0},)"
+                            + item + R"(],"hasMore":false,"storeRevision":20})";
+    const QByteArray poll = R"({"events":[{"key":"op/a","rev":13,"deleted":true},)" + item
+                            + R"(],"storeRevision":20})";
+    int pages = 0;
+    int polls = 0;
+    for (int round = 0; round < rounds; ++round) {
+        const auto body = [&mutation](const QByteArray &sound, const QByteArray &other) {
+            return QJsonDocument::fromJson(mutation.damaged(sound, other)).object();
+        };
+        StoreListing listing("op/", 1);
+        pages += listing.addPage(body(page, poll)) == StoreListing::State::Complete ? 1 : 0;
+        for (const StoreRecord &record : listing.records())
+            cr_assert(record.key.startsWith("op/") && record.modRevision > 0
+                      && record.createRevision > 0);
+        const auto changes = StoreChanges::fromReply(body(poll, page), "op/", 1);
+        polls += changes ? 1 : 0;
+        cr_assert(!changes || changes->revision >= 1);
+    }
+    cr_assert_gt(pages, 0);
+    cr_assert_gt(polls, 0);
+}
+
+Test(damaged_documents, of_relays_leave_only_records_of_their_prefix)
+{
+    const RelayUpdate sound{"op/", 20, true, {{"op/a", "{}", 3, 12, 0}, {"op/b", "{}", 4, 13, 0}}};
+    const QByteArray update = RelayCodec::encodeUpdate(sound);
+    MutatedBytes mutation(4);
+    int decoded = 0;
+    for (int round = 0; round < rounds; ++round) {
+        const auto damaged = RelayCodec::decodeUpdate(mutation.damaged(update, update));
+        RelayedTopic topic("op/");
+        if (damaged)
+            (void)topic.apply(*damaged);
+        decoded += damaged ? 1 : 0;
+        for (const StoreRecord &record : topic.records())
+            cr_assert(record.key.startsWith("op/") && record.modRevision > 0);
+        cr_assert_geq(topic.revision(), 0);
+    }
+    cr_assert_gt(decoded, 0);
+}
+
 Test(damaged_documents, of_callers_and_replicas_end_no_node)
 {
     MutatedBytes mutation(2);
--- a/tests/relay/RelayedTopicTest.cpp
+++ b/tests/relay/RelayedTopicTest.cpp
@@ -79,6 +79,35 @@
     cr_assert(topic.apply(written("servers/1", 2)), "an old one is forgotten");
 }
 
+// A relay of an earlier build passes items on that name no key below the prefix.
+Test(relayed_topic, ignores_records_of_no_key_below_its_prefix)
+{
+    const std::vector<QByteArray> foreign{"", "servers", "other/a", "Servers/a"};
+    RelayedTopic topic("servers/");
+    topic.apply(written("servers/a", 10));
+    for (const QByteArray &key : foreign) {
+        cr_expect_not(topic.apply(written(key, 20)), "%s", key.constData());
+        cr_expect_not(topic.apply(deleted(key, 20)), "%s", key.constData());
+        const RelayUpdate full{"servers/", 20, true, {written(key, 20), written("servers/a", 10)}};
+        cr_expect(topic.apply(full).empty(), "%s", key.constData());
+    }
+    cr_assert_eq(topic.records().size(), 1);
+}
+
+// A record without a valid revision replaced none of a known key, but stood for one of a new key.
+Test(relayed_topic, ignores_records_without_a_revision)
+{
+    RelayedTopic topic("servers/");
+    topic.apply(written("servers/a", 10));
+    for (const std::int64_t revision : {std::int64_t{0}, std::int64_t{-1}, INT64_MIN}) {
+        cr_expect_not(topic.apply(written("servers/b", revision)));
+        cr_expect_not(topic.apply(deleted("servers/a", revision)));
+        cr_expect(topic.apply(RelayUpdate{"servers/", revision, false, {}}).empty());
+    }
+    cr_assert_eq(topic.records().size(), 1);
+    cr_assert_eq(topic.revision(), 0);
+}
+
 Test(relay_codec, rejects_damaged_payloads)
 {
     const QByteArray update = RelayCodec::encodeUpdate(
