End no VM at a zone record that can't be read

This is the reader of the product's own zones; the platform's roles don't use it.

Cause: ZoneRecord::fromJson throws for what is no record. The watch and the listing catch that, but ZoneRecordStore::update read the own zone's record in a callback of the store that let the exception pass, which ends the process.

All reads now parse the record in one place that logs what can't be read. An update then does nothing: the record is not replaced by one that knows no earlier epoch, and is followed as soon as it is repaired.

--- a/modules/lacewingmux_zone/membership/ZoneRecordStore.cpp
+++ b/modules/lacewingmux_zone/membership/ZoneRecordStore.cpp
@@ -25,6 +25,19 @@
     return gone;
 }
 
+/** Returns the zone's record in the store's record, or nothing if it can't be read. */
+std::optional<ZoneRecord> readZoneRecord(const StoreRecord &record)
+{
+    try {
+        return ZoneRecord::fromJson(record.value);
+    } catch (const LacewingmuxError &error) {
+        LogEvent(LogSeverity::Error, "zoneRecordUnreadable")
+                .field("storeKey", QString::fromUtf8(record.key))
+                .field("reason", error.message());
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 ZoneRecordStore::ZoneRecordStore(PlatformStore &platformStore, TimerService &timerService,
@@ -111,7 +124,12 @@
     std::int64_t revision = 0;
     if (!records->empty()) {
         revision = records->front().modRevision;
-        current = ZoneRecord::fromJson(records->front().value);
+        const auto stored = readZoneRecord(records->front());
+        if (!stored) {
+            this->updateInProgress = false;
+            return;
+        }
+        current = *stored;
         this->report(records->front());
     }
     const std::optional<ZoneRecord> next = decision(current);
@@ -154,13 +172,8 @@
     this->newestRevision = std::max(this->newestRevision, record.modRevision);
     if (record.value.isEmpty() || !this->recordHandler)
         return;
-    try {
-        this->recordHandler(ZoneRecord::fromJson(record.value));
-    } catch (const LacewingmuxError &error) {
-        LogEvent(LogSeverity::Error, "zoneRecordUnreadable")
-                .field("storeKey", QString::fromUtf8(record.key))
-                .field("reason", error.message());
-    }
+    if (const auto zoneRecord = readZoneRecord(record))
+        this->recordHandler(*zoneRecord);
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_zone/membership/ZoneRecordStore.h
+++ b/modules/lacewingmux_zone/membership/ZoneRecordStore.h
@@ -47,7 +47,8 @@
 
     /**
         Reads this zone's record and the platform's list of VMs, calls the decision for the next
-        record, and writes it by compare-and-swap. Does nothing while an update is in progress.
+        record, and writes it by compare-and-swap. Does nothing while an update is in progress, or
+        if the record can't be read.
     */
     void update(Decision decision);
 
