List the keys beside a shard that can't be read, and bound its numbers

Cause: KeyRegister::list parsed the shards in a callback of the store that let the exception of an unreadable one pass, which ends the process. A negative revision of a shard or configuration became the largest one, so that no later version was taken. Times beyond the range of a time point overflowed.

The list leaves an unreadable shard out and logs it, as those who follow the shards did already; a negative revision is none, and times are limited to the year 2223.

--- a/modules/lacewingmux_config/keys/KeyRegister.cpp
+++ b/modules/lacewingmux_config/keys/KeyRegister.cpp
@@ -1,6 +1,8 @@
 #include "lacewingmux_config/keys/KeyRegister.h"
 
 #include "lacewingmux_config/keys/KeyShard.h"
+#include "lacewingmux_core/errors/LacewingmuxError.h"
+#include "lacewingmux_core/logging/StructuredLog.h"
 #include "lacewingmux_keyvalue/store/PlatformStore.h"
 #include "lacewingmux_keyvalue/update/RecordUpdate.h"
 
@@ -33,6 +35,19 @@
     return KeyShard::indexFor(QString::fromLatin1(storeKey.right(1)));
 }
 
+/** Returns the keys in the store's record of a shard; none if it can't be read. */
+std::vector<KeyRecord> readKeys(const StoreRecord &record)
+{
+    try {
+        return KeyShard::fromJson(indexFromStoreKey(record.key), record.value).keys;
+    } catch (const LacewingmuxError &error) {
+        LogEvent(LogSeverity::Error, "keyShardUnreadable")
+                .field("storeKey", QString::fromUtf8(record.key))
+                .field("reason", error.message());
+        return {};
+    }
+}
+
 } // namespace
 
 KeyRegister::KeyRegister(PlatformStore &platformStore)
@@ -75,19 +90,19 @@
 
 void KeyRegister::list(ListCallback callback)
 {
-    this->store.readPrefix(KeyShard::storePrefix, [callback = std::move(callback)](
-                                                          const auto &records) {
-        if (!records) {
-            callback(std::nullopt);
-            return;
-        }
-        std::vector<KeyRecord> keys;
-        for (const StoreRecord &record : *records) {
-            const KeyShard shard = KeyShard::fromJson(indexFromStoreKey(record.key), record.value);
-            keys.insert(keys.end(), shard.keys.begin(), shard.keys.end());
-        }
-        callback(keys);
-    });
+    this->store.readPrefix(KeyShard::storePrefix,
+                           [callback = std::move(callback)](const auto &records) {
+                               if (!records) {
+                                   callback(std::nullopt);
+                                   return;
+                               }
+                               std::vector<KeyRecord> keys;
+                               for (const StoreRecord &record : *records) {
+                                   const std::vector<KeyRecord> shardKeys = readKeys(record);
+                                   keys.insert(keys.end(), shardKeys.begin(), shardKeys.end());
+                               }
+                               callback(keys);
+                           });
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_config/keys/KeyShard.cpp
+++ b/modules/lacewingmux_config/keys/KeyShard.cpp
@@ -6,6 +6,8 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include <algorithm>
+
 namespace lacewingmux {
 
 namespace {
@@ -21,7 +23,8 @@
 
 Time fromSeconds(qint64 seconds)
 {
-    return Time(std::chrono::seconds(seconds));
+    constexpr qint64 maximumSeconds = 8'000'000'000; // in the year 2223; later ones overflow
+    return Time(std::chrono::seconds(std::clamp<qint64>(seconds, 0, maximumSeconds)));
 }
 
 QJsonObject toJsonObject(const KeyRecord &key)
@@ -91,8 +94,12 @@
     if (!document.isObject())
         throw LacewingmuxError(ErrorKind::ConfigurationInvalid,
                                QStringLiteral("key shard %1 is no JSON object").arg(shardIndex));
-    shard.revision = static_cast<std::uint64_t>(
-            document.object().value(QStringLiteral("revision")).toInteger());
+    const qint64 revision = document.object().value(QStringLiteral("revision")).toInteger();
+    if (revision < 0)
+        throw LacewingmuxError(
+                ErrorKind::ConfigurationInvalid,
+                QStringLiteral("key shard %1: revision is negative").arg(shardIndex));
+    shard.revision = static_cast<std::uint64_t>(revision);
     for (const QJsonValue key : document.object().value(QStringLiteral("keys")).toArray())
         shard.keys.push_back(fromJsonObject(key.toObject()));
     return shard;
--- a/modules/lacewingmux_config/records/RevisionedRecord.cpp
+++ b/modules/lacewingmux_config/records/RevisionedRecord.cpp
@@ -3,6 +3,8 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 
+#include <algorithm>
+
 namespace lacewingmux {
 
 namespace {
@@ -19,7 +21,8 @@
 
 RecordVersion versionOf(const QJsonObject &object)
 {
-    return {static_cast<std::uint64_t>(object.value(QLatin1String("revision")).toInteger()),
+    const qint64 revision = object.value(QLatin1String("revision")).toInteger();
+    return {static_cast<std::uint64_t>(std::max<qint64>(0, revision)),
             object.value(QLatin1String("writeId")).toString()};
 }
 
@@ -80,8 +83,9 @@
     record.revision = version.revision;
     record.writeId = version.writeId;
     record.author = object.value(QLatin1String("author")).toString();
-    record.writtenAt = system_clock::time_point(
-            milliseconds(object.value(QLatin1String("writtenAtMs")).toInteger()));
+    constexpr qint64 latest = 8'000'000'000'000; // in the year 2223; later times overflow
+    record.writtenAt = system_clock::time_point(milliseconds(
+            std::clamp<qint64>(object.value(QLatin1String("writtenAtMs")).toInteger(), 0, latest)));
     for (const QJsonValue entry : object.value(QLatin1String("history")).toArray())
         record.history.push_back(versionOf(entry.toObject()));
     record.document = object.value(QLatin1String("document")).toObject();
--- a/tests/config/ConfigurationRegisterTest.cpp
+++ b/tests/config/ConfigurationRegisterTest.cpp
@@ -1,4 +1,5 @@
 #include "lacewingmux_config/records/ConfigurationRegister.h"
+#include "lacewingmux_config/records/RevisionedRecord.h"
 #include "lacewingmux_core/time/ManualTimerService.h"
 #include "lacewingmux_keyvalue/memory/InMemoryPlatformStore.h"
 
@@ -111,3 +112,18 @@
     cr_assert(error->kind() == ErrorKind::ConfigurationInvalid);
     cr_assert_not(fixture.server->table().find(ConfigurationRegister::storeKey).has_value());
 }
+
+// A negative revision was taken for the largest one, which no later configuration exceeds.
+Test(RevisionedRecord, thatHasNoRevisionIsNone)
+{
+    for (const char *revision : {"-1", "0", "1e30", "1.5", "9223372036854775808", "\"1\"", "null"})
+        cr_expect_not(RevisionedRecord::parse(QByteArray(R"({"document":{},"revision":)") + revision
+                                              + '}')
+                              .has_value(),
+                      "%s", revision);
+    const auto record = RevisionedRecord::parse(
+            R"({"document":{},"revision":1,"writtenAtMs":9223372036854775807})");
+    cr_assert(record.has_value());
+    cr_expect_geq(record->writtenAt.time_since_epoch().count(), 0);
+    cr_expect_leq(record->writtenAt.time_since_epoch() / std::chrono::hours(1), 24 * 366 * 290);
+}
--- a/tests/config/KeyRegisterTest.cpp
+++ b/tests/config/KeyRegisterTest.cpp
@@ -116,6 +116,43 @@
     keys.timers.advance(60s);
 }
 
+// The list was read in a callback of the store that let the exception pass, which ended the
+// process.
+Test(KeyRegister, listsTheKeysBesideAnUnreadableShard)
+{
+    for (const QByteArray &odd :
+         {QByteArray("7"), QByteArray("[]"), QByteArray(2000, '['), QByteArray("\x80"),
+          QByteArray(R"({"revision":1,"keys":[{}]})"), QByteArray(R"({"revision":1,"keys":[7]})"),
+          QByteArray(R"({"revision":-1,"keys":[{"id":"a","salt":"00","digest":"00"}]})")}) {
+        RegisterOverStore keys;
+        const KeyText key = keys.issue("accra");
+        const int other = (KeyShard::indexFor(key.keyId) + 1) % 16;
+        keys.store.compareAndSwap(KeyShard::storeKey(other), 0, odd, [](const auto &) {});
+        keys.timers.advance(60s);
+        std::optional<std::vector<KeyRecord>> found;
+        keys.keys.list([&found](const auto &all) { found = all; });
+        keys.timers.advance(60s);
+        cr_assert(found && found->size() == 1, "%s", odd.left(100).constData());
+        cr_assert(found->front().keyId == key.keyId);
+    }
+}
+
+// Such a time overflowed, so that the key could be withdrawn before it was issued.
+Test(KeyRegister, boundsTimesThatCannotBeRight)
+{
+    for (const char *seconds : {"9223372036854775807", "-9223372036854775808", "-1"}) {
+        const KeyShard shard = KeyShard::fromJson(
+                1, QByteArray(R"({"revision":1,"keys":[{"id":"a","salt":"00","digest":"00",)")
+                           + R"("issued":)" + seconds + R"(,"withdrawn":)" + seconds + "}]}");
+        const auto issued = shard.keys.front().issued.time_since_epoch();
+        cr_expect_geq(issued.count(), 0, "%s", seconds);
+        cr_expect_leq(issued / 1h, 24 * 366 * 290, "%s", seconds);
+        cr_expect(*shard.keys.front().withdrawn + std::chrono::hours(24 * 366)
+                          > *shard.keys.front().withdrawn,
+                  "%s", seconds);
+    }
+}
+
 Test(KeyRegister, settlesALostReplyByReading)
 {
     RegisterOverStore keys;
