Find another answer's head also within a cut event

A stream without a length could be passed on as whole with the head of another answer in its last event.

Cause: the head of an answer ends with an empty line, as an event does. Where the first answer breaks off within an event and the replica answers once more on the same connection, the bytes up to the end of the second head were read as one event: the second answer was looked for at the beginning of an event alone.

Evidence: unframed_answer/of_a_stream_that_breaks_off_within_an_event_is_ not_joined_to_another_answer. Before, the caller got "data: broHTTP/1.1 200 OK" and the second answer's id, and the end of a whole stream.

Change: an event of a stream that ends with its connection is searched for the head of a replica's answer, with the search that plain bodies had. The stream then counts as broken off within that event.

--- a/modules/lacewingmux_backend/clients/UnframedBody.cpp
+++ b/modules/lacewingmux_backend/clients/UnframedBody.cpp
@@ -38,7 +38,7 @@
         return "the answer ended behind its head";
     if (isJson(contentType) && !isWholeJson(body))
         return "the answer's JSON body is not whole";
-    if (containsResponse(body, namesRequest))
+    if (findResponse(body, namesRequest) >= 0)
         return "another answer follows in the body";
     return nullptr;
 }
--- a/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
+++ b/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
@@ -86,6 +86,8 @@
     for (qsizetype end = endOfEvent(this->pending, this->searchedBytes);
          end >= 0 && !this->outOfSequence && !this->isAtOtherResponse(completeBytes);
          end = endOfEvent(this->pending, completeBytes)) {
+        if (this->cutAtOtherResponse(completeBytes, end - completeBytes))
+            break;
         const auto event = QByteArrayView(this->pending).sliced(completeBytes, end - completeBytes);
         this->outOfSequence = !appendEvent(events, event, sequence);
         completeBytes = end;
@@ -106,4 +108,16 @@
            && QByteArrayView(this->pending).sliced(position).startsWith(httpVersionPrefix);
 }
 
+bool EventStreamParser::cutAtOtherResponse(qsizetype position, qsizetype eventBytes)
+{
+    if (!this->endsAtClose || !this->findResponse)
+        return false;
+    const qsizetype start = this->findResponse(this->pending.mid(position, eventBytes));
+    if (start < 0)
+        return false;
+    this->pending.truncate(position + start);
+    this->otherResponseFollows = true;
+    return true;
+}
+
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/EventStreamParser.h
+++ b/modules/lacewingmux_gateway/forwarding/EventStreamParser.h
@@ -4,6 +4,9 @@
 
 #include <QByteArray>
 
+#include <functional>
+#include <utility>
+
 namespace lacewingmux {
 
 class EventSequence;
@@ -18,10 +21,16 @@
 class EventStreamParser
 {
 public:
-    /** Creates a parser of a stream that ends with its connection, or with the framing of its body.
+    /** Returns the position at which the head of a response begins within bytes; -1 if none does.
      */
-    explicit EventStreamParser(bool streamEndsAtClose = false)
+    using ResponseSearch = std::function<qsizetype(const QByteArray &)>;
+
+    /** Creates a parser of a stream that ends with its connection, or with the framing of its body.
+        The search finds another response within what would be an event of the former. It may be
+        null. */
+    explicit EventStreamParser(bool streamEndsAtClose = false, ResponseSearch responseSearch = {})
         : endsAtClose(streamEndsAtClose)
+        , findResponse(std::move(responseSearch))
     { }
 
     /** Appends bytes of the stream; returns the events that they complete, up to the first one that
@@ -44,7 +53,12 @@
     /** Tells whether another response begins at this position of the pending bytes. */
     [[nodiscard]] bool isAtOtherResponse(qsizetype position) const;
 
+    /** Discards another response that begins within an event, which has broken off there; returns
+        whether one does. The event lies at this position of the pending bytes. */
+    bool cutAtOtherResponse(qsizetype position, qsizetype eventBytes);
+
     bool endsAtClose;
+    ResponseSearch findResponse;
     bool otherResponseFollows = false;
     QByteArray pending;
     qsizetype searchedBytes = 0; ///< prefix of pending without an end of an event
--- a/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
@@ -29,19 +29,16 @@
     return attempt.events == 0 && (attempt.head.bodyEndsAtClose || !attempt.resumesStream);
 }
 
-/** Tells whether another response may have been read as part of the body, because the body ends
-    with its connection. */
-bool holdsOtherResponse(const ReplicaAttempt &attempt, const CallDialect &dialect)
+} // namespace
+
+qsizetype findReplicaResponse(const QByteArray &bytes, const CallDialect &dialect)
 {
-    return attempt.head.bodyEndsAtClose
-           && containsResponse(attempt.body, [&dialect](const HttpResponseHead &head) {
-                  const ReplicaResponseInfo info = dialect.parseResponse(head);
-                  return info.hasServerStamp || !info.requestId.isEmpty();
-              });
+    return findResponse(bytes, [&dialect](const HttpResponseHead &head) {
+        const ReplicaResponseInfo info = dialect.parseResponse(head);
+        return info.hasServerStamp || !info.requestId.isEmpty();
+    });
 }
 
-} // namespace
-
 const char *faultOf(const ReplicaAttempt &attempt, bool streamStarted, const CallDialect &dialect)
 {
     if (attempt.isInvalidResponse)
@@ -54,7 +51,8 @@
         return "the stream ended within an event";
     if (brokeOffBehindHead(attempt))
         return "the answer ended behind its head";
-    if (holdsOtherResponse(attempt, dialect))
+    // Nothing else parts another response from a body that ends with its connection.
+    if (attempt.head.bodyEndsAtClose && findReplicaResponse(attempt.body, dialect) >= 0)
         return "another answer follows in the body";
     return nullptr;
 }
--- a/modules/lacewingmux_gateway/forwarding/ResponseFault.h
+++ b/modules/lacewingmux_gateway/forwarding/ResponseFault.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <QByteArray>
+
 namespace lacewingmux {
 
 struct CallDialect;
@@ -11,4 +13,8 @@
 [[nodiscard]] const char *faultOf(const ReplicaAttempt &attempt, bool streamStarted,
                                   const CallDialect &dialect);
 
+/** Returns the position at which the head of a replica's response begins within the bytes; -1 if
+    none does. */
+[[nodiscard]] qsizetype findReplicaResponse(const QByteArray &bytes, const CallDialect &dialect);
+
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/http/ResponseSearch.cpp
+++ b/modules/lacewingmux_gateway/http/ResponseSearch.cpp
@@ -12,8 +12,8 @@
 
 } // namespace
 
-bool containsResponse(const QByteArray &bytes,
-                      const std::function<bool(const HttpResponseHead &)> &predicate)
+qsizetype findResponse(const QByteArray &bytes,
+                       const std::function<bool(const HttpResponseHead &)> &predicate)
 {
     qsizetype start = bytes.indexOf(httpVersionPrefix);
     for (int searched = 0; start >= 0 && searched < maximumSearchedResponses; ++searched) {
@@ -22,10 +22,10 @@
         const bool hasHead =
                 decoder.state() == DecodeState::Body || decoder.state() == DecodeState::Complete;
         if (hasHead && predicate(decoder.head()))
-            return true;
+            return start;
         start = bytes.indexOf(httpVersionPrefix, start + 1);
     }
-    return false;
+    return -1;
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/http/ResponseSearch.h
+++ b/modules/lacewingmux_gateway/http/ResponseSearch.h
@@ -8,10 +8,11 @@
 
 struct HttpResponseHead;
 
-/** Tells whether the bytes contain the whole head of a response for which the predicate holds. Only
-    the first 64 heads and 4096 bytes of each are considered, which bounds the work for a body that
-    quotes many responses. */
-[[nodiscard]] bool containsResponse(const QByteArray &bytes,
-                                    const std::function<bool(const HttpResponseHead &)> &predicate);
+/** Returns the position of the first whole head of a response for which the predicate holds; -1 if
+    there is none. Only the first 64 heads and 4096 bytes of each are considered, which bounds the
+    work for a body that quotes many responses. */
+[[nodiscard]] qsizetype
+findResponse(const QByteArray &bytes,
+             const std::function<bool(const HttpResponseHead &)> &predicate);
 
 } // namespace lacewingmux
--- a/tests/gateway/UnframedAnswerTest.cpp
+++ b/tests/gateway/UnframedAnswerTest.cpp
@@ -61,6 +61,34 @@
     }
 }
 
+// The head of the second answer ends with an empty line, as an event does.
+Test(unframed_answer, of_a_stream_that_breaks_off_within_an_event_is_not_joined_to_another_answer)
+{
+    const QByteArray second = head("r0", "text/event-stream") + event(1, "foreign");
+    for (const char *cutEvent : {"id: 2\ndata: bro", "id: 2\ndata: bro\n", "id: 2\n", "i"}) {
+        GatewayFixture fixture(
+                1,
+                writeInParts({head("r1", "text/event-stream") + event(1, "a") + cutEvent, second}));
+        const QByteArray response = responseTo(fixture, "/stream/x");
+        cr_assert(response.contains("data: a"));
+        cr_assert(!response.contains("r0"), "%s", response.constData());
+        cr_assert(!response.contains("foreign"));
+        cr_assert(!response.endsWith("0\r\n\r\n"), "it broke off");
+    }
+}
+
+Test(unframed_answer, of_a_stream_with_an_event_that_quotes_an_answer_is_passed_on)
+{
+    const QByteArray quoting =
+            "id: 2\ndata: HTTP/1.1 200 OK\r\ndata: Lacewingmux-Request-Id: r0\r\n"
+            "data: Lacewingmux-Server-Stamp: stamp\r\n\r\n";
+    GatewayFixture fixture(
+            1, writeInParts({head("r1", "text/event-stream") + event(1, "a") + quoting}));
+    const QByteArray response = responseTo(fixture, "/stream/x");
+    cr_assert(response.contains(quoting));
+    cr_assert(response.endsWith("0\r\n\r\n"));
+}
+
 Test(unframed_answer, with_another_answer_in_its_body_is_not_passed_on)
 {
     for (const char *path : {"/once/x", "/safe/x"}) {
