Resume no stream behind an event without an id

A caller of a stream that was resumed could be sent an event twice.

Cause: another replica was asked to go on after the last id that was sent, also if an event without an id had been sent behind it.

Evidence: resumed_stream/is_broken_off_behind_an_event_without_an_id.

Change: what was delivered remembers whether its last event with data has an id; without one, the stream is broken off. Comments, which have neither, change nothing.

--- a/modules/lacewingmux_gateway/forwarding/DeliveredStream.cpp
+++ b/modules/lacewingmux_gateway/forwarding/DeliveredStream.cpp
@@ -17,6 +17,8 @@
     this->eventData += events.data;
     if (!events.lastId.isEmpty())
         this->lastEventId = events.lastId;
+    if (!events.lastId.isEmpty() || events.endsWithoutId)
+        this->endsWithoutId = events.endsWithoutId;
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/DeliveredStream.h
+++ b/modules/lacewingmux_gateway/forwarding/DeliveredStream.h
@@ -51,6 +51,13 @@
         return this->lastEventId;
     }
 
+    /** Tells whether another replica can continue the stream: nothing was sent, or the id of the
+       last event with data is known. */
+    [[nodiscard]] bool canBeContinued() const noexcept
+    {
+        return !this->started || (!this->lastEventId.isEmpty() && !this->endsWithoutId);
+    }
+
     /** Returns the data of all events, each followed by a line feed. */
     [[nodiscard]] const QByteArray &data() const noexcept
     {
@@ -62,6 +69,7 @@
     bool started = false;
     std::int64_t eventCount = 0;
     QByteArray lastEventId;
+    bool endsWithoutId = false; ///< the last event with data has no id
     QByteArray eventData;
 };
 
--- a/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
+++ b/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
@@ -71,6 +71,8 @@
     events.count += data.isEmpty() ? 0 : 1;
     if (!id.isEmpty())
         events.lastId = id;
+    if (!id.isEmpty() || !data.isEmpty())
+        events.endsWithoutId = id.isEmpty();
     return true;
 }
 
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -196,9 +196,8 @@
 
 void ForwardedCall::continueElsewhere(const char *reason)
 {
-    // Without the id of an event that was sent, another replica would begin the stream anew.
-    const bool canContinue = !this->delivered.isStarted() || !this->delivered.lastId().isEmpty();
-    if (this->mayRetry() && canContinue)
+    // Without the id of an event that was sent, another replica would send that event again.
+    if (this->mayRetry() && this->delivered.canBeContinued())
         this->placeCall();
     else
         this->fail(ErrorKind::BackendFailed, reason);
--- a/modules/lacewingmux_gateway/forwarding/StreamEvents.h
+++ b/modules/lacewingmux_gateway/forwarding/StreamEvents.h
@@ -9,10 +9,11 @@
 /** Complete events of a stream. */
 struct StreamEvents
 {
-    QByteArray text;        ///< the events as received, each with its empty line
-    std::int64_t count = 0; ///< number of events with data
-    QByteArray lastId;      ///< id of the last event that had one; otherwise empty
-    QByteArray data;        ///< data of the events, each followed by a line feed
+    QByteArray text;            ///< the events as received, each with its empty line
+    std::int64_t count = 0;     ///< number of events with data
+    QByteArray lastId;          ///< id of the last event that had one; otherwise empty
+    bool endsWithoutId = false; ///< the last event with data has no id
+    QByteArray data;            ///< data of the events, each followed by a line feed
 };
 
 } // namespace lacewingmux
--- a/tests/gateway/ResumedStreamTest.cpp
+++ b/tests/gateway/ResumedStreamTest.cpp
@@ -161,3 +161,22 @@
     GatewayFixture fixture(1, streamOf(1));
     cr_assert(responseToResumingCaller(fixture, "/stream/x").contains("data: e"));
 }
+
+// An event without an id behind the last one with an id would be sent twice.
+Test(resumed_stream, is_broken_off_behind_an_event_without_an_id)
+{
+    GatewayFixture fixture(2, [requests = std::make_shared<int>(0)](const HttpRequest &request,
+                                                                    const auto &exchange) {
+        const QByteArray unnumbered = "d\r\ndata: plain\n\n\r\n";
+        const QByteArray head = GatewayFixture::streamHead(request);
+        if (++*requests == 1) {
+            exchange.write(head + GatewayFixture::event(1, "a") + unnumbered);
+            exchange.reset();
+            return;
+        }
+        exchange.write(head + unnumbered + "0\r\n\r\n");
+    });
+    const QByteArray received = receivedUntilClosed(fixture);
+    cr_assert_eq(received.count("data: plain"), 1);
+    cr_assert(!received.endsWith("0\r\n\r\n"));
+}
