--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -115,6 +115,9 @@
     void handleBody(const QByteArray &bytes);
     void handleComplete();
     void handleFailure(ExchangeFailure reason);
+    /** Tells whether the response states that the replica did not run the request, so that another
+        one may. */
+    [[nodiscard]] bool isRejected() const;
     void handleRejection();
     /** Records the bytes that the response takes; returns whether it may go on. */
     [[nodiscard]] bool accountResponse();
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -28,6 +28,7 @@
 
 constexpr int okStatus = 200;
 constexpr int firstErrorStatus = 300;
+constexpr int badRequestStatus = 400;
 constexpr int firstServerErrorStatus = 500;
 // Limits the memory of the VM that one response takes.
 constexpr qsizetype maximumBufferedResponse = qsizetype{8} * 1024 * 1024;
@@ -134,14 +135,23 @@
     std::ignore = this->context.responseMemory.resize(before, 0);
 }
 
+bool ForwardedCall::isRejected() const
+{
+    const ReplicaResponseInfo &info = this->attempt.responseInfo;
+    if (this->attempt.isInvalidResponse)
+        return false;
+    // Every replica refuses a request without an id, so that its refusal is the answer.
+    const bool isFinal =
+            this->description.requestId.isEmpty() && this->attempt.head.status == badRequestStatus;
+    return info.wrongInstance || (info.notExecuted && !isFinal);
+}
+
 void ForwardedCall::handleComplete()
 {
     this->logAttempt(ReplicaAttempt::complete);
     this->releaseConnection();
     this->context.fleet.placement().callEnded(this->attempt.replica);
-    const bool isRejection =
-            this->attempt.responseInfo.notExecuted || this->attempt.responseInfo.wrongInstance;
-    if (isRejection && !this->attempt.isInvalidResponse) {
+    if (this->isRejected()) {
         this->handleRejection();
         return;
     }
