--- a/tests/config/ConfigurationRegisterTest.cpp
+++ b/tests/config/ConfigurationRegisterTest.cpp
@@ -125,5 +125,6 @@
             R"({"document":{},"revision":1,"writtenAtMs":9223372036854775807})");
     cr_assert(record.has_value());
     cr_expect_geq(record->writtenAt.time_since_epoch().count(), 0);
-    cr_expect_leq(record->writtenAt.time_since_epoch() / std::chrono::hours(1), 24 * 366 * 290);
+    cr_expect_leq(record->writtenAt.time_since_epoch() / std::chrono::hours(1),
+                  std::int64_t{24} * 366 * 290);
 }
--- a/tests/config/KeyRegisterTest.cpp
+++ b/tests/config/KeyRegisterTest.cpp
@@ -146,7 +146,7 @@
                            + R"("issued":)" + seconds + R"(,"withdrawn":)" + seconds + "}]}");
         const auto issued = shard.keys.front().issued.time_since_epoch();
         cr_expect_geq(issued.count(), 0, "%s", seconds);
-        cr_expect_leq(issued / 1h, 24 * 366 * 290, "%s", seconds);
+        cr_expect_leq(issued / 1h, std::int64_t{24} * 366 * 290, "%s", seconds);
         cr_expect(*shard.keys.front().withdrawn + std::chrono::hours(24 * 366)
                           > *shard.keys.front().withdrawn,
                   "%s", seconds);
