Reset the connection of a caller without chunks whose answer broke off

What callers saw: a stream that looked whole, though its engine or its owner was lost in the middle, when they had asked with HTTP/1.0.

Cause: such an answer has no chunks, so the close of the connection is its end. CallerAnswer::cutOff closed the connection in order, as after a whole answer.

An answer without chunks that is cut off now ends with a reset, as in the gateway.

--- a/modules/lacewingmux_http/server/CallerAnswer.cpp
+++ b/modules/lacewingmux_http/server/CallerAnswer.cpp
@@ -115,6 +115,7 @@
     if (this->ended)
         return;
     this->last = true;
+    this->endLooksWhole = this->begun && !this->chunked;
     this->finish();
 }
 
--- a/modules/lacewingmux_http/server/CallerAnswer.h
+++ b/modules/lacewingmux_http/server/CallerAnswer.h
@@ -43,7 +43,8 @@
     /** Ends a started answer. */
     void end();
 
-    /** Ends a started answer as incomplete: the connection is closed without the last chunk. */
+    /** Ends a started answer as incomplete: the connection is closed without the last chunk, or
+        reset if the answer has no chunks. */
     void cutOff();
 
     /** Makes this the last answer on its connection. */
@@ -82,6 +83,7 @@
     bool begun = false;
     bool ended = false;
     bool last = false;
+    bool endLooksWhole = false; ///< cut off, and an orderly close would mark its end
     bool firstInLine = false;
 };
 
--- a/modules/lacewingmux_http/server/CallerConnection.cpp
+++ b/modules/lacewingmux_http/server/CallerConnection.cpp
@@ -5,6 +5,7 @@
 #include "lacewingmux_http/server/CallerRequest.h"
 #include "lacewingmux_http/server/CallerServer.h"
 #include "lacewingmux_http/server/ParserSocket.h"
+#include "lacewingmux_tunnel/sockets/ResetDetector.h"
 
 #include <QTcpSocket>
 
@@ -82,9 +83,13 @@
 void CallerConnection::answerEnded()
 {
     while (!this->answers.empty() && this->answers.front()->ended) {
-        const bool last = this->answers.front()->last;
+        const std::shared_ptr<const CallerAnswer> answer = this->answers.front();
         this->answers.pop_front();
-        if (last) {
+        if (answer->endLooksWhole) {
+            resetConnection(*this->socket);
+            return;
+        }
+        if (answer->last) {
             this->closeAfterAnswers();
             return;
         }
--- a/tests/http/HttpTestTools.h
+++ b/tests/http/HttpTestTools.h
@@ -2,6 +2,7 @@
 
 #include "lacewingmux_core/metrics/IgnoringMetricsRecorder.h"
 #include "lacewingmux_core/time/QtTimerService.h"
+#include "lacewingmux_tunnel/sockets/ResetDetector.h"
 
 #include <QByteArray>
 #include <QCoreApplication>
@@ -37,6 +38,18 @@
     [[nodiscard]] bool waitFor(const QByteArray &text);
     [[nodiscard]] bool waitForClose();
 
+    /** Watches for a reset. The server then learns of a close only when this is destroyed. */
+    void watchForReset()
+    {
+        this->resetDetector.watch(this->socket);
+    }
+
+    /** Tells whether the closed connection, which was watched, was reset. */
+    [[nodiscard]] bool wasReset() const
+    {
+        return this->resetDetector.wasReset();
+    }
+
     /** Leaves what comes in the network's buffers from now on. */
     void stopReading();
     void readOn();
@@ -49,6 +62,7 @@
 
 private:
     QTcpSocket socket;
+    ResetDetector resetDetector;
     QByteArray bytes;
 };
 
