Show that no second attempt is joined to a first one in the daemon

- ReplicaDispatcher/aStreamCutWithinItsFirstEventLeavesNothing: each attempt has an EngineRun of its own, so neither bytes, nor text, nor token counts of the first one remain.
A first version of the test failed because the cutting engine was the only one when the call was sent, and used up the call's attempts.
- ProgramCalls/joinNoSecondRunToAStream and OneShotRequests/joinNoSecondRunToAStream: a caller who has events of one engine gets none of the next; the stream breaks off.
- OwnerForwarder/ignoresPiecesOfAnEarlierAttempt: after a link was lost and came back, pieces and ends of the earlier attempt, or a second end, are not joined to the answer: each attempt has its own correlation number and assembly.

--- a/tests/backend/DispatcherFailureTest.cpp
+++ b/tests/backend/DispatcherFailureTest.cpp
@@ -1,4 +1,5 @@
 #include "backend/support/DispatcherFixture.h"
+#include "backend/support/ScriptedServer.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -179,6 +180,39 @@
     cr_assert_eq(call.result->outputTokens, 16);
 }
 
+// Guards against part of a first engine's event that is joined to the second one's events.
+Test(ReplicaDispatcher, aStreamCutWithinItsFirstEventLeavesNothing)
+{
+    const QByteArray event = R"(data: {"id":"cut","sequence":0,"choices":[{"index":0,)"
+                             R"("delta":{"content":"foreign"}}]})"
+                             "\n\n";
+    int cutFirst = 0;
+    for (qsizetype length = 0; length < event.size(); length += 4) {
+        DispatcherFixture f;
+        ScriptedServer cutting(
+                {{"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + event.left(length),
+                  ConnectionEnd::Close}});
+        f.addEngineAt(QStringLiteral("cutting"), static_cast<std::uint16_t>(cutting.url().port()));
+        f.addEngine();
+        f.adopt();
+        std::vector<const ObservedCall *> calls;
+        for (const auto *id : {"r1", "r2", "r3"}) {
+            DispatchRequest request = f.chat(QString::fromLatin1(id), QString::fromLatin1(id));
+            request.stream = true;
+            calls.push_back(&f.dispatch(request));
+        }
+        for (const ObservedCall *call : calls) {
+            cr_assert(f.finish(*call).completed, "%ld", static_cast<long>(length));
+            cutFirst += call->startedAt.front() == QStringLiteral("cutting") ? 1 : 0;
+            cr_assert_eq(call->chunks.count("data: "), 18);
+            cr_assert_not(call->chunks.contains("foreign"));
+            cr_assert_not(call->result->body.contains("foreign"));
+            cr_assert_eq(call->result->outputTokens, 16);
+        }
+    }
+    cr_assert_gt(cutFirst, 0);
+}
+
 Test(ReplicaDispatcher, aNonIdempotentCallWithALostResponseIsUnknownAndRunsOnce)
 {
     DispatcherFixture f;
--- a/tests/backend/support/DispatcherFixture.h
+++ b/tests/backend/support/DispatcherFixture.h
@@ -37,6 +37,12 @@
     /** Starts a service on the route "book". Services are named s0, s1 and so on. */
     standin::ServiceStandin &addService();
 
+    /** Adds a server as an engine of the route "chat" with the given name. */
+    void addEngineAt(const QString &name, std::uint16_t port)
+    {
+        this->addReplica(name, port, QStringLiteral("chat"), RouteKind::ModelEngine);
+    }
+
     /** Passes the current snapshots of the replicas to the dispatcher. */
     void adopt();
 
--- a/tests/http/OwnerForwarderTest.cpp
+++ b/tests/http/OwnerForwarderTest.cpp
@@ -231,6 +231,42 @@
     cr_assert_eq(seen.body, QByteArray("abc"));
 }
 
+// Guards against pieces of an attempt that is over, from the same owner, in the next one's answer.
+Test(OwnerForwarder, ignoresPiecesOfAnEarlierAttempt)
+{
+    SmallFleet fleet;
+    const OwnerRequest request = callOf(1, 1);
+    SeenAnswer seen;
+    fleet.front.forwarder.handle(request, sinkInto(seen));
+    fleet.timers.advance(10ms);
+    const auto sendPiece = [&fleet, &request](std::uint64_t attempt, FrameKind kind,
+                                              const QByteArray &payload) {
+        PeerFrame frame;
+        frame.kind = kind;
+        frame.correlation = attempt;
+        frame.payload = payload;
+        fleet.vmOf(request).hub->send(fleet.front.incarnation, frame);
+    };
+    sendPiece(1, FrameKind::OwnerResponseHead, encode(ForwardedHead{201, {}}));
+    sendPiece(1, FrameKind::OwnerResponseChunk, encode(ForwardedChunk{0, "old"}));
+    fleet.timers.advance(10ms);
+    fleet.breakLinkTo(fleet.vmOf(request));
+    fleet.timers.advance(1s);
+    cr_assert_eq(fleet.ownerOf(request).asked.size(), 2U);
+
+    sendPiece(1, FrameKind::OwnerResponseChunk, encode(ForwardedChunk{1, "late"}));
+    sendPiece(2, FrameKind::OwnerResponseHead, encode(ForwardedHead{200, {}}));
+    sendPiece(2, FrameKind::OwnerResponseChunk, encode(ForwardedChunk{0, "ne"}));
+    sendPiece(1, FrameKind::OwnerResponseEnd, encode(ForwardedEnd{2}));
+    sendPiece(2, FrameKind::OwnerResponseChunk, encode(ForwardedChunk{1, "w"}));
+    sendPiece(2, FrameKind::OwnerResponseEnd, encode(ForwardedEnd{2}));
+    sendPiece(2, FrameKind::OwnerResponseEnd, encode(ForwardedEnd{2}));
+    fleet.timers.advance(10ms);
+    cr_assert_eq(seen.begins, 1);
+    cr_assert_eq(seen.outcomes(), 1);
+    cr_assert_eq(seen.body, QByteArray("new"));
+}
+
 Test(OwnerForwarder, findsTheSameHomeOfAKeyFromEveryZone)
 {
     OwnerRequest request;
--- a/tests/program/ProgramFailureTest.cpp
+++ b/tests/program/ProgramFailureTest.cpp
@@ -185,6 +185,27 @@
     cr_assert(whole->ended && whole->body.contains("answer"));
 }
 
+// Guards against events of two engines in one stream when the call is run again.
+Test(ProgramCalls, joinNoSecondRunToAStream)
+{
+    OwnerTestFixture fixture;
+    const QString program = fixture.open();
+    OwnerRequest call = OwnerTestFixture::modelCall(program, 1, "hello");
+    call.stream = true;
+    const auto stream = fixture.send(call);
+    const auto whole = fixture.send(call);
+    const DispatchHandle handle = fixture.latest();
+    fixture.dispatcher.open.at(handle).started(QStringLiteral("e0"));
+    fixture.dispatcher.chunk(handle, "data: {\"a\":1}\n\ndata: [DO");
+    fixture.dispatcher.open.at(handle).started(QStringLiteral("e1"));
+    fixture.dispatcher.chunk(handle, "data: {\"a\":2}\n\ndata: [DONE]\n\n");
+    fixture.dispatcher.answer(handle, "second");
+    fixture.timers.runPosted();
+    assertRefused(*stream, ErrorKind::BackendFailed, Executed::Yes);
+    cr_assert(stream->body == "data: {\"a\":1}\n\n");
+    cr_assert(whole->ended && whole->body.contains("second"));
+}
+
 Test(ProgramCalls, failAStreamCleanlyWhenTheCommitFails)
 {
     OwnerTestFixture fixture;
--- a/tests/program/RequestClaimTest.cpp
+++ b/tests/program/RequestClaimTest.cpp
@@ -131,3 +131,21 @@
     cr_assert_eq(fixture.dispatcher.cancelled.at(fixture.latest()), ErrorKind::CallerGone);
     cr_assert_eq(fixture.owner->runningCount(), 0);
 }
+
+// Guards against events of two engines in one stream when the call is run again.
+Test(OneShotRequests, joinNoSecondRunToAStream)
+{
+    OwnerTestFixture fixture;
+    OwnerRequest chat = OwnerTestFixture::request(OwnerOperation::ChatCompletion, {});
+    chat.body = R"({"model":"assistant","stream":true,"messages":[{"role":"user","content":"x"}]})";
+    chat.stream = true;
+    const auto stream = fixture.send(chat);
+    const DispatchHandle handle = fixture.latest();
+    fixture.dispatcher.open.at(handle).started(QStringLiteral("e0"));
+    fixture.dispatcher.chunk(handle, "data: {\"a\":1}\n\n");
+    fixture.dispatcher.open.at(handle).started(QStringLiteral("e1"));
+    fixture.dispatcher.chunk(handle, "data: {\"a\":2}\n\ndata: [DONE]\n\n");
+    fixture.dispatcher.answer(handle, "second");
+    cr_assert(stream->error && stream->error->kind() == ErrorKind::BackendFailed);
+    cr_assert(stream->body == "data: {\"a\":1}\n\n");
+}
