--- a/tests/backend/LateAnswerTest.cpp
+++ b/tests/backend/LateAnswerTest.cpp
@@ -13,7 +13,7 @@
 void readLoad(ClientFixture &f, const QUrl &server)
 {
     std::optional<EngineLoad> load;
-    f.engineClient.readLoad(server, 5s, [&load](std::optional<EngineLoad> result) {
+    f.engineClient.readLoad(server, 5s, [&load](const std::optional<EngineLoad> &result) {
         cr_assert(result.has_value());
         load = result;
     });
