Do not let a late answer fill up the body of one that was cut

What callers saw: the head of another request's answer within the body of their own, with the stated length and a 200 (MIXED), when a replica cut an answer, kept the connection, and wrote a late answer to an earlier request behind it.

Cause: a body of a stated length was complete once as many bytes had come, whatever they were.

Evidence: cut_answer, is_not_completed_by_a_late_one fails without the change, with one byte missing already ("...oooH").

The check of bodies that end with their connection now covers all bodies that are not streamed: a response of a replica that begins in the body, and goes on in the bytes that were read behind it, or ends nowhere, makes the answer unusable. It is repeated where it may be, else the caller gets a 502. An answer that quotes a whole response passes, also with another one behind it: whole_answer, that_quotes_another_one_is_passed_on (passed before).

Not covered: a late answer whose end coincides with that of the body, and one of which the body's end leaves too little to name an id or a stamp while the rest comes in a later read.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -149,6 +149,7 @@
 void ForwardedCall::handleComplete()
 {
     this->logAttempt(ReplicaAttempt::complete);
+    this->attempt.trailing = this->attempt.connection->trailingBytes();
     this->releaseConnection();
     this->context.fleet.placement().callEnded(this->attempt.replica);
     if (this->isRejected()) {
--- a/modules/lacewingmux_gateway/forwarding/ReplicaAttempt.h
+++ b/modules/lacewingmux_gateway/forwarding/ReplicaAttempt.h
@@ -38,6 +38,7 @@
     bool isStream = false;          ///< the response is an event stream
     bool isInvalidResponse = false; ///< a success that must not be forwarded
     QByteArray body;                ///< of a response that is not streamed
+    QByteArray trailing;            ///< bytes that were read behind the response
     EventStreamParser eventParser;
 
     std::int64_t events = 0;      ///< complete events with data
--- a/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
@@ -2,12 +2,15 @@
 
 #include "lacewingmux_gateway/calls/CallDialect.h"
 #include "lacewingmux_gateway/forwarding/ReplicaAttempt.h"
+#include "lacewingmux_gateway/http/ResponseDecoder.h"
 #include "lacewingmux_gateway/http/ResponseSearch.h"
 
 namespace lacewingmux {
 
 namespace {
 
+constexpr int maximumQuotedResponses = 64; // bounds the work for a body that quotes many responses
+
 /** Tells whether the status promises the caller that the call has not run. That of the wrong
     instance is not among them, as it states so itself. */
 bool promisesNotRun(int status)
@@ -29,14 +32,40 @@
     return attempt.events == 0 && (attempt.head.bodyEndsAtClose || !attempt.resumesStream);
 }
 
+/** Tells whether the response with which the bytes begin ends behind them. */
+bool continuesBehind(const QByteArray &bytes)
+{
+    ResponseDecoder decoder(false);
+    decoder.append(bytes);
+    return decoder.state() < DecodeState::Body
+           || (decoder.state() == DecodeState::Body && !decoder.head().bodyEndsAtClose);
+}
+
+/** Tells whether another response may have been read as part of the body, because the body ends
+    with its connection, or was cut and filled up by the beginning of the other response. */
+bool holdsOtherResponse(const ReplicaAttempt &attempt, const CallDialect &dialect)
+{
+    const QByteArray &body = attempt.body;
+    const QByteArray text = attempt.trailing.isEmpty() ? body : body + attempt.trailing;
+    qsizetype start = findReplicaResponse(text, dialect);
+    for (int found = 0; start >= 0 && start < body.size() && found < maximumQuotedResponses;
+         ++found) {
+        if (attempt.head.bodyEndsAtClose || continuesBehind(body.mid(start)))
+            return true;
+        start = findReplicaResponse(text, dialect, start + 1);
+    }
+    return false;
+}
+
 } // namespace
 
-qsizetype findReplicaResponse(const QByteArray &bytes, const CallDialect &dialect)
+qsizetype findReplicaResponse(const QByteArray &bytes, const CallDialect &dialect, qsizetype from)
 {
-    return findResponse(bytes, [&dialect](const HttpResponseHead &head) {
+    const auto isReplicas = [&dialect](const HttpResponseHead &head) {
         const ReplicaResponseInfo info = dialect.parseResponse(head);
         return info.hasServerStamp || !info.requestId.isEmpty();
-    });
+    };
+    return findResponse(bytes, isReplicas, from);
 }
 
 const char *faultOf(const ReplicaAttempt &attempt, bool streamStarted, const CallDialect &dialect)
@@ -51,8 +80,7 @@
         return "the stream ended within an event";
     if (brokeOffBehindHead(attempt))
         return "the answer ended behind its head";
-    // Nothing else parts another response from a body that ends with its connection.
-    if (attempt.head.bodyEndsAtClose && findReplicaResponse(attempt.body, dialect) >= 0)
+    if (holdsOtherResponse(attempt, dialect))
         return "another answer follows in the body";
     return nullptr;
 }
--- a/modules/lacewingmux_gateway/http/ResponseSearch.cpp
+++ b/modules/lacewingmux_gateway/http/ResponseSearch.cpp
@@ -13,9 +13,10 @@
 } // namespace
 
 qsizetype findResponse(const QByteArray &bytes,
-                       const std::function<bool(const HttpResponseHead &)> &predicate)
+                       const std::function<bool(const HttpResponseHead &)> &predicate,
+                       qsizetype from)
 {
-    qsizetype start = bytes.indexOf(httpVersionPrefix);
+    qsizetype start = bytes.indexOf(httpVersionPrefix, from);
     for (int searched = 0; start >= 0 && searched < maximumSearchedResponses; ++searched) {
         ResponseDecoder decoder(false);
         decoder.append(bytes.mid(start, searchedHeadBytes));
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -200,9 +200,9 @@
         }
         if (decoded != DecodeState::Complete)
             return;
-        const QByteArray trailing = this->decoder->takeTrailingBytes();
+        this->trailing = this->decoder->takeTrailingBytes();
         if (!this->isUnrelatedResponse) {
-            const bool staysOpen = this->decoder->head().keepAlive && trailing.isEmpty()
+            const bool staysOpen = this->decoder->head().keepAlive && this->trailing.isEmpty()
                                    && !this->decoder->head().bodyEndsAtClose;
             this->broken = this->broken || !staysOpen;
             this->busy = false;
@@ -213,7 +213,7 @@
         this->decoder = std::make_unique<ResponseDecoder>(this->isHeadRequest);
         this->headDelivered = false;
         this->isUnrelatedResponse = false;
-        this->decoder->append(trailing);
+        this->decoder->append(std::exchange(this->trailing, {}));
     }
 }
 
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
@@ -84,6 +84,12 @@
         return this->discarded;
     }
 
+    /** Returns the bytes that were read behind the response of the last exchange. */
+    [[nodiscard]] const QByteArray &trailingBytes() const noexcept
+    {
+        return this->trailing;
+    }
+
     /** Tells whether a response to a request with this id, which may be empty, can be told from
         late responses to the requests that the connection has carried. */
     [[nodiscard]] bool distinguishes(const QByteArray &requestId) const;
@@ -124,6 +130,7 @@
     std::shared_ptr<const Hooks> hooks;
     std::unique_ptr<ResponseDecoder> decoder;
     QByteArray unsentRequest; ///< the request, while still connecting
+    QByteArray trailing;
     bool connected = false;
     bool busy = false;
     bool isHeadRequest = false;
