--- a/modules/lacewingmux_gateway/forwarding/DeliveredStream.h
+++ b/modules/lacewingmux_gateway/forwarding/DeliveredStream.h
@@ -52,7 +52,7 @@
     }
 
     /** Tells whether another replica can continue the stream: nothing was sent, or the id of the
-       last event with data is known. */
+        last event with data is known. */
     [[nodiscard]] bool canBeContinued() const noexcept
     {
         return !this->started || (!this->lastEventId.isEmpty() && !this->endsWithoutId);
--- a/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
+++ b/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr const char *httpVersionPrefix =
-        "HTTP/1."; // begins a status line, and no line of an event
+// Begins a status line, and no line of an event.
+constexpr const char *httpVersionPrefix = "HTTP/1.";
 
 /** Returns the end of the event that starts at the position, after its empty line; -1 if the
     event is incomplete. */
@@ -35,8 +35,7 @@
     return value;
 }
 
-/** Returns the data of the event, each line followed by a line feed; its id is set if it has one.
- */
+/** Returns the data of the event, each line followed by a line feed. Sets the id if it has one. */
 QByteArray readEvent(QByteArrayView event, QByteArray &id)
 {
     QByteArray data;
--- a/modules/lacewingmux_gateway/forwarding/EventStreamParser.h
+++ b/modules/lacewingmux_gateway/forwarding/EventStreamParser.h
@@ -21,13 +21,12 @@
 class EventStreamParser
 {
 public:
-    /** Returns the position at which the head of a response begins within bytes; -1 if none does.
-     */
+    /** Returns the position of the head of a response within the bytes; -1 if there is none. */
     using ResponseSearch = std::function<qsizetype(const QByteArray &)>;
 
-    /** Creates a parser of a stream that ends with its connection, or with the framing of its body.
-        The search finds another response within what would be an event of the former. It may be
-        null. */
+    /** Creates a parser of a stream that ends with its connection, or else with the framing of its
+        body. The search, which may be null, finds another response within an event of a stream
+        that ends with its connection. */
     explicit EventStreamParser(bool streamEndsAtClose = false, ResponseSearch responseSearch = {})
         : endsAtClose(streamEndsAtClose)
         , findResponse(std::move(responseSearch))
@@ -53,9 +52,9 @@
     /** Tells whether another response begins at this position of the pending bytes. */
     [[nodiscard]] bool isAtOtherResponse(qsizetype position) const;
 
-    /** Discards another response that begins within an event, which has broken off there; returns
-        whether one does. The event lies at this position of the pending bytes. */
-    bool cutAtOtherResponse(qsizetype position, qsizetype eventBytes);
+    /** Discards another response that begins within the event at this position of the pending
+        bytes, as the event has broken off there; returns whether one does. */
+    [[nodiscard]] bool cutAtOtherResponse(qsizetype position, qsizetype eventBytes);
 
     bool endsAtClose;
     ResponseSearch findResponse;
--- a/modules/lacewingmux_gateway/http/ResponseSearch.h
+++ b/modules/lacewingmux_gateway/http/ResponseSearch.h
@@ -8,9 +8,9 @@
 
 struct HttpResponseHead;
 
-/** Returns the position, at or behind the given one, of the first whole head of a response for
-   which the predicate holds; -1 if there is none. Only the first 64 heads and 4096 bytes of each
-   are considered, which bounds the work for a body that quotes many responses. */
+/** Returns the position, at or behind the given one, of the first whole head of a response that the
+    predicate accepts; -1 if there is none. Considers only 64 heads and 4096 bytes of each, which
+    bounds the work for a body that quotes many responses. */
 [[nodiscard]] qsizetype findResponse(const QByteArray &bytes,
                                      const std::function<bool(const HttpResponseHead &)> &predicate,
                                      qsizetype from = 0);
