--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -62,6 +62,10 @@
 
 ForwardedCall::~ForwardedCall()
 {
+    if (this->phase != Phase::Ended) {
+        this->endReason = "the VM has stopped";
+        this->recordOutcome("brokenOff");
+    }
     this->abortExchange(ReplicaAttempt::cancelled);
     this->releaseResponseMemory();
 }
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -162,6 +162,9 @@
     void abortResponse(const char *reason);
     void settleReservation();
     void end(const char *outcome);
+    /** Logs and counts how the call ended; one that ended without the complete response of a
+        replica that may have run it also by its reason. */
+    void recordOutcome(const char *outcome) const;
     void logOutcome(const char *outcome) const;
     /** Logs how an attempt at a replica ended, and counts it. The only attempt of a call that ended
         with a complete response or was cancelled is only counted: "callEnded" describes it. */
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -428,13 +428,7 @@
     this->releaseResponseMemory();
     if (std::exchange(this->quotaHeld, false))
         this->context.quota.refund(this->quotaRequest);
-    this->logOutcome(outcome);
-    this->context.metrics.observe(
-            "lacewingmux_request_duration_seconds",
-            {{QStringLiteral("outcome"), QLatin1String(outcome)}},
-            std::chrono::floor<std::chrono::microseconds>(this->now() - this->arrived));
-    this->context.metrics.count("lacewingmux_calls_total",
-                                {{QStringLiteral("outcome"), QLatin1String(outcome)}}, 1);
+    this->recordOutcome(outcome);
     const auto hook = std::exchange(this->endedCallback, nullptr);
     if (hook)
         hook();
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallLog.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallLog.cpp
@@ -23,6 +23,23 @@
     return fieldValue(head.fields, "Transfer-Encoding").isEmpty() ? "length" : "chunked";
 }
 
+const char *describe(std::optional<ConnectResult> probe)
+{
+    if (!probe)
+        return "none";
+    switch (*probe) {
+    case ConnectResult::Connected:
+        return "connected";
+    case ConnectResult::Refused:
+        return "refused";
+    case ConnectResult::Silent:
+        return "silent";
+    case ConnectResult::TunnelFailed:
+        return "tunnelFailed";
+    }
+    return "";
+}
+
 } // namespace
 
 void ForwardedCall::logAttempt(const char *outcome) const
@@ -40,6 +57,7 @@
     const bool isUsual = name == ReplicaAttempt::complete || name == ReplicaAttempt::cancelled;
     if (isUsual && this->attempt.number == 1 && cutBytes == 0 && discarded == 0)
         return;
+    const auto silence = std::chrono::floor<milliseconds>(this->now() - this->attempt.lastActivity);
     LogEvent(LogSeverity::Info, "attemptEnded")
             .field("request", this->description.requestId)
             .field("attempt", this->attempt.number)
@@ -54,7 +72,26 @@
             .field("lastEvent", this->delivered.lastId())
             .field("cutBytes", static_cast<qint64>(cutBytes))
             .field("exchange", this->attempt.connection->exchangeCount())
-            .field("discarded", discarded);
+            .field("discarded", discarded)
+            .field("silentFor", static_cast<qint64>(silence.count()))
+            .field("probe", describe(this->attempt.probeResult));
+}
+
+void ForwardedCall::recordOutcome(const char *outcome) const
+{
+    this->logOutcome(outcome);
+    this->context.metrics.observe(
+            "lacewingmux_request_duration_seconds",
+            {{QStringLiteral("outcome"), QLatin1String(outcome)}},
+            std::chrono::floor<std::chrono::microseconds>(this->now() - this->arrived));
+    this->context.metrics.count("lacewingmux_calls_total",
+                                {{QStringLiteral("outcome"), QLatin1String(outcome)}}, 1);
+    if (this->possibleRuns > 0 && !this->endReason.isEmpty())
+        this->context.metrics.count(
+                "lacewingmux_early_ends_total",
+                {{QStringLiteral("outcome"), QLatin1String(outcome)},
+                 {QStringLiteral("reason"), QString::fromLatin1(this->endReason)}},
+                1);
 }
 
 void ForwardedCall::logOutcome(const char *outcome) const
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
@@ -243,6 +243,7 @@
 {
     const bool stillInactive = this->now() - this->attempt.lastActivity >= inactivityBeforeProbe;
     const bool awaitsData = this->attempt.connection && stillInactive;
+    this->attempt.probeResult = result;
     if (awaitsData && result == ConnectResult::Refused && !throughTunnel) {
         // Open connections may live on while this VM alone is refused new ones.
         if (const auto tunnel = this->context.fleet.takeTunnel()) {
--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -206,6 +206,12 @@
     if (!drained && elapsed < this->settings.stopLimit)
         return;
     this->stopTimer.cancel();
+    LogEvent(drained ? LogSeverity::Info : LogSeverity::Warning, "stopEnds")
+            .field("milliseconds",
+                   static_cast<qint64>(
+                           std::chrono::floor<std::chrono::milliseconds>(elapsed).count()))
+            .field("calls", static_cast<qint64>(this->calls.size()))
+            .field("connections", static_cast<qint64>(this->ingress->connectionCount()));
     this->stopTimer = this->timers.after(finalResponseTime, [this] {
         if (this->drainedHook)
             this->drainedHook();
--- a/modules/lacewingmux_gateway/forwarding/ReplicaAttempt.h
+++ b/modules/lacewingmux_gateway/forwarding/ReplicaAttempt.h
@@ -4,11 +4,13 @@
 #include "lacewingmux_gateway/calls/ReplicaResponseInfo.h"
 #include "lacewingmux_gateway/forwarding/EventStreamParser.h"
 #include "lacewingmux_gateway/http/HttpResponseHead.h"
+#include "lacewingmux_tunnel/client/ConnectResult.h"
 
 #include <QByteArray>
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace lacewingmux {
 
@@ -49,6 +51,7 @@
     TimerService::SteadyTime lastActivity; ///< last data, or time of sending
     TimerSubscription activityTimer;
     bool probing = false;
+    std::optional<ConnectResult> probeResult; ///< of the last probe, for the log
 
     /** Returns the bytes of the response that are held in memory. */
     [[nodiscard]] qsizetype bufferedBytes() const noexcept
--- a/modules/lacewingmux_report/metrics/MetricsCatalogue.cpp
+++ b/modules/lacewingmux_report/metrics/MetricsCatalogue.cpp
@@ -28,6 +28,9 @@
                           "Attempts at replicas whose stream broke off within an event."},
         MetricDescription{"lacewingmux_discarded_responses_total", MetricType::Counter,
                           "Responses of replicas that were discarded as those to other requests."},
+        MetricDescription{"lacewingmux_early_ends_total", MetricType::Counter,
+                          "Calls that ended without the complete response of a replica that may "
+                          "have run them, by reason."},
         MetricDescription{"lacewingmux_forward_retries_total", MetricType::Counter,
                           "Requests asked again at a newer owner."},
         MetricDescription{"lacewingmux_histories_fetched_total", MetricType::Counter,
