Do not end a call whose replica acknowledges but reads late

What callers saw: a call ended with 502 after 3 s although its replica was sound: it only did not read for that long.

Cause: TCP_USER_TIMEOUT also ends a connection whose peer keeps its window closed, although it acknowledges each window probe. A process that is stopped or busy while its receive buffer is full is taken for one that can't be reached.

Change: PeerMonitor asks the system (TCP_INFO) whether the peer has acknowledged anything lately, and ends a connection only if something that was sent has not been acknowledged for the timeout, twice in a row. Where the system does not say, TCP_USER_TIMEOUT stays. A connection that times out fails as Unreachable or TunnelLost and no longer as closed by the replica, so that it does not count as a crash.

--- a/modules/lacewingmux_gateway/replicas/ExchangeFailure.h
+++ b/modules/lacewingmux_gateway/replicas/ExchangeFailure.h
@@ -11,9 +11,9 @@
     Malformed,     ///< the received bytes are not a valid response
     Unattributed,  ///< a response could not be attributed to the request or to an earlier one
     OutOfSequence, ///< an event of a stream does not follow those before it
-    Unreachable,   ///< no data came after the request, and connecting again failed
+    Unreachable,   ///< the connection is no longer acknowledged by the replica's system
     TunnelFailed,  ///< another VM opened no tunnel to the replica; nothing was sent
-    TunnelLost     ///< no data came after the request, and the tunnel's VM opens no other tunnel
+    TunnelLost     ///< the connection is no longer acknowledged by the tunnel's VM
 };
 
 /** Returns a description for logs and error responses. */
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -2,7 +2,7 @@
 
 #include "lacewingmux_gateway/http/ResponseDecoder.h"
 #include "lacewingmux_gateway/replicas/ReplicaRequest.h"
-#include "lacewingmux_tunnel/sockets/SocketOptions.h"
+#include "lacewingmux_tunnel/sockets/PeerMonitor.h"
 
 #include <QTcpSocket>
 
@@ -15,7 +15,7 @@
 
 namespace {
 
-// Limits unacknowledged data and keep-alive probes, not the time to a response.
+// Without an acknowledgement; does not limit the time to a response.
 constexpr std::chrono::milliseconds networkTimeout{3000};
 // Of responses to other requests; far above a response that was sent twice.
 constexpr qsizetype maximumDiscardedBytes = qsizetype{1024} * 1024;
@@ -78,6 +78,7 @@
     this->broken = true;
     QObject::disconnect(this->socket, nullptr, nullptr, nullptr);
     this->connector.reset();
+    this->monitor.reset();
     this->socket->abort();
 }
 
@@ -119,7 +120,8 @@
                      [this] { this->readAvailable(); });
     QObject::connect(this->socket, &QTcpSocket::errorOccurred, this->socket,
                      [this] { this->handleDisconnected(); });
-    configureSocket(*this->socket, networkTimeout);
+    this->monitor = std::make_unique<PeerMonitor>(*this->socket, this->timers, networkTimeout,
+                                                  [this] { this->handlePeerLost(); });
     if (!this->unsentRequest.isEmpty())
         this->writeNow(std::exchange(this->unsentRequest, {}));
 }
@@ -154,7 +156,23 @@
     }
     this->broken = true;
     if (this->busy)
-        this->fail(ExchangeFailure::Closed);
+        this->fail(this->socket->error() == QAbstractSocket::SocketTimeoutError
+                           ? this->lossFailure()
+                           : ExchangeFailure::Closed);
+}
+
+void ReplicaConnection::handlePeerLost()
+{
+    if (this->broken)
+        return;
+    this->broken = true;
+    if (this->busy)
+        this->fail(this->lossFailure());
+}
+
+ExchangeFailure ReplicaConnection::lossFailure() const
+{
+    return this->tunnelUse ? ExchangeFailure::TunnelLost : ExchangeFailure::Unreachable;
 }
 
 void ReplicaConnection::readAvailable()
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
@@ -19,6 +19,7 @@
 
 namespace lacewingmux {
 
+class PeerMonitor;
 class ResponseDecoder;
 struct ReplicaRequest;
 
@@ -110,6 +111,9 @@
     void writeNow(const QByteArray &request);
     void handleConnectResult(ConnectResult result);
     void handleDisconnected();
+    void handlePeerLost();
+    /** Returns how an exchange fails when its connection is no longer acknowledged. */
+    [[nodiscard]] ExchangeFailure lossFailure() const;
     void readAvailable();
     void deliverDecoded();
     /** Tells whether it is certain where a response to an earlier request ends. */
@@ -124,6 +128,7 @@
     TimerService &timers;
     std::shared_ptr<const TunnelUse> tunnelUse;
     std::unique_ptr<StreamConnector> connector; ///< until connected
+    std::unique_ptr<PeerMonitor> monitor;       ///< once connected
     ConnectResult lastConnectResult = ConnectResult::Connected;
     ExchangeFailure connectFailure = ExchangeFailure::NotConnected;
     TimerService::SteadyTime reusableUntil;
--- a/modules/lacewingmux_tunnel/server/Tunnel.cpp
+++ b/modules/lacewingmux_tunnel/server/Tunnel.cpp
@@ -3,7 +3,7 @@
 #include "lacewingmux_core/hashing/ConstantTimeComparison.h"
 #include "lacewingmux_core/logging/StructuredLog.h"
 #include "lacewingmux_tunnel/messages/TunnelCodec.h"
-#include "lacewingmux_tunnel/sockets/SocketOptions.h"
+#include "lacewingmux_tunnel/sockets/PeerMonitor.h"
 
 #include <QNetworkProxy>
 #include <QTcpSocket>
@@ -14,7 +14,7 @@
 
 namespace {
 
-// Limits unacknowledged data and keep-alive probes, as for a direct connection to a replica.
+// Without an acknowledgement, as for a direct connection to a replica.
 constexpr std::chrono::milliseconds networkTimeout{3000};
 constexpr std::chrono::milliseconds requestTimeout{1000};
 
@@ -46,7 +46,8 @@
 void Tunnel::start(bool isAllowed)
 {
     this->allowed = isAllowed;
-    configureSocket(*this->requester, networkTimeout);
+    this->requesterMonitor = std::make_unique<PeerMonitor>(
+            *this->requester, this->timers, networkTimeout, [this] { this->abort(); });
     QObject::connect(this->requester, &QTcpSocket::readyRead, this->requester,
                      [this] { this->readRequester(); });
     QObject::connect(this->requester, &QTcpSocket::disconnected, this->requester,
@@ -105,7 +106,8 @@
 {
     this->timeout.cancel();
     this->phase = Phase::Open;
-    configureSocket(*this->target, networkTimeout);
+    this->targetMonitor = std::make_unique<PeerMonitor>(*this->target, this->timers, networkTimeout,
+                                                        [this] { this->abort(); });
     this->targetReset.watch(*this->target);
     QObject::connect(this->target, &QTcpSocket::readyRead, this->target,
                      [this] { this->forward(*this->target, *this->requester); });
--- a/modules/lacewingmux_tunnel/server/Tunnel.h
+++ b/modules/lacewingmux_tunnel/server/Tunnel.h
@@ -9,11 +9,14 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 
 class QTcpSocket;
 
 namespace lacewingmux {
 
+class PeerMonitor;
+
 /**
     One tunnel: a connection of a requesting VM, and the connection to its target. Passes bytes on
    in both directions, and passes on how the target's connection ended: a close after all bytes, a
@@ -66,6 +69,8 @@
     TimerService &timers;
     Hooks hooks;
     ResetDetector targetReset;
+    std::unique_ptr<PeerMonitor> requesterMonitor;
+    std::unique_ptr<PeerMonitor> targetMonitor; ///< once connected
     Phase phase = Phase::Requesting;
     bool allowed = true;
     TimerSubscription timeout;
--- a/modules/lacewingmux_tunnel/sockets/SocketOptions.cpp
+++ b/modules/lacewingmux_tunnel/sockets/SocketOptions.cpp
@@ -32,11 +32,15 @@
     socket.setSocketOption(QAbstractSocket::KeepAliveOption, 1);
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(unresponsiveTimeout);
     const int probes = std::max(1, static_cast<int>(seconds.count()) - 1);
-    setOption(socket, TCP_USER_TIMEOUT, static_cast<int>(unresponsiveTimeout.count()),
-              "TCP_USER_TIMEOUT");
+    limitUnacknowledgedTime(socket, unresponsiveTimeout);
     setOption(socket, TCP_KEEPIDLE, 1, "TCP_KEEPIDLE");
     setOption(socket, TCP_KEEPINTVL, 1, "TCP_KEEPINTVL");
     setOption(socket, TCP_KEEPCNT, probes, "TCP_KEEPCNT");
 }
 
+void limitUnacknowledgedTime(QTcpSocket &socket, std::chrono::milliseconds limit)
+{
+    setOption(socket, TCP_USER_TIMEOUT, static_cast<int>(limit.count()), "TCP_USER_TIMEOUT");
+}
+
 } // namespace lacewingmux
--- a/modules/lacewingmux_tunnel/sockets/SocketOptions.h
+++ b/modules/lacewingmux_tunnel/sockets/SocketOptions.h
@@ -13,4 +13,8 @@
 */
 void configureSocket(QTcpSocket &socket, std::chrono::milliseconds unresponsiveTimeout);
 
+/** Ends the connection when sent bytes stay unread or unacknowledged for the given time; 0 removes
+    the limit. */
+void limitUnacknowledgedTime(QTcpSocket &socket, std::chrono::milliseconds limit);
+
 } // namespace lacewingmux
--- a/tests/gateway/support/GatewayFixture.cpp
+++ b/tests/gateway/support/GatewayFixture.cpp
@@ -12,6 +12,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr milliseconds defaultTimeout{1500};
+
 GatewayRoute makeRoute(const char *prefix, RouteKind kind)
 {
     GatewayRoute route;
@@ -20,12 +22,12 @@
     route.prefix = prefix;
     route.kind = kind;
     route.targets = {{"service", 1}};
-    route.timeout = milliseconds(1500);
+    route.timeout = defaultTimeout;
     route.attempts = 2;
     return route;
 }
 
-std::shared_ptr<const RoutingTable> makeTable(bool isEngine)
+std::shared_ptr<const RoutingTable> makeTable(bool isEngine, milliseconds timeout = defaultTimeout)
 {
     std::vector<GatewayRoute> routes{makeRoute("/safe/", RouteKind::Idempotent),
                                      makeRoute("/once/", RouteKind::SingleRun),
@@ -41,6 +43,8 @@
     routes[6].resumable = true;
     routes[6].keepsHistory = true;
     routes[6].retention = milliseconds(60000);
+    for (GatewayRoute &route : routes)
+        route.timeout = timeout;
     GatewayService service;
     service.name = "service";
     service.isEngine = isEngine;
@@ -140,6 +144,11 @@
     this->gateway->setRoutingTable(makeTable(true));
 }
 
+void GatewayFixture::useTimeout(milliseconds timeout)
+{
+    this->gateway->setRoutingTable(makeTable(false, timeout));
+}
+
 QByteArray GatewayFixture::request(const QByteArray &method, const QByteArray &path,
                                    const QByteArray &id, const QByteArray &fields,
                                    const QByteArray &body)
--- a/tests/gateway/support/GatewayFixture.h
+++ b/tests/gateway/support/GatewayFixture.h
@@ -80,6 +80,9 @@
     /** Makes the service of all routes a model engine. */
     void useEngine();
 
+    /** Gives all routes the timeout, for calls that arrive from now on. */
+    void useTimeout(std::chrono::milliseconds timeout);
+
     /** Returns the number of requests that all replicas have received. */
     [[nodiscard]] int requestCount() const;
 
