Do not end a call because its silent replica takes no new connection

What callers saw: LOST. Beside a change of the configuration, streams of sound replicas that were silent for a second were cut; a call that may run once got 502; one that may be repeated or resumed was run at a second replica while the first still had it, also beyond the attempts of its route.

Cause: after 600 ms without a byte the gateway tried a new connection to the replica, and took each result but Connected for the end of the call's own connection. A full queue of new connections, a limit of connections and a closed listener say nothing about the connections that are open. Class of fault: the state of one thing (the listener) taken for that of another (the call's connection).

Change: the probe only decides whether new calls get the replica. An attempt ends by its own connection: closed, reset, or no longer acknowledged (PeerMonitor, 3 s), or at its deadline. A lost tunnel is recorded where the call sees it.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -16,7 +16,6 @@
 #include "lacewingmux_gateway/routing/GatewayRoute.h"
 #include "lacewingmux_gateway/routing/GatewayTeam.h"
 #include "lacewingmux_scheduling/replicas/ReplicaPace.h"
-#include "lacewingmux_tunnel/client/ConnectResult.h"
 
 #include <functional>
 #include <memory>
@@ -144,10 +143,11 @@
     void recordReplicaActivity();
     /** Continues a call whose request could not be sent, as no connection came about. */
     void handleNotConnected(const std::shared_ptr<const TunnelUse> &tunnel);
+    /** Probes the replica if it has sent nothing for some time. */
     void checkReplicaActivity();
-    /** Checks whether the replica is reachable through the tunnel's VM, or directly if null. */
-    void probeReplica(const std::shared_ptr<const TunnelUse> &tunnel);
-    void handleProbeResult(ConnectResult result, bool throughTunnel);
+    /** Finds out whether new calls can reach the replica. The result does not end this call: a
+        replica that accepts no new connections may still serve those that it has. */
+    void probeReplica();
     /** Ends the attempt, if one is under way, and logs the outcome. */
     void abortExchange(const char *outcome);
     void releaseConnection();
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -194,7 +194,9 @@
     }
     this->excludedInstances.push_back(this->attempt.replica);
     Placement &placement = this->context.fleet.placement();
-    if (reason != ExchangeFailure::TunnelLost)
+    if (reason == ExchangeFailure::TunnelLost)
+        this->context.fleet.recordTunnelFailure(tunnel->endpoint().vm);
+    else
         placement.recordFailure(this->attempt.replica, this->now());
     // An unreachable replica does not count against the route's limit of attempts.
     if (reason == ExchangeFailure::Unreachable && this->route.isRepeatable())
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
@@ -215,53 +215,32 @@
 
 void ForwardedCall::checkReplicaActivity()
 {
-    const auto inactivity = this->now() - this->attempt.lastActivity;
-    if (!this->attempt.connection || this->attempt.probing)
-        return;
-    if (inactivity < inactivityBeforeProbe) {
-        this->attempt.activityTimer = this->context.timers.after(
-                std::chrono::ceil<milliseconds>(inactivityBeforeProbe - inactivity),
-                [this] { this->checkReplicaActivity(); });
+    if (!this->attempt.connection)
         return;
-    }
-    this->attempt.probing = true;
-    this->probeReplica(this->attempt.connection->tunnel());
+    const auto inactivity = this->now() - this->attempt.lastActivity;
+    const bool isInactive = inactivity >= inactivityBeforeProbe;
+    if (isInactive)
+        this->probeReplica();
+    const auto delay = isInactive ? inactivityBeforeProbe : inactivityBeforeProbe - inactivity;
+    this->attempt.activityTimer = this->context.timers.after(
+            std::chrono::ceil<milliseconds>(delay), [this] { this->checkReplicaActivity(); });
 }
 
-void ForwardedCall::probeReplica(const std::shared_ptr<const TunnelUse> &tunnel)
+void ForwardedCall::probeReplica()
 {
-    this->context.fleet.probe(this->attempt.replica, tunnel,
-                              [weakSelf = this->weak_from_this(), number = this->attempt.number,
-                               throughTunnel = tunnel != nullptr](ConnectResult result) {
+    if (std::exchange(this->attempt.probing, true))
+        return;
+    this->context.fleet.probe(this->attempt.replica, this->attempt.connection->tunnel(),
+                              [weakSelf = this->weak_from_this(),
+                               number = this->attempt.number](ConnectResult result) {
                                   const auto self = weakSelf.lock();
-                                  if (self && self->attempt.number == number)
-                                      self->handleProbeResult(result, throughTunnel);
+                                  if (!self || self->attempt.number != number)
+                                      return;
+                                  self->attempt.probing = false;
+                                  self->attempt.probeResult = result;
                               });
 }
 
-void ForwardedCall::handleProbeResult(ConnectResult result, bool throughTunnel)
-{
-    const bool stillInactive = this->now() - this->attempt.lastActivity >= inactivityBeforeProbe;
-    const bool awaitsData = this->attempt.connection && stillInactive;
-    this->attempt.probeResult = result;
-    if (awaitsData && result == ConnectResult::Refused && !throughTunnel) {
-        // Open connections may live on while this VM alone is refused new ones.
-        if (const auto tunnel = this->context.fleet.takeTunnel()) {
-            this->probeReplica(tunnel);
-            return;
-        }
-    }
-    this->attempt.probing = false;
-    if (awaitsData && result != ConnectResult::Connected) {
-        this->handleFailure(result == ConnectResult::TunnelFailed ? ExchangeFailure::TunnelLost
-                                                                  : ExchangeFailure::Unreachable);
-        return;
-    }
-    if (this->attempt.connection)
-        this->attempt.activityTimer = this->context.timers.after(
-                inactivityBeforeProbe, [this] { this->checkReplicaActivity(); });
-}
-
 void ForwardedCall::handleNotConnected(const std::shared_ptr<const TunnelUse> &tunnel)
 {
     ReplicaFleet &fleet = this->context.fleet;
--- a/standins/replica/ScriptedReplica.cpp
+++ b/standins/replica/ScriptedReplica.cpp
@@ -2,6 +2,7 @@
 
 #include "lacewingmux_gateway/http/HttpLimits.h"
 #include "lacewingmux_gateway/http/RequestDecoder.h"
+#include "replica/ListenQueueFiller.h"
 
 #include <QTcpServer>
 #include <QTcpSocket>
@@ -9,10 +10,17 @@
 
 #include <utility>
 
+#include <linux/filter.h>
 #include <sys/socket.h>
 
 namespace lacewingmux {
 
+namespace {
+
+constexpr int listenBacklog = 50;
+
+} // namespace
+
 ScriptedReplica::Exchange::Exchange(QTcpSocket *connection)
     : socket(connection)
 { }
@@ -49,6 +57,16 @@
     this->socket->abort();
 }
 
+void ScriptedReplica::Exchange::dropIncoming() const
+{
+    if (!this->socket)
+        return;
+    sock_filter dropAll = BPF_STMT(BPF_RET | BPF_K, 0);
+    const sock_fprog program{1, &dropAll};
+    ::setsockopt(static_cast<int>(this->socket->socketDescriptor()), SOL_SOCKET, SO_ATTACH_FILTER,
+                 &program, sizeof program);
+}
+
 bool ScriptedReplica::Exchange::isClosed() const
 {
     return !this->socket || this->socket->state() != QAbstractSocket::ConnectedState;
@@ -63,6 +81,7 @@
         while (QTcpSocket *socket = this->server->nextPendingConnection())
             this->accept(socket);
     });
+    this->server->setListenBacklogSize(listenBacklog);
     this->server->listen(address, port);
 }
 
@@ -78,6 +97,12 @@
     this->server->close();
 }
 
+void ScriptedReplica::stopAccepting()
+{
+    this->server->pauseAccepting();
+    this->queueFiller = std::make_unique<ListenQueueFiller>(this->port());
+}
+
 void ScriptedReplica::accept(QTcpSocket *socket)
 {
     ++this->accepted;
--- a/standins/replica/ScriptedReplica.h
+++ b/standins/replica/ScriptedReplica.h
@@ -17,6 +17,8 @@
 
 namespace lacewingmux {
 
+class ListenQueueFiller;
+
 /**
     A backend server on loopback whose answers are written by the test, byte for byte. It notes
     every request that it was sent.
@@ -42,6 +44,10 @@
         /** Resets the connection. */
         void reset() const;
 
+        /** Drops all that arrives on the connection from now on, without an acknowledgement, as
+            behind a cut link. */
+        void dropIncoming() const;
+
         /** Tells whether the caller has closed the connection. */
         [[nodiscard]] bool isClosed() const;
 
@@ -61,9 +67,13 @@
 
     [[nodiscard]] std::uint16_t port() const;
 
-    /** Takes no new connections; those that are open stay. */
+    /** Refuses new connections; those that are open stay. */
     void stopListening();
 
+    /** Gives no response to new connections, as its queue of them is full; those that are open
+        stay. */
+    void stopAccepting();
+
     /** Returns the requests that have come, in order. */
     [[nodiscard]] const std::vector<HttpRequest> &requests() const noexcept
     {
@@ -80,6 +90,7 @@
 
     Handler handler;
     std::unique_ptr<QTcpServer> server;
+    std::unique_ptr<ListenQueueFiller> queueFiller;
     std::vector<HttpRequest> received;
     int accepted = 0;
 };
