Pass on answers through a tunnel whose VM was paused

What callers saw: by the test, an answer on its way through a tunnel was reset when the tunnel's VM had been paused for a second or longer, although requester and replica were sound and waiting.

The tunnel's VM took its own pause for the requester's end: all tunnels were reset, since requesters used to give up a call after a second of silence.

Change: after a pause only tunnels that hold a request are reset: it may have been given up, and must not be run late. What a target sends is passed on.

Evidence: tunnel/passes_on_the_answer_after_the_process_was_suspended fails with the old reset of all tunnels (the requester is disconnected) and passes now. passes_on_nothing_after_the_process_was_suspended is kept as passes_on_no_request_after_the_process_was_suspended with the same assertions.

--- a/modules/lacewingmux_tunnel/server/Tunnel.cpp
+++ b/modules/lacewingmux_tunnel/server/Tunnel.cpp
@@ -10,6 +10,8 @@
 
 #include <utility>
 
+#include <poll.h>
+
 namespace lacewingmux {
 
 namespace {
@@ -68,6 +70,14 @@
     this->end();
 }
 
+bool Tunnel::holdsRequest() const
+{
+    if (this->phase != Phase::Open)
+        return this->phase != Phase::Closing;
+    pollfd watched{static_cast<int>(this->requester->socketDescriptor()), POLLIN, 0};
+    return this->requester->bytesAvailable() > 0 || ::poll(&watched, 1, 0) != 0;
+}
+
 void Tunnel::readRequester()
 {
     if (this->phase == Phase::Requesting)
@@ -146,7 +156,7 @@
 {
     if (this->phase != Phase::Open && this->phase != Phase::Closing)
         return;
-    if (!this->hooks.mayForward()) {
+    if (&from == this->requester && !this->hooks.mayForward()) {
         this->abort();
         return;
     }
--- a/modules/lacewingmux_tunnel/server/Tunnel.h
+++ b/modules/lacewingmux_tunnel/server/Tunnel.h
@@ -29,8 +29,8 @@
     {
         /** Connects a socket to the target. */
         std::function<void(QTcpSocket &, const QHostAddress &, std::uint16_t)> dial;
-        /** Returns whether bytes may still be passed on; false after a suspension, in which the
-            requester has given up. */
+        /** Returns whether bytes of the requester may still be passed on; false after a
+            suspension, in which it may have given up. */
         std::function<bool()> mayForward;
         /** Called once when the tunnel has ended. */
         std::function<void(const Tunnel *)> ended;
@@ -49,6 +49,10 @@
     /** Resets the requester's connection and ends the tunnel. */
     void abort();
 
+    /** Tells whether the requester has sent something that was not passed on, or waits for the
+        connection to the target. */
+    [[nodiscard]] bool holdsRequest() const;
+
 private:
     enum class Phase : std::uint8_t { Requesting, Connecting, Open, Closing, Ended };
 
--- a/modules/lacewingmux_tunnel/server/TunnelServer.cpp
+++ b/modules/lacewingmux_tunnel/server/TunnelServer.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds suspensionCheckInterval{200};
-// Requesters have given up on a tunnel that was silent for so long.
+// A requester whose request was not passed on for so long may have given it up.
 constexpr std::chrono::milliseconds suspensionLimit{1000};
 
 } // namespace
@@ -103,8 +103,10 @@
                            std::chrono::floor<std::chrono::milliseconds>(passed).count()))
             .field("tunnels", static_cast<qint64>(this->tunnels.size()));
     const auto all = this->tunnels;
-    for (const auto &[key, tunnel] : all)
-        tunnel->abort();
+    for (const auto &[key, tunnel] : all) {
+        if (tunnel->holdsRequest())
+            tunnel->abort();
+    }
 }
 
 void TunnelServer::beginStop(std::function<void()> stoppedHook)
--- a/modules/lacewingmux_tunnel/server/TunnelServer.h
+++ b/modules/lacewingmux_tunnel/server/TunnelServer.h
@@ -53,6 +53,8 @@
                                 std::uint16_t port);
     void accept(QTcpSocket *socket);
     void remove(const Tunnel *tunnel);
+    /** Aborts the tunnels that hold requests, if the process was suspended. What a target sends is
+        passed on also then. */
     void abortAfterSuspension();
 
     TunnelServerSettings settings;
--- a/tests/tunnel/TunnelTest.cpp
+++ b/tests/tunnel/TunnelTest.cpp
@@ -259,27 +259,65 @@
     cr_assert(requester.readAll() == "response");
 }
 
-Test(tunnel, passes_on_nothing_after_the_process_was_suspended)
+namespace {
+
+/** A tunnel through a process that can be suspended. */
+class SuspendedTunnelFixture
 {
+public:
+    SuspendedTunnelFixture()
+        : serverTimers(this->loop.timers)
+        , server(serverSettings(), this->serverTimers, this->metrics)
+    {
+        this->listener.listen(loopback);
+        const TunnelEndpoint endpoint{QStringLiteral("vm"), "a", loopback, this->server.port()};
+        const StreamRoute route{loopback, this->listener.serverPort(),
+                                std::make_shared<TunnelUse>(endpoint, 0, [] {}), secret};
+        std::optional<ConnectResult> result;
+        const StreamConnector connector(this->requester, route, this->loop.timers,
+                                        [&result](ConnectResult ended) { result = ended; });
+        this->loop.waitUntil(
+                [&] { return result.has_value() && this->listener.hasPendingConnections(); },
+                "the connection");
+        this->target = this->listener.nextPendingConnection();
+    }
+
     EventLoop loop;
-    SuspendedTimers serverTimers(loop.timers);
+    SuspendedTimers serverTimers;
     IgnoringMetricsRecorder metrics;
-    TunnelServer server(serverSettings(), serverTimers, metrics);
+    TunnelServer server;
     QTcpServer listener;
-    listener.listen(loopback);
-    const TunnelEndpoint endpoint{QStringLiteral("vm"), "a", loopback, server.port()};
-    const StreamRoute route{loopback, listener.serverPort(),
-                            std::make_shared<TunnelUse>(endpoint, 0, [] {}), secret};
     QTcpSocket requester;
-    std::optional<ConnectResult> result;
-    const StreamConnector connector(requester, route, loop.timers,
-                                    [&result](ConnectResult ended) { result = ended; });
-    loop.waitUntil([&] { return result.has_value() && listener.hasPendingConnections(); },
-                   "the connection");
-    QTcpSocket *target = listener.nextPendingConnection();
-    serverTimers.suspended = milliseconds(2000);
-    requester.write("request");
-    loop.waitUntil([&] { return target->state() == QAbstractSocket::UnconnectedState; },
-                   "the end of the target's connection");
-    cr_assert(target->readAll().isEmpty());
+    QTcpSocket *target = nullptr;
+};
+
+} // namespace
+
+Test(tunnel, passes_on_no_request_after_the_process_was_suspended)
+{
+    SuspendedTunnelFixture fixture;
+    fixture.serverTimers.suspended = milliseconds(2000);
+    fixture.requester.write("request");
+    fixture.loop.waitUntil(
+            [&] { return fixture.target->state() == QAbstractSocket::UnconnectedState; },
+            "the end of the target's connection");
+    cr_assert(fixture.target->readAll().isEmpty());
+}
+
+Test(tunnel, passes_on_the_answer_after_the_process_was_suspended)
+{
+    SuspendedTunnelFixture fixture;
+    fixture.requester.write("request");
+    fixture.loop.waitUntil([&] { return fixture.target->bytesAvailable() == 7; }, "the request");
+    fixture.serverTimers.suspended = milliseconds(2000);
+    fixture.target->write("answer");
+    fixture.loop.waitUntil(
+            [&] {
+                return fixture.requester.bytesAvailable() == 6
+                       || fixture.requester.state() != QAbstractSocket::ConnectedState;
+            },
+            "the answer");
+    fixture.loop.runFor(milliseconds(500)); // the process notices its suspension
+    cr_assert(fixture.requester.readAll() == "answer");
+    cr_assert_eq(fixture.requester.state(), QAbstractSocket::ConnectedState);
 }
