Do not pass on an answer as whole whose replica may have given it up at its deadline

A stream ended as complete before its last event.

Cause: an answer may have neither a length nor chunks and end with its connection. A replica that gives up a call when the time that it was given is over may close in order. Its deadline and the VM's fall in the same millisecond: where the close is handled before the VM's timer, it is taken for the end of the answer. Class of fault: the end of a connection taken for the end of what it carried.

Both new tests of unframed_answer fail on the code before: the stream looks complete, the plain answer is a 200 with half a body.

Change: an answer whose end is that of its connection and that ends when its time is up, or within 10 ms before, ends like a call at its deadline: a stream is broken off, a plain call gets 504.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -113,6 +113,9 @@
     void recordLoadReport();
     void handleBody(const QByteArray &bytes);
     void handleComplete();
+    /** Tells whether the replica may have given up the call at its deadline. The end of a
+       connection that also ends the body does not say whether the body is complete. */
+    [[nodiscard]] bool mayHaveExpiredAtReplica() const;
     void handleFailure(ExchangeFailure reason);
     /** Tells whether the response states that the replica did not run the request, so that another
         one may. */
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -40,6 +40,9 @@
 constexpr milliseconds defaultIdleTime{400};
 constexpr milliseconds keepAliveMargin{500}; // for the latency of the response and the next request
 
+// Replicas measure the time that they are given with timers of their own.
+constexpr milliseconds replicaClockTolerance{10};
+
 bool isEventStream(const HttpResponseHead &head)
 {
     return fieldValue(head.fields, "Content-Type").startsWith("text/event-stream");
@@ -163,6 +166,10 @@
         this->continueElsewhere(fault);
         return;
     }
+    if (this->mayHaveExpiredAtReplica()) {
+        this->handleTimeout();
+        return;
+    }
     if (this->attempt.isStream) {
         this->finishStream();
         return;
@@ -176,6 +183,12 @@
     this->forwardResponse();
 }
 
+bool ForwardedCall::mayHaveExpiredAtReplica() const
+{
+    return this->attempt.head.bodyEndsAtClose
+           && this->deadline.remaining(this->now()) <= replicaClockTolerance;
+}
+
 void ForwardedCall::handleFailure(ExchangeFailure reason)
 {
     const std::shared_ptr<const TunnelUse> tunnel =
--- a/tests/gateway/UnframedAnswerTest.cpp
+++ b/tests/gateway/UnframedAnswerTest.cpp
@@ -1,10 +1,14 @@
 #include "support/GatewayFixture.h"
 
+#include <QTimer>
+
 #include <criterion/criterion.h>
 
+#include <chrono>
 #include <memory>
 
 using namespace lacewingmux;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -118,3 +122,55 @@
     });
     cr_assert(!responseTo(fixture, "/stream/x").endsWith("0\r\n\r\n"));
 }
+
+namespace {
+
+constexpr milliseconds callersTime{400};
+
+/** Occupies the thread, so that what becomes due meanwhile is handled in one turn of the loop. */
+void blockUntil(std::chrono::steady_clock::time_point end)
+{
+    while (std::chrono::steady_clock::now() < end) { }
+}
+
+/** Writes the beginning of an answer, and closes the connection in order when the caller's time is
+    up. */
+ScriptedReplica::Handler expireAtDeadline(const QByteArray &beginning)
+{
+    return [beginning](const HttpRequest &, const ScriptedReplica::Exchange &exchange) {
+        exchange.write(beginning);
+        const auto arrival = std::chrono::steady_clock::now();
+        QTimer::singleShot(callersTime - milliseconds(50), Qt::PreciseTimer, [exchange, arrival] {
+            blockUntil(arrival + callersTime);
+            exchange.close();
+            blockUntil(arrival + callersTime + milliseconds(20));
+        });
+    };
+}
+
+} // namespace
+
+// A replica that gives up a call at its deadline may close the connection in order.
+
+Test(unframed_answer, of_a_stream_that_expires_at_the_replica_is_not_passed_on_as_whole)
+{
+    GatewayFixture fixture(1, expireAtDeadline(head("r1", "text/event-stream") + event(1, "a")));
+    RawCaller caller(fixture.gateway->port());
+    caller.send(
+            GatewayFixture::request("POST", "/stream/x", "r1", "Lacewingmux-Deadline-Ms: 400\r\n"));
+    fixture.loop.waitUntil(
+            [&] { return caller.isClosed() || caller.received().endsWith("0\r\n\r\n"); },
+            "the end of the stream");
+    cr_assert(caller.received().contains("data: a"));
+    cr_assert_not(caller.received().endsWith("0\r\n\r\n"), "it must not look complete");
+}
+
+Test(unframed_answer, that_expires_at_the_replica_is_not_passed_on_as_whole)
+{
+    GatewayFixture fixture(1, expireAtDeadline(head("r1", "text/plain") + "half of the bo"));
+    RawCaller caller(fixture.gateway->port());
+    caller.send(
+            GatewayFixture::request("GET", "/safe/x", "r1", "Lacewingmux-Deadline-Ms: 400\r\n"));
+    fixture.loop.waitUntil([&] { return caller.received().contains("\r\n\r\n"); }, "the answer");
+    cr_assert(caller.received().startsWith("HTTP/1.1 504"));
+}
