What a records VM answers under a newer view is sent again under it

Callers saw: a whole answer whose end never came, or a turn refused after 0.9 s, though all records VMs were sound.

Cause: a records VM that adopts a newer view between a request and its answer gives the answer the newer number. The entry VM rightly counts no such answer under its older view, but did not ask for the newer one: it waited for the platform's store to tell it, which may be slow, down or cut off.

Evidence on the code before: late_quorum/ a_turn_is_stored_again_when_the_view_has_changed_meanwhile ("no acknowledgement counts") and a_turn_is_opened_again_when_the_view_has_changed_meanwhile ("no reply counts").

Change: on such an answer RecordsClient sends the member an empty request under its own view, which a records VM of any build answers with its view; adopting it sends everything pending again, as before.

--- a/modules/lacewingmux_records/client/RecordsClient.cpp
+++ b/modules/lacewingmux_records/client/RecordsClient.cpp
@@ -277,6 +277,7 @@
 
 void RecordsClient::handleOpenReply(const VmIncarnation &peer, const PeerFrame &frame)
 {
+    this->requestNewerView(peer, frame);
     const auto opening = this->pendingOpenings.find(frame.correlation);
     const auto message = RecordsCodec::decodeOpenReply(frame.payload);
     if (opening == this->pendingOpenings.end() || !message || frame.epoch != this->view.number)
@@ -347,6 +348,14 @@
         this->newerView(*document);
 }
 
+void RecordsClient::requestNewerView(const VmIncarnation &peer, const PeerFrame &answer)
+{
+    // A member answers any request under an older view with its own view; this one asks no more.
+    if (answer.epoch > this->view.number)
+        this->hub.send(peer, {FrameKind::WriteRecords, this->view.number, 0,
+                              RecordsCodec::encodeRecords({})});
+}
+
 void RecordsClient::handleLinkChange(const VmIncarnation &peer, bool up)
 {
     if (up) {
--- a/modules/lacewingmux_records/client/RecordsClient.h
+++ b/modules/lacewingmux_records/client/RecordsClient.h
@@ -105,6 +105,9 @@
     void handleOpenReply(const VmIncarnation &peer, const PeerFrame &frame);
     void handleAck(const VmIncarnation &peer, const PeerFrame &frame);
     void handleViewNotice(const VmIncarnation &peer, const PeerFrame &frame);
+    /** Requests the view of a member that answered under a newer one than this VM has: the answer
+        does not count, and what is pending is sent again under the newer view. */
+    void requestNewerView(const VmIncarnation &peer, const PeerFrame &answer);
     void handleLinkChange(const VmIncarnation &peer, bool up);
     /** Requests the history from another member if that is needed, and finishes the opening once
         its outcome is known. */
--- a/modules/lacewingmux_records/client/RecordsClientWrites.cpp
+++ b/modules/lacewingmux_records/client/RecordsClientWrites.cpp
@@ -76,6 +76,7 @@
 
 void RecordsClient::handleAck(const VmIncarnation &peer, const PeerFrame &frame)
 {
+    this->requestNewerView(peer, frame);
     const auto found = this->pendingWrites.find(frame.correlation);
     if (found == this->pendingWrites.end())
         return;
--- a/tests/records/LateQuorumTest.cpp
+++ b/tests/records/LateQuorumTest.cpp
@@ -27,6 +27,18 @@
                 turn, "a", "b\n", 50, [this](bool isStored) { this->isDurable = isStored; });
     }
 
+    /** Gives the members a newer view while they handle what this VM has just sent, and the entry
+        VM no way to learn of it from the platform's store. */
+    void changeViewMeanwhile()
+    {
+        this->fleet.run(milliseconds(2));
+        RecordsView newer = this->fleet.storedView();
+        ++newer.number;
+        for (auto &[name, vm] : this->fleet.recordsVms)
+            vm.server->setView(newer);
+        this->fleet.run(milliseconds(100));
+    }
+
     /** Checks that the turn has no outcome for the time, and is durable soon after the action. */
     void expectDurableAfter(milliseconds wait, const std::function<void()> &action)
     {
@@ -94,3 +106,31 @@
     cr_assert(test.isDurable.has_value(), "its time is up");
     cr_assert(!*test.isDurable);
 }
+
+// The acknowledgements are given under a view that the entry VM does not have yet.
+Test(late_quorum, a_turn_is_stored_again_when_the_view_has_changed_meanwhile)
+{
+    LateQuorum test;
+    test.store();
+    test.changeViewMeanwhile();
+    cr_assert(test.isDurable.has_value(), "no acknowledgement counts");
+    cr_assert(*test.isDurable);
+}
+
+Test(late_quorum, a_turn_is_opened_again_when_the_view_has_changed_meanwhile)
+{
+    LateQuorum test;
+    TurnRequest turn;
+    turn.program = "program";
+    turn.request = "t1";
+    turn.team = "team";
+    turn.budget = 1000;
+    turn.maximumTokens = 100;
+    turn.deadline = test.fleet.timers.now() + callTime;
+    std::optional<TurnOutcome> outcome;
+    test.fleet.entryVms[0].client->open(
+            turn, [&outcome](const TurnAdmission &admission) { outcome = admission.outcome; });
+    test.changeViewMeanwhile();
+    cr_assert(outcome.has_value(), "no reply counts");
+    cr_assert(*outcome == TurnOutcome::Ready);
+}
