A requester waits for a tunnel's VM that pauses

Callers saw: nothing by itself; a VM whose tunnels are sound was passed over (TunnelFailed) and a silent replica not known as such.

Cause: the tunnel's VM gives a silent target 300 ms, and the requester waited 400 ms for connection and reply together, so that a pause of 100 ms of either process made a sound tunnel a failed one.

Change: replicaConnectTimeout limits the connection to the tunnel's VM; the reply may take tunnelReplyTimeout, 700 ms from the start: what the VM waits for its target and as much again as a direct connection may take. A VM that never replies is given up after it (tunnel/is_given_up_if_its_vm_does_not_reply). The two times are derived from one constant.

--- a/modules/lacewingmux_tunnel/client/StreamConnector.cpp
+++ b/modules/lacewingmux_tunnel/client/StreamConnector.cpp
@@ -54,6 +54,9 @@
     this->timeout = timerService.after(replicaConnectTimeout, [this] {
         this->finish(this->route.tunnel ? ConnectResult::TunnelFailed : ConnectResult::Silent);
     });
+    if (this->route.tunnel)
+        this->replyTimeout = timerService.after(
+                tunnelReplyTimeout, [this] { this->finish(ConnectResult::TunnelFailed); });
 }
 
 StreamConnector::~StreamConnector()
@@ -67,6 +70,7 @@
         this->finish(ConnectResult::Connected);
         return;
     }
+    this->timeout.cancel();
     this->readSignal = QObject::connect(&this->socket, &QTcpSocket::readyRead, &this->socket,
                                         [this] { this->readReply(); });
     const TunnelRequest request{this->route.address, this->route.port,
@@ -108,6 +112,7 @@
 {
     this->early.cancel();
     this->timeout.cancel();
+    this->replyTimeout.cancel();
     QObject::disconnect(this->connectedSignal);
     QObject::disconnect(this->errorSignal);
     QObject::disconnect(this->readSignal);
--- a/modules/lacewingmux_tunnel/client/StreamConnector.h
+++ b/modules/lacewingmux_tunnel/client/StreamConnector.h
@@ -3,6 +3,7 @@
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_tunnel/client/ConnectResult.h"
 #include "lacewingmux_tunnel/client/StreamRoute.h"
+#include "lacewingmux_tunnel/messages/TunnelTimes.h"
 
 #include <QMetaObject>
 
@@ -16,6 +17,11 @@
 /** Maximum time to connect to a replica: hundreds of round trips between zones. */
 inline constexpr std::chrono::milliseconds replicaConnectTimeout{400};
 
+/** Maximum time to connect to a replica through a tunnel. Its VM waits for the replica, and may
+    itself be as late as a connection that is made directly. */
+inline constexpr std::chrono::milliseconds tunnelReplyTimeout =
+        replicaConnectTimeout + tunnelConnectTimeout;
+
 /**
     Connects a socket to a replica, directly or through a tunnel. Once connected, both kinds behave
     alike: what is written to the socket reaches the replica.
@@ -46,8 +52,9 @@
     QMetaObject::Connection connectedSignal;
     QMetaObject::Connection errorSignal;
     QMetaObject::Connection readSignal;
-    TimerSubscription early; ///< handles what happened within the constructor
-    TimerSubscription timeout;
+    TimerSubscription early;        ///< handles what happened within the constructor
+    TimerSubscription timeout;      ///< of the connection that this VM makes
+    TimerSubscription replyTimeout; ///< of the reply of the tunnel's VM
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_tunnel/server/TunnelServerSettings.h
+++ b/modules/lacewingmux_tunnel/server/TunnelServerSettings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "lacewingmux_tunnel/messages/TunnelTimes.h"
+
 #include <QByteArray>
 #include <QHostAddress>
 
@@ -17,8 +19,8 @@
     QByteArray secret;      ///< of the deployment; requests must prove that they know it
     std::size_t tunnelLimit = 512;
     qint64 bufferBytes = qint64{16} * 1024; ///< of each direction of a tunnel
-    /** Maximum time to connect to a target: shorter than what the requester waits for the reply. */
-    std::chrono::milliseconds connectTimeout{300};
+    /** Maximum time to connect to a target; requesters of any build wait for the reply to it. */
+    std::chrono::milliseconds connectTimeout = tunnelConnectTimeout;
     /** Time after which a planned stop no longer waits for open tunnels. */
     std::chrono::milliseconds stopLimit{7000};
 };
--- a/tests/tunnel/TunnelTest.cpp
+++ b/tests/tunnel/TunnelTest.cpp
@@ -71,6 +71,43 @@
     TimerService &timers;
 };
 
+/** The timers of a process that pauses for a time before each one: all of them are late. */
+class LateTimers final : public TimerService
+{
+public:
+    LateTimers(TimerService &punctualTimers, milliseconds pauseTime)
+        : timers(punctualTimers)
+        , pause(pauseTime)
+    { }
+
+    [[nodiscard]] SteadyTime now() const override
+    {
+        return this->timers.now();
+    }
+    [[nodiscard]] WallTime wallNow() const override
+    {
+        return this->timers.wallNow();
+    }
+    [[nodiscard]] TimerSubscription every(milliseconds interval,
+                                          std::function<void()> callback) override
+    {
+        return this->timers.every(interval, std::move(callback));
+    }
+    [[nodiscard]] TimerSubscription after(milliseconds delay,
+                                          std::function<void()> callback) override
+    {
+        return this->timers.after(delay + this->pause, std::move(callback));
+    }
+    void post(std::function<void()> callback) override
+    {
+        this->timers.post(std::move(callback));
+    }
+
+private:
+    TimerService &timers;
+    milliseconds pause;
+};
+
 /** A target that accepts connections, and a VM that opens tunnels to it. */
 class TunnelFixture
 {
@@ -321,3 +358,39 @@
     cr_assert(fixture.requester.readAll() == "answer");
     cr_assert_eq(fixture.requester.state(), QAbstractSocket::ConnectedState);
 }
+
+// Guards against a sound tunnel that counts as failed because its VM paused: the requester waited
+// hardly longer than the VM waits for the target.
+Test(tunnel, of_a_vm_that_pauses_still_tells_that_a_target_is_silent)
+{
+    EventLoop loop;
+    LateTimers serverTimers(loop.timers, milliseconds(150));
+    IgnoringMetricsRecorder metrics;
+    TunnelServer server(serverSettings(), serverTimers, metrics);
+    const SilentListener silent;
+    const TunnelEndpoint endpoint{QStringLiteral("vm"), "a", loopback, server.port()};
+    const StreamRoute route{silent.address(), silent.port(),
+                            std::make_shared<TunnelUse>(endpoint, 0, [] {}), secret};
+    QTcpSocket requester;
+    std::optional<ConnectResult> result;
+    const StreamConnector connector(requester, route, loop.timers,
+                                    [&result](ConnectResult ended) { result = ended; });
+    loop.waitUntil([&] { return result.has_value(); }, "the result");
+    cr_assert(*result == ConnectResult::Silent, "%d", static_cast<int>(*result));
+}
+
+Test(tunnel, is_given_up_if_its_vm_does_not_reply)
+{
+    EventLoop loop;
+    QTcpServer neverReplies;
+    neverReplies.listen(loopback);
+    const TunnelEndpoint endpoint{QStringLiteral("vm"), "a", loopback, neverReplies.serverPort()};
+    const StreamRoute route{loopback, 1, std::make_shared<TunnelUse>(endpoint, 0, [] {}), secret};
+    QTcpSocket requester;
+    std::optional<ConnectResult> result;
+    const StreamConnector connector(requester, route, loop.timers,
+                                    [&result](ConnectResult ended) { result = ended; });
+    loop.runFor(milliseconds(900));
+    cr_assert(result.has_value(), "it still waits");
+    cr_assert(*result == ConnectResult::TunnelFailed);
+}
