A turn that its caller resumes is refused before it runs

Callers saw: after a turn whose stream its caller had resumed, the next turn's prompt lacked the events before the resumption (routes that both resume and keep history; no deployment at hand has one).

Cause: the gateway stores what it has delivered in this call. The first events of such a turn went to another request, maybe through another VM, and nothing names it.

Evidence on the code before: resumed_turn/ is_not_stored_without_the_events_before_the_resumption: stored "second" alone.

Change: on such a route a request with Last-Event-Id is refused with 503 before quota, budget and replica: it has not run, and the caller sends the turn again from its start. Serving it without storing it would end an answer whose turn isn't durable. A stream that the VM itself resumes at another replica is stored whole, as before (resumed_turn/is_stored_whole_if_this_vm_resumed_it).

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -82,7 +82,8 @@
                      noConfigurationRetry);
         return;
     }
-    if (!this->findRoute() || !this->authenticate() || !this->admitUnlessQuarantined())
+    if (!this->findRoute() || !this->authenticate() || !this->admitUnlessQuarantined()
+        || !this->admitIfStoredWhole())
         return;
     this->deadline = CallDeadline(this->arrived, this->description.timeLeft, this->route.timeout);
     this->deadlineTimer = this->context.timers.after(this->deadline.remaining(this->now()),
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -74,6 +74,9 @@
     /** Refuses the first turn of a program that cannot finish in time; returns whether the call
         continues. */
     [[nodiscard]] bool admitProgram();
+    /** Refuses a turn whose caller has its first events already, as it could only be stored without
+        them; returns whether the call continues. */
+    [[nodiscard]] bool admitIfStoredWhole();
     void takeQuota();
     /** Opens a turn if the call has a budget or continues a turn; otherwise places the call. */
     void openTurnIfNeeded();
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAdmission.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAdmission.cpp
@@ -50,6 +50,17 @@
     return false;
 }
 
+bool ForwardedCall::admitIfStoredWhole()
+{
+    // A stream that this VM itself resumes at another replica is whole. Of one that the caller
+    // resumes, the first events went to another request, maybe through another VM.
+    if (!this->isTurn() || !this->route.resumable || !this->description.resumesStream())
+        return true;
+    this->refuse(ErrorKind::OwnerUnavailable, "the first events of the turn are not known",
+                 milliseconds(0));
+    return false;
+}
+
 std::optional<int> ForwardedCall::replicaPriority() const
 {
     const milliseconds passed = std::chrono::floor<milliseconds>(this->now() - this->arrived);
