Tests: a silent relay, backup or records VM ends no work under way

Not shown to be a fault, on the code as it is: with one of three records VMs silent a reservation is made within 60 ms (late_quorum/ one_silent_member_delays_no_reservation); with one of its two relays silent for 1.3 s an entry VM gets each change within 100 ms from the other (relay_links/a_relay_that_is_silent_for_a_moment_leaves_no_gap); with all relays silent for 1.3 s it keeps its replicas, and learns of a new one afterwards (store_follower/keeps_its_replicas_while_all_relays_are_silent_for_a_moment); an append whose backup is silent for 1.3 s commits when the backup goes on (ReplicatedJournal/keepsAppendsPendingWhileTheBackupIsSilent).

--- a/tests/node/StoreFollowerTest.cpp
+++ b/tests/node/StoreFollowerTest.cpp
@@ -43,6 +43,25 @@
     cr_assert(test.vm.replicas() == onlyTheSecond);
 }
 
+// Silent relays must not cost an entry VM its replicas, nor for long what changes meanwhile.
+Test(store_follower, keeps_its_replicas_while_all_relays_are_silent_for_a_moment)
+{
+    TwoReplicas test;
+    test.vm.setCut(true);
+    for (int step = 0; step < 13; ++step) {
+        test.vm.run(milliseconds(100));
+        cr_assert(test.vm.replicas() == both, "step %d", step);
+    }
+    test.vm.registerReplica("3");
+    test.vm.setCut(false);
+    for (int step = 0; step < 20; ++step) {
+        test.vm.run(milliseconds(100));
+        cr_assert(test.vm.replicas().contains("1"), "step %d", step);
+        cr_assert(test.vm.replicas().contains("2"), "step %d", step);
+    }
+    cr_assert(test.vm.replicas().contains("3"));
+}
+
 Test(store_follower, drops_a_replica_at_once_while_relays_serve_it)
 {
     TwoReplicas test;
--- a/tests/records/LateQuorumTest.cpp
+++ b/tests/records/LateQuorumTest.cpp
@@ -12,19 +12,34 @@
 
 constexpr milliseconds callTime{4000};
 
-/** A fleet of three records VMs, and a turn that its only entry VM stores. */
+/** A fleet of three records VMs, and a turn that its only entry VM opens or stores. */
 struct LateQuorum
 {
+    [[nodiscard]] TurnRequest turn(milliseconds timeLeft = callTime) const
+    {
+        TurnRequest request;
+        request.program = "program";
+        request.request = "t1";
+        request.team = "team";
+        request.budget = 1000;
+        request.maximumTokens = 100;
+        request.retention = std::chrono::seconds(60);
+        request.deadline = this->fleet.timers.now() + timeLeft;
+        return request;
+    }
+
     void store(milliseconds timeLeft = callTime)
     {
-        TurnRequest turn;
-        turn.program = "program";
-        turn.request = "t1";
-        turn.team = "team";
-        turn.retention = std::chrono::seconds(60);
-        turn.deadline = this->fleet.timers.now() + timeLeft;
         this->fleet.entryVms[0].client->store(
-                turn, "a", "b\n", 50, [this](bool isStored) { this->isDurable = isStored; });
+                this->turn(timeLeft), "a", "b\n", 50,
+                [this](bool isStored) { this->isDurable = isStored; });
+    }
+
+    void open()
+    {
+        this->fleet.entryVms[0].client->open(this->turn(), [this](const TurnAdmission &admission) {
+            this->outcome = admission.outcome;
+        });
     }
 
     /** Gives the members a newer view while they handle what this VM has just sent, and the entry
@@ -52,6 +67,7 @@
 
     RecordsFleet fleet{3, 1};
     std::optional<bool> isDurable;
+    std::optional<TurnOutcome> outcome;
 };
 
 } // namespace
@@ -120,17 +136,21 @@
 Test(late_quorum, a_turn_is_opened_again_when_the_view_has_changed_meanwhile)
 {
     LateQuorum test;
-    TurnRequest turn;
-    turn.program = "program";
-    turn.request = "t1";
-    turn.team = "team";
-    turn.budget = 1000;
-    turn.maximumTokens = 100;
-    turn.deadline = test.fleet.timers.now() + callTime;
-    std::optional<TurnOutcome> outcome;
-    test.fleet.entryVms[0].client->open(
-            turn, [&outcome](const TurnAdmission &admission) { outcome = admission.outcome; });
+    test.open();
     test.changeViewMeanwhile();
-    cr_assert(outcome.has_value(), "no reply counts");
-    cr_assert(*outcome == TurnOutcome::Ready);
+    cr_assert(test.outcome.has_value(), "no reply counts");
+    cr_assert(*test.outcome == TurnOutcome::Ready);
+}
+
+// Two of three suffice for a reservation.
+Test(late_quorum, one_silent_member_delays_no_reservation)
+{
+    for (const char *silent : {"r1", "r2", "r3"}) {
+        LateQuorum test;
+        test.fleet.network.pause(QLatin1String(silent));
+        test.open();
+        test.fleet.run(milliseconds(60));
+        cr_assert(test.outcome.has_value(), "%s", silent);
+        cr_assert(*test.outcome == TurnOutcome::Ready);
+    }
 }
--- a/tests/relay/RelayLinksTest.cpp
+++ b/tests/relay/RelayLinksTest.cpp
@@ -161,6 +161,30 @@
     cr_assert(fleet.demandedRelays().contains(near == "r1" ? "r2" : "r1"));
 }
 
+// A silent relay must not delay what the other one sends.
+Test(relay_links, a_relay_that_is_silent_for_a_moment_leaves_no_gap)
+{
+    for (const bool nearIsSilent : {true, false}) {
+        RelayFleet fleet;
+        fleet.run(milliseconds(1000));
+        const QString near = fleet.demandedRelays().contains("r1") ? "r1" : "r2";
+        const QString far = fleet.demandedRelays().contains("r3") ? "r3" : "r4";
+        fleet.network.pause(nearIsSilent ? near : far);
+        for (int step = 0; step < 13; ++step) {
+            const std::size_t before = fleet.updates.size();
+            fleet.relays[nearIsSilent ? far : near].server->broadcast(
+                    RelayCodec::encodeUpdate({"op/", 8 + step, false, {}}));
+            fleet.run(milliseconds(100));
+            cr_assert(fleet.state == RelayState::Served);
+            cr_assert_gt(fleet.updates.size(), before, "step %d", step);
+        }
+        fleet.network.resume(nearIsSilent ? near : far);
+        fleet.run(milliseconds(4000));
+        cr_assert(fleet.state == RelayState::Served);
+        cr_assert_eq(fleet.demandedRelays().size(), 2, "the usual ones serve again");
+    }
+}
+
 // Relays of an earlier build send fewer prefixes.
 Test(relay_links, a_subscriber_learns_which_prefixes_are_served)
 {
--- a/tests/zone/ReplicatedJournalTest.cpp
+++ b/tests/zone/ReplicatedJournalTest.cpp
@@ -103,6 +103,28 @@
     cr_assert(entriesText(zone.backup(slot), program(1)) == "x,y");
 }
 
+// A backup that is silent for a moment must not end the calls that wait for it.
+Test(ReplicatedJournal, keepsAppendsPendingWhileTheBackupIsSilent)
+{
+    JournalZone zone;
+    zone.network.setDetectionDelay(3000ms);
+    zone.start(a);
+    zone.start(b);
+    zone.changeTo({a, b});
+    const SlotIndex slot = program(1).slot();
+    const QString backup = zone.view->placement(slot).backup->vm;
+    zone.network.pause(backup);
+    std::vector<AppendOutcome> outcomes;
+    zone.owner(slot).append(program(1), "x",
+                            [&outcomes](AppendOutcome outcome) { outcomes.push_back(outcome); });
+    zone.advanceTime(1300ms);
+    cr_assert(outcomes.empty());
+    zone.network.resume(backup);
+    zone.advanceTime(50ms);
+    cr_assert((outcomes == std::vector{AppendOutcome::Committed}));
+    cr_assert(zone.owner(slot).status(slot) == SlotStatus::Active);
+}
+
 Test(ReplicatedJournal, backupTakesOverAndTheReplacedOwnerStepsDown)
 {
     JournalZone zone;
