Tests: seeded schedules with records VMs that are silent for a moment

Turns are stored some time after they were opened, while any number of the three members is silent for 0.5 to 3 s, beside losses, restarts, cuts and outages. Checked as before: histories, budgets, quotas, and that every durable turn is found at the end; besides, that turns are stored later than 1.5 s.

--- a/tests/records/FleetScheduleTest.cpp
+++ b/tests/records/FleetScheduleTest.cpp
@@ -58,3 +58,18 @@
 {
     runSeeds(500001, seedCount() / 4, 6);
 }
+
+// Two of three members may be silent at once, so that turns are stored late.
+Test(fleet_schedule, keeps_turns_budgets_and_quotas_while_members_are_silent_for_a_moment)
+{
+    int lateTurns = 0;
+    for (std::uint64_t seed = 600001; seed < 600001 + seedCount() / 4; ++seed) {
+        FleetSchedule schedule(seed);
+        schedule.addSilences();
+        const std::string violation = schedule.run();
+        cr_assert(violation.empty(), "seed %llu: %s", static_cast<unsigned long long>(seed),
+                  violation.c_str());
+        lateTurns += schedule.lateTurns();
+    }
+    cr_assert_gt(lateTurns, 0);
+}
--- a/tests/records/simulation/FleetSchedule.cpp
+++ b/tests/records/simulation/FleetSchedule.cpp
@@ -14,6 +14,10 @@
 constexpr milliseconds quotaWindow{5000};
 constexpr std::int64_t turnTokens = 100;
 constexpr milliseconds callTime{5000};
+constexpr milliseconds lateTime{1500};
+constexpr int shortestSilence = 500; // milliseconds
+constexpr int longestSilence = 3000;
+constexpr int longestRun = 1500; // of a turn, between its opening and its end
 constexpr double teamRate = 100;
 constexpr double teamBurst = 60;
 // The documented limit in a window: 10 % above the quota plus 20 requests.
@@ -59,6 +63,8 @@
         this->injectFault();
     else
         this->healRandomFault();
+    if (this->hasSilences && this->randomBelow(12) == 0)
+        this->silenceForAMoment();
     this->fleet.run(stepTime);
     this->checkQuota();
 }
@@ -122,12 +128,27 @@
         this->fleet.entryVms[entry].client->settle(turnRequest, tokens);
         return;
     }
+    if (!this->hasSilences) {
+        this->storeTurn(number, turnRequest, expected, tokens, entry);
+        return;
+    }
+    this->runningTurns.push_back(
+            this->fleet.timers.after(milliseconds(this->randomBelow(longestRun)), [=, this] {
+                this->storeTurn(number, turnRequest, expected, tokens, entry);
+            }));
+}
+
+void FleetSchedule::storeTurn(std::size_t number, const TurnRequest &turnRequest,
+                              const QByteArray &expected, std::int64_t tokens, std::size_t entry)
+{
     const QByteArray input = "in-" + turnRequest.request;
     const QByteArray output = "out-" + turnRequest.request + "\n";
     this->fleet.entryVms[entry].client->store(
-            turnRequest, input, output, tokens, [=, this](bool durable) {
+            turnRequest, input, output, tokens,
+            [=, this, ended = this->fleet.timers.now()](bool durable) {
                 if (!durable)
                     return;
+                this->lateTurnCount += this->fleet.timers.now() - ended > lateTime ? 1 : 0;
                 this->turns.push_back({turnRequest, expected + input + output});
                 if (this->randomBelow(6) == 0)
                     this->fleet.timers.post([this] { this->stopRandomMember(); });
@@ -190,6 +211,18 @@
     }
 }
 
+void FleetSchedule::silenceForAMoment()
+{
+    const QString member = this->randomMember();
+    if (member == this->pausedMember)
+        return;
+    this->fleet.network.pause(member);
+    const milliseconds silence(shortestSilence
+                               + this->randomBelow(longestSilence - shortestSilence));
+    this->silences[member] = this->fleet.timers.after(
+            silence, [this, member] { this->fleet.network.resume(member); });
+}
+
 void FleetSchedule::stopRandomMember()
 {
     if (!this->lostMember.isEmpty() || !this->pausedMember.isEmpty()
--- a/tests/records/simulation/FleetSchedule.h
+++ b/tests/records/simulation/FleetSchedule.h
@@ -26,6 +26,20 @@
     /** With six records VMs there are two groups, with three there is one. */
     explicit FleetSchedule(std::uint64_t seedNumber, int recordsVmCount = 3);
 
+    /** Makes any number of records VMs silent for a moment, at the same time as all other faults.
+     */
+    void addSilences()
+    {
+        this->hasSilences = true;
+    }
+
+    /** Returns how many turns were stored so late that a shorter limit than that of their calls
+       could have ended them. */
+    [[nodiscard]] int lateTurns() const noexcept
+    {
+        return this->lateTurnCount;
+    }
+
     /** Runs the schedule; returns the first violated invariant, or an empty string. */
     [[nodiscard]] std::string run();
 
@@ -48,8 +62,11 @@
     void startTurn();
     void finishTurn(std::size_t program, TurnRequest turnRequest, const QByteArray &expected,
                     const TurnAdmission &admission, std::size_t entry);
+    void storeTurn(std::size_t program, const TurnRequest &turnRequest, const QByteArray &expected,
+                   std::int64_t tokens, std::size_t entry);
     void sendRequests();
     void injectFault();
+    void silenceForAMoment();
     void healRandomFault();
     void stopRandomMember();
     void restartLostMember();
@@ -69,6 +86,10 @@
     QString lostMember; ///< the member that is down, at most one at a time
     QString pausedMember;
     TimerService::SteadyTime stableSince; ///< time since which no member was lost or partitioned
+    bool hasSilences = false;
+    std::map<QString, TimerSubscription> silences; ///< by member, until it goes on
+    std::vector<TimerSubscription> runningTurns;
+    int lateTurnCount = 0;
     int steps = 0;
     std::string violation;
 };
