Take a request in a planned stop only if it can end within it

Cause: a request was taken by the clock alone (stopAcceptingAfter), before its route and deadline were known; calls that were left at the limit were destroyed with their gateway. The times of the stop were constants, so that in a short one the process was killed first.

Change: a call is accepted if its deadline (class CallDeadline), by which its turn is kept or given up too, lies before the limit of the stop; otherwise it is refused with 503 before it takes quota. Calls that wait at SIGTERM, or are rejected later, are held to the same. At the limit, calls that outlast the stop are answered (504, 503 if no replica has them); only streams that have begun are cut. StopSchedule fits the steps into the length of the stop. stopAcceptingAfter is gone.

The fixture's stop now has a limit of 2.2 s and no stopAcceptingAfter: on its routes (1.5 s) that accepts for 0.6 s, as before, so that forwarding/a_stopping_vm_refuses_requests_that_it_might_not_finish and forwarding/keeps_a_connection_whose_response_did_not_announce_the_close ask the same at the same times; neither was changed.

--- a/modules/lacewingmux_gateway/forwarding/CallContext.h
+++ b/modules/lacewingmux_gateway/forwarding/CallContext.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "lacewingmux_core/time/TimerService.h"
+
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -12,7 +14,6 @@
 class RoutingTable;
 class ServiceAdmission;
 class TeamQuota;
-class TimerService;
 class TurnStore;
 struct CallDialect;
 
@@ -28,7 +29,8 @@
     ResponseMemory &responseMemory;
     MetricsRecorder &metrics;
     std::shared_ptr<const RoutingTable> table; ///< null until a configuration is loaded
-    bool acceptsRequests = true;               ///< false late in a planned stop
+    /** Set in a planned stop: when a call must have ended at the latest to be accepted. */
+    std::optional<TimerService::SteadyTime> latestCallEnd;
     /** Set while too few records VMs are reachable: the delay after which a retrying caller reaches
         another VM. */
     std::optional<std::chrono::milliseconds> recordsUnreachableRetryDelay;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -26,7 +26,6 @@
 // The configuration is read from the platform's store within a few calls.
 constexpr milliseconds noConfigurationRetry{300};
 constexpr milliseconds quarantineRetry{30000};
-constexpr milliseconds otherVmRetry{50}; // a new connection reaches another VM
 
 /** Selects the service for the request by weight; requests with equal keys get the same
     service. */
@@ -73,10 +72,6 @@
 void ForwardedCall::begin()
 {
     this->description = this->context.dialect.parseRequest(this->request);
-    if (!this->context.acceptsRequests) {
-        this->refuse(ErrorKind::ShuttingDown, "this VM is stopping", otherVmRetry);
-        return;
-    }
     if (this->context.table == nullptr) {
         this->refuse(ErrorKind::StoreUnavailable, "no configuration is known yet",
                      noConfigurationRetry);
@@ -88,7 +83,7 @@
     this->deadline = CallDeadline(this->arrived, this->description.timeLeft, this->route.timeout);
     this->deadlineTimer = this->context.timers.after(this->deadline.remaining(this->now()),
                                                      [this] { this->handleTimeout(); });
-    if (this->admitProgram())
+    if (this->admitIfEndsBeforeStop() && this->admitProgram())
         this->takeQuota();
 }
 
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -56,6 +56,13 @@
     /** Cancels the call, because the caller disconnected. */
     void callerDisconnected();
 
+    /** Applies a planned stop to a call that arrived before it: unless it ends by the given time
+        for certain, it is refused while no replica has it, and not sent to another one. */
+    void beginStop(TimerService::SteadyTime latestEnd);
+
+    /** Ends the call, because the time of a planned stop is over. */
+    void endWithStop();
+
 private:
     enum class Phase : std::uint8_t {
         Admitting, ///< waits for quota, history and budget
@@ -84,6 +91,12 @@
         continues. */
     [[nodiscard]] bool admitIfRecordsReachable();
     void handleTurnAdmission(const TurnAdmission &admission);
+    /** Returns whether the call ends in time for a planned stop, also if it takes until its
+        deadline; true unless one has begun. */
+    [[nodiscard]] bool endsBeforeStop() const;
+    /** Refuses the call unless it ends in time for a planned stop; returns whether it
+        continues. */
+    [[nodiscard]] bool admitIfEndsBeforeStop();
 
     // Placement
     void placeCall();
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
@@ -38,6 +38,8 @@
         this->handleTimeout();
         return;
     }
+    if (this->possibleRuns == 0 && !this->admitIfEndsBeforeStop())
+        return;
     if (this->possibleRuns == 0 && this->rejections == 0 && this->placementRounds == 0)
         this->context.fleet.placement().recordTurn(this->description.promptParts, this->now());
     PlacementRequest placementRequest;
@@ -253,7 +255,7 @@
     // A cold replica would get the request long after the token for it was granted.
     const bool takesCalls = instance != nullptr && !instance->draining
                             && !fleet.placement().isLeaving(*instance)
-                            && !this->isCold(this->attempt.replica);
+                            && !this->isCold(this->attempt.replica) && this->endsBeforeStop();
     if (!tunnel && takesCalls && fleet.mayHaveLostLinks(this->attempt.sentAt)) {
         this->sendToReplica(QByteArray(this->attempt.replica));
         return;
--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -20,8 +20,6 @@
 constexpr std::chrono::milliseconds failoverCheckInterval{250};
 // Avoids a second refusal when the records VMs are unreachable from all VMs.
 constexpr std::chrono::milliseconds minimumFailoverDelay{250};
-// Lets the last responses be transmitted before the process ends.
-constexpr std::chrono::milliseconds finalResponseTime{400};
 constexpr std::chrono::milliseconds coldReportInterval{500};
 
 const char *describe(ColdReplicas::Reason reason)
@@ -153,16 +151,22 @@
 
 void Gateway::beginStop(std::function<void()> drained)
 {
+    if (this->stop)
+        return;
     this->drainedHook = std::move(drained);
-    this->stopStarted = this->timers.now();
-    this->stopTimer = this->timers.every(stopCheckInterval, [this] { this->continueStop(); });
+    this->stop.emplace(this->timers.now(), this->settings);
+    for (const auto &call : this->openCalls())
+        call->beginStop(this->stop->latestCallEnd());
+    this->stopTimer = this->timers.every(std::min(stopCheckInterval, this->settings.stopLimit / 8),
+                                         [this] { this->continueStop(); });
+    this->stopLimitTimer =
+            this->timers.after(this->settings.stopLimit, [this] { this->endStop(false); });
 }
 
 void Gateway::handleRequest(const std::shared_ptr<IngressConnection> &caller, HttpRequest request)
 {
-    const bool accepts =
-            !this->drainedHook
-            || this->timers.now() - this->stopStarted < this->settings.stopAcceptingAfter;
+    const auto latestCallEnd =
+            this->stop ? std::optional(this->stop->latestCallEnd()) : std::nullopt;
     const CallContext context{this->timers,
                               this->dialect,
                               this->fleet,
@@ -172,7 +176,7 @@
                               this->responseMemory,
                               this->metrics,
                               this->table,
-                              accepts,
+                              latestCallEnd,
                               this->recordsUnreachableRetryDelay()};
     const IngressConnection *key = caller.get();
     auto call = std::make_shared<ForwardedCall>(context, caller, std::move(request), [this, key] {
@@ -196,26 +200,36 @@
 
 void Gateway::continueStop()
 {
-    const auto elapsed = this->timers.now() - this->stopStarted;
-    if (elapsed < this->settings.stopListeningAfter)
+    if (this->timers.now() < this->stop->listeningEnd())
         return;
     this->ingress->stopListening();
     this->ingress->closeConnectionsAfterResponse();
     this->ingress->closeIdleConnections();
-    const bool drained = this->calls.empty() && this->ingress->connectionCount() == 0;
-    if (!drained && elapsed < this->settings.stopLimit)
-        return;
-    this->stopTimer.cancel();
+    if (this->calls.empty() && this->ingress->connectionCount() == 0)
+        this->endStop(true);
+}
+
+void Gateway::endStop(bool drained)
+{
+    this->stopLimitTimer.cancel();
     LogEvent(drained ? LogSeverity::Info : LogSeverity::Warning, "stopEnds")
             .field("milliseconds",
-                   static_cast<qint64>(
-                           std::chrono::floor<std::chrono::milliseconds>(elapsed).count()))
+                   static_cast<qint64>(this->stop->elapsed(this->timers.now()).count()))
             .field("calls", static_cast<qint64>(this->calls.size()))
             .field("connections", static_cast<qint64>(this->ingress->connectionCount()));
-    this->stopTimer = this->timers.after(finalResponseTime, [this] {
-        if (this->drainedHook)
-            this->drainedHook();
-    });
+    for (const auto &call : this->openCalls())
+        call->endWithStop();
+    this->stopTimer =
+            this->timers.after(this->stop->finalResponseTime(), [this] { this->drainedHook(); });
+}
+
+std::vector<std::shared_ptr<ForwardedCall>> Gateway::openCalls() const
+{
+    std::vector<std::shared_ptr<ForwardedCall>> open;
+    open.reserve(this->calls.size());
+    for (const auto &[caller, call] : this->calls)
+        open.push_back(call);
+    return open;
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/Gateway.h
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.h
@@ -5,6 +5,7 @@
 #include "lacewingmux_gateway/forwarding/GatewaySettings.h"
 #include "lacewingmux_gateway/forwarding/ResponseMemory.h"
 #include "lacewingmux_gateway/forwarding/ServiceAdmission.h"
+#include "lacewingmux_gateway/forwarding/StopSchedule.h"
 #include "lacewingmux_gateway/replicas/ReplicaFleet.h"
 #include "lacewingmux_gateway/replicas/ReplicaInstance.h"
 
@@ -69,8 +70,10 @@
         return this->responseMemory.usedBytes();
     }
 
-    /** Starts a planned stop: answers all requests that have been read, and closes connections.
-        The hook is called when all calls and connections have ended, or the limit has passed. */
+    /** Starts a planned stop, unless one has begun: accepts what ends in time for certain, and
+        refuses other requests; closes connections. The hook is called
+        when all calls and connections have ended, or the limit has passed and the calls that were
+        left have been ended. */
     void beginStop(std::function<void()> drained);
 
     /** Returns the port on which callers are served. */
@@ -82,6 +85,8 @@
     void reportColdReplicas();
     void handleCallerDisconnected(const IngressConnection *caller);
     void continueStop();
+    void endStop(bool drained);
+    [[nodiscard]] std::vector<std::shared_ptr<ForwardedCall>> openCalls() const;
     void closeIdleForFailover();
     [[nodiscard]] std::optional<std::chrono::milliseconds> recordsUnreachableRetryDelay() const;
 
@@ -101,8 +106,9 @@
     std::optional<TimerService::SteadyTime> recordsUnreachableSince;
     TimerSubscription failoverTimer;
     TimerSubscription coldReportTimer;
-    TimerService::SteadyTime stopStarted;
+    std::optional<StopSchedule> stop; ///< of the planned stop, once it has begun
     TimerSubscription stopTimer;
+    TimerSubscription stopLimitTimer;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/GatewaySettings.h
+++ b/modules/lacewingmux_gateway/forwarding/GatewaySettings.h
@@ -30,8 +30,6 @@
     /** Time until the load balancer directs new connections to other VMs after a VM became not
         ready: two checks, a second apart. */
     std::chrono::milliseconds balancerFailoverTime{2200};
-    /** How long a stopping VM accepts requests: later ones might not end in time. */
-    std::chrono::milliseconds stopAcceptingAfter{3600};
     /** Time after which a planned stop no longer waits for the remaining calls. */
     std::chrono::milliseconds stopLimit{7000};
 };
--- a/tests/gateway/support/GatewayFixture.cpp
+++ b/tests/gateway/support/GatewayFixture.cpp
@@ -12,8 +12,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds defaultTimeout{1500};
-
 GatewayRoute makeRoute(const char *prefix, RouteKind kind)
 {
     GatewayRoute route;
@@ -22,12 +20,13 @@
     route.prefix = prefix;
     route.kind = kind;
     route.targets = {{"service", 1}};
-    route.timeout = defaultTimeout;
+    route.timeout = GatewayFixture::routeTimeout;
     route.attempts = 2;
     return route;
 }
 
-std::shared_ptr<const RoutingTable> makeTable(bool isEngine, milliseconds timeout = defaultTimeout)
+std::shared_ptr<const RoutingTable> makeTable(bool isEngine,
+                                              milliseconds timeout = GatewayFixture::routeTimeout)
 {
     std::vector<GatewayRoute> routes{makeRoute("/safe/", RouteKind::Idempotent),
                                      makeRoute("/once/", RouteKind::SingleRun),
@@ -112,7 +111,7 @@
 }
 
 GatewayFixture::GatewayFixture(int replicaCount, const ScriptedReplica::Handler &handler,
-                               const CallDialect &dialect)
+                               const CallDialect &dialect, milliseconds stopLimit)
 {
     GatewaySettings settings;
     settings.address = QHostAddress(QHostAddress::LocalHost);
@@ -121,7 +120,7 @@
     settings.placement.drainLimit = drainLimit;
     settings.bufferedResponseLimit = bufferedResponseLimit;
     settings.stopListeningAfter = milliseconds(100);
-    settings.stopAcceptingAfter = milliseconds(600);
+    settings.stopLimit = stopLimit;
     this->gateway = std::make_unique<Gateway>(settings, this->loop.timers, dialect, this->quota,
                                               this->turnStore, this->metrics,
                                               [](const CrashCoincidence &) {});
--- a/tests/gateway/support/GatewayFixture.h
+++ b/tests/gateway/support/GatewayFixture.h
@@ -45,7 +45,6 @@
     void store(const TurnRequest &turn, const QByteArray &input, const QByteArray &output,
                std::int64_t tokens, StoredCallback callback) override;
     void settle(const TurnRequest &turn, std::int64_t tokens) override;
-
     TurnAdmission admission{TurnOutcome::Ready, {}, std::chrono::milliseconds(0)};
     std::vector<TurnRequest> openedTurns;
     std::vector<std::int64_t> settlements;
@@ -59,9 +58,17 @@
 class GatewayFixture
 {
 public:
+    /** The timeout of all routes. */
+    static constexpr std::chrono::milliseconds routeTimeout{1500};
+
+    /** Time after which a planned stop ends the calls that are left: one on these routes is taken
+        in the first 0.6 s. */
+    static constexpr std::chrono::milliseconds defaultStopLimit{2200};
+
     /** Creates the given number of replicas, all with the same handler. */
     GatewayFixture(int replicaCount, const ScriptedReplica::Handler &handler,
-                   const CallDialect &dialect = platformDialect());
+                   const CallDialect &dialect = platformDialect(),
+                   std::chrono::milliseconds stopLimit = defaultStopLimit);
 
     /** Returns a request with the given path and id, and additional header fields. */
     [[nodiscard]] static QByteArray request(const QByteArray &method, const QByteArray &path,
