Announce the close of connections from the beginning of a planned stop

Callers saw: for 2.3 s after SIGTERM, answers on kept connections did not say that the connection closes, so that callers stayed with a VM that was stopping and met its refusals; of requests sent one behind the other, the answer to the first closed the connection, and the others got none.

Evidence, on the code before: planned_stop/announces_the_close_from_its_ beginning and still_serves_new_connections_until_the_load_balancer_sends_ none got answers without "Connection: close"; answers_requests_that_had_ arrived_before_it_announces_the_close got one answer of two.

Change: each answer that begins after SIGTERM announces the close, unless bytes of the next request have arrived: that one is answered first. New connections are accepted for 2.3 s, as before.

--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -155,6 +155,7 @@
         return;
     this->drainedHook = std::move(drained);
     this->stop.emplace(this->timers.now(), this->settings);
+    this->ingress->closeConnectionsAfterResponse();
     for (const auto &call : this->openCalls())
         call->beginStop(this->stop->latestCallEnd());
     this->stopTimer = this->timers.every(std::min(stopCheckInterval, this->settings.stopLimit / 8),
@@ -203,7 +204,6 @@
     if (this->timers.now() < this->stop->listeningEnd())
         return;
     this->ingress->stopListening();
-    this->ingress->closeConnectionsAfterResponse();
     this->ingress->closeIdleConnections();
     if (this->calls.empty() && this->ingress->connectionCount() == 0)
         this->endStop(true);
--- a/modules/lacewingmux_gateway/forwarding/Gateway.h
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.h
@@ -71,7 +71,7 @@
     }
 
     /** Starts a planned stop, unless one has begun: accepts what ends in time for certain, and
-        refuses other requests; closes connections. The hook is called
+        refuses other requests; closes each connection after its next response. The hook is called
         when all calls and connections have ended, or the limit has passed and the calls that were
         left have been ended. */
     void beginStop(std::function<void()> drained);
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
@@ -264,9 +264,15 @@
     return this->state == State::Serving;
 }
 
+bool IngressConnection::hasNextRequest() const
+{
+    return this->decoder.state() != DecodeState::Empty || this->decoder.pendingBytes() > 0
+           || this->socket->bytesAvailable() > 0;
+}
+
 HttpFields IngressConnection::withConnectionField(HttpFields fields)
 {
-    this->closeAnnounced = !this->keepAlive || this->closeRequested;
+    this->closeAnnounced = !this->keepAlive || (this->closeRequested && !this->hasNextRequest());
     if (this->closeAnnounced)
         fields.push_back({QByteArrayLiteral("Connection"), QByteArrayLiteral("close")});
     return fields;
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.h
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.h
@@ -67,7 +67,7 @@
     void enforceTimeouts();
 
     /** Closes the connection after the current response or, if no request is active, after the next
-        response. */
+        response. Requests that have arrived by then are answered first. */
     void closeAfterResponse();
 
     /** Closes the connection unless a request is active or partly received, or it became idle so
@@ -96,6 +96,8 @@
     void handleDisconnect();
     /** Tells whether the head of a response may be written; breaks a stream off that has begun. */
     [[nodiscard]] bool mayBeginResponse();
+    /** Returns whether bytes of the request after the current one have arrived. */
+    [[nodiscard]] bool hasNextRequest() const;
     [[nodiscard]] HttpFields withConnectionField(HttpFields fields);
 
     QTcpSocket *socket;
--- a/tests/gateway/PlannedStopTest.cpp
+++ b/tests/gateway/PlannedStopTest.cpp
@@ -78,6 +78,7 @@
     cr_assert(test.caller.received().startsWith("HTTP/1.1 503"), "%s",
               test.caller.received().constData());
     cr_assert(test.caller.received().contains("Retry-After: 0.05\r\n"));
+    cr_assert(test.caller.received().contains("Connection: close\r\n"));
     test.fixture.loop.waitUntil([&] { return test.drained && test.caller.isClosed(); }, "the end");
     cr_assert_eq(test.fixture.requestCount(), 0);
 }
@@ -174,6 +175,49 @@
     test.fixture.loop.waitUntil([&] { return test.drained; }, "the end of the stop");
 }
 
+Test(planned_stop, announces_the_close_from_its_beginning)
+{
+    StoppingGateway test(milliseconds(7000), [](const HttpRequest &request, const auto &exchange) {
+        exchange.write(GatewayFixture::answer(request, "ran"));
+    });
+    test.beginStop();
+    test.caller.send(GatewayFixture::request("GET", "/safe/x", "r1"));
+    test.fixture.loop.waitUntil([&] { return test.caller.received().endsWith("ran"); },
+                                "the answer");
+    cr_assert(test.caller.received().contains("Connection: close\r\n"));
+}
+
+Test(planned_stop, still_serves_new_connections_until_the_load_balancer_sends_none)
+{
+    StoppingGateway test(milliseconds(7000), [](const HttpRequest &request, const auto &exchange) {
+        exchange.write(GatewayFixture::answer(request, "ran"));
+    });
+    test.beginStop();
+    test.fixture.loop.runFor(milliseconds(30));
+    RawCaller newcomer(test.fixture.gateway->port());
+    newcomer.send(GatewayFixture::request("GET", "/safe/x", "r1"));
+    test.fixture.loop.waitUntil([&] { return newcomer.received().endsWith("ran"); }, "the answer");
+    cr_assert(newcomer.received().contains("Connection: close\r\n"));
+}
+
+Test(planned_stop, answers_requests_that_had_arrived_before_it_announces_the_close)
+{
+    StoppingGateway test(milliseconds(7000), [](const HttpRequest &request, const auto &exchange) {
+        exchange.writeAfter(milliseconds(250), GatewayFixture::answer(request, request.target));
+    });
+    test.caller.send(GatewayFixture::request("GET", "/safe/1", "r1")
+                     + GatewayFixture::request("GET", "/safe/2", "r2"));
+    test.fixture.loop.waitUntil([&] { return test.fixture.requestCount() == 1; }, "the request");
+    test.beginStop();
+    test.fixture.loop.waitUntil(
+            [&] { return test.caller.isClosed() || test.caller.received().endsWith("/safe/2"); },
+            "the second answer");
+    const QByteArray &received = test.caller.received();
+    cr_assert(received.endsWith("/safe/2"), "%s", received.constData());
+    cr_assert_eq(received.count("Connection: close\r\n"), 1);
+    cr_assert_gt(received.indexOf("Connection: close"), received.indexOf("/safe/1"));
+}
+
 Test(planned_stop, ends_before_its_process_is_killed_however_short_it_is)
 {
     constexpr milliseconds untilKilled{800};
