Answer a request that is still on its way at the end of a planned stop

Callers saw: a request of which only a part had come when the planned stop ended lost its connection without an answer, so that its caller could not know that it has not run.

Change: at the limit of the stop such requests get 503 and the close of their connection, which promises that they have not run.

--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -219,6 +219,7 @@
             .field("connections", static_cast<qint64>(this->ingress->connectionCount()));
     for (const auto &call : this->openCalls())
         call->endWithStop();
+    this->ingress->refusePartialRequests();
     this->stopTimer =
             this->timers.after(this->stop->finalResponseTime(), [this] { this->drainedHook(); });
 }
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
@@ -19,6 +19,7 @@
 // Time in which a caller usually sends its next request after a response.
 constexpr std::chrono::milliseconds nextRequestWindow{250};
 constexpr int requestTimeoutStatus = 408;
+constexpr int unavailableStatus = 503;
 
 int errorStatus(DecodeState state)
 {
@@ -150,6 +151,13 @@
         this->closeNow();
 }
 
+void IngressConnection::refusePartialRequest()
+{
+    if (this->state == State::Reading && this->decoder.state() != DecodeState::Empty
+        && this->decoder.state() < DecodeState::Complete)
+        this->sendErrorStatus(unavailableStatus);
+}
+
 qint64 IngressConnection::unsentBytes() const
 {
     return this->socket->bytesToWrite();
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.h
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.h
@@ -74,6 +74,10 @@
         recently that the caller may be about to send the next request. */
     void closeIfIdle();
 
+    /** Refuses a request that has arrived in part, and closes the connection; the request will not
+        run. */
+    void refusePartialRequest();
+
     [[nodiscard]] bool isServing() const noexcept
     {
         return this->state == State::Serving || this->state == State::Streaming;
--- a/modules/lacewingmux_gateway/ingress/IngressServer.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressServer.cpp
@@ -67,6 +67,12 @@
         connection->closeIfIdle();
 }
 
+void IngressServer::refusePartialRequests()
+{
+    for (const auto &connection : this->openConnections())
+        connection->refusePartialRequest();
+}
+
 std::uint16_t IngressServer::port() const
 {
     return this->server->serverPort();
--- a/modules/lacewingmux_gateway/ingress/IngressServer.h
+++ b/modules/lacewingmux_gateway/ingress/IngressServer.h
@@ -51,6 +51,9 @@
     /** Closes the connections without an active request. */
     void closeIdleConnections();
 
+    /** Refuses the requests that have arrived in part. */
+    void refusePartialRequests();
+
     [[nodiscard]] std::size_t connectionCount() const noexcept
     {
         return this->connections.size();
--- a/tests/gateway/PlannedStopTest.cpp
+++ b/tests/gateway/PlannedStopTest.cpp
@@ -175,6 +175,20 @@
     test.fixture.loop.waitUntil([&] { return test.drained; }, "the end of the stop");
 }
 
+Test(planned_stop, answers_a_caller_whose_request_is_still_on_its_way)
+{
+    StoppingGateway test(milliseconds(600), [](const auto &, const auto &) {});
+    QByteArray part = GatewayFixture::request("POST", "/once/x", "r1", {}, "a long body");
+    part.chop(4);
+    test.caller.send(part);
+    test.fixture.loop.runFor(milliseconds(50));
+    test.beginStop();
+    test.fixture.loop.waitUntil([&] { return test.drained; }, "the end of the stop");
+    cr_assert(test.caller.received().startsWith("HTTP/1.1 503"), "%s",
+              test.caller.received().constData());
+    cr_assert(test.caller.received().contains("Connection: close\r\n"));
+}
+
 Test(planned_stop, announces_the_close_from_its_beginning)
 {
     StoppingGateway test(milliseconds(7000), [](const HttpRequest &request, const auto &exchange) {
