Announce the stop of a tunnel VM also to peers whose link comes up later

Callers saw (by reasoning, on an entry VM that reaches its replicas through a records VM): a call that began on an open tunnel late in that VM's planned stop was cut at its end.

Cause: the notice went only to the peers that were connected at SIGTERM. An entry VM whose link was down at that moment went on using its tunnels.

Change: the notice is also sent to each peer whose link comes up during the stop. The frame is the same.

--- a/modules/lacewingmux_node/records/RecordsTrafficServices.cpp
+++ b/modules/lacewingmux_node/records/RecordsTrafficServices.cpp
@@ -45,6 +45,10 @@
     if (settings.tunnelPort != 0)
         this->tunnels =
                 std::make_unique<TunnelServer>(tunnelSettings(settings), this->timers, metrics);
+    this->hub->addLinkHandler([this](const VmIncarnation &peer, bool up) {
+        if (up && this->stopping && this->tunnels)
+            this->announceTunnelStop(peer);
+    });
 }
 
 RecordsTrafficServices::~RecordsTrafficServices() = default;
@@ -58,15 +62,21 @@
 
 void RecordsTrafficServices::beginStop(std::function<void()> stopped)
 {
+    this->stopping = true;
     if (!this->tunnels) {
         stopped();
         return;
     }
     for (const VmIncarnation &peer : this->hub->connectedPeers())
-        this->hub->send(peer, {FrameKind::TunnelStopNotice, 0, 0, {}});
+        this->announceTunnelStop(peer);
     this->tunnels->beginStop(std::move(stopped));
 }
 
+void RecordsTrafficServices::announceTunnelStop(const VmIncarnation &peer)
+{
+    this->hub->send(peer, {FrameKind::TunnelStopNotice, 0, 0, {}});
+}
+
 void RecordsTrafficServices::setConfiguration(const ConfigurationDocumentMessage &document)
 {
     this->server->setConfiguration(document);
--- a/modules/lacewingmux_node/records/RecordsTrafficServices.h
+++ b/modules/lacewingmux_node/records/RecordsTrafficServices.h
@@ -61,6 +61,9 @@
     }
 
 private:
+    /** Notifies the peer that this VM opens no more tunnels. */
+    void announceTunnelStop(const VmIncarnation &peer);
+
     QtTimerService timers;
     std::unique_ptr<SegmentedLog> log;
     std::unique_ptr<TcpPeerHub> hub;
@@ -68,6 +71,7 @@
     std::unique_ptr<RelayServer> relay;
     std::unique_ptr<RelayClient> relays;
     std::unique_ptr<TunnelServer> tunnels; ///< null if tunnels are disabled
+    bool stopping = false;
 };
 
 } // namespace lacewingmux
--- a/tests/node/RecordsTunnelsTest.cpp
+++ b/tests/node/RecordsTunnelsTest.cpp
@@ -46,8 +46,16 @@
                         {},
                         {[](const VmIncarnation &) {}, [](bool) {}},
                         {[](const RelayUpdate &) {}, [](const RelayContact &) {}, [](bool) {}}});
+        this->connectPeer();
+        this->target.listen(loopback);
+    }
+
+    /** Links a peer to the records VM; the one before, if there is one, ends first. */
+    void connectPeer()
+    {
         NodeSettings peerNode = this->settings;
         peerNode.peerPort = 0;
+        this->peer.reset();
         this->peer = std::make_unique<TcpPeerHub>(
                 peerSettings(peerNode, {QStringLiteral("entry"), QStringLiteral("a"), 1}),
                 this->loop.timers);
@@ -62,7 +70,6 @@
         this->peer->setPeers({descriptor});
         this->loop.waitUntil([this] { return this->peer->isConnected(this->recordsIncarnation); },
                              "the link");
-        this->target.listen(loopback);
     }
 
     /** Connects the socket to the target through the records VM, and returns how that ended. */
@@ -113,3 +120,18 @@
     socket.disconnectFromHost();
     fixture.loop.waitUntil([&] { return stopped; }, "the stop");
 }
+
+// The link was down when the stop began, so that the peer would use an open tunnel again.
+Test(records_tunnels, announce_the_stop_to_a_peer_whose_link_comes_up_during_it)
+{
+    RecordsTunnels fixture;
+    QTcpSocket socket;
+    cr_assert(fixture.connect(socket, "secret") == ConnectResult::Connected);
+    fixture.peer.reset();
+    fixture.loop.runFor(std::chrono::milliseconds(50));
+    fixture.recordsVm->beginStop([] {});
+    fixture.loop.runFor(std::chrono::milliseconds(50));
+    fixture.connectPeer();
+    fixture.loop.runFor(std::chrono::milliseconds(500));
+    cr_assert(fixture.stoppedVm.has_value());
+}
