Reset the tunnels that are left at the end of their VM's planned stop

Callers saw (by reasoning): an answer without a length that came through a tunnel could be passed on as whole though the planned stop of the tunnel's VM had cut it.

Cause: the process ended with its tunnels open, which closed them in order; the end of such an answer is the orderly close of its connection.

Evidence, on the code before: tunnel/does_not_end_in_order_when_the_stop_ of_its_vm_cuts_it fails, the requester sees an orderly close.

Change: at the limit of the stop the tunnels that are left are reset and logged; the stop ends when the last one has.

--- a/modules/lacewingmux_tunnel/server/TunnelServer.cpp
+++ b/modules/lacewingmux_tunnel/server/TunnelServer.cpp
@@ -102,9 +102,14 @@
                    static_cast<qint64>(
                            std::chrono::floor<std::chrono::milliseconds>(passed).count()))
             .field("tunnels", static_cast<qint64>(this->tunnels.size()));
+    this->abortIf([](const Tunnel &tunnel) { return tunnel.holdsRequest(); });
+}
+
+void TunnelServer::abortIf(const std::function<bool(const Tunnel &)> &condition)
+{
     const auto all = this->tunnels;
     for (const auto &[key, tunnel] : all) {
-        if (tunnel->holdsRequest())
+        if (condition(*tunnel))
             tunnel->abort();
     }
 }
@@ -114,7 +119,21 @@
     this->stopped = std::move(stoppedHook);
     const auto limit =
             this->tunnels.empty() ? std::chrono::milliseconds(0) : this->settings.stopLimit;
-    this->stopTimer = this->timers.after(limit, this->stopped);
+    this->stopTimer = this->timers.after(limit, [this] { this->endStop(); });
+}
+
+void TunnelServer::endStop()
+{
+    if (this->tunnels.empty()) {
+        this->stopped();
+        return;
+    }
+    LogEvent(LogSeverity::Warning, "tunnelsAborted")
+            .field("reason", "the planned stop has ended")
+            .field("tunnels", static_cast<qint64>(this->tunnels.size()));
+    // If the process ended with open tunnels, their requesters would see an orderly close. The last
+    // tunnel that ends calls the hook.
+    this->abortIf([](const Tunnel &) { return true; });
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_tunnel/server/TunnelServer.h
+++ b/modules/lacewingmux_tunnel/server/TunnelServer.h
@@ -36,7 +36,7 @@
     TunnelServer &operator=(const TunnelServer &) = delete;
 
     /** Starts a planned stop: opens no more tunnels, and calls the hook once those that are open
-        have ended, or the limit has passed. */
+        have ended; at the limit they are reset. */
     void beginStop(std::function<void()> stoppedHook);
 
     /** Returns the port on which tunnels are requested. */
@@ -56,6 +56,8 @@
     /** Aborts the tunnels that hold requests, if the process was suspended. What a target sends is
         passed on also then. */
     void abortAfterSuspension();
+    void abortIf(const std::function<bool(const Tunnel &)> &condition);
+    void endStop();
 
     TunnelServerSettings settings;
     TimerService &timers;
--- a/tests/tunnel/TunnelTest.cpp
+++ b/tests/tunnel/TunnelTest.cpp
@@ -359,6 +359,37 @@
     cr_assert_eq(fixture.requester.state(), QAbstractSocket::ConnectedState);
 }
 
+// A response without a length ends with an orderly close of its connection.
+Test(tunnel, does_not_end_in_order_when_the_stop_of_its_vm_cuts_it)
+{
+    EventLoop loop;
+    IgnoringMetricsRecorder metrics;
+    TunnelServerSettings settings = serverSettings();
+    settings.stopLimit = milliseconds(100);
+    auto server = std::make_unique<TunnelServer>(settings, loop.timers, metrics);
+    QTcpServer listener;
+    listener.listen(loopback);
+    const TunnelEndpoint endpoint{QStringLiteral("vm"), "a", loopback, server->port()};
+    const StreamRoute route{loopback, listener.serverPort(),
+                            std::make_shared<TunnelUse>(endpoint, 0, [] {}), secret};
+    QTcpSocket requester;
+    std::optional<ConnectResult> result;
+    const StreamConnector connector(requester, route, loop.timers,
+                                    [&result](ConnectResult ended) { result = ended; });
+    loop.waitUntil([&] { return result && listener.hasPendingConnections(); }, "the tunnel");
+    ResetDetector detector;
+    detector.watch(requester);
+    listener.nextPendingConnection()->write("part of a response");
+    loop.waitUntil([&] { return requester.bytesAvailable() > 0; }, "the part");
+    bool stopped = false;
+    server->beginStop([&stopped] { stopped = true; });
+    loop.waitUntil([&] { return stopped; }, "the stop");
+    server.reset(); // the process ends
+    loop.waitUntil([&] { return requester.state() == QAbstractSocket::UnconnectedState; },
+                   "the end of the connection");
+    cr_assert(detector.wasReset());
+}
+
 // Guards against a sound tunnel that counts as failed because its VM paused: the requester waited
 // hardly longer than the VM waits for the target.
 Test(tunnel, of_a_vm_that_pauses_still_tells_that_a_target_is_silent)
