Tests: a late turn is kept by the standby that replaces a lost member

A turn whose members are lost or cut off is stored again under the view in which a standby has taken a place, and its answer ends before the deadline of its call: late_quorum/a_turn_is_kept_by_a_standby_that_replaces_a_lost_member.

--- a/tests/records/LateQuorumTest.cpp
+++ b/tests/records/LateQuorumTest.cpp
@@ -154,3 +154,17 @@
         cr_assert(*test.outcome == TurnOutcome::Ready);
     }
 }
+
+Test(late_quorum, a_turn_is_kept_by_a_standby_that_replaces_a_lost_member)
+{
+    LateQuorum test;
+    test.fleet.startRecordsVm(QStringLiteral("r4"));
+    test.fleet.run(milliseconds(3000));
+    test.fleet.stopRecordsVm(QStringLiteral("r2"), 0);
+    test.fleet.run(milliseconds(1000));
+    test.fleet.network.cut(QStringLiteral("e1"), QStringLiteral("r3"));
+    test.store();
+    test.fleet.run(milliseconds(3500));
+    cr_assert(test.isDurable.has_value(), "it is on one disk");
+    cr_assert(*test.isDurable);
+}
