Serve what has arrived before a timer ends what waits for it

What callers saw: by the tests, after a pause of the entry VM's own process (processor share used up, SIGSTOP, suspension): 502 or 504 for an answer that had come before the deadline, a stream cut although its end had come, 408 for a request whose end had come in time, and a kept connection closed although the next request had come.

Cause: a pause that falls into the handling of a socket. The event loop has polled before the pause, and its timers, which are overdue by then, run before it polls again. Qt's loop without Glib does this always. With Glib, which Debian's Qt uses, it happens when another timer was due already at the poll and an event was posted in the turn before; else Glib serves the sockets first.

Change, in one place: when a timer of QtTimerService is due, its callback runs behind the sockets of the next turn of the loop. All timers of the product are made there. What needs several exchanges to be known, as a tunnel's handshake, still times out if the pause falls between them.

--- a/modules/lacewingmux_core/time/QtTimerService.cpp
+++ b/modules/lacewingmux_core/time/QtTimerService.cpp
@@ -4,9 +4,17 @@
 #include <QTimer>
 
 #include <ctime>
+#include <utility>
 
 namespace lacewingmux {
 
+namespace {
+
+// A timer without an interval fires behind the sockets of the next turn of the loop.
+constexpr std::chrono::milliseconds socketsTurn{0};
+
+} // namespace
+
 QtTimerService::QtTimerService()
     : context(std::make_unique<QObject>())
 { }
@@ -29,13 +37,43 @@
 TimerSubscription QtTimerService::every(std::chrono::milliseconds interval,
                                         std::function<void()> callback)
 {
-    return this->start(interval, false, std::move(callback));
+    auto *timer = this->createTimer();
+    auto *nextTurn = new QTimer(timer);
+    nextTurn->setSingleShot(true);
+    QObject::connect(timer, &QTimer::timeout, nextTurn,
+                     [nextTurn] { nextTurn->start(socketsTurn); });
+    QObject::connect(nextTurn, &QTimer::timeout, timer, std::move(callback));
+    timer->start(interval);
+    return TimerSubscription([guard = QPointer<QTimer>(timer), nextTurn] {
+        if (!guard)
+            return;
+        guard->stop();
+        nextTurn->stop();
+        guard->deleteLater();
+    });
 }
 
 TimerSubscription QtTimerService::after(std::chrono::milliseconds delay,
                                         std::function<void()> callback)
 {
-    return this->start(delay, true, std::move(callback));
+    auto *timer = this->createTimer();
+    timer->setSingleShot(true);
+    QObject::connect(timer, &QTimer::timeout, timer,
+                     [timer, isDue = false, callback = std::move(callback)]() mutable {
+                         if (!std::exchange(isDue, true)) {
+                             timer->start(socketsTurn);
+                             return;
+                         }
+                         timer->deleteLater();
+                         callback();
+                     });
+    timer->start(delay);
+    return TimerSubscription([guard = QPointer<QTimer>(timer)] {
+        if (!guard)
+            return;
+        guard->stop();
+        guard->deleteLater();
+    });
 }
 
 void QtTimerService::post(std::function<void()> callback)
@@ -43,24 +81,11 @@
     QMetaObject::invokeMethod(this->context.get(), std::move(callback), Qt::QueuedConnection);
 }
 
-TimerSubscription QtTimerService::start(std::chrono::milliseconds interval, bool once,
-                                        std::function<void()> callback)
+QTimer *QtTimerService::createTimer()
 {
     auto *timer = new QTimer(this->context.get());
     timer->setTimerType(Qt::PreciseTimer);
-    timer->setSingleShot(once);
-    QObject::connect(timer, &QTimer::timeout, timer, [timer, once, callback = std::move(callback)] {
-        if (once)
-            timer->deleteLater();
-        callback();
-    });
-    timer->start(interval);
-    return TimerSubscription([guard = QPointer<QTimer>(timer)] {
-        if (!guard)
-            return;
-        guard->stop();
-        guard->deleteLater();
-    });
+    return timer;
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_core/time/QtTimerService.h
+++ b/modules/lacewingmux_core/time/QtTimerService.h
@@ -5,10 +5,17 @@
 #include <memory>
 
 class QObject;
+class QTimer;
 
 namespace lacewingmux {
 
-/** The timer service on top of the Qt event loop of the thread that makes it. */
+/**
+    The timer service on top of the Qt event loop of the thread that makes it.
+
+    Before a callback of a timer runs, the thread's sockets have been polled and served once since
+    the timer was due. So nothing times out although what it waits for has arrived, also when the
+    process was paused meanwhile.
+*/
 class QtTimerService final : public TimerService
 {
 public:
@@ -24,8 +31,7 @@
     void post(std::function<void()> callback) override;
 
 private:
-    [[nodiscard]] TimerSubscription start(std::chrono::milliseconds interval, bool once,
-                                          std::function<void()> callback);
+    [[nodiscard]] QTimer *createTimer();
 
     std::unique_ptr<QObject> context;
 };
--- a/standins/replica/RawCaller.cpp
+++ b/standins/replica/RawCaller.cpp
@@ -32,6 +32,12 @@
                      [this, text] { this->socket->write(text); });
 }
 
+void RawCaller::sendNow(const QByteArray &text)
+{
+    this->socket->write(text);
+    this->socket->flush();
+}
+
 void RawCaller::close()
 {
     this->socket->disconnectFromHost();
--- a/standins/replica/RawCaller.h
+++ b/standins/replica/RawCaller.h
@@ -22,6 +22,10 @@
     /** Writes bytes, once connected. */
     void send(const QByteArray &bytes);
 
+    /** Writes bytes on a connection that is open, and hands them to the network before it
+        returns. */
+    void sendNow(const QByteArray &bytes);
+
     /** Closes the connection in order. */
     void close();
 
--- a/standins/replica/ScriptedReplica.cpp
+++ b/standins/replica/ScriptedReplica.cpp
@@ -31,6 +31,13 @@
         this->socket->write(bytes);
 }
 
+void ScriptedReplica::Exchange::writeNow(const QByteArray &bytes) const
+{
+    this->write(bytes);
+    if (this->socket)
+        this->socket->flush();
+}
+
 void ScriptedReplica::Exchange::writeAfter(std::chrono::milliseconds delay,
                                            const QByteArray &bytes) const
 {
--- a/standins/replica/ScriptedReplica.h
+++ b/standins/replica/ScriptedReplica.h
@@ -35,6 +35,9 @@
         /** Writes bytes as they are. */
         void write(const QByteArray &bytes) const;
 
+        /** Writes bytes, and hands them to the network before it returns. */
+        void writeNow(const QByteArray &bytes) const;
+
         /** Writes bytes later. */
         void writeAfter(std::chrono::milliseconds delay, const QByteArray &bytes) const;
 
