Apply changed limits to open connections, and end nothing by them

What callers saw: by the tests, on a connection that was open when a version with larger limits came into force: 413 or 431 for requests that only the older version forbids, for as long as the connection was kept, and a close after the older idle time although callers may use a connection for up to four fifths of the one in force.

Cause: limits were given to new connections only.

Evidence, on the code before: changed_limits/a_longer_idle_time_reaches_connections_that_are_open (closed), larger_sizes_reach_connections_that_are_open and larger_sizes_hold_for_a_request_whose_head_is_being_received (431), smaller_sizes_end_no_request_that_is_being_received (the next request was still let through) fail.

Change: IngressServer::setLimits reaches all connections. The next request and the next idle time are under the limits in force. What is under way is only given more room: a request whose head is being received, and the idle time that has begun.

Also shown: changed_configuration/ends_no_call_under_way. Routes removed, moved and shortened, the key and the service gone, four versions within a second: a stream and a call under way go on to their end.

--- a/modules/lacewingmux_gateway/http/RequestDecoder.cpp
+++ b/modules/lacewingmux_gateway/http/RequestDecoder.cpp
@@ -81,6 +81,17 @@
 
 RequestDecoder::~RequestDecoder() = default;
 
+void RequestDecoder::setLimits(const HttpLimits &httpLimits)
+{
+    this->limits = httpLimits;
+    if (this->currentState == DecodeState::Empty) {
+        this->startNext();
+    } else if (this->currentState == DecodeState::Head) {
+        this->requestLimits = this->requestLimits.widenedBy(httpLimits);
+        this->applyRequestLimits();
+    }
+}
+
 void RequestDecoder::append(const QByteArray &bytes)
 {
     this->pending += bytes;
@@ -105,12 +116,18 @@
 void RequestDecoder::startNext()
 {
     this->parser = std::make_unique<Parser>();
-    this->parser->header_limit(this->limits.headerBytes);
-    this->parser->body_limit(this->limits.bodyBytes);
+    this->requestLimits = this->limits;
+    this->applyRequestLimits();
     this->parser->eager(true);
     this->currentState = DecodeState::Empty;
 }
 
+void RequestDecoder::applyRequestLimits()
+{
+    this->parser->header_limit(this->requestLimits.headerBytes);
+    this->parser->body_limit(this->requestLimits.bodyBytes);
+}
+
 void RequestDecoder::decode()
 {
     while (!this->pending.isEmpty() && this->currentState < DecodeState::Complete) {
--- a/modules/lacewingmux_gateway/http/RequestDecoder.h
+++ b/modules/lacewingmux_gateway/http/RequestDecoder.h
@@ -24,6 +24,10 @@
     RequestDecoder(const RequestDecoder &) = delete;
     RequestDecoder &operator=(const RequestDecoder &) = delete;
 
+    /** Sets the limits for the next requests. Of a request whose head is being received, it only
+        raises them. */
+    void setLimits(const HttpLimits &httpLimits);
+
     /** Appends received bytes and decodes up to the end of the current request. */
     void append(const QByteArray &bytes);
 
@@ -49,9 +53,11 @@
 
     void decode();
     void startNext();
+    void applyRequestLimits();
     [[nodiscard]] bool hasValidFields() const;
 
     HttpLimits limits;
+    HttpLimits requestLimits; ///< of the current request
     QByteArray pending;
     DecodeState currentState = DecodeState::Empty;
     std::unique_ptr<Parser> parser;
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
@@ -39,6 +39,7 @@
                                      TimerService &timerService, Hooks connectionHooks)
     : socket(callerSocket)
     , limits(httpLimits)
+    , waitLimits(httpLimits)
     , timers(timerService)
     , hooks(std::move(connectionHooks))
     , decoder(httpLimits)
@@ -56,6 +57,13 @@
     this->socket->deleteLater();
 }
 
+void IngressConnection::setLimits(const HttpLimits &httpLimits)
+{
+    this->limits = httpLimits;
+    this->waitLimits = this->waitLimits.widenedBy(httpLimits);
+    this->decoder.setLimits(httpLimits);
+}
+
 void IngressConnection::start()
 {
     QObject::connect(this->socket, &QTcpSocket::readyRead, this->socket,
@@ -124,15 +132,15 @@
     const auto waited = this->timers.now() - this->readingSince;
     switch (this->decoder.state()) {
     case DecodeState::Empty:
-        if (waited >= this->limits.idleTimeout)
+        if (waited >= this->waitLimits.idleTimeout)
             this->closeNow();
         break;
     case DecodeState::Head:
-        if (waited >= this->limits.headerTimeout)
+        if (waited >= this->waitLimits.headerTimeout)
             this->sendErrorStatus(requestTimeoutStatus);
         break;
     default:
-        if (waited >= this->limits.headerTimeout + this->limits.idleTimeout)
+        if (waited >= this->waitLimits.headerTimeout + this->waitLimits.idleTimeout)
             this->sendErrorStatus(requestTimeoutStatus);
         break;
     }
@@ -175,11 +183,17 @@
     if (bytes.isEmpty())
         return;
     if (this->decoder.state() == DecodeState::Empty)
-        this->readingSince = this->timers.now();
+        this->startWaiting();
     this->decoder.append(bytes);
     this->processDecoderState();
 }
 
+void IngressConnection::startWaiting()
+{
+    this->readingSince = this->timers.now();
+    this->waitLimits = this->limits;
+}
+
 void IngressConnection::processDecoderState()
 {
     const DecodeState decoded = this->decoder.state();
@@ -227,7 +241,7 @@
         return;
     }
     this->state = State::Reading;
-    this->readingSince = this->timers.now();
+    this->startWaiting();
     if (this->decoder.state() >= DecodeState::Complete)
         this->timers.post([this, guard = QPointer<QTcpSocket>(this->socket)] {
             if (guard && this->state == State::Reading)
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.h
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.h
@@ -42,6 +42,10 @@
     IngressConnection(const IngressConnection &) = delete;
     IngressConnection &operator=(const IngressConnection &) = delete;
 
+    /** Sets the limits from now on. What the caller is about to send, or the time for which it is
+        idle already, is only given more room by them. */
+    void setLimits(const HttpLimits &httpLimits);
+
     /** Starts reading; requestArrived is not called before this. */
     void start();
 
@@ -90,6 +94,8 @@
     enum class State : std::uint8_t { Reading, Serving, Streaming, Closing, Closed };
 
     void readAvailable();
+    /** Begins the time of a request, or an idle time. */
+    void startWaiting();
     void processDecoderState();
     void dispatchRequest();
     void sendErrorStatus(int status);
@@ -106,6 +112,7 @@
 
     QTcpSocket *socket;
     HttpLimits limits;
+    HttpLimits waitLimits; ///< of the present request or idle time
     TimerService &timers;
     Hooks hooks;
     RequestDecoder decoder;
--- a/modules/lacewingmux_gateway/ingress/IngressServer.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressServer.cpp
@@ -45,7 +45,11 @@
 
 void IngressServer::setLimits(const HttpLimits &httpLimits)
 {
+    if (this->limits == httpLimits)
+        return;
     this->limits = httpLimits;
+    for (const auto &[key, connection] : this->connections)
+        connection->setLimits(httpLimits);
 }
 
 void IngressServer::stopListening()
--- a/modules/lacewingmux_gateway/ingress/IngressServer.h
+++ b/modules/lacewingmux_gateway/ingress/IngressServer.h
@@ -39,7 +39,7 @@
     IngressServer(const IngressServer &) = delete;
     IngressServer &operator=(const IngressServer &) = delete;
 
-    /** Sets the limits for new connections. */
+    /** Sets the limits for all connections. */
     void setLimits(const HttpLimits &httpLimits);
 
     /** Accepts no new connections, so that callers connect to other VMs. */
