Notice a gap behind a single event and behind the event that a caller names

A stream with one event, or whose caller resumes it, was continued by a replica that leaves events out, and ended as complete.

Cause: a gap was looked for only where the ids had counted up by one. One id alone does not show that.

Change: where one id is known, the first event of a resumed run passes at once if it is the next number. Otherwise it is held back until the one behind it shows whether ids count up by one; if so, the run has left a gap, and the stream is resumed elsewhere or broken off. A resumed run that begins with another number waits for one event; no other stream waits.

What remains: a resumed run of one event with another number is passed on, as nothing shows the step.

--- a/modules/lacewingmux_gateway/forwarding/EventSequence.h
+++ b/modules/lacewingmux_gateway/forwarding/EventSequence.h
@@ -11,7 +11,8 @@
     Checks that the events of one stream follow each other, also where another replica resumes it.
 
     Ids that are decimal numbers must ascend. If they have counted up by one so far, a replica that
-    resumes the stream must go on with the next number. Other ids are not compared.
+    resumes the stream must go on with the next number. If one id alone is known, the first two
+    events of that replica show whether it has left a gap. Other ids are not compared.
 */
 class EventSequence
 {
@@ -26,6 +27,13 @@
         if the event has none. */
     [[nodiscard]] bool accept(QByteArrayView id);
 
+    /** Tells whether the id of the event behind it shows whether an event with this id may come
+        next. */
+    [[nodiscard]] bool dependsOnNext(QByteArrayView id) const;
+
+    /** As accept(), for an event with the given event behind it. */
+    [[nodiscard]] bool acceptBefore(QByteArrayView id, QByteArrayView nextId);
+
 private:
     std::optional<std::int64_t> last; ///< of the ids that are numbers
     std::optional<bool> countsByOne;  ///< all of them so far; nothing before the second one
--- a/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
+++ b/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
@@ -58,13 +58,10 @@
     return data;
 }
 
-/** Adds a complete event, if it follows in the sequence; returns whether it does. */
-bool appendEvent(StreamEvents &events, QByteArrayView event, EventSequence &sequence)
+/** Adds a complete event with its parts. */
+void appendEvent(StreamEvents &events, QByteArrayView event, const QByteArray &id,
+                 const QByteArray &data)
 {
-    QByteArray id;
-    const QByteArray data = readEvent(event, id);
-    if (!sequence.accept(id))
-        return false;
     events.text += event;
     events.data += data;
     events.count += data.isEmpty() ? 0 : 1;
@@ -72,7 +69,6 @@
         events.lastId = id;
     if (!id.isEmpty() || !data.isEmpty())
         events.endsWithoutId = id.isEmpty();
-    return true;
 }
 
 } // namespace
@@ -89,8 +85,8 @@
          end = endOfEvent(this->pending, completeBytes)) {
         if (this->cutAtOtherResponse(completeBytes, end - completeBytes))
             break;
-        const auto event = QByteArrayView(this->pending).sliced(completeBytes, end - completeBytes);
-        this->outOfSequence = !appendEvent(events, event, sequence);
+        if (!this->addEvent(events, completeBytes, end, sequence))
+            break;
         completeBytes = end;
     }
     this->pending.remove(0, completeBytes);
@@ -99,10 +95,46 @@
         this->pending.clear();
     }
     // The end of an event takes up to three bytes, some of which may be pending already.
-    this->searchedBytes = std::max<qsizetype>(0, this->pending.size() - 3);
+    this->searchedBytes = this->isHolding ? 0 : std::max<qsizetype>(0, this->pending.size() - 3);
     return events;
 }
 
+StreamEvents EventStreamParser::finish(EventSequence &sequence)
+{
+    this->ended = true;
+    this->searchedBytes = 0;
+    return this->append({}, sequence);
+}
+
+bool EventStreamParser::addEvent(StreamEvents &events, qsizetype position, qsizetype end,
+                                 EventSequence &sequence)
+{
+    const auto event = QByteArrayView(this->pending).sliced(position, end - position);
+    QByteArray id;
+    const QByteArray data = readEvent(event, id);
+    const bool dependsOnNext = sequence.dependsOnNext(id);
+    const QByteArray nextId = dependsOnNext ? this->nextIdFrom(end) : QByteArray();
+    this->isHolding = dependsOnNext && nextId.isEmpty() && !this->ended;
+    if (this->isHolding)
+        return false;
+    this->outOfSequence = !sequence.acceptBefore(id, nextId);
+    if (!this->outOfSequence)
+        appendEvent(events, event, id, data);
+    return true;
+}
+
+QByteArray EventStreamParser::nextIdFrom(qsizetype position) const
+{
+    QByteArray id;
+    qsizetype end = endOfEvent(this->pending, position);
+    while (end >= 0 && id.isEmpty() && !this->isAtOtherResponse(position)) {
+        readEvent(QByteArrayView(this->pending).sliced(position, end - position), id);
+        position = end;
+        end = endOfEvent(this->pending, position);
+    }
+    return id;
+}
+
 bool EventStreamParser::isAtOtherResponse(qsizetype position) const
 {
     return this->endsAtClose
--- a/modules/lacewingmux_gateway/forwarding/EventStreamParser.h
+++ b/modules/lacewingmux_gateway/forwarding/EventStreamParser.h
@@ -33,16 +33,22 @@
     { }
 
     /** Appends bytes of the stream; returns the events that they complete, up to the first one that
-        does not follow in the sequence. */
+        does not follow in the sequence. An event is held back if only the one behind it shows
+        whether it follows. */
     [[nodiscard]] StreamEvents append(const QByteArray &bytes, EventSequence &sequence);
 
+    /** Returns the complete events that are still held back at the end of the stream, up to the
+        first one that does not follow in the sequence. */
+    [[nodiscard]] StreamEvents finish(EventSequence &sequence);
+
     /** Tells whether an event did not follow in the sequence. */
     [[nodiscard]] bool isOutOfSequence() const noexcept
     {
         return this->outOfSequence;
     }
 
-    /** Returns the number of bytes of the incomplete event; 0 if none is pending. */
+    /** Returns the number of bytes that are pending, those of the incomplete event and of events
+        that are held back. */
     [[nodiscard]] qsizetype partialBytes() const noexcept
     {
         return this->pending.size();
@@ -56,12 +62,23 @@
         bytes, as the event has broken off there; returns whether one does. */
     [[nodiscard]] bool cutAtOtherResponse(qsizetype position, qsizetype eventBytes);
 
+    /** Adds the event from this position to the end, if it follows in the sequence. Returns whether
+        the parser may go on behind it. */
+    [[nodiscard]] bool addEvent(StreamEvents &events, qsizetype position, qsizetype end,
+                                EventSequence &sequence);
+
+    /** Returns the id of the first complete event with one from this position on; empty if there is
+        none. */
+    [[nodiscard]] QByteArray nextIdFrom(qsizetype position) const;
+
     bool endsAtClose;
     ResponseSearch findResponse;
     bool otherResponseFollows = false;
     QByteArray pending;
     qsizetype searchedBytes = 0; ///< prefix of pending without an end of an event
     bool outOfSequence = false;
+    bool isHolding = false; ///< the first pending event
+    bool ended = false;     ///< no bytes follow
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -143,6 +143,9 @@
     void releaseResponseMemory();
     void forwardEvents(const QByteArray &bytes);
     void deliverEvents(const StreamEvents &events);
+    /** Sends the events that were held back until the end of the stream; returns whether the call
+        goes on. */
+    [[nodiscard]] bool deliverHeldEvents();
     /** Records the arrival of events, and learns from the first one how fast the replica reads. */
     void recordEvents(const StreamEvents &events);
     /** Learns from the events of a complete stream how fast the replica writes. */
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -152,6 +152,8 @@
 
 void ForwardedCall::handleComplete()
 {
+    if (!this->deliverHeldEvents())
+        return;
     this->logAttempt(ReplicaAttempt::complete);
     this->attempt.trailing = this->attempt.connection->trailingBytes();
     this->releaseConnection();
@@ -274,6 +276,14 @@
         this->abortResponse("the caller does not read");
 }
 
+bool ForwardedCall::deliverHeldEvents()
+{
+    const StreamEvents events = this->attempt.eventParser.finish(this->delivered.sequence());
+    if (!events.text.isEmpty())
+        this->deliverEvents(events);
+    return this->phase != Phase::Ended;
+}
+
 void ForwardedCall::forwardResponse()
 {
     const milliseconds elapsed =
--- a/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
@@ -76,6 +76,8 @@
         return "the replica refused the call without stating that it has not run it";
     if (streamStarted && !attempt.isStream)
         return "the replica did not resume the stream";
+    if (attempt.isStream && attempt.eventParser.isOutOfSequence())
+        return "an event does not follow those before it";
     if (attempt.isStream && attempt.eventParser.partialBytes() > 0)
         return "the stream ended within an event";
     if (brokeOffBehindHead(attempt))
--- a/tests/gateway/EventSequenceTest.cpp
+++ b/tests/gateway/EventSequenceTest.cpp
@@ -61,3 +61,24 @@
     for (const char *next : {"-9223372036854775808", "1", "9223372036854775807"})
         cr_assert(!sequence.accept(next), "%s", next);
 }
+
+// One event, or the id that the caller names, does not show whether the ids count up by one.
+Test(event_sequence, notices_a_gap_behind_a_single_event_by_the_event_that_follows_it)
+{
+    EventSequence sequence;
+    cr_assert(sequence.accept("7"));
+    sequence.resume();
+    cr_assert(!sequence.dependsOnNext("8"));
+    cr_assert(sequence.dependsOnNext("9"));
+    cr_assert(!sequence.acceptBefore("9", "10"));
+    cr_assert(sequence.acceptBefore("9", "11"), "these ids do not count up by one");
+    cr_assert(!sequence.dependsOnNext("20"));
+}
+
+Test(event_sequence, waits_for_no_event_where_the_ids_are_known_to_have_gaps)
+{
+    EventSequence sequence;
+    cr_assert_eq(acceptedOf(sequence, {"10", "20"}), 2);
+    sequence.resume();
+    cr_assert(!sequence.dependsOnNext("30"));
+}
--- a/tests/gateway/ResumedStreamTest.cpp
+++ b/tests/gateway/ResumedStreamTest.cpp
@@ -180,3 +180,49 @@
     cr_assert_eq(received.count("data: plain"), 1);
     cr_assert(!received.endsWith("0\r\n\r\n"));
 }
+
+// A gap behind a single event, or behind the event that the caller names, was not noticed.
+Test(resumed_stream, is_broken_off_if_the_next_replica_leaves_a_gap_behind_a_single_event)
+{
+    GatewayFixture fixture(2, resetThenAnswer([](const HttpRequest &request) {
+                               return GatewayFixture::streamHead(request)
+                                      + GatewayFixture::event(3, "c")
+                                      + GatewayFixture::event(4, "d") + "0\r\n\r\n";
+                           }));
+    const QByteArray received = receivedUntilClosed(fixture);
+    cr_assert(received.contains("data: a"));
+    cr_assert(!received.contains("data: c"), "%s", received.constData());
+    cr_assert(!received.endsWith("0\r\n\r\n"));
+}
+
+Test(resumed_stream, of_a_caller_is_asked_for_again_if_it_begins_behind_a_gap)
+{
+    GatewayFixture fixture(2, [requests = std::make_shared<int>(0)](const HttpRequest &request,
+                                                                    const auto &exchange) {
+        const int first = ++*requests == 1 ? 15 : 13;
+        QByteArray text = GatewayFixture::streamHead(request);
+        for (int id = first; id < 17; ++id)
+            text += GatewayFixture::event(id, "e");
+        exchange.write(text + "0\r\n\r\n");
+    });
+    const QByteArray response = responseToResumingCaller(fixture, "/resume/x");
+    cr_assert(response.endsWith("0\r\n\r\n"), "%s", response.constData());
+    cr_assert_eq(response.count("data: e"), 4, "%s", response.constData());
+}
+
+Test(resumed_stream, goes_on_where_ids_do_not_count_up_by_one)
+{
+    for (const bool arrivesAtOnce : {true, false}) {
+        GatewayFixture fixture(2, [arrivesAtOnce](const HttpRequest &request,
+                                                  const auto &exchange) {
+            const QByteArray end = GatewayFixture::event(18, "e") + "0\r\n\r\n";
+            exchange.write(GatewayFixture::streamHead(request) + GatewayFixture::event(15, "e"));
+            exchange.writeAfter(std::chrono::milliseconds(arrivesAtOnce ? 0 : 100), end);
+        });
+        const QByteArray response = responseToResumingCaller(fixture, "/resume/x");
+        cr_assert_eq(response.count("data: e"), 2, "%s", response.constData());
+    }
+    GatewayFixture fixture(1, streamOf(15));
+    const QByteArray response = responseToResumingCaller(fixture, "/resume/x");
+    cr_assert_eq(response.count("data: e"), 1, "a single event: %s", response.constData());
+}
