--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -32,8 +32,6 @@
 constexpr int firstServerErrorStatus = 500;
 // Limits the memory of the VM that one response takes.
 constexpr qsizetype maximumBufferedResponse = qsizetype{8} * 1024 * 1024;
-// Bytes that a slow caller may leave unread before the response is aborted.
-constexpr qint64 maximumUnreadBytes = qint64{1024} * 1024;
 // Recorded for a timeout, as a multiple of the average response time; far above slow replicas.
 constexpr double timeoutSlowdown = 8.0;
 // Replicas that send no Keep-Alive timeout close idle connections in less than 1 s.
@@ -245,45 +243,6 @@
     this->placeCall();
 }
 
-void ForwardedCall::forwardEvents(const QByteArray &bytes)
-{
-    const StreamEvents events = this->attempt.eventParser.append(bytes, this->delivered.sequence());
-    if (!this->accountResponse()) {
-        this->handleFailure(ExchangeFailure::Malformed);
-        return;
-    }
-    if (!events.text.isEmpty())
-        this->deliverEvents(events);
-    if (this->phase != Phase::Ended && this->attempt.eventParser.isOutOfSequence())
-        this->handleFailure(ExchangeFailure::OutOfSequence);
-}
-
-void ForwardedCall::deliverEvents(const StreamEvents &events)
-{
-    this->recordEvents(events);
-    this->delivered.append(events);
-    if (this->delivered.isStarted()) {
-        this->caller->sendChunk(events.text);
-    } else {
-        this->delivered.start();
-        this->timeToFirstEvent = std::chrono::floor<milliseconds>(this->now() - this->arrived);
-        this->phase = Phase::Streaming;
-        this->caller->beginStream(this->attempt.head.status, this->attempt.head.reason,
-                                  this->context.dialect.fieldsForCaller(this->attempt.head),
-                                  events.text);
-    }
-    if (this->caller->unsentBytes() > maximumUnreadBytes)
-        this->abortResponse("the caller does not read");
-}
-
-bool ForwardedCall::deliverHeldEvents()
-{
-    const StreamEvents events = this->attempt.eventParser.finish(this->delivered.sequence());
-    if (!events.text.isEmpty())
-        this->deliverEvents(events);
-    return this->phase != Phase::Ended;
-}
-
 void ForwardedCall::forwardResponse()
 {
     const milliseconds elapsed =
