Show that neither a missing entry nor a lost connection ends an answer wrongly

unframed_answer/whose_replica_is_out_of_reach_is_not_whole: the end of an answer without a length or chunks is the end of its connection, also where the connection is no longer acknowledged. A stream is then broken off, a plain call gets 502. It could not be shown to be wrong; it was not run on the code before.

--- a/tests/gateway/ChangedConfigurationTest.cpp
+++ b/tests/gateway/ChangedConfigurationTest.cpp
@@ -212,3 +212,31 @@
     cr_assert(call.received().endsWith("own"), "%s", call.received().constData());
     cr_assert(stream.received().endsWith(lastChunk()), "%s", stream.received().constData());
 }
+
+// A probe of a replica that was no longer registered was taken for the end of its calls.
+Test(changed_configuration, ends_no_call_whose_replica_is_no_longer_registered)
+{
+    for (const char *path : {"/once/x", "/stream/x"}) {
+        GatewayFixture fixture(1, [](const HttpRequest &request, const Exchange &exchange) {
+            const milliseconds longerThanAProbe(1200);
+            if (request.target == "/once/x") {
+                exchange.writeAfter(longerThanAProbe, GatewayFixture::answer(request, "own"));
+                return;
+            }
+            exchange.write(GatewayFixture::streamHead(request) + GatewayFixture::event(1, "a"));
+            exchange.writeAfter(longerThanAProbe, GatewayFixture::event(2, "own") + lastChunk());
+        });
+        RawCaller caller(fixture.gateway->port());
+        caller.send(GatewayFixture::request("POST", path, "r1"));
+        fixture.loop.waitUntil([&] { return fixture.requestCount() == 1; },
+                               "the request at the replica");
+        fixture.gateway->setReplicas({});
+        fixture.loop.waitUntil(
+                [&] {
+                    return caller.isClosed() || caller.received().contains("own")
+                           || caller.received().endsWith("}");
+                },
+                "the end of the answer");
+        cr_assert(caller.received().contains("own"), "%s: %s", path, caller.received().constData());
+    }
+}
--- a/tests/gateway/UnframedAnswerTest.cpp
+++ b/tests/gateway/UnframedAnswerTest.cpp
@@ -1,3 +1,4 @@
+#include "support/GatewayConfiguration.h"
 #include "support/GatewayFixture.h"
 
 #include <QTimer>
@@ -174,3 +175,28 @@
     fixture.loop.waitUntil([&] { return caller.received().contains("\r\n\r\n"); }, "the answer");
     cr_assert(caller.received().startsWith("HTTP/1.1 504"));
 }
+
+// The end of a connection that is no longer acknowledged is not the end of what it carried.
+Test(unframed_answer, whose_replica_is_out_of_reach_is_not_whole)
+{
+    for (const char *path : {"/stream/x", "/once/x"}) {
+        GatewayFixture fixture(1, [](const HttpRequest &request, const auto &exchange) {
+            const bool isStream = request.target == "/stream/x";
+            exchange.write(isStream ? head("r1", "text/event-stream") + event(1, "a")
+                                    : head("r1", "text/plain") + "body");
+            QTimer::singleShot(milliseconds(100), [exchange] { exchange.dropIncoming(); });
+        });
+        GatewayConfiguration patient;
+        for (GatewayRoute &route : patient.routes)
+            route.timeout = milliseconds(10000);
+        fixture.gateway->setRoutingTable(patient.table());
+        RawCaller caller(fixture.gateway->port());
+        caller.send(GatewayFixture::request("POST", path, "r1"));
+        fixture.loop.waitUntil(
+                [&] { return caller.isClosed() || caller.received().contains("HTTP/1.1 502"); },
+                "the end");
+        const QByteArray response = caller.received();
+        cr_assert_not(response.endsWith("0\r\n\r\n") || response.endsWith("body"), "%s",
+                      response.constData());
+    }
+}
