Do not cut the last answer of a caller that reads slowly

Callers saw: the answer that closes its connection (each one in a planned stop, those of HTTP/1.0 and of "Connection: close") was cut two seconds after the server had written its end to the connection, though the caller was still reading.

Evidence, on the code before: CallerServer/doesNotCutTheLastAnswerOfA CallerThatReadsSlowly fails, the connection is gone after the 2 s that a refused caller gets.

Change: while bytes of an answer are unsent, the limit for stalled answers (30 s without a byte) holds; the short limit holds for refused callers and once all is sent.

--- a/modules/lacewingmux_http/server/CallerConnection.cpp
+++ b/modules/lacewingmux_http/server/CallerConnection.cpp
@@ -105,12 +105,14 @@
 void CallerConnection::enforceTimeLimits(TimerService::SteadyTime now)
 {
     const ServerLimits &limits = this->server.limits();
-    if (this->closingSince.has_value()) {
+    // A refused caller may go on sending, and need not have its refusal.
+    const bool isSending = this->socket->bytesToWrite() > 0;
+    if (this->closingSince.has_value() && (this->refused || !isSending)) {
         if (now - *this->closingSince > limits.linger)
             this->socket->abort();
         return;
     }
-    if (this->socket->bytesToWrite() > 0) {
+    if (isSending) {
         if (now - this->lastActivity > limits.stalledAnswer)
             this->socket->abort();
         return;
--- a/modules/lacewingmux_http/server/ServerLimits.h
+++ b/modules/lacewingmux_http/server/ServerLimits.h
@@ -18,7 +18,8 @@
     std::chrono::milliseconds idle{75000}; ///< connection without a request
     std::chrono::milliseconds slowRequest{30000};   ///< from a request's first byte to its last
     std::chrono::milliseconds stalledAnswer{30000}; ///< no byte of an unsent answer was taken
-    std::chrono::milliseconds linger{2000}; ///< after a refusal, until the connection is cut off
+    std::chrono::milliseconds linger{
+            2000}; ///< from the last byte or a refusal to the end of a connection
 };
 
 } // namespace lacewingmux
--- a/tests/http/CallerServerTest.cpp
+++ b/tests/http/CallerServerTest.cpp
@@ -288,6 +288,26 @@
     cr_assert_lt(caller.received().size(), 40000000);
 }
 
+Test(CallerServer, doesNotCutTheLastAnswerOfACallerThatReadsSlowly)
+{
+    constexpr qsizetype size = 40000000;
+    HeldServer held;
+    RawCaller caller(held.port);
+    caller.stopReading();
+    caller.send("GET /a HTTP/1.1\r\n\r\n");
+    cr_assert(held.waitForRequests(1));
+    held.server.beginDrain();
+    held.answers[0]->send(200, {}, QByteArray(size, 'x'));
+    turnLoop(50ms);
+    held.timers.advance(held.server.limits().linger + 2s);
+    turnLoop(50ms);
+    cr_assert_eq(held.server.connectionCount(), 1);
+    cr_assert_not(held.server.isIdle());
+    caller.readOn();
+    cr_assert(caller.waitForClose());
+    cr_assert_geq(caller.received().size(), size);
+}
+
 Test(CallerServer, acceptsAgainAfterTheProcessRanOutOfDescriptors)
 {
     HeldServer held;
