Announce the close of the daemon's connections from SIGTERM on

Callers saw: during stop.balancerDelayMs (5 s by default) of a planned stop their answers said "keep-alive", so that kept connections stayed with the VM until it refused new work.

Evidence, on the code before: VmFailure/aStoppingVmAnnouncesTheCloseOfIts ConnectionsFromTheBeginning got "Connection: keep-alive" from a VM that was not ready any more.

Change: the drain of connections begins when the VM becomes unready; new connections are accepted until the delay is over, as before.

Result: the test passes; VmFailure/aPlannedStopCutsOffNothing and test_daemon (15 of 15) pass.

--- a/modules/lacewingmux_daemon/assembly/TrafficServices.cpp
+++ b/modules/lacewingmux_daemon/assembly/TrafficServices.cpp
@@ -152,13 +152,13 @@
 void TrafficServices::becomeUnready()
 {
     this->front.beginDrain();
+    this->server.beginDrain();
 }
 
 void TrafficServices::refuseConnections()
 {
     this->accepting = false;
     this->server.stopListening();
-    this->server.beginDrain();
 }
 
 void TrafficServices::refuseNewWork()
--- a/modules/lacewingmux_daemon/assembly/TrafficServices.h
+++ b/modules/lacewingmux_daemon/assembly/TrafficServices.h
@@ -68,10 +68,11 @@
     /** Takes the replicas of this zone that exist now. */
     void adoptReplicas(const std::shared_ptr<const ReplicaSet> &replicas);
 
-    /** Makes /readyz answer that this VM is not ready; nothing else changes. */
+    /** Makes /readyz answer that this VM is not ready, and lets each connection end with its next
+        answer; new ones are still accepted. */
     void becomeUnready();
 
-    /** Accepts no more connections and lets each open one end with its next answer. */
+    /** Accepts no more connections. */
     void refuseConnections();
 
     /** Sends new work for this VM's owner away; what runs goes on. */
--- a/tests/failures/VmFailureTest.cpp
+++ b/tests/failures/VmFailureTest.cpp
@@ -3,6 +3,8 @@
 
 #include "deployment/EventLoopWait.h"
 
+#include <QTcpSocket>
+
 #include <criterion/criterion.h>
 
 using namespace std::chrono_literals;
@@ -101,3 +103,25 @@
     cr_assert(workload.wrongRefusals().empty());
     workload.check();
 }
+
+Test(VmFailure, aStoppingVmAnnouncesTheCloseOfItsConnectionsFromTheBeginning, .timeout = 300)
+{
+    Scenario scenario;
+    lacewingmux::standin::DaemonProcess &daemon =
+            scenario.deployment().daemon(Scenario::vms().at(0));
+    QTcpSocket caller;
+    caller.connectToHost(daemon.callers().host(), static_cast<quint16>(daemon.callers().port()));
+    cr_assert(lacewingmux::standin::waitUntil(
+            [&] { return caller.state() == QAbstractSocket::ConnectedState; }, 60s));
+    daemon.process().terminate();
+    cr_assert(lacewingmux::standin::waitUntil([&] { return !daemon.isReady(); }, 60s));
+    caller.write("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+    QByteArray received;
+    cr_assert(lacewingmux::standin::waitUntil(
+            [&] {
+                received += caller.readAll();
+                return received.contains("\r\n\r\n");
+            },
+            60s));
+    cr_assert(received.contains("Connection: close\r\n"), "%s", received.constData());
+}
