Keep the logs of a failed failure test under the build folder

The deployments of tests/failures made their folder in the system's place for temporary files. A failed test ends without destructors, so the folder stayed, but nothing named it. It is now made in failure-logs/ of the build folder, its path is printed, and it is removed once the test has passed.

--- a/standins/deployment/DeploymentPlan.h
+++ b/standins/deployment/DeploymentPlan.h
@@ -32,6 +32,7 @@
 struct DeploymentPlan
 {
     QString binaryFolder; ///< where the daemons' and stand-ins' programs are
+    QString logsParent;   ///< where the folder of logs is made; the system's default if empty
     std::vector<PlannedVm> vms;
     std::vector<PlannedBackend> backends;
     QJsonObject configuration; ///< the operators' document
--- a/standins/deployment/LocalDeployment.cpp
+++ b/standins/deployment/LocalDeployment.cpp
@@ -5,6 +5,7 @@
 #include "deployment/StoreAdmin.h"
 #include "lacewingmux_core/errors/LacewingmuxError.h"
 
+#include <QDir>
 #include <QFile>
 #include <QJsonDocument>
 #include <QProcess>
@@ -29,11 +30,21 @@
     throw LacewingmuxError(ErrorKind::InternalError, message);
 }
 
+QString logFolderTemplate(const DeploymentPlan &plan)
+{
+    const QString parent = plan.logsParent.isEmpty() ? QDir::tempPath() : plan.logsParent;
+    QDir().mkpath(parent);
+    return parent + QStringLiteral("/deployment-XXXXXX");
+}
+
 } // namespace
 
 LocalDeployment::LocalDeployment(DeploymentPlan deploymentPlan)
     : plan(std::move(deploymentPlan))
+    , directory(logFolderTemplate(this->plan))
 {
+    if (!this->directory.isValid())
+        fail(QStringLiteral("can't make the folder ") + this->directory.path());
     this->directory.setAutoRemove(qEnvironmentVariableIsEmpty("LACEWINGMUX_KEEP_LOGS"));
 }
 
--- a/tests/failures/scenario/Scenario.cpp
+++ b/tests/failures/scenario/Scenario.cpp
@@ -9,6 +9,7 @@
 #include <QUrlQuery>
 
 #include <criterion/criterion.h>
+#include <criterion/logging.h>
 
 #include <algorithm>
 
@@ -55,6 +56,7 @@
 {
     DeploymentPlan plan;
     plan.binaryFolder = QStringLiteral(LACEWINGMUX_BINARY_DIR "/bin");
+    plan.logsParent = QStringLiteral(LACEWINGMUX_BINARY_DIR "/failure-logs");
     plan.configuration = configuration(requestsPerSecond, burst);
     for (const QString &zone : {Scenario::firstZone(), Scenario::secondZone()}) {
         for (const QString &vm : Scenario::vmsOf(zone))
@@ -78,6 +80,8 @@
     : application(this->argumentCount, nullptr)
     , system(std::make_unique<LocalDeployment>(planFor(requestsPerSecond, burst)))
 {
+    // A failed test ends without destructors, so that the folder stays.
+    cr_log_warn("the logs are in %s until the test has passed", qPrintable(this->system->folder()));
     this->system->start();
     this->teamKey = this->system->issueKey(Scenario::team());
     this->waitUntilKeyIsKnown();
