Say in the planned stop's test what failed, and print the logs' folder so

VmFailure/aPlannedStopCutsOffNothing said "was cut off" also of a call that its caller gave up after 8 s, and nothing of a call that was refused for good. It now gives the duration and status of the one, and the answer of the other; it fails in exactly the cases as before.

--- a/tests/failures/VmFailureTest.cpp
+++ b/tests/failures/VmFailureTest.cpp
@@ -19,6 +19,12 @@
 constexpr int programs = 12;
 constexpr std::uint32_t calls = 8;
 
+long long millisecondsOf(const CallerAttempt &attempt)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(attempt.ended - attempt.sent)
+            .count();
+}
+
 } // namespace
 
 Test(VmFailure, programsRunThroughInCalm, .timeout = 300)
@@ -98,9 +104,12 @@
     cr_assert(exitCode.has_value());
     cr_assert_eq(*exitCode, 0);
     for (const CallerAttempt &attempt : workload.attempts())
-        cr_assert(attempt.outcome != AttemptOutcome::Broken, "%s was cut off",
-                  attempt.marker.toUtf8().constData());
-    cr_assert(workload.wrongRefusals().empty());
+        cr_assert(attempt.outcome != AttemptOutcome::Broken,
+                  "%s was cut off, or not answered in time, after %lld ms with status %d",
+                  attempt.marker.toUtf8().constData(), millisecondsOf(attempt), attempt.httpStatus);
+    for (const CallerAttempt &refused : workload.wrongRefusals())
+        cr_assert_fail("%s was refused for good: %s", refused.marker.toUtf8().constData(),
+                       refused.body.constData());
     workload.check();
 }
 
--- a/tests/failures/scenario/Scenario.cpp
+++ b/tests/failures/scenario/Scenario.cpp
@@ -2,6 +2,7 @@
 
 #include "deployment/BlockingHttp.h"
 #include "deployment/EventLoopWait.h"
+#include "lacewingmux_core/logging/StructuredLog.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -9,7 +10,6 @@
 #include <QUrlQuery>
 
 #include <criterion/criterion.h>
-#include <criterion/logging.h>
 
 #include <algorithm>
 
@@ -81,7 +81,8 @@
     , system(std::make_unique<LocalDeployment>(planFor(requestsPerSecond, burst)))
 {
     // A failed test ends without destructors, so that the folder stays.
-    cr_log_warn("the logs are in %s until the test has passed", qPrintable(this->system->folder()));
+    lacewingmux::LogEvent(lacewingmux::LogSeverity::Info, "logsUntilTestPasses")
+            .field("folder", this->system->folder());
     this->system->start();
     this->teamKey = this->system->issueKey(Scenario::team());
     this->waitUntilKeyIsKnown();
