Reset the requester's connection when a tunnel's VM is killed

Cause: the end of a connection taken for the end of what it carried, as with a replica that closes at its deadline.

Change: while a tunnel is open, the requester's socket closes with a reset; before the orderly end of the target's connection is passed on, it is set back.

--- a/modules/lacewingmux_tunnel/server/Tunnel.cpp
+++ b/modules/lacewingmux_tunnel/server/Tunnel.cpp
@@ -128,6 +128,8 @@
         this->forward(*this->target, *this->requester);
         this->closeWhenDelivered();
     });
+    // The end of the process must not look like an orderly end of the target's connection.
+    closeWithReset(*this->requester, true);
     this->requester->write(TunnelCodec::encodeReply(TunnelStatus::Connected));
     this->requester->flush();
     this->forward(*this->requester, *this->target);
@@ -172,6 +174,7 @@
     if (this->phase != Phase::Closing || this->target->bytesAvailable() > 0
         || this->requester->bytesToWrite() > 0)
         return;
+    closeWithReset(*this->requester, false);
     this->requester->disconnectFromHost();
 }
 
--- a/modules/lacewingmux_tunnel/sockets/ResetDetector.cpp
+++ b/modules/lacewingmux_tunnel/sockets/ResetDetector.cpp
@@ -34,9 +34,9 @@
     return (watched.revents & (POLLERR | POLLHUP)) != 0;
 }
 
-void resetConnection(QTcpSocket &socket)
+void closeWithReset(QTcpSocket &socket, bool enabled)
 {
-    const linger discardUnsent{1, 0};
+    const linger discardUnsent{enabled ? 1 : 0, 0};
     const auto descriptor = static_cast<int>(socket.socketDescriptor());
     if (descriptor >= 0
         && ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &discardUnsent, sizeof discardUnsent)
@@ -44,6 +44,11 @@
         LogEvent(LogSeverity::Warning, "socketOptionRefused")
                 .field("option", "SO_LINGER")
                 .field("errno", errno);
+}
+
+void resetConnection(QTcpSocket &socket)
+{
+    closeWithReset(socket, true);
     socket.abort();
 }
 
--- a/modules/lacewingmux_tunnel/sockets/ResetDetector.h
+++ b/modules/lacewingmux_tunnel/sockets/ResetDetector.h
@@ -23,6 +23,10 @@
     int descriptor = -1;
 };
 
+/** Lets the connection end with a reset or in order when its socket is closed, also if the process
+    is killed. */
+void closeWithReset(QTcpSocket &socket, bool enabled);
+
 /** Closes the connection with a reset, so that the peer does not take what it received for
     complete. */
 void resetConnection(QTcpSocket &socket);
--- a/tests/tunnel/TunnelTest.cpp
+++ b/tests/tunnel/TunnelTest.cpp
@@ -359,6 +359,32 @@
     cr_assert_eq(fixture.requester.state(), QAbstractSocket::ConnectedState);
 }
 
+// As when the process is killed, which closes its sockets.
+Test(tunnel, does_not_end_in_order_when_its_vm_ends_without_a_stop)
+{
+    EventLoop loop;
+    IgnoringMetricsRecorder metrics;
+    auto server = std::make_unique<TunnelServer>(serverSettings(), loop.timers, metrics);
+    QTcpServer listener;
+    listener.listen(loopback);
+    const TunnelEndpoint endpoint{QStringLiteral("vm"), "a", loopback, server->port()};
+    const StreamRoute route{loopback, listener.serverPort(),
+                            std::make_shared<TunnelUse>(endpoint, 0, [] {}), secret};
+    QTcpSocket requester;
+    std::optional<ConnectResult> result;
+    const StreamConnector connector(requester, route, loop.timers,
+                                    [&result](ConnectResult ended) { result = ended; });
+    loop.waitUntil([&] { return result && listener.hasPendingConnections(); }, "the tunnel");
+    ResetDetector detector;
+    detector.watch(requester);
+    listener.nextPendingConnection()->write("part of a response");
+    loop.waitUntil([&] { return requester.bytesAvailable() > 0; }, "the part");
+    server.reset();
+    loop.waitUntil([&] { return requester.state() == QAbstractSocket::UnconnectedState; },
+                   "the end of the connection");
+    cr_assert(detector.wasReset());
+}
+
 // A response without a length ends with an orderly close of its connection.
 Test(tunnel, does_not_end_in_order_when_the_stop_of_its_vm_cuts_it)
 {
