--- a/standins/deployment/ManagedProcess.cpp
+++ b/standins/deployment/ManagedProcess.cpp
@@ -30,11 +30,24 @@
     this->kill();
 }
 
+void ManagedProcess::setEnvironmentVariable(const QString &name, const QString &value)
+{
+    this->environment.insert(name, value);
+}
+
+void ManagedProcess::setOutputFile(const QString &path)
+{
+    this->outputFile = path;
+}
+
 void ManagedProcess::start()
 {
     this->process = std::make_unique<QProcess>();
     this->process->setProgram(this->program);
     this->process->setArguments(this->arguments);
+    this->process->setProcessEnvironment(this->environment);
+    if (!this->outputFile.isEmpty())
+        this->process->setStandardOutputFile(this->outputFile, QIODevice::Append);
     if (!this->logFile.isEmpty())
         this->process->setStandardErrorFile(this->logFile, QIODevice::Append);
     // A failed test ends without destroying its deployment.
--- a/standins/deployment/ManagedProcess.h
+++ b/standins/deployment/ManagedProcess.h
@@ -2,6 +2,7 @@
 
 #include <QJsonObject>
 #include <QProcess>
+#include <QProcessEnvironment>
 #include <QString>
 #include <QStringList>
 
@@ -27,6 +28,12 @@
     ManagedProcess(const ManagedProcess &) = delete;
     ManagedProcess &operator=(const ManagedProcess &) = delete;
 
+    /** Sets a variable of its environment, for the next start. */
+    void setEnvironmentVariable(const QString &name, const QString &value);
+
+    /** Appends its output to a file, for the next start; then nothing can be announced. */
+    void setOutputFile(const QString &path);
+
     /** Starts it, also again after its end. Throws LacewingmuxError when it can't be started. */
     void start();
 
@@ -57,6 +64,8 @@
     QString program;
     QStringList arguments;
     QString logFile;
+    QString outputFile;
+    QProcessEnvironment environment = QProcessEnvironment::systemEnvironment();
     std::unique_ptr<QProcess> process;
 };
 
--- /dev/null
+++ b/standins/platform-replica/PlatformReplicaSettings.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <QByteArray>
+#include <QString>
+
+#include <chrono>
+
+namespace lacewingmux::standin {
+
+/** How a stand-in replica listens and what it calls itself. */
+struct PlatformReplicaSettings
+{
+    QByteArray id;
+    QString logFile;
+    int backlog = 128;         ///< new connections that the system keeps until they are accepted
+    int connectionLimit = 360; ///< further connections are reset
+    int slotCount = 64;
+    std::chrono::milliseconds idleTimeout{10000};
+};
+
+} // namespace lacewingmux::standin
--- /dev/null
+++ b/tests/platform-soak/checks/SoakRecords.cpp
@@ -0,0 +1,101 @@
+#include "checks/SoakRecords.h"
+
+#include "callers/StreamEvent.h"
+
+#include <QDir>
+#include <QFile>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <algorithm>
+
+namespace lacewingmux::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// An entry VM measures a call's time from the arrival of its request, and may hand a replica a
+// little less than is left.
+constexpr milliseconds timeTolerance{100};
+
+QString seconds(milliseconds time)
+{
+    return QString::number(static_cast<double>(time.count()) / 1000.0, 'f', 3);
+}
+
+} // namespace
+
+SoakRecords::SoakRecords(const SoakConfiguration &soakConfiguration)
+    : configuration(soakConfiguration)
+{ }
+
+void SoakRecords::readRuns(const QString &folder)
+{
+    const QDir directory(folder);
+    for (const QString &name : directory.entryList({QStringLiteral("*.runs")}, QDir::Files)) {
+        QFile file(directory.filePath(name));
+        if (!file.open(QIODevice::ReadOnly))
+            continue;
+        while (!file.atEnd())
+            this->readRunLine(file.readLine());
+    }
+}
+
+void SoakRecords::readRunLine(const QByteArray &line)
+{
+    const QJsonObject object = QJsonDocument::fromJson(line).object();
+    const QByteArray run = object.value(QLatin1String("run")).toString().toLatin1();
+    const QByteArray what = object.value(QLatin1String("what")).toString().toLatin1();
+    std::vector<ReplicaRun> &known =
+            this->runs[object.value(QLatin1String("request")).toString().toLatin1()];
+    auto found = std::find_if(known.begin(), known.end(),
+                              [&run](const ReplicaRun &entry) { return entry.run == run; });
+    if (found == known.end())
+        found = known.insert(known.end(), ReplicaRun{run, {}, 0});
+    if (what != "begin")
+        found->outcome = what;
+    found->lastEvent = object.value(QLatin1String("event")).toInt();
+}
+
+const std::vector<ReplicaRun> &SoakRecords::runsOf(const QByteArray &request) const
+{
+    static const std::vector<ReplicaRun> none;
+    const auto found = this->runs.find(request);
+    return found == this->runs.end() ? none : found->second;
+}
+
+bool SoakRecords::timeWasUp(const CallRecord &call) const
+{
+    const milliseconds routeTimeout =
+            this->configuration.shortestTimeout(call.kind, call.sentAt, call.endedAt);
+    return call.duration() + timeTolerance >= std::min(call.deadline, routeTimeout);
+}
+
+QString SoakRecords::describe(const CallRecord &call) const
+{
+    const auto sent = std::chrono::floor<milliseconds>(call.sentAt - this->begin);
+    QString text = QStringLiteral("%1 %2 at %3: sent at %4 s on a %5 connection, %6 after %7 s, "
+                                  "status %8")
+                           .arg(QLatin1String(nameOf(call.kind)),
+                                QString::fromLatin1(call.requestId), QString::fromLatin1(call.vm),
+                                seconds(sent),
+                                call.onKeptConnection ? QStringLiteral("kept")
+                                                      : QStringLiteral("new"),
+                                QLatin1String(nameOf(call.end)), seconds(call.duration()))
+                           .arg(call.status);
+    if (isStream(call.kind))
+        text += QStringLiteral(", events %1 to %2 of %3")
+                        .arg(call.resumedAfter + 1)
+                        .arg(StreamEvent::lastNumber(call.body))
+                        .arg(call.events);
+    for (const ReplicaRun &run : this->runsOf(call.requestId))
+        text += QStringLiteral(", run %1 %2 at event %3")
+                        .arg(QString::fromLatin1(run.run),
+                             run.outcome.isEmpty() ? QStringLiteral("without end")
+                                                   : QString::fromLatin1(run.outcome))
+                        .arg(run.lastEvent);
+    return text;
+}
+
+} // namespace lacewingmux::soak
--- /dev/null
+++ b/tests/platform-soak/checks/SoakRecords.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "callers/CallRecord.h"
+#include "checks/ReplicaRun.h"
+#include "fleet/SoakConfiguration.h"
+#include "fleet/VmStop.h"
+
+#include <QByteArray>
+#include <QString>
+
+#include <chrono>
+#include <map>
+#include <vector>
+
+namespace lacewingmux::soak {
+
+/** What callers and replicas saw in a run. The checks judge by nothing else. */
+struct SoakRecords
+{
+    explicit SoakRecords(const SoakConfiguration &soakConfiguration);
+
+    /** Adds the runs of all replicas from the files with their logs. */
+    void readRuns(const QString &folder);
+
+    /** Returns the runs of a request, in no particular order. */
+    [[nodiscard]] const std::vector<ReplicaRun> &runsOf(const QByteArray &request) const;
+
+    /** Returns whether the call's own time or its route's was up at its end. */
+    [[nodiscard]] bool timeWasUp(const CallRecord &call) const;
+
+    /** Returns the call, its end and its runs in words. */
+    [[nodiscard]] QString describe(const CallRecord &call) const;
+
+    TimerService::SteadyTime begin;
+    std::vector<CallRecord> calls;
+    std::map<QByteArray, std::vector<ReplicaRun>> runs;
+    std::vector<VmStop> stops;
+    std::vector<QByteArray> endedProcesses;
+    std::chrono::milliseconds longestDelay{0}; ///< of this process's own event loop
+
+private:
+    void readRunLine(const QByteArray &line);
+
+    const SoakConfiguration &configuration;
+};
+
+} // namespace lacewingmux::soak
--- /dev/null
+++ b/tests/platform-soak/checks/TwiceCheck.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "checks/Violation.h"
+
+#include <vector>
+
+namespace lacewingmux::soak {
+
+struct SoakRecords;
+
+/** Finds requests that may run once and ran more often, and such requests that were answered with the
+    promise that they don't run and ran. */
+[[nodiscard]] std::vector<Violation> checkTwice(const SoakRecords &records);
+
+} // namespace lacewingmux::soak
