--- a/standins/platform-replica/PlatformReplica.cpp
+++ b/standins/platform-replica/PlatformReplica.cpp
@@ -22,7 +22,6 @@
     ::setsockopt(static_cast<int>(socket->socketDescriptor()), SOL_SOCKET, SO_LINGER, &atOnce,
                  sizeof atOnce);
     socket->abort();
-    socket->deleteLater();
 }
 
 } // namespace
@@ -59,6 +58,7 @@
     socket->setParent(nullptr); // outlives the listener
     if (static_cast<int>(this->connections.size()) >= this->settings.connectionLimit) {
         reset(socket);
+        socket->deleteLater();
         return;
     }
     this->connections[socket].decoder = std::make_unique<RequestDecoder>(HttpLimits());
@@ -93,8 +93,9 @@
     Connection &connection = this->connections.at(socket);
     connection.idleTimer.cancel();
     connection.call = std::make_unique<ReplicaCall>(
-            request, *socket, this->nextHead(), this->timers, this->log, [this, socket](bool closes) {
-                this->timers.post([this, socket, closes] { this->handleEnd(socket, closes); });
+            request, *socket, this->nextHead(), this->timers, this->log,
+            [this, socket](ReplicaCall::Connection after) {
+                this->timers.post([this, socket, after] { this->handleEnd(socket, after); });
             });
 }
 
@@ -106,18 +107,20 @@
                   + "\r\nLacewingmux-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
 }
 
-void PlatformReplica::handleEnd(QTcpSocket *socket, bool closes)
+void PlatformReplica::handleEnd(QTcpSocket *socket, ReplicaCall::Connection after)
 {
     const auto found = this->connections.find(socket);
     if (found == this->connections.end())
         return;
     found->second.call.reset();
-    if (closes) {
+    if (after == ReplicaCall::Connection::Reset) {
+        reset(socket);
+    } else if (after == ReplicaCall::Connection::Closed) {
         socket->disconnectFromHost();
-        return;
+    } else {
+        this->startIdleTimer(socket);
+        this->read(socket);
     }
-    this->startIdleTimer(socket);
-    this->read(socket);
 }
 
 void PlatformReplica::startIdleTimer(QTcpSocket *socket)
@@ -140,9 +143,9 @@
 
 int PlatformReplica::runningCalls() const
 {
-    return static_cast<int>(std::count_if(
-            this->connections.begin(), this->connections.end(),
-            [](const auto &entry) { return entry.second.call != nullptr; }));
+    return static_cast<int>(
+            std::count_if(this->connections.begin(), this->connections.end(),
+                          [](const auto &entry) { return entry.second.call != nullptr; }));
 }
 
 } // namespace lacewingmux::standin
--- a/standins/platform-replica/PlatformReplica.h
+++ b/standins/platform-replica/PlatformReplica.h
@@ -43,7 +43,7 @@
     void read(QTcpSocket *socket);
     void handle(QTcpSocket *socket, const HttpRequest &request);
     void reject(QTcpSocket *socket, const HttpRequest &request, const QByteArray &status) const;
-    void handleEnd(QTcpSocket *socket, bool closes);
+    void handleEnd(QTcpSocket *socket, ReplicaCall::Connection after);
     void startIdleTimer(QTcpSocket *socket);
     [[nodiscard]] ReplicaCall::Head nextHead();
     [[nodiscard]] int runningCalls() const;
--- a/standins/platform-replica/ReplicaCall.cpp
+++ b/standins/platform-replica/ReplicaCall.cpp
@@ -24,7 +24,7 @@
 
 ReplicaCall::ReplicaCall(HttpRequest httpRequest, QTcpSocket &callerSocket, Head answerHead,
                          TimerService &timerService, ReplicaRunLog &runLog,
-                         std::function<void(bool closes)> endedHook)
+                         std::function<void(Connection)> endedHook)
     : request(std::move(httpRequest))
     , requestId(fieldValue(this->request.fields, "Lacewingmux-Request-Id"))
     , socket(callerSocket)
@@ -47,8 +47,8 @@
 {
     this->log.runBegan(this->head.run, this->requestId, this->lastEvent);
     bool hasDeadline = false;
-    const qint64 timeLeft = fieldValue(this->request.fields, "Lacewingmux-Deadline-Ms")
-                                    .toLongLong(&hasDeadline);
+    const qint64 timeLeft =
+            fieldValue(this->request.fields, "Lacewingmux-Deadline-Ms").toLongLong(&hasDeadline);
     if (hasDeadline)
         this->deadlineTimer =
                 this->timers.after(milliseconds(timeLeft), [this] { this->expire(); });
@@ -83,7 +83,8 @@
         return;
     if (!this->endsAtClose)
         this->socket.write("0\r\n\r\n");
-    this->end("complete", this->endsAtClose || this->head.closes);
+    this->end("complete",
+              this->endsAtClose || this->head.closes ? Connection::Closed : Connection::Kept);
 }
 
 void ReplicaCall::writeFramed(const QByteArray &text)
@@ -99,21 +100,22 @@
     const QByteArray body = this->requestId + ' ' + this->head.run + '\n';
     this->writeHead("Content-Length: " + QByteArray::number(body.size()) + "\r\n");
     this->socket.write(body);
-    this->end("complete", this->head.closes);
+    this->end("complete", this->head.closes ? Connection::Closed : Connection::Kept);
 }
 
 void ReplicaCall::expire()
 {
-    this->end("expired", true);
+    // An orderly close would mark the end of a stream that ends with its connection.
+    this->end("expired", Connection::Reset);
 }
 
-void ReplicaCall::end(const char *outcome, bool closes)
+void ReplicaCall::end(const char *outcome, Connection connection)
 {
     this->isOver = true;
     this->workTimer.cancel();
     this->deadlineTimer.cancel();
     this->log.runEnded(this->head.run, this->requestId, this->lastEvent, outcome);
-    this->ended(closes);
+    this->ended(connection);
 }
 
 } // namespace lacewingmux::standin
--- a/standins/platform-replica/ReplicaCall.h
+++ b/standins/platform-replica/ReplicaCall.h
@@ -6,6 +6,7 @@
 #include <QByteArray>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 
 class QTcpSocket;
@@ -31,11 +32,13 @@
         bool closes = false;
     };
 
-    /** Begins the run. The hook is called once its whole answer is written, or its time is up, with
-        whether the connection must be closed. */
+    /** What becomes of the connection after a run. */
+    enum class Connection : std::uint8_t { Kept, Closed, Reset };
+
+    /** Begins the run. The hook is called once its whole answer is written or its time is up. */
     ReplicaCall(HttpRequest httpRequest, QTcpSocket &callerSocket, Head answerHead,
                 TimerService &timerService, ReplicaRunLog &runLog,
-                std::function<void(bool closes)> endedHook);
+                std::function<void(Connection)> endedHook);
 
     /** Ends the run if it isn't over, as its caller has gone. */
     ~ReplicaCall();
@@ -49,7 +52,7 @@
     void writePlain();
     void writeFramed(const QByteArray &text);
     void expire();
-    void end(const char *outcome, bool closes);
+    void end(const char *outcome, Connection connection);
 
     HttpRequest request;
     QByteArray requestId;
@@ -57,7 +60,7 @@
     Head head;
     TimerService &timers;
     ReplicaRunLog &log;
-    std::function<void(bool closes)> ended;
+    std::function<void(Connection)> ended;
     int eventCount = 0;
     int lastEvent = 0;
     bool endsAtClose = false;
--- a/standins/platform-store/PlatformStoreStandin.cpp
+++ b/standins/platform-store/PlatformStoreStandin.cpp
@@ -86,8 +86,7 @@
         return;
     this->watches.push_back(watch);
     watch->limit = this->timers.after(
-            milliseconds(parameter(request, "waitMs").toLongLong()),
-            [this, ended = watch.get()] {
+            milliseconds(parameter(request, "waitMs").toLongLong()), [this, ended = watch.get()] {
                 this->answer(*ended, true);
                 std::erase_if(this->watches,
                               [ended](const auto &known) { return known.get() == ended; });
--- a/standins/platform-store/StoreContents.cpp
+++ b/standins/platform-store/StoreContents.cpp
@@ -76,8 +76,8 @@
         if (key.startsWith(prefix) && key > afterKey)
             found.append(item);
     }
-    return {200, this->withRevision({{QStringLiteral("items"), found},
-                                     {QStringLiteral("hasMore"), false}})};
+    return {200, this->withRevision(
+                         {{QStringLiteral("items"), found}, {QStringLiteral("hasMore"), false}})};
 }
 
 StoreContents::Reply StoreContents::changes(const QByteArray &prefix,
@@ -169,8 +169,7 @@
 void StoreContents::scheduleExpiry(std::int64_t lease)
 {
     Lease &entry = this->leases.at(lease);
-    entry.expiry =
-            this->timers.after(entry.duration, [this, lease] { this->removeLease(lease); });
+    entry.expiry = this->timers.after(entry.duration, [this, lease] { this->removeLease(lease); });
 }
 
 void StoreContents::removeLease(std::int64_t lease)
--- a/tests/platform-soak/SoakRun.cpp
+++ b/tests/platform-soak/SoakRun.cpp
@@ -4,6 +4,7 @@
 #include "checks/MixedCheck.h"
 #include "checks/OrderCheck.h"
 #include "checks/ProcessCheck.h"
+#include "checks/RefusedCheck.h"
 #include "checks/TwiceCheck.h"
 #include "deployment/EventLoopWait.h"
 
@@ -124,7 +125,7 @@
 {
     std::vector<Violation> all;
     for (const auto &checkPromise :
-         {checkLost, checkOrder, checkTwice, checkMixed, checkProcesses}) {
+         {checkLost, checkOrder, checkTwice, checkRefused, checkMixed, checkProcesses}) {
         const std::vector<Violation> found = checkPromise(this->records);
         all.insert(all.end(), found.begin(), found.end());
     }
@@ -161,8 +162,7 @@
         if (stop.wasKilled)
             std::cout << "  " << stop.vm.toStdString() << " did not end in time\n";
     }
-    std::cout << "  longest delay of the runner: " << this->records.longestDelay.count()
-              << " ms\n";
+    std::cout << "  longest delay of the runner: " << this->records.longestDelay.count() << " ms\n";
 }
 
 void SoakRun::printLog(const QByteArray &request) const
--- a/tests/platform-soak/callers/CallWork.cpp
+++ b/tests/platform-soak/callers/CallWork.cpp
@@ -18,8 +18,7 @@
     if (this->kind == CallKind::Turn)
         text += "Lacewingmux-Program-Id: p" + requestId + "\r\nLacewingmux-Session-Id: s"
                 + requestId + "\r\nLacewingmux-Token-Budget: 100000\r\n"
-                + "Lacewingmux-Token-Usage: 100,"
-                + QByteArray::number(this->events * 14) + "\r\n";
+                + "Lacewingmux-Token-Usage: 100," + QByteArray::number(this->events * 14) + "\r\n";
     if (this->resumedAfter > 0)
         text += "Last-Event-Id: " + QByteArray::number(this->resumedAfter) + "\r\n";
     if (!isGet)
--- a/tests/platform-soak/callers/StreamEvent.cpp
+++ b/tests/platform-soak/callers/StreamEvent.cpp
@@ -11,8 +11,7 @@
     StreamEvent event;
     const QList<QByteArray> lines = text.split('\n');
     const QList<QByteArray> data = lines.value(1).split(' ');
-    if (lines.size() != 2 || data.size() != 5 || data[0] != "data:"
-        || lines[0] != "id: " + data[3])
+    if (lines.size() != 2 || data.size() != 5 || data[0] != "data:" || lines[0] != "id: " + data[3])
         return event;
     event.number = data[3].toInt();
     event.request = data[1];
--- a/tests/platform-soak/checks/LostCheck.cpp
+++ b/tests/platform-soak/checks/LostCheck.cpp
@@ -25,8 +25,8 @@
 
 bool isLost(const CallRecord &call, const SoakRecords &records)
 {
-    if (call.end == CallEnd::Complete || call.end == CallEnd::Abandoned
-        || records.timeWasUp(call) || endedWithStop(call, records.stops))
+    if (call.end == CallEnd::Complete || call.end == CallEnd::Abandoned || records.timeWasUp(call)
+        || endedWithStop(call, records.stops))
         return false;
     if (call.status != 0 || !records.runsOf(call.requestId).empty())
         return true;
--- a/tests/platform-soak/checks/ProcessCheck.cpp
+++ b/tests/platform-soak/checks/ProcessCheck.cpp
@@ -22,10 +22,11 @@
     std::vector<Violation> found;
     for (const QByteArray &process : records.endedProcesses)
         found.push_back({"FAULT", {}, QString::fromLatin1(process) + QStringLiteral(" ended")});
-    for (const CallKind kind : {CallKind::Turn, CallKind::ResumableStream, CallKind::OnceOnly,
-                                CallKind::Repeatable}) {
+    for (const CallKind kind :
+         {CallKind::Turn, CallKind::ResumableStream, CallKind::OnceOnly, CallKind::Repeatable}) {
         if (!wasServed(records, kind))
-            found.push_back({"FAULT", {},
+            found.push_back({"FAULT",
+                             {},
                              QStringLiteral("no call of the kind %1 was answered")
                                      .arg(QLatin1String(nameOf(kind)))});
     }
--- a/tests/platform-soak/checks/ProcessCheck.h
+++ b/tests/platform-soak/checks/ProcessCheck.h
@@ -8,7 +8,8 @@
 
 struct SoakRecords;
 
-/** Finds processes that ended though nobody stopped them, and kinds of calls of which none was answered. */
+/** Finds processes that ended though nobody stopped them, and kinds of calls of which none was
+ * answered. */
 [[nodiscard]] std::vector<Violation> checkProcesses(const SoakRecords &records);
 
 } // namespace lacewingmux::soak
--- a/tests/platform-soak/checks/SoakRecords.cpp
+++ b/tests/platform-soak/checks/SoakRecords.cpp
@@ -75,15 +75,14 @@
 QString SoakRecords::describe(const CallRecord &call) const
 {
     const auto sent = std::chrono::floor<milliseconds>(call.sentAt - this->begin);
-    QString text = QStringLiteral("%1 %2 at %3: sent at %4 s on a %5 connection, %6 after %7 s, "
-                                  "status %8")
-                           .arg(QLatin1String(nameOf(call.kind)),
-                                QString::fromLatin1(call.requestId), QString::fromLatin1(call.vm),
-                                seconds(sent),
-                                call.onKeptConnection ? QStringLiteral("kept")
-                                                      : QStringLiteral("new"),
-                                QLatin1String(nameOf(call.end)), seconds(call.duration()))
-                           .arg(call.status);
+    QString text =
+            QStringLiteral("%1 %2 at %3: sent at %4 s on a %5 connection, %6 after %7 s, "
+                           "status %8")
+                    .arg(QLatin1String(nameOf(call.kind)), QString::fromLatin1(call.requestId),
+                         QString::fromLatin1(call.vm), seconds(sent),
+                         call.onKeptConnection ? QStringLiteral("kept") : QStringLiteral("new"),
+                         QLatin1String(nameOf(call.end)), seconds(call.duration()))
+                    .arg(call.status);
     if (isStream(call.kind))
         text += QStringLiteral(", events %1 to %2 of %3")
                         .arg(call.resumedAfter + 1)
--- a/tests/platform-soak/checks/TwiceCheck.h
+++ b/tests/platform-soak/checks/TwiceCheck.h
@@ -8,8 +8,7 @@
 
 struct SoakRecords;
 
-/** Finds requests that may run once and ran more often, and such requests that were answered with the
-    promise that they don't run and ran. */
+/** Finds requests that may run once and ran more often. */
 [[nodiscard]] std::vector<Violation> checkTwice(const SoakRecords &records);
 
 } // namespace lacewingmux::soak
--- a/tests/platform-soak/fleet/LoadBalancer.cpp
+++ b/tests/platform-soak/fleet/LoadBalancer.cpp
@@ -62,8 +62,7 @@
         request.setTransferTimeout(static_cast<int>(answerLimit.count()));
         QNetworkReply *reply = this->network.get(request);
         QObject::connect(reply, &QNetworkReply::finished, reply, [this, index, reply] {
-            const int status =
-                    reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+            const int status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
             this->handleAnswer(index, status == 200);
             reply->deleteLater();
         });
--- a/tests/platform-soak/fleet/ReplicaProcess.cpp
+++ b/tests/platform-soak/fleet/ReplicaProcess.cpp
@@ -25,12 +25,16 @@
     , replicaLimits(std::move(limits))
 {
     const QString name = QString::fromLatin1(this->id);
-    const QStringList arguments{
-            QStringLiteral("--id"), name, QStringLiteral("--log"),
-            folder + u'/' + name + QStringLiteral(".runs"), QStringLiteral("--backlog"),
-            QString::number(this->replicaLimits.backlog), QStringLiteral("--max-connections"),
-            QString::number(this->replicaLimits.connectionLimit), QStringLiteral("--idle-ms"),
-            QString::number(this->replicaLimits.idleTimeout.count())};
+    const QStringList arguments{QStringLiteral("--id"),
+                                name,
+                                QStringLiteral("--log"),
+                                folder + u'/' + name + QStringLiteral(".runs"),
+                                QStringLiteral("--backlog"),
+                                QString::number(this->replicaLimits.backlog),
+                                QStringLiteral("--max-connections"),
+                                QString::number(this->replicaLimits.connectionLimit),
+                                QStringLiteral("--idle-ms"),
+                                QString::number(this->replicaLimits.idleTimeout.count())};
     this->managed = std::make_unique<standin::ManagedProcess>(
             binaryFolder + QStringLiteral("/lacewingmux-standin-platform-replica"), arguments,
             folder + u'/' + name + QStringLiteral(".errors"));
@@ -42,9 +46,8 @@
 {
     this->startMilliseconds = QDateTime::currentMSecsSinceEpoch();
     this->managed->start();
-    this->port = static_cast<std::uint16_t>(this->managed->waitForAnnouncement(startBound)
-                                                    .value(QStringLiteral("port"))
-                                                    .toInt());
+    this->port = static_cast<std::uint16_t>(
+            this->managed->waitForAnnouncement(startBound).value(QStringLiteral("port")).toInt());
 }
 
 QByteArray ReplicaProcess::storeKey() const
@@ -55,18 +58,17 @@
 QByteArray ReplicaProcess::storeEntry(bool isDraining) const
 {
     return QJsonDocument(
-                   QJsonObject{
-                           {QStringLiteral("service"), QString::fromLatin1(this->service())},
-                           {QStringLiteral("address"),
-                            QStringLiteral("127.0.0.1:%1").arg(this->port)},
-                           {QStringLiteral("zone"), QString::fromLatin1(this->zone)},
-                           {QStringLiteral("version"), 1},
-                           {QStringLiteral("slots"), slotCount},
-                           {QStringLiteral("state"), isDraining ? QStringLiteral("draining")
-                                                                : QStringLiteral("ready")},
-                           {QStringLiteral("coldRemainingMs"), 0},
-                           {QStringLiteral("callSeq"), 0},
-                           {QStringLiteral("born"), this->startMilliseconds}})
+                   QJsonObject{{QStringLiteral("service"), QString::fromLatin1(this->service())},
+                               {QStringLiteral("address"),
+                                QStringLiteral("127.0.0.1:%1").arg(this->port)},
+                               {QStringLiteral("zone"), QString::fromLatin1(this->zone)},
+                               {QStringLiteral("version"), 1},
+                               {QStringLiteral("slots"), slotCount},
+                               {QStringLiteral("state"),
+                                isDraining ? QStringLiteral("draining") : QStringLiteral("ready")},
+                               {QStringLiteral("coldRemainingMs"), 0},
+                               {QStringLiteral("callSeq"), 0},
+                               {QStringLiteral("born"), this->startMilliseconds}})
             .toJson(QJsonDocument::Compact);
 }
 
--- a/tests/platform-soak/fleet/SoakConfiguration.cpp
+++ b/tests/platform-soak/fleet/SoakConfiguration.cpp
@@ -46,8 +46,8 @@
 QByteArray SoakConfiguration::document() const
 {
     QJsonArray routes;
-    for (const CallKind kind : {CallKind::Turn, CallKind::ResumableStream, CallKind::OnceOnly,
-                                CallKind::Repeatable})
+    for (const CallKind kind :
+         {CallKind::Turn, CallKind::ResumableStream, CallKind::OnceOnly, CallKind::Repeatable})
         routes.append(this->route(kind));
     for (int number = 0; number < this->addedRoutes; ++number) {
         QJsonObject added = this->route(CallKind::Repeatable);
@@ -75,8 +75,8 @@
     const QString name = QLatin1String(nameOf(kind));
     const bool usesFirst = (kind == CallKind::Turn) != this->streamsAreExchanged;
     const QString model = usesFirst ? QStringLiteral("model-a") : QStringLiteral("model-b");
-    const QString plainType = kind == CallKind::OnceOnly ? QStringLiteral("unsafe")
-                                                         : QStringLiteral("safe");
+    const QString plainType =
+            kind == CallKind::OnceOnly ? QStringLiteral("unsafe") : QStringLiteral("safe");
     QJsonObject route{
             {QStringLiteral("name"), name},
             {QStringLiteral("host"), QStringLiteral("soak.example")},
@@ -121,11 +121,10 @@
     milliseconds shortest = milliseconds::max();
     for (std::size_t index = 0; index < this->written.size(); ++index) {
         const bool isLast = index + 1 == this->written.size();
-        const bool isOver =
-                !isLast && this->written[index + 1].writtenAt + applyTime < begin;
+        const bool isOver = !isLast && this->written[index + 1].writtenAt + applyTime < begin;
         if (!isOver && this->written[index].writtenAt <= end)
-            shortest = std::min(shortest,
-                                this->timeoutOf(kind, this->written[index].streamTimeout));
+            shortest =
+                    std::min(shortest, this->timeoutOf(kind, this->written[index].streamTimeout));
     }
     return shortest;
 }
--- a/tests/platform-soak/fleet/SoakFleet.cpp
+++ b/tests/platform-soak/fleet/SoakFleet.cpp
@@ -47,8 +47,8 @@
     }
     for (int number = 0; number < this->settings.entryVmCount(); ++number) {
         auto vm = std::make_unique<EntryVm>();
-        vm->process = std::make_unique<VmProcess>(VmProcess::Role::Front, number,
-                                                  this->surroundings());
+        vm->process =
+                std::make_unique<VmProcess>(VmProcess::Role::Front, number, this->surroundings());
         vm->process->start();
         this->loadBalancer.add(*vm->process);
         this->entryVms.push_back(std::move(vm));
--- a/tests/platform-soak/fleet/SoakFleet.h
+++ b/tests/platform-soak/fleet/SoakFleet.h
@@ -18,7 +18,8 @@
 
 class ReplicaProcess;
 
-/** The store, the records VMs, the entry VMs and the replicas of a run, and what is done to them. */
+/** The store, the records VMs, the entry VMs and the replicas of a run, and what is done to them.
+ */
 class SoakFleet
 {
 public:
--- a/tests/platform-soak/fleet/VmProcess.cpp
+++ b/tests/platform-soak/fleet/VmProcess.cpp
@@ -67,8 +67,7 @@
 
 QString VmProcess::path(const char *suffix) const
 {
-    return this->surroundings.folder + u'/' + QString::fromLatin1(this->vm)
-           + QLatin1String(suffix);
+    return this->surroundings.folder + u'/' + QString::fromLatin1(this->vm) + QLatin1String(suffix);
 }
 
 void VmProcess::writeSettings() const
@@ -94,15 +93,14 @@
             {QStringLiteral("listen"), isFront ? listeners : QJsonObject()},
             {QStringLiteral("internalPortRange"), QJsonArray{20010, 20025}},
             {QStringLiteral("bootstrap"), !this->wasStarted},
-            {QStringLiteral("limits"), QJsonObject{{QStringLiteral("maxFds"), 4100},
-                                                   {QStringLiteral("memoryMb"), 140}}},
+            {QStringLiteral("limits"),
+             QJsonObject{{QStringLiteral("maxFds"), 4100}, {QStringLiteral("memoryMb"), 140}}},
             {QStringLiteral("faultTolerance"), QJsonObject{{QStringLiteral("machines"), 1}}},
-            {QStringLiteral("bounds"), QJsonObject{{QStringLiteral("graceS"), 8},
-                                                   {QStringLiteral("drainMs"), 2000}}},
+            {QStringLiteral("bounds"),
+             QJsonObject{{QStringLiteral("graceS"), 8}, {QStringLiteral("drainMs"), 2000}}},
             {QStringLiteral("provider"),
-             QJsonObject{{QStringLiteral("address"),
-                          endpoint(QHostAddress(QHostAddress::LocalHost),
-                                   this->surroundings.storePort)}}}};
+             QJsonObject{{QStringLiteral("address"), endpoint(QHostAddress(QHostAddress::LocalHost),
+                                                              this->surroundings.storePort)}}}};
     if (!isFront)
         result.insert(QStringLiteral("dataDir"), this->path(".data"));
     return result;
--- a/tests/platform-soak/main.cpp
+++ b/tests/platform-soak/main.cpp
@@ -58,8 +58,7 @@
     QTemporaryDir directory;
     directory.setAutoRemove(false); // also when the run ends with an exception
     std::cout << "logs: " << directory.path().toStdString() << std::endl;
-    const bool isKept =
-            SoakRun(settingsFrom(arguments, directory.path())).perform().empty();
+    const bool isKept = SoakRun(settingsFrom(arguments, directory.path())).perform().empty();
     if (isKept && arguments.count("keep") == 0)
         directory.remove();
     return isKept ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/tests/platform-soak/plan/PlanStep.cpp
+++ b/tests/platform-soak/plan/PlanStep.cpp
@@ -28,7 +28,8 @@
     case StepKind::Leave:
         return QStringLiteral("%1 s: a replica of %2 leaves, %3")
                 .arg(time, serviceName,
-                     this->isAnnounced ? QStringLiteral("draining") : QStringLiteral("unannounced"));
+                     this->isAnnounced ? QStringLiteral("draining")
+                                       : QStringLiteral("unannounced"));
     case StepKind::StopVm:
         return QStringLiteral("%1 s: planned stop of entry VM %2").arg(time).arg(this->vm);
     }
--- a/tests/platform-soak/plan/SoakPlan.cpp
+++ b/tests/platform-soak/plan/SoakPlan.cpp
@@ -11,7 +11,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds firstStep{3000};
-constexpr milliseconds calmEnd{6000};     // the last calls end undisturbed
+constexpr milliseconds calmEnd{6000};       // the last calls end undisturbed
 constexpr milliseconds stopInterval{14000}; // a stop takes up to 8 s, and the start a few
 
 } // namespace
@@ -76,8 +76,8 @@
     silence.at = at;
     silence.service = services()[static_cast<std::size_t>(this->draw(0, 5) % 3)];
     silence.allReplicas = this->draw(1, 3) > 1;
-    silence.duration = milliseconds(this->draw(1, 6) == 1 ? this->draw(2000, 2500)
-                                                          : this->draw(1000, 1300));
+    silence.duration =
+            milliseconds(this->draw(1, 6) == 1 ? this->draw(2000, 2500) : this->draw(1000, 1300));
     return silence;
 }
 
@@ -90,6 +90,11 @@
         stop.at = at;
         stop.vm = this->draw(0, vmCount - 1);
         this->planned.push_back(stop);
+        if (this->draw(1, 3) > 1)
+            continue;
+        stop.at += milliseconds(this->draw(300, 6000));
+        stop.vm = (stop.vm + 1) % vmCount;
+        this->planned.push_back(stop);
     }
 }
 
