--- a/tests/platform-soak/plan/PlanStep.cpp
+++ b/tests/platform-soak/plan/PlanStep.cpp
@@ -32,6 +32,11 @@
                                        : QStringLiteral("unannounced"));
     case StepKind::StopVm:
         return QStringLiteral("%1 s: planned stop of entry VM %2").arg(time).arg(this->vm);
+    case StepKind::PauseVm:
+        return QStringLiteral("%1 s: entry VM %2 is paused for %3 ms")
+                .arg(time)
+                .arg(this->vm)
+                .arg(this->duration.count());
     }
     return {};
 }
--- a/tests/platform-soak/plan/SoakPlan.cpp
+++ b/tests/platform-soak/plan/SoakPlan.cpp
@@ -23,6 +23,7 @@
     this->drawLimits();
     this->drawSilences(end);
     this->drawStops(end, settings.entryVmCount());
+    this->drawPauses(end, settings.entryVmCount());
     std::stable_sort(
             this->planned.begin(), this->planned.end(),
             [](const PlanStep &left, const PlanStep &right) { return left.at < right.at; });
@@ -98,6 +99,19 @@
     }
 }
 
+void SoakPlan::drawPauses(milliseconds end, int vmCount)
+{
+    for (milliseconds at = firstStep + milliseconds(this->draw(0, 12000)); at < end;
+         at += milliseconds(this->draw(10000, 18000))) {
+        PlanStep pause;
+        pause.kind = StepKind::PauseVm;
+        pause.at = at;
+        pause.vm = this->draw(0, vmCount - 1);
+        pause.duration = milliseconds(this->draw(300, 1500));
+        this->planned.push_back(pause);
+    }
+}
+
 int SoakPlan::draw(int least, int most)
 {
     return std::uniform_int_distribution<int>(least, most)(this->random);
--- a/tests/platform-soak/plan/SoakPlan.h
+++ b/tests/platform-soak/plan/SoakPlan.h
@@ -43,6 +43,7 @@
 private:
     void drawLimits();
     void drawSilences(std::chrono::milliseconds end);
+    void drawPauses(std::chrono::milliseconds end, int vmCount);
     void drawStops(std::chrono::milliseconds end, int vmCount);
     [[nodiscard]] PlanStep drawSilence(std::chrono::milliseconds at);
     [[nodiscard]] int draw(int least, int most);
