--- a/standins/platform-replica/PlatformReplica.cpp
+++ b/standins/platform-replica/PlatformReplica.cpp
@@ -134,6 +134,7 @@
     ReplicaCall::Head head;
     head.run = this->settings.id + '.' + QByteArray::number(++this->runCount);
     head.closes = this->isLeaving;
+    head.closesAtDeadline = this->settings.closesAtDeadline;
     const auto seconds = std::chrono::floor<std::chrono::seconds>(this->settings.idleTimeout);
     head.fields = "Lacewingmux-Server-Load: " + QByteArray::number(this->runningCalls() + 1) + ",0,"
                   + QByteArray::number(this->settings.slotCount) + "\r\nKeep-Alive: timeout="
--- a/standins/platform-replica/PlatformReplicaSettings.h
+++ b/standins/platform-replica/PlatformReplicaSettings.h
@@ -16,6 +16,7 @@
     int connectionLimit = 360; ///< further connections are reset
     int slotCount = 64;
     std::chrono::milliseconds idleTimeout{10000};
+    bool closesAtDeadline = false; ///< in order; otherwise a run at its deadline is reset
 };
 
 } // namespace lacewingmux::standin
--- a/standins/platform-replica/ReplicaCall.cpp
+++ b/standins/platform-replica/ReplicaCall.cpp
@@ -105,8 +105,7 @@
 
 void ReplicaCall::expire()
 {
-    // An orderly close would mark the end of a stream that ends with its connection.
-    this->end("expired", Connection::Reset);
+    this->end("expired", this->head.closesAtDeadline ? Connection::Closed : Connection::Reset);
 }
 
 void ReplicaCall::end(const char *outcome, Connection connection)
--- a/standins/platform-replica/ReplicaCall.h
+++ b/standins/platform-replica/ReplicaCall.h
@@ -30,6 +30,7 @@
         QByteArray run;    ///< unique among all replicas
         QByteArray fields; ///< lines of further header fields
         bool closes = false;
+        bool closesAtDeadline = false; ///< in order
     };
 
     /** What becomes of the connection after a run. */
--- a/standins/platform-replica/main.cpp
+++ b/standins/platform-replica/main.cpp
@@ -26,6 +26,7 @@
     add("max-connections", "connections beyond are reset",
         cxxopts::value<int>()->default_value("360"));
     add("idle-ms", "time of an idle connection", cxxopts::value<int>()->default_value("10000"));
+    add("close-at-deadline", "close in order at a request's deadline, in place of a reset");
     add("help", "show this text");
     return options;
 }
@@ -38,6 +39,7 @@
     settings.backlog = arguments["backlog"].as<int>();
     settings.connectionLimit = arguments["max-connections"].as<int>();
     settings.idleTimeout = std::chrono::milliseconds(arguments["idle-ms"].as<int>());
+    settings.closesAtDeadline = arguments.count("close-at-deadline") > 0;
     return settings;
 }
 
--- a/tests/platform-soak/SoakRun.cpp
+++ b/tests/platform-soak/SoakRun.cpp
@@ -60,7 +60,8 @@
     for (const SoakPlan::ReplicaLimits &limits : this->plan.replicaLimits())
         std::cout << "  " << limits.service.toStdString() << ": backlog " << limits.backlog
                   << ", at most " << limits.connectionLimit << " connections, idle for "
-                  << limits.idleTimeout.count() << " ms\n";
+                  << limits.idleTimeout.count() << " ms, runs at their deadline are "
+                  << (limits.closesAtDeadline ? "closed" : "reset") << '\n';
     for (const PlanStep &step : this->plan.steps())
         std::cout << "  " << step.text().toStdString() << '\n';
     std::cout << std::flush;
--- a/tests/platform-soak/callers/SoakCaller.cpp
+++ b/tests/platform-soak/callers/SoakCaller.cpp
@@ -74,7 +74,7 @@
     next.deadline = milliseconds(5000);
     next.pace = milliseconds(this->draw(25, 150));
     next.events = std::max(2, this->draw(500, 3500) / static_cast<int>(next.pace.count()));
-    next.endsAtClose = this->draw(1, 6) == 1;
+    next.endsAtClose = this->draw(1, 3) == 1;
     return next;
 }
 
--- a/tests/platform-soak/checks/SoakRecords.cpp
+++ b/tests/platform-soak/checks/SoakRecords.cpp
@@ -65,11 +65,15 @@
     return found == this->runs.end() ? none : found->second;
 }
 
+milliseconds SoakRecords::timeOf(const CallRecord &call) const
+{
+    return std::min(call.deadline,
+                    this->configuration.shortestTimeout(call.kind, call.sentAt, call.endedAt));
+}
+
 bool SoakRecords::timeWasUp(const CallRecord &call) const
 {
-    const milliseconds routeTimeout =
-            this->configuration.shortestTimeout(call.kind, call.sentAt, call.endedAt);
-    return call.duration() + timeTolerance >= std::min(call.deadline, routeTimeout);
+    return call.duration() + timeTolerance >= this->timeOf(call);
 }
 
 QString SoakRecords::describe(const CallRecord &call) const
--- a/tests/platform-soak/checks/SoakRecords.h
+++ b/tests/platform-soak/checks/SoakRecords.h
@@ -25,6 +25,9 @@
     /** Returns the runs of a request, in no particular order. */
     [[nodiscard]] const std::vector<ReplicaRun> &runsOf(const QByteArray &request) const;
 
+    /** Returns the time within which the call had to be answered. */
+    [[nodiscard]] std::chrono::milliseconds timeOf(const CallRecord &call) const;
+
     /** Returns whether the call's own time or its route's was up at its end. */
     [[nodiscard]] bool timeWasUp(const CallRecord &call) const;
 
--- a/tests/platform-soak/fleet/ReplicaProcess.cpp
+++ b/tests/platform-soak/fleet/ReplicaProcess.cpp
@@ -25,16 +25,18 @@
     , replicaLimits(std::move(limits))
 {
     const QString name = QString::fromLatin1(this->id);
-    const QStringList arguments{QStringLiteral("--id"),
-                                name,
-                                QStringLiteral("--log"),
-                                folder + u'/' + name + QStringLiteral(".runs"),
-                                QStringLiteral("--backlog"),
-                                QString::number(this->replicaLimits.backlog),
-                                QStringLiteral("--max-connections"),
-                                QString::number(this->replicaLimits.connectionLimit),
-                                QStringLiteral("--idle-ms"),
-                                QString::number(this->replicaLimits.idleTimeout.count())};
+    QStringList arguments{QStringLiteral("--id"),
+                          name,
+                          QStringLiteral("--log"),
+                          folder + u'/' + name + QStringLiteral(".runs"),
+                          QStringLiteral("--backlog"),
+                          QString::number(this->replicaLimits.backlog),
+                          QStringLiteral("--max-connections"),
+                          QString::number(this->replicaLimits.connectionLimit),
+                          QStringLiteral("--idle-ms"),
+                          QString::number(this->replicaLimits.idleTimeout.count())};
+    if (this->replicaLimits.closesAtDeadline)
+        arguments.append(QStringLiteral("--close-at-deadline"));
     this->managed = std::make_unique<standin::ManagedProcess>(
             binaryFolder + QStringLiteral("/lacewingmux-standin-platform-replica"), arguments,
             folder + u'/' + name + QStringLiteral(".errors"));
--- a/tests/platform-soak/fleet/SoakConfiguration.cpp
+++ b/tests/platform-soak/fleet/SoakConfiguration.cpp
@@ -29,7 +29,7 @@
         this->idleTimeout = milliseconds(this->draw(3000, 8000));
         break;
     case Change::Timeout:
-        this->streamTimeout = milliseconds(this->draw(4000, 6000));
+        this->streamTimeout = milliseconds(this->draw(3000, 6000));
         break;
     case Change::Route:
         this->streamsAreExchanged = this->draw(0, 1) == 1;
--- a/tests/platform-soak/plan/SoakPlan.cpp
+++ b/tests/platform-soak/plan/SoakPlan.cpp
@@ -46,6 +46,7 @@
         if (this->draw(1, 4) == 1)
             next.connectionLimit = this->draw(10, 16);
         next.idleTimeout = milliseconds(this->draw(1, 3) == 1 ? 1500 : 10000);
+        next.closesAtDeadline = this->draw(0, 1) == 1;
         this->limits.push_back(next);
     }
 }
--- a/tests/platform-soak/plan/SoakPlan.h
+++ b/tests/platform-soak/plan/SoakPlan.h
@@ -22,6 +22,7 @@
         int backlog = 128;
         int connectionLimit = 360;
         std::chrono::milliseconds idleTimeout{10000};
+        bool closesAtDeadline = false; ///< in order; otherwise a run at its deadline is reset
     };
 
     explicit SoakPlan(const SoakSettings &settings);
