--- a/tests/platform-soak/fleet/SoakFleet.cpp
+++ b/tests/platform-soak/fleet/SoakFleet.cpp
@@ -122,6 +122,7 @@
 
 void SoakFleet::leave(const PlanStep &step)
 {
+    // There is always one, as another replica is started for each one that leaves.
     const auto found = std::find_if(
             this->replicas.begin(), this->replicas.end(), [&step](const auto &replica) {
                 return replica->service() == step.service && !replica->hasLeft;
--- a/tests/platform-soak/plan/PlanStep.h
+++ b/tests/platform-soak/plan/PlanStep.h
@@ -9,6 +9,7 @@
 
 namespace lacewingmux::soak {
 
+/** What a step does to the fleet. */
 enum class StepKind : std::uint8_t {
     Silence,   ///< stop replicas of a service for a while (SIGSTOP, SIGCONT)
     Configure, ///< write a version of the configuration
@@ -17,7 +18,7 @@
     PauseVm    ///< stop the process of an entry VM for a while (SIGSTOP, SIGCONT)
 };
 
-/** The limits of configuration that a version may change. */
+/** What a version of the configuration changes. */
 enum class Change : std::uint8_t { Idle, Timeout, Route };
 
 /** One step of a plan. */
