--- a/tests/platform-soak/callers/SoakCaller.cpp
+++ b/tests/platform-soak/callers/SoakCaller.cpp
@@ -172,7 +172,7 @@
         this->handleNotConnected();
         return;
     }
-    if (inOrder) {
+    if (inOrder && this->decoder->state() != DecodeState::Empty) {
         this->decoder->appendEnd();
         this->takeAnswer();
     }
