Let the silent calls of a replica share one probe per interval

What callers saw: by itself nothing.

Cause: each call probes its replica after every 600 ms without a byte. Only attempts in progress were shared; one that connects or is refused ends at once, so that each call made its own.

Evidence, on the code before: probe_count/many_silent_calls_of_a_replica_share_its_probes fails: 80 probes of one replica in 1.7 s for 40 silent calls. Each takes a place in its queue and among its connections, and is a new connection to it.

Change: a call takes the result of a probe that ended less than 500 ms ago by the same way.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
@@ -232,15 +232,15 @@
 {
     if (std::exchange(this->attempt.probing, true))
         return;
-    this->context.fleet.probe(this->attempt.replica, this->attempt.connection->tunnel(),
-                              [weakSelf = this->weak_from_this(),
-                               number = this->attempt.number](ConnectResult result) {
-                                  const auto self = weakSelf.lock();
-                                  if (!self || self->attempt.number != number)
-                                      return;
-                                  self->attempt.probing = false;
-                                  self->attempt.probeResult = result;
-                              });
+    this->context.fleet.probeSilent(this->attempt.replica, this->attempt.connection->tunnel(),
+                                    [weakSelf = this->weak_from_this(),
+                                     number = this->attempt.number](ConnectResult result) {
+                                        const auto self = weakSelf.lock();
+                                        if (!self || self->attempt.number != number)
+                                            return;
+                                        self->attempt.probing = false;
+                                        self->attempt.probeResult = result;
+                                    });
 }
 
 void ForwardedCall::handleNotConnected(const std::shared_ptr<const TunnelUse> &tunnel)
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -326,9 +326,23 @@
                 [this, key](ConnectResult result) { this->finishProbe(key, result); });
 }
 
+void ReplicaFleet::probeSilent(const QByteArray &id, const std::shared_ptr<const TunnelUse> &tunnel,
+                               std::function<void(ConnectResult)> callback)
+{
+    const auto recent = this->endedProbes.find({id, tunnel ? tunnel->endpoint().vm : QString()});
+    if (recent == this->endedProbes.end()
+        || this->timers.now() - recent->second.time >= probeInterval) {
+        this->probe(id, tunnel, std::move(callback));
+        return;
+    }
+    this->timers.post(
+            [callback = std::move(callback), result = recent->second.result] { callback(result); });
+}
+
 void ReplicaFleet::finishProbe(const ProbeKey &key, ConnectResult result)
 {
     auto entry = this->probes.extract(key);
+    this->endedProbes[entry.key()] = {this->timers.now(), result};
     const auto &[id, tunnelVm] = entry.key();
     if (tunnelVm.isEmpty())
         this->handleDirectProbe(id, result);
@@ -377,6 +391,9 @@
                                              return !this->isReusable(*connection);
                                          }),
                           connections.end());
+    std::erase_if(this->endedProbes, [now = this->timers.now()](const auto &ended) {
+        return now - ended.second.time >= probeInterval;
+    });
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
@@ -126,6 +126,11 @@
     void probe(const QByteArray &id, const std::shared_ptr<const TunnelUse> &tunnel,
                std::function<void(ConnectResult)> callback);
 
+    /** The same for one of many calls of a silent replica: they share one attempt per interval, as
+        each one takes a place in the replica's queue of new connections. */
+    void probeSilent(const QByteArray &id, const std::shared_ptr<const TunnelUse> &tunnel,
+                     std::function<void(ConnectResult)> callback);
+
     /** Returns a connection to the incarnation with this start time after its exchange. It is
        pooled if it is reusable and that incarnation still accepts calls. */
     void release(const QByteArray &id, std::int64_t startMilliseconds,
@@ -141,6 +146,12 @@
         std::vector<std::function<void(ConnectResult)>> waiting;
     };
 
+    struct EndedProbe
+    {
+        TimerService::SteadyTime time;
+        ConnectResult result;
+    };
+
     using ProbeKey = std::pair<QByteArray, QString>; ///< instance, and VM of the tunnel if any
 
     [[nodiscard]] StreamRoute routeTo(const ReplicaInstance &replica,
@@ -173,7 +184,8 @@
     QHash<QByteArray, ConnectionList> idle; ///< by instance, most recently used last
     TunnelDirectory tunnels;
     QByteArray secret;
-    std::map<ProbeKey, Probe> probes;       ///< in progress
+    std::map<ProbeKey, Probe> probes; ///< in progress
+    std::map<ProbeKey, EndedProbe> endedProbes;
     std::map<QByteArray, bool> unreachable; ///< directly; whether a tunnel reaches the instance
     TimerService::SteadyTime lastDirectContact;
     QByteArray lastProbed;                 ///< of the unreachable instances
