Take each error of a dead connection for its loss

By reading (review): the system reports a connection that is no longer acknowledged by the last error of the network, for instance that the host is unreachable, in place of the timeout. The attempt then counted as closed by the replica: as an attempt of the route, and as a sign of a crash.

Change: only an end that the peer caused, in order or by a reset, counts as closed.

No test has such an error.

--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -155,10 +155,11 @@
         }
     }
     this->broken = true;
+    // The system reports the end of a dead connection by the last error of the network, if any.
     if (this->busy)
-        this->fail(this->socket->error() == QAbstractSocket::SocketTimeoutError
-                           ? this->lossFailure()
-                           : ExchangeFailure::Closed);
+        this->fail(this->socket->error() == QAbstractSocket::RemoteHostClosedError
+                           ? ExchangeFailure::Closed
+                           : this->lossFailure());
 }
 
 void ReplicaConnection::handlePeerLost()
