Do not take one lost segment for the loss of a peer

Evidence: plain sockets with a closed window, all packets dropped around one probe, the decision of PeerMonitor replayed: lost after 7.15 s with one unanswered probe; with this change no loss, acknowledged again at 13.7 s. Without the drop neither.

Change: something must have been sent at least twice without an acknowledgement.

Measured: closed_window, silent_replica and tunnel pass; the tests of dead connections still end before their time.

--- a/modules/lacewingmux_tunnel/sockets/PeerMonitor.cpp
+++ b/modules/lacewingmux_tunnel/sockets/PeerMonitor.cpp
@@ -17,6 +17,8 @@
 
 using std::chrono::milliseconds;
 
+// A single segment or its acknowledgement may be lost on the way.
+constexpr int minimumUnanswered = 2;
 // The system may have sent the only probe of a long interval just before a check.
 constexpr milliseconds confirmationDelay{300};
 
@@ -50,7 +52,9 @@
         return false;
     contact.age =
             milliseconds(std::min(information.tcpi_last_ack_recv, information.tcpi_last_data_recv));
-    contact.awaited = information.tcpi_unacked > 0 || information.tcpi_probes > 0;
+    const bool unacknowledged =
+            information.tcpi_unacked > 0 && information.tcpi_retransmits >= minimumUnanswered;
+    contact.awaited = unacknowledged || information.tcpi_probes >= minimumUnanswered;
     return true;
 }
 
--- a/modules/lacewingmux_tunnel/sockets/PeerMonitor.h
+++ b/modules/lacewingmux_tunnel/sockets/PeerMonitor.h
@@ -33,7 +33,7 @@
     struct Contact
     {
         std::chrono::milliseconds age{0}; ///< since the last acknowledgement or data of the peer
-        bool awaited = false;             ///< something that was sent is not acknowledged yet
+        bool awaited = false; ///< something was sent more than once without an acknowledgement
     };
 
     [[nodiscard]] bool readContact(Contact &contact) const;
