Keep TCP_USER_TIMEOUT where the system does not fill in TCP_INFO

The check whether the system tells of a connection looked at the call's result alone. A system that answers with zeros looks like a peer that acknowledges all the time, and the connection's loss was not noticed until its call's deadline.

Change: a connection without a state counts as not known.

--- a/modules/lacewingmux_tunnel/sockets/PeerMonitor.cpp
+++ b/modules/lacewingmux_tunnel/sockets/PeerMonitor.cpp
@@ -48,8 +48,8 @@
     if (::getsockopt(static_cast<int>(this->socket.socketDescriptor()), IPPROTO_TCP, TCP_INFO,
                      &information, &length)
                 != 0
-        || length < sizeof information)
-        return false;
+        || length < sizeof information || information.tcpi_state == 0)
+        return false; // not known, or not filled in
     contact.age =
             milliseconds(std::min(information.tcpi_last_ack_recv, information.tcpi_last_data_recv));
     const bool unacknowledged =
