Log how an answer that ends with its connection ended, and why a whole one was not passed on

The hypotheses of docs/incidents/second-answer-in-a-framed-stream.md could not be distinguished: attemptEnded had no line for a first attempt that was passed on as whole because its connection closed, did not name the VM of a tunnel, and named a complete answer that was not passed on 'complete'.

Change: attemptEnded is written for each complete answer that ends with its connection, names the tunnel's VM and the bytes read behind the answer, and has the reason as its outcome, as has lacewingmux_replica_attempts_total. No decision changes.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -152,16 +152,19 @@
 {
     if (!this->deliverHeldEvents())
         return;
-    this->logAttempt(ReplicaAttempt::complete);
     this->attempt.trailing = this->attempt.connection->trailingBytes();
+    const bool rejected = this->isRejected();
+    const char *fault =
+            rejected ? nullptr
+                     : faultOf(this->attempt, this->delivered.isStarted(), this->context.dialect);
+    this->logAttempt(fault != nullptr ? fault : ReplicaAttempt::complete);
     this->releaseConnection();
     this->context.fleet.placement().callEnded(this->attempt.replica);
-    if (this->isRejected()) {
+    if (rejected) {
         this->handleRejection();
         return;
     }
-    if (const char *fault =
-                faultOf(this->attempt, this->delivered.isStarted(), this->context.dialect)) {
+    if (fault != nullptr) {
         this->context.fleet.placement().recordFailure(this->attempt.replica, this->now());
         this->excludedInstances.push_back(this->attempt.replica);
         this->continueElsewhere(fault);
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallLog.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallLog.cpp
@@ -55,11 +55,14 @@
         this->context.metrics.count("lacewingmux_discarded_responses_total", {}, discarded);
     const std::string_view name = outcome;
     const bool isUsual = name == ReplicaAttempt::complete || name == ReplicaAttempt::cancelled;
-    if (isUsual && this->attempt.number == 1 && cutBytes == 0 && discarded == 0)
+    // Nothing but the end of its connection shows that such a response is whole.
+    const bool endsAtClose = name == ReplicaAttempt::complete && this->attempt.head.bodyEndsAtClose;
+    if (isUsual && this->attempt.number == 1 && cutBytes == 0 && discarded == 0 && !endsAtClose)
         return;
     const auto silence = std::chrono::floor<milliseconds>(this->now() - this->attempt.lastActivity);
-    LogEvent(LogSeverity::Info, "attemptEnded")
-            .field("request", this->description.requestId)
+    const auto &tunnel = this->attempt.connection->tunnel();
+    LogEvent line(LogSeverity::Info, "attemptEnded");
+    line.field("request", this->description.requestId)
             .field("attempt", this->attempt.number)
             .field("replica", this->attempt.replica)
             .field("started", static_cast<qint64>(this->attempt.startMilliseconds))
@@ -73,8 +76,11 @@
             .field("cutBytes", static_cast<qint64>(cutBytes))
             .field("exchange", this->attempt.connection->exchangeCount())
             .field("discarded", discarded)
+            .field("trailingBytes", static_cast<qint64>(this->attempt.trailing.size()))
             .field("silentFor", static_cast<qint64>(silence.count()))
             .field("probe", describe(this->attempt.probeResult));
+    if (tunnel)
+        line.field("tunnel", tunnel->endpoint().vm);
 }
 
 void ForwardedCall::recordOutcome(const char *outcome) const
