Do not complete a cut answer by the first part, or the whole, of another one

Evidence: on the code before, cut_answer/is_not_completed_by_the_first_part_of_a_late_one and by_the_whole_of_a_late_one fail.

Change: a body that ends like the beginning of a response is held back for 20 ms, so that the rest can arrive; if it continues that head, the answer is not passed on. Nor is one that ends with a whole response to a request that its connection has carried. Bodies that end like a head with nothing behind them, and those that quote other responses, are passed on.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -129,6 +129,10 @@
     void recordLoadReport();
     void handleBody(const QByteArray &bytes);
     void handleComplete();
+    /** Waits for bytes behind a complete body that ends like the beginning of a response: if it was
+        cut and filled up by another response, the rest of that one follows. Returns whether the
+        end of the response is still to be handled. */
+    [[nodiscard]] bool awaitTrailingBytes();
     /** Tells whether the replica may have given up the call at its deadline. The end of a
        connection that also ends the body does not say whether the body is complete. */
     [[nodiscard]] bool mayHaveExpiredAtReplica() const;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -6,6 +6,7 @@
 #include "lacewingmux_gateway/forwarding/TeamQuota.h"
 #include "lacewingmux_gateway/forwarding/TurnStore.h"
 #include "lacewingmux_gateway/http/HttpText.h"
+#include "lacewingmux_gateway/http/ResponseSearch.h"
 #include "lacewingmux_gateway/ingress/IngressConnection.h"
 #include "lacewingmux_gateway/replicas/ReplicaConnection.h"
 #include "lacewingmux_gateway/replicas/ReplicaFleet.h"
@@ -39,6 +40,9 @@
 constexpr milliseconds keepAliveMargin{500}; // for the latency of the response and the next request
 constexpr const char *turnNotKept = "the turn could not be kept";
 
+// Between two parts of one write that the network has split.
+constexpr milliseconds splitWriteTime{20};
+
 // Replicas measure the time that they are given with timers of their own.
 constexpr milliseconds replicaClockTolerance{10};
 
@@ -149,6 +153,8 @@
     if (!this->deliverHeldEvents())
         return;
     this->attempt.trailing = this->attempt.connection->trailingBytes();
+    if (this->awaitTrailingBytes())
+        return;
     const bool rejected = this->isRejected();
     const char *fault =
             rejected ? nullptr
@@ -183,6 +189,18 @@
     this->forwardResponse();
 }
 
+bool ForwardedCall::awaitTrailingBytes()
+{
+    const bool mayBeCut = !this->attempt.isStream && !this->attempt.head.bodyEndsAtClose
+                          && this->attempt.trailing.isEmpty()
+                          && endsWithinHead(this->attempt.body, {});
+    if (!mayBeCut || std::exchange(this->attempt.awaitedTrailing, true))
+        return false;
+    this->attempt.activityTimer =
+            this->context.timers.after(splitWriteTime, [this] { this->handleComplete(); });
+    return true;
+}
+
 bool ForwardedCall::mayHaveExpiredAtReplica() const
 {
     return this->attempt.head.bodyEndsAtClose
--- a/modules/lacewingmux_gateway/forwarding/ReplicaAttempt.h
+++ b/modules/lacewingmux_gateway/forwarding/ReplicaAttempt.h
@@ -41,6 +41,7 @@
     bool isInvalidResponse = false; ///< a success that must not be forwarded
     QByteArray body;                ///< of a response that is not streamed
     QByteArray trailing;            ///< bytes that were read behind the response
+    bool awaitedTrailing = false;   ///< there was time for such bytes to arrive
     EventStreamParser eventParser;
 
     std::int64_t events = 0;      ///< complete events with data
--- a/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
@@ -4,6 +4,7 @@
 #include "lacewingmux_gateway/forwarding/ReplicaAttempt.h"
 #include "lacewingmux_gateway/http/ResponseDecoder.h"
 #include "lacewingmux_gateway/http/ResponseSearch.h"
+#include "lacewingmux_gateway/replicas/ReplicaConnection.h"
 
 namespace lacewingmux {
 
@@ -32,13 +33,19 @@
     return attempt.events == 0 && (attempt.head.bodyEndsAtClose || !attempt.resumesStream);
 }
 
-/** Tells whether the response with which the bytes begin ends behind them. */
-bool continuesBehind(const QByteArray &bytes)
+/** Tells whether the response with which the bytes begin ends behind them; or with them, and
+   answers a request that the connection of the attempt has carried. */
+bool reachesEnd(const QByteArray &bytes, const ReplicaAttempt &attempt, const CallDialect &dialect)
 {
     ResponseDecoder decoder(false);
     decoder.append(bytes);
-    return decoder.state() < DecodeState::Body
-           || (decoder.state() == DecodeState::Body && !decoder.head().bodyEndsAtClose);
+    if (decoder.state() < DecodeState::Body)
+        return true;
+    const bool endsBehind = decoder.state() == DecodeState::Body && !decoder.head().bodyEndsAtClose;
+    if (endsBehind || !decoder.takeTrailingBytes().isEmpty())
+        return endsBehind;
+    const QByteArray id = dialect.parseResponse(decoder.head()).requestId;
+    return !id.isEmpty() && attempt.connection && !attempt.connection->distinguishes(id);
 }
 
 /** Returns the position, at or behind the given one, at which the head of a replica's response
@@ -62,11 +69,11 @@
     qsizetype start = findReplicaResponse(text, dialect);
     for (int found = 0; start >= 0 && start < body.size() && found < maximumQuotedResponses;
          ++found) {
-        if (attempt.head.bodyEndsAtClose || continuesBehind(body.mid(start)))
+        if (attempt.head.bodyEndsAtClose || reachesEnd(body.mid(start), attempt, dialect))
             return true;
         start = findReplicaResponse(text, dialect, start + 1);
     }
-    return false;
+    return !attempt.trailing.isEmpty() && endsWithinHead(body, attempt.trailing);
 }
 
 } // namespace
--- a/modules/lacewingmux_gateway/http/ResponseSearch.h
+++ b/modules/lacewingmux_gateway/http/ResponseSearch.h
@@ -15,4 +15,8 @@
                                      const std::function<bool(const HttpResponseHead &)> &predicate,
                                      qsizetype from = 0);
 
+/** Tells whether the bytes end within the head of a response, and those that follow, which may be
+    none yet, continue it. Considers only the last 4096 bytes. */
+[[nodiscard]] bool endsWithinHead(const QByteArray &bytes, const QByteArray &following);
+
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -182,6 +182,7 @@
     if (bytes.isEmpty())
         return;
     if (!this->busy) {
+        this->trailing += bytes;
         this->abort(); // unsolicited bytes
         return;
     }
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
@@ -85,7 +85,8 @@
         return this->discarded;
     }
 
-    /** Returns the bytes that were read behind the response of the last exchange. */
+    /** Returns the bytes that were read behind the response of the last exchange, with it or
+        later. */
     [[nodiscard]] const QByteArray &trailingBytes() const noexcept
     {
         return this->trailing;
--- a/tests/gateway/CutAnswerTest.cpp
+++ b/tests/gateway/CutAnswerTest.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <chrono>
+
 using namespace lacewingmux;
 
 namespace {
@@ -14,12 +16,18 @@
 }
 
 /** Returns what the caller of request r2 gets when the replica writes the text for it, on a
-    connection that has carried request r1. */
-QByteArray responseTo(const QByteArray &text)
+    connection that has carried request r1, and some time later the rest. */
+QByteArray responseTo(const QByteArray &text, const QByteArray &rest = {})
 {
     int requests = 0;
     GatewayFixture fixture(1, [&](const auto &, const auto &exchange) {
-        exchange.write(++requests == 1 ? answerTo("r1", "first") : text);
+        if (++requests == 1) {
+            exchange.write(answerTo("r1", "first"));
+            return;
+        }
+        exchange.writeNow(text);
+        if (!rest.isEmpty())
+            exchange.writeAfter(std::chrono::milliseconds(5), rest);
     });
     QByteArray response;
     for (const char *id : {"r1", "r2"}) {
@@ -46,6 +54,40 @@
     }
 }
 
+// What the network splits arrives in parts: the body is complete before the late head is.
+Test(cut_answer, is_not_completed_by_the_first_part_of_a_late_one)
+{
+    const QByteArray late = answerTo("r1", "first");
+    const QByteArray own = answerTo("r2", QByteArray(1000, 'o'));
+    for (const qsizetype missing : {1, 2, 5, 7, 8, 9, 12, 15, 16, 17, 18, 40, 100}) {
+        for (const qsizetype more : {0, 3, 30}) {
+            const QByteArray response = responseTo(own.chopped(missing) + late.left(missing + more),
+                                                   late.mid(missing + more));
+            cr_assert(response.startsWith("HTTP/1.1 502"), "%d bytes missing, %d more: %s",
+                      static_cast<int>(missing), static_cast<int>(more), response.constData());
+        }
+    }
+}
+
+Test(cut_answer, is_not_completed_by_the_whole_of_a_late_one)
+{
+    const QByteArray late = answerTo("r1", "first");
+    const QByteArray response =
+            responseTo(answerTo("r2", QByteArray(1000, 'o')).chopped(late.size()) + late);
+    cr_assert(response.startsWith("HTTP/1.1 502"), "%s", response.constData());
+}
+
+Test(whole_answer, that_ends_with_an_answer_to_another_connections_request_is_passed_on)
+{
+    cr_assert(responseTo(answerTo("r2", "see " + answerTo("r3", "third"))).endsWith("third"));
+}
+
+Test(whole_answer, that_ends_like_the_beginning_of_one_is_passed_on)
+{
+    for (const char *end : {"H", "HTTP", "HTTP/1.1 2", "HTTP/1.1 200 OK\r\nServer: s\r\n"})
+        cr_assert(responseTo(answerTo("r2", QByteArray("see ") + end)).endsWith(end));
+}
+
 Test(whole_answer, that_quotes_another_one_is_passed_on)
 {
     const QByteArray quote = "see " + answerTo("r1", "first") + '.';
