Keep one run of a turn alone where its caller sends it again with the same id

What callers could see: a turn that goes on from another text than the one its caller has.

Cause: a records VM that held a turn acknowledged another record of the same id, though it kept the first one. So the second run ended as kept, while its members hold the first run's output. And a VM cached the history of a turn before the turn was kept: of one that was not, it went on from the output that its caller had seen broken off, while another VM had kept the second.

Change: a records VM acknowledges a turn that it holds already only if team, previous turn, input and output are the same. A run whose record is not acknowledged is broken off at its deadline, as one that too few members keep. A VM caches the history of a turn once it is kept. An old build beside a new one: no message has changed; an old records VM acknowledges as before, and an old VM in front of new ones counts the acknowledgements that it gets.

Not mended: a first run that reached a single member, which was then cut off from the other members and from the VM of the second run. Members compare names, not contents; this needs a digest in the records and the messages.

--- a/modules/lacewingmux_records/client/RecordsClient.h
+++ b/modules/lacewingmux_records/client/RecordsClient.h
@@ -71,6 +71,7 @@
     {
         int group = 0;
         Record record;
+        TimerService::SteadyTime expires;       ///< of the turn's history
         std::set<VmIncarnation> unacknowledged; ///< members whose acknowledgement is awaited
         std::set<VmIncarnation> copies;         ///< members whose acknowledged copy counts
         StoredCallback callback;
@@ -118,6 +119,8 @@
         connected. */
     std::set<VmIncarnation> sendRecord(int group, const Record &record, std::uint64_t correlation);
     void finishWrite(std::uint64_t correlation, bool durable);
+    /** Caches the history of a turn that is kept, if that of the turn before it is cached. */
+    void cacheHistory(const PendingWrite &write);
     [[nodiscard]] OpenTurnMessage openMessage(const PendingOpening &opening) const;
     [[nodiscard]] const RecordsMember *preferredSource(const RecordsView &group) const;
     [[nodiscard]] Record recordOf(const TurnRequest &turn, RecordKind kind,
--- a/modules/lacewingmux_records/client/RecordsClientWrites.cpp
+++ b/modules/lacewingmux_records/client/RecordsClientWrites.cpp
@@ -28,6 +28,7 @@
     write.record.parent = turn.previousTurn;
     write.record.input = input;
     write.record.output = output;
+    write.expires = this->timers.now() + turn.retention;
     write.callback = std::move(callback);
     // In the program's own group, the turn's record also settles the reservation.
     if (write.group != programGroup)
@@ -39,14 +40,6 @@
             this->timers.after(std::max(milliseconds(0), timeLeft),
                                [this, correlation] { this->finishWrite(correlation, false); });
     this->sendWrite(correlation, pendingWrite);
-
-    std::optional<CachedHistory> history = CachedHistory();
-    if (!turn.previousTurn.isEmpty())
-        history = this->cache.find(turn.previousTurn, turn.team, this->timers.now());
-    if (history)
-        this->cache.put(turn.request, turn.team,
-                        {history->bytes + input + output, pendingWrite.group},
-                        this->timers.now() + turn.retention);
 }
 
 void RecordsClient::settle(const TurnRequest &turn, std::int64_t tokens)
@@ -96,13 +89,27 @@
     auto entry = this->pendingWrites.extract(correlation);
     if (entry.empty())
         return;
-    entry.mapped().timeout.cancel();
-    if (!durable)
+    PendingWrite &write = entry.mapped();
+    write.timeout.cancel();
+    if (durable)
+        this->cacheHistory(write); // of one that isn't, another VM may keep another run
+    else
         LogEvent(LogSeverity::Warning, "turnNotKept")
-                .field("request", QString::fromLatin1(entry.mapped().record.key))
-                .field("copies", static_cast<int>(entry.mapped().copies.size()))
+                .field("request", QString::fromLatin1(write.record.key))
+                .field("copies", static_cast<int>(write.copies.size()))
                 .field("view", static_cast<quint64>(this->view.number));
-    entry.mapped().callback(durable);
+    write.callback(durable);
+}
+
+void RecordsClient::cacheHistory(const PendingWrite &write)
+{
+    std::optional<CachedHistory> history = CachedHistory();
+    if (!write.record.parent.isEmpty())
+        history = this->cache.find(write.record.parent, write.record.team, this->timers.now());
+    if (history)
+        this->cache.put(write.record.key, write.record.team,
+                        {history->bytes + write.record.input + write.record.output, write.group},
+                        write.expires);
 }
 
 Record RecordsClient::recordOf(const TurnRequest &turn, RecordKind kind, std::int64_t tokens) const
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -36,6 +36,13 @@
 // intervals between pull requests.
 constexpr milliseconds upToDateWindow{800};
 
+/** Returns whether turns that continue the one or the other go on from the same text. */
+bool haveSameHistory(const Record &record, const Record &other)
+{
+    return record.team == other.team && record.parent == other.parent && record.input == other.input
+           && record.output == other.output;
+}
+
 } // namespace
 
 RecordsServer::RecordsServer(PeerHub &peerHub, DurableLog &durableLog, TimerService &timerService,
@@ -173,9 +180,12 @@
     if (!records || this->refuseOldView(peer, frame))
         return;
     std::uint64_t last = 0;
-    for (const Record &record : *records)
+    bool isOtherRun = false;
+    for (const Record &record : *records) {
+        isOtherRun = isOtherRun || this->holdsOtherRun(record);
         last = std::max(last, this->append(record));
-    if (frame.correlation == 0 || last == 0)
+    }
+    if (frame.correlation == 0 || last == 0 || isOtherRun)
         return;
     this->log.whenDurable(last, [this, peer, epoch = frame.epoch, correlation = frame.correlation] {
         this->hub.send(peer,
@@ -306,6 +316,20 @@
     return sequence;
 }
 
+bool RecordsServer::holdsOtherRun(const Record &record)
+{
+    const std::uint64_t known = this->index.sequenceOf(nameOf(record));
+    if (record.kind != RecordKind::Turn || known == 0)
+        return false;
+    const std::optional<Record> held = this->log.read(known);
+    if (held && haveSameHistory(*held, record))
+        return false;
+    LogEvent(LogSeverity::Warning, "turnNotAcknowledged")
+            .field("request", QString::fromLatin1(record.key))
+            .field("reason", held ? "another run of the turn is kept" : "its record can't be read");
+    return true;
+}
+
 void RecordsServer::runMaintenance()
 {
     const auto now = this->timers.wallNow();
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -57,6 +57,9 @@
     [[nodiscard]] std::uint64_t replyEpoch(std::uint64_t requestEpoch) const;
     void lookUpChain(const OpenTurnMessage &message, OpenTurnReplyMessage &reply);
     std::uint64_t append(const Record &record);
+    /** Returns whether the log holds another run of this turn, whose caller may have sent it again
+        with the same id, or a record of it that can't be read. */
+    [[nodiscard]] bool holdsOtherRun(const Record &record);
     void runMaintenance();
     void reportSilentMembers();
     [[nodiscard]] bool isUpToDateStandby(TimerService::SteadyTime now) const;
