Test repeated ids over every path, and the ingress around answers that end early

No fault found: no product code changes. What rules it out: a connection to a replica carries an id once (ReplicaConnection::distinguishes), a tunnel has a connection of its own to its target, kept connections are dropped when their replica's id or start changes, and a connection whose exchange is given up is closed.

--- a/tests/gateway/IngressConnectionTest.cpp
+++ b/tests/gateway/IngressConnectionTest.cpp
@@ -163,3 +163,86 @@
     cr_assert_lt(caller.received().indexOf("Lacewingmux-Request-Id: r1"),
                  caller.received().indexOf("Lacewingmux-Request-Id: r2"));
 }
+
+// What follows a stream that was broken off can't be told from its rest.
+Test(pipelined_request, behind_a_stream_that_is_broken_off_is_neither_run_nor_answered)
+{
+    std::optional<ScriptedReplica::Exchange> stream;
+    GatewayFixture fixture(1, [&](const HttpRequest &request, const auto &exchange) {
+        stream = exchange;
+        exchange.write(GatewayFixture::streamHead(request) + GatewayFixture::event(1, "a"));
+    });
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", "/stream/x", "r1")
+                + GatewayFixture::request("POST", "/once/x", "r2"));
+    fixture.loop.waitUntil([&] { return caller.received().contains("data: a"); }, "an event");
+    stream->reset();
+    fixture.loop.waitUntil([&] { return caller.isClosed(); }, "the end of the connection");
+    cr_assert_eq(caller.received().count("HTTP/1.1 "), 1);
+    cr_assert(!caller.received().endsWith("0\r\n\r\n"));
+    fixture.loop.runFor(milliseconds(50));
+    cr_assert_eq(fixture.requestCount(), 1);
+}
+
+// A body behind the answer to HEAD would be read as the beginning of the next answer.
+Test(pipelined_request, behind_a_head_request_gets_its_own_answer)
+{
+    for (const QByteArray &status : {QByteArray("200 OK"), QByteArray("500 Broken")}) {
+        GatewayFixture fixture(1, [status](const HttpRequest &request, const auto &exchange) {
+            QByteArray text = GatewayFixture::answer(request, "body");
+            if (request.method == "HEAD")
+                text = text.chopped(4).replace("200 OK", status);
+            exchange.write(text);
+        });
+        RawCaller caller(fixture.gateway->port());
+        caller.send(GatewayFixture::request("HEAD", "/once/x", "r1")
+                    + GatewayFixture::request("HEAD", "/nowhere/x", "r2")
+                    + GatewayFixture::request("POST", "/once/x", "r3"));
+        fixture.loop.waitUntil([&] { return caller.received().endsWith("body"); }, "the answers");
+        cr_assert(caller.received().startsWith("HTTP/1.1 " + status));
+        cr_assert_eq(caller.received().count("HTTP/1.1 "), 3);
+        cr_assert_eq(caller.received().count("\r\n\r\nHTTP/1.1 "), 2, "no bodies but the last");
+        cr_assert_eq(caller.received().count("body"), 1);
+    }
+}
+
+// The rest of a body whose request is refused early must not be read as requests.
+Test(refused_request, with_a_request_in_the_unread_rest_of_its_body_runs_none)
+{
+    GatewayFixture fixture(1, [](const HttpRequest &request, const auto &exchange) {
+        exchange.write(GatewayFixture::answer(request, "ran"));
+    });
+    const QByteArray smuggled = GatewayFixture::request("POST", "/once/x", "r2");
+    const QByteArray length = QByteArray::number(qint64{64} * 1024 * 1024);
+    const QByteArray head = "POST /once/x HTTP/1.1\r\nHost: shop.example\r\n"
+                            "Authorization: Token good\r\nLacewingmux-Request-Id: r1\r\n";
+    for (const QByteArray &refused :
+         {head + "Content-Length: " + length + "\r\n\r\n", head + "Content-Length: x\r\n\r\n",
+          head + "Transfer-Encoding: gzip\r\n\r\n",
+          head + "Transfer-Encoding: chunked\r\n\r\nnone\r\n"}) {
+        RawCaller caller(fixture.gateway->port());
+        caller.send(refused + smuggled);
+        fixture.loop.waitUntil([&] { return caller.received().contains("\r\n\r\n"); },
+                               "the refusal");
+        caller.sendNow(smuggled);
+        fixture.loop.waitUntil([&] { return caller.isClosed(); }, "the end of the connection");
+        cr_assert(caller.received().startsWith("HTTP/1.1 4"), "%s", caller.received().constData());
+        cr_assert_eq(caller.received().count("HTTP/1.1 "), 1);
+    }
+    cr_assert_eq(fixture.requestCount(), 0);
+}
+
+// Bytes that are no request get no success, and do not harm the answer before them.
+Test(pipelined_request, that_is_none_is_refused_behind_the_answer_before)
+{
+    GatewayFixture fixture(1, [](const HttpRequest &request, const auto &exchange) {
+        exchange.writeAfter(milliseconds(50), GatewayFixture::answer(request, "own"));
+    });
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", "/once/x", "r1") + "no request\r\n\r\n");
+    fixture.loop.waitUntil([&] { return caller.isClosed(); }, "the end of the connection");
+    cr_assert(caller.received().startsWith("HTTP/1.1 200"));
+    cr_assert(caller.received().contains("\r\n\r\nownHTTP/1.1 400"), "%s",
+              caller.received().constData());
+    cr_assert_eq(fixture.requestCount(), 1);
+}
--- a/tests/gateway/StrandedGatewayTest.cpp
+++ b/tests/gateway/StrandedGatewayTest.cpp
@@ -129,6 +129,29 @@
     cr_assert_eq(fixture.requestCount(), 2);
 }
 
+// A late answer to a request whose caller sends it again with the same id must not reach the tunnel
+// of the second one.
+Test(stranded_gateway, opens_a_tunnel_of_its_own_for_a_request_that_is_repeated)
+{
+    std::vector<ScriptedReplica::Exchange> exchanges;
+    std::vector<QByteArray> answers;
+    StrandedFixture fixture(1, [&](const HttpRequest &request, const auto &exchange) {
+        for (std::size_t number = 0; number < answers.size(); ++number)
+            exchanges[number].write(answers[number]);
+        exchanges.push_back(exchange);
+        answers.push_back(GatewayFixture::answer(
+                request, "run" + QByteArray::number(exchanges.size()) + '.'));
+        exchange.writeAfter(milliseconds(50), answers.back());
+    });
+    fixture.refuseConnections();
+    for (const char *answer : {"run1.", "run2.", "run3."}) {
+        const QByteArray response = fixture.responseTo("/once/x", "r1");
+        cr_assert(response.endsWith(answer), "%s", response.constData());
+        cr_assert_eq(response.count("HTTP/1.1 "), 1);
+    }
+    cr_assert(fixture.responseTo("/once/x", "r2").endsWith("run4."));
+}
+
 Test(stranded_gateway, passes_on_streams_event_by_event)
 {
     StrandedFixture fixture(1, [](const HttpRequest &request, const auto &exchange) {
