Test that a turn sent again with an id of its own is the history wherever its first run is kept

A turn that could not be kept, or that is kept though its caller left, may stay on some records VMs. The next turn names the run that was answered whole, whose id is another one: its history is that run's, on the VM of the first run too.

--- a/tests/records/RepeatedTurnTest.cpp
+++ b/tests/records/RepeatedTurnTest.cpp
@@ -35,7 +35,7 @@
     {
         std::optional<bool> isDurable;
         this->fleet.entryVms[entry].client->store(
-                this->turn("t1", ""), "a", output, 50,
+                this->turn(entry == 0 ? "t1" : this->secondId, ""), "a", output, 50,
                 [&isDurable](bool durable) { isDurable = durable; });
         this->fleet.run(callTime + milliseconds(300));
         cr_assert(isDurable.has_value());
@@ -47,7 +47,7 @@
     {
         std::optional<TurnAdmission> admission;
         this->fleet.entryVms[entry].client->open(
-                this->turn(request, "t1"),
+                this->turn(request, this->secondId),
                 [&admission](const TurnAdmission &result) { admission = result; });
         this->fleet.run(milliseconds(1200));
         cr_assert(admission.has_value());
@@ -74,6 +74,7 @@
     }
 
     RecordsFleet fleet{3, 2};
+    const char *secondId = "t1"; ///< of the run on the second VM
 };
 
 } // namespace
@@ -124,3 +125,20 @@
     cr_assert(test.store(1, "b\n"));
     test.expectHistory("ab\n");
 }
+
+// As the pages say: each attempt has an id of its own, and the next turn names the one that was
+// whole.
+Test(repeated_turn, with_an_id_of_its_own_is_the_history_wherever_the_first_run_is)
+{
+    const std::vector<std::vector<const char *>> cuts{{}, {"r3"}, {"r2", "r3"}, {"r1", "r2", "r3"}};
+    for (const std::vector<const char *> &cut : cuts) {
+        RepeatedTurn test;
+        test.secondId = "t1b";
+        test.cutFromMembers(QStringLiteral("e1"), cut);
+        cr_assert_eq(test.store(0, "b\n"), cut.size() < 2);
+        cr_assert(test.store(1, "c\n"));
+        test.fleet.network.healAll();
+        test.fleet.run(spreadTime);
+        test.expectHistory("ac\n");
+    }
+}
