Take no body that another answer has filled up for a whole one on the daemon's own path

What callers saw: a plain answer with a length that ended in the beginning of the answer to an earlier request on the same connection, or in the whole of it, and passed for a whole answer.

Cause: a body that is cut is filled up by a late answer that follows on the connection, as the decoder counts its bytes as what the length lacks. Only bodies that end with their connection were examined.

Change: such a body is refused if it is JSON by its type, holds a status line or ends with the beginning of one, and is no whole JSON; if a response that names a request begins in it and ends behind it, or answers a request that the connection has carried; and, on a connection that has carried another request, if it ends within a head. Broken JSON without a status line, and quotes of other answers, pass as before.

Not told apart: a text that lacks up to a status line, if nothing behind it has arrived when the body is complete.

--- /dev/null
+++ b/modules/lacewingmux_backend/clients/FramedBody.cpp
@@ -0,0 +1,83 @@
+#include "lacewingmux_backend/clients/FramedBody.h"
+
+#include "lacewingmux_backend/clients/JsonBody.h"
+#include "lacewingmux_gateway/http/HttpResponseHead.h"
+#include "lacewingmux_gateway/http/ResponseDecoder.h"
+#include "lacewingmux_gateway/http/ResponseSearch.h"
+#include "lacewingmux_gateway/http/StatusLine.h"
+#include "lacewingmux_gateway/replicas/ReplicaConnection.h"
+
+#include <algorithm>
+
+namespace lacewingmux {
+
+namespace {
+
+constexpr int maximumQuotedResponses = 64; // bounds the work for a body that quotes many responses
+
+/** Tells whether the text ends with the beginning of a status line. */
+bool endsWithinStatusLine(const QByteArray &text)
+{
+    constexpr QByteArrayView versionPrefix = "HTTP/1.";
+    constexpr qsizetype statusLineBytes = 12; // up to the status
+    const qsizetype start = text.lastIndexOf('H');
+    if (start < 0 || text.size() - start > statusLineBytes)
+        return false;
+    const QByteArrayView rest = QByteArrayView(text).sliced(start);
+    return rest.startsWith(versionPrefix.first(std::min(rest.size(), versionPrefix.size())));
+}
+
+/** Tells whether the response with which the bytes begin ends behind them. */
+bool continuesBehind(const QByteArray &bytes)
+{
+    ResponseDecoder decoder(false);
+    decoder.append(bytes);
+    return decoder.state() < DecodeState::Body
+           || (decoder.state() == DecodeState::Body && !decoder.head().bodyEndsAtClose);
+}
+
+/** Tells whether the text ends within the head of a response, behind its status line. */
+bool endsWithinHead(const QByteArray &text)
+{
+    const qsizetype start = findStatusLine(text);
+    if (start < 0)
+        return false;
+    ResponseDecoder decoder(false);
+    decoder.append(text.mid(start));
+    return decoder.state() == DecodeState::Head && text.indexOf("\r\n", start) >= 0;
+}
+
+/** Tells whether another response was read as the end of the body: one that ends behind it, or one
+    to a request that the connection has carried. */
+bool holdsOtherResponse(const QByteArray &body, const ReplicaConnection &connection)
+{
+    QByteArray id;
+    const auto namesRequest = [&id](const HttpResponseHead &head) {
+        id = fieldValue(head.fields, "Lacewingmux-Request-Id");
+        return !id.isEmpty();
+    };
+    const QByteArray text = body + connection.trailingBytes();
+    qsizetype start = findResponse(text, namesRequest);
+    for (int found = 0; start >= 0 && start < body.size() && found < maximumQuotedResponses;
+         ++found) {
+        if (continuesBehind(body.mid(start)) || !connection.distinguishes(id))
+            return true;
+        start = findResponse(text, namesRequest, start + 1);
+    }
+    return connection.exchangeCount() > 1 && endsWithinHead(body);
+}
+
+} // namespace
+
+const char *framedBodyFault(const QByteArray &contentType, const QByteArray &body,
+                            const ReplicaConnection &connection)
+{
+    // The server may send JSON that is broken, but not one that another answer ends.
+    const bool isBrokenByOther = (findStatusLine(body) >= 0 || endsWithinStatusLine(body))
+                                 && isBrokenJson(contentType, body);
+    if (isBrokenByOther || (!body.isEmpty() && holdsOtherResponse(body, connection)))
+        return "another answer follows in the body";
+    return nullptr;
+}
+
+} // namespace lacewingmux
--- a/modules/lacewingmux_backend/clients/HttpExchange.cpp
+++ b/modules/lacewingmux_backend/clients/HttpExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "lacewingmux_backend/clients/ConnectionPool.h"
 #include "lacewingmux_backend/clients/ForwardedHeaders.h"
+#include "lacewingmux_backend/clients/FramedBody.h"
 #include "lacewingmux_backend/clients/UnframedBody.h"
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_gateway/http/HttpText.h"
@@ -142,11 +143,19 @@
            && this->response.httpStatus < firstErrorStatus;
 }
 
+const char *HttpExchange::bodyFault() const
+{
+    if (this->bodyEndsAtClose)
+        return unframedBodyFault(this->contentType, this->response.body);
+    // Each event of a stream is examined where it is passed on.
+    if (this->listener.chunk && this->isEventStream())
+        return nullptr;
+    return framedBodyFault(this->contentType, this->response.body, *this->connection);
+}
+
 void HttpExchange::completeResponse()
 {
-    const char *fault = this->bodyEndsAtClose && !this->mismatched
-                                ? unframedBodyFault(this->contentType, this->response.body)
-                                : nullptr;
+    const char *fault = this->mismatched ? nullptr : this->bodyFault();
     if (fault != nullptr) {
         this->abortWith(BackendFailure::ConnectionLost, Executed::Unknown,
                         QString::fromLatin1(fault));
--- a/modules/lacewingmux_backend/clients/HttpExchange.h
+++ b/modules/lacewingmux_backend/clients/HttpExchange.h
@@ -48,6 +48,8 @@
     void readBody(const QByteArray &bytes);
     [[nodiscard]] bool isEventStream() const;
     [[nodiscard]] bool mayKeepConnection() const;
+    /** Returns why the body of a complete response is not a whole answer, or null. */
+    [[nodiscard]] const char *bodyFault() const;
     void completeResponse();
     void exchangeFailed(ExchangeFailure reason);
     void timedOut();
