--- a/modules/lacewingmux_backend/clients/FramedBody.cpp
+++ b/modules/lacewingmux_backend/clients/FramedBody.cpp
@@ -36,8 +36,8 @@
            || (decoder.state() == DecodeState::Body && !decoder.head().bodyEndsAtClose);
 }
 
-/** Tells whether the text ends within the head of a response, behind its status line. */
-bool endsWithinHead(const QByteArray &text)
+/** Tells whether the text ends within the header fields of a response. */
+bool endsWithinHeadFields(const QByteArray &text)
 {
     const qsizetype start = findStatusLine(text);
     if (start < 0)
@@ -64,7 +64,7 @@
             return true;
         start = findResponse(text, namesRequest, start + 1);
     }
-    return connection.exchangeCount() > 1 && endsWithinHead(body);
+    return connection.exchangeCount() > 1 && endsWithinHeadFields(body);
 }
 
 } // namespace
