Find the cut head of another answer at the end of a body in any framing

What callers saw: by the tests, a 200 that ends with the beginning of another answer: without a length and with a second answer behind it that was cut in its head; with a length where the rest of the late head came after 20 ms, was never sent, or stood behind more than 64 quotes of a version. And a 502 for a whole answer that ends in 'H' with garbage behind it.

Cause: bytes behind the body were the only sign of a head that is cut at its end, they were awaited for 20 ms alone, and an answer that ends with its connection has none. Searches gave up after 64 mentions of the version, in front of the head.

Change: a body that ends within a head which names a request or a stamp is not passed on, whatever its framing. One that ends with a status line is held back for 250 ms, within the time of the call. Heads are searched by their status lines, and from the end where they are cut. Bytes behind the body count only if they continue the version.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -7,6 +7,7 @@
 #include "lacewingmux_gateway/forwarding/TurnStore.h"
 #include "lacewingmux_gateway/http/HttpText.h"
 #include "lacewingmux_gateway/http/ResponseSearch.h"
+#include "lacewingmux_gateway/http/StatusLine.h"
 #include "lacewingmux_gateway/ingress/IngressConnection.h"
 #include "lacewingmux_gateway/replicas/ReplicaConnection.h"
 #include "lacewingmux_gateway/replicas/ReplicaFleet.h"
@@ -42,6 +43,8 @@
 
 // Between two parts of one write that the network has split.
 constexpr milliseconds splitWriteTime{20};
+// The same if the second part has to be sent again.
+constexpr milliseconds retransmissionTime{250};
 
 // Replicas measure the time that they are given with timers of their own.
 constexpr milliseconds replicaClockTolerance{10};
@@ -192,12 +195,17 @@
 bool ForwardedCall::awaitTrailingBytes()
 {
     const bool mayBeCut = !this->attempt.isStream && !this->attempt.head.bodyEndsAtClose
-                          && this->attempt.trailing.isEmpty()
-                          && endsWithinHead(this->attempt.body, {});
-    if (!mayBeCut || std::exchange(this->attempt.awaitedTrailing, true))
+                          && this->attempt.trailing.isEmpty();
+    const qsizetype cutHead = mayBeCut ? findCutHead(this->attempt.body) : -1;
+    if (cutHead < 0 || std::exchange(this->attempt.awaitedTrailing, true))
+        return false;
+    const bool holdsStatusLine = findStatusLine(this->attempt.body.mid(cutHead)) == 0;
+    const milliseconds left = this->deadline.remaining(this->now()) - replicaClockTolerance;
+    const milliseconds wait = std::min(holdsStatusLine ? retransmissionTime : splitWriteTime, left);
+    if (wait.count() <= 0)
         return false;
     this->attempt.activityTimer =
-            this->context.timers.after(splitWriteTime, [this] { this->handleComplete(); });
+            this->context.timers.after(wait, [this] { this->handleComplete(); });
     return true;
 }
 
--- a/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ResponseFault.cpp
@@ -48,16 +48,36 @@
     return !id.isEmpty() && attempt.connection && !attempt.connection->distinguishes(id);
 }
 
+/** Tells whether the head is that of a replica's response. */
+bool isReplicas(const HttpResponseHead &head, const CallDialect &dialect)
+{
+    const ReplicaResponseInfo info = dialect.parseResponse(head);
+    return info.hasServerStamp || !info.requestId.isEmpty();
+}
+
 /** Returns the position, at or behind the given one, at which the head of a replica's response
     begins within the bytes; -1 if none does. */
 qsizetype findReplicaResponse(const QByteArray &bytes, const CallDialect &dialect,
                               qsizetype from = 0)
 {
-    const auto isReplicas = [&dialect](const HttpResponseHead &head) {
-        const ReplicaResponseInfo info = dialect.parseResponse(head);
-        return info.hasServerStamp || !info.requestId.isEmpty();
-    };
-    return findResponse(bytes, isReplicas, from);
+    return findResponse(
+            bytes, [&dialect](const HttpResponseHead &head) { return isReplicas(head, dialect); },
+            from);
+}
+
+/** Tells whether the beginning of a head shows that it is that of a replica's response. Its last
+    line may be cut in a value or in a name. */
+bool isReplicasCutHead(const QByteArray &beginning, const CallDialect &dialect)
+{
+    const QByteArray lines = beginning.endsWith('\r') ? beginning.chopped(1) : beginning;
+    const QByteArray wholeLines = lines.left(lines.lastIndexOf("\r\n") + 2);
+    for (const QByteArray &completed : {lines + "x\r\n\r\n", wholeLines + "\r\n"}) {
+        if (findResponse(completed,
+                         [&dialect](const auto &head) { return isReplicas(head, dialect); })
+            == 0)
+            return true;
+    }
+    return false;
 }
 
 /** Tells whether another response may have been read as part of the body, because the body ends
@@ -73,7 +93,9 @@
             return true;
         start = findReplicaResponse(text, dialect, start + 1);
     }
-    return !attempt.trailing.isEmpty() && endsWithinHead(body, attempt.trailing);
+    const qsizetype cutHead = findCutHead(body, attempt.trailing);
+    return cutHead >= 0
+           && (!attempt.trailing.isEmpty() || isReplicasCutHead(body.mid(cutHead), dialect));
 }
 
 } // namespace
--- a/modules/lacewingmux_gateway/http/ResponseSearch.h
+++ b/modules/lacewingmux_gateway/http/ResponseSearch.h
@@ -15,8 +15,9 @@
                                      const std::function<bool(const HttpResponseHead &)> &predicate,
                                      qsizetype from = 0);
 
-/** Tells whether the bytes end within the head of a response, and those that follow, which may be
-    none yet, continue it. Considers only the last 4096 bytes. */
-[[nodiscard]] bool endsWithinHead(const QByteArray &bytes, const QByteArray &following);
+/** Returns the position of the head of a response in which the bytes end and which those that
+    follow, if any have arrived, continue; -1 if there is none. Considers only the last 4096
+    bytes. */
+[[nodiscard]] qsizetype findCutHead(const QByteArray &bytes, const QByteArray &following = {});
 
 } // namespace lacewingmux
--- a/tests/gateway/CutAnswerTest.cpp
+++ b/tests/gateway/CutAnswerTest.cpp
@@ -17,7 +17,8 @@
 
 /** Returns what the caller of request r2 gets when the replica writes the text for it, on a
     connection that has carried request r1, and some time later the rest. */
-QByteArray responseTo(const QByteArray &text, const QByteArray &rest = {})
+QByteArray responseTo(const QByteArray &text, const QByteArray &rest = {},
+                      std::chrono::milliseconds delay = std::chrono::milliseconds(5))
 {
     int requests = 0;
     GatewayFixture fixture(1, [&](const auto &, const auto &exchange) {
@@ -27,7 +28,7 @@
         }
         exchange.writeNow(text);
         if (!rest.isEmpty())
-            exchange.writeAfter(std::chrono::milliseconds(5), rest);
+            exchange.writeAfter(delay, rest);
     });
     QByteArray response;
     for (const char *id : {"r1", "r2"}) {
@@ -77,6 +78,38 @@
     cr_assert(response.startsWith("HTTP/1.1 502"), "%s", response.constData());
 }
 
+// A part that is lost on the way arrives after the retransmission.
+Test(cut_answer, is_not_completed_by_a_late_one_whose_rest_is_sent_again)
+{
+    const QByteArray late = answerTo("r1", "first");
+    const QByteArray own = answerTo("r2", QByteArray(1000, 'o'));
+    for (const qsizetype missing : {12, 17, 30, 40, 60}) {
+        const QByteArray response =
+                responseTo(own.chopped(missing) + late.left(missing), late.mid(missing),
+                           std::chrono::milliseconds(missing > 39 ? 400 : 200));
+        cr_assert(response.startsWith("HTTP/1.1 502"), "%d bytes missing: %s",
+                  static_cast<int>(missing), response.constData());
+    }
+}
+
+// A body of many quotes must not hide the head behind them.
+Test(cut_answer, with_many_quotes_is_not_completed_by_a_late_one)
+{
+    const QByteArray late = answerTo("r1", "first");
+    const QByteArray quotes = QByteArray("\"GET / HTTP/1.1\" 200 ").repeated(70);
+    for (const qsizetype missing : {40, 60}) {
+        const QByteArray own = answerTo("r2", quotes + QByteArray(missing, 'o'));
+        cr_assert(responseTo(own.chopped(missing) + late).startsWith("HTTP/1.1 502"));
+        cr_assert(responseTo(own.chopped(missing) + late.left(missing)).startsWith("HTTP/1.1 502"));
+    }
+}
+
+Test(whole_answer, with_bytes_behind_it_that_continue_no_head_is_passed_on)
+{
+    for (const char *behind : {"\r\n", "xyz", "TTQ"})
+        cr_assert(responseTo(answerTo("r2", "endH") + behind).endsWith("endH"), "%s", behind);
+}
+
 Test(whole_answer, that_ends_with_an_answer_to_another_connections_request_is_passed_on)
 {
     cr_assert(responseTo(answerTo("r2", "see " + answerTo("r3", "third"))).endsWith("third"));
--- a/tests/gateway/UnframedAnswerTest.cpp
+++ b/tests/gateway/UnframedAnswerTest.cpp
@@ -105,6 +105,18 @@
     }
 }
 
+// The replica, or its VM, ends while it writes the second answer.
+Test(unframed_answer, with_the_cut_head_of_another_one_behind_it_is_not_passed_on)
+{
+    const QByteArray other = head("r0", "text/plain");
+    for (const qsizetype bytes : {40, 41, 44, 60, 90}) {
+        GatewayFixture fixture(
+                1, writeInParts({head("r1", "text/plain") + "mine" + other.left(bytes)}));
+        const QByteArray response = responseTo(fixture, "/once/x");
+        cr_assert(response.startsWith("HTTP/1.1 502"), "%s", response.constData());
+    }
+}
+
 Test(unframed_answer, that_quotes_a_status_line_is_passed_on)
 {
     GatewayFixture fixture(1, writeInParts({head("r1", "text/plain")
