Fail a call at once whose answer a cut late one swallows

Cause: a late answer that is discarded up to its length, but was cut, takes the own answer behind it for its body.

Evidence: on the code before, cut_late_answer/does_not_hold_up_the_call_whose_answer_follows fails.

Change: a discarded body that holds a status line fails the exchange as one that can't be attributed. A late answer that quotes a status line fails it too; such an answer is rare, and the call may be sent on if it may run again.

Measured: the test passes, with late_answer and cut_answer.

--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -1,6 +1,7 @@
 #include "lacewingmux_gateway/replicas/ReplicaConnection.h"
 
 #include "lacewingmux_gateway/http/ResponseDecoder.h"
+#include "lacewingmux_gateway/http/StatusLine.h"
 #include "lacewingmux_gateway/replicas/ReplicaRequest.h"
 #include "lacewingmux_tunnel/sockets/PeerMonitor.h"
 
@@ -206,13 +207,8 @@
         if (!this->headDelivered && !this->beginResponse())
             return;
         const QByteArray body = this->decoder->takeBody();
-        if (this->isUnrelatedResponse)
-            this->discardedBytes += body.size();
-        if (this->discardedBytes > maximumDiscardedBytes) {
-            this->broken = true;
-            this->fail(ExchangeFailure::Malformed);
+        if (this->isUnrelatedResponse && !this->discard(body))
             return;
-        }
         if (!body.isEmpty() && !this->isUnrelatedResponse) {
             active->body(body);
             if (guard.expired() || !this->busy)
@@ -237,6 +233,19 @@
     }
 }
 
+bool ReplicaConnection::discard(const QByteArray &body)
+{
+    this->discardedBytes += body.size();
+    const bool isTooMuch = this->discardedBytes > maximumDiscardedBytes;
+    // The discarded response was cut, and the own one is read as its body.
+    const bool holdsOther = findStatusLine(body) >= 0;
+    if (!isTooMuch && !holdsOther)
+        return true;
+    this->broken = true;
+    this->fail(holdsOther ? ExchangeFailure::Unattributed : ExchangeFailure::Malformed);
+    return false;
+}
+
 bool ReplicaConnection::hasKnownEnd(const HttpResponseHead &head) const
 {
     // Whether a body follows depends on the method of the request that was answered.
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
@@ -117,6 +117,10 @@
     [[nodiscard]] ExchangeFailure lossFailure() const;
     void readAvailable();
     void deliverDecoded();
+    /** Discards a part of the body of a response to another request. Returns whether the exchange
+        goes on: it fails if the part holds the beginning of another response, or there are too many
+        bytes. */
+    [[nodiscard]] bool discard(const QByteArray &body);
     /** Tells whether it is certain where a response to an earlier request ends. */
     [[nodiscard]] bool hasKnownEnd(const HttpResponseHead &head) const;
     /** Begins with the response whose head was decoded; returns whether its body may follow. */
--- a/tests/gateway/CutAnswerTest.cpp
+++ b/tests/gateway/CutAnswerTest.cpp
@@ -1,5 +1,7 @@
 #include "support/GatewayFixture.h"
 
+#include <QElapsedTimer>
+
 #include <criterion/criterion.h>
 
 #include <chrono>
@@ -129,3 +131,14 @@
     cr_assert(responseTo(answerTo("r2", "quoted HTTP/1.1 200 OK")).endsWith("200 OK"));
     cr_assert(responseTo(answerTo("r2", "quoted HTTP/1.") + "more").endsWith("HTTP/1."));
 }
+
+// Discarded up to its length, it would swallow the own answer, and the caller would wait in vain.
+Test(cut_late_answer, does_not_hold_up_the_call_whose_answer_follows)
+{
+    const QByteArray late = answerTo("r1", QByteArray(2000, 'l')).chopped(1500);
+    QElapsedTimer elapsed;
+    elapsed.start();
+    const QByteArray response = responseTo(late + answerTo("r2", "second"));
+    cr_assert(response.startsWith("HTTP/1.1 502"), "%s", response.constData());
+    cr_assert_lt(elapsed.elapsed(), GatewayFixture::routeTimeout.count());
+}
