Find a late head on the daemon's own path whose empty line was read as the end of a chunk

What callers saw: a plain answer in chunks whose body went on with the head of the answer to an earlier request on the same connection, less its empty line, and with that answer's body.

Cause: if a cut chunk lacks as many bytes as the head of a late answer less its last line end, that line end counts as the one behind the chunk, and the chunks of the late answer as those of the own one. Such a head is not whole within the body, so that the search for a whole one finds none.

Evidence on the code before: FilledBody/ofChunksDoesNotGoOnWithThoseOfALateAnswer fails with 106 bytes missing.

Change: a body is refused if a status line in it is followed by the id of a request that the connection has carried, whether or not the head ends within the body.

--- a/modules/lacewingmux_backend/clients/FramedBody.cpp
+++ b/modules/lacewingmux_backend/clients/FramedBody.cpp
@@ -47,20 +47,55 @@
     return decoder.state() == DecodeState::Head && text.indexOf("\r\n", start) >= 0;
 }
 
+/** Returns the id in the lines of a head that begin behind the position; empty if there is none.
+   The empty line at the end of the head may be missing, as it may have been read as that of a
+   chunk. */
+QByteArray requestIdBehind(const QByteArray &text, qsizetype position)
+{
+    static constexpr QByteArrayView fieldName = "Lacewingmux-Request-Id";
+    qsizetype lineEnd = text.indexOf("\r\n", position);
+    while (lineEnd >= 0) {
+        const qsizetype start = lineEnd + 2;
+        lineEnd = text.indexOf("\r\n", start);
+        const QByteArray line = text.mid(start, lineEnd < 0 ? -1 : lineEnd - start);
+        const qsizetype colon = line.indexOf(':');
+        if (colon <= 0)
+            return {};
+        if (line.first(colon).compare(fieldName, Qt::CaseInsensitive) == 0)
+            return line.mid(colon + 1).trimmed();
+    }
+    return {};
+}
+
+/** Tells whether the head of a response to a request that the connection has carried begins in the
+    body. */
+bool holdsCarriedResponse(const QByteArray &body, const ReplicaConnection &connection)
+{
+    qsizetype start = findStatusLine(body);
+    for (int found = 0; start >= 0 && found < maximumQuotedResponses; ++found) {
+        const QByteArray id = requestIdBehind(body, start);
+        if (!id.isEmpty() && !connection.distinguishes(id))
+            return true;
+        const qsizetype next = findStatusLine(QByteArrayView(body).sliced(start + 1));
+        start = next < 0 ? next : start + 1 + next;
+    }
+    return false;
+}
+
 /** Tells whether another response was read as the end of the body: one that ends behind it, or one
     to a request that the connection has carried. */
 bool holdsOtherResponse(const QByteArray &body, const ReplicaConnection &connection)
 {
-    QByteArray id;
-    const auto namesRequest = [&id](const HttpResponseHead &head) {
-        id = fieldValue(head.fields, "Lacewingmux-Request-Id");
-        return !id.isEmpty();
+    if (holdsCarriedResponse(body, connection))
+        return true;
+    const auto namesRequest = [](const HttpResponseHead &head) {
+        return !fieldValue(head.fields, "Lacewingmux-Request-Id").isEmpty();
     };
     const QByteArray text = body + connection.trailingBytes();
     qsizetype start = findResponse(text, namesRequest);
     for (int found = 0; start >= 0 && start < body.size() && found < maximumQuotedResponses;
          ++found) {
-        if (continuesBehind(body.mid(start)) || !connection.distinguishes(id))
+        if (continuesBehind(body.mid(start)))
             return true;
         start = findResponse(text, namesRequest, start + 1);
     }
--- a/tests/backend/FilledBodyTest.cpp
+++ b/tests/backend/FilledBodyTest.cpp
@@ -71,6 +71,24 @@
     }
 }
 
+// The empty line behind a late head was taken for the end of a cut chunk, which the rest of the
+// head had filled up, and the late chunks for those of the own answer.
+Test(FilledBody, ofChunksDoesNotGoOnWithThoseOfALateAnswer)
+{
+    QByteArray late = answer("text/plain", "foreign\r\nlines\r\n", true);
+    late.replace("Request-Id: r1", "Request-Id: r0");
+    for (const QByteArray &type : {QByteArray("text/plain"), QByteArray("application/json")}) {
+        const QByteArray &whole = type == "text/plain" ? textBody : jsonBody;
+        const QByteArray own = answer(type, whole, true);
+        for (qsizetype missing = 1; missing < whole.size(); ++missing) {
+            ClientFixture f;
+            const BackendResponse &response = askSecond(f, late, own.chopped(missing) + late);
+            cr_assert(!response.completed() || response.body == whole, "%ld missing: %s",
+                      static_cast<long>(missing), response.body.constData());
+        }
+    }
+}
+
 // Guards against a sound answer that fails because it quotes the head of an answer, or is no JSON.
 Test(FilledBody, thatQuotesAHeadIsWhole)
 {
