--- a/standins/replica/ScriptedReplica.cpp
+++ b/standins/replica/ScriptedReplica.cpp
@@ -21,8 +21,9 @@
 
 } // namespace
 
-ScriptedReplica::Exchange::Exchange(QTcpSocket *connection)
+ScriptedReplica::Exchange::Exchange(QTcpSocket *connection, int connectionNumber)
     : socket(connection)
+    , number(connectionNumber)
 { }
 
 void ScriptedReplica::Exchange::write(const QByteArray &bytes) const
@@ -112,15 +113,17 @@
 
 void ScriptedReplica::accept(QTcpSocket *socket)
 {
+    static int connections = 0;
+    const int number = ++connections;
     ++this->accepted;
     QObject::connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
     auto decoder = std::make_shared<RequestDecoder>(HttpLimits());
-    QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket, decoder] {
+    QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket, number, decoder] {
         decoder->append(socket->readAll());
         while (decoder->state() == DecodeState::Complete) {
             const HttpRequest request = decoder->take();
             this->received.push_back(request);
-            this->handler(request, Exchange(socket));
+            this->handler(request, Exchange(socket, number));
         }
     });
 }
--- a/standins/replica/ScriptedReplica.h
+++ b/standins/replica/ScriptedReplica.h
@@ -30,7 +30,13 @@
     class Exchange
     {
     public:
-        explicit Exchange(QTcpSocket *connection);
+        Exchange(QTcpSocket *connection, int connectionNumber);
+
+        /** Returns the number of the connection, which no other one in the process has. */
+        [[nodiscard]] int connection() const noexcept
+        {
+            return this->number;
+        }
 
         /** Writes bytes as they are. */
         void write(const QByteArray &bytes) const;
@@ -56,6 +62,7 @@
 
     private:
         QPointer<QTcpSocket> socket;
+        int number;
     };
 
     using Handler = std::function<void(const HttpRequest &, const Exchange &)>;
