--- a/tests/gateway/JoinedAnswersTest.cpp
+++ b/tests/gateway/JoinedAnswersTest.cpp
@@ -252,3 +252,36 @@
     });
     verdicts.check();
 }
+
+// Guards against a plain answer that goes on behind a late one within it.
+Test(joined_answers, a_late_one_in_the_middle_of_an_own_plain_one, .timeout = 300)
+{
+    Verdicts verdicts;
+    playCuts(verdicts, Kind::Plain, false, [](const auto &own, const auto &late, qsizetype cut) {
+        return Written{own.left(cut) + late, own.mid(cut)};
+    });
+    playCuts(verdicts, Kind::Plain, false, [](const auto &own, const auto &late, qsizetype cut) {
+        return Written{own.left(cut), late + own.mid(cut)};
+    });
+    verdicts.check();
+}
+
+// The empty line behind a late head was taken for the end of a cut chunk, which the rest of the
+// head had filled up, and the late chunks for those of the own answer.
+Test(joined_answers, late_chunks_behind_a_chunk_that_a_late_head_fills_up, .timeout = 300)
+{
+    Verdicts verdicts;
+    for (const Kind kind : {Kind::Plain, Kind::Stream}) {
+        const QByteArray own = answer("r2", kind, Framing::OneChunk);
+        const QByteArray late = answer("r1", kind, Framing::OneChunk);
+        const qsizetype headEnd = late.indexOf("\r\n\r\n");
+        const qsizetype bodyEnd = own.size() - lastChunk().size() - 2;
+        for (qsizetype added = 0; added <= 4; ++added) {
+            const QByteArray cut = own.left(bodyEnd - headEnd - added);
+            verdicts.play(kind, {cut, late}, kind == Kind::Plain ? "plain" : "stream");
+            verdicts.play(kind, {cut + late, {}},
+                          kind == Kind::Plain ? "plain, at once" : "stream");
+        }
+    }
+    verdicts.check();
+}
