Soak: replicas that spoil and repeat answers, in each framing

The run of real processes had replicas that fall silent, and none that stutter. The stand-in replica now cuts answers (closed, reset, or filled up by an earlier answer of the connection), writes them twice at once, behind or in front of the connection's next answer, also cut, and writes bytes that are no answer in place of an answer, in front of one or behind one; streams also come with a length and with four events in a chunk, and with events of a few hundred bytes. The plan draws per service the share of spoilt answers and when the replicas stutter (--stutter). Callers give up some streams and resume them, and keep the id in half of the resumptions and repetitions. The run log names each fault and whether the answer was spoilt.

MIXED compares each event with what the replica wrote, also the rest at which a stream broke off, and plain answers that broke off. LOST passes over calls whose run was spoilt, and takes each attempt's runs alone where attempts share an id.

--- /dev/null
+++ b/standins/platform-replica/AnswerHistory.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <QByteArray>
+
+namespace lacewingmux::standin {
+
+/** What a connection's earlier answers leave for its later ones. */
+struct AnswerHistory
+{
+    QByteArray earlier;    ///< the last whole answer
+    QByteArray beforeNext; ///< written in front of the next answer
+    QByteArray behindNext; ///< written behind the next whole answer
+};
+
+} // namespace lacewingmux::standin
--- a/standins/platform-replica/PlatformReplica.cpp
+++ b/standins/platform-replica/PlatformReplica.cpp
@@ -17,6 +17,7 @@
 
 void reset(QTcpSocket *socket)
 {
+    socket->flush(); // what was written is sent before
     // A linger time of zero turns the close into a reset.
     const linger atOnce{1, 0};
     ::setsockopt(static_cast<int>(socket->socketDescriptor()), SOL_SOCKET, SO_LINGER, &atOnce,
@@ -31,6 +32,7 @@
     : settings(std::move(replicaSettings))
     , timers(timerService)
     , log(this->settings.logFile)
+    , faults(this->settings.stutterFile, this->settings.stutterPercent, this->settings.stutterSeed)
 {
     this->listener.setListenBacklogSize(this->settings.backlog);
     QObject::connect(&this->listener, &QTcpServer::newConnection, &this->listener, [this] {
@@ -93,7 +95,7 @@
     Connection &connection = this->connections.at(socket);
     connection.idleTimer.cancel();
     connection.call = std::make_unique<ReplicaCall>(
-            request, *socket, this->nextHead(), this->timers, this->log,
+            request, *socket, this->nextHead(), connection.history, this->timers, this->log,
             [this, socket](ReplicaCall::Connection after) {
                 this->timers.post([this, socket, after] { this->handleEnd(socket, after); });
             });
@@ -135,6 +137,7 @@
     head.run = this->settings.id + '.' + QByteArray::number(++this->runCount);
     head.closes = this->isLeaving;
     head.closesAtDeadline = this->settings.closesAtDeadline;
+    head.fault = this->faults.next();
     const auto seconds = std::chrono::floor<std::chrono::seconds>(this->settings.idleTimeout);
     head.fields = "Lacewingmux-Server-Load: " + QByteArray::number(this->runningCalls() + 1) + ",0,"
                   + QByteArray::number(this->settings.slotCount) + "\r\nKeep-Alive: timeout="
--- a/standins/platform-replica/PlatformReplica.h
+++ b/standins/platform-replica/PlatformReplica.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "platform-replica/AnswerFaultSource.h"
+#include "platform-replica/AnswerHistory.h"
 #include "platform-replica/PlatformReplicaSettings.h"
 #include "platform-replica/ReplicaCall.h"
 #include "platform-replica/ReplicaRunLog.h"
@@ -35,6 +37,7 @@
     struct Connection
     {
         std::unique_ptr<RequestDecoder> decoder;
+        AnswerHistory history;
         std::unique_ptr<ReplicaCall> call; ///< null while the connection is idle
         TimerSubscription idleTimer;
     };
@@ -51,6 +54,7 @@
     PlatformReplicaSettings settings;
     TimerService &timers;
     ReplicaRunLog log;
+    AnswerFaultSource faults;
     bool isLeaving = false;
     int runCount = 0;
     std::map<QTcpSocket *, Connection> connections;
--- a/standins/platform-replica/PlatformReplicaSettings.h
+++ b/standins/platform-replica/PlatformReplicaSettings.h
@@ -4,6 +4,7 @@
 #include <QString>
 
 #include <chrono>
+#include <cstdint>
 
 namespace lacewingmux::standin {
 
@@ -17,6 +18,9 @@
     int slotCount = 64;
     std::chrono::milliseconds idleTimeout{10000};
     bool closesAtDeadline = false; ///< in order; otherwise a run at its deadline is reset
+    QString stutterFile;           ///< answers are spoilt while it exists
+    int stutterPercent = 0;        ///< of the answers
+    std::uint32_t stutterSeed = 1;
 };
 
 } // namespace lacewingmux::standin
--- a/standins/platform-replica/ReplicaRunLog.cpp
+++ b/standins/platform-replica/ReplicaRunLog.cpp
@@ -16,27 +16,31 @@
         throw LacewingmuxError(ErrorKind::InternalError, QStringLiteral("can't write ") + path);
 }
 
-void ReplicaRunLog::runBegan(const QByteArray &run, const QByteArray &request, int resumedAfter)
+void ReplicaRunLog::runBegan(const QByteArray &run, const QByteArray &request, int resumedAfter,
+                             const char *fault)
 {
-    this->write(run, request, "begin", resumedAfter);
+    QJsonObject line{{QStringLiteral("event"), resumedAfter}};
+    if (*fault != '\0')
+        line.insert(QStringLiteral("fault"), QLatin1String(fault));
+    this->write(run, request, "begin", line);
 }
 
 void ReplicaRunLog::runEnded(const QByteArray &run, const QByteArray &request, int lastEvent,
-                             const char *outcome)
+                             const char *outcome, bool isSpoilt)
 {
-    this->write(run, request, outcome, lastEvent);
+    this->write(run, request, outcome,
+                {{QStringLiteral("event"), lastEvent}, {QStringLiteral("spoilt"), isSpoilt}});
 }
 
 void ReplicaRunLog::write(const QByteArray &run, const QByteArray &request, const char *what,
-                          int event)
+                          QJsonObject line)
 {
     const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(
             std::chrono::system_clock::now().time_since_epoch());
-    const QJsonObject line{{QStringLiteral("at"), static_cast<qint64>(time.count())},
-                           {QStringLiteral("run"), QString::fromLatin1(run)},
-                           {QStringLiteral("request"), QString::fromLatin1(request)},
-                           {QStringLiteral("what"), QLatin1String(what)},
-                           {QStringLiteral("event"), event}};
+    line.insert(QStringLiteral("at"), static_cast<qint64>(time.count()));
+    line.insert(QStringLiteral("run"), QString::fromLatin1(run));
+    line.insert(QStringLiteral("request"), QString::fromLatin1(request));
+    line.insert(QStringLiteral("what"), QLatin1String(what));
     this->file.write(QJsonDocument(line).toJson(QJsonDocument::Compact) + '\n');
 }
 
--- a/standins/platform-replica/main.cpp
+++ b/standins/platform-replica/main.cpp
@@ -27,6 +27,10 @@
         cxxopts::value<int>()->default_value("360"));
     add("idle-ms", "time of an idle connection", cxxopts::value<int>()->default_value("10000"));
     add("close-at-deadline", "close in order at a request's deadline, in place of a reset");
+    add("stutter-while", "file; answers are spoilt while it exists",
+        cxxopts::value<std::string>()->default_value(""));
+    add("stutter-percent", "share of spoilt answers", cxxopts::value<int>()->default_value("0"));
+    add("stutter-seed", "of the faults", cxxopts::value<std::uint32_t>()->default_value("1"));
     add("help", "show this text");
     return options;
 }
@@ -40,6 +44,9 @@
     settings.connectionLimit = arguments["max-connections"].as<int>();
     settings.idleTimeout = std::chrono::milliseconds(arguments["idle-ms"].as<int>());
     settings.closesAtDeadline = arguments.count("close-at-deadline") > 0;
+    settings.stutterFile = QString::fromStdString(arguments["stutter-while"].as<std::string>());
+    settings.stutterPercent = arguments["stutter-percent"].as<int>();
+    settings.stutterSeed = arguments["stutter-seed"].as<std::uint32_t>();
     return settings;
 }
 
--- a/tests/platform-soak/SoakSettings.h
+++ b/tests/platform-soak/SoakSettings.h
@@ -16,8 +16,10 @@
     int processCount = 15; ///< records VMs, entry VMs and replicas
     int streamCallers = 50;
     int plainCallers = 20;
+    bool replicasStutter = false;
     QString binaryFolder;
-    QString folder; ///< for settings, data and logs
+    QString daemonFolder; ///< of lacewingmuxd
+    QString folder;       ///< for settings, data and logs
 
     /** The number of records VMs. */
     static constexpr int recordsVmCount = 3;
--- a/tests/platform-soak/callers/CallRecord.h
+++ b/tests/platform-soak/callers/CallRecord.h
@@ -38,6 +38,7 @@
     std::chrono::milliseconds deadline{0};
     bool onKeptConnection = false;
     int events = 0;       ///< that the stream has in all
+    int padding = 0;      ///< times that each event names the request again
     int resumedAfter = 0; ///< last event of the call that this one resumes
     CallEnd end = CallEnd::Complete;
     int status = 0; ///< 0 if no head came
--- a/tests/platform-soak/checks/SoakRecords.h
+++ b/tests/platform-soak/checks/SoakRecords.h
@@ -25,6 +25,9 @@
     /** Returns the runs of a request, in no particular order. */
     [[nodiscard]] const std::vector<ReplicaRun> &runsOf(const QByteArray &request) const;
 
+    /** Returns the runs of a call alone, where several calls bear its id. */
+    [[nodiscard]] std::vector<ReplicaRun> runsOf(const CallRecord &call) const;
+
     /** Returns the time within which the call had to be answered. */
     [[nodiscard]] std::chrono::milliseconds timeOf(const CallRecord &call) const;
 
@@ -35,6 +38,7 @@
     [[nodiscard]] QString describe(const CallRecord &call) const;
 
     TimerService::SteadyTime begin;
+    std::chrono::milliseconds wallBegin{0}; ///< the same moment by the wall clock
     std::vector<CallRecord> calls;
     std::map<QByteArray, std::vector<ReplicaRun>> runs;
     std::vector<VmDisruption> disruptions;
--- a/tests/platform-soak/fleet/SoakFleet.h
+++ b/tests/platform-soak/fleet/SoakFleet.h
@@ -65,6 +65,7 @@
 
     void startReplica(const SoakPlan::ReplicaLimits &limits);
     void writeConfiguration();
+    void stutter(const PlanStep &step);
     void silence(const PlanStep &step);
     void configure(const PlanStep &step);
     void leave(const PlanStep &step);
--- a/tests/platform-soak/main.cpp
+++ b/tests/platform-soak/main.cpp
@@ -27,8 +27,10 @@
     add("processes", "records VMs, entry VMs and replicas",
         cxxopts::value<int>()->default_value("15"));
     add("streams", "callers of streams", cxxopts::value<int>()->default_value("50"));
+    add("stutter", "replicas also spoil and repeat answers");
     add("binaries", "folder of lacewingmuxd and the stand-ins",
         cxxopts::value<std::string>()->default_value(LACEWINGMUX_BINARY_DIR "/bin"));
+    add("daemon", "folder of another lacewingmuxd", cxxopts::value<std::string>());
     add("keep", "keep the logs, also when every promise is kept");
     add("help", "show this text");
     return options;
@@ -42,6 +44,10 @@
     settings.processCount = arguments["processes"].as<int>();
     settings.streamCallers = arguments["streams"].as<int>();
     settings.binaryFolder = QString::fromStdString(arguments["binaries"].as<std::string>());
+    settings.daemonFolder = settings.binaryFolder;
+    if (arguments.count("daemon") > 0)
+        settings.daemonFolder = QString::fromStdString(arguments["daemon"].as<std::string>());
+    settings.replicasStutter = arguments.count("stutter") > 0;
     settings.folder = folder;
     return settings;
 }
--- a/tests/platform-soak/plan/PlanStep.cpp
+++ b/tests/platform-soak/plan/PlanStep.cpp
@@ -37,6 +37,10 @@
                 .arg(time)
                 .arg(this->vm)
                 .arg(this->duration.count());
+    case StepKind::Stutter:
+        return QStringLiteral("%1 s: replicas of %2 stutter for %3 ms")
+                .arg(time, serviceName)
+                .arg(this->duration.count());
     }
     return {};
 }
--- a/tests/platform-soak/plan/SoakPlan.cpp
+++ b/tests/platform-soak/plan/SoakPlan.cpp
@@ -24,6 +24,8 @@
     this->drawSilences(end);
     this->drawStops(end, settings.entryVmCount());
     this->drawPauses(end, settings.entryVmCount());
+    if (settings.replicasStutter)
+        this->drawStutters(end);
     std::stable_sort(
             this->planned.begin(), this->planned.end(),
             [](const PlanStep &left, const PlanStep &right) { return left.at < right.at; });
@@ -113,6 +115,22 @@
     }
 }
 
+void SoakPlan::drawStutters(milliseconds end)
+{
+    for (ReplicaLimits &limit : this->limits) {
+        limit.stutterPercent = this->draw(5, 50);
+        for (milliseconds at = firstStep / 2 + milliseconds(this->draw(0, 3000)); at < end;) {
+            PlanStep stutter;
+            stutter.kind = StepKind::Stutter;
+            stutter.at = at;
+            stutter.service = limit.service;
+            stutter.duration = std::min(milliseconds(this->draw(3000, 9000)), end - at);
+            at += stutter.duration + milliseconds(this->draw(1000, 4000));
+            this->planned.push_back(stutter);
+        }
+    }
+}
+
 int SoakPlan::draw(int least, int most)
 {
     return std::uniform_int_distribution<int>(least, most)(this->random);
--- a/tests/platform-soak/plan/SoakPlan.h
+++ b/tests/platform-soak/plan/SoakPlan.h
@@ -23,6 +23,7 @@
         int connectionLimit = 360;
         std::chrono::milliseconds idleTimeout{10000};
         bool closesAtDeadline = false; ///< in order; otherwise a run at its deadline is reset
+        int stutterPercent = 0;        ///< of the answers while the service stutters
     };
 
     explicit SoakPlan(const SoakSettings &settings);
@@ -45,6 +46,8 @@
     void drawLimits();
     void drawSilences(std::chrono::milliseconds end);
     void drawPauses(std::chrono::milliseconds end, int vmCount);
+    /** Comes last: the other steps of a seed are the same without it. */
+    void drawStutters(std::chrono::milliseconds end);
     void drawStops(std::chrono::milliseconds end, int vmCount);
     [[nodiscard]] PlanStep drawSilence(std::chrono::milliseconds at);
     [[nodiscard]] int draw(int least, int most);
