Soak: links between entry VMs and replicas that are cut, so that calls go through tunnels

A late or cut answer over a tunnel was played by no run of real processes. A library that is loaded into an entry VM's process lets connections to the ports in a file find no way; the plan draws when (--cut-links).

--- a/tests/platform-soak/SoakSettings.h
+++ b/tests/platform-soak/SoakSettings.h
@@ -17,6 +17,7 @@
     int streamCallers = 50;
     int plainCallers = 20;
     bool replicasStutter = false;
+    bool linksAreCut = false; ///< between entry VMs and replicas
     QString binaryFolder;
     QString daemonFolder; ///< of lacewingmuxd
     QString folder;       ///< for settings, data and logs
--- a/tests/platform-soak/fleet/ReplicaProcess.h
+++ b/tests/platform-soak/fleet/ReplicaProcess.h
@@ -40,6 +40,10 @@
     {
         return this->replicaLimits.service;
     }
+    [[nodiscard]] std::uint16_t listeningPort() const noexcept
+    {
+        return this->port;
+    }
     [[nodiscard]] standin::ManagedProcess &process()
     {
         return *this->managed;
--- a/tests/platform-soak/fleet/SoakFleet.cpp
+++ b/tests/platform-soak/fleet/SoakFleet.cpp
@@ -63,7 +63,8 @@
 
 VmProcess::Surroundings SoakFleet::surroundings() const
 {
-    return {this->settings.daemonFolder, this->settings.folder, this->storePort};
+    return {this->settings.daemonFolder, this->settings.folder, this->storePort,
+            this->settings.linksAreCut};
 }
 
 void SoakFleet::startReplica(const SoakPlan::ReplicaLimits &limits)
@@ -106,14 +107,33 @@
     case StepKind::Stutter:
         this->stutter(step);
         break;
+    case StepKind::CutLinks:
+        this->cutLinks(step);
+        break;
     }
 }
 
 void SoakFleet::stutter(const PlanStep &step)
 {
-    const QString path = ReplicaProcess::stutterFile(this->settings.folder, step.service);
+    this->writeWhile(step, ReplicaProcess::stutterFile(this->settings.folder, step.service), {});
+}
+
+void SoakFleet::cutLinks(const PlanStep &step)
+{
+    QByteArray ports;
+    int number = 0;
+    for (const auto &replica : this->replicas) {
+        if (replica->service() == step.service && (step.allReplicas || number++ % 2 == 0))
+            ports += QByteArray::number(replica->listeningPort()) + '\n';
+    }
+    this->writeWhile(step, this->entryVms[static_cast<std::size_t>(step.vm)]->process->cutsFile(),
+                     ports);
+}
+
+void SoakFleet::writeWhile(const PlanStep &step, const QString &path, const QByteArray &text)
+{
     QFile file(path);
-    if (!file.open(QIODevice::WriteOnly))
+    if (!file.open(QIODevice::WriteOnly) || file.write(text) != text.size())
         throw LacewingmuxError(ErrorKind::InternalError, QStringLiteral("can't write ") + path);
     this->pauseTimers.push_back(this->timers.after(step.duration, [path] { QFile::remove(path); }));
 }
--- a/tests/platform-soak/fleet/SoakFleet.h
+++ b/tests/platform-soak/fleet/SoakFleet.h
@@ -66,6 +66,9 @@
     void startReplica(const SoakPlan::ReplicaLimits &limits);
     void writeConfiguration();
     void stutter(const PlanStep &step);
+    void cutLinks(const PlanStep &step);
+    /** Writes a file that is removed once the step is over. */
+    void writeWhile(const PlanStep &step, const QString &path, const QByteArray &text);
     void silence(const PlanStep &step);
     void configure(const PlanStep &step);
     void leave(const PlanStep &step);
--- a/tests/platform-soak/fleet/VmProcess.cpp
+++ b/tests/platform-soak/fleet/VmProcess.cpp
@@ -49,6 +49,12 @@
             QStringList{QStringLiteral("--platform-role=") + roleName}, this->path(".errors"));
     this->daemon->setEnvironmentVariable(QStringLiteral("LACEWINGMUX_BOOT"), this->path(".json"));
     this->daemon->setOutputFile(this->logFile());
+    if (this->role == Role::Front && this->surroundings.linksAreCut) {
+        this->daemon->setEnvironmentVariable(QStringLiteral("LD_PRELOAD"),
+                                             QStringLiteral(LACEWINGMUX_CUT_LINKS));
+        this->daemon->setEnvironmentVariable(QStringLiteral("LACEWINGMUX_SOAK_CUTS"),
+                                             this->cutsFile());
+    }
 }
 
 VmProcess::~VmProcess() = default;
@@ -65,6 +71,11 @@
     return this->path(".log");
 }
 
+QString VmProcess::cutsFile() const
+{
+    return this->path(".cuts");
+}
+
 QString VmProcess::path(const char *suffix) const
 {
     return this->surroundings.folder + u'/' + QString::fromLatin1(this->vm) + QLatin1String(suffix);
--- a/tests/platform-soak/fleet/VmProcess.h
+++ b/tests/platform-soak/fleet/VmProcess.h
@@ -29,6 +29,7 @@
         QString daemonFolder;
         QString folder;
         std::uint16_t storePort = 0;
+        bool linksAreCut = false; ///< at times; see cutsFile
     };
 
     VmProcess(Role daemonRole, int number, Surroundings vmSurroundings);
@@ -55,6 +56,9 @@
     /** Returns the file with the daemon's log. */
     [[nodiscard]] QString logFile() const;
 
+    /** Returns the file with the ports that the daemon can't connect to, while there are any. */
+    [[nodiscard]] QString cutsFile() const;
+
 private:
     void writeSettings() const;
     [[nodiscard]] QJsonObject settings() const;
--- a/tests/platform-soak/main.cpp
+++ b/tests/platform-soak/main.cpp
@@ -28,6 +28,7 @@
         cxxopts::value<int>()->default_value("15"));
     add("streams", "callers of streams", cxxopts::value<int>()->default_value("50"));
     add("stutter", "replicas also spoil and repeat answers");
+    add("cut-links", "links between entry VMs and replicas are also cut");
     add("binaries", "folder of lacewingmuxd and the stand-ins",
         cxxopts::value<std::string>()->default_value(LACEWINGMUX_BINARY_DIR "/bin"));
     add("daemon", "folder of another lacewingmuxd", cxxopts::value<std::string>());
@@ -47,6 +48,7 @@
     settings.daemonFolder = settings.binaryFolder;
     if (arguments.count("daemon") > 0)
         settings.daemonFolder = QString::fromStdString(arguments["daemon"].as<std::string>());
+    settings.linksAreCut = arguments.count("cut-links") > 0;
     settings.replicasStutter = arguments.count("stutter") > 0;
     settings.folder = folder;
     return settings;
--- a/tests/platform-soak/plan/PlanStep.cpp
+++ b/tests/platform-soak/plan/PlanStep.cpp
@@ -41,6 +41,14 @@
         return QStringLiteral("%1 s: replicas of %2 stutter for %3 ms")
                 .arg(time, serviceName)
                 .arg(this->duration.count());
+    case StepKind::CutLinks:
+        return QStringLiteral(
+                       "%1 s: links between entry VM %2 and %3 replicas of %4 are cut for %5 ms")
+                .arg(time)
+                .arg(this->vm)
+                .arg(this->allReplicas ? QStringLiteral("all") : QStringLiteral("half of the"),
+                     serviceName)
+                .arg(this->duration.count());
     }
     return {};
 }
--- a/tests/platform-soak/plan/PlanStep.h
+++ b/tests/platform-soak/plan/PlanStep.h
@@ -16,7 +16,8 @@
     Leave,     ///< a replica closes its listener and serves what it has
     StopVm,    ///< planned stop of an entry VM, which is started again
     PauseVm,   ///< stop the process of an entry VM for a while (SIGSTOP, SIGCONT)
-    Stutter    ///< replicas of a service spoil and repeat answers for a while
+    Stutter,   ///< replicas of a service spoil and repeat answers for a while
+    CutLinks   ///< an entry VM can open no connection to replicas of a service for a while
 };
 
 /** What a version of the configuration changes. */
@@ -28,7 +29,7 @@
     std::chrono::milliseconds at{0};
     StepKind kind = StepKind::Silence;
     QByteArray service;
-    bool allReplicas = true; ///< all replicas of the service fall silent, or half of them
+    bool allReplicas = true; ///< all replicas of the service are meant, or half of them
     std::chrono::milliseconds duration{0};
     Change change = Change::Idle;
     int vm = 0;
--- a/tests/platform-soak/plan/SoakPlan.cpp
+++ b/tests/platform-soak/plan/SoakPlan.cpp
@@ -26,6 +26,8 @@
     this->drawPauses(end, settings.entryVmCount());
     if (settings.replicasStutter)
         this->drawStutters(end);
+    if (settings.linksAreCut)
+        this->drawCuts(end, settings.entryVmCount());
     std::stable_sort(
             this->planned.begin(), this->planned.end(),
             [](const PlanStep &left, const PlanStep &right) { return left.at < right.at; });
@@ -131,6 +133,23 @@
     }
 }
 
+void SoakPlan::drawCuts(milliseconds end, int vmCount)
+{
+    for (int vm = 0; vm < vmCount; ++vm) {
+        for (milliseconds at = firstStep / 2 + milliseconds(this->draw(0, 3000)); at < end;) {
+            PlanStep cut;
+            cut.kind = StepKind::CutLinks;
+            cut.at = at;
+            cut.vm = vm;
+            cut.service = services()[static_cast<std::size_t>(this->draw(0, 2))];
+            cut.allReplicas = this->draw(0, 1) == 0;
+            cut.duration = std::min(milliseconds(this->draw(3000, 9000)), end - at);
+            at += cut.duration + milliseconds(this->draw(500, 3000));
+            this->planned.push_back(cut);
+        }
+    }
+}
+
 int SoakPlan::draw(int least, int most)
 {
     return std::uniform_int_distribution<int>(least, most)(this->random);
--- a/tests/platform-soak/plan/SoakPlan.h
+++ b/tests/platform-soak/plan/SoakPlan.h
@@ -46,8 +46,9 @@
     void drawLimits();
     void drawSilences(std::chrono::milliseconds end);
     void drawPauses(std::chrono::milliseconds end, int vmCount);
-    /** Comes last: the other steps of a seed are the same without it. */
+    /** Comes behind the others: the other steps of a seed are the same without it. */
     void drawStutters(std::chrono::milliseconds end);
+    void drawCuts(std::chrono::milliseconds end, int vmCount);
     void drawStops(std::chrono::milliseconds end, int vmCount);
     [[nodiscard]] PlanStep drawSilence(std::chrono::milliseconds at);
     [[nodiscard]] int draw(int least, int most);
