Soak: copies of answers that come after a while, cuts in the body of plain answers, replicas with few kinds of faults

Copies came only at the end of an answer or in front of the next one; plain answers were cut in their head, mostly. A copy may now come after up to 200 ms, while the connection is idle or a request is on its way; half of the replicas have three kinds of faults instead of all, so that one kind comes often.

--- a/standins/platform-replica/AnswerFault.h
+++ b/standins/platform-replica/AnswerFault.h
@@ -13,6 +13,7 @@
     TwiceAtOnce,    ///< a copy of the answer right behind it
     CopyBehindNext, ///< a copy behind the next answer of the connection
     CopyBeforeNext, ///< a copy in front of the next answer of the connection
+    CopyLater,      ///< a copy after a while, or in front of the next answer
     CutCopyBefore,  ///< a copy that is cut in front of the next answer of the connection
     NoAnswer,       ///< bytes that are no answer in place of it, then closed
     NoAnswerKept,   ///< bytes that are no answer in place of it, and not closed
@@ -29,6 +30,7 @@
                                   "twiceAtOnce",
                                   "copyBehindNext",
                                   "copyBeforeNext",
+                                  "copyLater",
                                   "cutCopyBefore",
                                   "noAnswer",
                                   "noAnswerKept",
--- a/standins/platform-replica/AnswerFaultSource.h
+++ b/standins/platform-replica/AnswerFaultSource.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <random>
+#include <vector>
 
 namespace lacewingmux::standin {
 
@@ -13,7 +14,8 @@
 class AnswerFaultSource
 {
 public:
-    /** Spoils none if no file is named. */
+    /** Spoils none if no file is named. The seed draws whether all kinds of faults come or three.
+     */
     AnswerFaultSource(QString fileName, int sharePercent, std::uint32_t seed);
 
     [[nodiscard]] AnswerFault next();
@@ -22,6 +24,7 @@
     QString file;
     int percent;
     std::mt19937 random;
+    std::vector<FaultKind> kinds;
 };
 
 } // namespace lacewingmux::standin
--- a/standins/platform-replica/AnswerText.cpp
+++ b/standins/platform-replica/AnswerText.cpp
@@ -57,7 +57,7 @@
     AnswerText answer;
     if (numberOf(query, "events") == 0) {
         const QByteArray body = source.request + ' ' + source.run + '\n';
-        answer.parts = {headText(source, lengthField(body.size()), source.closes) + body};
+        answer.parts = {headText(source, lengthField(body.size()), source.closes), body};
         return answer;
     }
     const QString framing = query.queryItemValue(QStringLiteral("framing"));
--- a/standins/platform-replica/AnswerText.h
+++ b/standins/platform-replica/AnswerText.h
@@ -12,7 +12,7 @@
 struct AnswerText
 {
     std::vector<QByteArray> parts;
-    int eventsPerPart = 0;    ///< behind the first part, which is the head; 0 for a plain answer
+    int eventsPerPart = 0;    ///< behind the first, which is the head; 0 for a plain answer
     bool endsAtClose = false; ///< nothing but the close of the connection marks its end
 
     /** What an answer is made of. */
--- a/standins/platform-replica/PlatformReplica.cpp
+++ b/standins/platform-replica/PlatformReplica.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr int longestCopyDelay = 200; // milliseconds
+
 void reset(QTcpSocket *socket)
 {
     socket->flush(); // what was written is sent before
@@ -121,10 +123,33 @@
         socket->disconnectFromHost();
     } else {
         this->startIdleTimer(socket);
+        this->scheduleCopy(socket);
         this->read(socket);
     }
 }
 
+void PlatformReplica::scheduleCopy(QTcpSocket *socket)
+{
+    Connection &connection = this->connections.at(socket);
+    const QByteArray copy = std::exchange(connection.history.later, {});
+    if (copy.isEmpty())
+        return;
+    const std::chrono::milliseconds delay(1 + this->runCount % longestCopyDelay);
+    connection.copyTimer =
+            this->timers.after(delay, [this, socket, copy] { this->writeCopy(socket, copy); });
+}
+
+void PlatformReplica::writeCopy(QTcpSocket *socket, const QByteArray &copy)
+{
+    Connection &connection = this->connections.at(socket);
+    if (connection.call) {
+        connection.history.beforeNext += copy;
+    } else {
+        connection.history.hadStrayCopy = true; // the next request may be on its way
+        socket->write(copy);
+    }
+}
+
 void PlatformReplica::startIdleTimer(QTcpSocket *socket)
 {
     this->connections.at(socket).idleTimer = this->timers.after(
--- a/standins/platform-replica/PlatformReplica.h
+++ b/standins/platform-replica/PlatformReplica.h
@@ -40,6 +40,7 @@
         AnswerHistory history;
         std::unique_ptr<ReplicaCall> call; ///< null while the connection is idle
         TimerSubscription idleTimer;
+        TimerSubscription copyTimer;
     };
 
     void accept(QTcpSocket *socket);
@@ -47,6 +48,8 @@
     void handle(QTcpSocket *socket, const HttpRequest &request);
     void reject(QTcpSocket *socket, const HttpRequest &request, const QByteArray &status) const;
     void handleEnd(QTcpSocket *socket, ReplicaCall::Connection after);
+    void scheduleCopy(QTcpSocket *socket);
+    void writeCopy(QTcpSocket *socket, const QByteArray &copy);
     void startIdleTimer(QTcpSocket *socket);
     [[nodiscard]] ReplicaCall::Head nextHead();
     [[nodiscard]] int runningCalls() const;
--- a/standins/platform-replica/ReplicaCall.cpp
+++ b/standins/platform-replica/ReplicaCall.cpp
@@ -95,6 +95,8 @@
         this->socket.write(part);
         if (++this->partsWritten == this->answer.parts.size())
             this->endWhole();
+        else if (this->answer.eventsPerPart == 0)
+            this->writePart(); // the body of a plain answer, with its head
     }
 }
 
@@ -111,7 +113,7 @@
     QByteArray text = std::exchange(this->history.beforeNext, {});
     if (this->head.fault.kind == FaultKind::NoAnswerBefore)
         text += noAnswer;
-    this->isSpoilt = !text.isEmpty();
+    this->isSpoilt = !text.isEmpty() || std::exchange(this->history.hadStrayCopy, false);
     this->socket.write(text);
 }
 
@@ -124,6 +126,8 @@
         text += copy;
     else if (fault == FaultKind::CopyBehindNext)
         this->history.behindNext = copy;
+    else if (fault == FaultKind::CopyLater)
+        this->history.later = copy;
     else if (fault == FaultKind::CopyBeforeNext)
         this->history.beforeNext = copy;
     else if (fault == FaultKind::CutCopyBefore)
