Soak: a head with fields of another answer is MIXED

The check read the first field of a name alone; a head that was cut and filled up by the head of another answer has both.

--- a/tests/platform-soak-checks/SoakChecksTest.cpp
+++ b/tests/platform-soak-checks/SoakChecksTest.cpp
@@ -206,6 +206,17 @@
     }
 }
 
+// Guards against a head that was cut and filled up by the head of another answer.
+Test(soak_checks, find_fields_of_another_answer)
+{
+    for (const HttpField &field : {HttpField{"lacewingmux-request-id", "r2"},
+                                   HttpField{"Lacewingmux-Server-Stamp", "a.1"}}) {
+        Scene scene(CallKind::Turn);
+        scene.call().fields.push_back(field);
+        cr_assert_eq(checkMixed(scene.records).size(), 1U);
+    }
+}
+
 // Guards against another answer's bytes in a plain answer that broke off.
 Test(soak_checks, find_a_part_of_another_plain_answer)
 {
--- a/tests/platform-soak/checks/MixedCheck.cpp
+++ b/tests/platform-soak/checks/MixedCheck.cpp
@@ -14,6 +14,19 @@
     return status >= 200 && status <= 299;
 }
 
+/** Returns whether a field that belongs to one answer is there twice. */
+bool hasTwoHeads(const CallRecord &call)
+{
+    const auto isThereTwice = [&call](const char *name) {
+        return std::count_if(
+                       call.fields.begin(), call.fields.end(),
+                       [name](const HttpField &field) { return sameFieldName(field.name, name); })
+               > 1;
+    };
+    return isThereTwice("Lacewingmux-Request-Id") || isThereTwice("Lacewingmux-Server-Stamp")
+           || isThereTwice("Content-Length");
+}
+
 /** Returns whether the stamp names a run of the request. */
 bool isStampOfRun(const CallRecord &call, const SoakRecords &records)
 {
@@ -70,6 +83,8 @@
         return nullptr;
     if (fieldValue(call.fields, "Lacewingmux-Request-Id") != call.requestId)
         return "another request's id";
+    if (hasTwoHeads(call))
+        return "fields of another answer";
     if (!isSuccess(call.status))
         return nullptr;
     if (!isStampOfRun(call, records))
