--- a/standins/platform-replica/PlatformReplica.h
+++ b/standins/platform-replica/PlatformReplica.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "platform-replica/AnswerFaultSource.h"
+#include "platform-replica/AnswerHistory.h"
 #include "platform-replica/PlatformReplicaSettings.h"
 #include "platform-replica/ReplicaCall.h"
 #include "platform-replica/ReplicaRunLog.h"
@@ -35,8 +37,10 @@
     struct Connection
     {
         std::unique_ptr<RequestDecoder> decoder;
+        AnswerHistory history;
         std::unique_ptr<ReplicaCall> call; ///< null while the connection is idle
         TimerSubscription idleTimer;
+        TimerSubscription copyTimer;
     };
 
     void accept(QTcpSocket *socket);
@@ -44,6 +48,8 @@
     void handle(QTcpSocket *socket, const HttpRequest &request);
     void reject(QTcpSocket *socket, const HttpRequest &request, const QByteArray &status) const;
     void handleEnd(QTcpSocket *socket, ReplicaCall::Connection after);
+    void scheduleCopy(QTcpSocket *socket);
+    void writeCopy(QTcpSocket *socket, const QByteArray &copy);
     void startIdleTimer(QTcpSocket *socket);
     [[nodiscard]] ReplicaCall::Head nextHead();
     [[nodiscard]] int runningCalls() const;
@@ -51,6 +57,7 @@
     PlatformReplicaSettings settings;
     TimerService &timers;
     ReplicaRunLog log;
+    AnswerFaultSource faults;
     bool isLeaving = false;
     int runCount = 0;
     std::map<QTcpSocket *, Connection> connections;
--- a/tests/platform-soak/plan/SoakPlan.cpp
+++ b/tests/platform-soak/plan/SoakPlan.cpp
@@ -24,6 +24,10 @@
     this->drawSilences(end);
     this->drawStops(end, settings.entryVmCount());
     this->drawPauses(end, settings.entryVmCount());
+    if (settings.replicasStutter)
+        this->drawStutters(end);
+    if (settings.linksAreCut)
+        this->drawCuts(end, settings.entryVmCount());
     std::stable_sort(
             this->planned.begin(), this->planned.end(),
             [](const PlanStep &left, const PlanStep &right) { return left.at < right.at; });
@@ -113,6 +117,39 @@
     }
 }
 
+void SoakPlan::drawStutters(milliseconds end)
+{
+    for (ReplicaLimits &limit : this->limits) {
+        limit.stutterPercent = this->draw(5, 50);
+        for (milliseconds at = firstStep / 2 + milliseconds(this->draw(0, 3000)); at < end;) {
+            PlanStep stutter;
+            stutter.kind = StepKind::Stutter;
+            stutter.at = at;
+            stutter.service = limit.service;
+            stutter.duration = std::min(milliseconds(this->draw(3000, 9000)), end - at);
+            at += stutter.duration + milliseconds(this->draw(1000, 4000));
+            this->planned.push_back(stutter);
+        }
+    }
+}
+
+void SoakPlan::drawCuts(milliseconds end, int vmCount)
+{
+    for (int vm = 0; vm < vmCount; ++vm) {
+        for (milliseconds at = firstStep / 2 + milliseconds(this->draw(0, 3000)); at < end;) {
+            PlanStep cut;
+            cut.kind = StepKind::CutLinks;
+            cut.at = at;
+            cut.vm = vm;
+            cut.service = services()[static_cast<std::size_t>(this->draw(0, 2))];
+            cut.allReplicas = this->draw(0, 1) == 0;
+            cut.duration = std::min(milliseconds(this->draw(3000, 9000)), end - at);
+            at += cut.duration + milliseconds(this->draw(500, 3000));
+            this->planned.push_back(cut);
+        }
+    }
+}
+
 int SoakPlan::draw(int least, int most)
 {
     return std::uniform_int_distribution<int>(least, most)(this->random);
