--- a/standins/platform-replica/ReplicaCall.cpp
+++ b/standins/platform-replica/ReplicaCall.cpp
@@ -136,7 +136,7 @@
     else if (fault == FaultKind::NoAnswerBehind && !this->answer.endsAtClose)
         text += noAnswer; // without a length it would be part of the answer
     this->history.earlier = copy;
-    // Whether an answer was whole can't be told if only the close marks its end.
+    // Whether an answer was whole can't be known if only the close marks its end.
     this->isSpoilt = this->isSpoilt || (this->answer.endsAtClose && !text.isEmpty());
     this->socket.write(text);
 }
--- a/tests/gateway/CutAnswerTest.cpp
+++ b/tests/gateway/CutAnswerTest.cpp
@@ -132,7 +132,8 @@
     cr_assert(responseTo(answerTo("r2", "quoted HTTP/1.") + "more").endsWith("HTTP/1."));
 }
 
-// Discarded up to its length, it would swallow the own answer, and the caller would wait in vain.
+// Discarded up to its length, it would swallow the own answer, and the caller would get no answer
+// before its time is up.
 Test(cut_late_answer, does_not_hold_up_the_call_whose_answer_follows)
 {
     const QByteArray late = answerTo("r1", QByteArray(2000, 'l')).chopped(1500);
--- a/tests/gateway/IngressConnectionTest.cpp
+++ b/tests/gateway/IngressConnectionTest.cpp
@@ -164,7 +164,7 @@
                  caller.received().indexOf("Lacewingmux-Request-Id: r2"));
 }
 
-// What follows a stream that was broken off can't be told from its rest.
+// What follows a stream that was broken off can't be distinguished from its rest.
 Test(pipelined_request, behind_a_stream_that_is_broken_off_is_neither_run_nor_answered)
 {
     std::optional<ScriptedReplica::Exchange> stream;
--- a/tests/gateway/JoinedAnswersTest.cpp
+++ b/tests/gateway/JoinedAnswersTest.cpp
@@ -230,7 +230,7 @@
 }
 
 // Guards against garbage that fills up a cut stream in front of a late answer. Garbage that ends
-// with an empty line can't be told from the end of the event.
+// with an empty line can't be distinguished from the end of the event.
 Test(joined_answers, garbage_between_a_cut_own_stream_and_a_late_one, .timeout = 300)
 {
     Verdicts verdicts;
--- a/tests/gateway/SpoiltAnswersSoakTest.cpp
+++ b/tests/gateway/SpoiltAnswersSoakTest.cpp
@@ -321,7 +321,7 @@
     {
         const qsizetype ownCut = this->below(static_cast<int>(own.size()));
         const qsizetype lateCut = this->below(static_cast<int>(late.size()));
-        // A shorter part of a late one can't be told from the rest of a plain own one.
+        // A shorter part of a late one can't be distinguished from the rest of a plain own one.
         const qsizetype lateHead = late.indexOf("\r\n\r\n") + 4;
         QByteArray first;
         QByteArray second;
