records_tunnels: use ports that no outgoing connection takes

Cause: the test lets the system choose a port, releases it, and listens on it later. In between the system may give the port to an outgoing connection of any process, or to the test's own peer port. By the message and by reading; 21 runs of the test beside a process that opens connections all the time passed.

Change: ports below those of outgoing connections, and two different ones. Nothing that is asserted has changed.

Measured: test_node, all of it, passes; 26 runs of records_tunnels beside that process passed.

--- a/tests/node/RecordsTunnelsTest.cpp
+++ b/tests/node/RecordsTunnelsTest.cpp
@@ -6,6 +6,7 @@
 #include "lacewingmux_peer/links/TcpPeerHub.h"
 #include "lacewingmux_tunnel/client/StreamConnector.h"
 
+#include <QRandomGenerator>
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <QTemporaryDir>
@@ -21,11 +22,19 @@
 
 const QHostAddress loopback(QHostAddress::LocalHost);
 
+/** Returns a port on which nobody listens, and which the system does not take for an outgoing
+    connection of another process before it is used. */
 std::uint16_t freePort()
 {
+    constexpr int firstPort = 10000;
+    constexpr int lastPort = 32000; // outgoing connections have higher ones by default
     QTcpServer server;
-    server.listen(loopback);
-    return server.serverPort();
+    std::uint16_t port = 0;
+    while (!server.isListening()) {
+        port = static_cast<std::uint16_t>(QRandomGenerator::system()->bounded(firstPort, lastPort));
+        server.listen(loopback, port);
+    }
+    return port;
 }
 
 /** A records VM, a peer that is linked to it, and a target for tunnels. */
@@ -39,7 +48,9 @@
         this->settings.dataFolder = this->folder.path();
         this->settings.sharedSecret = "secret";
         this->settings.peerPort = freePort();
-        this->settings.tunnelPort = freePort();
+        do {
+            this->settings.tunnelPort = freePort();
+        } while (this->settings.tunnelPort == this->settings.peerPort);
         this->recordsVm = std::make_unique<RecordsTrafficServices>(
                 this->settings, this->recordsIncarnation, this->metrics,
                 RecordsTrafficServices::Hooks{
