--- a/review/harness/Fleet.cc
+++ b/review/harness/Fleet.cc
@@ -51,7 +51,7 @@
     return this->folder + "/" + this->name + suffix;
 }
 
-void Vm::writeSettings() const
+void Vm::writeSettings(bool bootstrap) const
 {
     const QString ip = QString::fromStdString(this->address);
     QJsonObject listen;
@@ -75,7 +75,7 @@
             {"listen", listen},
             {"internalPortRange", QJsonArray{7780, 7795}},
             {"seeds", QJsonArray()},
-            {"bootstrap", !this->wasStarted},
+            {"bootstrap", bootstrap && !this->wasStarted},
             {"inFaultBudget", !this->front},
             {"limits", limits},
             {"dataDir",
@@ -105,9 +105,9 @@
         std::filesystem::create_directories(this->path(".data"));
 }
 
-void Vm::start()
+void Vm::start(bool bootstrap)
 {
-    this->writeSettings();
+    this->writeSettings(bootstrap);
     this->wasStarted = true;
     const std::string boot = "LACEWINGMUX_BOOT=" + this->path(".json");
     const std::string pathVariable = std::string("PATH=") + ::getenv("PATH");
@@ -241,6 +241,15 @@
     Record::write("all entry VMs are ready");
 }
 
+Vm &Fleet::addRecordsVm(const std::string &zone)
+{
+    const int number = static_cast<int>(this->records.size());
+    this->records.push_back(
+            std::make_unique<Vm>(false, number, zone, this->folder, this->store.port));
+    this->records.back()->start(false);
+    return *this->records.back();
+}
+
 void Fleet::checkIn()
 {
     struct Known
--- a/review/harness/Fleet.hh
+++ b/review/harness/Fleet.hh
@@ -19,7 +19,9 @@
 public:
     Vm(bool isFront, int vmNumber, std::string zoneName, std::string folder, std::uint16_t store);
 
-    void start();
+    /** The first start is one with an empty disk; bootstrap says whether the whole system starts.
+     */
+    void start(bool bootstrap = true);
     void signal(int number) const;
     /** Waits until the process has ended; returns whether it has, within the time. */
     bool waitForEnd(std::chrono::milliseconds time);
@@ -40,7 +42,7 @@
     std::atomic<bool> inRotation{false};
 
 private:
-    void writeSettings() const;
+    void writeSettings(bool bootstrap) const;
     std::string path(const char *suffix) const;
 
     std::string folder;
@@ -61,6 +63,8 @@
                         const Replica::Planner &planner);
     /** Starts all VMs; throws if they are not ready in time. */
     void start();
+    /** Starts one more records VM, with an empty disk and at a new address. */
+    Vm &addRecordsVm(const std::string &zone);
     /** Returns an entry VM of the zone to which the platform sends new connections, else one of
         another zone. */
     Vm *frontOf(const std::string &zone, const Vm *except = nullptr);
