--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -130,13 +130,13 @@
         loseDisk(*fleet.records[1]);
     const auto back = Clock::now();
     const auto judged = back + recovery;
-    sleepUntil(judged + seconds(4));
+    sleepUntil(judged + milliseconds(2500));
     ending = true;
     for (std::thread &thread : threads)
         thread.join();
     observer.join();
     const double before = shareServed(sent, finalFault - seconds(3), finalFault);
-    const double after = shareServed(sent, judged, judged + seconds(3));
+    const double after = shareServed(sent, judged, judged + seconds(2));
     return before < 0.25 || after >= 0.25;
 }
 
