--- a/review/1/case.cc
+++ b/review/1/case.cpp
@@ -2,9 +2,9 @@
 // served turns for longer than their retention. Longer than catchUpS after it, another records VM
 // loses its disk.
 
-#include "Client.hh"
-#include "Fleet.hh"
-#include "Record.hh"
+#include "../harness/Client.h"
+#include "../harness/Fleet.h"
+#include "../harness/Record.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -85,6 +85,7 @@
     std::vector<Sent> sent;
     std::atomic<bool> ending{false};
     std::vector<std::thread> threads;
+    threads.reserve(clients);
     for (int client = 0; client < clients; ++client) {
         threads.emplace_back([&, client] {
             auto next = Clock::now() + milliseconds(9) * client;
--- a/review/2/case.cc
+++ b/review/2/case.cpp
@@ -1,9 +1,9 @@
 // A conversation that is older than the retention of its first turn, and the entry VM that has
 // served it is stopped and started again.
 
-#include "Client.hh"
-#include "Fleet.hh"
-#include "Record.hh"
+#include "../harness/Client.h"
+#include "../harness/Fleet.h"
+#include "../harness/Record.h"
 
 #include <csignal>
 
@@ -59,6 +59,11 @@
     if (hasTrouble())
         served->signal(SIGTERM);
     sleepUntil(begin + seconds(86));
+    if (hasTrouble()) {
+        if (!served->waitForEnd(seconds(5)))
+            throw std::runtime_error("the entry VM did not stop");
+        served->start();
+    }
     Vm *const next = hasTrouble() ? fleet.frontOf("a", served) : served;
     if (next == nullptr)
         throw std::runtime_error("no entry VM is in rotation");
@@ -82,8 +87,6 @@
             sleepFor(std::max(0.3, retryAfter(answer).count() / 1000.0));
         }
     }
-    if (hasTrouble() && !served->waitForEnd(seconds(6)))
-        throw std::runtime_error("the entry VM did not stop");
     Record::write("tries %d, reached a replica: %s; first turns %d, reached a replica %d", tries,
                   reached ? "yes" : "no", firstTurns, firstTurnsServed);
     // LOST, of turns: five tries or more, while nine tenths of first turns reach a replica.
--- a/review/5/case.cc
+++ b/review/5/case.cpp
@@ -1,8 +1,8 @@
 // A request crashes each replica that runs it, and its caller sends it again and again.
 
-#include "Client.hh"
-#include "Fleet.hh"
-#include "Record.hh"
+#include "../harness/Client.h"
+#include "../harness/Fleet.h"
+#include "../harness/Record.h"
 
 #include <atomic>
 #include <cstdlib>
--- a/review/harness/Client.cc
+++ b/review/harness/Client.cpp
@@ -1,7 +1,7 @@
-#include "Client.hh"
+#include "Client.h"
 
-#include "Fleet.hh"
-#include "Record.hh"
+#include "Fleet.h"
+#include "Record.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
--- a/review/harness/Fleet.cc
+++ b/review/harness/Fleet.cpp
@@ -1,6 +1,6 @@
-#include "Fleet.hh"
+#include "Fleet.h"
 
-#include "Record.hh"
+#include "Record.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
--- a/review/harness/Fleet.hh
+++ b/review/harness/Fleet.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Replica.hh"
-#include "Store.hh"
+#include "Replica.h"
+#include "Store.h"
 
 #include <atomic>
 #include <memory>
--- a/review/harness/Http.cc
+++ b/review/harness/Http.cpp
@@ -1,4 +1,4 @@
-#include "Http.hh"
+#include "Http.h"
 
 #include <algorithm>
 #include <cerrno>
@@ -248,7 +248,7 @@
     answer.connected = true;
     std::string text = method + ' ' + target + " HTTP/1.1\r\n";
     for (const auto &[name, value] : fields)
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     if (!body.empty() || method == "POST")
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     text += "\r\n" + body;
--- a/review/harness/Record.cc
+++ b/review/harness/Record.cpp
@@ -1,4 +1,4 @@
-#include "Record.hh"
+#include "Record.h"
 
 #include <cstdarg>
 #include <cstdio>
--- a/review/harness/Record.hh
+++ b/review/harness/Record.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Http.hh"
+#include "Http.h"
 
 #include <string>
 
--- a/review/harness/Replica.cc
+++ b/review/harness/Replica.cpp
@@ -1,6 +1,6 @@
-#include "Replica.hh"
+#include "Replica.h"
 
-#include "Record.hh"
+#include "Record.h"
 
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -41,7 +41,7 @@
     return allRuns;
 }
 
-Replica::Replica(std::string replicaId, std::string serviceName, std::string zoneName,
+Replica::Replica(const std::string &replicaId, std::string serviceName, std::string zoneName,
                  Planner planner)
     : service(std::move(serviceName))
     , zone(std::move(zoneName))
@@ -119,7 +119,7 @@
     }
 }
 
-void Replica::serve(int descriptor, std::string ownId)
+void Replica::serve(int descriptor, const std::string &ownId)
 {
     Connection connection(descriptor);
     while (true) {
--- a/review/harness/Replica.hh
+++ b/review/harness/Replica.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Http.hh"
+#include "Http.h"
 
 #include <functional>
 #include <mutex>
@@ -36,7 +36,8 @@
 public:
     using Planner = std::function<Plan(const Request &)>;
 
-    Replica(std::string replicaId, std::string serviceName, std::string zoneName, Planner planner);
+    Replica(const std::string &replicaId, std::string serviceName, std::string zoneName,
+            Planner planner);
 
     /** Starts as a new incarnation under the id, on a new port. */
     void start(const std::string &replicaId);
@@ -55,7 +56,7 @@
 
 private:
     void accept(int ownListener);
-    void serve(int descriptor, std::string ownId);
+    void serve(int descriptor, const std::string &ownId);
     /** Returns whether the connection is kept. */
     bool answer(Connection &connection, const Request &request, const std::string &ownId);
     bool wait(Connection &connection, std::chrono::milliseconds time,
--- a/review/harness/Store.cc
+++ b/review/harness/Store.cpp
@@ -1,6 +1,6 @@
-#include "Store.hh"
+#include "Store.h"
 
-#include "Record.hh"
+#include "Record.h"
 
 #include <QByteArray>
 #include <QJsonArray>
