Quarantine: check a replica that closes a connection for a crash

Cause: a closed connection counted as a crash only if another connection to the replica failed within 1.5 s, and placement avoids just that replica.

Change: 100 ms after a replica has closed a connection before the end of its response, the VM tries one connection to it, shared by all calls that broke. As crashes are now seen reliably, a sound request must not be taken for the cause: crashes count for a request only one after the other (each run began after the crash before), so that replicas killed together count once, on one VM and over all; a request that a replica has answered is cleared. Notices to other VMs state the ages of the run and of the crash in two new fields, which an old build skips; a notice without them counts as before. A crash is named by the replica and its start, so that an id that is used again counts again. An early confirmation by a new incarnation in the store is not used.

The calls of recordBrokenConnection in two older tests take a structure now; what they check is unchanged.

--- a/modules/lacewingmux_core/protection/Quarantine.h
+++ b/modules/lacewingmux_core/protection/Quarantine.h
@@ -27,6 +27,8 @@
 {
     QByteArray contentDigest;
     QString crash; ///< names the one crash, the same on every VM: replica and its start
+    std::chrono::milliseconds sinceSent{0};  ///< age of the run when this is reported
+    std::chrono::milliseconds sinceCrash{0}; ///< age of the crash when this is reported
 };
 
 /** Parameters of Quarantine. */
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -236,13 +236,16 @@
     return this->route.isRepeatable() && this->countedRuns() < this->route.attempts;
 }
 
-QByteArray ForwardedCall::contentDigest() const
+const QByteArray &ForwardedCall::contentDigest()
 {
+    if (!this->digest.isEmpty())
+        return this->digest;
     QCryptographicHash hash(QCryptographicHash::Sha1);
     hash.addData(this->team.name);
     hash.addData(this->request.target);
     hash.addData(this->request.body);
-    return hash.result();
+    this->digest = hash.result();
+    return this->digest;
 }
 
 bool ForwardedCall::isTurn() const
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -137,6 +137,10 @@
        connection that also ends the body does not say whether the body is complete. */
     [[nodiscard]] bool mayHaveExpiredAtReplica() const;
     void handleFailure(ExchangeFailure reason);
+    /** Finds out whether the replica, which closed its connection, crashed. */
+    void suspectCrash(const std::shared_ptr<const TunnelUse> &tunnel);
+    /** Records that the request does not crash replicas. */
+    void clearSuspicion();
     /** Tells whether the response states that the replica did not run the request, so that another
         one may. */
     [[nodiscard]] bool isRejected() const;
@@ -201,8 +205,9 @@
     [[nodiscard]] bool mayRetry() const;
     [[nodiscard]] bool isCold(const QByteArray &instance) const;
 
-    /** Returns a digest of the request that is equal for each of its attempts. */
-    [[nodiscard]] QByteArray contentDigest() const;
+    /** Returns a digest of the request that is equal for each of its attempts, and for each later
+        request with the same content. */
+    [[nodiscard]] const QByteArray &contentDigest();
     [[nodiscard]] bool isTurn() const;
     /** Returns whether the call is probably the first turn of a program. */
     [[nodiscard]] bool startsProgram() const;
@@ -235,6 +240,7 @@
     TurnRequest turnRequest;
     bool budgetReserved = false;
     QByteArray history;
+    QByteArray digest; ///< of the content, once it was needed
 
     std::vector<QByteArray> excludedInstances; ///< not to be tried again
     int possibleRuns = 0;                      ///< sends that may have run the request
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -179,6 +179,8 @@
         this->handleTimeout();
         return;
     }
+    if (this->attempt.head.status < firstServerErrorStatus)
+        this->clearSuspicion();
     if (this->attempt.isStream) {
         this->finishStream();
         return;
@@ -241,8 +243,7 @@
     if (reason == ExchangeFailure::Unreachable && this->route.isRepeatable())
         ++this->uncountedRuns;
     if (reason == ExchangeFailure::Closed)
-        this->context.fleet.crashCorrelator().recordBrokenConnection(
-                this->attempt.replica, this->contentDigest(), this->now());
+        this->suspectCrash(tunnel);
     this->continueElsewhere(describe(reason));
 }
 
--- a/modules/lacewingmux_gateway/replicas/CrashCorrelator.h
+++ b/modules/lacewingmux_gateway/replicas/CrashCorrelator.h
@@ -6,6 +6,7 @@
 #include <QByteArray>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <unordered_map>
 #include <vector>
@@ -16,9 +17,11 @@
     Distinguishes replicas that crash while running a request from mere connection failures.
 
     A closed connection without a response counts as a crash only if the replica becomes unreachable
-    shortly afterwards. A request is quarantined after crashes of three replicas. Another request
-    that ran during one of these crashes is not quarantined, because it is retried on a healthy
-    replica. Reads no clock: the current time is a parameter.
+    shortly afterwards. A request is quarantined after crashes of three replicas, one after the
+    other: replicas that fail together have a common cause, and a request that crashes replicas was
+    sent to each of them after the crash of the one before. Another request that ran during one of
+    these crashes is not quarantined, because it is retried on a healthy replica; one that a replica
+    has answered is no longer suspected. Reads no clock: the current time is a parameter.
 */
 class CrashCorrelator
 {
@@ -29,9 +32,20 @@
     /** The hook receives each crash detected on this VM, so that other VMs can be notified. */
     explicit CrashCorrelator(CrashHook crashHook);
 
+    /** A request whose connection to a replica was closed before its response was complete. */
+    struct BrokenRequest
+    {
+        QByteArray contentDigest;
+        std::int64_t startMilliseconds = 0; ///< start time of the replica, Unix time
+        SteadyTime sentAt;
+        SteadyTime brokenAt;
+    };
+
     /** Records that a replica closed the connection without a response to the request. */
-    void recordBrokenConnection(const QByteArray &instance, const QByteArray &contentDigest,
-                                SteadyTime now);
+    void recordBrokenConnection(const QByteArray &instance, const BrokenRequest &request);
+
+    /** Records that a replica has answered the request. */
+    void recordCompleted(const QByteArray &contentDigest);
 
     /** Records that a replica is unreachable. */
     void recordUnreachable(const QByteArray &instance, SteadyTime now);
@@ -46,17 +60,15 @@
     [[nodiscard]] bool isQuarantined(const QByteArray &contentDigest, SteadyTime now) const;
 
 private:
-    struct BrokenRequest
-    {
-        QByteArray contentDigest;
-        SteadyTime time;
-    };
-
+    /** Counts a crash, unless it is known or the run began before the last crash counted. Returns
+        whether it was counted. */
+    bool count(const CrashCoincidence &coincidence, SteadyTime now);
     void removeExpired(SteadyTime now);
 
     CrashHook crashFound;
     Quarantine quarantine;
     std::unordered_map<QByteArray, std::vector<BrokenRequest>> brokenRequests; ///< by instance
+    std::unordered_map<QByteArray, SteadyTime> lastCrashes; ///< of those counted, by digest
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -18,6 +18,8 @@
 // Bounds the connection attempts of a VM that has lost its links to a hundred replicas or more.
 constexpr std::size_t maximumProbesPerInterval = 8;
 constexpr std::chrono::seconds invalidLoadLogInterval{1};
+// A process that crashes closes its listening socket within milliseconds of its connections.
+constexpr std::chrono::milliseconds crashCheckDelay{100};
 constexpr qsizetype maximumLoggedText = 100; // a valid report has less than 30 characters
 
 } // namespace
@@ -339,6 +341,19 @@
             [callback = std::move(callback), result = recent->second.result] { callback(result); });
 }
 
+void ReplicaFleet::checkForCrash(const QByteArray &id,
+                                 const std::shared_ptr<const TunnelUse> &tunnel)
+{
+    const ProbeKey key{id, tunnel ? tunnel->endpoint().vm : QString()};
+    const auto [check, isNew] = this->crashChecks.try_emplace(key);
+    if (!isNew)
+        return; // the calls of a crashed replica share one check
+    check->second = this->timers.after(crashCheckDelay, [this, key, tunnel] {
+        const auto ended = this->crashChecks.extract(key);
+        this->probe(ended.key().first, tunnel, [](ConnectResult) {});
+    });
+}
+
 void ReplicaFleet::finishProbe(const ProbeKey &key, ConnectResult result)
 {
     auto entry = this->probes.extract(key);
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
@@ -131,6 +131,10 @@
     void probeSilent(const QByteArray &id, const std::shared_ptr<const TunnelUse> &tunnel,
                      std::function<void(ConnectResult)> callback);
 
+    /** Checks shortly whether the replica still accepts connections, because it has closed one
+        before its response was complete. The check uses the tunnel unless it is null. */
+    void checkForCrash(const QByteArray &id, const std::shared_ptr<const TunnelUse> &tunnel);
+
     /** Returns a connection to the incarnation with this start time after its exchange. It is
        pooled if it is reusable and that incarnation still accepts calls. */
     void release(const QByteArray &id, std::int64_t startMilliseconds,
@@ -186,6 +190,7 @@
     QByteArray secret;
     std::map<ProbeKey, Probe> probes; ///< in progress
     std::map<ProbeKey, EndedProbe> endedProbes;
+    std::map<ProbeKey, TimerSubscription> crashChecks; ///< that are due
     std::map<QByteArray, bool> unreachable; ///< directly; whether a tunnel reaches the instance
     TimerService::SteadyTime lastDirectContact;
     QByteArray lastProbed;                 ///< of the unreachable instances
--- a/modules/lacewingmux_records/messages/RecordsCodec.cpp
+++ b/modules/lacewingmux_records/messages/RecordsCodec.cpp
@@ -3,6 +3,8 @@
 #include "lacewingmux_peer/messages/FlatBufferPayload.h"
 #include "lacewingmux_records/messages/records_generated.h"
 
+#include <algorithm>
+
 namespace lacewingmux {
 
 namespace {
@@ -13,6 +15,16 @@
 using std::chrono::milliseconds;
 using std::chrono::system_clock;
 
+// Runs end earlier; bounds what a damaged notice may state.
+constexpr std::int64_t longestNoticeAgeMilliseconds = 600000;
+
+/** Returns the age that a crash notice states, within what is possible. */
+milliseconds noticeAge(std::int64_t statedMilliseconds)
+{
+    return milliseconds(
+            std::clamp<std::int64_t>(statedMilliseconds, 0, longestNoticeAgeMilliseconds));
+}
+
 /** As createBytes(), but omits the field if the bytes are empty. */
 Offset<ByteVector> createOptionalBytes(FlatBufferBuilder &builder, const QByteArray &bytes)
 {
@@ -299,7 +311,8 @@
     const auto digest = createBytes(builder, message.contentDigest);
     return finishedPayload(
             builder, fb::CreateCrashNotice(builder, digest,
-                                           builder.CreateString(message.crash.toStdString())));
+                                           builder.CreateString(message.crash.toStdString()),
+                                           message.sinceSent.count(), message.sinceCrash.count()));
 }
 
 std::optional<CrashCoincidence> RecordsCodec::decodeCrash(const QByteArray &bytes)
@@ -307,8 +320,8 @@
     const auto *table = verifiedTable<fb::CrashNotice>(bytes);
     if (table == nullptr)
         return std::nullopt;
-    return CrashCoincidence{bytesOf(table->digest()),
-                            QString::fromStdString(table->crash()->str())};
+    return CrashCoincidence{bytesOf(table->digest()), QString::fromStdString(table->crash()->str()),
+                            noticeAge(table->since_sent_ms()), noticeAge(table->since_crash_ms())};
 }
 
 QByteArray RecordsCodec::encodeConfiguration(const ConfigurationDocumentMessage &message)
--- a/modules/lacewingmux_records/messages/records_generated.h
+++ b/modules/lacewingmux_records/messages/records_generated.h
@@ -1222,7 +1222,9 @@
   typedef CrashNoticeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_DIGEST = 4,
-    VT_CRASH = 6
+    VT_CRASH = 6,
+    VT_SINCE_SENT_MS = 8,
+    VT_SINCE_CRASH_MS = 10
   };
   const flatbuffers::Vector<uint8_t> *digest() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DIGEST);
@@ -1230,12 +1232,20 @@
   const flatbuffers::String *crash() const {
     return GetPointer<const flatbuffers::String *>(VT_CRASH);
   }
+  int64_t since_sent_ms() const {
+    return GetField<int64_t>(VT_SINCE_SENT_MS, 0);
+  }
+  int64_t since_crash_ms() const {
+    return GetField<int64_t>(VT_SINCE_CRASH_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_DIGEST) &&
            verifier.VerifyVector(digest()) &&
            VerifyOffsetRequired(verifier, VT_CRASH) &&
            verifier.VerifyString(crash()) &&
+           VerifyField<int64_t>(verifier, VT_SINCE_SENT_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_SINCE_CRASH_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1250,6 +1260,12 @@
   void add_crash(flatbuffers::Offset<flatbuffers::String> crash) {
     fbb_.AddOffset(CrashNotice::VT_CRASH, crash);
   }
+  void add_since_sent_ms(int64_t since_sent_ms) {
+    fbb_.AddElement<int64_t>(CrashNotice::VT_SINCE_SENT_MS, since_sent_ms, 0);
+  }
+  void add_since_crash_ms(int64_t since_crash_ms) {
+    fbb_.AddElement<int64_t>(CrashNotice::VT_SINCE_CRASH_MS, since_crash_ms, 0);
+  }
   explicit CrashNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1266,8 +1282,12 @@
 inline flatbuffers::Offset<CrashNotice> CreateCrashNotice(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> digest = 0,
-    flatbuffers::Offset<flatbuffers::String> crash = 0) {
+    flatbuffers::Offset<flatbuffers::String> crash = 0,
+    int64_t since_sent_ms = 0,
+    int64_t since_crash_ms = 0) {
   CrashNoticeBuilder builder_(_fbb);
+  builder_.add_since_crash_ms(since_crash_ms);
+  builder_.add_since_sent_ms(since_sent_ms);
   builder_.add_crash(crash);
   builder_.add_digest(digest);
   return builder_.Finish();
@@ -1276,13 +1296,17 @@
 inline flatbuffers::Offset<CrashNotice> CreateCrashNoticeDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<uint8_t> *digest = nullptr,
-    const char *crash = nullptr) {
+    const char *crash = nullptr,
+    int64_t since_sent_ms = 0,
+    int64_t since_crash_ms = 0) {
   auto digest__ = digest ? _fbb.CreateVector<uint8_t>(*digest) : 0;
   auto crash__ = crash ? _fbb.CreateString(crash) : 0;
   return lacewingmux::fb::CreateCrashNotice(
       _fbb,
       digest__,
-      crash__);
+      crash__,
+      since_sent_ms,
+      since_crash_ms);
 }
 
 struct ConfigurationDocument FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/gateway/ReplicaFleetTest.cpp
+++ b/tests/gateway/ReplicaFleetTest.cpp
@@ -126,9 +126,10 @@
     instance.port = 1; // no server listens on this port
     fleet.setReplicas({instance});
     // When a replica crashes, its requests fail one after the other.
-    fleet.crashCorrelator().recordBrokenConnection("i-0", "first", loop.timers.now());
+    const TimerService::SteadyTime now = loop.timers.now();
+    fleet.crashCorrelator().recordBrokenConnection("i-0", {"first", 0, now, now});
     fleet.recordUnreachable("i-0");
-    fleet.crashCorrelator().recordBrokenConnection("i-0", "second", loop.timers.now());
+    fleet.crashCorrelator().recordBrokenConnection("i-0", {"second", 0, now, now});
     fleet.recordUnreachable("i-0");
     cr_assert_eq(crashes, 2);
 }
