Date a confirmation of ownership by its question

Cause: `ReplicaDispatcher::confirmOwnership` dated the confirmation by the arrival of the answer. A VM that is paused between its question and the answer read a confirmation from before the pause, and could send the call for 200 ms more.

Evidence: with an answer 300 ms after the question the call was sent; both new tests failed before (`ReplicaDispatcher/aCallWhoseConfirmation*`: "waited in vain: the second question", "nothing was sent").

Change: the confirmation is dated by its question. One that has expired when it arrives sends nothing; the call goes back to its queue and the owner is asked again, until the call's time in the queue is over.

Read for the same: the leases of orders, power, quota and tokens, the quota's generations, the records VMs' answers and the store's followers take the time of the question; nothing renews a lease in the store. None was changed.

--- a/modules/lacewingmux_backend/dispatch/DispatchedCall.h
+++ b/modules/lacewingmux_backend/dispatch/DispatchedCall.h
@@ -36,7 +36,7 @@
     TimerService::SteadyTime queueDeadline;
     int attempts = 0;                     ///< how often the call was sent to a replica
     int confirmedAttempts = 0;            ///< attempts for which the ownership was confirmed
-    TimerService::SteadyTime confirmedAt; ///< when it was confirmed for the last of them
+    TimerService::SteadyTime confirmedAt; ///< when the last confirmation was asked for
     std::vector<QString> excluded;        ///< replicas on which an attempt failed
     /** Whether its content ran on a replica when that crashed. Such a call is not run on one
         replica with other suspects. */
--- a/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.cpp
+++ b/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.cpp
@@ -349,18 +349,31 @@
             call.confirmedAttempts > call.attempts || (call.attempts == 0 && isRecent);
     if (isConfirmed || !call.listener.confirmOwnership)
         return true;
-    call.listener.confirmOwnership([this, handle = call.handle, attempt = call.attempts + 1,
+    call.listener.confirmOwnership([this, handle = call.handle, askedAt = this->timers.now(),
                                     alive = std::weak_ptr<char>(this->lifetimeToken)] {
-        DispatchedCall *confirmed = alive.expired() ? nullptr : this->find(handle);
-        if (!confirmed || confirmed->state != DispatchState::Starting)
-            return;
-        confirmed->confirmedAttempts = attempt;
-        confirmed->confirmedAt = this->timers.now();
-        this->send(handle);
+        if (!alive.expired())
+            this->ownershipConfirmed(handle, askedAt);
     });
     return false;
 }
 
+void ReplicaDispatcher::ownershipConfirmed(DispatchHandle handle, TimerService::SteadyTime askedAt)
+{
+    DispatchedCall *call = this->find(handle);
+    if (!call || call->state != DispatchState::Starting)
+        return;
+    // The owner may have been replaced since it was asked.
+    if (this->timers.now() - askedAt >= ownershipConfirmationTime) {
+        this->requeue(*call);
+        if (this->timers.now() >= call->queueDeadline)
+            this->queueTimedOut(*call);
+        return;
+    }
+    call->confirmedAttempts = call->attempts + 1;
+    call->confirmedAt = askedAt;
+    this->send(handle);
+}
+
 void ReplicaDispatcher::send(DispatchHandle handle)
 {
     DispatchedCall *call = this->find(handle);
--- a/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.h
+++ b/modules/lacewingmux_backend/dispatch/ReplicaDispatcher.h
@@ -125,6 +125,8 @@
     void send(DispatchHandle handle);
     /** Asks the owner for permission if the call needs it; returns whether it can be sent now. */
     [[nodiscard]] bool confirmOwnership(DispatchedCall &call);
+    /** Sends the call, or asks the owner again if the confirmation has expired. */
+    void ownershipConfirmed(DispatchHandle handle, TimerService::SteadyTime askedAt);
     void runFinished(DispatchHandle handle, const BackendResponse &response);
     void responseReceived(DispatchedCall &call, const BackendResponse &response);
     void connectionLost(DispatchedCall &call, const BackendResponse &response);
--- a/tests/backend/DispatcherFailureTest.cpp
+++ b/tests/backend/DispatcherFailureTest.cpp
@@ -162,6 +162,51 @@
     }
 }
 
+// Guards against an owner that is paused between its question and the answer: when it reads the
+// answer, its successor may have run the call and gone on to later ones.
+Test(ReplicaDispatcher, aCallWhoseConfirmationArrivesLateIsSentOnlyAfterANewOne)
+{
+    DispatcherFixture f;
+    f.decisionAge = 1500ms;
+    std::vector<std::function<void()>> questions;
+    f.confirmOwnership = [&questions](const std::function<void()> &send) {
+        questions.push_back(send);
+    };
+    f.addEngine(slowEngine());
+    f.adopt();
+    const auto &call = f.dispatch(f.chat(QStringLiteral("r1"), QStringLiteral("hello")));
+    f.loop.waitUntil([&questions] { return questions.size() == 1; }, "the question");
+    f.loop.runFor(300ms);
+    questions.front()();
+    f.loop.waitUntil([&questions] { return questions.size() == 2; }, "the second question");
+    f.loop.runFor(100ms);
+    cr_assert(call.startedAt.empty());
+    cr_assert_eq(totalRuns(f, QStringLiteral("r1")), 0);
+    questions.back()();
+    cr_assert(f.finish(call).completed);
+    cr_assert_eq(totalRuns(f, QStringLiteral("r1")), 1);
+}
+
+Test(ReplicaDispatcher, aCallWhoseConfirmationsAllArriveLateEndsWithItsQueueTime)
+{
+    DispatcherFixture f;
+    f.decisionAge = 1500ms;
+    int confirmations = 0;
+    f.confirmOwnership = [&](const std::function<void()> &send) {
+        ++confirmations;
+        std::this_thread::sleep_for(250ms);
+        f.loop.timers.post(send);
+    };
+    f.addEngine(slowEngine());
+    f.adopt();
+    DispatchRequest request = f.chat(QStringLiteral("r1"), QStringLiteral("hello"));
+    request.queueTimeout = 600ms;
+    const auto &call = f.dispatch(request);
+    cr_assert(f.finish(call).executed == Executed::No, "nothing was sent");
+    cr_assert_gt(confirmations, 1);
+    cr_assert_eq(totalRuns(f, QStringLiteral("r1")), 0);
+}
+
 Test(ReplicaDispatcher, aStreamWhoseEngineCrashesRestartsAndCompletes)
 {
     DispatcherFixture f;
