Log and measure turns of the event loop that hold up a VM

`EventLoopMonitor` observes delays of more than 100 ms in `lacewingmux_event_loop_delay_seconds` and logs `eventLoopDelayed` with the processor time that the thread used meanwhile, which tells a long callback from a paused process. Entry VMs and records VMs have one on their traffic threads.

--- a/modules/lacewingmux_core/lacewingmux_core.h
+++ b/modules/lacewingmux_core/lacewingmux_core.h
@@ -26,6 +26,7 @@
 #include "lacewingmux_core/settings/FieldRules.h"
 #include "lacewingmux_core/settings/SettingsFindings.h"
 #include "lacewingmux_core/settings/SettingsReader.h"
+#include "lacewingmux_core/time/EventLoopMonitor.h"
 #include "lacewingmux_core/time/JitteredBackoff.h"
 #include "lacewingmux_core/time/ManualTimerService.h"
 #include "lacewingmux_core/time/QtTimerService.h"
--- a/modules/lacewingmux_node/front/FrontTrafficServices.cpp
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.cpp
@@ -48,7 +48,8 @@
 
 FrontTrafficServices::FrontTrafficServices(const NodeSettings &settings, const CallDialect &dialect,
                                            MetricsRecorder &metrics, Hooks trafficHooks)
-    : hooks(std::move(trafficHooks))
+    : monitor(this->timers, metrics)
+    , hooks(std::move(trafficHooks))
     , tunnelPort(settings.tunnelPort)
     , detectsSilence(settings.features.has(Feature::ReadinessBySilence))
 {
--- a/modules/lacewingmux_node/front/FrontTrafficServices.h
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lacewingmux_core/time/EventLoopMonitor.h"
 #include "lacewingmux_core/time/QtTimerService.h"
 #include "lacewingmux_gateway/replicas/ReplicaInstance.h"
 #include "lacewingmux_node/front/RecordsReachability.h"
@@ -79,6 +80,7 @@
     void sendCrashNotice(const CrashCoincidence &coincidence);
 
     QtTimerService timers;
+    EventLoopMonitor monitor;
     Hooks hooks;
     std::uint16_t tunnelPort;
     bool detectsSilence; ///< whether silent records VMs make this VM not ready
--- a/modules/lacewingmux_node/records/RecordsTrafficServices.cpp
+++ b/modules/lacewingmux_node/records/RecordsTrafficServices.cpp
@@ -35,7 +35,8 @@
 RecordsTrafficServices::RecordsTrafficServices(const NodeSettings &settings,
                                                const VmIncarnation &self, MetricsRecorder &metrics,
                                                Hooks hooks)
-    : log(std::make_unique<SegmentedLog>(settings.dataFolder, this->timers))
+    : monitor(this->timers, metrics)
+    , log(std::make_unique<SegmentedLog>(settings.dataFolder, this->timers))
     , hub(std::make_unique<TcpPeerHub>(peerSettings(settings, self), this->timers))
     , server(std::make_unique<RecordsServer>(*this->hub, *this->log, this->timers, metrics,
                                              std::move(hooks.records)))
--- a/modules/lacewingmux_node/records/RecordsTrafficServices.h
+++ b/modules/lacewingmux_node/records/RecordsTrafficServices.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lacewingmux_core/time/EventLoopMonitor.h"
 #include "lacewingmux_core/time/QtTimerService.h"
 #include "lacewingmux_node/settings/NodeSettings.h"
 #include "lacewingmux_records/messages/RecordMessages.h"
@@ -65,6 +66,7 @@
     void announceTunnelStop(const VmIncarnation &peer);
 
     QtTimerService timers;
+    EventLoopMonitor monitor;
     std::unique_ptr<SegmentedLog> log;
     std::unique_ptr<TcpPeerHub> hub;
     std::unique_ptr<RecordsServer> server;
