Take at most 16 KiB at once from a replica's connection

Seen by operators: a replica that sends without end makes an entry VM grow to several times the memory that the account of unfinished responses allows, so that the system ends it and with it the requests of all callers on that machine.

Cause: the connections to replicas had no read buffer size. One read took all that the system held for the connection, which is megabytes with a fast peer, then copied it through decoder, parser and body, and only then counted it.

Change: a read buffer of 16 KiB for each connection. The rest stays in the system's buffer, whose window holds the peer back. What came before an orderly close is still delivered before the close takes effect, and bytes behind a response still keep its connection from being used again.

Evidence: flooding_replica/is_read_in_small_pieces failed before (a piece of more than 64 KiB). The other three new tests passed before and guard what sound replicas rely on. All 334 tests of the gateway pass.

--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -18,6 +18,8 @@
 
 // Without an acknowledgement; does not limit the time to a response.
 constexpr std::chrono::milliseconds networkTimeout{3000};
+// Bounds what the process takes from a connection at once. The system holds back the rest.
+constexpr qint64 readBufferBytes = qint64{16} * 1024;
 // Of responses to other requests; far above a response that was sent twice.
 constexpr qsizetype maximumDiscardedBytes = qsizetype{1024} * 1024;
 // Bounds the memory for the ids that a connection has carried, at one new connection in so many
@@ -37,6 +39,7 @@
     , tunnelUse(streamRoute.tunnel)
     , reusableUntil(timerService.now())
 {
+    this->socket->setReadBufferSize(readBufferBytes);
     this->connector = std::make_unique<StreamConnector>(
             *this->socket, streamRoute, this->timers,
             [this](ConnectResult result) { this->handleConnectResult(result); });
