Let connections of fast replicas read by turns

Seen by operators: while a few replicas send without end, an entry VM serves other callers late or not at all, and its timers and deadlines come late.

Cause: each connection with bytes to read was read and handled in every turn of the event loop, however many there were. With many fast peers one turn took as long as all their bytes.

Change: reads that fill the read buffer are shared. Smaller reads, which are what usual answers and events take, are handled at once as before, so that a paused VM still handles the answers that have arrived before its timers.

--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -3,6 +3,7 @@
 #include "lacewingmux_gateway/http/ResponseDecoder.h"
 #include "lacewingmux_gateway/http/StatusLine.h"
 #include "lacewingmux_gateway/replicas/ReplicaRequest.h"
+#include "lacewingmux_gateway/replicas/SharedReading.h"
 #include "lacewingmux_tunnel/sockets/PeerMonitor.h"
 
 #include <QTcpSocket>
@@ -33,9 +34,11 @@
 
 } // namespace
 
-ReplicaConnection::ReplicaConnection(const StreamRoute &streamRoute, TimerService &timerService)
+ReplicaConnection::ReplicaConnection(const StreamRoute &streamRoute, TimerService &timerService,
+                                     std::shared_ptr<SharedReading> sharedReading)
     : socket(new QTcpSocket)
     , timers(timerService)
+    , reading(std::move(sharedReading))
     , tunnelUse(streamRoute.tunnel)
     , reusableUntil(timerService.now())
 {
@@ -121,7 +124,7 @@
     }
     this->connected = true;
     QObject::connect(this->socket, &QTcpSocket::readyRead, this->socket,
-                     [this] { this->readAvailable(); });
+                     [this] { this->readByTurns(); });
     QObject::connect(this->socket, &QTcpSocket::errorOccurred, this->socket,
                      [this] { this->handleDisconnected(); });
     this->monitor = std::make_unique<PeerMonitor>(*this->socket, this->timers, networkTimeout,
@@ -180,6 +183,19 @@
     return this->tunnelUse ? ExchangeFailure::TunnelLost : ExchangeFailure::Unreachable;
 }
 
+void ReplicaConnection::readByTurns()
+{
+    // Bytes outside an exchange are read only once, as they end the connection.
+    if (!this->busy || this->socket->bytesAvailable() < readBufferBytes) {
+        this->readAvailable();
+        return;
+    }
+    this->reading->read([this, guard = std::weak_ptr(this->lifetime)] {
+        if (!guard.expired())
+            this->readAvailable();
+    });
+}
+
 void ReplicaConnection::readAvailable()
 {
     const QByteArray bytes = this->socket->readAll();
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
@@ -21,6 +21,7 @@
 
 class PeerMonitor;
 class ResponseDecoder;
+class SharedReading;
 struct ReplicaRequest;
 
 /**
@@ -48,8 +49,9 @@
         std::function<void(ExchangeFailure)> failed;
     };
 
-    /** Starts to connect. */
-    ReplicaConnection(const StreamRoute &streamRoute, TimerService &timerService);
+    /** Starts to connect. The connections of a thread read by turns. */
+    ReplicaConnection(const StreamRoute &streamRoute, TimerService &timerService,
+                      std::shared_ptr<SharedReading> sharedReading);
     ~ReplicaConnection();
     ReplicaConnection(const ReplicaConnection &) = delete;
     ReplicaConnection &operator=(const ReplicaConnection &) = delete;
@@ -115,6 +117,8 @@
     void handlePeerLost();
     /** Returns how an exchange fails when its connection is no longer acknowledged. */
     [[nodiscard]] ExchangeFailure lossFailure() const;
+    /** Reads at once, or later if much has arrived and other connections come first. */
+    void readByTurns();
     void readAvailable();
     void deliverDecoded();
     /** Discards a part of the body of a response to another request. Returns whether the exchange
@@ -131,6 +135,7 @@
 
     QTcpSocket *socket;
     TimerService &timers;
+    std::shared_ptr<SharedReading> reading;
     std::shared_ptr<const TunnelUse> tunnelUse;
     std::unique_ptr<StreamConnector> connector; ///< until connected
     std::unique_ptr<PeerMonitor> monitor;       ///< once connected
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -3,6 +3,7 @@
 #include "lacewingmux_core/logging/StructuredLog.h"
 #include "lacewingmux_gateway/replicas/ReachabilityProbe.h"
 #include "lacewingmux_gateway/replicas/ReplicaConnection.h"
+#include "lacewingmux_gateway/replicas/SharedReading.h"
 #include "lacewingmux_tunnel/client/TunnelUse.h"
 
 #include <algorithm>
@@ -30,6 +31,7 @@
     , correlator(std::move(crashHook))
     , tunnels(zone, placementSettings.vmSeed)
     , secret(std::move(tunnelSecret))
+    , reading(std::make_shared<SharedReading>(this->timers))
 {
     this->cleanupTimer =
             this->timers.every(cleanupInterval, [this] { this->closeStaleConnections(); });
@@ -274,7 +276,7 @@
     if (this->unreachable.contains(id))
         tunnel = this->takeTunnel();
     return std::make_shared<ReplicaConnection>(this->routeTo(*replica, std::move(tunnel)),
-                                               this->timers);
+                                               this->timers, this->reading);
 }
 
 std::shared_ptr<ReplicaConnection> ReplicaFleet::takeIdle(const QByteArray &id,
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
@@ -23,6 +23,7 @@
 
 class ReachabilityProbe;
 class ReplicaConnection;
+class SharedReading;
 
 /**
     The registered replicas, the connection pool, and the placement of calls on replicas.
@@ -184,7 +185,8 @@
     QHash<QByteArray, ConnectionList> idle; ///< by instance, most recently used last
     TunnelDirectory tunnels;
     QByteArray secret;
-    std::map<ProbeKey, Probe> probes; ///< in progress
+    std::shared_ptr<SharedReading> reading; ///< by all connections
+    std::map<ProbeKey, Probe> probes;       ///< in progress
     std::map<ProbeKey, EndedProbe> endedProbes;
     std::map<QByteArray, bool> unreachable; ///< directly; whether a tunnel reaches the instance
     TimerService::SteadyTime lastDirectContact;
