--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -3,6 +3,7 @@
 #include "lacewingmux_gateway/http/ResponseDecoder.h"
 #include "lacewingmux_gateway/http/StatusLine.h"
 #include "lacewingmux_gateway/replicas/ReplicaRequest.h"
+#include "lacewingmux_gateway/replicas/SharedReading.h"
 #include "lacewingmux_tunnel/sockets/PeerMonitor.h"
 
 #include <QTcpSocket>
@@ -18,6 +19,8 @@
 
 // Without an acknowledgement; does not limit the time to a response.
 constexpr std::chrono::milliseconds networkTimeout{3000};
+// Bounds what the process takes from a connection at once. The system holds back the rest.
+constexpr qint64 readBufferBytes = qint64{16} * 1024;
 // Of responses to other requests; far above a response that was sent twice.
 constexpr qsizetype maximumDiscardedBytes = qsizetype{1024} * 1024;
 // Bounds the memory for the ids that a connection has carried, at one new connection in so many
@@ -31,12 +34,15 @@
 
 } // namespace
 
-ReplicaConnection::ReplicaConnection(const StreamRoute &streamRoute, TimerService &timerService)
+ReplicaConnection::ReplicaConnection(const StreamRoute &streamRoute, TimerService &timerService,
+                                     std::shared_ptr<SharedReading> sharedReading)
     : socket(new QTcpSocket)
     , timers(timerService)
+    , reading(std::move(sharedReading))
     , tunnelUse(streamRoute.tunnel)
     , reusableUntil(timerService.now())
 {
+    this->socket->setReadBufferSize(readBufferBytes);
     this->connector = std::make_unique<StreamConnector>(
             *this->socket, streamRoute, this->timers,
             [this](ConnectResult result) { this->handleConnectResult(result); });
@@ -118,7 +124,7 @@
     }
     this->connected = true;
     QObject::connect(this->socket, &QTcpSocket::readyRead, this->socket,
-                     [this] { this->readAvailable(); });
+                     [this] { this->readByTurns(); });
     QObject::connect(this->socket, &QTcpSocket::errorOccurred, this->socket,
                      [this] { this->handleDisconnected(); });
     this->monitor = std::make_unique<PeerMonitor>(*this->socket, this->timers, networkTimeout,
@@ -177,6 +183,19 @@
     return this->tunnelUse ? ExchangeFailure::TunnelLost : ExchangeFailure::Unreachable;
 }
 
+void ReplicaConnection::readByTurns()
+{
+    // Bytes outside an exchange are read only once, as they end the connection.
+    if (!this->busy || this->socket->bytesAvailable() < readBufferBytes) {
+        this->readAvailable();
+        return;
+    }
+    this->reading->read([this, guard = std::weak_ptr(this->lifetime)] {
+        if (!guard.expired())
+            this->readAvailable();
+    });
+}
+
 void ReplicaConnection::readAvailable()
 {
     const QByteArray bytes = this->socket->readAll();
