--- a/tests/platform-soak/fleet/VmProcess.h
+++ b/tests/platform-soak/fleet/VmProcess.h
@@ -30,6 +30,7 @@
         QString folder;
         std::uint16_t storePort = 0;
         bool linksAreCut = false; ///< at times; see cutsFile
+        int memoryMegabytes = 140;
     };
 
     VmProcess(Role daemonRole, int number, Surroundings vmSurroundings);
