Limit the chunk headers and trailers of requests

Beast's parser only limits the head; RequestDecoder kept what the parser had not consumed.

More than the limit for heads is now HeadTooLarge, as ResponseDecoder has it, and nothing is kept after a failure. request_decoder/refuses_a_chunk_header_or_trailer_ without_end failed with the checks taken out: the state stayed Body.

--- a/modules/lacewingmux_gateway/http/RequestDecoder.cpp
+++ b/modules/lacewingmux_gateway/http/RequestDecoder.cpp
@@ -94,6 +94,8 @@
 
 void RequestDecoder::append(const QByteArray &bytes)
 {
+    if (this->currentState > DecodeState::Complete)
+        return;
     this->pending += bytes;
     this->decode();
 }
@@ -145,8 +147,13 @@
         else
             this->currentState =
                     this->parser->is_header_done() ? DecodeState::Body : DecodeState::Head;
-        if (error == http::error::need_more)
+        if (error == http::error::need_more) {
+            // Bytes of a body are consumed at once; what is left is part of a head, a chunk header
+            // or a trailer. The parser only limits the head.
+            if (this->pending.size() > static_cast<qsizetype>(this->requestLimits.headerBytes))
+                this->currentState = DecodeState::HeadTooLarge;
             return;
+        }
     }
 }
 
--- a/tests/gateway/RequestDecoderTest.cpp
+++ b/tests/gateway/RequestDecoderTest.cpp
@@ -4,6 +4,8 @@
 
 #include <QList>
 
+#include <utility>
+
 using namespace lacewingmux;
 
 namespace {
@@ -80,3 +82,34 @@
     cr_assert(stateAfter(start + "Transfer-Encoding: chunked\r\n\r\nfffffff\r\n")
               == DecodeState::BodyTooLarge);
 }
+
+// Otherwise a caller decides how much memory the VM keeps for a request that never becomes whole.
+Test(request_decoder, refuses_a_chunk_header_or_trailer_without_end)
+{
+    const QByteArray start = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const QList<std::pair<QByteArray, QByteArray>> endless{
+            {start + "1;name=", "x"},
+            {start + "1\r\nx\r\n0\r\nName: ", "x"},
+            {start + "1\r\nx\r\n0\r\n", "Name: x\r\n"},
+    };
+    for (const auto &[opening, piece] : endless) {
+        RequestDecoder decoder{HttpLimits()};
+        decoder.append(opening);
+        for (int block = 0; block < 64; ++block)
+            decoder.append(piece.repeated(1024));
+        cr_assert(decoder.state() == DecodeState::HeadTooLarge, "%s",
+                  (opening.mid(start.size()) + piece).constData());
+        cr_assert(decoder.pendingBytes() <= qsizetype{32} * 1024);
+    }
+}
+
+Test(request_decoder, takes_a_chunk_extension_and_a_trailer_of_usual_length)
+{
+    RequestDecoder decoder{HttpLimits()};
+    decoder.append("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n");
+    decoder.append("3;name=" + QByteArray(8 * 1024, 'x'));
+    decoder.append("\r\nabc\r\n0\r\nName: " + QByteArray(8 * 1024, 'x'));
+    decoder.append("\r\n\r\n");
+    cr_assert(decoder.state() == DecodeState::Complete);
+    cr_assert(decoder.take().body == "abc");
+}
