Close readiness connections whose caller reads no answers

Whoever reached the port for readiness checks could make an entry VM keep answers without end, by sending checks and reading nothing, and bodies of 4 MB on each connection. A connection now holds at most 16 KiB unread, a body of 1 KiB and answers of 64 KiB, and is closed beyond that.

--- a/modules/lacewingmux_gateway/ingress/ReadinessServer.cpp
+++ b/modules/lacewingmux_gateway/ingress/ReadinessServer.cpp
@@ -16,6 +16,9 @@
 
 constexpr int readyStatus = 200;
 constexpr int notReadyStatus = 503;
+constexpr qint64 readBufferBytes = qint64{16} * 1024;
+constexpr std::uint64_t maximumBodyBytes = 1024;         // a check has no body
+constexpr qint64 maximumUnreadBytes = qint64{64} * 1024; // far above the answer to one check
 
 } // namespace
 
@@ -38,22 +41,28 @@
 
 ReadinessServer::~ReadinessServer() = default;
 
+std::uint16_t ReadinessServer::port() const
+{
+    return this->server->serverPort();
+}
+
 void ReadinessServer::accept(QTcpSocket *socket)
 {
     QObject::connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
-    auto decoder = std::make_shared<RequestDecoder>(HttpLimits());
+    socket->setReadBufferSize(readBufferBytes);
+    HttpLimits limits;
+    limits.bodyBytes = maximumBodyBytes;
+    auto decoder = std::make_shared<RequestDecoder>(limits);
     QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket, decoder] {
         decoder->append(socket->readAll());
-        if (decoder->state() > DecodeState::Complete) {
-            socket->abort();
-            return;
-        }
         while (decoder->state() == DecodeState::Complete) {
             const HttpRequest request = decoder->take();
             this->answer(socket);
             if (!request.keepAlive)
                 socket->disconnectFromHost();
         }
+        if (decoder->state() > DecodeState::Complete || socket->bytesToWrite() > maximumUnreadBytes)
+            socket->abort();
     });
 }
 
--- a/modules/lacewingmux_gateway/ingress/ReadinessServer.h
+++ b/modules/lacewingmux_gateway/ingress/ReadinessServer.h
@@ -22,6 +22,8 @@
     ReadinessServer(const ReadinessServer &) = delete;
     ReadinessServer &operator=(const ReadinessServer &) = delete;
 
+    [[nodiscard]] std::uint16_t port() const;
+
 private:
     void accept(QTcpSocket *socket);
     void answer(QTcpSocket *socket);
