End a store call whose reply is 16 MiB or longer

A store, or whatever answers at its address, that sent a body without end made the daemon keep all of it until the call's time was up, 2 s by default and up to a poll's wait for watches. HttpCall put no limit on the reply.

The reply now buffers at most 16 MiB, far above the store's pages of about 1 MB and values of 1 MiB, and a longer one ends the call as if there were none. endless_store_reply/in_a_body_is_not_kept failed with the limit taken out, in all three of its cases: the client took 48 MiB or more. Heads and chunk headers without end are limited by Qt; those tests passed before as well.

--- a/modules/lacewingmux_keyvalue/client/HttpCall.cpp
+++ b/modules/lacewingmux_keyvalue/client/HttpCall.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int firstHttpErrorStatus = 400;
+// Far above a page of the platform's store, which has about 1 MB, or one value of 1 MiB.
+constexpr qint64 maximumReplyBytes = qint64{16} * 1024 * 1024;
 
 } // namespace
 
@@ -39,6 +41,9 @@
 
 void HttpCall::start(TimerService &timerService, std::chrono::milliseconds timeout)
 {
+    this->reply->setReadBufferSize(maximumReplyBytes);
+    QObject::connect(this->reply, &QNetworkReply::readyRead, &this->context,
+                     [this] { this->checkSize(); });
     QObject::connect(this->reply, &QNetworkReply::finished, &this->context,
                      [this] { this->finish(true); });
     this->timeoutTimer = timerService.after(timeout, [this] { this->finish(false); });
@@ -51,6 +56,12 @@
     this->reply->deleteLater();
 }
 
+void HttpCall::checkSize()
+{
+    if (this->reply->bytesAvailable() >= maximumReplyBytes)
+        this->finish(false);
+}
+
 void HttpCall::finish(bool answered)
 {
     this->timeoutTimer.cancel();
--- a/modules/lacewingmux_keyvalue/client/HttpCall.h
+++ b/modules/lacewingmux_keyvalue/client/HttpCall.h
@@ -21,7 +21,8 @@
 
 /**
     One call to the store. Destroying it aborts the call, and its callback is then never called.
-    The callback may destroy the call. A POST is sent at most once.
+    The callback may destroy the call. A POST is sent at most once. A reply of 16 MiB or more ends
+    the call as if there were none.
 */
 class HttpCall
 {
@@ -43,6 +44,8 @@
 
 private:
     void start(TimerService &timerService, std::chrono::milliseconds timeout);
+    /** Ends the call if its reply is too long. */
+    void checkSize();
     void finish(bool answered);
     [[nodiscard]] HttpCallResult result(bool answered) const;
 
