Search the events behind a held one only once

Seen by operators: a replica that resumes a stream and sends events without ids keeps the entry VM's thread busy for longer with each piece; nobody else is served.

Cause: while the parser holds an event until the id behind it is known, each piece that arrived made it search all events behind it again, up to the 8 MiB that one response may take.

Change: the parser goes on where the last search ended.

--- a/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
+++ b/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
@@ -82,6 +82,7 @@
         end = endOfEvent(this->pending, completeBytes);
     }
     this->pending.remove(0, completeBytes);
+    this->idSearchedBytes = this->isHolding ? this->idSearchedBytes - completeBytes : 0;
     // The end of an event takes up to three bytes, some of which may be pending already.
     this->searchedBytes = this->isHolding ? 0 : std::max<qsizetype>(0, this->pending.size() - 3);
     return events;
@@ -117,6 +118,7 @@
 QByteArray EventStreamParser::nextIdFrom(qsizetype position)
 {
     QByteArray id;
+    position = std::max(position, this->idSearchedBytes);
     qsizetype end = endOfEvent(this->pending, position);
     while (end >= 0 && id.isEmpty()) {
         const auto event = QByteArrayView(this->pending).sliced(position, end - position);
@@ -128,6 +130,7 @@
         position = end;
         end = endOfEvent(this->pending, position);
     }
+    this->idSearchedBytes = position;
     return id;
 }
 
--- a/modules/lacewingmux_gateway/forwarding/EventStreamParser.h
+++ b/modules/lacewingmux_gateway/forwarding/EventStreamParser.h
@@ -54,11 +54,14 @@
                                 EventSequence &sequence);
 
     /** Returns the id of the first complete event with one from this position on; empty if there is
-        none, or the head of another response comes first. */
+        none, or the head of another response comes first. Goes on where the last search for it
+        ended without a result. */
     [[nodiscard]] QByteArray nextIdFrom(qsizetype position);
 
     QByteArray pending;
     qsizetype searchedBytes = 0; ///< prefix of pending without an end of an event
+    qsizetype idSearchedBytes =
+            0; ///< prefix of pending without an id behind the event that is held
     bool outOfSequence = false;
     bool otherResponseFound = false;
     bool isHolding = false; ///< the first pending event
--- a/tests/gateway/FloodingReplicaTest.cpp
+++ b/tests/gateway/FloodingReplicaTest.cpp
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -130,7 +131,7 @@
 
 Test(flooding_replica, does_not_take_whole_turns_of_the_event_loop_with_others)
 {
-    constexpr int connections = 40;
+    constexpr std::size_t connections = 40;
     constexpr qsizetype bodySize = qsizetype{512} * 1024;
     EventLoop loop;
     ScriptedReplica replica([](const auto &, const auto &exchange) {
@@ -138,7 +139,8 @@
     });
     const auto reading = std::make_shared<SharedReading>(loop.timers);
     std::vector<std::unique_ptr<ReadExchange>> reads;
-    for (int number = 0; number < connections; ++number)
+    reads.reserve(connections);
+    for (std::size_t number = 0; number < connections; ++number)
         reads.push_back(std::make_unique<ReadExchange>(loop.timers, replica.port(), reading));
     const auto bytesRead = [&reads] {
         qsizetype sum = 0;
@@ -153,7 +155,8 @@
         loop.timers.post(endTurn);
     };
     endTurn();
-    loop.waitUntil([&] { return bytesRead() == connections * bodySize; }, "all responses");
+    loop.waitUntil([&] { return bytesRead() == qsizetype{connections} * bodySize; },
+                   "all responses");
     endTurn = [] {};
     loop.runFor(milliseconds(10));
     cr_assert_leq(most, largestTurn);
