Bound what a replica sends that adds nothing to an answer

Seen by callers: requests to a replica that sends responses to other requests, comments, empty lines, `retry:` fields or chunk headers without end get no answer until their deadline, and often none by then.

Cause: only bytes that are kept were bounded. Responses to other requests with an empty body, parts of a stream without data, and what surrounds the parts of a chunked body add nothing to any account.

The attempt then fails as malformed; the call goes on at another replica or is answered at once. A stream of which the caller has had comments only can be continued by another replica as well.

--- a/modules/lacewingmux_gateway/forwarding/DeliveredStream.h
+++ b/modules/lacewingmux_gateway/forwarding/DeliveredStream.h
@@ -51,11 +51,11 @@
         return this->lastEventId;
     }
 
-    /** Tells whether another replica can continue the stream: nothing was sent, or the id of the
+    /** Tells whether another replica can continue the stream: no data was sent, or the id of the
         last event with data is known. */
     [[nodiscard]] bool canBeContinued() const noexcept
     {
-        return !this->started || (!this->lastEventId.isEmpty() && !this->endsWithoutId);
+        return this->eventCount == 0 || (!this->lastEventId.isEmpty() && !this->endsWithoutId);
     }
 
     /** Returns the data of all events, each followed by a line feed. */
--- a/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
+++ b/modules/lacewingmux_gateway/forwarding/EventStreamParser.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Of the names of an event's fields, its id and its type.
+constexpr qsizetype usualFieldBytes = 128;
+
 /** Returns the end of the event that starts at the position, after its empty line; -1 if the
     event is incomplete. */
 qsizetype endOfEvent(const QByteArray &bytes, qsizetype from)
@@ -63,6 +66,8 @@
     events.text += event;
     events.data += data;
     events.count += data.isEmpty() ? 0 : 1;
+    const qsizetype expected = data.isEmpty() ? 0 : data.size() + usualFieldBytes;
+    events.excessBytes += std::max<qsizetype>(0, event.size() - expected);
     if (!id.isEmpty())
         events.lastId = id;
     if (!id.isEmpty() || !data.isEmpty())
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallEvents.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallEvents.cpp
@@ -18,7 +18,9 @@
 void ForwardedCall::forwardEvents(const QByteArray &bytes)
 {
     const StreamEvents events = this->attempt.eventParser.append(bytes, this->delivered.sequence());
-    if (!this->accountResponse()) {
+    const bool isWithinAllowance = this->attempt.keepAliveAllowance.take(
+            events.excessBytes, this->now() - this->attempt.sentAt);
+    if (!isWithinAllowance || !this->accountResponse()) {
         this->handleFailure(ExchangeFailure::Malformed);
         return;
     }
--- a/modules/lacewingmux_gateway/forwarding/ReplicaAttempt.h
+++ b/modules/lacewingmux_gateway/forwarding/ReplicaAttempt.h
@@ -3,6 +3,7 @@
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_gateway/calls/ReplicaResponseInfo.h"
 #include "lacewingmux_gateway/forwarding/EventStreamParser.h"
+#include "lacewingmux_gateway/forwarding/KeepAliveAllowance.h"
 #include "lacewingmux_gateway/http/HttpResponseHead.h"
 #include "lacewingmux_tunnel/client/ConnectResult.h"
 
@@ -43,6 +44,7 @@
     QByteArray trailing;            ///< bytes that were read behind the response
     bool awaitedTrailing = false;   ///< there was time for such bytes to arrive
     EventStreamParser eventParser;
+    KeepAliveAllowance keepAliveAllowance;
 
     std::int64_t events = 0;      ///< complete events with data
     std::int64_t firstEvents = 0; ///< of these, those up to the first arrival
--- a/modules/lacewingmux_gateway/http/ResponseDecoder.cpp
+++ b/modules/lacewingmux_gateway/http/ResponseDecoder.cpp
@@ -17,6 +17,10 @@
 constexpr std::uint32_t headLimitBytes = 64 * 1024; // far above the heads that backend servers send
 constexpr int firstFinalStatus = 200;
 constexpr int maximumInformational = 16; // in one response; one is usual
+// Bytes around the body: a head and a trailer at their limits, and the headers of chunks, which
+// take 5 bytes or more for each.
+constexpr qsizetype freeFramingBytes = qsizetype{2} * headLimitBytes;
+constexpr qsizetype framingBytesPerBodyByte = 32;
 
 /** Tells whether the text holds a status line: the head of one response was cut there, and that of
     another one follows. */
@@ -33,6 +37,7 @@
 public:
     HttpResponseHead head;
     QByteArray body;
+    qsizetype bodyBytes = 0; ///< in all
 
 private:
     void on_request_impl(http::verb, boost::beast::string_view, boost::beast::string_view, int,
@@ -60,7 +65,7 @@
     { }
     std::size_t on_body_impl(boost::beast::string_view bytes, boost::beast::error_code &) override
     {
-        this->body.append(bytes.data(), static_cast<qsizetype>(bytes.size()));
+        this->appendBody(bytes);
         return bytes.size();
     }
     void on_chunk_header_impl(std::uint64_t, boost::beast::string_view,
@@ -69,11 +74,18 @@
     std::size_t on_chunk_body_impl(std::uint64_t, boost::beast::string_view bytes,
                                    boost::beast::error_code &) override
     {
-        this->body.append(bytes.data(), static_cast<qsizetype>(bytes.size()));
+        this->appendBody(bytes);
         return bytes.size();
     }
     void on_finish_impl(boost::beast::error_code &) override
     { }
+
+    void appendBody(boost::beast::string_view bytes)
+    {
+        const auto size = static_cast<qsizetype>(bytes.size());
+        this->body.append(bytes.data(), size);
+        this->bodyBytes += size;
+    }
 };
 
 ResponseDecoder::ResponseDecoder(bool isHeadRequestResponse)
@@ -122,14 +134,17 @@
     this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     this->parser->eager(true);
     this->parser->skip(this->headOnly);
+    this->decodedBytes = 0;
     this->currentState = DecodeState::Empty;
 }
 
 void ResponseDecoder::decode()
 {
     while (!this->pending.isEmpty() && this->currentState < DecodeState::Complete) {
+        const qsizetype before = this->pending.size();
         const boost::beast::error_code error = parsePending(*this->parser, this->pending);
-        if (error && error != http::error::need_more) {
+        this->decodedBytes += before - this->pending.size();
+        if ((error && error != http::error::need_more) || this->hasExcessiveFraming()) {
             this->currentState = DecodeState::Malformed;
             return;
         }
@@ -144,6 +159,12 @@
     }
 }
 
+bool ResponseDecoder::hasExcessiveFraming() const
+{
+    const qsizetype bodyBytes = this->parser->bodyBytes;
+    return this->decodedBytes - bodyBytes > freeFramingBytes + framingBytesPerBodyByte * bodyBytes;
+}
+
 void ResponseDecoder::updateState()
 {
     if (!this->parser->is_header_done()) {
--- a/modules/lacewingmux_gateway/http/ResponseDecoder.h
+++ b/modules/lacewingmux_gateway/http/ResponseDecoder.h
@@ -48,7 +48,11 @@
     void updateState();
 
     bool headOnly;
+    /** Tells whether there are more bytes around the parts of the body than any framing needs. */
+    [[nodiscard]] bool hasExcessiveFraming() const;
+
     int informationalCount = 0; ///< responses before the final one
+    qsizetype decodedBytes = 0; ///< of the current response
     QByteArray pending;
     DecodeState currentState = DecodeState::Empty;
     std::unique_ptr<Parser> parser;
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -23,6 +23,8 @@
 constexpr qint64 readBufferBytes = qint64{16} * 1024;
 // Of responses to other requests; far above a response that was sent twice.
 constexpr qsizetype maximumDiscardedBytes = qsizetype{1024} * 1024;
+// Such responses in one exchange; one or two are usual.
+constexpr int maximumDiscardedResponses = 16;
 // Bounds the memory for the ids that a connection has carried, at one new connection in so many
 // requests.
 constexpr int maximumExchanges = 1000;
@@ -287,6 +289,11 @@
     this->headDelivered = true;
     this->isUnrelatedResponse = isOther;
     this->discarded += this->isUnrelatedResponse ? 1 : 0;
+    if (this->discarded > maximumDiscardedResponses) {
+        this->broken = true;
+        this->fail(ExchangeFailure::Malformed);
+        return false;
+    }
     if (head.bodyEndsAtClose)
         this->resetDetector.watch(*this->socket);
     if (!this->isUnrelatedResponse)
--- a/tests/gateway/EndlessAnswerTest.cpp
+++ b/tests/gateway/EndlessAnswerTest.cpp
@@ -40,10 +40,9 @@
     /** Returns whether the connections of as many calls are closed soon. */
     bool closesConnections(const char *path, int calls = 1)
     {
-        std::vector<std::unique_ptr<RawCaller>> callers;
         for (int number = 0; number < calls; ++number) {
-            callers.push_back(std::make_unique<RawCaller>(this->fixture.gateway->port()));
-            callers.back()->send(
+            this->callers.push_back(std::make_unique<RawCaller>(this->fixture.gateway->port()));
+            this->callers.back()->send(
                     GatewayFixture::request("POST", path, "r" + QByteArray::number(number)));
         }
         const auto end = this->fixture.loop.timers.now() + soon;
@@ -52,6 +51,15 @@
         return this->areClosed(calls);
     }
 
+    /** Returns whether the only caller gets this answer. */
+    bool answers(const QByteArray &statusLine)
+    {
+        const RawCaller &caller = *this->callers.front();
+        this->fixture.loop.waitUntil([&] { return caller.received().contains("\r\n\r\n"); },
+                                     "the answer");
+        return caller.received().startsWith(statusLine);
+    }
+
     void runBriefly()
     {
         this->fixture.loop.runFor(milliseconds(2));
@@ -69,6 +77,7 @@
     std::vector<ScriptedReplica::Exchange> exchanges;
     qsizetype mostBuffered = 0;
     GatewayFixture fixture;
+    std::vector<std::unique_ptr<RawCaller>> callers;
 };
 
 QByteArray headWith(const HttpRequest &request, const QByteArray &fields)
@@ -149,6 +158,60 @@
     cr_assert(replica.closesConnections("/once/x"));
 }
 
+Test(endless_answer, of_responses_to_another_request_is_cut)
+{
+    EndlessReplica replica([](const auto &) { return ""; },
+                           "HTTP/1.1 200 OK\r\nLacewingmux-Request-Id: other\r\n"
+                           "Lacewingmux-Server-Stamp: stamp\r\nContent-Length: 0\r\n\r\n");
+    cr_assert(replica.closesConnections("/once/x"));
+    cr_assert(replica.answers("HTTP/1.1 502"));
+}
+
+Test(endless_answer, in_the_headers_of_small_chunks_is_cut)
+{
+    EndlessReplica replica(
+            [](const HttpRequest &request) {
+                return headWith(request, "Transfer-Encoding: chunked\r\n");
+            },
+            "1;x=" + QByteArray(1000, 'y') + "\r\na\r\n");
+    cr_assert(replica.closesConnections("/once/x"));
+    cr_assert(replica.answers("HTTP/1.1 502"));
+}
+
+Test(endless_answer, of_parts_of_a_stream_without_data_is_cut)
+{
+    const QByteArray longComment = ":" + QByteArray(2000, 'x') + "\n";
+    for (const QByteArray &filling :
+         {QByteArray(": x\n"), QByteArray(": x\n\n"), QByteArray("\n"), QByteArray("\r\n"),
+          QByteArray("retry: 1\n\n"), QByteArray("x-field: y\n\n"), QByteArray("id: 1\n\n"),
+          longComment + "data: x\n\n"}) {
+        EndlessReplica replica(
+                [](const HttpRequest &request) {
+                    return headWith(request, "Content-Type: text/event-stream\r\n");
+                },
+                filling);
+        cr_assert(replica.closesConnections("/stream/x"), "%s", filling.constData());
+    }
+}
+
+Test(endless_answer, of_comments_is_continued_by_another_replica)
+{
+    int requests = 0;
+    GatewayFixture fixture(2, [&requests](const HttpRequest &request, const auto &exchange) {
+        if (++requests == 1)
+            exchange.write(headWith(request, "Content-Type: text/event-stream\r\n")
+                           + QByteArray(": x\n\n").repeated(writeSize));
+        else
+            exchange.write(GatewayFixture::streamHead(request) + GatewayFixture::event(1, "a")
+                           + "0\r\n\r\n");
+    });
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", "/resume/x", "r1"));
+    fixture.loop.waitUntil([&] { return caller.received().endsWith("0\r\n\r\n"); }, "the end");
+    cr_assert(caller.received().contains("data: a"));
+    cr_assert_eq(caller.received().count("HTTP/1.1"), 1);
+}
+
 Test(endless_answer, to_many_calls_is_cut_before_their_sum_fills_the_memory)
 {
     EndlessReplica replica([](const HttpRequest &request) { return headWith(request, ""); }, "x");
--- a/tests/gateway/ResponseDecoderTest.cpp
+++ b/tests/gateway/ResponseDecoderTest.cpp
@@ -77,3 +77,29 @@
                    "Content-Length: 0\r\n\r\n");
     cr_assert(decoder.state() == DecodeState::Complete);
 }
+
+Test(response_decoder, accepts_a_long_body_in_chunks_of_one_byte)
+{
+    constexpr int bytes = 1024 * 1024;
+    ResponseDecoder decoder(false);
+    decoder.append("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    qsizetype size = 0;
+    for (int number = 0; number < bytes; ++number) {
+        decoder.append("1\r\na\r\n");
+        size += decoder.takeBody().size();
+    }
+    decoder.append("0\r\n\r\n");
+    cr_assert(decoder.state() == DecodeState::Complete);
+    cr_assert_eq(size, bytes);
+}
+
+Test(response_decoder, accepts_signed_chunks)
+{
+    ResponseDecoder decoder(false);
+    decoder.append("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int number = 0; number < 10000; ++number)
+        decoder.append("40;chunk-signature=" + QByteArray(64, 'f') + "\r\n" + QByteArray(64, 'a')
+                       + "\r\n");
+    decoder.append("0\r\n\r\n");
+    cr_assert(decoder.state() == DecodeState::Complete);
+}
