Daemon: let the connections of its pool read by turns

The daemon's own path takes its connections from ConnectionPool, which did not compile with: a connection needs to know with which others it shares the turns of the event loop. Those of a pool share them now, as those of the gateway do, so that a fast replica can't hold up the daemon either.

--- a/modules/lacewingmux_backend/clients/ConnectionPool.cpp
+++ b/modules/lacewingmux_backend/clients/ConnectionPool.cpp
@@ -1,6 +1,7 @@
 #include "lacewingmux_backend/clients/ConnectionPool.h"
 
 #include "lacewingmux_gateway/replicas/ReplicaConnection.h"
+#include "lacewingmux_gateway/replicas/SharedReading.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,6 +18,7 @@
 
 ConnectionPool::ConnectionPool(TimerService &timerService)
     : timers(timerService)
+    , reading(std::make_shared<SharedReading>(timerService))
 { }
 
 ConnectionPool::~ConnectionPool() = default;
@@ -38,7 +40,7 @@
     StreamRoute route;
     route.address = QHostAddress(server.host());
     route.port = static_cast<std::uint16_t>(server.port(defaultHttpPort));
-    return std::make_unique<ReplicaConnection>(route, this->timers);
+    return std::make_unique<ReplicaConnection>(route, this->timers, this->reading);
 }
 
 void ConnectionPool::release(const QUrl &server, std::unique_ptr<ReplicaConnection> connection)
--- a/modules/lacewingmux_backend/clients/ConnectionPool.h
+++ b/modules/lacewingmux_backend/clients/ConnectionPool.h
@@ -12,6 +12,7 @@
 namespace lacewingmux {
 
 class ReplicaConnection;
+class SharedReading;
 
 /** Connections to backend servers that are kept open between the exchanges of one thread. */
 class ConnectionPool
@@ -33,6 +34,7 @@
 
 private:
     TimerService &timers;
+    std::shared_ptr<SharedReading> reading;                                  ///< by all connections
     std::map<QString, std::vector<std::unique_ptr<ReplicaConnection>>> idle; ///< by server
 };
 
