Copying records: a record that the peer can't deliver is no longer waited for

A records VM that copied while records expired stayed joining for ever, and the next lost disk ended the service (LOST, RECOVER). A name that a peer had listed and dropped before it was fetched, or whose record it could not read, was never removed from RecordsSync's missing names.

A request for records now has a number, which the reply repeats. What the reply skips before its last record, or all if it has none, is unavailable there and no longer waited for (recordsNotCopied). An older build answers without a number: when its reply is empty, its names are listed anew, every 2 s at most. No frame has a new field. A VM that joins for more than 10 s says so: recordsStillJoining every 10 s, and the gauge lacewingmux_records_joining_seconds. lacewingmuxctl asks the operators' port of the other daemon, which records VMs don't have, so it says nothing.

--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -36,6 +36,9 @@
 // intervals between pull requests.
 constexpr milliseconds upToDateWindow{800};
 
+// Copying takes a few seconds. A VM that joins for longer leaves its group short of a disk.
+constexpr std::chrono::seconds expectedJoiningTime{10};
+
 /** Returns whether turns that continue the one or the other go on from the same text. */
 bool haveSameHistory(const Record &record, const Record &other)
 {
@@ -230,7 +233,9 @@
         if (bytes >= maximumFetchBytes)
             break;
     }
-    this->hub.send(peer, {FrameKind::FetchRecordsReply, this->view.number, 0,
+    // The requester takes a name before the last record of the reply, or any if there is none, for
+    // one that this VM can't deliver.
+    this->hub.send(peer, {FrameKind::FetchRecordsReply, this->view.number, frame.correlation,
                           RecordsCodec::encodeRecords(records)});
 }
 
@@ -337,6 +342,7 @@
     this->log.dropExpired(now);
     this->quotas.raiseFloors(this->timers.now());
     this->reportSilentMembers();
+    this->reportJoining();
     this->metrics.set("lacewingmux_records_kept", {}, static_cast<double>(this->index.size()));
 }
 
@@ -358,6 +364,31 @@
     }
 }
 
+void RecordsServer::reportJoining()
+{
+    const TimerService::SteadyTime now = this->timers.now();
+    const RecordsMember *self = this->view.member(this->hub.self());
+    const bool isJoining =
+            self != nullptr && self->state == MemberState::Joining && !this->view.isStandby(*self);
+    if (!isJoining)
+        this->joiningSince = std::nullopt;
+    else if (!this->joiningSince)
+        this->joiningSince = now;
+    const auto duration = isJoining ? now - *this->joiningSince : std::chrono::nanoseconds(0);
+    this->metrics.set("lacewingmux_records_joining_seconds", {},
+                      std::chrono::duration<double>(duration).count());
+    if (duration < expectedJoiningTime || now - this->lateJoiningLogged < expectedJoiningTime)
+        return;
+    this->lateJoiningLogged = now;
+    LogEvent(LogSeverity::Warning, "recordsStillJoining")
+            .field("seconds",
+                   static_cast<qint64>(
+                           std::chrono::duration_cast<std::chrono::seconds>(duration).count()))
+            .field("sourcesCopied", this->sync.completedSources())
+            .field("sourcesNeeded", this->joiningSources(*self))
+            .field("recordsMissing", static_cast<qint64>(this->sync.missingCount()));
+}
+
 bool RecordsServer::isUpToDateStandby(TimerService::SteadyTime now) const
 {
     const RecordsMember *self = this->view.member(this->hub.self());
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace lacewingmux {
@@ -62,6 +63,8 @@
     [[nodiscard]] bool holdsOtherRun(const Record &record);
     void runMaintenance();
     void reportSilentMembers();
+    /** Reports for how long this VM has been joining, and what it waits for. */
+    void reportJoining();
     [[nodiscard]] bool isUpToDateStandby(TimerService::SteadyTime now) const;
     /** Returns how many members' records this joining VM must have before it counts as synced. */
     [[nodiscard]] int joiningSources(const RecordsMember &joiner) const;
@@ -89,6 +92,9 @@
     /** Sequence number of the last record stored while copies on this VM counted. The other members
         received all later records directly. */
     std::uint64_t lastCountedSequence = 0;
+    /** Start of the time in which this VM is a joining member, but no standby; empty outside it. */
+    std::optional<TimerService::SteadyTime> joiningSince;
+    TimerService::SteadyTime lateJoiningLogged;
     bool syncedReported = false;
     bool copiedReported = false;
     TimerSubscription maintenanceTimer;
--- a/modules/lacewingmux_records/server/RecordsSync.cpp
+++ b/modules/lacewingmux_records/server/RecordsSync.cpp
@@ -1,9 +1,11 @@
 #include "lacewingmux_records/server/RecordsSync.h"
 
+#include "lacewingmux_core/logging/StructuredLog.h"
 #include "lacewingmux_records/log/RecordIndex.h"
 #include "lacewingmux_records/messages/RecordsCodec.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace lacewingmux {
@@ -17,6 +19,8 @@
 // After it a request is repeated, as a peer without a view does not answer. Half the lease time.
 constexpr std::chrono::milliseconds requestTimeout{500};
 constexpr std::size_t maximumUnanswered = 8; // older requests can no longer extend a lease
+// Listing takes the peer a few milliseconds of CPU time for each page.
+constexpr std::chrono::milliseconds listAgainInterval{2000};
 
 } // namespace
 
@@ -74,6 +78,14 @@
             }));
 }
 
+std::size_t RecordsSync::missingCount() const
+{
+    std::set<RecordName> names;
+    for (const auto &[peer, source] : this->sources)
+        names.insert(source.missing.begin(), source.missing.end());
+    return names.size();
+}
+
 void RecordsSync::checkSources()
 {
     for (auto &[peer, source] : this->sources) {
@@ -134,8 +146,12 @@
         return;
     source.requested = {due.begin(), due.end()};
     source.requestedAt = now;
-    this->hub.send(peer,
-                   {FrameKind::FetchRecords, this->view.number, 0, RecordsCodec::encodeFetch(due)});
+    const std::uint64_t number = ++this->lastRequestNumber;
+    this->hub.send(peer, {FrameKind::FetchRecords, this->view.number, number,
+                          RecordsCodec::encodeFetch(due)});
+    source.fetches.push_back({number, std::move(due)});
+    if (source.fetches.size() > maximumUnanswered)
+        source.fetches.pop_front();
 }
 
 bool RecordsSync::isRequested(const RecordName &name) const
@@ -184,20 +200,78 @@
 void RecordsSync::handleRecords(const VmIncarnation &peer, const PeerFrame &frame)
 {
     const auto records = RecordsCodec::decodeRecords(frame.payload);
-    const auto source = this->sources.find(peer);
-    if (!records || source == this->sources.end())
-        return;
-    for (const Record &record : *records)
-        this->store(record, [this, name = nameOf(record)] { this->handleStored(name); });
-    // Records that the peer omitted for their size are requested again, missing ones from others.
-    source->second.requested.clear();
-    if (records->empty())
+    const auto found = this->sources.find(peer);
+    if (!records || found == this->sources.end())
         return;
+    Source &source = found->second;
     std::set<RecordName> beingStored;
-    for (const Record &record : *records)
+    for (const Record &record : *records) {
+        this->store(record, [this, name = nameOf(record)] { this->handleStored(name); });
         beingStored.insert(nameOf(record));
-    source->second.requested = std::move(beingStored);
-    source->second.requestedAt = this->timers.now();
+    }
+    forgetUnavailable(peer, source, takeUnavailable(source, frame.correlation, *records));
+    // Records that the peer omitted for their size are requested again.
+    source.requested = std::move(beingStored);
+    source.requestedAt = this->timers.now();
+    if (records->empty()) {
+        // A peer of an earlier version does not tell which request it answers.
+        if (frame.correlation == 0)
+            this->listAgain(peer, source);
+        else
+            this->fetchMissing(peer, source);
+    }
+    this->progress();
+}
+
+std::vector<RecordName> RecordsSync::takeUnavailable(Source &source, std::uint64_t number,
+                                                     const std::vector<Record> &records)
+{
+    const auto request =
+            std::find_if(source.fetches.begin(), source.fetches.end(),
+                         [number](const auto &fetch) { return fetch.number == number; });
+    if (number == 0 || request == source.fetches.end())
+        return {};
+    std::vector<RecordName> skipped = std::move(request->names);
+    source.fetches.erase(source.fetches.begin(), std::next(request));
+    if (records.empty())
+        return skipped;
+    // A peer may stop early for the size of its reply.
+    const auto last = std::find(skipped.begin(), skipped.end(), nameOf(records.back()));
+    if (last == skipped.end())
+        return {};
+    skipped.erase(last, skipped.end());
+    std::set<RecordName> delivered;
+    for (const Record &record : records)
+        delivered.insert(nameOf(record));
+    std::erase_if(skipped, [&delivered](const auto &name) { return delivered.contains(name); });
+    return skipped;
+}
+
+void RecordsSync::forgetUnavailable(const VmIncarnation &peer, Source &source,
+                                    const std::vector<RecordName> &names)
+{
+    if (names.empty())
+        return;
+    for (const RecordName &name : names) {
+        source.missing.erase(name);
+        source.justNamed.erase(name);
+    }
+    LogEvent(LogSeverity::Info, "recordsNotCopied")
+            .field("peer", peer.vm)
+            .field("records", static_cast<qint64>(names.size()))
+            .field("reason", "the peer dropped them meanwhile or can't read them");
+}
+
+void RecordsSync::listAgain(const VmIncarnation &peer, Source &source)
+{
+    const TimerService::SteadyTime now = this->timers.now();
+    if (now - source.listedFrom < listAgainInterval)
+        return;
+    Source fresh;
+    fresh.listedFrom = now;
+    fresh.answeredAt = source.answeredAt;
+    source = std::move(fresh);
+    this->requestNames(peer, source);
 }
 
 void RecordsSync::handleStored(const RecordName &name)
--- a/modules/lacewingmux_records/server/RecordsSync.h
+++ b/modules/lacewingmux_records/server/RecordsSync.h
@@ -25,8 +25,9 @@
 
     It pages through the record names of each peer's log and fetches the records that are still
     missing shortly afterwards. After a connection loss it starts from the beginning, because the
-    peer may have restarted and renumbered its records. It requests one page at a time from a peer,
-    however slowly the peer answers, as more requests would only slow it down further.
+    peer may have restarted and renumbered its records. A record that the peer has dropped since, or
+    can't read, does not keep the peer's log from counting as copied. It requests one page at a time
+   from a peer, however slowly the peer answers, as more requests would only slow it down further.
 */
 class RecordsSync
 {
@@ -53,6 +54,9 @@
         last answers to requests that were sent at or after the given time. */
     [[nodiscard]] int completedSources(TimerService::SteadyTime sentAfter = {}) const;
 
+    /** Returns the number of records that members have named and that are not on this disk yet. */
+    [[nodiscard]] std::size_t missingCount() const;
+
 private:
     struct NamesRequest
     {
@@ -61,6 +65,12 @@
         TimerService::SteadyTime sentAt;
     };
 
+    struct FetchRequest
+    {
+        std::uint64_t number = 0;
+        std::vector<RecordName> names; ///< the peer looks them up, and replies, in this order
+    };
+
     struct Source
     {
         std::uint64_t cursor = 0; ///< position in the peer's log up to which its names are known
@@ -71,6 +81,8 @@
         std::set<RecordName> justNamed; ///< missing records that were first named in this interval
         std::set<RecordName> requested; ///< requested from this peer, not stored yet
         TimerService::SteadyTime requestedAt;
+        std::deque<FetchRequest> fetches;    ///< unanswered, oldest first
+        TimerService::SteadyTime listedFrom; ///< time of the last listing from the beginning
     };
 
     void checkSources();
@@ -84,6 +96,14 @@
     void handleNames(const VmIncarnation &peer, const PeerFrame &frame);
     void handleRecords(const VmIncarnation &peer, const PeerFrame &frame);
     void handleStored(const RecordName &name);
+    /** Returns the names of an answered request that the peer could not deliver. */
+    [[nodiscard]] static std::vector<RecordName>
+    takeUnavailable(Source &source, std::uint64_t number, const std::vector<Record> &records);
+    /** Stops waiting for records that the peer has dropped since it named them, or can't read. */
+    static void forgetUnavailable(const VmIncarnation &peer, Source &source,
+                                  const std::vector<RecordName> &names);
+    /** Pages through the peer's names from the beginning again. */
+    void listAgain(const VmIncarnation &peer, Source &source);
 
     PeerHub &hub;
     const RecordIndex &index;
--- a/modules/lacewingmux_report/metrics/MetricsCatalogue.cpp
+++ b/modules/lacewingmux_report/metrics/MetricsCatalogue.cpp
@@ -59,6 +59,9 @@
                           "Programs that ended, by team and reason."},
         MetricDescription{"lacewingmux_queue_seconds", MetricType::Histogram,
                           "Time that calls waited for a replica, by route."},
+        MetricDescription{"lacewingmux_records_joining_seconds", MetricType::Gauge,
+                          "Time since this records VM began to copy its group's records without "
+                          "having become synced; 0 while it is synced or a standby."},
         MetricDescription{"lacewingmux_records_kept", MetricType::Gauge,
                           "Records on this records VM that somebody may still ask for."},
         MetricDescription{"lacewingmux_refusals_total", MetricType::Counter,
