Records view: changes that fail at the same time are each tried again

A records VM whose retirement could not be written never left, when another change of the view failed at the same moment. RecordsMembership had one timer for all retries, so the later failure replaced the earlier change. Now each change, by its reason and the member that it concerns, has a timer of its own.

--- a/modules/lacewingmux_records/members/RecordsMembership.cpp
+++ b/modules/lacewingmux_records/members/RecordsMembership.cpp
@@ -126,9 +126,9 @@
 void RecordsMembership::removeSilentMember(const VmIncarnation &silent)
 {
     this->update(
-            "replaced",
+            {"replaced", silent},
             [silent](const RecordsView &view) { return withoutSilentMember(view, silent); },
-            nullptr);
+            nullptr, RetryPolicy::UntilSuccess);
 }
 
 void RecordsMembership::replaceAsStandby(const VmIncarnation &silent)
@@ -257,10 +257,16 @@
 
 void RecordsMembership::update(const char *reason, const Change &change,
                                const std::function<void()> &done, RetryPolicy retryPolicy)
+{
+    this->update({reason, this->self.incarnation}, change, done, retryPolicy);
+}
+
+void RecordsMembership::update(const ChangeName &name, const Change &change,
+                               const std::function<void()> &done, RetryPolicy retryPolicy)
 {
     updateRecord(
             this->store, recordsViewKey,
-            [this, change, reason, guard = std::weak_ptr(this->lifetimeToken)](
+            [this, change, name, guard = std::weak_ptr(this->lifetimeToken)](
                     const QByteArray &document) -> std::optional<QByteArray> {
                 if (guard.expired())
                     return std::nullopt;
@@ -272,11 +278,11 @@
                     return std::nullopt;
                 next->number = view.number + 1;
                 LogEvent(LogSeverity::Info, "recordsViewChange")
-                        .field("reason", reason)
+                        .field("reason", name.first.c_str())
                         .field("number", static_cast<quint64>(next->number));
                 return next->toDocument();
             },
-            [this, reason, change, done, retryPolicy, guard = std::weak_ptr(this->lifetimeToken)](
+            [this, name, change, done, retryPolicy, guard = std::weak_ptr(this->lifetimeToken)](
                     const std::optional<LacewingmuxError> &error) {
                 if (guard.expired())
                     return;
@@ -287,8 +293,8 @@
                 }
                 if (retryPolicy == RetryPolicy::Once)
                     return;
-                this->retry = this->timers.after(retryDelay, [this, reason, change, done] {
-                    this->update(reason, change, done);
+                this->retries[name] = this->timers.after(retryDelay, [this, name, change, done] {
+                    this->update(name, change, done, RetryPolicy::UntilSuccess);
                 });
             });
 }
@@ -304,7 +310,8 @@
     // Another member may have removed this VM while it was silent.
     const bool missing = this->current.member(this->self.incarnation) == nullptr;
     if (this->joined && missing && !this->leaving)
-        this->retry = this->timers.after(retryDelay, [this] { this->join(); });
+        this->retries[{"join", this->self.incarnation}] =
+                this->timers.after(retryDelay, [this] { this->join(); });
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_records/members/RecordsMembership.h
+++ b/modules/lacewingmux_records/members/RecordsMembership.h
@@ -8,8 +8,11 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
+#include <utility>
 
 namespace lacewingmux {
 
@@ -86,8 +89,13 @@
 
     enum class RetryPolicy : std::uint8_t { Once, UntilSuccess };
 
+    /** Identifies a change for its retry: the reason, and the member that it concerns. */
+    using ChangeName = std::pair<std::string, VmIncarnation>;
+
     void update(const char *reason, const Change &change, const std::function<void()> &done,
                 RetryPolicy retryPolicy = RetryPolicy::UntilSuccess);
+    void update(const ChangeName &name, const Change &change, const std::function<void()> &done,
+                RetryPolicy retryPolicy);
     void adopt(const QByteArray &document);
     void join();
     /** Fixes the groups once no further member has joined for a while. */
@@ -103,7 +111,7 @@
     bool joined = false;
     bool leaving = false;
     std::unique_ptr<PlatformStore::Watch> watch;
-    TimerSubscription retry;
+    std::map<ChangeName, TimerSubscription> retries; ///< of changes that failed
     TimerSubscription sealTimer;
     /** Expires with this object, so that callbacks can check whether it still exists. */
     std::shared_ptr<char> lifetimeToken = std::make_shared<char>();
