Turns: the retention runs from the end of the response

A turn answered whole 59.5 s ago got 404 though retentionS is 60 (LOST). Its time of expiry was set when the first attempt to store it began, and a records VM compared it with its own clock without the allowance for clocks that differ, which dropping records had.

The time now begins at the call's deadline, by which the response has ended or the turn is given up. All three places that compare (looking up a chain, dropping from the index, removing log files) use RecordsServer::expiredBefore.

--- a/modules/lacewingmux_records/client/RecordsClient.h
+++ b/modules/lacewingmux_records/client/RecordsClient.h
@@ -71,7 +71,7 @@
     {
         int group = 0;
         Record record;
-        TimerService::SteadyTime expires;       ///< of the turn's history
+        std::chrono::milliseconds retention{0};
         std::set<VmIncarnation> unacknowledged; ///< members whose acknowledgement is awaited
         std::set<VmIncarnation> copies;         ///< members whose acknowledged copy counts
         StoredCallback callback;
--- a/modules/lacewingmux_records/client/RecordsClientWrites.cpp
+++ b/modules/lacewingmux_records/client/RecordsClientWrites.cpp
@@ -28,7 +28,7 @@
     write.record.parent = turn.previousTurn;
     write.record.input = input;
     write.record.output = output;
-    write.expires = this->timers.now() + turn.retention;
+    write.retention = turn.retention;
     write.callback = std::move(callback);
     // In the program's own group, the turn's record also settles the reservation.
     if (write.group != programGroup)
@@ -109,7 +109,7 @@
     if (history)
         this->cache.put(write.record.key, write.record.team,
                         {history->bytes + write.record.input + write.record.output, write.group},
-                        write.expires);
+                        this->timers.now() + write.retention);
 }
 
 Record RecordsClient::recordOf(const TurnRequest &turn, RecordKind kind, std::int64_t tokens) const
@@ -120,7 +120,11 @@
     record.program = turn.program;
     record.team = turn.team;
     record.tokens = tokens;
-    record.expires = this->timers.wallNow() + std::max(minimumRetention, turn.retention);
+    // The response of a turn ends at its deadline at the latest, and the retention begins with
+    // that.
+    const auto timeLeft = std::chrono::ceil<milliseconds>(turn.deadline - this->timers.now());
+    record.expires = this->timers.wallNow() + std::max(milliseconds(0), timeLeft)
+                     + std::max(minimumRetention, turn.retention);
     return record;
 }
 
--- a/modules/lacewingmux_records/log/DurableLog.h
+++ b/modules/lacewingmux_records/log/DurableLog.h
@@ -32,8 +32,8 @@
     /** Returns a record; nothing if it has been dropped. */
     [[nodiscard]] virtual std::optional<Record> read(std::uint64_t sequence) = 0;
 
-    /** Drops expired records where that frees disk space. */
-    virtual void dropExpired(std::chrono::system_clock::time_point now) = 0;
+    /** Drops records that expired before the time, where that frees disk space. */
+    virtual void dropExpired(std::chrono::system_clock::time_point before) = 0;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_records/log/RecordIndex.cpp
+++ b/modules/lacewingmux_records/log/RecordIndex.cpp
@@ -75,7 +75,8 @@
     return states;
 }
 
-ChainLookup RecordIndex::chain(const QByteArray &turn, const QByteArray &team, WallTime now) const
+ChainLookup RecordIndex::chain(const QByteArray &turn, const QByteArray &team,
+                               WallTime expiredBefore) const
 {
     ChainLookup lookup;
     QByteArray key = turn;
@@ -86,7 +87,7 @@
             lookup.status = isRequestedTurn ? ChainStatus::Absent : ChainStatus::Incomplete;
             return lookup;
         }
-        if (isRequestedTurn && found->expires < now) {
+        if (isRequestedTurn && found->expires < expiredBefore) {
             lookup.status = ChainStatus::Expired;
             return lookup;
         }
--- a/modules/lacewingmux_records/log/RecordIndex.h
+++ b/modules/lacewingmux_records/log/RecordIndex.h
@@ -46,9 +46,10 @@
     [[nodiscard]] std::vector<ReservationState> reservations(const QByteArray &program,
                                                              const QByteArray &exceptTurn) const;
 
-    /** Looks up a turn of the team with all preceding turns of its chain. */
+    /** Looks up a turn of the team with all preceding turns of its chain. A turn that expired
+       before the time is not found. */
     [[nodiscard]] ChainLookup chain(const QByteArray &turn, const QByteArray &team,
-                                    WallTime now) const;
+                                    WallTime expiredBefore) const;
 
     /** Returns the names of up to the given number of records after a sequence number. */
     [[nodiscard]] std::vector<std::pair<std::uint64_t, RecordName>>
--- a/modules/lacewingmux_records/log/SegmentedLog.cpp
+++ b/modules/lacewingmux_records/log/SegmentedLog.cpp
@@ -34,9 +34,6 @@
 // The ratio is checked only beyond this size, which is a few hundred small records.
 constexpr qint64 indexDecisionBytes = qint64{64} * 1024;
 
-// Records are kept for this long after they expire, as the clocks of the VMs differ.
-constexpr std::chrono::seconds clockSkewAllowance{20};
-
 QByteArray entryOf(const QByteArray &payload)
 {
     QByteArray entry(headerBytes, Qt::Uninitialized);
@@ -148,12 +145,11 @@
     return RecordsCodec::decodeRecord(payload);
 }
 
-void SegmentedLog::dropExpired(std::chrono::system_clock::time_point now)
+void SegmentedLog::dropExpired(std::chrono::system_clock::time_point before)
 {
     while (this->segments.size() > 1) {
         const Segment &oldest = this->segments.begin()->second;
-        if (oldest.lastSequence > this->durableSequence
-            || oldest.lastExpiry + clockSkewAllowance >= now)
+        if (oldest.lastSequence > this->durableSequence || oldest.lastExpiry >= before)
             return;
         for (; this->firstSequence <= oldest.lastSequence; ++this->firstSequence)
             this->positions.pop_front();
--- a/modules/lacewingmux_records/log/SegmentedLog.h
+++ b/modules/lacewingmux_records/log/SegmentedLog.h
@@ -38,7 +38,7 @@
     std::uint64_t append(const Record &record) override;
     void whenDurable(std::uint64_t sequence, std::function<void()> callback) override;
     [[nodiscard]] std::optional<Record> read(std::uint64_t sequence) override;
-    void dropExpired(std::chrono::system_clock::time_point now) override;
+    void dropExpired(std::chrono::system_clock::time_point before) override;
 
 private:
     struct Segment
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -24,7 +24,8 @@
 constexpr qsizetype maximumFetchBytes = qsizetype{2} * 1024 * 1024;
 // Longer than any outage after which a team's unspent burst still has to be restored.
 constexpr std::chrono::seconds floorRetention{120};
-constexpr std::chrono::seconds clockSkewAllowance{20}; // the clocks of the VMs differ
+// A record's time of expiry comes from an entry VM, whose clock may be behind by this much.
+constexpr std::chrono::seconds clockSkewAllowance{20};
 
 // A member may be replaced after this silence, which is much longer than a restart takes.
 constexpr milliseconds replacementDelay{7500};
@@ -161,7 +162,7 @@
     if (message.previousTurn.isEmpty())
         return;
     const ChainLookup lookup =
-            this->index.chain(message.previousTurn, message.team, this->timers.wallNow());
+            this->index.chain(message.previousTurn, message.team, this->expiredBefore());
     reply.chain = lookup.status;
     if (lookup.status != ChainStatus::Found || !message.wantsHistory)
         return;
@@ -335,11 +336,15 @@
     return true;
 }
 
+std::chrono::system_clock::time_point RecordsServer::expiredBefore() const
+{
+    return this->timers.wallNow() - clockSkewAllowance;
+}
+
 void RecordsServer::runMaintenance()
 {
-    const auto now = this->timers.wallNow();
-    this->index.dropExpired(now - clockSkewAllowance);
-    this->log.dropExpired(now);
+    this->index.dropExpired(this->expiredBefore());
+    this->log.dropExpired(this->expiredBefore());
     this->quotas.raiseFloors(this->timers.now());
     this->reportSilentMembers();
     this->reportJoining();
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -12,6 +12,7 @@
 
 #include <QByteArray>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -61,6 +62,8 @@
     /** Returns whether the log holds another run of this turn, whose caller may have sent it again
         with the same id, or a record of it that can't be read. */
     [[nodiscard]] bool holdsOtherRun(const Record &record);
+    /** Returns the time such that records that expired before it have expired by any VM's clock. */
+    [[nodiscard]] std::chrono::system_clock::time_point expiredBefore() const;
     void runMaintenance();
     void reportSilentMembers();
     /** Reports for how long this VM has been joining, and what it waits for. */
