Turns: a chain lives as long as its last turn

A chain whose first turn was older than 80 s could not be continued through another entry VM (LOST, status 503): each record expired by itself, and only the cache of the entry VM that served the program hid it.

RecordIndex now raises the time of all ancestors when a turn is added, in whatever order records are copied. A copy of an extended turn carries the extended time. A log file whose records have all expired is removed after those that are still needed have been appended again, at most 2 MB a second: each once in the life of a file. No turn is written again for a later one.

--- a/modules/lacewingmux_records/log/DurableLog.h
+++ b/modules/lacewingmux_records/log/DurableLog.h
@@ -32,8 +32,15 @@
     /** Returns a record; nothing if it has been dropped. */
     [[nodiscard]] virtual std::optional<Record> read(std::uint64_t sequence) = 0;
 
-    /** Drops records that expired before the time, where that frees disk space. */
-    virtual void dropExpired(std::chrono::system_clock::time_point before) = 0;
+    /** Returns the sequence number up to which records could be dropped, as they expired before the
+        time by their own times of expiry, with a gain of disk space; 0 if there are none. */
+    [[nodiscard]] virtual std::uint64_t
+    expiredUpTo(std::chrono::system_clock::time_point before) const = 0;
+
+    /** Drops records that expired before the time, where that frees disk space. Records from the
+        first needed one on are kept, also if they have expired. */
+    virtual void dropExpired(std::chrono::system_clock::time_point before,
+                             std::uint64_t firstNeeded) = 0;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_records/log/RecordIndex.cpp
+++ b/modules/lacewingmux_records/log/RecordIndex.cpp
@@ -1,6 +1,7 @@
 #include "lacewingmux_records/log/RecordIndex.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace lacewingmux {
 
@@ -13,18 +14,69 @@
 bool RecordIndex::add(const Record &record, std::uint64_t sequence)
 {
     const RecordName name = nameOf(record);
-    if (!this->sequences.emplace(name, sequence).second)
+    if (!this->sequences.emplace(name, sequence).second) {
+        // A record that was copied forward in the log expires later than the first copy.
+        if (record.kind == RecordKind::Turn)
+            this->extendChain(record.key, record.team, record.expires);
         return false;
+    }
     // New entries belong at the end, except for records copied from other members.
     this->names.emplace_hint(this->names.end(), sequence, name);
     this->byExpiry.emplace_hint(this->byExpiry.end(), record.expires, sequence);
     if (record.kind == RecordKind::Turn)
-        this->turns.insert(record.key, {sequence, record.team, record.parent, record.expires});
+        this->addTurn(record, sequence);
     if (!record.program.isEmpty())
         this->addTokens(record);
     return true;
 }
 
+void RecordIndex::addTurn(const Record &record, std::uint64_t sequence)
+{
+    const WallTime keptUntil = std::max(record.expires, this->awaitedUntil.take(record.key));
+    this->turns.insert(record.key, {sequence, record.team, record.parent, keptUntil});
+    this->extendChain(record.parent, record.team, keptUntil);
+}
+
+void RecordIndex::extendChain(const QByteArray &turn, const QByteArray &team, WallTime until)
+{
+    QByteArray key = turn;
+    while (!key.isEmpty()) {
+        const auto found = this->turns.find(key);
+        if (found == this->turns.end()) {
+            WallTime &awaited = this->awaitedUntil[key];
+            awaited = std::max(awaited, until);
+            return;
+        }
+        // Also ends a cycle of damaged records.
+        if (found->keptUntil >= until || found->team != team)
+            return;
+        found->keptUntil = until;
+        key = found->parent;
+    }
+}
+
+RecordIndex::WallTime RecordIndex::keptUntil(const RecordName &name) const
+{
+    if (name.kind != RecordKind::Turn)
+        return {};
+    const auto found = this->turns.constFind(name.key);
+    return found == this->turns.cend() ? WallTime() : found->keptUntil;
+}
+
+void RecordIndex::move(std::uint64_t sequence, std::uint64_t newSequence)
+{
+    auto named = this->names.extract(sequence);
+    if (named.empty())
+        return;
+    named.key() = newSequence;
+    const RecordName &name = named.mapped();
+    this->sequences[name] = newSequence;
+    if (name.kind == RecordKind::Turn)
+        this->turns[name.key].sequence = newSequence;
+    this->byExpiry.emplace(this->keptUntil(name), newSequence);
+    this->names.insert(std::move(named));
+}
+
 void RecordIndex::addTokens(const Record &record)
 {
     Program &program = this->programs[record.program];
@@ -87,7 +139,7 @@
             lookup.status = isRequestedTurn ? ChainStatus::Absent : ChainStatus::Incomplete;
             return lookup;
         }
-        if (isRequestedTurn && found->expires < expiredBefore) {
+        if (isRequestedTurn && found->keptUntil < expiredBefore) {
             lookup.status = ChainStatus::Expired;
             return lookup;
         }
@@ -109,6 +161,12 @@
     return found;
 }
 
+std::uint64_t RecordIndex::firstSequence() const
+{
+    return this->names.empty() ? std::numeric_limits<std::uint64_t>::max()
+                               : this->names.begin()->first;
+}
+
 std::uint64_t RecordIndex::lastSequence() const
 {
     return this->names.empty() ? 0 : this->names.rbegin()->first;
@@ -117,16 +175,30 @@
 void RecordIndex::dropExpired(WallTime before)
 {
     const auto end = this->byExpiry.lower_bound(before);
+    std::vector<std::pair<WallTime, std::uint64_t>> extended;
     for (auto entry = this->byExpiry.begin(); entry != end; ++entry) {
         const auto named = this->names.find(entry->second);
-        const RecordName &name = named->second;
-        this->sequences.erase(name);
-        if (name.kind == RecordKind::Turn)
-            this->turns.remove(name.key);
-        this->names.erase(named);
+        if (named == this->names.end()) // moved
+            continue;
+        const WallTime keptUntil = this->keptUntil(named->second);
+        if (keptUntil >= before)
+            extended.emplace_back(keptUntil, entry->second);
+        else
+            this->remove(named);
     }
     this->byExpiry.erase(this->byExpiry.begin(), end);
+    this->byExpiry.insert(extended.begin(), extended.end());
+    this->awaitedUntil.removeIf([before](auto turn) { return turn.value() < before; });
     this->programs.removeIf([before](auto program) { return program.value().expires < before; });
 }
 
+void RecordIndex::remove(std::map<std::uint64_t, RecordName>::iterator named)
+{
+    const RecordName &name = named->second;
+    this->sequences.erase(name);
+    if (name.kind == RecordKind::Turn)
+        this->turns.remove(name.key);
+    this->names.erase(named);
+}
+
 } // namespace lacewingmux
--- a/modules/lacewingmux_records/log/RecordIndex.h
+++ b/modules/lacewingmux_records/log/RecordIndex.h
@@ -46,8 +46,15 @@
     [[nodiscard]] std::vector<ReservationState> reservations(const QByteArray &program,
                                                              const QByteArray &exceptTurn) const;
 
-    /** Looks up a turn of the team with all preceding turns of its chain. A turn that expired
-       before the time is not found. */
+    /** Returns until when a record is kept: a turn as long as the turns that continue it. */
+    [[nodiscard]] WallTime keptUntil(const RecordName &name) const;
+
+    /** Notes that a record has also been appended under a higher sequence number, which replaces
+       the given one. Does nothing if the record is no longer indexed under that one. */
+    void move(std::uint64_t sequence, std::uint64_t newSequence);
+
+    /** Looks up a turn of the team with all preceding turns of its chain. A turn that is kept until
+        before the time is not found. */
     [[nodiscard]] ChainLookup chain(const QByteArray &turn, const QByteArray &team,
                                     WallTime expiredBefore) const;
 
@@ -55,10 +62,13 @@
     [[nodiscard]] std::vector<std::pair<std::uint64_t, RecordName>>
     namesAfter(std::uint64_t sequence, std::size_t limit) const;
 
+    /** Returns the lowest sequence number; the maximum if the index is empty. */
+    [[nodiscard]] std::uint64_t firstSequence() const;
+
     /** Returns the highest sequence number; 0 if the index is empty. */
     [[nodiscard]] std::uint64_t lastSequence() const;
 
-    /** Removes the records that expired before the time. */
+    /** Removes the records that are kept until before the time. */
     void dropExpired(WallTime before);
 
     [[nodiscard]] std::size_t size() const noexcept
@@ -72,7 +82,7 @@
         std::uint64_t sequence = 0;
         QByteArray team;
         QByteArray parent;
-        WallTime expires;
+        WallTime keptUntil;
     };
 
     struct TurnTokens
@@ -89,14 +99,19 @@
         WallTime expires;
     };
 
+    void remove(std::map<std::uint64_t, RecordName>::iterator named);
     void addTokens(const Record &record);
+    void addTurn(const Record &record, std::uint64_t sequence);
+    /** Keeps a turn and those that it continues until the time at least. */
+    void extendChain(const QByteArray &turn, const QByteArray &team, WallTime until);
     [[nodiscard]] static TurnTokens &tokensOf(Program &program, const QByteArray &turn);
 
     QHash<QByteArray, Turn> turns;
+    QHash<QByteArray, WallTime> awaitedUntil; ///< of turns that are continued, but not indexed yet
     QHash<QByteArray, Program> programs;
     std::unordered_map<RecordName, std::uint64_t, RecordNameHash> sequences;
     std::map<std::uint64_t, RecordName> names;
-    std::multimap<WallTime, std::uint64_t> byExpiry; ///< sequence numbers
+    std::multimap<WallTime, std::uint64_t> byExpiry; ///< sequence numbers, some at an earlier time
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_records/log/SegmentedLog.cpp
+++ b/modules/lacewingmux_records/log/SegmentedLog.cpp
@@ -15,6 +15,7 @@
 #include <cerrno>
 #include <cstdlib>
 #include <cstring>
+#include <iterator>
 #include <utility>
 
 #include <fcntl.h>
@@ -145,11 +146,25 @@
     return RecordsCodec::decodeRecord(payload);
 }
 
-void SegmentedLog::dropExpired(std::chrono::system_clock::time_point before)
+std::uint64_t SegmentedLog::expiredUpTo(std::chrono::system_clock::time_point before) const
 {
-    while (this->segments.size() > 1) {
+    std::uint64_t last = 0;
+    for (auto entry = this->segments.begin(); std::next(entry) != this->segments.end(); ++entry) {
+        const Segment &segment = entry->second;
+        if (segment.lastSequence > this->durableSequence || segment.lastExpiry >= before)
+            break;
+        last = segment.lastSequence;
+    }
+    return last;
+}
+
+void SegmentedLog::dropExpired(std::chrono::system_clock::time_point before,
+                               std::uint64_t firstNeeded)
+{
+    const std::uint64_t last = this->expiredUpTo(before);
+    while (this->segments.begin()->second.lastSequence <= last && this->segments.size() > 1) {
         const Segment &oldest = this->segments.begin()->second;
-        if (oldest.lastSequence > this->durableSequence || oldest.lastExpiry >= before)
+        if (oldest.lastSequence >= firstNeeded)
             return;
         for (; this->firstSequence <= oldest.lastSequence; ++this->firstSequence)
             this->positions.pop_front();
--- a/modules/lacewingmux_records/log/SegmentedLog.h
+++ b/modules/lacewingmux_records/log/SegmentedLog.h
@@ -24,8 +24,9 @@
     A dedicated thread writes and syncs; all records appended during a sync are written together in
     the next one. After a crash, each segment is valid up to its first torn or missing entry, as
     nothing after it had been acknowledged. Every start begins a new segment. A segment is removed
-    once all its records have expired. A segment that receives no more records has an index file
-    if this avoids reading bodies; without a valid index, the segment itself is read.
+    once all its records have expired and none is needed any more. A segment that receives no more
+   records has an index file if this avoids reading bodies; without a valid index, the segment
+   itself is read.
 */
 class SegmentedLog final : public DurableLog
 {
@@ -38,7 +39,10 @@
     std::uint64_t append(const Record &record) override;
     void whenDurable(std::uint64_t sequence, std::function<void()> callback) override;
     [[nodiscard]] std::optional<Record> read(std::uint64_t sequence) override;
-    void dropExpired(std::chrono::system_clock::time_point before) override;
+    [[nodiscard]] std::uint64_t
+    expiredUpTo(std::chrono::system_clock::time_point before) const override;
+    void dropExpired(std::chrono::system_clock::time_point before,
+                     std::uint64_t firstNeeded) override;
 
 private:
     struct Segment
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -22,6 +22,8 @@
 // Far below the frame size limit (an eighth of its default), as the last record of a reply may
 // exceed this.
 constexpr qsizetype maximumFetchBytes = qsizetype{2} * 1024 * 1024;
+// Bytes of needed records that are copied out of expired log files in one maintenance interval.
+constexpr qsizetype maximumForwardBytes = qsizetype{2} * 1024 * 1024;
 // Longer than any outage after which a team's unspent burst still has to be restored.
 constexpr std::chrono::seconds floorRetention{120};
 // A record's time of expiry comes from an entry VM, whose clock may be behind by this much.
@@ -230,6 +232,8 @@
         if (!record)
             continue;
         bytes += record->input.size() + record->output.size();
+        // The copy must not expire before the turns that continue it are copied.
+        record->expires = std::max(record->expires, this->index.keptUntil(name));
         records.push_back(std::move(*record));
         if (bytes >= maximumFetchBytes)
             break;
@@ -344,13 +348,36 @@
 void RecordsServer::runMaintenance()
 {
     this->index.dropExpired(this->expiredBefore());
-    this->log.dropExpired(this->expiredBefore());
+    this->copyNeededForward();
+    this->log.dropExpired(this->expiredBefore(), this->index.firstSequence());
     this->quotas.raiseFloors(this->timers.now());
     this->reportSilentMembers();
     this->reportJoining();
     this->metrics.set("lacewingmux_records_kept", {}, static_cast<double>(this->index.size()));
 }
 
+void RecordsServer::copyNeededForward()
+{
+    const std::uint64_t last = this->log.expiredUpTo(this->expiredBefore());
+    qsizetype bytes = 0;
+    while (bytes < maximumForwardBytes) {
+        const auto next = this->index.namesAfter(this->copiedForwardUpTo, 1);
+        if (next.empty() || next.front().first > last)
+            return;
+        const auto &[sequence, name] = next.front();
+        this->copiedForwardUpTo = sequence;
+        std::optional<Record> record = this->log.read(sequence);
+        if (!record)
+            continue;
+        bytes += record->input.size() + record->output.size();
+        record->expires = std::max(record->expires, this->index.keptUntil(name));
+        const std::uint64_t newSequence = this->log.append(*record);
+        this->log.whenDurable(newSequence, [this, sequence, newSequence] {
+            this->index.move(sequence, newSequence);
+        });
+    }
+}
+
 void RecordsServer::reportSilentMembers()
 {
     const TimerService::SteadyTime now = this->timers.now();
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -65,6 +65,9 @@
     /** Returns the time such that records that expired before it have expired by any VM's clock. */
     [[nodiscard]] std::chrono::system_clock::time_point expiredBefore() const;
     void runMaintenance();
+    /** Appends the records that are needed longer than the log files that they are in, so that
+       these can be removed. Each is copied once in its file's lifetime. */
+    void copyNeededForward();
     void reportSilentMembers();
     /** Reports for how long this VM has been joining, and what it waits for. */
     void reportJoining();
@@ -98,6 +101,7 @@
     /** Start of the time in which this VM is a joining member, but no standby; empty outside it. */
     std::optional<TimerService::SteadyTime> joiningSince;
     TimerService::SteadyTime lateJoiningLogged;
+    std::uint64_t copiedForwardUpTo = 0; ///< position in the own log
     bool syncedReported = false;
     bool copiedReported = false;
     TimerSubscription maintenanceTimer;
--- a/tests/records/SegmentedLogTest.cpp
+++ b/tests/records/SegmentedLogTest.cpp
@@ -8,11 +8,16 @@
 #include <QFile>
 #include <QTemporaryDir>
 
+#include <cstdint>
+#include <limits>
+
 using namespace lacewingmux;
 using std::chrono::milliseconds;
 
 namespace {
 
+constexpr std::uint64_t noneNeeded = std::numeric_limits<std::uint64_t>::max();
+
 Record record(int number, qsizetype bytes = 100)
 {
     Record created;
@@ -196,9 +201,9 @@
         return directory.entryList({QStringLiteral("*.log")}, QDir::Files).size();
     };
     cr_assert_gt(fileCount(), 2);
-    log.dropExpired(std::chrono::system_clock::now());
+    log.dropExpired(std::chrono::system_clock::now(), noneNeeded);
     cr_assert_gt(fileCount(), 2);
-    log.dropExpired(std::chrono::system_clock::now() + std::chrono::hours(2));
+    log.dropExpired(std::chrono::system_clock::now() + std::chrono::hours(2), noneNeeded);
     cr_assert_eq(fileCount(), 1);
     cr_assert(!log.read(1).has_value());
     const std::uint64_t next = log.append(record(99));
--- a/tests/records/simulation/SimulatedLog.cpp
+++ b/tests/records/simulation/SimulatedLog.cpp
@@ -47,7 +47,12 @@
     return this->disk.records.size() + this->unsynced.size();
 }
 
-void SimulatedLog::dropExpired(std::chrono::system_clock::time_point)
+std::uint64_t SimulatedLog::expiredUpTo(std::chrono::system_clock::time_point) const
+{
+    return 0;
+}
+
+void SimulatedLog::dropExpired(std::chrono::system_clock::time_point, std::uint64_t)
 { }
 
 void SimulatedLog::tearWrite(std::size_t count)
--- a/tests/records/simulation/SimulatedLog.h
+++ b/tests/records/simulation/SimulatedLog.h
@@ -24,7 +24,10 @@
     std::uint64_t append(const Record &record) override;
     void whenDurable(std::uint64_t sequence, std::function<void()> callback) override;
     [[nodiscard]] std::optional<Record> read(std::uint64_t sequence) override;
-    void dropExpired(std::chrono::system_clock::time_point now) override;
+    [[nodiscard]] std::uint64_t
+    expiredUpTo(std::chrono::system_clock::time_point before) const override;
+    void dropExpired(std::chrono::system_clock::time_point before,
+                     std::uint64_t firstNeeded) override;
 
     /** Writes only the given number of the first unsynced records, as a write torn by a power loss
         does. */
