Budgets: what a running program has spent outlives log files and restarts

A restart of the records VMs forgot what a running program had spent, as the log files with its first reservations had been removed, and a copied disk never got them (BUDGET of tokens). The index kept the sums in memory only.

A reservation and its settlement now live as long as the program's latest record, so they are listed to copying members and appended again when their file goes. A turn that only the budget needs is appended as a settlement, without its text.

--- a/modules/lacewingmux_records/log/RecordIndex.cpp
+++ b/modules/lacewingmux_records/log/RecordIndex.cpp
@@ -33,7 +33,8 @@
 void RecordIndex::addTurn(const Record &record, std::uint64_t sequence)
 {
     const WallTime keptUntil = std::max(record.expires, this->awaitedUntil.take(record.key));
-    this->turns.insert(record.key, {sequence, record.team, record.parent, keptUntil});
+    this->turns.insert(record.key,
+                       {sequence, record.team, record.parent, record.program, keptUntil});
     this->extendChain(record.parent, record.team, keptUntil);
 }
 
@@ -58,9 +59,31 @@
 RecordIndex::WallTime RecordIndex::keptUntil(const RecordName &name) const
 {
     if (name.kind != RecordKind::Turn)
+        return this->owedUntil(name.program, name.key);
+    const auto found = this->turns.constFind(name.key);
+    if (found == this->turns.cend())
+        return {};
+    return std::max(found->keptUntil, this->owedUntil(found->program, name.key));
+}
+
+RecordIndex::WallTime RecordIndex::owedUntil(const QByteArray &program,
+                                             const QByteArray &turn) const
+{
+    const auto found = this->programs.constFind(program);
+    if (found == this->programs.cend())
         return {};
+    const bool isOwed =
+            std::any_of(found->turns.rbegin(), found->turns.rend(), [&turn](const auto &tokens) {
+                return tokens.key == turn && tokens.reserved > 0;
+            });
+    return isOwed ? found->expires : WallTime();
+}
+
+bool RecordIndex::isOnlyOwed(const RecordName &name, WallTime expiredBefore) const
+{
     const auto found = this->turns.constFind(name.key);
-    return found == this->turns.cend() ? WallTime() : found->keptUntil;
+    return name.kind == RecordKind::Turn && found != this->turns.cend()
+           && found->keptUntil < expiredBefore;
 }
 
 void RecordIndex::move(std::uint64_t sequence, std::uint64_t newSequence)
@@ -192,6 +215,13 @@
     this->programs.removeIf([before](auto program) { return program.value().expires < before; });
 }
 
+void RecordIndex::remove(const RecordName &name)
+{
+    const auto named = this->names.find(this->sequenceOf(name));
+    if (named != this->names.end())
+        this->remove(named);
+}
+
 void RecordIndex::remove(std::map<std::uint64_t, RecordName>::iterator named)
 {
     const RecordName &name = named->second;
--- a/modules/lacewingmux_records/log/RecordIndex.h
+++ b/modules/lacewingmux_records/log/RecordIndex.h
@@ -46,9 +46,16 @@
     [[nodiscard]] std::vector<ReservationState> reservations(const QByteArray &program,
                                                              const QByteArray &exceptTurn) const;
 
-    /** Returns until when a record is kept: a turn as long as the turns that continue it. */
+    /** Returns until when a record is kept: a turn as long as the turns that continue it, and what
+        counts against the budget of a program as long as the program's latest record. */
     [[nodiscard]] WallTime keptUntil(const RecordName &name) const;
 
+    /** Returns whether a turn is kept for its tokens only, as no chain needs it any more. */
+    [[nodiscard]] bool isOnlyOwed(const RecordName &name, WallTime expiredBefore) const;
+
+    /** Removes a record. The tokens of its program stay counted. */
+    void remove(const RecordName &name);
+
     /** Notes that a record has also been appended under a higher sequence number, which replaces
        the given one. Does nothing if the record is no longer indexed under that one. */
     void move(std::uint64_t sequence, std::uint64_t newSequence);
@@ -82,7 +89,8 @@
         std::uint64_t sequence = 0;
         QByteArray team;
         QByteArray parent;
-        WallTime keptUntil;
+        QByteArray program;
+        WallTime keptUntil; ///< by its chain
     };
 
     struct TurnTokens
@@ -101,6 +109,9 @@
 
     void remove(std::map<std::uint64_t, RecordName>::iterator named);
     void addTokens(const Record &record);
+    /** Returns until when a program may go on that has reserved tokens for the turn; the epoch if
+       it has not. */
+    [[nodiscard]] WallTime owedUntil(const QByteArray &program, const QByteArray &turn) const;
     void addTurn(const Record &record, std::uint64_t sequence);
     /** Keeps a turn and those that it continues until the time at least. */
     void extendChain(const QByteArray &turn, const QByteArray &team, WallTime until);
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -364,20 +364,34 @@
         const auto next = this->index.namesAfter(this->copiedForwardUpTo, 1);
         if (next.empty() || next.front().first > last)
             return;
-        const auto &[sequence, name] = next.front();
-        this->copiedForwardUpTo = sequence;
-        std::optional<Record> record = this->log.read(sequence);
-        if (!record)
-            continue;
-        bytes += record->input.size() + record->output.size();
-        record->expires = std::max(record->expires, this->index.keptUntil(name));
-        const std::uint64_t newSequence = this->log.append(*record);
-        this->log.whenDurable(newSequence, [this, sequence, newSequence] {
-            this->index.move(sequence, newSequence);
-        });
+        this->copiedForwardUpTo = next.front().first;
+        bytes += this->copyForward(next.front().first, next.front().second);
     }
 }
 
+qsizetype RecordsServer::copyForward(std::uint64_t sequence, const RecordName &name)
+{
+    std::optional<Record> record = this->log.read(sequence);
+    if (!record)
+        return 0;
+    const qsizetype bytes = record->input.size() + record->output.size();
+    record->expires = std::max(record->expires, this->index.keptUntil(name));
+    if (this->index.isOnlyOwed(name, this->expiredBefore())) {
+        // Its tokens still count, its text is not needed any more.
+        record->kind = RecordKind::Settlement;
+        record->parent.clear();
+        record->input.clear();
+        record->output.clear();
+        this->log.whenDurable(this->append(*record), [this, name] { this->index.remove(name); });
+        return bytes;
+    }
+    const std::uint64_t newSequence = this->log.append(*record);
+    this->log.whenDurable(newSequence, [this, sequence, newSequence] {
+        this->index.move(sequence, newSequence);
+    });
+    return bytes;
+}
+
 void RecordsServer::reportSilentMembers()
 {
     const TimerService::SteadyTime now = this->timers.now();
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -68,6 +68,8 @@
     /** Appends the records that are needed longer than the log files that they are in, so that
        these can be removed. Each is copied once in its file's lifetime. */
     void copyNeededForward();
+    /** Appends a record again; returns the bytes of text that it read. */
+    qsizetype copyForward(std::uint64_t sequence, const RecordName &name);
     void reportSilentMembers();
     /** Reports for how long this VM has been joining, and what it waits for. */
     void reportJoining();
--- a/tests/records/ChainLifetimeTest.cpp
+++ b/tests/records/ChainLifetimeTest.cpp
@@ -1,14 +1,9 @@
-#include "loops/EventLoop.h"
-
-#include "lacewingmux_core/metrics/IgnoringMetricsRecorder.h"
 #include "lacewingmux_records/log/RecordIndex.h"
-#include "lacewingmux_records/log/SegmentedLog.h"
-#include "lacewingmux_records/messages/RecordsCodec.h"
 #include "simulation/RecordsFleet.h"
+#include "simulation/RecordsVmOnDisk.h"
 
 #include <criterion/criterion.h>
 
-#include <QDir>
 #include <QTemporaryDir>
 
 using namespace lacewingmux;
@@ -67,67 +62,6 @@
     return record;
 }
 
-/** One records VM on a real log, and a hub that sends to it. */
-struct RecordsVmOnDisk
-{
-    explicit RecordsVmOnDisk(const QString &folder)
-        : network(this->loop.timers)
-        , hub(this->network.makeHub({QStringLiteral("r1"), QStringLiteral("zone"), 1}))
-        , sender(this->network.makeHub({QStringLiteral("e1"), QStringLiteral("zone"), 2}))
-        , log(folder, this->loop.timers)
-        , server(*this->hub, this->log, this->loop.timers, this->metrics, {})
-    {
-        RecordsView view;
-        view.number = 1;
-        RecordsMember member;
-        member.vm.incarnation = this->hub->self();
-        member.state = MemberState::Synced;
-        view.members = {member};
-        this->sender->setPeers(view.descriptors());
-        this->server.setView(view);
-        this->sender->setHandler(FrameKind::WriteRecordsAck,
-                                 [this](const auto &, const auto &) { ++this->acknowledgements; });
-        this->sender->setHandler(FrameKind::OpenTurnReply, [this](const auto &, const auto &frame) {
-            this->reply = RecordsCodec::decodeOpenReply(frame.payload);
-        });
-        this->loop.waitUntil([this] { return this->sender->isConnected(this->hub->self()); },
-                             "the link");
-    }
-
-    /** Writes the records at once, so that none expires in between. */
-    void write(const std::vector<Record> &records)
-    {
-        const int before = this->acknowledgements;
-        this->sender->send(this->hub->self(),
-                           {FrameKind::WriteRecords, 1, 1, RecordsCodec::encodeRecords(records)});
-        this->loop.waitUntil([this, before] { return this->acknowledgements > before; },
-                             "the records on disk");
-    }
-
-    OpenTurnReplyMessage open(const QByteArray &previous)
-    {
-        OpenTurnMessage message;
-        message.team = "team";
-        message.previousTurn = previous;
-        message.wantsHistory = true;
-        this->reply = std::nullopt;
-        this->sender->send(this->hub->self(),
-                           {FrameKind::OpenTurn, 1, 2, RecordsCodec::encodeOpen(message)});
-        this->loop.waitUntil([this] { return this->reply.has_value(); }, "the chain");
-        return *this->reply;
-    }
-
-    EventLoop loop;
-    IgnoringMetricsRecorder metrics;
-    InMemoryPeerNetwork network;
-    std::unique_ptr<PeerHub> hub;
-    std::unique_ptr<PeerHub> sender;
-    SegmentedLog log;
-    RecordsServer server;
-    int acknowledgements = 0;
-    std::optional<OpenTurnReplyMessage> reply;
-};
-
 } // namespace
 
 // Guards against a chain that can't be continued through another entry VM, since its first turns
@@ -172,15 +106,7 @@
 Test(chain_lifetime, a_chain_outlives_the_log_file_of_its_first_turns)
 {
     const QTemporaryDir folder;
-    const auto logFiles = [&folder] {
-        return QDir(folder.path()).entryInfoList({QStringLiteral("*.log")}, QDir::Files);
-    };
-    const auto logBytes = [&logFiles] {
-        qint64 bytes = 0;
-        for (const QFileInfo &file : logFiles())
-            bytes += file.size();
-        return bytes;
-    };
+    const auto logBytes = [&folder] { return logBytesIn(folder.path()); };
     constexpr qsizetype mebibyte = qsizetype{1024} * 1024;
     {
         RecordsVmOnDisk vm(folder.path());
