--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -12,8 +12,10 @@
 
 #include <QByteArray>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace lacewingmux {
@@ -60,8 +62,17 @@
     /** Returns whether the log holds another run of this turn, whose caller may have sent it again
         with the same id, or a record of it that can't be read. */
     [[nodiscard]] bool holdsOtherRun(const Record &record);
+    /** Returns the time such that records that expired before it have expired by any VM's clock. */
+    [[nodiscard]] std::chrono::system_clock::time_point expiredBefore() const;
     void runMaintenance();
+    /** Appends the records that are needed longer than the log files that they are in, so that
+       these can be removed. Each is copied once in its file's lifetime. */
+    void copyNeededForward();
+    /** Appends a record again; returns the bytes of text that it read. */
+    qsizetype copyForward(std::uint64_t sequence, const RecordName &name);
     void reportSilentMembers();
+    /** Reports for how long this VM has been joining, and what it waits for. */
+    void reportJoining();
     [[nodiscard]] bool isUpToDateStandby(TimerService::SteadyTime now) const;
     /** Returns how many members' records this joining VM must have before it counts as synced. */
     [[nodiscard]] int joiningSources(const RecordsMember &joiner) const;
@@ -89,6 +100,10 @@
     /** Sequence number of the last record stored while copies on this VM counted. The other members
         received all later records directly. */
     std::uint64_t lastCountedSequence = 0;
+    /** Start of the time in which this VM is a joining member, but no standby; empty outside it. */
+    std::optional<TimerService::SteadyTime> joiningSince;
+    TimerService::SteadyTime lateJoiningLogged;
+    std::uint64_t copiedForwardUpTo = 0; ///< position in the own log
     bool syncedReported = false;
     bool copiedReported = false;
     TimerSubscription maintenanceTimer;
