Gateway: read what came before a deadline, and all that was signalled

- Callers of a VM that was paused past their deadline could get 504 for an answer that had wholly arrived, if it takes several turns to read (above some 32 KiB, or more than four full reads at once).
At its deadline, a call whose connection has unread bytes now goes on reading for up to 50 ms. paused_vm/delivers_long_answers_that_came_before_the_deadline fails with 0 ms (504 Gateway Timeout) and passes with 50 ms.
- The daemon's pool handed out connections on which a second answer had arrived since the last one; it checks now, as the gateway's fleet does.
By reading; no test.
- Bytes that had filled the read buffer before the connection was made are read now (nothing else signals them), and a read that waited for its turn is left out once the connection is broken.
By reading; no test.

--- a/modules/lacewingmux_backend/clients/ConnectionPool.cpp
+++ b/modules/lacewingmux_backend/clients/ConnectionPool.cpp
@@ -29,7 +29,8 @@
     while (!connections.empty()) {
         std::unique_ptr<ReplicaConnection> connection = std::move(connections.back());
         connections.pop_back();
-        if (connection->isReusable())
+        // What has arrived since the last response belongs to an earlier request.
+        if (connection->isReusable() && !connection->hasUnreadInput())
             return connection;
     }
     return this->createDedicated(server);
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -82,7 +82,7 @@
         return;
     this->deadline = CallDeadline(this->arrived, this->description.timeLeft, this->route.timeout);
     this->deadlineTimer = this->context.timers.after(this->deadline.remaining(this->now()),
-                                                     [this] { this->handleTimeout(); });
+                                                     [this] { this->handleDeadline(); });
     if (this->admitIfEndsBeforeStop() && this->admitProgram())
         this->takeQuota();
 }
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -168,6 +168,8 @@
     /** Sends the call to another replica after a failed attempt, if it may run again; otherwise
         ends it. A stream that has started is resumed or broken off. */
     void continueElsewhere(const char *reason);
+    /** Ends the call, but first reads what may have arrived before the deadline. */
+    void handleDeadline();
     void handleTimeout();
     /** Records that data arrived from the replica. */
     void recordReplicaActivity();
@@ -255,6 +257,7 @@
     qsizetype accountedBytes = 0; ///< of the response, in the memory of all calls
     QByteArray endReason;         ///< why the call was refused or aborted, for the log
     TimerSubscription deadlineTimer;
+    std::optional<TimerService::SteadyTime> overdueSince; ///< once the deadline has passed
     TimerSubscription placementTimer;
 };
 
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -46,6 +46,11 @@
 // The same if the second part has to be sent again.
 constexpr milliseconds retransmissionTime{250};
 
+// Reading what arrived in time takes a few milliseconds; bounds the delay by a replica that sends
+// without end.
+constexpr milliseconds longestOverdueReading{50};
+constexpr milliseconds overdueReadingInterval{1};
+
 // Replicas measure the time that they are given with timers of their own.
 constexpr milliseconds replicaClockTolerance{10};
 
@@ -316,6 +321,21 @@
                                   });
 }
 
+void ForwardedCall::handleDeadline()
+{
+    if (!this->overdueSince)
+        this->overdueSince = this->now();
+    // A VM that was paused has yet to read what arrived in time, which takes several turns.
+    const bool hasUnreadInput =
+            this->attempt.connection && this->attempt.connection->hasUnreadInput();
+    if (hasUnreadInput && this->now() - *this->overdueSince < longestOverdueReading) {
+        this->deadlineTimer = this->context.timers.after(overdueReadingInterval,
+                                                         [this] { this->handleDeadline(); });
+        return;
+    }
+    this->handleTimeout();
+}
+
 void ForwardedCall::handleTimeout()
 {
     switch (this->phase) {
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -133,6 +133,9 @@
                                                   [this] { this->handlePeerLost(); });
     if (!this->unsentRequest.isEmpty())
         this->writeNow(std::exchange(this->unsentRequest, {}));
+    // Nothing signals bytes that had filled the buffer before.
+    if (!this->broken && this->socket->bytesAvailable() >= readBufferBytes)
+        this->readByTurns();
 }
 
 void ReplicaConnection::writeNow(const QByteArray &request)
@@ -193,7 +196,7 @@
         return;
     }
     this->reading->read([this, guard = std::weak_ptr(this->lifetime)] {
-        if (!guard.expired())
+        if (!guard.expired() && !this->broken)
             this->readAvailable();
     });
 }
--- a/tests/gateway/PausedVmTest.cpp
+++ b/tests/gateway/PausedVmTest.cpp
@@ -101,6 +101,31 @@
     }
 }
 
+// Long answers are read by turns of the event loop, and the deadline came first.
+Test(paused_vm, delivers_long_answers_that_came_before_the_deadline)
+{
+    constexpr std::size_t callCount = 6;
+    const QByteArray body(qsizetype{64} * 1024, 'x');
+    for (const LoopKind kind : loopKinds) {
+        PausedVm vm(kind);
+        std::vector<std::unique_ptr<RawCaller>> callers;
+        for (std::size_t index = 0; index < callCount; ++index) {
+            callers.push_back(std::make_unique<RawCaller>(vm.fixture->gateway->port()));
+            vm.send(*callers.back(), "/once/x", "Lacewingmux-Deadline-Ms: 900\r\n");
+        }
+        vm.pause(milliseconds(1500), [&] {
+            for (std::size_t index = 0; index < callCount; ++index)
+                vm.exchanges[index].writeNow(GatewayFixture::answer(vm.requests[index], body));
+        });
+        for (const auto &caller : callers) {
+            vm.fixture->loop.waitUntil([&] { return caller->received().contains("\r\n\r\n"); },
+                                       "the answer");
+            cr_assert(caller->received().startsWith("HTTP/1.1 200"), "loop %d: %s",
+                      static_cast<int>(kind), caller->received().left(200).constData());
+        }
+    }
+}
+
 Test(paused_vm, does_not_cut_a_stream_whose_end_came_before_the_deadline)
 {
     for (const LoopKind kind : loopKinds) {
