Limit the memory that callers' requests and unread responses take

Callers decided how much memory an entry VM takes: each connection kept a request of up to maxBodyBytes (4 MB in the sites) until it was answered, on up to 1640 connections, and what a caller did not read of a plain response, up to 8 MB. A caller that kept its window closed and answered probes kept its connection and these bytes without a limit on time.

CallerMemory counts requests that are received or served and unsent bytes of responses over all connections; an eighth of the VM's memory, as for responses of replicas. A request beyond it gets 503 before it runs; a connection whose unread response passes it is reset. A complete response of which nothing is read for the idle timeout ends the connection.

With the limits taken out, four tests of caller_memory failed: of 20 callers with 3 MiB sent of a 4 MiB body none was refused, and unread responses and streams of 16 MiB stayed open. Not measured with processes.

--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -55,7 +55,7 @@
 {
     this->ingress = std::make_unique<IngressServer>(
             this->settings.address, this->settings.port, this->settings.connectionLimit,
-            this->timers,
+            this->settings.callerMemoryLimit, this->timers,
             [this](const std::shared_ptr<IngressConnection> &caller, HttpRequest request) {
                 this->handleRequest(caller, std::move(request));
             },
--- a/modules/lacewingmux_gateway/forwarding/GatewaySettings.h
+++ b/modules/lacewingmux_gateway/forwarding/GatewaySettings.h
@@ -24,6 +24,10 @@
     /** Bytes that the unfinished responses of all calls may take together. */
     qsizetype bufferedResponseLimit = qsizetype{12} * 1024 * 1024;
 
+    /** Bytes that the requests of all callers, and the responses that they have not read yet, may
+        take together. */
+    qsizetype callerMemoryLimit = qsizetype{12} * 1024 * 1024;
+
     /** How long a stopping VM still accepts connections and keeps them open: the load balancer
         checks once a second, and needs two results to direct new connections to other VMs. */
     std::chrono::milliseconds stopListeningAfter{2300};
--- a/modules/lacewingmux_gateway/http/RequestDecoder.cpp
+++ b/modules/lacewingmux_gateway/http/RequestDecoder.cpp
@@ -115,6 +115,17 @@
     return request;
 }
 
+qsizetype RequestDecoder::bufferedBytes() const
+{
+    return this->pending.size() + this->parser->request.body.size();
+}
+
+void RequestDecoder::discard()
+{
+    this->pending.clear();
+    this->startNext();
+}
+
 void RequestDecoder::startNext()
 {
     this->parser = std::make_unique<Parser>();
--- a/modules/lacewingmux_gateway/http/RequestDecoder.h
+++ b/modules/lacewingmux_gateway/http/RequestDecoder.h
@@ -48,6 +48,13 @@
         return this->pending.size();
     }
 
+    /** Returns the bytes that the decoder keeps, of the current request's body or not yet decoded.
+     */
+    [[nodiscard]] qsizetype bufferedBytes() const;
+
+    /** Drops all that has been received; nothing more on the connection can be decoded. */
+    void discard();
+
 private:
     class Parser;
 
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
@@ -1,11 +1,13 @@
 #include "lacewingmux_gateway/ingress/IngressConnection.h"
 
 #include "lacewingmux_gateway/http/HttpText.h"
+#include "lacewingmux_gateway/ingress/CallerMemory.h"
 #include "lacewingmux_tunnel/sockets/SocketOptions.h"
 
 #include <QPointer>
 #include <QTcpSocket>
 
+#include <tuple>
 #include <utility>
 
 namespace lacewingmux {
@@ -36,14 +38,17 @@
 } // namespace
 
 IngressConnection::IngressConnection(QTcpSocket *callerSocket, const HttpLimits &httpLimits,
+                                     std::shared_ptr<CallerMemory> callerMemory,
                                      TimerService &timerService, Hooks connectionHooks)
     : socket(callerSocket)
     , limits(httpLimits)
     , waitLimits(httpLimits)
+    , memory(std::move(callerMemory))
     , timers(timerService)
     , hooks(std::move(connectionHooks))
     , decoder(httpLimits)
     , readingSince(timerService.now())
+    , lastWritten(timerService.now())
 {
     this->socket->setReadBufferSize(readBufferBytes);
     configureSocket(*this->socket, callerUnresponsiveTimeout);
@@ -55,6 +60,7 @@
     if (this->state != State::Closed)
         this->socket->abort();
     this->socket->deleteLater();
+    std::ignore = this->memory->resize(this->accountedBytes, 0);
 }
 
 void IngressConnection::setLimits(const HttpLimits &httpLimits)
@@ -70,6 +76,10 @@
                      [this] { this->readAvailable(); });
     QObject::connect(this->socket, &QTcpSocket::disconnected, this->socket,
                      [this] { this->handleDisconnect(); });
+    QObject::connect(this->socket, &QTcpSocket::bytesWritten, this->socket, [this] {
+        this->lastWritten = this->timers.now();
+        std::ignore = this->accountMemory();
+    });
     this->readAvailable();
 }
 
@@ -127,6 +137,7 @@
 
 void IngressConnection::enforceTimeouts()
 {
+    this->abortUnlessRead();
     if (this->state != State::Reading)
         return;
     const auto waited = this->timers.now() - this->readingSince;
@@ -185,7 +196,10 @@
     if (this->decoder.state() == DecodeState::Empty)
         this->startWaiting();
     this->decoder.append(bytes);
-    this->processDecoderState();
+    if (this->accountMemory())
+        this->processDecoderState();
+    else
+        this->sendErrorStatus(unavailableStatus);
 }
 
 void IngressConnection::startWaiting()
@@ -213,6 +227,7 @@
     this->keepAlive = request.keepAlive;
     this->continueSent = false;
     this->isHeadMethod = request.method == "HEAD";
+    this->servedRequestBytes = request.body.size();
     this->state = State::Serving;
     this->hooks.requestArrived(std::move(request));
 }
@@ -222,6 +237,7 @@
     this->state = State::Serving;
     this->keepAlive = false;
     this->isHeadMethod = false;
+    this->decoder.discard();
     this->sendResponse(status, reasonPhrase(status), {}, {});
 }
 
@@ -229,12 +245,38 @@
 {
     this->socket->write(text);
     this->socket->flush(); // writes now instead of on the next event loop iteration
+    if (this->accountMemory())
+        return;
+    // The owner must not be told of the end of the connection within its own call.
+    this->timers.post([guard = QPointer<QTcpSocket>(this->socket)] {
+        if (guard)
+            guard->abort();
+    });
+}
+
+bool IngressConnection::accountMemory()
+{
+    const qsizetype bytes = this->decoder.bufferedBytes() + this->servedRequestBytes
+                            + static_cast<qsizetype>(this->socket->bytesToWrite());
+    const qsizetype before = std::exchange(this->accountedBytes, bytes);
+    return this->memory->resize(before, bytes);
+}
+
+void IngressConnection::abortUnlessRead()
+{
+    const bool isComplete = this->state == State::Reading || this->state == State::Closing;
+    if (isComplete && this->unsentBytes() > 0
+        && this->timers.now() - this->lastWritten >= this->limits.idleTimeout)
+        this->socket->abort();
 }
 
 void IngressConnection::finishResponse()
 {
     if (this->state == State::Closed)
         return; // the caller disconnected during the write
+    this->servedRequestBytes = 0;
+    this->lastWritten = this->timers.now();
+    std::ignore = this->accountMemory();
     // Without "Connection: close" the caller may already have sent its next request: read it.
     if (this->closeAnnounced) {
         this->lingerAndClose();
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.h
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.h
@@ -15,6 +15,8 @@
 
 namespace lacewingmux {
 
+class CallerMemory;
+
 /**
     One connection of a caller. It delivers one request at a time; a pipelined request waits until
     the response to the previous one has been written.
@@ -37,7 +39,8 @@
 
     /** Takes ownership of the connected socket. */
     IngressConnection(QTcpSocket *callerSocket, const HttpLimits &httpLimits,
-                      TimerService &timerService, Hooks connectionHooks);
+                      std::shared_ptr<CallerMemory> callerMemory, TimerService &timerService,
+                      Hooks connectionHooks);
     ~IngressConnection();
     IngressConnection(const IngressConnection &) = delete;
     IngressConnection &operator=(const IngressConnection &) = delete;
@@ -67,7 +70,8 @@
     /** Resets the connection, which leaves the current response incomplete. */
     void abort();
 
-    /** Closes the connection if a request took too long to arrive or it was idle for too long. */
+    /** Closes the connection if a request took too long to arrive, it was idle for too long, or the
+        caller no longer reads a response that is complete. */
     void enforceTimeouts();
 
     /** Closes the connection after the current response or, if no request is active, after the next
@@ -100,6 +104,9 @@
     void dispatchRequest();
     void sendErrorStatus(int status);
     void writeNow(const QByteArray &text);
+    /** Records the bytes that the connection takes; returns whether it may take them. */
+    [[nodiscard]] bool accountMemory();
+    void abortUnlessRead();
     void finishResponse();
     void lingerAndClose();
     void closeNow();
@@ -113,6 +120,9 @@
     QTcpSocket *socket;
     HttpLimits limits;
     HttpLimits waitLimits; ///< of the present request or idle time
+    std::shared_ptr<CallerMemory> memory;
+    qsizetype accountedBytes = 0;
+    qsizetype servedRequestBytes = 0; ///< of the body of the request that is being served
     TimerService &timers;
     Hooks hooks;
     RequestDecoder decoder;
@@ -123,6 +133,7 @@
     bool continueSent = false;
     bool isHeadMethod = false;
     TimerService::SteadyTime readingSince; ///< start of the idle time or of the current request
+    TimerService::SteadyTime lastWritten;  ///< when the caller last took bytes of a response
     TimerSubscription lingerTimer;
 };
 
--- a/modules/lacewingmux_gateway/ingress/IngressServer.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressServer.cpp
@@ -19,12 +19,14 @@
 } // namespace
 
 IngressServer::IngressServer(const QHostAddress &address, std::uint16_t port,
-                             std::size_t connectionLimit, TimerService &timerService,
-                             RequestHandler requestHandler, DisconnectHandler disconnectHandler)
+                             std::size_t connectionLimit, qsizetype memoryLimit,
+                             TimerService &timerService, RequestHandler requestHandler,
+                             DisconnectHandler disconnectHandler)
     : timers(timerService)
     , handleRequest(std::move(requestHandler))
     , handleCallerDisconnected(std::move(disconnectHandler))
     , maximumConnections(connectionLimit)
+    , memory(std::make_shared<CallerMemory>(memoryLimit))
     , server(std::make_unique<QTcpServer>())
 {
     this->server->setListenBacklogSize(acceptBacklog);
@@ -116,8 +118,8 @@
         this->timers.post([ended = std::move(found->second)] {});
         this->connections.erase(found);
     };
-    auto connection = std::make_shared<IngressConnection>(socket, this->limits, this->timers,
-                                                          std::move(hooks));
+    auto connection = std::make_shared<IngressConnection>(socket, this->limits, this->memory,
+                                                          this->timers, std::move(hooks));
     *connectionKey = connection.get();
     if (this->closingAfterResponse)
         connection->closeAfterResponse();
--- a/modules/lacewingmux_gateway/ingress/IngressServer.h
+++ b/modules/lacewingmux_gateway/ingress/IngressServer.h
@@ -3,6 +3,7 @@
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_gateway/http/HttpLimits.h"
 #include "lacewingmux_gateway/http/HttpRequest.h"
+#include "lacewingmux_gateway/ingress/CallerMemory.h"
 
 #include <QHostAddress>
 
@@ -31,9 +32,10 @@
     /** Called when a caller disconnects while its request is being served. */
     using DisconnectHandler = std::function<void(const IngressConnection *)>;
 
-    /** Starts listening. Throws LacewingmuxError if listening on the address fails. */
+    /** Starts listening. Throws LacewingmuxError if listening on the address fails. The memory
+       limit is in bytes. */
     IngressServer(const QHostAddress &address, std::uint16_t port, std::size_t connectionLimit,
-                  TimerService &timerService, RequestHandler requestHandler,
+                  qsizetype memoryLimit, TimerService &timerService, RequestHandler requestHandler,
                   DisconnectHandler disconnectHandler);
     ~IngressServer();
     IngressServer(const IngressServer &) = delete;
@@ -59,6 +61,12 @@
         return this->connections.size();
     }
 
+    /** Returns the bytes of requests, and of responses that callers have not read yet. */
+    [[nodiscard]] qsizetype usedMemory() const noexcept
+    {
+        return this->memory->usedBytes();
+    }
+
     [[nodiscard]] std::uint16_t port() const;
 
 private:
@@ -73,6 +81,7 @@
     RequestHandler handleRequest;
     DisconnectHandler handleCallerDisconnected;
     std::size_t maximumConnections;
+    std::shared_ptr<CallerMemory> memory;
     HttpLimits limits;
     bool closingAfterResponse = false;
     std::unique_ptr<QTcpServer> server;
--- a/modules/lacewingmux_node/front/FrontTrafficServices.cpp
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.cpp
@@ -25,6 +25,8 @@
 constexpr int cacheMemoryDivisor = 5;
 // An eighth buffers responses until they are whole.
 constexpr int responseMemoryDivisor = 8;
+// An eighth holds callers' requests, and responses that callers have not read yet.
+constexpr int callerMemoryDivisor = 8;
 
 GatewaySettings gatewaySettings(const NodeSettings &settings)
 {
@@ -41,6 +43,7 @@
     gateway.stopLimit = settings.stopLimit * 7 / 8;
     gateway.bufferedResponseLimit =
             settings.memoryMegabytes * bytesPerMegabyte / responseMemoryDivisor;
+    gateway.callerMemoryLimit = settings.memoryMegabytes * bytesPerMegabyte / callerMemoryDivisor;
     return gateway;
 }
 
--- a/tests/gateway/IngressConnectionTest.cpp
+++ b/tests/gateway/IngressConnectionTest.cpp
@@ -1,5 +1,6 @@
 #include "support/GatewayFixture.h"
 
+#include "lacewingmux_gateway/ingress/CallerMemory.h"
 #include "lacewingmux_gateway/ingress/IngressConnection.h"
 
 #include <QTcpServer>
@@ -20,7 +21,10 @@
 class ServedConnection
 {
 public:
-    ServedConnection()
+    static constexpr qsizetype memoryLimit = qsizetype{1024} * 1024;
+
+    explicit ServedConnection(const HttpLimits &httpLimits = HttpLimits())
+        : limits(httpLimits)
     {
         this->server.listen(QHostAddress::LocalHost);
         this->caller.emplace(this->server.serverPort());
@@ -35,7 +39,8 @@
         };
         hooks.callerDisconnected = [this] { ++this->disconnects; };
         hooks.closed = [this] { ++this->closes; };
-        this->connection.emplace(socket, HttpLimits(), this->loop.timers, std::move(hooks));
+        this->connection.emplace(socket, this->limits, this->memory, this->loop.timers,
+                                 std::move(hooks));
         this->connection->start();
     }
 
@@ -53,6 +58,8 @@
     }
 
     EventLoop loop;
+    HttpLimits limits;
+    std::shared_ptr<CallerMemory> memory = std::make_shared<CallerMemory>(memoryLimit);
     QTcpServer server;
     std::optional<RawCaller> caller;
     std::vector<HttpRequest> requests;
