--- a/modules/lacewingmux_gateway/forwarding/CallContext.h
+++ b/modules/lacewingmux_gateway/forwarding/CallContext.h
@@ -10,7 +10,7 @@
 
 class MetricsRecorder;
 class ReplicaFleet;
-class ResponseMemory;
+class MemoryAccount;
 class RoutingTable;
 class ServiceAdmission;
 class TeamQuota;
@@ -26,7 +26,7 @@
     ServiceAdmission &admission;
     TeamQuota &quota;
     TurnStore &turnStore;
-    ResponseMemory &responseMemory;
+    MemoryAccount &responseMemory;
     MetricsRecorder &metrics;
     std::shared_ptr<const RoutingTable> table; ///< null until a configuration is loaded
     /** Set in a planned stop: when a call must have ended at the latest to be accepted. */
--- a/modules/lacewingmux_gateway/forwarding/Gateway.h
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.h
@@ -3,9 +3,9 @@
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_gateway/calls/CallDialect.h"
 #include "lacewingmux_gateway/forwarding/GatewaySettings.h"
-#include "lacewingmux_gateway/forwarding/ResponseMemory.h"
 #include "lacewingmux_gateway/forwarding/ServiceAdmission.h"
 #include "lacewingmux_gateway/forwarding/StopSchedule.h"
+#include "lacewingmux_gateway/http/MemoryAccount.h"
 #include "lacewingmux_gateway/replicas/ReplicaFleet.h"
 #include "lacewingmux_gateway/replicas/ReplicaInstance.h"
 
@@ -98,7 +98,7 @@
     MetricsRecorder &metrics;
     ReplicaFleet fleet;
     ServiceAdmission admission;
-    ResponseMemory responseMemory;
+    MemoryAccount responseMemory;
     std::shared_ptr<const RoutingTable> table;
     std::unique_ptr<IngressServer> ingress;
     std::map<const IngressConnection *, std::shared_ptr<ForwardedCall>> calls;
--- a/modules/lacewingmux_gateway/forwarding/ResponseMemory.h
+++ b/modules/lacewingmux_gateway/http/MemoryAccount.h
@@ -5,20 +5,19 @@
 namespace lacewingmux {
 
 /**
-    Bounds the memory that the unfinished responses of all calls take together.
+    Bounds the memory that many connections or calls take together.
 
-    Small responses are always allowed, so that a few replicas that send bytes without end do not
-    crowd out the others.
+    A share that is small is always allowed, so that a few large ones do not crowd out the others.
 */
-class ResponseMemory
+class MemoryAccount
 {
 public:
     /** Creates the account with a limit in bytes. */
-    explicit ResponseMemory(qsizetype limitBytes)
+    explicit MemoryAccount(qsizetype limitBytes)
         : limit(limitBytes)
     { }
 
-    /** Records that a response has grown or shrunk, in bytes; returns whether it may be kept. It is
+    /** Records that a share has grown or shrunk, in bytes; returns whether it may be kept. It is
         counted in either case, until it is resized to 0. */
     [[nodiscard]] bool resize(qsizetype before, qsizetype after)
     {
@@ -26,13 +25,13 @@
         return after <= alwaysAllowedBytes || this->used <= this->limit;
     }
 
-    /** Returns the bytes that all responses take. */
+    /** Returns the bytes that all shares take. */
     [[nodiscard]] qsizetype usedBytes() const noexcept
     {
         return this->used;
     }
 
-    /** Far above the usual responses. */
+    /** Above a head of the usual limit, and far above the usual responses. */
     static constexpr qsizetype alwaysAllowedBytes = qsizetype{32} * 1024;
 
 private:
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.cpp
@@ -1,7 +1,7 @@
 #include "lacewingmux_gateway/ingress/IngressConnection.h"
 
 #include "lacewingmux_gateway/http/HttpText.h"
-#include "lacewingmux_gateway/ingress/CallerMemory.h"
+#include "lacewingmux_gateway/http/MemoryAccount.h"
 #include "lacewingmux_tunnel/sockets/SocketOptions.h"
 
 #include <QPointer>
@@ -38,7 +38,7 @@
 } // namespace
 
 IngressConnection::IngressConnection(QTcpSocket *callerSocket, const HttpLimits &httpLimits,
-                                     std::shared_ptr<CallerMemory> callerMemory,
+                                     std::shared_ptr<MemoryAccount> callerMemory,
                                      TimerService &timerService, Hooks connectionHooks)
     : socket(callerSocket)
     , limits(httpLimits)
@@ -247,7 +247,7 @@
     this->socket->flush(); // writes now instead of on the next event loop iteration
     if (this->accountMemory())
         return;
-    // The owner must not be told of the end of the connection within its own call.
+    // The owner must not be notified of the end of the connection within its own call.
     this->timers.post([guard = QPointer<QTcpSocket>(this->socket)] {
         if (guard)
             guard->abort();
--- a/modules/lacewingmux_gateway/ingress/IngressConnection.h
+++ b/modules/lacewingmux_gateway/ingress/IngressConnection.h
@@ -15,7 +15,7 @@
 
 namespace lacewingmux {
 
-class CallerMemory;
+class MemoryAccount;
 
 /**
     One connection of a caller. It delivers one request at a time; a pipelined request waits until
@@ -39,7 +39,7 @@
 
     /** Takes ownership of the connected socket. */
     IngressConnection(QTcpSocket *callerSocket, const HttpLimits &httpLimits,
-                      std::shared_ptr<CallerMemory> callerMemory, TimerService &timerService,
+                      std::shared_ptr<MemoryAccount> callerMemory, TimerService &timerService,
                       Hooks connectionHooks);
     ~IngressConnection();
     IngressConnection(const IngressConnection &) = delete;
@@ -120,7 +120,7 @@
     QTcpSocket *socket;
     HttpLimits limits;
     HttpLimits waitLimits; ///< of the present request or idle time
-    std::shared_ptr<CallerMemory> memory;
+    std::shared_ptr<MemoryAccount> memory;
     qsizetype accountedBytes = 0;
     qsizetype servedRequestBytes = 0; ///< of the body of the request that is being served
     TimerService &timers;
--- a/modules/lacewingmux_gateway/ingress/IngressServer.cpp
+++ b/modules/lacewingmux_gateway/ingress/IngressServer.cpp
@@ -26,7 +26,7 @@
     , handleRequest(std::move(requestHandler))
     , handleCallerDisconnected(std::move(disconnectHandler))
     , maximumConnections(connectionLimit)
-    , memory(std::make_shared<CallerMemory>(memoryLimit))
+    , memory(std::make_shared<MemoryAccount>(memoryLimit))
     , server(std::make_unique<QTcpServer>())
 {
     this->server->setListenBacklogSize(acceptBacklog);
--- a/modules/lacewingmux_gateway/ingress/IngressServer.h
+++ b/modules/lacewingmux_gateway/ingress/IngressServer.h
@@ -3,7 +3,7 @@
 #include "lacewingmux_core/time/TimerService.h"
 #include "lacewingmux_gateway/http/HttpLimits.h"
 #include "lacewingmux_gateway/http/HttpRequest.h"
-#include "lacewingmux_gateway/ingress/CallerMemory.h"
+#include "lacewingmux_gateway/http/MemoryAccount.h"
 
 #include <QHostAddress>
 
@@ -81,7 +81,7 @@
     RequestHandler handleRequest;
     DisconnectHandler handleCallerDisconnected;
     std::size_t maximumConnections;
-    std::shared_ptr<CallerMemory> memory;
+    std::shared_ptr<MemoryAccount> memory;
     HttpLimits limits;
     bool closingAfterResponse = false;
     std::unique_ptr<QTcpServer> server;
--- a/tests/gateway/CallerMemoryTest.cpp
+++ b/tests/gateway/CallerMemoryTest.cpp
@@ -1,6 +1,6 @@
 #include "support/GatewayFixture.h"
 
-#include "lacewingmux_gateway/ingress/CallerMemory.h"
+#include "lacewingmux_gateway/http/MemoryAccount.h"
 #include "lacewingmux_gateway/ingress/IngressConnection.h"
 
 #include <QTcpServer>
@@ -37,7 +37,7 @@
 {
 public:
     explicit UnreadConnection(qsizetype memoryLimit)
-        : memory(std::make_shared<CallerMemory>(memoryLimit))
+        : memory(std::make_shared<MemoryAccount>(memoryLimit))
     {
         this->limits.idleTimeout = milliseconds(300);
         this->server.listen(QHostAddress::LocalHost);
@@ -72,7 +72,7 @@
 
     EventLoop loop;
     HttpLimits limits;
-    std::shared_ptr<CallerMemory> memory;
+    std::shared_ptr<MemoryAccount> memory;
     QTcpServer server;
     QTcpSocket caller;
     int disconnects = 0;
--- a/tests/gateway/IngressConnectionTest.cpp
+++ b/tests/gateway/IngressConnectionTest.cpp
@@ -1,6 +1,6 @@
 #include "support/GatewayFixture.h"
 
-#include "lacewingmux_gateway/ingress/CallerMemory.h"
+#include "lacewingmux_gateway/http/MemoryAccount.h"
 #include "lacewingmux_gateway/ingress/IngressConnection.h"
 
 #include <QTcpServer>
@@ -59,7 +59,7 @@
 
     EventLoop loop;
     HttpLimits limits;
-    std::shared_ptr<CallerMemory> memory = std::make_shared<CallerMemory>(memoryLimit);
+    std::shared_ptr<MemoryAccount> memory = std::make_shared<MemoryAccount>(memoryLimit);
     QTcpServer server;
     std::optional<RawCaller> caller;
     std::vector<HttpRequest> requests;
