Metrics: describe the delay of the event loop

describesExactlyWhatTheModulesRecord and knowsEachMetricThatTheOperatorsPage- Names failed on the merged code: records and documents lacewingmux_event_loop_delay_seconds, but the catalogue, from which the port of metrics takes its types, had no entry. Both pass with it.

--- a/modules/lacewingmux_report/metrics/MetricsCatalogue.cpp
+++ b/modules/lacewingmux_report/metrics/MetricsCatalogue.cpp
@@ -31,6 +31,8 @@
         MetricDescription{"lacewingmux_early_ends_total", MetricType::Counter,
                           "Calls that ended without the complete response of a replica that may "
                           "have run them, by reason."},
+        MetricDescription{"lacewingmux_event_loop_delay_seconds", MetricType::Histogram,
+                          "Delays of more than 0.1 s of the event loop of a VM's traffic thread."},
         MetricDescription{"lacewingmux_forward_retries_total", MetricType::Counter,
                           "Requests asked again at a newer owner."},
         MetricDescription{"lacewingmux_histories_fetched_total", MetricType::Counter,
