--- a/tests/gateway/RequestDecoderTest.cpp
+++ b/tests/gateway/RequestDecoderTest.cpp
@@ -107,8 +107,8 @@
 {
     RequestDecoder decoder{HttpLimits()};
     decoder.append("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n");
-    decoder.append("3;name=" + QByteArray(8 * 1024, 'x'));
-    decoder.append("\r\nabc\r\n0\r\nName: " + QByteArray(8 * 1024, 'x'));
+    decoder.append("3;name=" + QByteArray(qsizetype{8} * 1024, 'x'));
+    decoder.append("\r\nabc\r\n0\r\nName: " + QByteArray(qsizetype{8} * 1024, 'x'));
     decoder.append("\r\n\r\n");
     cr_assert(decoder.state() == DecodeState::Complete);
     cr_assert(decoder.take().body == "abc");
--- a/tests/platform-flood/FloodRun.cpp
+++ b/tests/platform-flood/FloodRun.cpp
@@ -63,6 +63,7 @@
     std::thread usual([this] { this->sendUsualCalls(); });
     std::this_thread::sleep_for(usualAlone);
     std::vector<std::thread> callers;
+    callers.reserve(static_cast<std::size_t>(this->kind.callers));
     for (int caller = 0; caller < this->kind.callers; ++caller)
         callers.emplace_back([this, caller] { this->callOneAfterTheOther(caller); });
     for (std::thread &caller : callers)
@@ -123,8 +124,8 @@
 
 bool FloodRun::isWithinLimits() const
 {
-    return this->result.memoryKilobytes > 0
-           && this->result.memoryKilobytes < FloodFleet::memoryMegabytes * kilobytesPerMegabyte
+    constexpr auto limit = std::int64_t{FloodFleet::memoryMegabytes} * kilobytesPerMegabyte;
+    return this->result.memoryKilobytes > 0 && this->result.memoryKilobytes < limit
            && this->result.usualNotServed == 0 && this->result.unanswered == 0;
 }
 
