--- a/modules/lacewingmux_records/log/LogChecksum.h
+++ b/modules/lacewingmux_records/log/LogChecksum.h
@@ -2,16 +2,15 @@
 
 #include <QByteArray>
 
-#include <boost/crc.hpp>
+#include <zlib.h>
 
 namespace lacewingmux {
 
 /** Returns the CRC-32 that detects torn writes and damage in the log. */
 [[nodiscard]] inline quint32 logChecksum(const QByteArray &bytes)
 {
-    boost::crc_32_type checksum;
-    checksum.process_bytes(bytes.constData(), static_cast<std::size_t>(bytes.size()));
-    return checksum.checksum();
+    return static_cast<quint32>(crc32_z(0, reinterpret_cast<const Bytef *>(bytes.constData()),
+                                        static_cast<z_size_t>(bytes.size())));
 }
 
 } // namespace lacewingmux
