Records: a silent member loses its place before its successor has copied all

Cause: the replacement waited for timers of its own (4.0 s alone), took longer than the time to the second loss beside load, and then both new disks waited for a VM that was gone for good. No part could take it out of the view. Change: synced members give the place of a silent member to a joining one, as soon as all but the tolerated members agree and have copied what there was; after 7.5 s also if they can't have. The joining member then counts as synced as soon as its copy is whole. Neither the silent member nor those that do not report it can make a quorum under the old view (SilenceAgreement).

--- a/modules/lacewingmux_node/records/RecordsNode.cpp
+++ b/modules/lacewingmux_node/records/RecordsNode.cpp
@@ -83,6 +83,10 @@
     hooks.records.standbyNeeded = [this](const VmIncarnation &member) {
         this->queue.post([this, member] { this->membership->requestStandby(member); });
     };
+    hooks.records.placeLost = [this](const VmIncarnation &member, std::uint64_t viewNumber) {
+        this->queue.post(
+                [this, member, viewNumber] { this->membership->freePlace(member, viewNumber); });
+    };
     hooks.records.newerView = [this](const QByteArray &document) {
         this->queue.post([this, document] { this->membership->adoptViewDocument(document); });
     };
--- a/modules/lacewingmux_records/members/RecordsMembership.cpp
+++ b/modules/lacewingmux_records/members/RecordsMembership.cpp
@@ -141,6 +141,16 @@
             nullptr, RetryPolicy::Once);
 }
 
+void RecordsMembership::freePlace(const VmIncarnation &silent, std::uint64_t decidedNumber)
+{
+    this->update(
+            "placeFreed",
+            [silent, decidedNumber](const RecordsView &view) {
+                return withPlaceFreed(view, silent, decidedNumber);
+            },
+            nullptr, RetryPolicy::Once);
+}
+
 void RecordsMembership::requestStandby(const VmIncarnation &silent)
 {
     if (!RecordsGroups::withStandbyMoved(this->current, silent))
@@ -255,6 +265,25 @@
     return next;
 }
 
+std::optional<RecordsView> RecordsMembership::withPlaceFreed(const RecordsView &view,
+                                                             const VmIncarnation &silent,
+                                                             std::uint64_t decidedNumber)
+{
+    const RecordsMember *lost = view.member(silent);
+    if (view.number != decidedNumber || lost == nullptr || lost->state == MemberState::Joining)
+        return std::nullopt;
+    const bool hasSuccessor =
+            std::any_of(view.members.begin(), view.members.end(), [lost](const auto &member) {
+                return member.group == lost->group && member.state == MemberState::Joining;
+            });
+    if (!hasSuccessor)
+        return std::nullopt;
+    RecordsView next = view;
+    std::erase_if(next.members,
+                  [&silent](const auto &entry) { return entry.vm.incarnation == silent; });
+    return next;
+}
+
 void RecordsMembership::update(const char *reason, const Change &change,
                                const std::function<void()> &done, RetryPolicy retryPolicy)
 {
--- a/modules/lacewingmux_records/members/RecordsMembership.h
+++ b/modules/lacewingmux_records/members/RecordsMembership.h
@@ -77,6 +77,18 @@
        retried if the store is unreachable. */
     void requestStandby(const VmIncarnation &silent);
 
+    /** Returns the view without a silent member, whose place a joining member of its group takes
+        before it has copied all records; nothing if the group has no joining member, or if this is
+        no longer the view, by its number, on which that was decided. */
+    [[nodiscard]] static std::optional<RecordsView> withPlaceFreed(const RecordsView &view,
+                                                                   const VmIncarnation &silent,
+                                                                   std::uint64_t decidedNumber);
+
+    /** Gives the place of a silent member to a joining one, as decided on the view with the number.
+        Not retried if the store is unreachable: by then this VM may be the one that is
+        partitioned. */
+    void freePlace(const VmIncarnation &silent, std::uint64_t decidedNumber);
+
     /** Returns the view whose groups do not change any more; nothing if they are fixed already. */
     [[nodiscard]] static std::optional<RecordsView> withSealedGroups(const RecordsView &view);
 
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -16,6 +16,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds maintenanceInterval{1000};
+constexpr milliseconds silenceCheckInterval{250}; // as long as between requests of a member
 // Record names in a PullKeys reply; building one takes a few milliseconds of CPU time on a small
 // VM.
 constexpr std::size_t namesPerPage = 500;
@@ -61,6 +62,7 @@
                  this->writeFloor(team, tokens, std::move(durable));
              })
     , configuration(peerHub, this->hooks.newerConfiguration)
+    , silence(peerHub.self())
 {
     this->log.replay([this](std::uint64_t sequence, const Record &record) {
         this->replay(sequence, record);
@@ -87,6 +89,8 @@
     });
     this->hub.addLinkHandler([this](const VmIncarnation &peer, bool up) {
         if (!up)
+    this->silenceTimer =
+            this->timers.every(silenceCheckInterval, [this] { this->reportLostPlaces(); });
             this->entryVms.erase(peer);
     });
     this->maintenanceTimer =
@@ -116,6 +120,7 @@
     newView.logAdoption();
     this->checkSynced();
 }
+    this->silence.setView(groupView, this->timers.now());
 
 void RecordsServer::setConfiguration(const ConfigurationDocumentMessage &newest)
 {
@@ -192,7 +197,7 @@
     const auto message = RecordsCodec::decodePull(frame.payload);
     if (!message || this->refuseOldView(peer, frame))
         return;
-    this->lastHeard[peer] = this->timers.now();
+    this->silence.recordRequest(peer, message->silentDisks, this->timers.now());
     this->quotas.lease().recordRequest(peer, message->silentDisks, this->timers.now());
     const auto found = this->index.namesAfter(message->after, namesPerPage);
     PullKeysReplyMessage reply;
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -5,6 +5,7 @@
 #include "lacewingmux_records/configuration/ConfigurationRelay.h"
 #include "lacewingmux_records/log/RecordIndex.h"
 #include "lacewingmux_records/members/RecordsView.h"
+#include "lacewingmux_records/members/SilenceAgreement.h"
 #include "lacewingmux_records/messages/RecordMessages.h"
 #include "lacewingmux_records/quota/QuotaGrants.h"
 #include "lacewingmux_records/server/RecordsServerHooks.h"
@@ -76,6 +77,11 @@
     /** Reports for how long this VM has been joining, and what it waits for. */
     void reportJoining();
     [[nodiscard]] bool isUpToDateStandby(TimerService::SteadyTime now) const;
+    /** Reports the silent members that have lost their places to joining ones. */
+    void reportLostPlaces();
+    /** Returns whether this VM, and as many others as a joining member copies from, have all
+        records that members had when this one fell silent. */
+    [[nodiscard]] bool isCopiedBeside(const VmIncarnation &silent) const;
     /** Returns how many members' records this joining VM must have before it counts as synced. */
     [[nodiscard]] int joiningSources(const RecordsMember &joiner) const;
     /** Returns how many members' records a standby must have before it may replace a member. */
@@ -96,7 +102,10 @@
     QuotaGrants quotas;
     ConfigurationRelay configuration;
     std::set<VmIncarnation> entryVms;
-    std::map<VmIncarnation, TimerService::SteadyTime> lastHeard; ///< last request of each member
+    SilenceAgreement silence;
+    /** The last position in the own log when a member was first found silent. */
+    std::map<VmIncarnation, std::uint64_t> positionAtSilence;
+    TimerService::SteadyTime placeReportedAt; ///< when a lost place was last reported
     /** The position in the own log up to which each member has copied it. */
     std::map<VmIncarnation, std::uint64_t> copiedTo;
     /** Sequence number of the last record stored while copies on this VM counted. The other members
@@ -113,3 +122,4 @@
 };
 
 } // namespace lacewingmux
+    TimerSubscription silenceTimer;
--- a/modules/lacewingmux_records/server/RecordsServerHooks.h
+++ b/modules/lacewingmux_records/server/RecordsServerHooks.h
@@ -5,6 +5,7 @@
 
 #include <QByteArray>
 
+#include <cstdint>
 #include <functional>
 
 namespace lacewingmux {
@@ -20,6 +21,9 @@
     std::function<void(const VmIncarnation &)> standbyNeeded;
     /** A synced member is silent, and this VM is a standby that has every record of the others. */
     std::function<void(const VmIncarnation &)> standbyCanReplace;
+    /** The members agree, under the view with the number, that a silent member has lost its place
+        to a joining one. */
+    std::function<void(const VmIncarnation &, std::uint64_t viewNumber)> placeLost;
     std::function<void(const QByteArray &document)> newerView;
     std::function<void(const ConfigurationDocumentMessage &)> newerConfiguration;
 };
--- a/modules/lacewingmux_records/server/RecordsServerMaintenance.cpp
+++ b/modules/lacewingmux_records/server/RecordsServerMaintenance.cpp
@@ -3,6 +3,7 @@
 #include "lacewingmux_core/logging/StructuredLog.h"
 #include "lacewingmux_core/metrics/MetricsRecorder.h"
 #include "lacewingmux_records/log/DurableLog.h"
+#include "lacewingmux_records/members/RecordsGroups.h"
 
 #include <algorithm>
 
@@ -21,6 +22,10 @@
 // replacement must be complete well before the loss of another disk has to be tolerated; the
 // strictest deployment requires this 4 s after the first loss.
 constexpr milliseconds standbyTakeoverDelay{2500};
+// The position in the log is noted after this silence. Shorter than the one that others report.
+constexpr milliseconds silenceThreshold{1000};
+// A change of the view takes a few round trips to the store.
+constexpr milliseconds placeReportInterval{1000};
 // A standby is up to date if its copies of the others' logs are at most this old: about three
 // intervals between pull requests.
 constexpr milliseconds upToDateWindow{800};
@@ -84,7 +89,7 @@
         const VmIncarnation &peer = member.vm.incarnation;
         if (peer == this->hub.self())
             continue;
-        const auto last = this->lastHeard.try_emplace(peer, now).first->second;
+        const auto last = this->silence.lastHeard(peer);
         if (now - last > replacementDelay)
             this->hooks.memberSilent(peer);
         if (now - last > standbyTakeoverDelay && member.state == MemberState::Synced
@@ -95,6 +100,51 @@
     }
 }
 
+void RecordsServer::reportLostPlaces()
+{
+    const TimerService::SteadyTime now = this->timers.now();
+    for (const RecordsMember &member : this->view.members) {
+        const VmIncarnation &peer = member.vm.incarnation;
+        const auto duration = now - this->silence.lastHeard(peer);
+        if (peer == this->hub.self() || duration < silenceThreshold) {
+            this->positionAtSilence.erase(peer);
+            continue;
+        }
+        this->positionAtSilence.try_emplace(peer, this->index.lastSequence());
+        if (duration < standbyTakeoverDelay || now - this->placeReportedAt < placeReportInterval
+            || !this->silence.isPlaceLost(peer, now))
+            continue;
+        const bool isCopied = this->isCopiedBeside(peer);
+        if (!isCopied && duration < replacementDelay)
+            continue;
+        this->placeReportedAt = now;
+        LogEvent(isCopied ? LogSeverity::Info : LogSeverity::Warning, "recordsPlaceLost")
+                .field("vm", peer.vm)
+                .field("silentMilliseconds",
+                       static_cast<qint64>(
+                               std::chrono::duration_cast<milliseconds>(duration).count()))
+                .field("recordsMayBeMissing", !isCopied);
+        this->hooks.placeLost(peer, this->view.number);
+        return;
+    }
+}
+
+bool RecordsServer::isCopiedBeside(const VmIncarnation &silent) const
+{
+    const auto position = this->positionAtSilence.find(silent);
+    if (position == this->positionAtSilence.end())
+        return false;
+    const auto copies = std::count_if(
+            this->view.members.begin(), this->view.members.end(), [&](const auto &member) {
+                const auto copied = this->copiedTo.find(member.vm.incarnation);
+                return member.state != MemberState::Joining && member.vm.incarnation != silent
+                       && copied != this->copiedTo.end() && copied->second >= position->second;
+            });
+    const int needed = RecordsGroups::syncSources(this->view) - 1;
+    return copies >= needed
+           && this->sync.sourcesCopiedSince(this->silence.lastHeard(silent)) >= needed;
+}
+
 void RecordsServer::reportJoining()
 {
     const TimerService::SteadyTime now = this->timers.now();
--- a/tests/records/simulation/RecordsFleet.cpp
+++ b/tests/records/simulation/RecordsFleet.cpp
@@ -63,6 +63,9 @@
     hooks.standbyNeeded = [&vm](const VmIncarnation &member) {
         vm.membership->requestStandby(member);
     };
+    hooks.placeLost = [&vm](const VmIncarnation &member, std::uint64_t viewNumber) {
+        vm.membership->freePlace(member, viewNumber);
+    };
     hooks.newerView = [&vm](const QByteArray &document) {
         vm.membership->adoptViewDocument(document);
     };
