Opening of turns: wait a moment for links that break, and say what was missing

Not shown again on the code since; what the users' machines met is suspected, not found. Cause of one way to it, by reading and by a test: an opening ended as soon as its links broke, and was not sent again when they formed. Change: it waits 250 ms for them and is sent again. turnNotOpened says how long it took, who had not answered and whose links were broken; a records VM logs recordsWriteSlow. So a slow member can be told from a broken link.

--- a/modules/lacewingmux_records/client/RecordsClient.cpp
+++ b/modules/lacewingmux_records/client/RecordsClient.cpp
@@ -4,6 +4,8 @@
 #include "lacewingmux_core/metrics/MetricsRecorder.h"
 #include "lacewingmux_records/messages/RecordsCodec.h"
 
+#include <QStringList>
+
 #include <algorithm>
 #include <utility>
 
@@ -23,6 +25,15 @@
 // Time after which the load balancer sends callers to VMs that can reach the records VMs.
 constexpr milliseconds rerouteTime{1600};
 
+/** Returns the names of VMs for a log line. */
+QString namesOf(const std::vector<VmIncarnation> &vms)
+{
+    QStringList names;
+    for (const VmIncarnation &vm : vms)
+        names.push_back(vm.vm);
+    return names.join(u',');
+}
+
 } // namespace
 
 RecordsClient::RecordsClient(PeerHub &peerHub, TimerService &timerService,
@@ -120,7 +131,10 @@
                                             turn,
                                             TurnQuorum(turn, this->viewOf(group), historyKnown),
                                             std::move(callback),
+                                            this->timers.now(),
                                             {},
+                                            {},
+                                            false,
                                             false,
                                             {},
                                             history})
@@ -303,8 +317,23 @@
                                      RecordsCodec::encodeOpen(message)}))
             opening.quorum.addFailure(source);
     }
-    if (const std::optional<TurnOutcome> outcome = opening.quorum.outcome())
-        this->finishOpening(correlation, *outcome);
+    const std::optional<TurnOutcome> outcome = opening.quorum.outcome();
+    if (!outcome
+        || (*outcome == TurnOutcome::Unavailable && this->awaitsLinks(correlation, opening)))
+        return;
+    this->finishOpening(correlation, *outcome);
+}
+
+bool RecordsClient::awaitsLinks(std::uint64_t correlation, PendingOpening &opening)
+{
+    if (opening.quorum.failedMembers().empty() || opening.reconnectTimeIsOver)
+        return false;
+    if (!opening.reconnectTimer)
+        opening.reconnectTimer = this->timers.after(reconnectTime, [this, correlation] {
+            this->pendingOpenings.at(correlation).reconnectTimeIsOver = true;
+            this->continueOpening(correlation);
+        });
+    return true;
 }
 
 void RecordsClient::finishOpening(std::uint64_t correlation, TurnOutcome outcome)
@@ -330,14 +359,24 @@
         admission.historyLocation = opening.history->group;
     }
     if (outcome != TurnOutcome::Ready)
-        LogEvent(LogSeverity::Info, "turnNotOpened")
-                .field("request", QString::fromLatin1(opening.turn.request))
-                .field("outcome", static_cast<int>(outcome))
-                .field("previousTurn", QString::fromLatin1(opening.turn.previousTurn))
-                .field("view", static_cast<quint64>(this->view.number));
+        this->logNotOpened(opening, outcome);
     opening.callback(admission);
 }
 
+void RecordsClient::logNotOpened(const PendingOpening &opening, TurnOutcome outcome) const
+{
+    const auto duration = std::chrono::floor<milliseconds>(this->timers.now() - opening.startedAt);
+    const auto &failed = opening.quorum.failedMembers();
+    LogEvent(LogSeverity::Info, "turnNotOpened")
+            .field("request", QString::fromLatin1(opening.turn.request))
+            .field("outcome", static_cast<int>(outcome))
+            .field("previousTurn", QString::fromLatin1(opening.turn.previousTurn))
+            .field("view", static_cast<quint64>(this->view.number))
+            .field("milliseconds", static_cast<qint64>(duration.count()))
+            .field("pending", namesOf(opening.quorum.pendingMembers()))
+            .field("unreachable", namesOf({failed.begin(), failed.end()}));
+}
+
 void RecordsClient::handleViewNotice(const VmIncarnation &, const PeerFrame &frame)
 {
     const auto document = RecordsCodec::decodeNotice(frame.payload);
@@ -356,17 +395,30 @@
                               RecordsCodec::encodeRecords({})});
 }
 
+void RecordsClient::sendPendingAgain(const VmIncarnation &peer)
+{
+    // What was sent before the connection broke may be lost.
+    for (auto &[correlation, write] : this->pendingWrites) {
+        if (this->viewOf(write.group).member(peer) == nullptr)
+            continue;
+        write.unacknowledged.insert(peer);
+        this->hub.send(peer, {FrameKind::WriteRecords, this->view.number, correlation,
+                              RecordsCodec::encodeRecords({write.record})});
+    }
+    for (auto &[correlation, opening] : this->pendingOpenings) {
+        if (this->viewOf(opening.group).member(peer) == nullptr
+            || !opening.quorum.failedMembers().contains(peer))
+            continue;
+        opening.quorum.removeFailure(peer);
+        this->hub.send(peer, {FrameKind::OpenTurn, this->view.number, correlation,
+                              RecordsCodec::encodeOpen(this->openMessage(opening))});
+    }
+}
+
 void RecordsClient::handleLinkChange(const VmIncarnation &peer, bool up)
 {
     if (up) {
-        // Records sent before the connection broke may be lost, so all pending ones are sent again.
-        for (auto &[correlation, write] : this->pendingWrites) {
-            if (this->viewOf(write.group).member(peer) == nullptr)
-                continue;
-            write.unacknowledged.insert(peer);
-            this->hub.send(peer, {FrameKind::WriteRecords, this->view.number, correlation,
-                                  RecordsCodec::encodeRecords({write.record})});
-        }
+        this->sendPendingAgain(peer);
         return;
     }
     std::vector<std::uint64_t> affected;
--- a/modules/lacewingmux_records/client/RecordsClient.h
+++ b/modules/lacewingmux_records/client/RecordsClient.h
@@ -61,7 +61,10 @@
         TurnRequest turn;
         TurnQuorum quorum;
         AdmissionCallback callback;
+        TimerService::SteadyTime startedAt;
         TimerSubscription timeout;
+        std::optional<TimerSubscription> reconnectTimer; ///< until when broken links may form again
+        bool reconnectTimeIsOver = false;
         bool historyLate = false; ///< the member that was asked for the history is late
         TimerSubscription historyHedgeTimer;
         std::optional<CachedHistory> history; ///< empty while it has to be requested
@@ -110,10 +113,15 @@
         does not count, and what is pending is sent again under the newer view. */
     void requestNewerView(const VmIncarnation &peer, const PeerFrame &answer);
     void handleLinkChange(const VmIncarnation &peer, bool up);
+    /** Sends what is pending to a member whose link has formed again. */
+    void sendPendingAgain(const VmIncarnation &peer);
+    /** Returns whether the opening waits for broken links, without which it has too few replies. */
+    bool awaitsLinks(std::uint64_t correlation, PendingOpening &opening);
     /** Requests the history from another member if that is needed, and finishes the opening once
         its outcome is known. */
     void continueOpening(std::uint64_t correlation);
     void finishOpening(std::uint64_t correlation, TurnOutcome outcome);
+    void logNotOpened(const PendingOpening &opening, TurnOutcome outcome) const;
     void sendWrite(std::uint64_t correlation, PendingWrite &write);
     /** Sends the record to all members of the group that store it; returns those that are
         connected. */
--- a/modules/lacewingmux_records/client/TurnQuorum.cpp
+++ b/modules/lacewingmux_records/client/TurnQuorum.cpp
@@ -52,6 +52,11 @@
     this->holders.erase(member);
 }
 
+void TurnQuorum::removeFailure(const VmIncarnation &member)
+{
+    this->failed.erase(member);
+}
+
 std::optional<TurnOutcome> TurnQuorum::outcome() const
 {
     const std::optional<TurnOutcome> budget = this->budgetOutcome();
@@ -65,6 +70,15 @@
     return std::nullopt;
 }
 
+std::vector<VmIncarnation> TurnQuorum::pendingMembers() const
+{
+    std::vector<VmIncarnation> pending = this->view.incarnations();
+    std::erase_if(pending, [this](const VmIncarnation &member) {
+        return this->answered.contains(member) || this->failed.contains(member);
+    });
+    return pending;
+}
+
 const VmIncarnation *TurnQuorum::nextHistorySource(bool historyLate) const
 {
     const bool isHistoryPending = std::any_of(
--- a/modules/lacewingmux_records/client/TurnQuorum.h
+++ b/modules/lacewingmux_records/client/TurnQuorum.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace lacewingmux {
 
@@ -33,9 +34,21 @@
     /** Records that the member will not reply. */
     void addFailure(const VmIncarnation &member);
 
+    /** Records that the member is asked again. */
+    void removeFailure(const VmIncarnation &member);
+
     /** Returns the outcome of the opening; nothing while further replies are needed. */
     [[nodiscard]] std::optional<TurnOutcome> outcome() const;
 
+    /** Returns the members that have not replied yet, and whose reply may still come. */
+    [[nodiscard]] std::vector<VmIncarnation> pendingMembers() const;
+
+    /** Returns the members that will not reply. */
+    [[nodiscard]] const std::set<VmIncarnation> &failedMembers() const noexcept
+    {
+        return this->failed;
+    }
+
     /** Returns a member that has the history and was not asked to send it; null if there is none,
         or while another member may still send it and is not late. */
     [[nodiscard]] const VmIncarnation *nextHistorySource(bool historyLate) const;
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -142,7 +142,9 @@
                 this->index.reservations(message->reservation->program, message->reservation->key);
     }
     this->lookUpChain(*message, reply);
-    const auto answer = [this, peer, epoch = frame.epoch, correlation = frame.correlation, reply] {
+    const auto answer = [this, peer, epoch = frame.epoch, correlation = frame.correlation, reply,
+                         receivedAt = this->timers.now()] {
+        this->logIfSlow(receivedAt);
         this->hub.send(peer, {FrameKind::OpenTurnReply, this->replyEpoch(epoch), correlation,
                               RecordsCodec::encodeOpenReply(reply)});
     };
@@ -156,6 +158,17 @@
 {
     if (message.previousTurn.isEmpty())
         return;
+void RecordsServer::logIfSlow(TimerService::SteadyTime receivedAt)
+{
+    const TimerService::SteadyTime now = this->timers.now();
+    const auto duration = std::chrono::floor<milliseconds>(now - receivedAt);
+    if (duration < slowWrite || now - this->slowWriteLogged < slowWriteLogInterval)
+        return;
+    this->slowWriteLogged = now;
+    LogEvent(LogSeverity::Warning, "recordsWriteSlow")
+            .field("milliseconds", static_cast<qint64>(duration.count()));
+}
+
     const ChainLookup lookup =
             this->index.chain(message.previousTurn, message.team, this->expiredBefore());
     reply.chain = lookup.status;
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -59,6 +59,8 @@
     /** Returns the view number under which a reply to a request is valid. */
     [[nodiscard]] std::uint64_t replyEpoch(std::uint64_t requestEpoch) const;
     void lookUpChain(const OpenTurnMessage &message, OpenTurnReplyMessage &reply);
+    /** Logs if a record of a request took long to be on disk, at most once a second. */
+    void logIfSlow(TimerService::SteadyTime receivedAt);
     std::uint64_t append(const Record &record);
     /** Returns whether the log holds another run of this turn, whose caller may have sent it again
         with the same id, or a record of it that can't be read. */
@@ -115,6 +117,7 @@
     std::optional<TimerService::SteadyTime> joiningSince;
     TimerService::SteadyTime lateJoiningLogged;
     std::uint64_t copiedForwardUpTo = 0; ///< position in the own log
+    TimerService::SteadyTime slowWriteLogged;
     bool syncedReported = false;
     bool copiedReported = false;
     TimerSubscription maintenanceTimer;
--- a/tests/records/LateQuorumTest.cpp
+++ b/tests/records/LateQuorumTest.cpp
@@ -168,3 +168,29 @@
     cr_assert(test.isDurable.has_value(), "it is on one disk");
     cr_assert(*test.isDurable);
 }
+
+// Guards against a turn that is refused at once, as links to records VMs broke after it was sent,
+// although they form again within a moment.
+Test(late_quorum, a_turn_is_opened_when_its_links_form_again)
+{
+    LateQuorum test;
+    test.open();
+    for (const char *name : {"r1", "r2", "r3"})
+        test.fleet.network.breakLink(QStringLiteral("e1"), QLatin1String(name));
+    test.fleet.run(milliseconds(200));
+    cr_assert(test.outcome.has_value());
+    cr_assert(*test.outcome == TurnOutcome::Ready, "outcome %d", static_cast<int>(*test.outcome));
+}
+
+Test(late_quorum, a_turn_does_not_wait_long_for_links_that_stay_broken)
+{
+    LateQuorum test;
+    test.open();
+    for (const char *name : {"r1", "r2"}) {
+        test.fleet.network.breakLink(QStringLiteral("e1"), QLatin1String(name));
+        test.fleet.network.cut(QStringLiteral("e1"), QLatin1String(name));
+    }
+    test.fleet.run(milliseconds(300));
+    cr_assert(test.outcome.has_value());
+    cr_assert(*test.outcome == TurnOutcome::Unavailable);
+}
