Crashing requests: count each crash, and trust no answer that a crash may have cut

Causes: crashes during overlapping runs counted once and were not told to the other VMs; the beginning of an answer that ends with its connection cleared the request, though its replica was gone. Change: overlapping crashes count each after 1 s unless a replica without the request failed at that time, for which the others are probed; a counted crash is taken back if several others failed; an answer clears a request only if its replica is still reachable, and then at all VMs.

--- a/modules/lacewingmux_core/protection/Quarantine.cpp
+++ b/modules/lacewingmux_core/protection/Quarantine.cpp
@@ -29,6 +29,16 @@
     return true;
 }
 
+void Quarantine::retract(const CrashCoincidence &coincidence)
+{
+    const auto found = this->entries.find(coincidence.contentDigest);
+    if (found == this->entries.end())
+        return;
+    std::erase(found->second.crashes, coincidence.crash);
+    if (found->second.crashes.empty())
+        this->entries.erase(found);
+}
+
 void Quarantine::completed(const QByteArray &contentDigest)
 {
     const auto found = this->entries.find(contentDigest);
--- a/modules/lacewingmux_core/protection/Quarantine.h
+++ b/modules/lacewingmux_core/protection/Quarantine.h
@@ -59,6 +59,9 @@
     /** Notes a coincidence, seen here or told by another VM. Returns whether it was new. */
     bool record(const CrashCoincidence &coincidence, SteadyTime now);
 
+    /** Takes back a crash of which the content proved not to be the cause. */
+    void retract(const CrashCoincidence &coincidence);
+
     /** Notes that the content ran to its end: a suspect is clear, a quarantined one is not. */
     void completed(const QByteArray &contentDigest);
 
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -139,8 +139,9 @@
     void handleFailure(ExchangeFailure reason);
     /** Finds out whether the replica, which closed its connection, crashed. */
     void suspectCrash(const std::shared_ptr<const TunnelUse> &tunnel);
-    /** Records that the request does not crash replicas. */
-    void clearSuspicion();
+    /** Records that the request does not crash replicas, if the one that answered is still there
+        shortly afterwards. */
+    void clearSuspicionIfSurvived(const std::shared_ptr<const TunnelUse> &tunnel);
     /** Tells whether the response states that the replica did not run the request, so that another
         one may. */
     [[nodiscard]] bool isRejected() const;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -164,6 +164,7 @@
             rejected ? nullptr
                      : faultOf(this->attempt, this->delivered.isStarted(), this->context.dialect);
     this->logAttempt(fault != nullptr ? fault : ReplicaAttempt::complete);
+    const std::shared_ptr<const TunnelUse> tunnel = this->attempt.connection->tunnel();
     this->releaseConnection();
     this->context.fleet.placement().callEnded(this->attempt.replica);
     if (rejected) {
@@ -171,6 +172,8 @@
         return;
     }
     if (fault != nullptr) {
+        if (this->attempt.head.bodyEndsAtClose)
+            this->suspectCrash(tunnel);
         this->context.fleet.placement().recordFailure(this->attempt.replica, this->now());
         this->excludedInstances.push_back(this->attempt.replica);
         this->continueElsewhere(fault);
@@ -181,7 +184,9 @@
         return;
     }
     if (this->attempt.head.status < firstServerErrorStatus)
-        this->clearSuspicion();
+        this->clearSuspicionIfSurvived(tunnel);
+    else if (this->attempt.head.bodyEndsAtClose)
+        this->suspectCrash(tunnel);
     if (this->attempt.isStream) {
         this->finishStream();
         return;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallCrash.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallCrash.cpp
@@ -12,11 +12,22 @@
     this->context.fleet.checkForCrash(this->attempt.replica, tunnel);
 }
 
-void ForwardedCall::clearSuspicion()
+void ForwardedCall::clearSuspicionIfSurvived(const std::shared_ptr<const TunnelUse> &tunnel)
 {
-    CrashCorrelator &crashCorrelator = this->context.fleet.crashCorrelator();
-    if (crashCorrelator.hasSuspects())
-        crashCorrelator.recordCompleted(this->contentDigest());
+    ReplicaFleet &fleet = this->context.fleet;
+    // A crash may have cut an answer that ends with its connection.
+    const bool mayBeCut = this->attempt.head.bodyEndsAtClose;
+    if (!mayBeCut && !fleet.crashCorrelator().hasSuspects())
+        return;
+    if (mayBeCut)
+        fleet.crashCorrelator().recordBrokenConnection(
+                this->attempt.replica, {this->contentDigest(), this->attempt.startMilliseconds,
+                                        this->attempt.sentAt, this->now()});
+    // The call may have ended by then.
+    fleet.checkSurvival(this->attempt.replica, tunnel,
+                        [&fleet, &timers = this->context.timers, digest = this->contentDigest()] {
+                            fleet.crashCorrelator().recordCompleted(digest, timers.now());
+                        });
 }
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -121,6 +121,16 @@
     this->fleet.crashCorrelator().addRemoteCoincidence(coincidence, this->timers.now());
 }
 
+void Gateway::addRemoteCompletion(const QByteArray &contentDigest)
+{
+    this->fleet.crashCorrelator().addRemoteCompletion(contentDigest);
+}
+
+void Gateway::setCompletionHook(std::function<void(const QByteArray &)> hook)
+{
+    this->fleet.crashCorrelator().setCompletionHook(std::move(hook));
+}
+
 void Gateway::setRecordsReachable(bool reachable)
 {
     if (reachable) {
--- a/modules/lacewingmux_gateway/replicas/CrashCorrelator.cpp
+++ b/modules/lacewingmux_gateway/replicas/CrashCorrelator.cpp
@@ -16,6 +16,15 @@
 // A run that began with the retry of the one before may seem to have begun earlier by the
 // difference of two notices' times in the network.
 constexpr std::chrono::milliseconds noticeDelayTolerance{10};
+// Time after a crash in which other VMs report theirs, and probes find other failures.
+constexpr std::chrono::milliseconds settlingTime{1000};
+// A replica that is found unreachable again within this time has not failed again.
+constexpr std::chrono::seconds failureRetention{30};
+// Other failures beside a crash at which it is taken back, if each of the replicas ran a request.
+constexpr std::ptrdiff_t commonFailures = 2;
+// Bounds the time to find a known crash when many replicas fail at once. Further crashes count as
+// far as they do at once.
+constexpr std::size_t maximumUndecided = 512;
 // No run takes longer, so that an older crash was before each run that may be reported.
 constexpr std::chrono::minutes longestRun{10};
 
@@ -28,8 +37,9 @@
 
 } // namespace
 
-CrashCorrelator::CrashCorrelator(CrashHook crashHook)
+CrashCorrelator::CrashCorrelator(CrashHook crashHook, std::function<void()> suspectHook)
     : crashFound(std::move(crashHook))
+    , suspectFound(std::move(suspectHook))
     , quarantine(quarantineSettings())
 { }
 
@@ -41,13 +51,46 @@
     this->brokenRequests[instance].push_back(request);
 }
 
-void CrashCorrelator::recordCompleted(const QByteArray &contentDigest)
+void CrashCorrelator::recordCompleted(const QByteArray &contentDigest, SteadyTime now)
+{
+    if (this->quarantine.verdict(contentDigest, now) != QuarantineVerdict::Suspect)
+        return;
+    this->addRemoteCompletion(contentDigest);
+    if (this->suspectCompleted)
+        this->suspectCompleted(contentDigest);
+}
+
+void CrashCorrelator::addRemoteCompletion(const QByteArray &contentDigest)
 {
     this->quarantine.completed(contentDigest);
+    std::erase_if(this->undecided, [&contentDigest](const auto &crash) {
+        return crash.coincidence.contentDigest == contentDigest;
+    });
+}
+
+void CrashCorrelator::setCompletionHook(std::function<void(const QByteArray &)> hook)
+{
+    this->suspectCompleted = std::move(hook);
+}
+
+void CrashCorrelator::recordReachable(const QByteArray &instance, SteadyTime reachableAt)
+{
+    const auto entry = this->brokenRequests.find(instance);
+    if (entry == this->brokenRequests.end())
+        return;
+    std::erase_if(entry->second, [reachableAt](const BrokenRequest &request) {
+        return request.brokenAt <= reachableAt;
+    });
+    if (entry->second.empty())
+        this->brokenRequests.erase(entry);
 }
 
 void CrashCorrelator::recordUnreachable(const QByteArray &instance, SteadyTime now)
 {
+    std::erase_if(this->failures, [now](const auto &failure) {
+        return now - failure.second.at > failureRetention;
+    });
+    this->failures.try_emplace(instance, Failure{now, {}});
     const auto entry = this->brokenRequests.extract(instance);
     if (entry.empty())
         return;
@@ -59,7 +102,7 @@
                 request.contentDigest, QString::fromUtf8(crash),
                 std::chrono::floor<std::chrono::milliseconds>(now - request.sentAt),
                 std::chrono::floor<std::chrono::milliseconds>(now - request.brokenAt)};
-        if (!this->count(coincidence, now))
+        if (!this->add(coincidence, now))
             continue;
         LogEvent(LogSeverity::Warning, "replicaCrashed")
                 .field("replica", instance)
@@ -71,25 +114,105 @@
 
 void CrashCorrelator::addRemoteCoincidence(const CrashCoincidence &coincidence, SteadyTime now)
 {
-    this->count(coincidence, now);
+    this->add(coincidence, now);
+}
+
+void CrashCorrelator::recordReturned(const QByteArray &instance)
+{
+    this->failures.erase(instance);
 }
 
-bool CrashCorrelator::count(const CrashCoincidence &coincidence, SteadyTime now)
+bool CrashCorrelator::add(const CrashCoincidence &coincidence, SteadyTime now)
+{
+    const SteadyTime crashedAt = now - coincidence.sinceCrash;
+    this->addFailure(coincidence, crashedAt);
+    const bool isKnown = std::any_of(
+            this->undecided.begin(), this->undecided.end(), [&coincidence](const auto &crash) {
+                return crash.coincidence.contentDigest == coincidence.contentDigest
+                       && crash.coincidence.crash == coincidence.crash;
+            });
+    if (isKnown || this->isQuarantined(coincidence.contentDigest, now))
+        return false;
+    const bool wasSuspected =
+            this->quarantine.verdict(coincidence.contentDigest, now) != QuarantineVerdict::Clear;
+    const bool isCounted = this->count(coincidence, crashedAt, now);
+    if (this->undecided.size() >= maximumUndecided)
+        return isCounted;
+    this->undecided.push_back({coincidence, crashedAt, isCounted, wasSuspected});
+    if (wasSuspected)
+        this->suspectFound();
+    return true;
+}
+
+bool CrashCorrelator::count(const CrashCoincidence &coincidence, SteadyTime crashedAt,
+                            SteadyTime now)
 {
     if (this->lastCrashes.size() > expiryThreshold)
         std::erase_if(this->lastCrashes,
                       [now](const auto &last) { return now - last.second > longestRun; });
-    const SteadyTime crashedAt = now - coincidence.sinceCrash;
     const auto [last, isFirst] =
             this->lastCrashes.try_emplace(coincidence.contentDigest, crashedAt);
-    if (!isFirst && now - coincidence.sinceSent + noticeDelayTolerance < last->second)
-        return false;
-    if (!this->quarantine.record(coincidence, now))
+    const bool overlaps =
+            !isFirst && now - coincidence.sinceSent + noticeDelayTolerance < last->second;
+    if (overlaps || !this->quarantine.record(coincidence, now))
         return false;
     last->second = std::max(last->second, crashedAt);
     return true;
 }
 
+void CrashCorrelator::addFailure(const CrashCoincidence &coincidence, SteadyTime crashedAt)
+{
+    const QByteArray crash = coincidence.crash.toUtf8();
+    Failure &failure =
+            this->failures.try_emplace(crash.left(crash.lastIndexOf('/')), Failure{crashedAt, {}})
+                    .first->second;
+    // The replica was started again meanwhile.
+    if (crashedAt - failure.at > crashWindow)
+        failure = {crashedAt, {}};
+    failure.digests.insert(coincidence.contentDigest);
+}
+
+bool CrashCorrelator::hasCommonCause(const UndecidedCrash &crash) const
+{
+    std::ptrdiff_t others = 0;
+    bool hasIdle = false;
+    for (const auto &[instance, failure] : this->failures) {
+        if (std::chrono::abs(failure.at - crash.crashedAt) > crashWindow
+            || failure.digests.contains(crash.coincidence.contentDigest))
+            continue;
+        ++others;
+        hasIdle = hasIdle || failure.digests.empty();
+    }
+    // Another request that crashes replicas may have caused a single failure.
+    return hasIdle || others >= (crash.isCounted ? commonFailures : 1);
+}
+
+void CrashCorrelator::decideCrashes(SteadyTime now)
+{
+    std::vector<UndecidedCrash> waiting;
+    for (UndecidedCrash &crash : this->undecided) {
+        if (now - crash.crashedAt < settlingTime) {
+            waiting.push_back(std::move(crash));
+            continue;
+        }
+        const QByteArray &digest = crash.coincidence.contentDigest;
+        const bool hasCommonCause = this->hasCommonCause(crash);
+        if (hasCommonCause && crash.isCounted)
+            this->quarantine.retract(crash.coincidence);
+        else if (!hasCommonCause && !crash.isCounted
+                 && this->quarantine.record(crash.coincidence, now))
+            this->lastCrashes[digest] = std::max(this->lastCrashes[digest], crash.crashedAt);
+        if (!crash.isRepeated)
+            continue;
+        LogEvent(LogSeverity::Warning, "crashDecided")
+                .field("crash", crash.coincidence.crash)
+                .field("digest", digest.toHex())
+                .field("hasCommonCause", hasCommonCause)
+                .field("quarantined", this->isQuarantined(digest, now));
+    }
+    this->undecided = std::move(waiting);
+}
+
 bool CrashCorrelator::hasSuspects() const noexcept
 {
     return this->quarantine.size() > 0;
--- a/modules/lacewingmux_gateway/replicas/CrashCorrelator.h
+++ b/modules/lacewingmux_gateway/replicas/CrashCorrelator.h
@@ -8,6 +8,8 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -16,12 +18,15 @@
 /**
     Distinguishes replicas that crash while running a request from mere connection failures.
 
-    A closed connection without a response counts as a crash only if the replica becomes unreachable
-    shortly afterwards. A request is quarantined after crashes of three replicas, one after the
-    other: replicas that fail together have a common cause, and a request that crashes replicas was
-    sent to each of them after the crash of the one before. Another request that ran during one of
-    these crashes is not quarantined, because it is retried on a healthy replica; one that a replica
-    has answered is no longer suspected. Reads no clock: the current time is a parameter.
+    A closed connection counts as a crash only if the replica becomes unreachable shortly
+    afterwards. A request is quarantined after crashes of three replicas. A crash counts at once if
+    the run began after the crash counted before. Of runs that overlap, as those of a request that
+    was sent to several VMs at once, the other crashes count a moment later, unless a replica
+   without the request failed at about that time: such failures have a common cause. A crash that
+   was counted is taken back if several such replicas failed, or an idle one. Another request that
+   ran during one of these crashes is not quarantined, because it is retried on a healthy replica;
+   one that a replica has answered and survived is no longer suspected, at any VM. Reads no clock:
+   the current time is a parameter.
 */
 class CrashCorrelator
 {
@@ -29,10 +34,13 @@
     using SteadyTime = TimerService::SteadyTime;
     using CrashHook = std::function<void(const CrashCoincidence &)>;
 
-    /** The hook receives each crash detected on this VM, so that other VMs can be notified. */
-    explicit CrashCorrelator(CrashHook crashHook);
+    /** The first hook receives each crash detected on this VM, so that other VMs can be notified.
+        The second is called when a request has crashed a second replica, so that other failures of
+        that time are found. */
+    CrashCorrelator(CrashHook crashHook, std::function<void()> suspectHook);
 
-    /** A request whose connection to a replica was closed before its response was complete. */
+    /** A request whose connection to a replica was closed, before its response was complete or as
+        the end of a response without a length. */
     struct BrokenRequest
     {
         QByteArray contentDigest;
@@ -41,11 +49,14 @@
         SteadyTime brokenAt;
     };
 
-    /** Records that a replica closed the connection without a response to the request. */
+    /** Records that a replica closed the connection of the request. */
     void recordBrokenConnection(const QByteArray &instance, const BrokenRequest &request);
 
-    /** Records that a replica has answered the request. */
-    void recordCompleted(const QByteArray &contentDigest);
+    /** Records that a replica has answered the request and is still reachable. */
+    void recordCompleted(const QByteArray &contentDigest, SteadyTime now);
+
+    /** Records that a replica was still reachable at the time. */
+    void recordReachable(const QByteArray &instance, SteadyTime reachableAt);
 
     /** Records that a replica is unreachable. */
     void recordUnreachable(const QByteArray &instance, SteadyTime now);
@@ -53,6 +64,20 @@
     /** Adds a crash coincidence that another VM observed. */
     void addRemoteCoincidence(const CrashCoincidence &coincidence, SteadyTime now);
 
+    /** Records that a replica has answered the request at another VM. */
+    void addRemoteCompletion(const QByteArray &contentDigest);
+
+    /** Sets the hook that receives each suspected request that a replica has answered, so that
+        other VMs can be notified. */
+    void setCompletionHook(std::function<void(const QByteArray &contentDigest)> hook);
+
+    /** Records that a replica is reachable again, or has been replaced under its id. */
+    void recordReturned(const QByteArray &instance);
+
+    /** Decides whether crashes count about whose time enough is known by now. Must be called
+        several times a second. */
+    void decideCrashes(SteadyTime now);
+
     /** Tells whether any request is suspected or quarantined. */
     [[nodiscard]] bool hasSuspects() const noexcept;
 
@@ -60,15 +85,39 @@
     [[nodiscard]] bool isQuarantined(const QByteArray &contentDigest, SteadyTime now) const;
 
 private:
-    /** Counts a crash, unless it is known or the run began before the last crash counted. Returns
-        whether it was counted. */
-    bool count(const CrashCoincidence &coincidence, SteadyTime now);
+    /** A replica that became unreachable, and the requests that ran on it. */
+    struct Failure
+    {
+        SteadyTime at;
+        std::set<QByteArray> digests;
+    };
+
+    /** A crash of which it is not decided yet whether it had another cause than the request. */
+    struct UndecidedCrash
+    {
+        CrashCoincidence coincidence;
+        SteadyTime crashedAt;
+        bool isCounted = false;
+        bool isRepeated = false; ///< not the first crash during a run of the request
+    };
+
+    /** Adds a crash. Returns whether it was not known. */
+    bool add(const CrashCoincidence &coincidence, SteadyTime now);
+    /** Counts a crash, unless the run began before the last crash counted. */
+    bool count(const CrashCoincidence &coincidence, SteadyTime crashedAt, SteadyTime now);
+    void addFailure(const CrashCoincidence &coincidence, SteadyTime crashedAt);
+    /** Returns whether other replicas failed at about the time, without a run of the request. */
+    [[nodiscard]] bool hasCommonCause(const UndecidedCrash &crash) const;
     void removeExpired(SteadyTime now);
 
     CrashHook crashFound;
+    std::function<void()> suspectFound;
+    std::function<void(const QByteArray &)> suspectCompleted;
     Quarantine quarantine;
     std::unordered_map<QByteArray, std::vector<BrokenRequest>> brokenRequests; ///< by instance
     std::unordered_map<QByteArray, SteadyTime> lastCrashes; ///< of those counted, by digest
+    std::map<QByteArray, Failure> failures;                 ///< recent ones, by instance
+    std::vector<UndecidedCrash> undecided;
 };
 
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds probeInterval{500};
 // Bounds the connection attempts of a VM that has lost its links to a hundred replicas or more.
 constexpr std::size_t maximumProbesPerInterval = 8;
+// Enough to find a common cause of several failures at once.
+constexpr std::size_t maximumFailureProbes = 64;
 constexpr std::chrono::seconds invalidLoadLogInterval{1};
 // A process that crashes closes its listening socket within milliseconds of its connections.
 constexpr std::chrono::milliseconds crashCheckDelay{100};
@@ -30,14 +32,17 @@
                            QByteArray tunnelSecret)
     : timers(timerService)
     , replicaPlacement(zone, placementSettings)
-    , correlator(std::move(crashHook))
+    , correlator(std::move(crashHook), [this] { this->probeForFailures(); })
     , tunnels(zone, placementSettings.vmSeed)
     , secret(std::move(tunnelSecret))
     , reading(std::make_shared<SharedReading>(this->timers))
 {
     this->cleanupTimer =
             this->timers.every(cleanupInterval, [this] { this->closeStaleConnections(); });
-    this->probeTimer = this->timers.every(probeInterval, [this] { this->probeUnreachable(); });
+    this->probeTimer = this->timers.every(probeInterval, [this] {
+        this->probeUnreachable();
+        this->correlator.decideCrashes(this->timers.now());
+    });
 }
 
 ReplicaFleet::~ReplicaFleet() = default;
@@ -54,8 +59,10 @@
                     || previous->startMilliseconds != instance.startMilliseconds);
         if (replaced || instance.draining)
             this->idle.remove(instance.id);
-        if (replaced)
+        if (replaced) {
             this->unreachable.erase(instance.id);
+            this->correlator.recordReturned(instance.id);
+        }
     }
     for (auto old = this->instances.cbegin(); old != this->instances.cend(); ++old) {
         if (!next.contains(old.key()))
@@ -240,6 +247,21 @@
     this->probeDirectly(ids);
 }
 
+void ReplicaFleet::probeForFailures()
+{
+    const TimerService::SteadyTime now = this->timers.now();
+    if (now - this->failuresProbed < probeInterval)
+        return;
+    this->failuresProbed = now;
+    std::vector<QByteArray> ids;
+    for (const ReplicaInstance &replica : std::as_const(this->instances)) {
+        if (ids.size() < maximumFailureProbes && !this->unreachable.contains(replica.id)
+            && !this->hasOpenConnection(replica.id))
+            ids.push_back(replica.id);
+    }
+    this->probeDirectly(ids);
+}
+
 void ReplicaFleet::probeZone(const QByteArray &zone)
 {
     const TimerService::SteadyTime now = this->timers.now();
@@ -345,15 +367,56 @@
 
 void ReplicaFleet::checkForCrash(const QByteArray &id,
                                  const std::shared_ptr<const TunnelUse> &tunnel)
+{
+    this->scheduleCrashCheck(id, tunnel).needsProbe = true;
+}
+
+void ReplicaFleet::checkSurvival(const QByteArray &id,
+                                 const std::shared_ptr<const TunnelUse> &tunnel,
+                                 std::function<void()> survived)
+{
+    this->scheduleCrashCheck(id, tunnel).survived.push_back(std::move(survived));
+}
+
+ReplicaFleet::CrashCheck &
+ReplicaFleet::scheduleCrashCheck(const QByteArray &id,
+                                 const std::shared_ptr<const TunnelUse> &tunnel)
 {
     const ProbeKey key{id, tunnel ? tunnel->endpoint().vm : QString()};
     const auto [check, isNew] = this->crashChecks.try_emplace(key);
-    if (!isNew)
-        return; // the calls of a crashed replica share one check
-    check->second = this->timers.after(crashCheckDelay, [this, key, tunnel] {
-        const auto ended = this->crashChecks.extract(key);
-        this->probe(ended.key().first, tunnel, [](ConnectResult) {});
-    });
+    if (isNew) // the calls of a crashed replica share one check
+        check->second.timer = this->timers.after(
+                crashCheckDelay, [this, key, tunnel] { this->runCrashCheck(key, tunnel); });
+    return check->second;
+}
+
+void ReplicaFleet::runCrashCheck(const ProbeKey &key,
+                                 const std::shared_ptr<const TunnelUse> &tunnel)
+{
+    const auto ended = this->crashChecks.extract(key);
+    const QByteArray id = ended.key().first;
+    const auto report = [this, id, checkedAt = this->timers.now(),
+                         survived = ended.mapped().survived](ConnectResult result) {
+        if (result != ConnectResult::Connected)
+            return;
+        this->correlator.recordReachable(id, checkedAt);
+        for (const auto &callback : survived)
+            callback();
+    };
+    if (!ended.mapped().needsProbe && this->hasOpenConnection(id))
+        report(ConnectResult::Connected);
+    else
+        this->probe(id, tunnel, report);
+}
+
+bool ReplicaFleet::hasOpenConnection(const QByteArray &id) const
+{
+    const auto connections = this->idle.constFind(id);
+    return connections != this->idle.cend()
+           && std::any_of(connections->begin(), connections->end(), [](const auto &connection) {
+                  return !connection->tunnel() && connection->isReusable()
+                         && !connection->hasUnreadInput();
+              });
 }
 
 void ReplicaFleet::finishProbe(const ProbeKey &key, ConnectResult result)
@@ -382,6 +445,7 @@
     this->replicaPlacement.coldReplicas().recordContact(id, this->timers.now());
     if (this->unreachable.erase(id) == 0)
         return;
+    this->correlator.recordReturned(id);
     this->idle.remove(id); // tunnels
     this->replicaPlacement.recordReachablePath(id, false);
     LogEvent(LogSeverity::Info, "replicaReachable")
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
@@ -136,6 +136,11 @@
         before its response was complete. The check uses the tunnel unless it is null. */
     void checkForCrash(const QByteArray &id, const std::shared_ptr<const TunnelUse> &tunnel);
 
+    /** Checks shortly whether a replica that has answered a request survived it, by an idle
+        connection that is still open or by a new one. The callback is called if it has. */
+    void checkSurvival(const QByteArray &id, const std::shared_ptr<const TunnelUse> &tunnel,
+                       std::function<void()> survived);
+
     /** Returns a connection to the incarnation with this start time after its exchange. It is
        pooled if it is reusable and that incarnation still accepts calls. */
     void release(const QByteArray &id, std::int64_t startMilliseconds,
@@ -157,6 +162,14 @@
         ConnectResult result;
     };
 
+    /** A check whether a replica still accepts connections, and the callbacks if it does. */
+    struct CrashCheck
+    {
+        TimerSubscription timer;
+        bool needsProbe = false; ///< an idle connection that is still open does not suffice
+        std::vector<std::function<void()>> survived;
+    };
+
     using ProbeKey = std::pair<QByteArray, QString>; ///< instance, and VM of the tunnel if any
 
     [[nodiscard]] StreamRoute routeTo(const ReplicaInstance &replica,
@@ -178,6 +191,13 @@
         those that get no call meanwhile would not be found unreachable otherwise. */
     void probeZone(const QByteArray &zone);
     void probeDirectly(const std::vector<QByteArray> &ids);
+    CrashCheck &scheduleCrashCheck(const QByteArray &id,
+                                   const std::shared_ptr<const TunnelUse> &tunnel);
+    void runCrashCheck(const ProbeKey &key, const std::shared_ptr<const TunnelUse> &tunnel);
+    [[nodiscard]] bool hasOpenConnection(const QByteArray &id) const;
+    /** Probes replicas that have not been found unreachable yet, to find failures that a suspected
+        request did not cause. */
+    void probeForFailures();
     void closeStaleConnections();
     /** Probes the next few of the unreachable replicas. */
     void probeUnreachable();
@@ -192,11 +212,12 @@
     std::shared_ptr<SharedReading> reading; ///< by all connections
     std::map<ProbeKey, Probe> probes;       ///< in progress
     std::map<ProbeKey, EndedProbe> endedProbes;
-    std::map<ProbeKey, TimerSubscription> crashChecks; ///< that are due
-    std::map<QByteArray, bool> unreachable; ///< directly; whether a tunnel reaches the instance
+    std::map<ProbeKey, CrashCheck> crashChecks; ///< that are due
+    std::map<QByteArray, bool> unreachable;     ///< directly; whether a tunnel reaches the instance
     TimerService::SteadyTime lastDirectContact;
-    QByteArray lastProbed;                 ///< of the unreachable instances
-    TimerService::SteadyTime othersProbed; ///< when probeOthers() last probed
+    QByteArray lastProbed;                   ///< of the unreachable instances
+    TimerService::SteadyTime othersProbed;   ///< when probeOthers() last probed
+    TimerService::SteadyTime failuresProbed; ///< when probeForFailures() last probed
     std::optional<TimerService::SteadyTime> invalidLoadLogged;
     TimerService::SteadyTime zoneProbed; ///< when probeZone() last probed
     TimerSubscription probeTimer;
--- a/modules/lacewingmux_node/front/FrontTrafficServices.cpp
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.cpp
@@ -72,11 +72,21 @@
             RelayClient::Hooks{this->hooks.relayUpdate, this->hooks.relayContact, [](bool) {}});
     this->gateway = std::make_unique<Gateway>(
             gatewaySettings(settings), this->timers, dialect, *this->quota, *this->records, metrics,
-            [this](const CrashCoincidence &coincidence) { this->sendCrashNotice(coincidence); });
+            [this](const CrashCoincidence &coincidence) {
+                this->sendCrashNotice(FrameKind::CrashNotice, coincidence);
+            });
+    this->gateway->setCompletionHook([this](const QByteArray &digest) {
+        this->sendCrashNotice(FrameKind::CrashSuspicionCleared, {digest, {}});
+    });
     this->hub->setHandler(FrameKind::CrashNotice, [this](const auto &, const auto &frame) {
         if (const auto coincidence = RecordsCodec::decodeCrash(frame.payload))
             this->gateway->addRemoteCoincidence(*coincidence);
     });
+    this->hub->setHandler(FrameKind::CrashSuspicionCleared,
+                          [this](const auto &, const auto &frame) {
+                              if (const auto cleared = RecordsCodec::decodeCrash(frame.payload))
+                                  this->gateway->addRemoteCompletion(cleared->contentDigest);
+                          });
     this->hub->setHandler(FrameKind::TunnelStopNotice,
                           [this](const VmIncarnation &sender, const PeerFrame &) {
                               this->gateway->recordTunnelStop(sender.vm);
@@ -87,9 +97,9 @@
 
 FrontTrafficServices::~FrontTrafficServices() = default;
 
-void FrontTrafficServices::sendCrashNotice(const CrashCoincidence &coincidence)
+void FrontTrafficServices::sendCrashNotice(FrameKind kind, const CrashCoincidence &coincidence)
 {
-    const PeerFrame notice{FrameKind::CrashNotice, 0, 0, RecordsCodec::encodeCrash(coincidence)};
+    const PeerFrame notice{kind, 0, 0, RecordsCodec::encodeCrash(coincidence)};
     // Each records VM forwards the notice to the other entry VMs. One records VM would be enough,
     // but it may not be connected to every entry VM, so the notice is sent to all.
     for (const VmIncarnation &peer : this->hub->connectedPeers())
--- a/modules/lacewingmux_node/front/FrontTrafficServices.h
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.h
@@ -5,6 +5,7 @@
 #include "lacewingmux_gateway/replicas/ReplicaInstance.h"
 #include "lacewingmux_node/front/RecordsReachability.h"
 #include "lacewingmux_node/settings/NodeSettings.h"
+#include "lacewingmux_peer/messages/FrameKind.h"
 #include "lacewingmux_records/messages/RecordMessages.h"
 #include "lacewingmux_tunnel/client/TunnelEndpoint.h"
 
@@ -77,7 +78,7 @@
     /** Returns the records VMs, which open tunnels to replicas. */
     [[nodiscard]] std::vector<TunnelEndpoint> tunnelEndpointsOf(const RecordsView &view) const;
     /** Notifies the other entry VMs that a replica crashed while it ran a request's content. */
-    void sendCrashNotice(const CrashCoincidence &coincidence);
+    void sendCrashNotice(FrameKind kind, const CrashCoincidence &coincidence);
 
     QtTimerService timers;
     EventLoopMonitor monitor;
--- a/modules/lacewingmux_peer/messages/FrameKind.h
+++ b/modules/lacewingmux_peer/messages/FrameKind.h
@@ -87,6 +87,7 @@
     ConfigurationDocumentRequest = 151, // without payload
     ConfigurationDocumentReply = 152,
     CrashNotice = 153,
+    CrashSuspicionCleared = 154, // a CrashNotice whose crash is empty
 
     // lacewingmux_relay, traffic channel
     RelaySubscribe = 160, // without payload
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -81,24 +81,28 @@
         if (const auto document = RecordsCodec::decodeNotice(frame.payload))
             this->hooks.newerView(*document);
     });
-    this->hub.setHandler(FrameKind::CrashNotice, [this](const auto &peer, const auto &frame) {
-        for (const VmIncarnation &entryVm : this->entryVms) {
-            if (entryVm != peer)
-                this->hub.send(entryVm, frame);
-        }
-    });
+    for (const FrameKind kind : {FrameKind::CrashNotice, FrameKind::CrashSuspicionCleared})
+        handle(kind, &RecordsServer::forwardToEntryVms);
     this->hub.addLinkHandler([this](const VmIncarnation &peer, bool up) {
         if (!up)
-    this->silenceTimer =
-            this->timers.every(silenceCheckInterval, [this] { this->reportLostPlaces(); });
             this->entryVms.erase(peer);
     });
     this->maintenanceTimer =
             this->timers.every(maintenanceInterval, [this] { this->runMaintenance(); });
+    this->silenceTimer =
+            this->timers.every(silenceCheckInterval, [this] { this->reportLostPlaces(); });
     this->quotaTimer = this->timers.every(QuotaGrants::accrualInterval,
                                           [this] { this->quotas.update(this->timers.now()); });
 }
 
+void RecordsServer::forwardToEntryVms(const VmIncarnation &peer, const PeerFrame &frame)
+{
+    for (const VmIncarnation &entryVm : this->entryVms) {
+        if (entryVm != peer)
+            this->hub.send(entryVm, frame);
+    }
+}
+
 void RecordsServer::setView(const RecordsView &newView)
 {
     if (newView.number <= this->view.number)
@@ -116,11 +120,11 @@
     std::erase_if(this->copiedTo,
                   [this](const auto &entry) { return this->view.member(entry.first) == nullptr; });
     this->sync.setView(groupView);
+    this->silence.setView(groupView, this->timers.now());
     this->quotas.setView(groupView, this->timers.now());
     newView.logAdoption();
     this->checkSynced();
 }
-    this->silence.setView(groupView, this->timers.now());
 
 void RecordsServer::setConfiguration(const ConfigurationDocumentMessage &newest)
 {
@@ -154,10 +158,6 @@
         this->log.whenDurable(sequence, answer);
 }
 
-void RecordsServer::lookUpChain(const OpenTurnMessage &message, OpenTurnReplyMessage &reply)
-{
-    if (message.previousTurn.isEmpty())
-        return;
 void RecordsServer::logIfSlow(TimerService::SteadyTime receivedAt)
 {
     const TimerService::SteadyTime now = this->timers.now();
@@ -169,6 +169,10 @@
             .field("milliseconds", static_cast<qint64>(duration.count()));
 }
 
+void RecordsServer::lookUpChain(const OpenTurnMessage &message, OpenTurnReplyMessage &reply)
+{
+    if (message.previousTurn.isEmpty())
+        return;
     const ChainLookup lookup =
             this->index.chain(message.previousTurn, message.team, this->expiredBefore());
     reply.chain = lookup.status;
@@ -332,6 +336,15 @@
     return sequence;
 }
 
+std::uint64_t RecordsServer::appendReceived(const Record &record)
+{
+    const std::uint64_t sequence = this->append(record);
+    const RecordName name = nameOf(record);
+    if (this->sync.isAwaited(name))
+        this->log.whenDurable(sequence, [this, name] { this->sync.recordStored(name); });
+    return sequence;
+}
+
 bool RecordsServer::holdsOtherRun(const Record &record)
 {
     const std::uint64_t known = this->index.sequenceOf(nameOf(record));
@@ -354,15 +367,6 @@
 int RecordsServer::joiningSources(const RecordsMember &joiner) const
 {
     // Members that have left since then were copied by the synced ones, and those that lost their
-std::uint64_t RecordsServer::appendReceived(const Record &record)
-{
-    const std::uint64_t sequence = this->append(record);
-    const RecordName name = nameOf(record);
-    if (this->sync.isAwaited(name))
-        this->log.whenDurable(sequence, [this, name] { this->sync.recordStored(name); });
-    return sequence;
-}
-
     // disks can't be copied any more: a higher number would keep this VM from ever counting.
     const auto sources =
             std::count_if(this->view.members.begin(), this->view.members.end(),
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -44,6 +44,7 @@
     void setConfiguration(const ConfigurationDocumentMessage &newest);
 
 private:
+    void forwardToEntryVms(const VmIncarnation &peer, const PeerFrame &frame);
     void handleOpen(const VmIncarnation &peer, const PeerFrame &frame);
     void handleWrite(const VmIncarnation &peer, const PeerFrame &frame);
     void handlePull(const VmIncarnation &peer, const PeerFrame &frame);
@@ -58,16 +59,16 @@
     [[nodiscard]] bool refuseOldView(const VmIncarnation &peer, const PeerFrame &frame);
     /** Returns the view number under which a reply to a request is valid. */
     [[nodiscard]] std::uint64_t replyEpoch(std::uint64_t requestEpoch) const;
-    void lookUpChain(const OpenTurnMessage &message, OpenTurnReplyMessage &reply);
     /** Logs if a record of a request took long to be on disk, at most once a second. */
     void logIfSlow(TimerService::SteadyTime receivedAt);
+    void lookUpChain(const OpenTurnMessage &message, OpenTurnReplyMessage &reply);
     std::uint64_t append(const Record &record);
+    /** Appends a record that came from an entry VM; other members may have named it already. */
+    std::uint64_t appendReceived(const Record &record);
     /** Returns whether the log holds another run of this turn, whose caller may have sent it again
         with the same id, or a record of it that can't be read. */
     [[nodiscard]] bool holdsOtherRun(const Record &record);
     /** Returns the time such that records that expired before it have expired by any VM's clock. */
-    /** Appends a record that came from an entry VM; other members may have named it already. */
-    std::uint64_t appendReceived(const Record &record);
     [[nodiscard]] std::chrono::system_clock::time_point expiredBefore() const;
     void runMaintenance();
     /** Appends the records that are needed longer than the log files that they are in, so that
@@ -76,14 +77,14 @@
     /** Appends a record again; returns the bytes of text that it read. */
     qsizetype copyForward(std::uint64_t sequence, const RecordName &name);
     void reportSilentMembers();
-    /** Reports for how long this VM has been joining, and what it waits for. */
-    void reportJoining();
-    [[nodiscard]] bool isUpToDateStandby(TimerService::SteadyTime now) const;
     /** Reports the silent members that have lost their places to joining ones. */
     void reportLostPlaces();
     /** Returns whether this VM, and as many others as a joining member copies from, have all
         records that members had when this one fell silent. */
     [[nodiscard]] bool isCopiedBeside(const VmIncarnation &silent) const;
+    /** Reports for how long this VM has been joining, and what it waits for. */
+    void reportJoining();
+    [[nodiscard]] bool isUpToDateStandby(TimerService::SteadyTime now) const;
     /** Returns how many members' records this joining VM must have before it counts as synced. */
     [[nodiscard]] int joiningSources(const RecordsMember &joiner) const;
     /** Returns how many members' records a standby must have before it may replace a member. */
@@ -116,13 +117,13 @@
     /** Start of the time in which this VM is a joining member, but no standby; empty outside it. */
     std::optional<TimerService::SteadyTime> joiningSince;
     TimerService::SteadyTime lateJoiningLogged;
-    std::uint64_t copiedForwardUpTo = 0; ///< position in the own log
     TimerService::SteadyTime slowWriteLogged;
+    std::uint64_t copiedForwardUpTo = 0; ///< position in the own log
     bool syncedReported = false;
     bool copiedReported = false;
     TimerSubscription maintenanceTimer;
+    TimerSubscription silenceTimer;
     TimerSubscription quotaTimer;
 };
 
 } // namespace lacewingmux
-    TimerSubscription silenceTimer;
--- a/tests/gateway/CrashingRequestTest.cpp
+++ b/tests/gateway/CrashingRequestTest.cpp
@@ -1,5 +1,7 @@
 #include "support/GatewayFixture.h"
 
+#include <QTimer>
+
 #include <criterion/criterion.h>
 
 #include <algorithm>
@@ -67,3 +69,95 @@
         sendOnce(fixture, "poison", false);
     cr_assert_eq(fixture.requestCount(), 6, "the replicas went on listening");
 }
+
+namespace {
+
+// Until overlapping crashes are counted.
+constexpr milliseconds settledAfter{2200};
+
+// So that runs that are sent at the same moment overlap.
+constexpr milliseconds runTime{60};
+
+/** Closes the connection a while after "poison" has come. */
+void closeLaterOnPoison(const HttpRequest &request, const Exchange &exchange)
+{
+    if (request.body == "poison")
+        QTimer::singleShot(runTime, [exchange] { exchange.close(); });
+    else
+        exchange.write(GatewayFixture::answer(request, "sound."));
+}
+
+/** Begins an answer without a length to "poison" and closes the connection. */
+void breakOffOnPoison(const HttpRequest &request, const Exchange &exchange)
+{
+    if (request.body != "poison") {
+        exchange.write(GatewayFixture::answer(request, "sound."));
+        return;
+    }
+    exchange.write("HTTP/1.1 200 OK\r\nLacewingmux-Request-Id: "
+                   + fieldValue(request.fields, "Lacewingmux-Request-Id")
+                   + "\r\nLacewingmux-Server-Stamp: stamp\r\n\r\nbegun");
+    exchange.close();
+}
+
+/** Sends the request as often at the same moment, and lets the replicas that get it refuse
+    connections from then on, and so many others with them. */
+void sendAtOnce(GatewayFixture &fixture, const QByteArray &body, int count, int othersThatFail)
+{
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int number = 0; number < count; ++number) {
+        callers.push_back(std::make_unique<RawCaller>(fixture.gateway->port()));
+        callers.back()->send(GatewayFixture::request("POST", "/once/x",
+                                                     "v" + QByteArray::number(number), {}, body));
+    }
+    for (const auto &caller : callers)
+        fixture.loop.waitUntil([&] { return !caller->received().isEmpty(); }, "the response");
+    for (const auto &replica : fixture.replicas) {
+        if (!replica->requests().empty() || othersThatFail-- > 0)
+            replica->stopListening();
+    }
+    fixture.loop.runFor(settledAfter);
+}
+
+} // namespace
+
+// Guards against the beginning of an answer without a length, which a crash has cut, being taken
+// for a whole one, so that the request never counts as one that crashes replicas.
+Test(crashing_request, reaches_no_replica_after_it_has_crashed_three_in_their_answers)
+{
+    GatewayFixture fixture(replicaCount, breakOffOnPoison);
+    for (int crash = 0; crash < 3; ++crash)
+        sendOnce(fixture, "poison", true);
+    cr_assert_eq(fixture.requestCount(), 3);
+    sendOnce(fixture, "poison", true);
+    cr_assert_eq(fixture.requestCount(), 3, "the request reached a fourth replica");
+}
+
+Test(crashing_request, is_not_seen_in_one_whose_answers_end_with_their_connections)
+{
+    GatewayFixture fixture(replicaCount, breakOffOnPoison);
+    for (int sent = 0; sent < 6; ++sent)
+        sendOnce(fixture, "poison", false);
+    cr_assert_eq(fixture.requestCount(), 6, "the replicas went on listening");
+}
+
+// Guards against a request that crashes several replicas at the same moment counting as one crash.
+Test(crashing_request, reaches_no_replica_after_it_has_crashed_three_at_once)
+{
+    GatewayFixture fixture(replicaCount, closeLaterOnPoison);
+    sendAtOnce(fixture, "poison", 3, 0);
+    const int before = fixture.requestCount();
+    cr_assert_geq(before, 3);
+    sendOnce(fixture, "poison", false);
+    cr_assert_eq(fixture.requestCount(), before);
+    cr_assert(sendOnce(fixture, "other", false).endsWith("sound."));
+}
+
+Test(crashing_request, is_not_seen_in_one_whose_replicas_failed_together_with_others)
+{
+    GatewayFixture fixture(replicaCount, closeLaterOnPoison);
+    sendAtOnce(fixture, "poison", 3, 1);
+    const int before = fixture.requestCount();
+    sendOnce(fixture, "poison", false);
+    cr_assert_eq(fixture.requestCount(), before + 1);
+}
