Fleet schedules: replace lost records VMs by new ones

Lost members came back under their names, with or without their disks. Some are now replaced by new members in a schedule of its own, so that places are lost and taken beside all other faults.

--- a/tests/records/FleetScheduleTest.cpp
+++ b/tests/records/FleetScheduleTest.cpp
@@ -73,3 +73,15 @@
     }
     cr_assert_gt(lateTurns, 0);
 }
+
+// Members are lost for good, and new ones take their places before and after they have copied.
+Test(fleet_schedule, keeps_turns_budgets_and_quotas_while_members_are_replaced)
+{
+    for (std::uint64_t seed = 700001; seed < 700001 + seedCount() / 4; ++seed) {
+        FleetSchedule schedule(seed, seed % 2 == 0 ? 3 : 6);
+        schedule.addReplacements();
+        const std::string violation = schedule.run();
+        cr_assert(violation.empty(), "seed %llu: %s", static_cast<unsigned long long>(seed),
+                  violation.c_str());
+    }
+}
--- a/tests/records/simulation/FleetSchedule.cpp
+++ b/tests/records/simulation/FleetSchedule.cpp
@@ -27,10 +27,11 @@
 
 FleetSchedule::FleetSchedule(std::uint64_t seedNumber, int recordsVmCount)
     : random(seedNumber)
-    , recordsVms(recordsVmCount)
     , fleet(recordsVmCount, 3)
     , programs(4)
 {
+    for (int number = 1; number <= recordsVmCount; ++number)
+        this->members.push_back(QStringLiteral("r%1").arg(number));
     for (Program &program : this->programs)
         program.budget = 300 + 100 * this->randomBelow(5);
     this->stableSince = this->fleet.timers.now();
@@ -236,8 +237,17 @@
         this->restartLostMember();
 }
 
+void FleetSchedule::replaceLostMember()
+{
+    const QString successor = this->lostMember + u'n';
+    std::replace(this->members.begin(), this->members.end(), this->lostMember, successor);
+    this->lostMember = successor;
+}
+
 void FleetSchedule::restartLostMember()
 {
+    if (this->hasReplacements && this->randomBelow(2) == 0)
+        this->replaceLostMember();
     this->fleet.startRecordsVm(this->lostMember);
     this->lostMember.clear();
     this->stableSince = this->fleet.timers.now();
@@ -315,7 +325,8 @@
 
 QString FleetSchedule::randomMember()
 {
-    return QStringLiteral("r%1").arg(1 + this->randomBelow(this->recordsVms));
+    const int count = static_cast<int>(this->members.size());
+    return this->members[static_cast<std::size_t>(this->randomBelow(count))];
 }
 
 int FleetSchedule::randomBelow(int below)
--- a/tests/records/simulation/FleetSchedule.h
+++ b/tests/records/simulation/FleetSchedule.h
@@ -33,6 +33,12 @@
         this->hasSilences = true;
     }
 
+    /** Replaces some of the lost members by new ones under other names. */
+    void addReplacements()
+    {
+        this->hasReplacements = true;
+    }
+
     /** Returns how many turns were stored so late that a shorter limit than that of their calls
        could have ended them. */
     [[nodiscard]] int lateTurns() const noexcept
@@ -70,6 +76,7 @@
     void healRandomFault();
     void stopRandomMember();
     void restartLostMember();
+    void replaceLostMember();
     void reportViolation(const std::string &what);
     void checkQuota();
     void checkStoredTurnsAreFound();
@@ -77,7 +84,7 @@
     [[nodiscard]] int randomBelow(int below);
 
     std::mt19937_64 random;
-    int recordsVms;
+    std::vector<QString> members; ///< the names of the records VMs at present
     RecordsFleet fleet;
     std::vector<Program> programs;
     std::vector<StoredTurn> turns;
@@ -87,6 +94,7 @@
     QString pausedMember;
     TimerService::SteadyTime stableSince; ///< time since which no member was lost or partitioned
     bool hasSilences = false;
+    bool hasReplacements = false;
     std::map<QString, TimerSubscription> silences; ///< by member, until it goes on
     std::vector<TimerSubscription> runningTurns;
     int lateTurnCount = 0;
