Stand-in of a replica: keep the port while connections are refused

Cause: the port of a replica that had stopped listening was given to a replica of the other test process. Change: a replica holds a second socket that is bound to its port and does not listen, so the port refuses connections and is given to nobody else.

--- a/standins/replica/ScriptedReplica.cpp
+++ b/standins/replica/ScriptedReplica.cpp
@@ -3,6 +3,7 @@
 #include "lacewingmux_gateway/http/HttpLimits.h"
 #include "lacewingmux_gateway/http/RequestDecoder.h"
 #include "replica/ListenQueueFiller.h"
+#include "replica/PortReservation.h"
 
 #include <QTcpServer>
 #include <QTcpSocket>
@@ -21,9 +22,11 @@
 
 } // namespace
 
-ScriptedReplica::Exchange::Exchange(QTcpSocket *connection, int connectionNumber)
+ScriptedReplica::Exchange::Exchange(QTcpSocket *connection, int connectionNumber,
+                                    QTcpServer *replicaServer)
     : socket(connection)
     , number(connectionNumber)
+    , server(replicaServer)
 { }
 
 void ScriptedReplica::Exchange::write(const QByteArray &bytes) const
@@ -53,6 +56,13 @@
         this->socket->disconnectFromHost();
 }
 
+void ScriptedReplica::Exchange::crash() const
+{
+    if (this->server)
+        this->server->close();
+    this->close();
+}
+
 void ScriptedReplica::Exchange::reset() const
 {
     if (!this->socket)
@@ -83,6 +93,8 @@
 ScriptedReplica::ScriptedReplica(Handler requestHandler, const QHostAddress &address,
                                  std::uint16_t port)
     : handler(std::move(requestHandler))
+    , reservation(port == 0 ? std::make_unique<PortReservation>(address) : nullptr)
+    , listeningPort(port == 0 ? this->reservation->port() : port)
     , server(std::make_unique<QTcpServer>())
 {
     QObject::connect(this->server.get(), &QTcpServer::newConnection, this->server.get(), [this] {
@@ -90,14 +102,14 @@
             this->accept(socket);
     });
     this->server->setListenBacklogSize(listenBacklog);
-    this->server->listen(address, port);
+    this->server->listen(address, this->listeningPort);
 }
 
 ScriptedReplica::~ScriptedReplica() = default;
 
 std::uint16_t ScriptedReplica::port() const
 {
-    return this->server->serverPort();
+    return this->listeningPort;
 }
 
 void ScriptedReplica::stopListening()
@@ -123,7 +135,7 @@
         while (decoder->state() == DecodeState::Complete) {
             const HttpRequest request = decoder->take();
             this->received.push_back(request);
-            this->handler(request, Exchange(socket, number));
+            this->handler(request, Exchange(socket, number, this->server.get()));
         }
     });
 }
--- a/standins/replica/ScriptedReplica.h
+++ b/standins/replica/ScriptedReplica.h
@@ -18,6 +18,7 @@
 namespace lacewingmux {
 
 class ListenQueueFiller;
+class PortReservation;
 
 /**
     A backend server on loopback whose answers are written by the test, byte for byte. It notes
@@ -30,7 +31,7 @@
     class Exchange
     {
     public:
-        Exchange(QTcpSocket *connection, int connectionNumber);
+        Exchange(QTcpSocket *connection, int connectionNumber, QTcpServer *replicaServer);
 
         /** Returns the number of the connection, which no other one in the process has. */
         [[nodiscard]] int connection() const noexcept
@@ -50,6 +51,9 @@
         /** Closes the connection in order. */
         void close() const;
 
+        /** Closes the connection and refuses new ones, as a replica does that crashes. */
+        void crash() const;
+
         /** Resets the connection. */
         void reset() const;
 
@@ -63,6 +67,7 @@
     private:
         QPointer<QTcpSocket> socket;
         int number;
+        QPointer<QTcpServer> server;
     };
 
     using Handler = std::function<void(const HttpRequest &, const Exchange &)>;
@@ -77,7 +82,7 @@
 
     [[nodiscard]] std::uint16_t port() const;
 
-    /** Refuses new connections; those that are open stay. */
+    /** Refuses new connections; those that are open stay. The port remains this replica's. */
     void stopListening();
 
     /** Gives no response to new connections, as its queue of them is full; those that are open
@@ -99,6 +104,8 @@
     void accept(QTcpSocket *socket);
 
     Handler handler;
+    std::unique_ptr<PortReservation> reservation; ///< null if the port was given
+    std::uint16_t listeningPort;
     std::unique_ptr<QTcpServer> server;
     std::unique_ptr<ListenQueueFiller> queueFiller;
     std::vector<HttpRequest> received;
