Tests of crashing requests: replicas close their listener as they crash

What was seen: a replica of these tests went on listening until the test had the response to the request that "crashed" it. The gateway checks 100 ms after the connection broke whether the replica accepts connections, so a stall of the process by 100 ms let a crashed replica pass for a sound one. Change: the handler closes the listener together with the connection, as a process that ends does. What the tests check is unchanged.

--- a/tests/gateway/CrashingRequestTest.cpp
+++ b/tests/gateway/CrashingRequestTest.cpp
@@ -19,31 +19,36 @@
 constexpr int replicaCount = 6;
 constexpr milliseconds betweenRequests{300};
 
-/** Closes the connection instead of an answer to "poison". */
-void closeOnPoison(const HttpRequest &request, const Exchange &exchange)
+/** What a replica does when "poison" breaks its connection. */
+enum class Effect { Cut, Crash };
+
+void breakConnection(const Exchange &exchange, Effect effect)
 {
-    if (request.body == "poison")
-        exchange.close();
+    if (effect == Effect::Crash)
+        exchange.crash();
     else
-        exchange.write(GatewayFixture::answer(request, "sound."));
+        exchange.close();
 }
 
-/** Sends a request that may run once; returns the response. The replica that gets it refuses
-    connections from then on, if it is to crash. */
-QByteArray sendOnce(GatewayFixture &fixture, const QByteArray &body, bool crashes)
+/** Returns a handler that breaks the connection instead of an answer to "poison". */
+ScriptedReplica::Handler breakOnPoison(Effect effect)
+{
+    return [effect](const HttpRequest &request, const Exchange &exchange) {
+        if (request.body == "poison")
+            breakConnection(exchange, effect);
+        else
+            exchange.write(GatewayFixture::answer(request, "sound."));
+    };
+}
+
+/** Sends a request that may run once; returns the response. */
+QByteArray sendOnce(GatewayFixture &fixture, const QByteArray &body)
 {
     static int number = 0;
-    std::vector<std::size_t> before;
-    for (const auto &replica : fixture.replicas)
-        before.push_back(replica->requests().size());
     RawCaller caller(fixture.gateway->port());
     caller.send(GatewayFixture::request("POST", "/once/x", "r" + QByteArray::number(++number), {},
                                         body));
     fixture.loop.waitUntil([&] { return !caller.received().isEmpty(); }, "the response");
-    for (std::size_t index = 0; index < before.size(); ++index) {
-        if (crashes && fixture.replicas[index]->requests().size() > before[index])
-            fixture.replicas[index]->stopListening();
-    }
     fixture.loop.runFor(betweenRequests);
     return caller.received();
 }
@@ -52,21 +57,21 @@
 
 Test(crashing_request, reaches_no_replica_after_it_has_crashed_three)
 {
-    GatewayFixture fixture(replicaCount, closeOnPoison);
+    GatewayFixture fixture(replicaCount, breakOnPoison(Effect::Crash));
     for (int crash = 0; crash < 3; ++crash)
-        sendOnce(fixture, "poison", true);
+        sendOnce(fixture, "poison");
     cr_assert_eq(fixture.requestCount(), 3);
-    const QByteArray refusal = sendOnce(fixture, "poison", true);
+    const QByteArray refusal = sendOnce(fixture, "poison");
     cr_assert_eq(fixture.requestCount(), 3, "the request reached a fourth replica");
     cr_assert(refusal.startsWith("HTTP/1.1 503"), "%s", refusal.constData());
-    cr_assert(sendOnce(fixture, "other", false).endsWith("sound."));
+    cr_assert(sendOnce(fixture, "other").endsWith("sound."));
 }
 
 Test(crashing_request, is_not_seen_in_one_whose_connections_were_cut)
 {
-    GatewayFixture fixture(replicaCount, closeOnPoison);
+    GatewayFixture fixture(replicaCount, breakOnPoison(Effect::Cut));
     for (int cut = 0; cut < 6; ++cut)
-        sendOnce(fixture, "poison", false);
+        sendOnce(fixture, "poison");
     cr_assert_eq(fixture.requestCount(), 6, "the replicas went on listening");
 }
 
@@ -78,30 +83,33 @@
 // So that runs that are sent at the same moment overlap.
 constexpr milliseconds runTime{60};
 
-/** Closes the connection a while after "poison" has come. */
-void closeLaterOnPoison(const HttpRequest &request, const Exchange &exchange)
+/** Crashes the replica a while after "poison" has come. */
+void crashLaterOnPoison(const HttpRequest &request, const Exchange &exchange)
 {
     if (request.body == "poison")
-        QTimer::singleShot(runTime, [exchange] { exchange.close(); });
+        QTimer::singleShot(runTime, [exchange] { exchange.crash(); });
     else
         exchange.write(GatewayFixture::answer(request, "sound."));
 }
 
-/** Begins an answer without a length to "poison" and closes the connection. */
-void breakOffOnPoison(const HttpRequest &request, const Exchange &exchange)
+/** Returns a handler that begins an answer without a length to "poison" and breaks the connection.
+ */
+ScriptedReplica::Handler breakOffOnPoison(Effect effect)
 {
-    if (request.body != "poison") {
-        exchange.write(GatewayFixture::answer(request, "sound."));
-        return;
-    }
-    exchange.write("HTTP/1.1 200 OK\r\nLacewingmux-Request-Id: "
-                   + fieldValue(request.fields, "Lacewingmux-Request-Id")
-                   + "\r\nLacewingmux-Server-Stamp: stamp\r\n\r\nbegun");
-    exchange.close();
+    return [effect](const HttpRequest &request, const Exchange &exchange) {
+        if (request.body != "poison") {
+            exchange.write(GatewayFixture::answer(request, "sound."));
+            return;
+        }
+        exchange.write("HTTP/1.1 200 OK\r\nLacewingmux-Request-Id: "
+                       + fieldValue(request.fields, "Lacewingmux-Request-Id")
+                       + "\r\nLacewingmux-Server-Stamp: stamp\r\n\r\nbegun");
+        breakConnection(exchange, effect);
+    };
 }
 
-/** Sends the request as often at the same moment, and lets the replicas that get it refuse
-    connections from then on, and so many others with them. */
+/** Sends the request as often at the same moment, and lets so many replicas that did not get it
+    refuse connections from then on. */
 void sendAtOnce(GatewayFixture &fixture, const QByteArray &body, int count, int othersThatFail)
 {
     std::vector<std::unique_ptr<RawCaller>> callers;
@@ -113,7 +121,7 @@
     for (const auto &caller : callers)
         fixture.loop.waitUntil([&] { return !caller->received().isEmpty(); }, "the response");
     for (const auto &replica : fixture.replicas) {
-        if (!replica->requests().empty() || othersThatFail-- > 0)
+        if (replica->requests().empty() && othersThatFail-- > 0)
             replica->stopListening();
     }
     fixture.loop.runFor(settledAfter);
@@ -125,39 +133,39 @@
 // for a whole one, so that the request never counts as one that crashes replicas.
 Test(crashing_request, reaches_no_replica_after_it_has_crashed_three_in_their_answers)
 {
-    GatewayFixture fixture(replicaCount, breakOffOnPoison);
+    GatewayFixture fixture(replicaCount, breakOffOnPoison(Effect::Crash));
     for (int crash = 0; crash < 3; ++crash)
-        sendOnce(fixture, "poison", true);
+        sendOnce(fixture, "poison");
     cr_assert_eq(fixture.requestCount(), 3);
-    sendOnce(fixture, "poison", true);
+    sendOnce(fixture, "poison");
     cr_assert_eq(fixture.requestCount(), 3, "the request reached a fourth replica");
 }
 
 Test(crashing_request, is_not_seen_in_one_whose_answers_end_with_their_connections)
 {
-    GatewayFixture fixture(replicaCount, breakOffOnPoison);
+    GatewayFixture fixture(replicaCount, breakOffOnPoison(Effect::Cut));
     for (int sent = 0; sent < 6; ++sent)
-        sendOnce(fixture, "poison", false);
+        sendOnce(fixture, "poison");
     cr_assert_eq(fixture.requestCount(), 6, "the replicas went on listening");
 }
 
 // Guards against a request that crashes several replicas at the same moment counting as one crash.
 Test(crashing_request, reaches_no_replica_after_it_has_crashed_three_at_once)
 {
-    GatewayFixture fixture(replicaCount, closeLaterOnPoison);
+    GatewayFixture fixture(replicaCount, crashLaterOnPoison);
     sendAtOnce(fixture, "poison", 3, 0);
     const int before = fixture.requestCount();
     cr_assert_geq(before, 3);
-    sendOnce(fixture, "poison", false);
+    sendOnce(fixture, "poison");
     cr_assert_eq(fixture.requestCount(), before);
-    cr_assert(sendOnce(fixture, "other", false).endsWith("sound."));
+    cr_assert(sendOnce(fixture, "other").endsWith("sound."));
 }
 
 Test(crashing_request, is_not_seen_in_one_whose_replicas_failed_together_with_others)
 {
-    GatewayFixture fixture(replicaCount, closeLaterOnPoison);
+    GatewayFixture fixture(replicaCount, crashLaterOnPoison);
     sendAtOnce(fixture, "poison", 3, 1);
     const int before = fixture.requestCount();
-    sendOnce(fixture, "poison", false);
+    sendOnce(fixture, "poison");
     cr_assert_eq(fixture.requestCount(), before + 1);
 }
