Crashing requests: a planned end of another replica is no common cause

Cause: from the second crash of a request on, the other replicas are probed for failures of the same time, and the crash is taken back if an idle replica failed. A replica that was draining, that had announced its end or whose entry was removed ends as planned; its end counted as such a failure. Evidence: crashing_request/reaches_no_replica_after_it_has_crashed_three_while _another_drained fails on: the request reaches a fourth replica. Change: the end of such a replica counts for the requests that it broke off, and not as a failure beside others.

--- a/modules/lacewingmux_gateway/replicas/CrashCorrelator.cpp
+++ b/modules/lacewingmux_gateway/replicas/CrashCorrelator.cpp
@@ -91,6 +91,16 @@
         return now - failure.second.at > failureRetention;
     });
     this->failures.try_emplace(instance, Failure{now, {}});
+    this->addCrashes(instance, now);
+}
+
+void CrashCorrelator::recordDeparted(const QByteArray &instance, SteadyTime now)
+{
+    this->addCrashes(instance, now);
+}
+
+void CrashCorrelator::addCrashes(const QByteArray &instance, SteadyTime now)
+{
     const auto entry = this->brokenRequests.extract(instance);
     if (entry.empty())
         return;
--- a/modules/lacewingmux_gateway/replicas/CrashCorrelator.h
+++ b/modules/lacewingmux_gateway/replicas/CrashCorrelator.h
@@ -61,6 +61,10 @@
     /** Records that a replica is unreachable. */
     void recordUnreachable(const QByteArray &instance, SteadyTime now);
 
+    /** Records that a replica that was leaving is unreachable. Requests that it broke off count as
+        with any other replica, but its end is expected and no cause of other replicas' crashes. */
+    void recordDeparted(const QByteArray &instance, SteadyTime now);
+
     /** Adds a crash coincidence that another VM observed. */
     void addRemoteCoincidence(const CrashCoincidence &coincidence, SteadyTime now);
 
@@ -101,6 +105,8 @@
         bool isRepeated = false; ///< not the first crash during a run of the request
     };
 
+    /** Adds a crash for each request that the replica broke off shortly before. */
+    void addCrashes(const QByteArray &instance, SteadyTime now);
     /** Adds a crash. Returns whether it was not known. */
     bool add(const CrashCoincidence &coincidence, SteadyTime now);
     /** Counts a crash, unless the run began before the last crash counted. */
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.cpp
@@ -94,7 +94,7 @@
 {
     const ReplicaInstance *replica = this->instance(id);
     if (replica == nullptr) {
-        this->correlator.recordUnreachable(id, this->timers.now());
+        this->reportToCorrelator(id);
         return;
     }
     // Calls that began before the replica was found unreachable may still report it.
@@ -118,6 +118,17 @@
         this->probeZone(replica->zone);
 }
 
+void ReplicaFleet::reportToCorrelator(const QByteArray &id)
+{
+    const ReplicaInstance *replica = this->instance(id);
+    const bool wasLeaving =
+            replica == nullptr || replica->draining || this->replicaPlacement.isLeaving(*replica);
+    if (wasLeaving)
+        this->correlator.recordDeparted(id, this->timers.now());
+    else
+        this->correlator.recordUnreachable(id, this->timers.now());
+}
+
 bool ReplicaFleet::mayHaveLostLinks(TimerService::SteadyTime since) const
 {
     return this->lastDirectContact < since && this->tunnels.isAvailable(this->timers.now());
@@ -127,7 +138,7 @@
 {
     const auto tunnel = this->takeTunnel();
     if (!tunnel) {
-        this->correlator.recordUnreachable(id, this->timers.now());
+        this->reportToCorrelator(id);
         return;
     }
     this->probe(id, tunnel,
@@ -164,7 +175,7 @@
 {
     this->idle.remove(id);
     this->replicaPlacement.recordUnreachable(id, this->timers.now());
-    this->correlator.recordUnreachable(id, this->timers.now());
+    this->reportToCorrelator(id);
     const auto entry = this->unreachable.find(id);
     if (entry != this->unreachable.end())
         entry->second = false;
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
@@ -179,6 +179,8 @@
         null if there is none. */
     [[nodiscard]] std::shared_ptr<ReplicaConnection> takeIdle(const QByteArray &id,
                                                               const QByteArray &requestId);
+    /** Records with the crash correlator that no path to the replica is left. */
+    void reportToCorrelator(const QByteArray &id);
     void finishProbe(const ProbeKey &key, ConnectResult result);
     void handleDirectProbe(const QByteArray &id, ConnectResult result);
     /** Finds out whether a replica that is unreachable directly is reachable through a tunnel. */
--- a/tests/gateway/CrashingRequestTest.cpp
+++ b/tests/gateway/CrashingRequestTest.cpp
@@ -169,3 +169,19 @@
     sendOnce(fixture, "poison");
     cr_assert_eq(fixture.requestCount(), before + 1);
 }
+
+// Guards against a request that crashes replicas being cleared because another replica, which was
+// being removed from service as planned, ended at the same time.
+Test(crashing_request, reaches_no_replica_after_it_has_crashed_three_while_another_drained)
+{
+    GatewayFixture fixture(replicaCount + 1, breakOnPoison(Effect::Crash));
+    fixture.instances.back().draining = true;
+    fixture.gateway->setReplicas(fixture.instances);
+    fixture.replicas.back()->stopListening();
+    for (int crash = 0; crash < 3; ++crash)
+        sendOnce(fixture, "poison");
+    cr_assert_eq(fixture.requestCount(), 3);
+    fixture.loop.runFor(settledAfter);
+    sendOnce(fixture, "poison");
+    cr_assert_eq(fixture.requestCount(), 3, "the request reached a fourth replica");
+}
