--- a/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleet.h
@@ -11,6 +11,7 @@
 #include <QByteArray>
 #include <QHash>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -149,6 +150,9 @@
 private:
     using ConnectionList = std::vector<std::shared_ptr<ReplicaConnection>>;
 
+    /** Half of the initial delay in which an unreachable replica gets no calls. */
+    static constexpr std::chrono::milliseconds probeInterval{500};
+
     /** One connection attempt and the callbacks that wait for its result. */
     struct Probe
     {
