Records: split the report of lost places; name the time of a member's last request

reportLostPlaces noted positions, decided and reported in one loop. Tests: records and gateway suites pass.

--- a/modules/lacewingmux_records/members/SilenceAgreement.cpp
+++ b/modules/lacewingmux_records/members/SilenceAgreement.cpp
@@ -25,7 +25,7 @@
         const VmIncarnation &peer = member.vm.incarnation;
         const auto known = this->peers.find(peer);
         Peer fresh;
-        fresh.lastHeard = known == this->peers.end() ? now : known->second.lastHeard;
+        fresh.lastRequestAt = known == this->peers.end() ? now : known->second.lastRequestAt;
         retained.emplace(peer, std::move(fresh));
     }
     this->peers = std::move(retained);
@@ -37,16 +37,16 @@
     const auto known = this->peers.find(peer);
     if (known == this->peers.end())
         return;
-    known->second.lastHeard = now;
+    known->second.lastRequestAt = now;
     known->second.reportedAt = now;
     known->second.hasReported = true;
     known->second.silentDisks = {silentDisks.begin(), silentDisks.end()};
 }
 
-SilenceAgreement::SteadyTime SilenceAgreement::lastHeard(const VmIncarnation &member) const
+SilenceAgreement::SteadyTime SilenceAgreement::lastRequestAt(const VmIncarnation &member) const
 {
     const auto known = this->peers.find(member);
-    return known == this->peers.end() ? SteadyTime() : known->second.lastHeard;
+    return known == this->peers.end() ? SteadyTime() : known->second.lastRequestAt;
 }
 
 bool SilenceAgreement::isPlaceLost(const VmIncarnation &silent, SteadyTime now) const
--- a/modules/lacewingmux_records/members/SilenceAgreement.h
+++ b/modules/lacewingmux_records/members/SilenceAgreement.h
@@ -30,12 +30,12 @@
     void setView(const RecordsView &groupView, SteadyTime now);
 
     /** Records a request of a member, sent under the present view, and the disk identities of the
-        members that it has not heard for a while. */
+        members from which it has received nothing for a while. */
     void recordRequest(const VmIncarnation &peer, const std::vector<std::uint64_t> &silentDisks,
                        SteadyTime now);
 
-    /** Returns when the member was last heard, or when it was added to the view. */
-    [[nodiscard]] SteadyTime lastHeard(const VmIncarnation &member) const;
+    /** Returns when the member's last request arrived, or when it was added to the view. */
+    [[nodiscard]] SteadyTime lastRequestAt(const VmIncarnation &member) const;
 
     /** Returns whether this VM, which must be synced, may give the place of a silent member to a
         joining one: a joining member is there, and all but toleratedDisks of the members whose
@@ -46,7 +46,7 @@
 private:
     struct Peer
     {
-        SteadyTime lastHeard;
+        SteadyTime lastRequestAt;
         SteadyTime reportedAt;
         bool hasReported = false; ///< under the present view
         std::set<std::uint64_t> silentDisks;
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -77,8 +77,10 @@
     /** Appends a record again; returns the bytes of text that it read. */
     qsizetype copyForward(std::uint64_t sequence, const RecordName &name);
     void reportSilentMembers();
-    /** Reports the silent members that have lost their places to joining ones. */
+    /** Reports a silent member that has lost its place to a joining one, if there is one. */
     void reportLostPlaces();
+    [[nodiscard]] bool isPlaceLost(const VmIncarnation &peer, TimerService::SteadyTime now) const;
+    void reportLostPlace(const VmIncarnation &peer, TimerService::SteadyTime now);
     /** Returns whether this VM, and as many others as a joining member copies from, have all
         records that members had when this one fell silent. */
     [[nodiscard]] bool isCopiedBeside(const VmIncarnation &silent) const;
--- a/modules/lacewingmux_records/server/RecordsServerMaintenance.cpp
+++ b/modules/lacewingmux_records/server/RecordsServerMaintenance.cpp
@@ -89,7 +89,7 @@
         const VmIncarnation &peer = member.vm.incarnation;
         if (peer == this->hub.self())
             continue;
-        const auto last = this->silence.lastHeard(peer);
+        const auto last = this->silence.lastRequestAt(peer);
         if (now - last > replacementDelay)
             this->hooks.memberSilent(peer);
         if (now - last > standbyTakeoverDelay && member.state == MemberState::Synced
@@ -105,28 +105,41 @@
     const TimerService::SteadyTime now = this->timers.now();
     for (const RecordsMember &member : this->view.members) {
         const VmIncarnation &peer = member.vm.incarnation;
-        const auto duration = now - this->silence.lastHeard(peer);
-        if (peer == this->hub.self() || duration < silenceThreshold) {
+        const auto duration = now - this->silence.lastRequestAt(peer);
+        if (peer == this->hub.self() || duration < silenceThreshold)
             this->positionAtSilence.erase(peer);
-            continue;
-        }
-        this->positionAtSilence.try_emplace(peer, this->index.lastSequence());
-        if (duration < standbyTakeoverDelay || now - this->placeReportedAt < placeReportInterval
-            || !this->silence.isPlaceLost(peer, now))
-            continue;
-        const bool isCopied = this->isCopiedBeside(peer);
-        if (!isCopied && duration < replacementDelay)
-            continue;
-        this->placeReportedAt = now;
-        LogEvent(isCopied ? LogSeverity::Info : LogSeverity::Warning, "recordsPlaceLost")
-                .field("vm", peer.vm)
-                .field("silentMilliseconds",
-                       static_cast<qint64>(
-                               std::chrono::duration_cast<milliseconds>(duration).count()))
-                .field("recordsMayBeMissing", !isCopied);
-        this->hooks.placeLost(peer, this->view.number);
-        return;
+        else
+            this->positionAtSilence.try_emplace(peer, this->index.lastSequence());
     }
+    if (now - this->placeReportedAt < placeReportInterval)
+        return;
+    const auto lost = std::find_if(this->view.members.begin(), this->view.members.end(),
+                                   [this, now](const auto &member) {
+                                       return this->isPlaceLost(member.vm.incarnation, now);
+                                   });
+    if (lost != this->view.members.end())
+        this->reportLostPlace(lost->vm.incarnation, now);
+}
+
+bool RecordsServer::isPlaceLost(const VmIncarnation &peer, TimerService::SteadyTime now) const
+{
+    const auto duration = now - this->silence.lastRequestAt(peer);
+    return peer != this->hub.self() && duration >= standbyTakeoverDelay
+           && this->silence.isPlaceLost(peer, now)
+           && (this->isCopiedBeside(peer) || duration >= replacementDelay);
+}
+
+void RecordsServer::reportLostPlace(const VmIncarnation &peer, TimerService::SteadyTime now)
+{
+    this->placeReportedAt = now;
+    const auto duration = now - this->silence.lastRequestAt(peer);
+    const bool isCopied = this->isCopiedBeside(peer);
+    LogEvent(isCopied ? LogSeverity::Info : LogSeverity::Warning, "recordsPlaceLost")
+            .field("vm", peer.vm)
+            .field("silentMilliseconds",
+                   static_cast<qint64>(std::chrono::duration_cast<milliseconds>(duration).count()))
+            .field("recordsMayBeMissing", !isCopied);
+    this->hooks.placeLost(peer, this->view.number);
 }
 
 bool RecordsServer::isCopiedBeside(const VmIncarnation &silent) const
@@ -142,7 +155,7 @@
             });
     const int needed = RecordsGroups::syncSources(this->view) - 1;
     return copies >= needed
-           && this->sync.sourcesCopiedSince(this->silence.lastHeard(silent)) >= needed;
+           && this->sync.sourcesCopiedSince(this->silence.lastRequestAt(silent)) >= needed;
 }
 
 void RecordsServer::reportJoining()
