Crashing requests: a full replica is no common cause

Cause: the probes that look for failures of the same time take a refused connection for a failure. Evidence: crashing_request/reaches_no_replica_after_it_has_crashed_three_while _another_was_full fails without the change: the request reaches a fourth replica. Change: a replica that refuses a connection while calls of this VM run on it has not failed.

--- a/modules/lacewingmux_gateway/replicas/CrashCorrelator.cpp
+++ b/modules/lacewingmux_gateway/replicas/CrashCorrelator.cpp
@@ -94,7 +94,7 @@
     this->addCrashes(instance, now);
 }
 
-void CrashCorrelator::recordDeparted(const QByteArray &instance, SteadyTime now)
+void CrashCorrelator::recordRefusing(const QByteArray &instance, SteadyTime now)
 {
     this->addCrashes(instance, now);
 }
--- a/modules/lacewingmux_gateway/replicas/CrashCorrelator.h
+++ b/modules/lacewingmux_gateway/replicas/CrashCorrelator.h
@@ -61,9 +61,10 @@
     /** Records that a replica is unreachable. */
     void recordUnreachable(const QByteArray &instance, SteadyTime now);
 
-    /** Records that a replica that was leaving is unreachable. Requests that it broke off count as
-        with any other replica, but its end is expected and no cause of other replicas' crashes. */
-    void recordDeparted(const QByteArray &instance, SteadyTime now);
+    /** Records that a replica accepts no connections for another reason than a failure: it was
+        leaving, or still serves the connections that it has. Requests that it broke off count as
+        with any other replica, but it is no sign of a common cause of crashes. */
+    void recordRefusing(const QByteArray &instance, SteadyTime now);
 
     /** Adds a crash coincidence that another VM observed. */
     void addRemoteCoincidence(const CrashCoincidence &coincidence, SteadyTime now);
--- a/modules/lacewingmux_gateway/replicas/Placement.cpp
+++ b/modules/lacewingmux_gateway/replicas/Placement.cpp
@@ -152,6 +152,12 @@
         --replica->ownCalls;
 }
 
+bool Placement::hasOwnCalls(const QByteArray &instance) const
+{
+    const auto found = this->replicas.constFind(instance);
+    return found != this->replicas.cend() && found->ownCalls > 0;
+}
+
 void Placement::recordSlowdown(const QByteArray &instance, double ratio, SteadyTime now)
 {
     Replica *replica = this->find(instance);
--- a/modules/lacewingmux_gateway/replicas/Placement.h
+++ b/modules/lacewingmux_gateway/replicas/Placement.h
@@ -70,6 +70,9 @@
     /** Records that a call ended, with any outcome. */
     void callEnded(const QByteArray &instance);
 
+    /** Returns whether calls of this VM to the replica have started and not ended. */
+    [[nodiscard]] bool hasOwnCalls(const QByteArray &instance) const;
+
     /** Records the duration of a response as a multiple of the average for its kind. */
     void recordSlowdown(const QByteArray &instance, double ratio, SteadyTime now);
 
--- a/modules/lacewingmux_gateway/replicas/ReplicaFleetProbes.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaFleetProbes.cpp
@@ -54,8 +54,10 @@
     const ReplicaInstance *replica = this->instance(id);
     const bool wasLeaving =
             replica == nullptr || replica->draining || this->replicaPlacement.isLeaving(*replica);
-    if (wasLeaving)
-        this->correlator.recordDeparted(id, this->timers.now());
+    // One that is at its limit of connections, or has closed its listener, serves those that it
+    // has.
+    if (wasLeaving || this->replicaPlacement.hasOwnCalls(id))
+        this->correlator.recordRefusing(id, this->timers.now());
     else
         this->correlator.recordUnreachable(id, this->timers.now());
 }
--- a/tests/gateway/CrashingRequestTest.cpp
+++ b/tests/gateway/CrashingRequestTest.cpp
@@ -30,13 +30,14 @@
         exchange.close();
 }
 
-/** Returns a handler that breaks the connection instead of an answer to "poison". */
+/** Returns a handler that breaks the connection instead of an answer to "poison", and does not
+    answer "slow". */
 ScriptedReplica::Handler breakOnPoison(Effect effect)
 {
     return [effect](const HttpRequest &request, const Exchange &exchange) {
         if (request.body == "poison")
             breakConnection(exchange, effect);
-        else
+        else if (request.body != "slow")
             exchange.write(GatewayFixture::answer(request, "sound."));
     };
 }
@@ -185,3 +186,24 @@
     sendOnce(fixture, "poison");
     cr_assert_eq(fixture.requestCount(), 3, "the request reached a fourth replica");
 }
+
+// Guards against a request that crashes replicas being cleared because another replica, which
+// serves as many connections as it can, refused a new one.
+Test(crashing_request, reaches_no_replica_after_it_has_crashed_three_while_another_was_full)
+{
+    GatewayFixture fixture(replicaCount + 1, breakOnPoison(Effect::Crash));
+    fixture.useTimeout(std::chrono::seconds(10));
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", "/once/x", "slow", {}, "slow"));
+    fixture.loop.waitUntil([&] { return fixture.requestCount() == 1; }, "the slow request");
+    for (const auto &replica : fixture.replicas) {
+        if (!replica->requests().empty())
+            replica->stopListening();
+    }
+    for (int crash = 0; crash < 3; ++crash)
+        sendOnce(fixture, "poison");
+    cr_assert_eq(fixture.requestCount(), 4);
+    fixture.loop.runFor(settledAfter);
+    sendOnce(fixture, "poison");
+    cr_assert_eq(fixture.requestCount(), 4, "the request reached a fourth replica");
+}
