--- a/tests/gateway/CrashCorrelatorTest.cpp
+++ b/tests/gateway/CrashCorrelatorTest.cpp
@@ -53,7 +53,7 @@
     cr_assert(!test.crashes.isQuarantined("bad", start));
     test.crashes.addRemoteCoincidence({"bad", QStringLiteral("i-3")}, start);
     cr_assert(test.crashes.isQuarantined("bad", start));
-    cr_assert_eq(test.reported.size(), 1, "what came from others is not told again");
+    cr_assert_eq(test.reported.size(), 1, "a notice of another VM is not sent on");
 }
 
 Test(crash_correlator, does_not_count_a_closed_connection_alone_as_a_crash)
@@ -160,12 +160,12 @@
     test.crash("i-1", "unlucky");
     test.crash("i-2", "unlucky");
     test.crashes.addRemoteCompletion("unlucky");
-    cr_assert(completed.empty(), "what came from others is not told again");
+    cr_assert(completed.empty(), "a notice of another VM is not sent on");
     test.crash("i-3", "unlucky");
     cr_assert(!test.crashes.isQuarantined("unlucky", start));
     test.crashes.recordCompleted("unlucky", start);
     test.crashes.recordCompleted("other", start);
-    cr_assert_eq(completed.size(), 1, "others are told of suspected requests");
+    cr_assert_eq(completed.size(), 1, "other VMs are notified of suspected requests only");
 }
 
 // A replica that is found unreachable again has not failed again.
--- a/tests/records/SilenceAgreementTest.cpp
+++ b/tests/records/SilenceAgreementTest.cpp
@@ -84,7 +84,7 @@
     agreement.recordRequest(vm(4), {silent}, start);
     agreement.setView(view, start);
     cr_assert_not(agreement.isPlaceLost(vm(silent), start));
-    cr_assert(agreement.lastRequestAt(vm(3)) == start, "it was heard all the same");
+    cr_assert(agreement.lastRequestAt(vm(3)) == start, "its request counts all the same");
 }
 
 Test(silence_agreement, is_decided_by_synced_members_about_others)
