--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,7 +1,7 @@
 /* Sub-agents that continue a long conversation after their front was restarted make all store
    machines take more memory than they have; the platform kills them. */
 
-#include "Deployment.h"
+#include "../harness-2/Deployment.h"
 
 #include <atomic>
 #include <csignal>
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t inputBytes = 4000 * 1000; // below maxBodyBytes, 4 MiB
+constexpr std::size_t inputBytes = 4'000'000; // below maxBodyBytes, 4 MiB
 constexpr int turns = 4;
 constexpr int programs = 2;
 constexpr int helpers = 4; // sub-agents of a program, the site's largest number
@@ -93,8 +93,8 @@
             previous = id;
         }
     }
-    record.line("platform: the store machines have used %d MB at most, the front %d MB", peakMb.load(),
-                frontPeakMb.load());
+    record.line("platform: the store machines have used %d MB at most, the front %d MB",
+                peakMb.load(), frontPeakMb.load());
     if (!isCalm()) {
         record.line("platform: SIGTERM to %s, which then starts again", front.name().c_str());
         front.signal(SIGTERM);
@@ -111,16 +111,17 @@
     std::atomic<int> failed{0};
     for (int round = 1; round <= 5; ++round) {
         std::vector<std::thread> threads;
+        threads.reserve(static_cast<std::size_t>(programs) * helpers);
         for (int number = 0; number < programs * helpers; ++number)
             threads.emplace_back([&, number] {
                 Caller own(front.address());
                 const int program = number % programs;
                 const std::string id = newId();
-                const Answer answer = own.send(
-                        "POST", "/turn/x", id,
-                        fieldsOf("p" + std::to_string(program), "h" + std::to_string(number),
-                                 last[static_cast<std::size_t>(program)]),
-                        "go on", 5000);
+                const Answer answer = own.send("POST", "/turn/x", id,
+                                               fieldsOf("p" + std::to_string(program),
+                                                        "h" + std::to_string(number),
+                                                        last[static_cast<std::size_t>(program)]),
+                                               "go on", 5000);
                 record.line("caller: helper's turn %s: %d, %s, after %.0f ms", id.c_str(),
                             answer.status, answer.isComplete ? "whole" : "cut off",
                             (answer.endedAt - answer.sentAt) * 1000);
@@ -128,9 +129,9 @@
             });
         pauseMs(300);
         Caller other(front.address());
-        const Answer bystander = other.send("POST", "/turn/x", newId(),
-                                            fieldsOf("other" + std::to_string(round), "s", ""), "begin",
-                                            5000);
+        const Answer bystander =
+                other.send("POST", "/turn/x", newId(),
+                           fieldsOf("other" + std::to_string(round), "s", ""), "begin", 5000);
         record.line("caller: first turn of another program: %d", bystander.status);
         bystanders += bystander.status == 200 && bystander.isComplete ? 1 : 0;
         for (std::thread &thread : threads)
@@ -138,7 +139,8 @@
         pauseMs(1500);
     }
     stopPlatform();
-    record.line("result: %d turns of helpers were served, %d failed; of 5 first turns of other programs "
+    record.line("result: %d turns of helpers were served, %d failed; of 5 first turns of other "
+                "programs "
                 "%d were served; the store machines used %d MB of %d MB at most",
                 served.load(), failed.load(), bystanders, peakMb.load(), settings.storeMemoryMb);
     int machines = 0;
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,7 +1,7 @@
 /* What replicas have not read yet of turns with a long history is not bounded: the front takes more
    memory than its VM has, and the platform kills it with all that it serves. */
 
-#include "Deployment.h"
+#include "../harness-2/Deployment.h"
 
 #include <atomic>
 #include <csignal>
@@ -13,15 +13,14 @@
 namespace {
 
 constexpr int programs = 32;
-constexpr int turns = 20;                      // at most 22 in the site's long programs
-constexpr std::size_t inputBytes = 100 * 1000; // the largest request of the site
-constexpr int helpers = 4;                     // sub-agents of a program, the site's largest number
-constexpr int readingPace = 500 * 1000;       // bytes a second of a replica that reads slowly
+constexpr int turns = 20;                   // at most 22 in the site's long programs
+constexpr std::size_t inputBytes = 100'000; // the largest request of the site
+constexpr int helpers = 4;                  // sub-agents of a program, the site's largest number
+constexpr int readingPace = 500 * 1000;     // bytes a second of a replica that reads slowly
 
 std::string fieldsOf(const std::string &program, const std::string &previous)
 {
-    return "Lacewingmux-Program-Id: " + program
-           + "\r\nLacewingmux-Session-Id: " + program
+    return "Lacewingmux-Program-Id: " + program + "\r\nLacewingmux-Session-Id: " + program
            + "\r\nLacewingmux-Program-Deadline-Ms: 60000\r\nLacewingmux-Token-Budget: 1000000\r\n"
              "Lacewingmux-Token-Usage: 2000,100\r\n"
            + (previous.empty() ? std::string() : "Lacewingmux-Previous-Turn: " + previous + "\r\n");
@@ -65,24 +64,25 @@
     std::vector<std::string> last(programs);
     std::atomic<int> failures{0};
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(programs) * helpers);
     std::atomic<int> next{0};
     for (int worker = 0; worker < 7; ++worker)
         threads.emplace_back([&] {
-          for (int program = next++; program < programs; program = next++) {
-            Caller caller(front.address());
-            for (int turn = 0; turn < turns; ++turn) {
-                const std::string id = newId();
-                const Answer answer = caller.send(
-                        "POST", "/turn/x", id,
-                        fieldsOf("p" + std::to_string(program),
-                                 last[static_cast<std::size_t>(program)]),
-                        std::string(inputBytes, 'i'), 5000);
-                if (answer.status != 200 || !answer.isComplete)
-                    ++failures;
-                else
-                    last[static_cast<std::size_t>(program)] = id;
+            for (int program = next++; program < programs; program = next++) {
+                Caller caller(front.address());
+                for (int turn = 0; turn < turns; ++turn) {
+                    const std::string id = newId();
+                    const Answer answer =
+                            caller.send("POST", "/turn/x", id,
+                                        fieldsOf("p" + std::to_string(program),
+                                                 last[static_cast<std::size_t>(program)]),
+                                        std::string(inputBytes, 'i'), 5000);
+                    if (answer.status != 200 || !answer.isComplete)
+                        ++failures;
+                    else
+                        last[static_cast<std::size_t>(program)] = id;
+                }
             }
-          }
         });
     for (std::thread &thread : threads)
         thread.join();
@@ -112,23 +112,24 @@
                 Caller caller(front.address());
                 const Answer before = caller.send("GET", "/safe/x", newId(), "", "", 1200);
                 if (before.status != 200 || !caller.isConnected()) {
-                    record.line("caller: the request before a helper's turn got %d, so it isn't sent",
-                                before.status);
+                    record.line(
+                            "caller: the request before a helper's turn got %d, so it isn't sent",
+                            before.status);
                     return;
                 }
                 const std::string id = newId();
-                const Answer answer = caller.send(
-                        "POST", "/turn/x", id,
-                        fieldsOf("p" + std::to_string(program),
-                                 last[static_cast<std::size_t>(program)]),
-                        "go on", 5000);
+                const Answer answer = caller.send("POST", "/turn/x", id,
+                                                  fieldsOf("p" + std::to_string(program),
+                                                           last[static_cast<std::size_t>(program)]),
+                                                  "go on", 5000);
                 bool passedOn = false;
                 for (const auto &replica : deployment.models)
                     passedOn = passedOn || replica->hasArrived(id);
-                record.line("caller: helper's turn %s on a kept connection: %d, %s, after %.0f ms, %s",
-                            id.c_str(), answer.status, answer.isComplete ? "whole" : "cut off",
-                            (answer.endedAt - answer.sentAt) * 1000,
-                            passedOn ? "passed on to a replica" : "not passed on");
+                record.line(
+                        "caller: helper's turn %s on a kept connection: %d, %s, after %.0f ms, %s",
+                        id.c_str(), answer.status, answer.isComplete ? "whole" : "cut off",
+                        (answer.endedAt - answer.sentAt) * 1000,
+                        passedOn ? "passed on to a replica" : "not passed on");
                 ++sent;
                 if (answer.status == 200 && answer.isComplete)
                     ++served;
@@ -143,11 +144,13 @@
         thread.join();
     ended = true;
     platform.join();
-    record.line("result: of %d turns sent on kept connections %d were served, %d refused, and %d passed "
-                "on to a replica and closed without an answer; the front used %d MB of %d MB at most "
-                "and was killed %d times",
-                sent.load(), served.load(), refused.load(), lost.load(), peakMb.load(),
-                front.memoryLimitMb(), kills.load());
+    record.line(
+            "result: of %d turns sent on kept connections %d were served, %d refused, and %d "
+            "passed "
+            "on to a replica and closed without an answer; the front used %d MB of %d MB at most "
+            "and was killed %d times",
+            sent.load(), served.load(), refused.load(), lost.load(), peakMb.load(),
+            front.memoryLimitMb(), kills.load());
     const bool broken = kills > 0 && lost > 3;
     record.line("result: LOST %s", broken ? "broken" : "held");
     deployment.finish(broken ? 1 : 0);
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,6 +1,6 @@
 /* A chain of turns that is longer than 16 MiB is kept, but no other front can continue it. */
 
-#include "Deployment.h"
+#include "../harness-2/Deployment.h"
 
 #include <csignal>
 
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t inputBytes = 3600 * 1024; // below maxBodyBytes, 4 MiB
+constexpr std::size_t inputBytes = 3'686'400; // below maxBodyBytes, 4 MiB
 constexpr int turns = 5;
 constexpr int tries = 8;
 
@@ -78,8 +78,8 @@
         const Answer answer = next.send("POST", "/turn/x", id, fieldsOf(previous), "go on", 5000);
         reached += reachedReplica(deployment, id) ? 1 : 0;
         served += answer.status == 200 && answer.isComplete ? 1 : 0;
-        record.line("caller: try %d to continue %s: %s: %d after %.0f ms, Retry-After %s, %s", number,
-                    previous.c_str(), id.c_str(), answer.status,
+        record.line("caller: try %d to continue %s: %s: %d after %.0f ms, Retry-After %s, %s",
+                    number, previous.c_str(), id.c_str(), answer.status,
                     (answer.endedAt - answer.sentAt) * 1000, answer.retryAfter.c_str(),
                     reachedReplica(deployment, id) ? "reached a replica" : "reached no replica");
         const std::string first = newId();
@@ -90,7 +90,8 @@
                                        "begin", 5000);
         firstTurns += other.status == 200 && other.isComplete ? 1 : 0;
         record.line("caller: a first turn %s: %d", first.c_str(), other.status);
-        pauseMs(answer.retryAfter.empty() ? 300 : static_cast<int>(std::stod(answer.retryAfter) * 1000));
+        pauseMs(answer.retryAfter.empty() ? 300
+                                          : static_cast<int>(std::stod(answer.retryAfter) * 1000));
     }
     record.line("result: of %d tries to continue the turn %d reached a replica and %d were served; "
                 "%d first turns were served",
--- a/review/harness-2/Caller.h
+++ b/review/harness-2/Caller.h
@@ -11,9 +11,9 @@
 /** What a caller got. */
 struct Answer
 {
-    int status = 0;        ///< 0: none
+    int status = 0; ///< 0: none
     bool isComplete = false;
-    std::string body;      ///< of a stream, its events' data, each with a line feed
+    std::string body; ///< of a stream, its events' data, each with a line feed
     std::string retryAfter;
     bool hasStamp = false;
     double sentAt = 0;
--- a/review/harness-2/Fleet.cpp
+++ b/review/harness-2/Fleet.cpp
@@ -128,22 +128,25 @@
     file << "{\"nodeName\":\"" << this->vm << "\",\"role\":\"" << (isFront ? "front" : "records")
          << "\",\"machineClass\":\"" << (isFront ? "front" : "store") << "\",\"serves\":[\""
          << (isFront ? "front" : "store") << "\"],\"ip\":\"" << this->ip << "\",\"zone\":\""
-         << this->settings.zone << "\",\"region\":\"r\",\"zones\":{\"za\":\"r\",\"zb\":\"r\",\"zc\":\"r\"},"
+         << this->settings.zone
+         << "\",\"region\":\"r\",\"zones\":{\"za\":\"r\",\"zb\":\"r\",\"zc\":\"r\"},"
          << "\"listen\":{"
-         << (isFront ? "\"front\":" + endpoint(ingressPort) + ",\"readiness\":"
-                                + endpoint(readinessPort)
+         << (isFront ? "\"front\":" + endpoint(ingressPort)
+                               + ",\"readiness\":" + endpoint(readinessPort)
                      : std::string())
          << "},\"internalPortRange\":[7780,7795],\"seeds\":[],\"bootstrap\":"
-         << (this->wasStarted ? "false" : "true") << ",\"inFaultBudget\":"
-         << (isFront ? "false" : "true")
+         << (this->wasStarted ? "false" : "true")
+         << ",\"inFaultBudget\":" << (isFront ? "false" : "true")
          << ",\"limits\":{\"cpuShare\":0.5,\"cores\":1,\"memoryMb\":" << this->settings.memoryMb
          << ",\"maxFds\":4100,\"linkMbps\":1000.0,\"diskMb\":" << (isFront ? 0 : 530)
          << "},\"dataDir\":" << (isFront ? std::string("null") : "\"" + data + "\"")
          << ",\"discovery\":\"platform\",\"entry\":\"vip\",\"heartbeatMs\":1200,"
-         << "\"contracts\":[\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"agent\",\"stream\","
+         << "\"contracts\":[\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"agent\","
+            "\"stream\","
             "\"engine\",\"platform\"],\"faultTolerance\":{\"machines\":"
          << this->settings.toleratedMachines
-         << ",\"zones\":1,\"regions\":0},\"bounds\":{\"seedLagS\":3,\"addrReuseS\":2,\"contactMs\":3000,"
+         << ",\"zones\":1,\"regions\":0},\"bounds\":{\"seedLagS\":3,\"addrReuseS\":2,\"contactMs\":"
+            "3000,"
             "\"ackMs\":4000,\"catchUpS\":4.9,\"drainMs\":2000,\"graceS\":"
          << this->settings.graceS
          << ",\"lostSlackMs\":200,\"configApplyMs\":2000,\"rollbackSlackMs\":250,\"outerMs\":5000,"
--- a/review/harness-2/Http.cpp
+++ b/review/harness-2/Http.cpp
@@ -153,7 +153,7 @@
 
 void Stream::setReadTimeout(int milliseconds) const
 {
-    const timeval limit{milliseconds / 1000, (milliseconds % 1000) * 1000};
+    const timeval limit{milliseconds / 1000, (milliseconds % 1000) * 1000L};
     ::setsockopt(this->descriptor, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
 }
 
@@ -180,20 +180,20 @@
         || ::getsockname(this->descriptor, reinterpret_cast<sockaddr *>(&endpoint), &length) != 0)
         return;
     this->portNumber = ntohs(endpoint.sin_port);
-    this->acceptor = std::thread([listening = this->descriptor,
-                                  handler = std::move(connectionHandler)] {
-        while (true) {
-            const int accepted = ::accept4(listening, nullptr, nullptr, SOCK_CLOEXEC);
-            if (accepted < 0)
-                return;
-            const int on = 1;
-            ::setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-            std::thread([accepted, handler] {
-                Stream stream(accepted);
-                handler(stream);
-            }).detach();
-        }
-    });
+    this->acceptor =
+            std::thread([listening = this->descriptor, handler = std::move(connectionHandler)] {
+                while (true) {
+                    const int accepted = ::accept4(listening, nullptr, nullptr, SOCK_CLOEXEC);
+                    if (accepted < 0)
+                        return;
+                    const int on = 1;
+                    ::setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+                    std::thread([accepted, handler] {
+                        Stream stream(accepted);
+                        handler(stream);
+                    }).detach();
+                }
+            });
 }
 
 Listener::~Listener()
--- a/review/harness-2/Http.h
+++ b/review/harness-2/Http.h
@@ -3,8 +3,8 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <thread>
--- a/review/harness-2/Replica.cpp
+++ b/review/harness-2/Replica.cpp
@@ -36,9 +36,8 @@
                    std::chrono::system_clock::now().time_since_epoch())
                    .count())
 {
-    this->listener =
-            std::make_unique<Listener>("127.0.0.1", this->settings.receiveBufferBytes,
-                                       [this](Stream &stream) { this->serve(stream); });
+    this->listener = std::make_unique<Listener>("127.0.0.1", this->settings.receiveBufferBytes,
+                                                [this](Stream &stream) { this->serve(stream); });
     this->registerInStore();
     this->heartbeat = std::thread([this] {
         for (int round = 0; !this->ended; ++round) {
@@ -83,8 +82,8 @@
     const auto pause = [this](std::size_t taken) {
         const int pace = this->readingPace;
         if (pace > 0)
-            std::this_thread::sleep_for(std::chrono::duration<double>(
-                    static_cast<double>(taken) / static_cast<double>(pace)));
+            std::this_thread::sleep_for(std::chrono::duration<double>(static_cast<double>(taken)
+                                                                      / static_cast<double>(pace)));
     };
     const auto headRead = [this](const Message &head) {
         const std::lock_guard lock(this->mutex);
@@ -126,7 +125,8 @@
     const std::string common = "HTTP/1.1 200 OK\r\nLacewingmux-Request-Id: " + id
                                + "\r\nLacewingmux-Server-Stamp: " + stamp
                                + "\r\nKeep-Alive: timeout=10\r\n";
-    if (target.find("/stream/") == std::string::npos && target.find("/turn/") == std::string::npos) {
+    if (target.find("/stream/") == std::string::npos
+        && target.find("/turn/") == std::string::npos) {
         pauseFor(this->settings.workMs);
         const std::string body = "answer to " + id;
         if (!stream.write(common + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"
@@ -134,7 +134,8 @@
             return;
         return;
     }
-    if (!stream.write(common + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+    if (!stream.write(common
+                      + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
         return;
     for (int event = 1; event <= this->settings.eventCount; ++event) {
         pauseFor(this->settings.eventMs);
--- a/review/harness-2/Replica.h
+++ b/review/harness-2/Replica.h
@@ -18,11 +18,11 @@
 /** What a replica ran. */
 struct Run
 {
-    std::string request;   ///< Lacewingmux-Request-Id
-    std::string target;    ///< path and query
+    std::string request; ///< Lacewingmux-Request-Id
+    std::string target;  ///< path and query
     std::size_t bodyBytes = 0;
     std::uint64_t bodyHash = 0;
-    double begin = 0;      ///< seconds since the start of the case
+    double begin = 0; ///< seconds since the start of the case
 };
 
 std::uint64_t hashOf(const std::string &text);
--- a/review/harness-2/Store.cpp
+++ b/review/harness-2/Store.cpp
@@ -144,9 +144,11 @@
         std::string events;
         for (auto entry = this->history.rbegin();
              entry != this->history.rend() && entry->second.revision > after; ++entry) {
-            if (startsWith(entry->first, prefix))
-                events = describe(entry->first, entry->second) + (events.empty() ? "" : ",")
-                         + events;
+            if (!startsWith(entry->first, prefix))
+                continue;
+            if (!events.empty())
+                events.insert(0, ",");
+            events.insert(0, describe(entry->first, entry->second));
         }
         if (!events.empty() || this->changed.wait_until(lock, limit) == std::cv_status::timeout)
             return "{\"events\":[" + events
