--- a/review/harness-2/Http.cpp
+++ b/review/harness-2/Http.cpp
@@ -163,7 +163,8 @@
     ::setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
 }
 
-Listener::Listener(const std::string &address, int receiveBufferBytes, Handler connectionHandler)
+Listener::Listener(const std::string &address, std::uint16_t port, int receiveBufferBytes,
+                   Handler connectionHandler)
     : descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
     if (receiveBufferBytes > 0)
@@ -173,7 +174,9 @@
     // end holds megabytes for each connection.
     const int segmentBytes = 1460;
     ::setsockopt(this->descriptor, IPPROTO_TCP, TCP_MAXSEG, &segmentBytes, sizeof segmentBytes);
-    sockaddr_in endpoint = endpointOf(address, 0);
+    const int on = 1;
+    ::setsockopt(this->descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in endpoint = endpointOf(address, port);
     socklen_t length = sizeof endpoint;
     if (::bind(this->descriptor, reinterpret_cast<sockaddr *>(&endpoint), length) != 0
         || ::listen(this->descriptor, 512) != 0
--- a/review/harness-2/Http.h
+++ b/review/harness-2/Http.h
@@ -61,7 +61,9 @@
 public:
     using Handler = std::function<void(Stream &)>;
 
-    Listener(const std::string &address, int receiveBufferBytes, Handler connectionHandler);
+    /** Port 0: the system chooses one. */
+    Listener(const std::string &address, std::uint16_t port, int receiveBufferBytes,
+             Handler connectionHandler);
     ~Listener();
     Listener(const Listener &) = delete;
     Listener &operator=(const Listener &) = delete;
--- a/review/harness-2/Replica.cpp
+++ b/review/harness-2/Replica.cpp
@@ -1,7 +1,10 @@
 #include "Replica.h"
 
+#include <algorithm>
 #include <chrono>
 
+#include <sys/socket.h>
+
 namespace review {
 
 namespace {
@@ -11,6 +14,13 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
 }
 
+long long nowMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+}
+
 std::string chunkOf(const std::string &text)
 {
     char size[32];
@@ -32,17 +42,15 @@
     : settings(replicaSettings)
     , store(platformStore)
     , record(caseRecord)
-    , born(std::chrono::duration_cast<std::chrono::milliseconds>(
-                   std::chrono::system_clock::now().time_since_epoch())
-                   .count())
+    , born(nowMilliseconds())
 {
-    this->listener = std::make_unique<Listener>("127.0.0.1", this->settings.receiveBufferBytes,
+    this->listener = std::make_unique<Listener>("127.0.0.1", 0, this->settings.receiveBufferBytes,
                                                 [this](Stream &stream) { this->serve(stream); });
     this->registerInStore();
     this->heartbeat = std::thread([this] {
         for (int round = 0; !this->ended; ++round) {
             pauseFor(100);
-            if (round % 12 == 11)
+            if (round % 12 == 11 && !this->down)
                 this->registerInStore();
         }
     });
@@ -66,8 +74,39 @@
     return this->arrived.contains(request);
 }
 
+void Replica::crash()
+{
+    if (this->down.exchange(true))
+        return;
+    std::thread([this] {
+        const std::uint16_t port = this->listener->port();
+        this->listener.reset();
+        const std::string former = this->settings.id;
+        {
+            const std::lock_guard lock(this->mutex);
+            for (const Stream *stream : this->open)
+                ::shutdown(stream->descriptor, SHUT_RDWR);
+        }
+        pauseFor(this->crashRestartMs);
+        {
+            const std::lock_guard lock(this->mutex);
+            this->settings.id =
+                    former.substr(0, former.find('-', 2)) + "-" + std::to_string(++this->starts);
+            this->born = nowMilliseconds();
+        }
+        this->listener =
+                std::make_unique<Listener>("127.0.0.1", port, this->settings.receiveBufferBytes,
+                                           [this](Stream &stream) { this->serve(stream); });
+        this->registerInStore();
+        this->down = false;
+        pauseFor(std::max(0, 3600 - this->crashRestartMs)); // three heartbeats without one
+        this->store.erase("servers/" + former);
+    }).detach();
+}
+
 void Replica::registerInStore()
 {
+    const std::lock_guard lock(this->mutex);
     this->store.put("servers/" + this->settings.id,
                     "{\"service\":\"" + this->settings.service + "\",\"address\":\"127.0.0.1:"
                             + std::to_string(this->listener->port()) + "\",\"zone\":\""
@@ -89,10 +128,27 @@
         const std::lock_guard lock(this->mutex);
         this->arrived.insert(head.field("lacewingmux-request-id"));
     };
+    {
+        const std::lock_guard lock(this->mutex);
+        this->open.insert(&stream);
+    }
+    this->serveRequests(stream, pause, headRead);
+    const std::lock_guard lock(this->mutex);
+    this->open.erase(&stream);
+}
+
+void Replica::serveRequests(Stream &stream, const std::function<void(std::size_t)> &pause,
+                            const std::function<void(const Message &)> &headRead)
+{
     while (const auto request = stream.message(pause, headRead)) {
+        std::string id;
+        {
+            const std::lock_guard lock(this->mutex);
+            id = this->settings.id;
+        }
         const std::string expected = request->field("lacewingmux-expect-instance");
-        if (!expected.empty() && expected != this->settings.id) {
-            this->record.line("replica %s: 421 for %s", this->settings.id.c_str(),
+        if (!expected.empty() && expected != id) {
+            this->record.line("replica %s: 421 for %s", id.c_str(),
                               request->field("lacewingmux-request-id").c_str());
             if (!stream.write("HTTP/1.1 421 Misdirected Request\r\nLacewingmux-Request-Id: "
                               + request->field("lacewingmux-request-id")
@@ -100,9 +156,7 @@
                 return;
             continue;
         }
-        ++this->runningNow;
         this->run(stream, *request);
-        --this->runningNow;
         if (stream.isClosed())
             return;
     }
@@ -121,6 +175,12 @@
     }
     this->record.line("replica %s: runs %s %s, body of %zu bytes", this->settings.id.c_str(),
                       id.c_str(), target.c_str(), request.body.size());
+    if (!this->crashBody.empty() && request.body == this->crashBody) {
+        this->record.line("replica %s: crashes", this->settings.id.c_str());
+        this->crash();
+        pauseFor(20);
+        return;
+    }
     const std::string stamp = this->settings.id + "." + std::to_string(number);
     const std::string common = "HTTP/1.1 200 OK\r\nLacewingmux-Request-Id: " + id
                                + "\r\nLacewingmux-Server-Stamp: " + stamp
--- a/review/harness-2/Replica.h
+++ b/review/harness-2/Replica.h
@@ -58,15 +58,21 @@
     {
         this->readingPace = bytesPerSecond;
     }
-    [[nodiscard]] int running() const
+    /** Lets the process of the replica crash when it begins to run a request whose body is this,
+       and start again under another id after the time. */
+    void setCrash(const std::string &body, int restartMs)
     {
-        return this->runningNow;
+        this->crashBody = body;
+        this->crashRestartMs = restartMs;
     }
 
 private:
     void serve(Stream &stream);
+    void serveRequests(Stream &stream, const std::function<void(std::size_t)> &pause,
+                       const std::function<void(const Message &)> &headRead);
     void run(Stream &stream, const Message &request);
     void registerInStore();
+    void crash();
 
     Settings settings;
     Store &store;
@@ -75,7 +81,11 @@
     std::vector<Run> started;
     std::set<std::string> arrived;
     std::atomic<int> readingPace{0};
-    std::atomic<int> runningNow{0};
+    std::string crashBody;
+    int crashRestartMs = 0;
+    int starts = 0;
+    std::set<Stream *> open;
+    std::atomic<bool> down{false};
     std::atomic<bool> ended{false};
     long long born;
     std::unique_ptr<Listener> listener;
--- a/review/harness-2/Store.cpp
+++ b/review/harness-2/Store.cpp
@@ -54,7 +54,7 @@
 
 Store::Store()
 {
-    this->listener = std::make_unique<Listener>("127.0.0.1", 0,
+    this->listener = std::make_unique<Listener>("127.0.0.1", 0, 0,
                                                 [this](Stream &stream) { this->serve(stream); });
 }
 
