--- a/review/harness-2/Deployment.cpp
+++ b/review/harness-2/Deployment.cpp
@@ -46,8 +46,10 @@
 Deployment::Deployment(const DeploymentSettings &deploymentSettings, Record &caseRecord)
     : record(caseRecord)
 {
-    char name[] = "/tmp/lacewingmux-review-XXXXXX";
-    this->folder = ::mkdtemp(name);
+    const char *base = std::getenv("TMPDIR"); // run.sh removes it
+    this->folder = std::string(base == nullptr ? "/tmp" : base) + "/lacewingmux-review-XXXXXX";
+    if (::mkdtemp(this->folder.data()) == nullptr)
+        ::_exit(2);
     this->store.put("op/config", configuration());
     for (int number = 1; number <= 3; ++number)
         this->records.push_back(std::make_unique<Daemon>(
--- a/review/harness-2/Fleet.cpp
+++ b/review/harness-2/Fleet.cpp
@@ -11,6 +11,7 @@
 #include <thread>
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -50,8 +51,13 @@
     const std::string log = this->settings.folder + "/" + this->vm + ".log";
     const std::string role = this->settings.role == Role::Front ? "--platform-role=front"
                                                                 : "--platform-role=records";
+    const pid_t parent = ::getpid();
     this->process = ::fork();
     if (this->process == 0) {
+        // The daemon ends with the case, also if that crashes or is killed.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (::getppid() != parent)
+            ::_exit(127);
         const int output = ::open(log.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0644);
         ::dup2(output, 1);
         ::dup2(output, 2);
