--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds the stand-ins and the cases of the second review into the folder given, or
-# review/harness-2/bin. Needs g++ only.
+# review/harness-2/bin. Needs g++ only. Cases 7 and 9 use the headers of harness-3.
 set -euo pipefail
 cd "$(dirname "$0")"
 out="${1:-harness-2/bin}"
@@ -12,7 +12,11 @@
     parts+=("$out/$part.o")
 done
 for job in $(jobs -p); do wait "$job"; done
-for number in 6 7 8 9 10; do
+for number in 6 8 10; do
     [ -f "$number/case.cpp" ] || continue
     g++ "${flags[@]}" "$number/case.cpp" "${parts[@]}" -o "$out/case-$number"
 done
+for number in 7 9; do
+    g++ "${flags[@]}" "$number/case.cpp" -o "$out/case-$number" &
+done
+for job in $(jobs -p); do wait "$job"; done
--- a/review/harness-3/Fleet.h
+++ b/review/harness-3/Fleet.h
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <memory>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <vector>
@@ -45,6 +46,7 @@
         this->pid = ::fork();
         if (this->pid != 0)
             return;
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // the daemon ends with the script
         const int output = ::open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
         ::dup2(output, 1);
         ::dup2(output, 2);
@@ -130,8 +132,10 @@
 
     bool start(int frontCount, int recordsCount = 3)
     {
-        char path[] = "/tmp/lacewingmux-review-XXXXXX";
-        if (::mkdtemp(path) == nullptr || !this->store.start() || !this->chooseNetwork())
+        const char *temporary = std::getenv("TMPDIR");
+        std::string path = temporary != nullptr ? temporary : "/tmp";
+        path += "/lacewingmux-review-XXXXXX";
+        if (::mkdtemp(path.data()) == nullptr || !this->store.start() || !this->chooseNetwork())
             return false;
         this->folder = path;
         static const char *zones[] = {"ww-one", "ww-two", "ww-three"};
