--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,159 +1,117 @@
-/* What replicas have not read yet of turns with a long history is not bounded: the front takes more
-   memory than its VM has, and the platform kills it with all that it serves. */
+/* A chain of turns that is longer than 16 MiB is kept, but no other front can continue it. */
 
 #include "../harness-2/Deployment.h"
 
-#include <atomic>
 #include <csignal>
-#include <mutex>
-#include <thread>
 
 using namespace review;
 
 namespace {
 
-constexpr int programs = 32;
-constexpr int turns = 20;                   // at most 22 in the site's long programs
-constexpr std::size_t inputBytes = 100'000; // the largest request of the site
-constexpr int helpers = 4;                  // sub-agents of a program, the site's largest number
-constexpr int readingPace = 450'000;        // bytes a second of a replica that reads slowly
+constexpr std::size_t inputBytes = 3'686'400; // below maxBodyBytes, 4 MiB
+constexpr int turns = 5;
+constexpr int tries = 10;
 
-std::string fieldsOf(const std::string &program, const std::string &previous)
+std::string fieldsOf(const std::string &previous)
 {
-    return "Lacewingmux-Program-Id: " + program + "\r\nLacewingmux-Session-Id: " + program
-           + "\r\nLacewingmux-Program-Deadline-Ms: 60000\r\nLacewingmux-Token-Budget: 1000000\r\n"
-             "Lacewingmux-Token-Usage: 2000,100\r\n"
+    return "Lacewingmux-Program-Id: p1\r\nLacewingmux-Session-Id: s1\r\n"
+           "Lacewingmux-Program-Deadline-Ms: 60000\r\nLacewingmux-Token-Budget: 100000\r\n"
+           "Lacewingmux-Token-Usage: 2000,100\r\n"
            + (previous.empty() ? std::string() : "Lacewingmux-Previous-Turn: " + previous + "\r\n");
 }
 
+bool reachedReplica(Deployment &deployment, const std::string &id)
+{
+    for (const auto &replica : deployment.models) {
+        for (const Run &run : replica->runs()) {
+            if (run.request == id)
+                return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 int main(int, char **arguments)
 {
     Record record(arguments[1]);
     DeploymentSettings settings;
-    settings.modelReplicas = 9;
-    settings.model.receiveBufferBytes = 65536;
-    settings.model.eventCount = 18;
-    settings.model.eventMs = 5;
+    settings.frontMemoryMb = 512;
+    settings.storeMemoryMb = 512;
     Deployment deployment(settings, record);
     if (!deployment.start())
         deployment.finish(2);
     Daemon &front = *deployment.fronts.front();
-
-    // The platform: a process that uses more than memoryMb is killed and started again.
-    std::atomic<bool> ended{false};
-    std::atomic<int> kills{0};
-    std::atomic<int> peakMb{0};
-    std::thread platform([&] {
-        while (!ended) {
-            pauseMs(5);
-            const double used = front.memoryMb();
-            peakMb = std::max<int>(peakMb, static_cast<int>(used));
-            if (used <= front.memoryLimitMb())
-                continue;
-            record.line("platform: %s uses %.0f MB of %d MB and is killed", front.name().c_str(),
-                        used, front.memoryLimitMb());
-            ++kills;
-            front.kill();
-            pauseMs(500);
-            front.start();
-        }
-    });
-
-    std::vector<std::string> last(programs);
-    std::atomic<int> failures{0};
-    std::vector<std::thread> threads;
-    threads.reserve(static_cast<std::size_t>(programs) * helpers);
-    std::atomic<int> next{0};
-    for (int worker = 0; worker < 4; ++worker)
-        threads.emplace_back([&] {
-            for (int program = next++; program < programs; program = next++) {
-                Caller caller(front.address());
-                int made = 0;
-                for (int sent = 0; made < turns && sent < 2 * turns; ++sent) {
-                    const std::string id = newId();
-                    const Answer answer =
-                            caller.send("POST", "/turn/x", id,
-                                        fieldsOf("p" + std::to_string(program),
-                                                 last[static_cast<std::size_t>(program)]),
-                                        std::string(inputBytes, 'i'), 5000);
-                    if (answer.status != 200 || !answer.isComplete)
-                        continue;
-                    last[static_cast<std::size_t>(program)] = id;
-                    ++made;
-                }
-                failures += turns - made;
-            }
-        });
-    for (std::thread &thread : threads)
-        thread.join();
-    threads.clear();
-    record.line("callers: %d programs have made %d turns each, %d failed; %s used %d MB at most",
-                programs, turns, failures.load(), front.name().c_str(), peakMb.load());
-    if (failures > 0 || kills > 0) {
-        ended = true;
-        platform.join();
-        deployment.finish(2);
+    Caller caller(front.address());
+    std::string previous;
+    std::string history;
+    for (int turn = 1; turn <= turns; ++turn) {
+        const std::string id = newId();
+        const std::string input(inputBytes, static_cast<char>('a' + turn));
+        const Answer answer = caller.send("POST", "/turn/x", id, fieldsOf(previous), input, 5000);
+        record.line("caller: turn %d %s: %d, %s", turn, id.c_str(), answer.status,
+                    answer.isComplete ? "whole" : "not whole");
+        if (answer.status != 200 || !answer.isComplete)
+            deployment.finish(2);
+        previous = id;
+        history += input + answer.body;
     }
-
+    record.line("caller: the turns so far take %zu bytes", history.size());
+    caller.close();
     if (!isCalm()) {
-        record.line("replicas: all read %d bytes a second from now on", readingPace);
-        for (const auto &replica : deployment.models)
-            replica->setReadingPace(readingPace);
+        record.line("platform: SIGTERM to %s, which then starts again", front.name().c_str());
+        front.signal(SIGTERM);
+        if (!front.waitForEnd(8000))
+            record.line("platform: SIGKILL after graceS");
+        front.start();
+        if (!waitUntilReady(front, 15000))
+            deployment.finish(2);
+        pauseMs(4000); // longer than contactMs
     }
-    pauseMs(500);
-    peakMb = 0;
-    std::atomic<int> sent{0};
-    std::atomic<int> served{0};
-    std::atomic<int> refused{0};
-    std::atomic<int> lost{0};
-    for (int program = 0; program < programs; ++program)
-        for (int helper = 0; helper < helpers; ++helper) {
-            threads.emplace_back([&, program] {
-                Caller caller(front.address());
-                const Answer before = caller.send("GET", "/safe/x", newId(), "", "", 1200);
-                if (before.status != 200 || !caller.isConnected()) {
-                    record.line(
-                            "caller: the request before a helper's turn got %d, so it isn't sent",
-                            before.status);
-                    return;
-                }
-                const std::string id = newId();
-                const Answer answer = caller.send("POST", "/turn/x", id,
-                                                  fieldsOf("p" + std::to_string(program),
-                                                           last[static_cast<std::size_t>(program)]),
-                                                  "go on", 5000);
-                bool passedOn = false;
-                for (const auto &replica : deployment.models)
-                    passedOn = passedOn || replica->hasArrived(id);
-                record.line(
-                        "caller: helper's turn %s on a kept connection: %d, %s, after %.0f ms, %s",
-                        id.c_str(), answer.status, answer.isComplete ? "whole" : "cut off",
-                        (answer.endedAt - answer.sentAt) * 1000,
-                        passedOn ? "passed on to a replica" : "not passed on");
-                ++sent;
-                if (answer.status == 200 && answer.isComplete)
-                    ++served;
-                else if (answer.isComplete)
-                    ++refused;
-                else if (passedOn)
-                    ++lost;
-            });
-            pauseMs(40);
-        }
-    for (std::thread &thread : threads)
-        thread.join();
-    ended = true;
-    platform.join();
-    record.line(
-            "result: of %d turns sent on kept connections %d were served, %d refused, and %d "
-            "passed "
-            "on to a replica and closed without an answer; the front used %d MB of %d MB at most "
-            "and was killed %d times",
-            sent.load(), served.load(), refused.load(), lost.load(), peakMb.load(),
-            front.memoryLimitMb(), kills.load());
-    const bool broken = kills > 0 && lost > 3;
+    // The system is up again once first turns are served.
+    int inARow = 0;
+    for (int number = 0; number < 20 && inARow < 3; ++number) {
+        Caller other(front.address());
+        const std::string id = newId();
+        const Answer answer = other.send("POST", "/turn/x", id,
+                                         "Lacewingmux-Program-Id: p" + id
+                                                 + "\r\nLacewingmux-Token-Budget: 1000\r\n"
+                                                   "Lacewingmux-Token-Usage: 20,100\r\n",
+                                         "begin", 5000);
+        inARow = answer.status == 200 && answer.isComplete ? inARow + 1 : 0;
+        pauseMs(200);
+    }
+    int reached = 0;
+    int served = 0;
+    int firstTurns = 0;
+    for (int number = 1; number <= tries; ++number) {
+        Caller next(front.address());
+        const std::string id = newId();
+        const Answer answer = next.send("POST", "/turn/x", id, fieldsOf(previous), "go on", 5000);
+        reached += reachedReplica(deployment, id) ? 1 : 0;
+        served += answer.status == 200 && answer.isComplete ? 1 : 0;
+        record.line("caller: try %d to continue %s: %s: %d after %.0f ms, Retry-After %s, %s",
+                    number, previous.c_str(), id.c_str(), answer.status,
+                    (answer.endedAt - answer.sentAt) * 1000, answer.retryAfter.c_str(),
+                    reachedReplica(deployment, id) ? "reached a replica" : "reached no replica");
+        const std::string first = newId();
+        const Answer other = next.send("POST", "/turn/x", first,
+                                       "Lacewingmux-Program-Id: p" + first
+                                               + "\r\nLacewingmux-Token-Budget: 1000\r\n"
+                                                 "Lacewingmux-Token-Usage: 20,100\r\n",
+                                       "begin", 5000);
+        firstTurns += other.status == 200 && other.isComplete ? 1 : 0;
+        record.line("caller: a first turn %s: %d", first.c_str(), other.status);
+        pauseMs(answer.retryAfter.empty() ? 300
+                                          : static_cast<int>(std::stod(answer.retryAfter) * 1000));
+    }
+    record.line("result: of %d tries to continue the turn %d reached a replica and %d were served; "
+                "%d first turns were served",
+                tries, reached, served, firstTurns);
+    const bool broken = reached == 0;
     record.line("result: LOST %s", broken ? "broken" : "held");
+    if (firstTurns < tries * 9 / 10)
+        deployment.finish(2);
     deployment.finish(broken ? 1 : 0);
 }
