Crashing requests: an answer ends a quarantine whose crashes had one moment

Cause: a popular content runs on all replicas that fail together, so nothing else shows their common cause, and three crashes quarantine it. 0.5 s later the twelve other replicas answer the same content, which does clear a suspect (Quarantine::completed) but never a quarantine that has begun.

Change: an answer whose replica is still reachable afterwards ends the quarantine if fewer than three of the crashes were separate, that is of runs that began after the crash before; the answered run was then under way while the replicas failed, and shows that the content does not crash what runs it. After three separate crashes only an answer to a run that began later ends it: an earlier one may come from replicas of another version. Other VMs learn the age of the run from the notice; one of an earlier version states none, which counts as an earlier run.

Ruled out: a higher number of crashes or a longer wait, as a request that crashes replicas, sent to all entry VMs at once, looks the same until a run of it is answered, which never happens to it.

--- a/modules/lacewingmux_core/protection/Quarantine.cpp
+++ b/modules/lacewingmux_core/protection/Quarantine.cpp
@@ -47,6 +47,11 @@
         this->entries.erase(found);
 }
 
+void Quarantine::release(const QByteArray &contentDigest)
+{
+    this->entries.erase(contentDigest);
+}
+
 QuarantineVerdict Quarantine::verdict(const QByteArray &contentDigest, SteadyTime now) const
 {
     const Entry *entry = this->liveEntry(contentDigest, now);
--- a/modules/lacewingmux_core/protection/Quarantine.h
+++ b/modules/lacewingmux_core/protection/Quarantine.h
@@ -65,6 +65,9 @@
     /** Notes that the content ran to its end: a suspect is clear, a quarantined one is not. */
     void completed(const QByteArray &contentDigest);
 
+    /** Ends the suspicion or quarantine of a content that proved not to be the cause of crashes. */
+    void release(const QByteArray &contentDigest);
+
     /** Returns how far the content is trusted now. */
     [[nodiscard]] QuarantineVerdict verdict(const QByteArray &contentDigest, SteadyTime now) const;
 
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallCrash.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallCrash.cpp
@@ -25,8 +25,9 @@
                                         this->attempt.sentAt, this->now()});
     // The call may have ended by then.
     fleet.checkSurvival(this->attempt.replica, tunnel,
-                        [&fleet, &timers = this->context.timers, digest = this->contentDigest()] {
-                            fleet.crashCorrelator().recordCompleted(digest, timers.now());
+                        [&fleet, &timers = this->context.timers, digest = this->contentDigest(),
+                         sentAt = this->attempt.sentAt] {
+                            fleet.crashCorrelator().recordCompleted(digest, sentAt, timers.now());
                         });
 }
 
--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -121,12 +121,13 @@
     this->fleet.crashCorrelator().addRemoteCoincidence(coincidence, this->timers.now());
 }
 
-void Gateway::addRemoteCompletion(const QByteArray &contentDigest)
+void Gateway::addRemoteCompletion(const CrashCoincidence &run)
 {
-    this->fleet.crashCorrelator().addRemoteCompletion(contentDigest);
+    this->fleet.crashCorrelator().addRemoteCompletion(run.contentDigest, run.sinceSent,
+                                                      this->timers.now());
 }
 
-void Gateway::setCompletionHook(std::function<void(const QByteArray &)> hook)
+void Gateway::setCompletionHook(CrashCorrelator::CompletionHook hook)
 {
     this->fleet.crashCorrelator().setCompletionHook(std::move(hook));
 }
--- a/modules/lacewingmux_gateway/forwarding/Gateway.h
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.h
@@ -59,12 +59,12 @@
     /** Adds a crash coincidence that another VM observed. */
     void addRemoteCoincidence(const CrashCoincidence &coincidence);
 
-    /** Records that a replica has answered a suspected request at another VM. */
-    void addRemoteCompletion(const QByteArray &contentDigest);
+    /** Records that a replica has answered a run of a suspected request at another VM. */
+    void addRemoteCompletion(const CrashCoincidence &run);
 
     /** Sets the hook that receives each suspected request that a replica has answered, so that
         other VMs can be notified. */
-    void setCompletionHook(std::function<void(const QByteArray &contentDigest)> hook);
+    void setCompletionHook(CrashCorrelator::CompletionHook hook);
 
     /** Sets whether enough records VMs are reachable for quotas and turns. While they are not,
         calls that need them are refused at once, and their connections are closed so that callers
--- a/modules/lacewingmux_gateway/replicas/CrashCorrelator.cpp
+++ b/modules/lacewingmux_gateway/replicas/CrashCorrelator.cpp
@@ -27,11 +27,12 @@
 constexpr std::size_t maximumUndecided = 512;
 // No run takes longer, so that an older crash was before each run that may be reported.
 constexpr std::chrono::minutes longestRun{10};
+constexpr int crashesToQuarantine = 3;
 
 QuarantineSettings quarantineSettings()
 {
     QuarantineSettings settings;
-    settings.crashesToQuarantine = 3;
+    settings.crashesToQuarantine = crashesToQuarantine;
     return settings;
 }
 
@@ -51,24 +52,48 @@
     this->brokenRequests[instance].push_back(request);
 }
 
-void CrashCorrelator::recordCompleted(const QByteArray &contentDigest, SteadyTime now)
+void CrashCorrelator::recordCompleted(const QByteArray &contentDigest, SteadyTime sentAt,
+                                      SteadyTime now)
 {
-    if (this->quarantine.verdict(contentDigest, now) != QuarantineVerdict::Suspect)
+    if (!this->isRefutedBy(contentDigest, sentAt, now))
         return;
-    this->addRemoteCompletion(contentDigest);
+    this->release(contentDigest, now);
     if (this->suspectCompleted)
-        this->suspectCompleted(contentDigest);
+        this->suspectCompleted(contentDigest,
+                               std::chrono::ceil<std::chrono::milliseconds>(now - sentAt));
 }
 
-void CrashCorrelator::addRemoteCompletion(const QByteArray &contentDigest)
+void CrashCorrelator::addRemoteCompletion(const QByteArray &contentDigest,
+                                          std::chrono::milliseconds sinceSent, SteadyTime now)
 {
-    this->quarantine.completed(contentDigest);
+    const auto sentAt = sinceSent.count() > 0 ? std::optional(now - sinceSent) : std::nullopt;
+    if (this->isRefutedBy(contentDigest, sentAt, now))
+        this->release(contentDigest, now);
+}
+
+bool CrashCorrelator::isRefutedBy(const QByteArray &contentDigest, std::optional<SteadyTime> sentAt,
+                                  SteadyTime now) const
+{
+    const QuarantineVerdict verdict = this->quarantine.verdict(contentDigest, now);
+    if (verdict != QuarantineVerdict::Quarantined)
+        return verdict == QuarantineVerdict::Suspect;
+    const auto counted = this->countedCrashes.find(contentDigest);
+    return counted == this->countedCrashes.end() || counted->second.separate < crashesToQuarantine
+           || (sentAt && *sentAt > counted->second.last);
+}
+
+void CrashCorrelator::release(const QByteArray &contentDigest, SteadyTime now)
+{
+    if (this->isQuarantined(contentDigest, now))
+        LogEvent(LogSeverity::Info, "quarantineEnded").field("digest", contentDigest.toHex());
+    this->quarantine.release(contentDigest);
+    this->countedCrashes.erase(contentDigest);
     std::erase_if(this->undecided, [&contentDigest](const auto &crash) {
         return crash.coincidence.contentDigest == contentDigest;
     });
 }
 
-void CrashCorrelator::setCompletionHook(std::function<void(const QByteArray &)> hook)
+void CrashCorrelator::setCompletionHook(CompletionHook hook)
 {
     this->suspectCompleted = std::move(hook);
 }
@@ -157,16 +182,18 @@
 bool CrashCorrelator::count(const CrashCoincidence &coincidence, SteadyTime crashedAt,
                             SteadyTime now)
 {
-    if (this->lastCrashes.size() > expiryThreshold)
-        std::erase_if(this->lastCrashes,
-                      [now](const auto &last) { return now - last.second > longestRun; });
-    const auto [last, isFirst] =
-            this->lastCrashes.try_emplace(coincidence.contentDigest, crashedAt);
+    if (this->countedCrashes.size() > expiryThreshold)
+        std::erase_if(this->countedCrashes,
+                      [now](const auto &entry) { return now - entry.second.last > longestRun; });
+    const auto known = this->countedCrashes.find(coincidence.contentDigest);
     const bool overlaps =
-            !isFirst && now - coincidence.sinceSent + noticeDelayTolerance < last->second;
+            known != this->countedCrashes.end()
+            && now - coincidence.sinceSent + noticeDelayTolerance < known->second.last;
     if (overlaps || !this->quarantine.record(coincidence, now))
         return false;
-    last->second = std::max(last->second, crashedAt);
+    CountedCrashes &counted = this->countedCrashes[coincidence.contentDigest];
+    counted.last = std::max(counted.last, crashedAt);
+    ++counted.separate;
     return true;
 }
 
@@ -207,11 +234,14 @@
         }
         const QByteArray &digest = crash.coincidence.contentDigest;
         const bool hasCommonCause = this->hasCommonCause(crash);
-        if (hasCommonCause && crash.isCounted)
+        CountedCrashes &counted = this->countedCrashes[digest];
+        if (hasCommonCause && crash.isCounted) {
             this->quarantine.retract(crash.coincidence);
-        else if (!hasCommonCause && !crash.isCounted
-                 && this->quarantine.record(crash.coincidence, now))
-            this->lastCrashes[digest] = std::max(this->lastCrashes[digest], crash.crashedAt);
+            --counted.separate;
+        } else if (!hasCommonCause && !crash.isCounted
+                   && this->quarantine.record(crash.coincidence, now)) {
+            counted.last = std::max(counted.last, crash.crashedAt);
+        }
         if (!crash.isRepeated)
             continue;
         LogEvent(LogSeverity::Warning, "crashDecided")
--- a/modules/lacewingmux_gateway/replicas/CrashCorrelator.h
+++ b/modules/lacewingmux_gateway/replicas/CrashCorrelator.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -22,17 +23,23 @@
     afterwards. A request is quarantined after crashes of three replicas. A crash counts at once if
     the run began after the crash counted before. Of runs that overlap, as those of a request that
     was sent to several VMs at once, the other crashes count a moment later, unless a replica
-   without the request failed at about that time: such failures have a common cause. A crash that
-   was counted is taken back if several such replicas failed, or an idle one. Another request that
-   ran during one of these crashes is not quarantined, because it is retried on a healthy replica;
-   one that a replica has answered and survived is no longer suspected, at any VM. Reads no clock:
-   the current time is a parameter.
+    without the request failed at about that time: such failures have a common cause. A crash that
+    was counted is taken back if several such replicas failed, or an idle one.
+
+    Another request that ran during one of these crashes is not quarantined, because it is retried
+    on a healthy replica; one that a replica has answered and survived is no longer suspected, at
+    any VM. Such an answer also ends the quarantine of a request whose crashes may have had one
+    common cause, because their runs overlapped. After three crashes one after the other, only the
+    answer to a run that began later does. Reads no clock: the current time is a parameter.
 */
 class CrashCorrelator
 {
 public:
     using SteadyTime = TimerService::SteadyTime;
     using CrashHook = std::function<void(const CrashCoincidence &)>;
+    /** Receives a suspected request that a replica has answered, and the age of its run. */
+    using CompletionHook = std::function<void(const QByteArray &contentDigest,
+                                              std::chrono::milliseconds sinceSent)>;
 
     /** The first hook receives each crash detected on this VM, so that other VMs can be notified.
         The second is called when a request has crashed a second replica, so that other failures of
@@ -52,8 +59,8 @@
     /** Records that a replica closed the connection of the request. */
     void recordBrokenConnection(const QByteArray &instance, const BrokenRequest &request);
 
-    /** Records that a replica has answered the request and is still reachable. */
-    void recordCompleted(const QByteArray &contentDigest, SteadyTime now);
+    /** Records that a replica has answered a run of the request and is still reachable. */
+    void recordCompleted(const QByteArray &contentDigest, SteadyTime sentAt, SteadyTime now);
 
     /** Records that a replica was still reachable at the time. */
     void recordReachable(const QByteArray &instance, SteadyTime reachableAt);
@@ -69,12 +76,13 @@
     /** Adds a crash coincidence that another VM observed. */
     void addRemoteCoincidence(const CrashCoincidence &coincidence, SteadyTime now);
 
-    /** Records that a replica has answered the request at another VM. */
-    void addRemoteCompletion(const QByteArray &contentDigest);
+    /** Records that a replica has answered a run of the request at another VM. The age of the run
+        is 0 if that VM does not state it. */
+    void addRemoteCompletion(const QByteArray &contentDigest, std::chrono::milliseconds sinceSent,
+                             SteadyTime now);
 
-    /** Sets the hook that receives each suspected request that a replica has answered, so that
-        other VMs can be notified. */
-    void setCompletionHook(std::function<void(const QByteArray &contentDigest)> hook);
+    /** Sets the hook by which other VMs are notified of answers to suspected requests. */
+    void setCompletionHook(CompletionHook hook);
 
     /** Records that a replica is reachable again, or has been replaced under its id. */
     void recordReturned(const QByteArray &instance);
@@ -106,6 +114,13 @@
         bool isRepeated = false; ///< not the first crash during a run of the request
     };
 
+    /** The crashes of one request that count. */
+    struct CountedCrashes
+    {
+        SteadyTime last;
+        int separate = 0; ///< those whose runs began after the crash counted before
+    };
+
     /** Adds a crash for each request that the replica broke off shortly before. */
     void addCrashes(const QByteArray &instance, SteadyTime now);
     /** Adds a crash. Returns whether it was not known. */
@@ -113,17 +128,22 @@
     /** Counts a crash, unless the run began before the last crash counted. */
     bool count(const CrashCoincidence &coincidence, SteadyTime crashedAt, SteadyTime now);
     void addFailure(const CrashCoincidence &coincidence, SteadyTime crashedAt);
+    /** Returns whether the answer to a run that was sent at the time shows that the request did
+        not cause the crashes; without a time, that run may have begun before any of them. */
+    [[nodiscard]] bool isRefutedBy(const QByteArray &contentDigest,
+                                   std::optional<SteadyTime> sentAt, SteadyTime now) const;
+    void release(const QByteArray &contentDigest, SteadyTime now);
     /** Returns whether other replicas failed at about the time, without a run of the request. */
     [[nodiscard]] bool hasCommonCause(const UndecidedCrash &crash) const;
     void removeExpired(SteadyTime now);
 
     CrashHook crashFound;
     std::function<void()> suspectFound;
-    std::function<void(const QByteArray &)> suspectCompleted;
+    CompletionHook suspectCompleted;
     Quarantine quarantine;
     std::unordered_map<QByteArray, std::vector<BrokenRequest>> brokenRequests; ///< by instance
-    std::unordered_map<QByteArray, SteadyTime> lastCrashes; ///< of those counted, by digest
-    std::map<QByteArray, Failure> failures;                 ///< recent ones, by instance
+    std::unordered_map<QByteArray, CountedCrashes> countedCrashes;             ///< by digest
+    std::map<QByteArray, Failure> failures; ///< recent ones, by instance
     std::vector<UndecidedCrash> undecided;
 };
 
--- a/modules/lacewingmux_node/front/FrontTrafficServices.cpp
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.cpp
@@ -75,17 +75,18 @@
             [this](const CrashCoincidence &coincidence) {
                 this->sendCrashNotice(FrameKind::CrashNotice, coincidence);
             });
-    this->gateway->setCompletionHook([this](const QByteArray &digest) {
-        this->sendCrashNotice(FrameKind::CrashSuspicionCleared, {digest, {}});
-    });
+    this->gateway->setCompletionHook(
+            [this](const QByteArray &digest, std::chrono::milliseconds sinceSent) {
+                this->sendCrashNotice(FrameKind::CrashSuspicionCleared, {digest, {}, sinceSent});
+            });
     this->hub->setHandler(FrameKind::CrashNotice, [this](const auto &, const auto &frame) {
         if (const auto coincidence = RecordsCodec::decodeCrash(frame.payload))
             this->gateway->addRemoteCoincidence(*coincidence);
     });
     this->hub->setHandler(FrameKind::CrashSuspicionCleared,
                           [this](const auto &, const auto &frame) {
-                              if (const auto cleared = RecordsCodec::decodeCrash(frame.payload))
-                                  this->gateway->addRemoteCompletion(cleared->contentDigest);
+                              if (const auto run = RecordsCodec::decodeCrash(frame.payload))
+                                  this->gateway->addRemoteCompletion(*run);
                           });
     this->hub->setHandler(FrameKind::TunnelStopNotice,
                           [this](const VmIncarnation &sender, const PeerFrame &) {
--- a/tests/gateway/CrashingRequestTest.cpp
+++ b/tests/gateway/CrashingRequestTest.cpp
@@ -207,3 +207,36 @@
     sendOnce(fixture, "poison");
     cr_assert_eq(fixture.requestCount(), 4, "the request reached a fourth replica");
 }
+
+// Guards against a popular request being refused for an hour after some of the replicas that ran
+// it were killed together.
+Test(crashing_request, is_sent_again_once_other_replicas_have_answered_it)
+{
+    int runs = 0;
+    GatewayFixture fixture(replicaCount,
+                           [&runs](const HttpRequest &request, const Exchange &exchange) {
+                               const bool isKilled = runs++ < 3;
+                               if (isKilled)
+                                   QTimer::singleShot(runTime, [exchange] { exchange.crash(); });
+                               else
+                                   QTimer::singleShot(2 * settledAfter, [request, exchange] {
+                                       exchange.write(GatewayFixture::answer(request, "sound."));
+                                   });
+                           });
+    fixture.useTimeout(std::chrono::seconds(20));
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int number = 0; number < replicaCount; ++number) {
+        callers.push_back(std::make_unique<RawCaller>(fixture.gateway->port()));
+        callers.back()->send(GatewayFixture::request(
+                "POST", "/once/x", "p" + QByteArray::number(number), {}, "popular"));
+    }
+    fixture.loop.runFor(settledAfter);
+    cr_assert_eq(fixture.requestCount(), replicaCount);
+    for (const auto &caller : callers)
+        fixture.loop.waitUntil([&] { return !caller->received().isEmpty(); }, "the response");
+    fixture.loop.runFor(betweenRequests);
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", "/once/x", "again", {}, "popular"));
+    fixture.loop.waitUntil([&] { return fixture.requestCount() == replicaCount + 1; },
+                           "the request at a replica");
+}
