Crashing requests: a conversation that crashes replicas leaves equal inputs alone

After three crashes every turn of the team with that input was refused for an hour, also in conversations that were never run on a crashed replica.

Cause: ForwardedCall::contentDigest() takes the body that the caller sent. On a route that keeps histories that is the new input only, while replicas get the whole conversation.

Change: a request is recognised by its content, and also by the content together with the turn that it continues. Crashes count for both. The turn is refused after three; the content in other conversations only once it has crashed replicas in more than one of them, so that a request that crashes replicas and comes again under another program id or as a first turn is still held back. Answers clear each by itself.

Ruled out: the history in place of the input as the only identity, which would let the same input crash three replicas in each conversation.

--- a/modules/lacewingmux_core/protection/Quarantine.h
+++ b/modules/lacewingmux_core/protection/Quarantine.h
@@ -29,6 +29,7 @@
     QString crash; ///< names the one crash, the same on every VM: replica and its start
     std::chrono::milliseconds sinceSent{0};  ///< age of the run when this is reported
     std::chrono::milliseconds sinceCrash{0}; ///< age of the crash when this is reported
+    QByteArray turnDigest{}; ///< of the content together with the turn that it continues, if any
 };
 
 /** Parameters of Quarantine. */
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -11,8 +11,6 @@
 
 #include "lacewingmux_core/hashing/StableHash.h"
 
-#include <QCryptographicHash>
-
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -126,10 +124,7 @@
 
 bool ForwardedCall::admitUnlessQuarantined()
 {
-    const CrashCorrelator &crashCorrelator = this->context.fleet.crashCorrelator();
-    // Usually there are no suspects, and the request need not be hashed.
-    if (!crashCorrelator.hasSuspects()
-        || !crashCorrelator.isQuarantined(this->contentDigest(), this->now()))
+    if (!this->isQuarantined())
         return true;
     // BackendUnavailable states that this call did not run (earlier requests with the same content
     // did), and permits a retry after the given time.
@@ -236,18 +231,6 @@
     return this->route.isRepeatable() && this->countedRuns() < this->route.attempts;
 }
 
-const QByteArray &ForwardedCall::contentDigest()
-{
-    if (!this->digest.isEmpty())
-        return this->digest;
-    QCryptographicHash hash(QCryptographicHash::Sha1);
-    hash.addData(this->team.name);
-    hash.addData(this->request.target);
-    hash.addData(this->request.body);
-    this->digest = hash.result();
-    return this->digest;
-}
-
 bool ForwardedCall::isTurn() const
 {
     return this->route.kind == RouteKind::Stream && this->route.keepsHistory;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -139,6 +139,7 @@
     void handleFailure(ExchangeFailure reason);
     /** Finds out whether the replica, which closed its connection, crashed. */
     void suspectCrash(const std::shared_ptr<const TunnelUse> &tunnel);
+    void recordBrokenConnection();
     /** Records that the request does not crash replicas, if the one that answered is still there
         shortly afterwards. */
     void clearSuspicionIfSurvived(const std::shared_ptr<const TunnelUse> &tunnel);
@@ -211,6 +212,11 @@
     /** Returns a digest of the request that is equal for each of its attempts, and for each later
         request with the same content. */
     [[nodiscard]] const QByteArray &contentDigest();
+    /** Returns a digest of the content and of the turn that the call continues; empty if it
+        continues none. */
+    [[nodiscard]] QByteArray turnDigest();
+    /** Tells whether the request is refused because replicas crashed while they ran it. */
+    [[nodiscard]] bool isQuarantined();
     [[nodiscard]] bool isTurn() const;
     /** Returns whether the call is probably the first turn of a program. */
     [[nodiscard]] bool startsProgram() const;
--- a/modules/lacewingmux_gateway/replicas/CrashCorrelator.cpp
+++ b/modules/lacewingmux_gateway/replicas/CrashCorrelator.cpp
@@ -52,45 +52,41 @@
     this->brokenRequests[instance].push_back(request);
 }
 
-void CrashCorrelator::recordCompleted(const QByteArray &contentDigest, SteadyTime sentAt,
-                                      SteadyTime now)
+void CrashCorrelator::recordCompleted(const QByteArray &digest, SteadyTime sentAt, SteadyTime now)
 {
-    if (!this->isRefutedBy(contentDigest, sentAt, now))
+    if (!this->isRefutedBy(digest, sentAt, now))
         return;
-    this->release(contentDigest, now);
+    this->release(digest, now);
     if (this->suspectCompleted)
-        this->suspectCompleted(contentDigest,
-                               std::chrono::ceil<std::chrono::milliseconds>(now - sentAt));
+        this->suspectCompleted(digest, std::chrono::ceil<std::chrono::milliseconds>(now - sentAt));
 }
 
-void CrashCorrelator::addRemoteCompletion(const QByteArray &contentDigest,
+void CrashCorrelator::addRemoteCompletion(const QByteArray &digest,
                                           std::chrono::milliseconds sinceSent, SteadyTime now)
 {
     const auto sentAt = sinceSent.count() > 0 ? std::optional(now - sinceSent) : std::nullopt;
-    if (this->isRefutedBy(contentDigest, sentAt, now))
-        this->release(contentDigest, now);
+    if (this->isRefutedBy(digest, sentAt, now))
+        this->release(digest, now);
 }
 
-bool CrashCorrelator::isRefutedBy(const QByteArray &contentDigest, std::optional<SteadyTime> sentAt,
+bool CrashCorrelator::isRefutedBy(const QByteArray &digest, std::optional<SteadyTime> sentAt,
                                   SteadyTime now) const
 {
-    const QuarantineVerdict verdict = this->quarantine.verdict(contentDigest, now);
+    const QuarantineVerdict verdict = this->quarantine.verdict(digest, now);
     if (verdict != QuarantineVerdict::Quarantined)
         return verdict == QuarantineVerdict::Suspect;
-    const auto counted = this->countedCrashes.find(contentDigest);
+    const auto counted = this->countedCrashes.find(digest);
     return counted == this->countedCrashes.end() || counted->second.separate < crashesToQuarantine
            || (sentAt && *sentAt > counted->second.last);
 }
 
-void CrashCorrelator::release(const QByteArray &contentDigest, SteadyTime now)
+void CrashCorrelator::release(const QByteArray &digest, SteadyTime now)
 {
-    if (this->isQuarantined(contentDigest, now))
-        LogEvent(LogSeverity::Info, "quarantineEnded").field("digest", contentDigest.toHex());
-    this->quarantine.release(contentDigest);
-    this->countedCrashes.erase(contentDigest);
-    std::erase_if(this->undecided, [&contentDigest](const auto &crash) {
-        return crash.coincidence.contentDigest == contentDigest;
-    });
+    if (this->isQuarantined(digest, now))
+        LogEvent(LogSeverity::Info, "quarantineEnded").field("digest", digest.toHex());
+    this->quarantine.release(digest);
+    this->countedCrashes.erase(digest);
+    std::erase_if(this->undecided, [&digest](const auto &crash) { return crash.digest == digest; });
 }
 
 void CrashCorrelator::setCompletionHook(CompletionHook hook)
@@ -136,13 +132,16 @@
         const CrashCoincidence coincidence{
                 request.contentDigest, QString::fromUtf8(crash),
                 std::chrono::floor<std::chrono::milliseconds>(now - request.sentAt),
-                std::chrono::floor<std::chrono::milliseconds>(now - request.brokenAt)};
+                std::chrono::floor<std::chrono::milliseconds>(now - request.brokenAt),
+                request.turnDigest};
         if (!this->add(coincidence, now))
             continue;
         LogEvent(LogSeverity::Warning, "replicaCrashed")
                 .field("replica", instance)
                 .field("digest", request.contentDigest.toHex())
-                .field("quarantined", this->isQuarantined(request.contentDigest, now));
+                .field("turnDigest", request.turnDigest.toHex())
+                .field("quarantined",
+                       this->isQuarantined(request.contentDigest, now, request.turnDigest));
         this->crashFound(coincidence);
     }
 }
@@ -158,45 +157,72 @@
 }
 
 bool CrashCorrelator::add(const CrashCoincidence &coincidence, SteadyTime now)
+{
+    this->addFailure(coincidence, now - coincidence.sinceCrash);
+    bool isNew = this->addFor(coincidence.contentDigest, coincidence, now);
+    if (!coincidence.turnDigest.isEmpty())
+        isNew = this->addFor(coincidence.turnDigest, coincidence, now) || isNew;
+    return isNew;
+}
+
+bool CrashCorrelator::addFor(const QByteArray &digest, const CrashCoincidence &coincidence,
+                             SteadyTime now)
 {
     const SteadyTime crashedAt = now - coincidence.sinceCrash;
-    this->addFailure(coincidence, crashedAt);
-    const bool isKnown = std::any_of(
-            this->undecided.begin(), this->undecided.end(), [&coincidence](const auto &crash) {
-                return crash.coincidence.contentDigest == coincidence.contentDigest
-                       && crash.coincidence.crash == coincidence.crash;
+    const bool isKnown =
+            std::any_of(this->undecided.begin(), this->undecided.end(), [&](const auto &crash) {
+                return crash.digest == digest && crash.coincidence.crash == coincidence.crash;
             });
-    if (isKnown || this->isQuarantined(coincidence.contentDigest, now))
+    const QuarantineVerdict verdict = this->quarantine.verdict(digest, now);
+    if (isKnown || verdict == QuarantineVerdict::Quarantined)
         return false;
-    const bool wasSuspected =
-            this->quarantine.verdict(coincidence.contentDigest, now) != QuarantineVerdict::Clear;
-    const bool isCounted = this->count(coincidence, crashedAt, now);
+    const UndecidedCrash crash{digest,    coincidence,
+                               crashedAt, now - coincidence.sinceSent,
+                               false,     verdict == QuarantineVerdict::Suspect};
+    const bool isCounted = this->count(crash, now);
     if (this->undecided.size() >= maximumUndecided)
         return isCounted;
-    this->undecided.push_back({coincidence, crashedAt, isCounted, wasSuspected});
-    if (wasSuspected)
+    this->undecided.push_back(crash);
+    this->undecided.back().isCounted = isCounted;
+    if (crash.isRepeated)
         this->suspectFound();
     return true;
 }
 
-bool CrashCorrelator::count(const CrashCoincidence &coincidence, SteadyTime crashedAt,
-                            SteadyTime now)
+bool CrashCorrelator::count(const UndecidedCrash &crash, SteadyTime now)
+{
+    this->dropOldCounts(now);
+    const auto known = this->countedCrashes.find(crash.digest);
+    const bool overlaps = known != this->countedCrashes.end()
+                          && crash.sentAt + noticeDelayTolerance < known->second.last;
+    if (overlaps || !this->record(crash, now))
+        return false;
+    ++this->countedCrashes[crash.digest].separate;
+    return true;
+}
+
+bool CrashCorrelator::record(const UndecidedCrash &crash, SteadyTime now)
 {
-    if (this->countedCrashes.size() > expiryThreshold)
-        std::erase_if(this->countedCrashes,
-                      [now](const auto &entry) { return now - entry.second.last > longestRun; });
-    const auto known = this->countedCrashes.find(coincidence.contentDigest);
-    const bool overlaps =
-            known != this->countedCrashes.end()
-            && now - coincidence.sinceSent + noticeDelayTolerance < known->second.last;
-    if (overlaps || !this->quarantine.record(coincidence, now))
+    CrashCoincidence coincidence = crash.coincidence;
+    coincidence.contentDigest = crash.digest;
+    if (!this->quarantine.record(coincidence, now))
         return false;
-    CountedCrashes &counted = this->countedCrashes[coincidence.contentDigest];
-    counted.last = std::max(counted.last, crashedAt);
-    ++counted.separate;
+    CountedCrashes &counted = this->countedCrashes[crash.digest];
+    counted.last = std::max(counted.last, crash.crashedAt);
+    counted.turns.insert(crash.coincidence.turnDigest);
     return true;
 }
 
+void CrashCorrelator::dropOldCounts(SteadyTime now)
+{
+    if (this->countedCrashes.size() <= expiryThreshold)
+        return;
+    std::erase_if(this->countedCrashes, [this, now](const auto &entry) {
+        return now - entry.second.last > longestRun
+               && this->quarantine.verdict(entry.first, now) == QuarantineVerdict::Clear;
+    });
+}
+
 void CrashCorrelator::addFailure(const CrashCoincidence &coincidence, SteadyTime crashedAt)
 {
     const QByteArray crash = coincidence.crash.toUtf8();
@@ -207,6 +233,8 @@
     if (crashedAt - failure.at > crashWindow)
         failure = {crashedAt, {}};
     failure.digests.insert(coincidence.contentDigest);
+    if (!coincidence.turnDigest.isEmpty())
+        failure.digests.insert(coincidence.turnDigest);
 }
 
 bool CrashCorrelator::hasCommonCause(const UndecidedCrash &crash) const
@@ -215,7 +243,7 @@
     bool hasIdle = false;
     for (const auto &[instance, failure] : this->failures) {
         if (std::chrono::abs(failure.at - crash.crashedAt) > crashWindow
-            || failure.digests.contains(crash.coincidence.contentDigest))
+            || failure.digests.contains(crash.digest))
             continue;
         ++others;
         hasIdle = hasIdle || failure.digests.empty();
@@ -232,16 +260,12 @@
             waiting.push_back(std::move(crash));
             continue;
         }
-        const QByteArray &digest = crash.coincidence.contentDigest;
+        const QByteArray &digest = crash.digest;
         const bool hasCommonCause = this->hasCommonCause(crash);
-        CountedCrashes &counted = this->countedCrashes[digest];
-        if (hasCommonCause && crash.isCounted) {
-            this->quarantine.retract(crash.coincidence);
-            --counted.separate;
-        } else if (!hasCommonCause && !crash.isCounted
-                   && this->quarantine.record(crash.coincidence, now)) {
-            counted.last = std::max(counted.last, crash.crashedAt);
-        }
+        if (hasCommonCause && crash.isCounted)
+            this->retract(crash);
+        else if (!hasCommonCause && !crash.isCounted)
+            this->record(crash, now);
         if (!crash.isRepeated)
             continue;
         LogEvent(LogSeverity::Warning, "crashDecided")
@@ -253,14 +277,34 @@
     this->undecided = std::move(waiting);
 }
 
+void CrashCorrelator::retract(const UndecidedCrash &crash)
+{
+    CrashCoincidence coincidence = crash.coincidence;
+    coincidence.contentDigest = crash.digest;
+    this->quarantine.retract(coincidence);
+    --this->countedCrashes[crash.digest].separate;
+}
+
 bool CrashCorrelator::hasSuspects() const noexcept
 {
     return this->quarantine.size() > 0;
 }
 
-bool CrashCorrelator::isQuarantined(const QByteArray &contentDigest, SteadyTime now) const
+bool CrashCorrelator::isQuarantined(const QByteArray &contentDigest, SteadyTime now,
+                                    const QByteArray &turnDigest) const
 {
-    return this->quarantine.verdict(contentDigest, now) == QuarantineVerdict::Quarantined;
+    const auto isRefused = [this, now](const QByteArray &digest) {
+        return this->quarantine.verdict(digest, now) == QuarantineVerdict::Quarantined;
+    };
+    return (!turnDigest.isEmpty() && isRefused(turnDigest))
+           || (isRefused(contentDigest) && !this->isOnlyInOneTurn(contentDigest));
+}
+
+bool CrashCorrelator::isOnlyInOneTurn(const QByteArray &contentDigest) const
+{
+    const auto counted = this->countedCrashes.find(contentDigest);
+    return counted != this->countedCrashes.end() && counted->second.turns.size() == 1
+           && !counted->second.turns.begin()->isEmpty();
 }
 
 void CrashCorrelator::removeExpired(SteadyTime now)
--- a/modules/lacewingmux_gateway/replicas/CrashCorrelator.h
+++ b/modules/lacewingmux_gateway/replicas/CrashCorrelator.h
@@ -30,16 +30,23 @@
     on a healthy replica; one that a replica has answered and survived is no longer suspected, at
     any VM. Such an answer also ends the quarantine of a request whose crashes may have had one
     common cause, because their runs overlapped. After three crashes one after the other, only the
-    answer to a run that began later does. Reads no clock: the current time is a parameter.
+    answer to a run that began later does.
+
+    A request is recognised by its content, as its caller sent it. One that continues a turn is also
+    recognised together with that turn: replicas get the whole conversation, so equal inputs of
+    other conversations are not refused for the crashes of one. The content itself is refused once
+    it has crashed replicas in more than one conversation. Reads no clock: the current time is a
+    parameter.
 */
 class CrashCorrelator
 {
 public:
     using SteadyTime = TimerService::SteadyTime;
     using CrashHook = std::function<void(const CrashCoincidence &)>;
-    /** Receives a suspected request that a replica has answered, and the age of its run. */
-    using CompletionHook = std::function<void(const QByteArray &contentDigest,
-                                              std::chrono::milliseconds sinceSent)>;
+    /** Receives the digest of a suspected request that a replica has answered, and the age of the
+        run. */
+    using CompletionHook =
+            std::function<void(const QByteArray &digest, std::chrono::milliseconds sinceSent)>;
 
     /** The first hook receives each crash detected on this VM, so that other VMs can be notified.
         The second is called when a request has crashed a second replica, so that other failures of
@@ -54,13 +61,15 @@
         std::int64_t startMilliseconds = 0; ///< start time of the replica, Unix time
         SteadyTime sentAt;
         SteadyTime brokenAt;
+        QByteArray turnDigest{}; ///< empty if the request continues no turn
     };
 
     /** Records that a replica closed the connection of the request. */
     void recordBrokenConnection(const QByteArray &instance, const BrokenRequest &request);
 
-    /** Records that a replica has answered a run of the request and is still reachable. */
-    void recordCompleted(const QByteArray &contentDigest, SteadyTime sentAt, SteadyTime now);
+    /** Records that a replica has answered a run of the request, of which this is the digest of the
+        content or of the turn, and is still reachable. */
+    void recordCompleted(const QByteArray &digest, SteadyTime sentAt, SteadyTime now);
 
     /** Records that a replica was still reachable at the time. */
     void recordReachable(const QByteArray &instance, SteadyTime reachableAt);
@@ -76,9 +85,8 @@
     /** Adds a crash coincidence that another VM observed. */
     void addRemoteCoincidence(const CrashCoincidence &coincidence, SteadyTime now);
 
-    /** Records that a replica has answered a run of the request at another VM. The age of the run
-        is 0 if that VM does not state it. */
-    void addRemoteCompletion(const QByteArray &contentDigest, std::chrono::milliseconds sinceSent,
+    /** Records the same of another VM. The age of the run is 0 if that VM does not state it. */
+    void addRemoteCompletion(const QByteArray &digest, std::chrono::milliseconds sinceSent,
                              SteadyTime now);
 
     /** Sets the hook by which other VMs are notified of answers to suspected requests. */
@@ -94,8 +102,10 @@
     /** Tells whether any request is suspected or quarantined. */
     [[nodiscard]] bool hasSuspects() const noexcept;
 
-    /** Tells whether the request is quarantined, so that it must not be sent to a replica. */
-    [[nodiscard]] bool isQuarantined(const QByteArray &contentDigest, SteadyTime now) const;
+    /** Tells whether the request is quarantined, so that it must not be sent to a replica. The
+        digest of the turn is empty if the request continues none. */
+    [[nodiscard]] bool isQuarantined(const QByteArray &contentDigest, SteadyTime now,
+                                     const QByteArray &turnDigest = {}) const;
 
 private:
     /** A replica that became unreachable, and the requests that ran on it. */
@@ -108,8 +118,10 @@
     /** A crash of which it is not decided yet whether it had another cause than the request. */
     struct UndecidedCrash
     {
+        QByteArray digest; ///< of the content or of the turn
         CrashCoincidence coincidence;
         SteadyTime crashedAt;
+        SteadyTime sentAt;
         bool isCounted = false;
         bool isRepeated = false; ///< not the first crash during a run of the request
     };
@@ -118,21 +130,31 @@
     struct CountedCrashes
     {
         SteadyTime last;
-        int separate = 0; ///< those whose runs began after the crash counted before
+        int separate = 0;           ///< those whose runs began after the crash counted before
+        std::set<QByteArray> turns; ///< that the runs continued; an empty one if one continued none
     };
 
     /** Adds a crash for each request that the replica broke off shortly before. */
     void addCrashes(const QByteArray &instance, SteadyTime now);
     /** Adds a crash. Returns whether it was not known. */
     bool add(const CrashCoincidence &coincidence, SteadyTime now);
+    /** The same for the content or the turn of the request, as which the digest is given. */
+    bool addFor(const QByteArray &digest, const CrashCoincidence &coincidence, SteadyTime now);
+    void dropOldCounts(SteadyTime now);
+    /** Tells whether all counted crashes of a content came from requests that continue one turn. */
+    [[nodiscard]] bool isOnlyInOneTurn(const QByteArray &contentDigest) const;
     /** Counts a crash, unless the run began before the last crash counted. */
-    bool count(const CrashCoincidence &coincidence, SteadyTime crashedAt, SteadyTime now);
+    bool count(const UndecidedCrash &crash, SteadyTime now);
+    /** Counts a crash; returns whether it was not known. */
+    bool record(const UndecidedCrash &crash, SteadyTime now);
+    /** Takes back a crash that counted at once. */
+    void retract(const UndecidedCrash &crash);
     void addFailure(const CrashCoincidence &coincidence, SteadyTime crashedAt);
     /** Returns whether the answer to a run that was sent at the time shows that the request did
         not cause the crashes; without a time, that run may have begun before any of them. */
-    [[nodiscard]] bool isRefutedBy(const QByteArray &contentDigest,
-                                   std::optional<SteadyTime> sentAt, SteadyTime now) const;
-    void release(const QByteArray &contentDigest, SteadyTime now);
+    [[nodiscard]] bool isRefutedBy(const QByteArray &digest, std::optional<SteadyTime> sentAt,
+                                   SteadyTime now) const;
+    void release(const QByteArray &digest, SteadyTime now);
     /** Returns whether other replicas failed at about the time, without a run of the request. */
     [[nodiscard]] bool hasCommonCause(const UndecidedCrash &crash) const;
     void removeExpired(SteadyTime now);
--- a/modules/lacewingmux_records/messages/RecordsCodec.cpp
+++ b/modules/lacewingmux_records/messages/RecordsCodec.cpp
@@ -320,10 +320,11 @@
 {
     FlatBufferBuilder builder;
     const auto digest = createBytes(builder, message.contentDigest);
+    const auto turn = createOptionalBytes(builder, message.turnDigest);
     return finishedPayload(
-            builder, fb::CreateCrashNotice(builder, digest,
-                                           builder.CreateString(message.crash.toStdString()),
-                                           message.sinceSent.count(), message.sinceCrash.count()));
+            builder, fb::CreateCrashNotice(
+                             builder, digest, builder.CreateString(message.crash.toStdString()),
+                             message.sinceSent.count(), message.sinceCrash.count(), turn));
 }
 
 std::optional<CrashCoincidence> RecordsCodec::decodeCrash(const QByteArray &bytes)
@@ -332,7 +333,8 @@
     if (table == nullptr)
         return std::nullopt;
     return CrashCoincidence{bytesOf(table->digest()), QString::fromStdString(table->crash()->str()),
-                            noticeAge(table->since_sent_ms()), noticeAge(table->since_crash_ms())};
+                            noticeAge(table->since_sent_ms()), noticeAge(table->since_crash_ms()),
+                            bytesOf(table->turn())};
 }
 
 QByteArray RecordsCodec::encodeConfiguration(const ConfigurationDocumentMessage &message)
--- a/modules/lacewingmux_records/messages/records_generated.h
+++ b/modules/lacewingmux_records/messages/records_generated.h
@@ -1224,7 +1224,8 @@
     VT_DIGEST = 4,
     VT_CRASH = 6,
     VT_SINCE_SENT_MS = 8,
-    VT_SINCE_CRASH_MS = 10
+    VT_SINCE_CRASH_MS = 10,
+    VT_TURN = 12
   };
   const flatbuffers::Vector<uint8_t> *digest() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DIGEST);
@@ -1238,6 +1239,9 @@
   int64_t since_crash_ms() const {
     return GetField<int64_t>(VT_SINCE_CRASH_MS, 0);
   }
+  const flatbuffers::Vector<uint8_t> *turn() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_TURN);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_DIGEST) &&
@@ -1246,6 +1250,8 @@
            verifier.VerifyString(crash()) &&
            VerifyField<int64_t>(verifier, VT_SINCE_SENT_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_SINCE_CRASH_MS, 8) &&
+           VerifyOffset(verifier, VT_TURN) &&
+           verifier.VerifyVector(turn()) &&
            verifier.EndTable();
   }
 };
@@ -1266,6 +1272,9 @@
   void add_since_crash_ms(int64_t since_crash_ms) {
     fbb_.AddElement<int64_t>(CrashNotice::VT_SINCE_CRASH_MS, since_crash_ms, 0);
   }
+  void add_turn(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> turn) {
+    fbb_.AddOffset(CrashNotice::VT_TURN, turn);
+  }
   explicit CrashNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1284,10 +1293,12 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> digest = 0,
     flatbuffers::Offset<flatbuffers::String> crash = 0,
     int64_t since_sent_ms = 0,
-    int64_t since_crash_ms = 0) {
+    int64_t since_crash_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> turn = 0) {
   CrashNoticeBuilder builder_(_fbb);
   builder_.add_since_crash_ms(since_crash_ms);
   builder_.add_since_sent_ms(since_sent_ms);
+  builder_.add_turn(turn);
   builder_.add_crash(crash);
   builder_.add_digest(digest);
   return builder_.Finish();
@@ -1298,15 +1309,18 @@
     const std::vector<uint8_t> *digest = nullptr,
     const char *crash = nullptr,
     int64_t since_sent_ms = 0,
-    int64_t since_crash_ms = 0) {
+    int64_t since_crash_ms = 0,
+    const std::vector<uint8_t> *turn = nullptr) {
   auto digest__ = digest ? _fbb.CreateVector<uint8_t>(*digest) : 0;
   auto crash__ = crash ? _fbb.CreateString(crash) : 0;
+  auto turn__ = turn ? _fbb.CreateVector<uint8_t>(*turn) : 0;
   return lacewingmux::fb::CreateCrashNotice(
       _fbb,
       digest__,
       crash__,
       since_sent_ms,
-      since_crash_ms);
+      since_crash_ms,
+      turn__);
 }
 
 struct ConfigurationDocument FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/gateway/CrashCorrelatorTest.cpp
+++ b/tests/gateway/CrashCorrelatorTest.cpp
@@ -250,6 +250,35 @@
     cr_assert(!test.crashes.isQuarantined("bad", later));
 }
 
+// Guards against equal inputs of other conversations being refused for the crashes of one.
+Test(crash_correlator, quarantines_a_turn_but_not_its_content_in_other_conversations)
+{
+    CorrelatorFixture test;
+    for (const char *instance : {"i-1", "i-2", "i-3"}) {
+        test.crashes.recordBrokenConnection(instance, {"yes", 0, start, start, "bad turn"});
+        test.crashes.recordUnreachable(instance, start + milliseconds(100));
+    }
+    cr_assert_eq(test.reported.size(), 3);
+    cr_assert(test.crashes.isQuarantined("yes", start, "bad turn"));
+    cr_assert(!test.crashes.isQuarantined("yes", start, "other turn"));
+    cr_assert(!test.crashes.isQuarantined("yes", start));
+    // The content is answered elsewhere, which does not clear the turn.
+    test.crashes.recordCompleted("yes", start, start);
+    cr_assert(test.crashes.isQuarantined("yes", start, "bad turn"));
+}
+
+// Guards against a request that crashes replicas being sent on when it comes again in another
+// conversation.
+Test(crash_correlator, quarantines_a_content_that_has_crashed_replicas_in_several_conversations)
+{
+    CorrelatorFixture test;
+    test.crash("i-1", "bad");
+    test.crashes.addRemoteCoincidence({"bad", QStringLiteral("i-2/0"), {}, {}, "turn"}, start);
+    test.crashes.addRemoteCoincidence({"bad", QStringLiteral("i-3/0"), {}, {}, "turn"}, start);
+    cr_assert(test.crashes.isQuarantined("bad", start, "other turn"));
+    cr_assert(test.crashes.isQuarantined("bad", start));
+}
+
 Test(crash_correlator, counts_another_crash_of_a_replica_that_started_again_under_its_id)
 {
     CorrelatorFixture test;
--- a/tests/gateway/CrashingRequestTest.cpp
+++ b/tests/gateway/CrashingRequestTest.cpp
@@ -1,5 +1,7 @@
 #include "support/GatewayFixture.h"
 
+#include "lacewingmux_gateway/http/HttpText.h"
+
 #include <QTimer>
 
 #include <criterion/criterion.h>
@@ -240,3 +242,54 @@
     fixture.loop.waitUntil([&] { return fixture.requestCount() == replicaCount + 1; },
                            "the request at a replica");
 }
+
+namespace {
+
+/** Crashes the replica if the conversation begins with "bad". */
+void crashOnBadConversation(const HttpRequest &request, const Exchange &exchange)
+{
+    if (request.body.startsWith("bad"))
+        exchange.crash();
+    else
+        exchange.write(GatewayFixture::streamHead(request) + GatewayFixture::event(1, "sound")
+                       + lastChunk());
+}
+
+/** Sends "yes" as the next turn after the given one, whose name is also the conversation so far;
+    returns whether it reached a replica. */
+bool reachesReplicaAfter(GatewayFixture &fixture, const QByteArray &previousTurn)
+{
+    const int before = fixture.requestCount();
+    fixture.turnStore.admission.history = previousTurn;
+    RawCaller caller(fixture.gateway->port());
+    caller.send(GatewayFixture::request("POST", "/turn/x", "t" + QByteArray::number(before),
+                                        "Lacewingmux-Previous-Turn: " + previousTurn + "\r\n",
+                                        "yes"));
+    fixture.loop.waitUntil([&] { return !caller.received().isEmpty(); }, "the response");
+    fixture.loop.runFor(betweenRequests);
+    return fixture.requestCount() > before;
+}
+
+} // namespace
+
+// Guards against the turns of other conversations being refused because one conversation crashes
+// replicas and its last input is a usual one.
+Test(crashing_request, is_told_from_equal_inputs_of_other_conversations)
+{
+    GatewayFixture fixture(replicaCount, crashOnBadConversation);
+    for (int crash = 0; crash < 3; ++crash)
+        cr_assert(reachesReplicaAfter(fixture, "bad"));
+    cr_assert(!reachesReplicaAfter(fixture, "bad"));
+    cr_assert(reachesReplicaAfter(fixture, "sound"));
+    cr_assert(!reachesReplicaAfter(fixture, "bad"));
+}
+
+// Guards against an input that crashes replicas reaching more of them in one conversation after
+// the other.
+Test(crashing_request, reaches_no_replica_in_another_conversation)
+{
+    GatewayFixture fixture(replicaCount, crashOnBadConversation);
+    for (const char *turn : {"bad-1", "bad-2", "bad-3"})
+        cr_assert(reachesReplicaAfter(fixture, turn));
+    cr_assert(!reachesReplicaAfter(fixture, "bad-4"));
+}
