--- a/modules/lacewingmux_gateway/forwarding/CallContext.h
+++ b/modules/lacewingmux_gateway/forwarding/CallContext.h
@@ -27,6 +27,8 @@
     TeamQuota &quota;
     TurnStore &turnStore;
     MemoryAccount &responseMemory;
+    MemoryAccount &historyMemory;       ///< of the long histories that calls hold
+    qsizetype maximumConversationBytes; ///< of a history and the new input
     MetricsRecorder &metrics;
     std::shared_ptr<const RoutingTable> table; ///< null until a configuration is loaded
     /** Set in a planned stop: when a call must have ended at the latest to be accepted. */
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -4,6 +4,7 @@
 #include "lacewingmux_gateway/forwarding/TeamQuota.h"
 #include "lacewingmux_gateway/forwarding/TurnStore.h"
 #include "lacewingmux_gateway/http/HttpText.h"
+#include "lacewingmux_gateway/http/MemoryAccount.h"
 #include "lacewingmux_gateway/ingress/IngressConnection.h"
 #include "lacewingmux_gateway/replicas/ReplicaConnection.h"
 #include "lacewingmux_gateway/replicas/ReplicaFleet.h"
@@ -24,6 +25,10 @@
 // The configuration is read from the platform's store within a few calls.
 constexpr milliseconds noConfigurationRetry{300};
 constexpr milliseconds quarantineRetry{30000};
+constexpr milliseconds longHistoryRetry{300}; // a call holds its history for about as long
+// Shorter histories are not counted: there are many, and most are cached anyway.
+constexpr qsizetype longHistoryBytes = qsizetype{1024} * 1024;
+constexpr const char *conversationTooLong = "the conversation is longer than the VM can hold";
 
 /** Selects the service for the request by weight; requests with equal keys get the same
     service. */
@@ -161,6 +166,10 @@
 
 void ForwardedCall::openTurnIfNeeded()
 {
+    if (this->isTurn() && this->request.body.size() > TurnStore::maximumTurnBytes) {
+        this->refuse(ErrorKind::BodyTooLarge, "the turn is too long to be kept", milliseconds(0));
+        return;
+    }
     const bool hasBudget = this->description.tokenBudget && !this->description.program.isEmpty();
     const bool continuesTurn =
             this->route.keepsHistory && !this->description.previousTurn.isEmpty();
@@ -202,7 +211,8 @@
 {
     switch (admission.outcome) {
     case TurnOutcome::Ready:
-        this->history = admission.history;
+        if (!this->holdHistory(admission.history))
+            break;
         this->turnRequest.historyLocation = admission.historyLocation;
         this->placeCall();
         break;
@@ -214,6 +224,9 @@
         this->refuse(ErrorKind::UnknownProgram, "no turn of the team has this name",
                      milliseconds(0));
         break;
+    case TurnOutcome::HistoryTooLong:
+        this->refuse(ErrorKind::BodyTooLarge, conversationTooLong, milliseconds(0));
+        break;
     case TurnOutcome::Unavailable:
         this->refuse(ErrorKind::OwnerUnavailable, "too few records VMs answered",
                      admission.retryAfter);
@@ -221,6 +234,29 @@
     }
 }
 
+bool ForwardedCall::holdHistory(const QByteArray &bytes)
+{
+    if (!bytes.isEmpty()
+        && bytes.size() + this->request.body.size() > this->context.maximumConversationBytes) {
+        this->refuse(ErrorKind::BodyTooLarge, conversationTooLong, milliseconds(0));
+        return false;
+    }
+    this->accountedHistoryBytes = bytes.size() > longHistoryBytes ? bytes.size() : 0;
+    if (!this->context.historyMemory.resize(0, this->accountedHistoryBytes)) {
+        this->refuse(ErrorKind::Overloaded, "long conversations take the memory for histories",
+                     longHistoryRetry);
+        return false;
+    }
+    this->history = bytes;
+    return true;
+}
+
+void ForwardedCall::releaseHistoryMemory()
+{
+    const qsizetype before = std::exchange(this->accountedHistoryBytes, 0);
+    std::ignore = this->context.historyMemory.resize(before, 0);
+}
+
 int ForwardedCall::countedRuns() const
 {
     return this->possibleRuns - this->uncountedRuns;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -24,6 +24,7 @@
 
 namespace lacewingmux {
 
+struct ReplicaRequest;
 class IngressConnection;
 class TunnelUse;
 struct QuotaDecision;
@@ -91,6 +92,10 @@
         continues. */
     [[nodiscard]] bool admitIfRecordsReachable();
     void handleTurnAdmission(const TurnAdmission &admission);
+    /** Takes the history; refuses the call if the conversation is too long, or if long histories of
+        other calls leave too little memory. Returns whether the call continues. */
+    [[nodiscard]] bool holdHistory(const QByteArray &bytes);
+    void releaseHistoryMemory();
     /** Returns whether the call ends in time for a planned stop, also if it takes until its
         deadline; true unless one has begun. */
     [[nodiscard]] bool endsBeforeStop() const;
@@ -111,7 +116,7 @@
     void beginAttempt(const ReplicaInstance &instance,
                       std::shared_ptr<ReplicaConnection> connection);
     /** Returns the request as it is sent in the current attempt. */
-    [[nodiscard]] QByteArray requestText() const;
+    [[nodiscard]] ReplicaRequest replicaRequest() const;
     [[nodiscard]] ReplicaConnection::Hooks exchangeHooks();
     void schedulePlacementRetry();
     /** Returns the priority of the request at a replica; nothing if the service knows none. */
@@ -249,7 +254,8 @@
     TurnRequest turnRequest;
     bool budgetReserved = false;
     QByteArray history;
-    QByteArray digest; ///< of the content, once it was needed
+    qsizetype accountedHistoryBytes = 0; ///< in the memory of long histories
+    QByteArray digest;                   ///< of the content, once it was needed
 
     std::vector<QByteArray> excludedInstances; ///< not to be tried again
     int possibleRuns = 0;                      ///< sends that may have run the request
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallEnd.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallEnd.cpp
@@ -77,6 +77,7 @@
     this->deadlineTimer.cancel();
     this->placementTimer.cancel();
     this->releaseResponseMemory();
+    this->releaseHistoryMemory();
     if (std::exchange(this->quotaHeld, false))
         this->context.quota.refund(this->quotaRequest);
     this->recordOutcome(outcome);
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallPlacement.cpp
@@ -17,6 +17,8 @@
 
 using std::chrono::milliseconds;
 
+// A larger one is written without being copied behind the head.
+constexpr qsizetype largestCopiedBody = qsizetype{64} * 1024;
 constexpr milliseconds minimumUsefulTime{20}; // no replica responds in less
 constexpr milliseconds noReplicaRetry{400};   // about the time until a replica registers
 // Operators end an evacuation at a time that is not known in advance. Short compared to an
@@ -134,9 +136,7 @@
         return;
     }
     this->beginAttempt(*registered, std::move(connection));
-    this->attempt.connection->exchange(
-            {this->description.requestId, this->requestText(), this->request.method == "HEAD"},
-            this->exchangeHooks());
+    this->attempt.connection->exchange(this->replicaRequest(), this->exchangeHooks());
 }
 
 void ForwardedCall::beginAttempt(const ReplicaInstance &instance,
@@ -168,7 +168,7 @@
     this->context.fleet.placement().callStarted(instance.id, this->attempt.sentAt);
 }
 
-QByteArray ForwardedCall::requestText() const
+ReplicaRequest ForwardedCall::replicaRequest() const
 {
     ReplicaRequestInfo requestInfo;
     requestInfo.instance = this->attempt.replica;
@@ -177,11 +177,16 @@
     requestInfo.priority = this->replicaPriority();
     requestInfo.resumeAfter = this->attempt.resumedAfter;
     const HttpFields fields = this->context.dialect.fieldsForReplica(this->request, requestInfo);
-    QByteArray text = requestHeadText(this->request.method, this->request.target, fields,
-                                      this->history.size() + this->request.body.size());
-    text += this->history;
-    text += this->request.body;
-    return text;
+    const qsizetype bodyBytes = this->history.size() + this->request.body.size();
+    ReplicaRequest sent{
+            this->description.requestId,
+            requestHeadText(this->request.method, this->request.target, fields, bodyBytes),
+            this->request.method == "HEAD"};
+    if (bodyBytes > largestCopiedBody)
+        sent.following = {this->history, this->request.body};
+    else
+        sent.text += this->history + this->request.body;
+    return sent;
 }
 
 ReplicaConnection::Hooks ForwardedCall::exchangeHooks()
--- a/modules/lacewingmux_gateway/forwarding/Gateway.cpp
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.cpp
@@ -52,6 +52,7 @@
             gatewaySettings.tunnelSecret)
     , admission(this->fleet.placement(), metricsRecorder, gatewaySettings.placement.features)
     , responseMemory(gatewaySettings.bufferedResponseLimit)
+    , historyMemory(gatewaySettings.maximumConversationBytes)
 {
     this->ingress = std::make_unique<IngressServer>(
             this->settings.address, this->settings.port, this->settings.connectionLimit,
@@ -186,6 +187,8 @@
                               this->quota,
                               this->turnStore,
                               this->responseMemory,
+                              this->historyMemory,
+                              this->settings.maximumConversationBytes,
                               this->metrics,
                               this->table,
                               latestCallEnd,
--- a/modules/lacewingmux_gateway/forwarding/Gateway.h
+++ b/modules/lacewingmux_gateway/forwarding/Gateway.h
@@ -106,6 +106,7 @@
     ReplicaFleet fleet;
     ServiceAdmission admission;
     MemoryAccount responseMemory;
+    MemoryAccount historyMemory;
     std::shared_ptr<const RoutingTable> table;
     std::unique_ptr<IngressServer> ingress;
     std::map<const IngressConnection *, std::shared_ptr<ForwardedCall>> calls;
--- a/modules/lacewingmux_gateway/forwarding/GatewaySettings.h
+++ b/modules/lacewingmux_gateway/forwarding/GatewaySettings.h
@@ -28,6 +28,9 @@
         take together. */
     qsizetype callerMemoryLimit = qsizetype{12} * 1024 * 1024;
 
+    /** Bytes of the history and the new input of the longest conversation that is accepted. */
+    qsizetype maximumConversationBytes = qsizetype{64} * 1024 * 1024;
+
     /** How long a stopping VM still accepts connections and keeps them open: the load balancer
         checks once a second, and needs two results to direct new connections to other VMs. */
     std::chrono::milliseconds stopListeningAfter{2300};
--- a/modules/lacewingmux_gateway/forwarding/TurnAdmission.h
+++ b/modules/lacewingmux_gateway/forwarding/TurnAdmission.h
@@ -13,7 +13,8 @@
     Ready,           ///< the history is known and the tokens are reserved
     BudgetExhausted, ///< the program's budget does not cover another turn
     UnknownTurn,     ///< it is certain that the team has no turn with the id
-    Unavailable      ///< too few records VMs responded to be certain
+    Unavailable,     ///< too few records VMs responded to be certain
+    HistoryTooLong   ///< the history is longer than this VM can hold
 };
 
 /** The response to a TurnRequest. */
--- a/modules/lacewingmux_gateway/forwarding/TurnStore.h
+++ b/modules/lacewingmux_gateway/forwarding/TurnStore.h
@@ -18,6 +18,10 @@
     using AdmissionCallback = std::function<void(const TurnAdmission &)>;
     using StoredCallback = std::function<void(bool durable)>;
 
+    /** Bytes of the input and output of the longest turn that is stored. It has to fit into a frame
+        between VMs, with its names. */
+    static constexpr qsizetype maximumTurnBytes = qsizetype{15} * 1024 * 1024;
+
     TurnStore() = default;
     virtual ~TurnStore() = default;
     TurnStore(const TurnStore &) = delete;
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -75,9 +75,9 @@
         return;
     }
     if (this->connected)
-        this->writeNow(request.text);
+        this->writeNow(request);
     else
-        this->unsentRequest = request.text;
+        this->unsentRequest = std::make_unique<ReplicaRequest>(request);
 }
 
 void ReplicaConnection::abort()
@@ -131,21 +131,23 @@
                      [this] { this->handleDisconnected(); });
     this->monitor = std::make_unique<PeerMonitor>(*this->socket, this->timers, networkTimeout,
                                                   [this] { this->handlePeerLost(); });
-    if (!this->unsentRequest.isEmpty())
-        this->writeNow(std::exchange(this->unsentRequest, {}));
+    if (const auto request = std::exchange(this->unsentRequest, nullptr))
+        this->writeNow(*request);
     // Nothing signals bytes that had filled the buffer before.
     if (!this->broken && this->socket->bytesAvailable() >= readBufferBytes)
         this->readByTurns();
 }
 
-void ReplicaConnection::writeNow(const QByteArray &request)
+void ReplicaConnection::writeNow(const ReplicaRequest &request)
 {
     if (this->hooks->maySend && !this->hooks->maySend()) {
         this->broken = true;
         this->failLater(ExchangeFailure::NotConnected);
         return;
     }
-    this->socket->write(request);
+    this->socket->write(request.text);
+    for (const QByteArray &part : request.following)
+        this->socket->write(part);
     this->socket->flush(); // writes now instead of on the next event loop iteration
 }
 
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
@@ -111,7 +111,7 @@
     }
 
 private:
-    void writeNow(const QByteArray &request);
+    void writeNow(const ReplicaRequest &request);
     void handleConnectResult(ConnectResult result);
     void handleDisconnected();
     void handlePeerLost();
@@ -144,7 +144,7 @@
     TimerService::SteadyTime reusableUntil;
     std::shared_ptr<const Hooks> hooks;
     std::unique_ptr<ResponseDecoder> decoder;
-    QByteArray unsentRequest; ///< the request, while still connecting
+    std::unique_ptr<ReplicaRequest> unsentRequest; ///< the request, while still connecting
     QByteArray trailing;
     bool connected = false;
     bool busy = false;
--- a/modules/lacewingmux_node/front/FrontTrafficServices.cpp
+++ b/modules/lacewingmux_node/front/FrontTrafficServices.cpp
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds maximumRecordsSilence{500};
 // A fifth of the VM's memory caches the histories of turns that passed through this VM.
 constexpr int cacheMemoryDivisor = 5;
+// A quarter bounds a single conversation, which may be cached and held by a call at the same time.
+constexpr int conversationMemoryDivisor = 4;
 // An eighth buffers responses until they are whole.
 constexpr int responseMemoryDivisor = 8;
 // An eighth holds callers' requests, and responses that callers have not read yet.
@@ -44,9 +46,17 @@
     gateway.bufferedResponseLimit =
             settings.memoryMegabytes * bytesPerMegabyte / responseMemoryDivisor;
     gateway.callerMemoryLimit = settings.memoryMegabytes * bytesPerMegabyte / callerMemoryDivisor;
+    gateway.maximumConversationBytes =
+            settings.memoryMegabytes * bytesPerMegabyte / conversationMemoryDivisor;
     return gateway;
 }
 
+RecordsClientLimits recordsLimits(const NodeSettings &settings)
+{
+    const qsizetype memoryBytes = settings.memoryMegabytes * bytesPerMegabyte;
+    return {memoryBytes / cacheMemoryDivisor, memoryBytes / conversationMemoryDivisor};
+}
+
 } // namespace
 
 FrontTrafficServices::FrontTrafficServices(const NodeSettings &settings, const CallDialect &dialect,
@@ -62,9 +72,7 @@
                              static_cast<std::uint64_t>(startTime.count())};
     this->hub = std::make_unique<TcpPeerHub>(peerSettings(settings, self), this->timers);
     this->records = std::make_unique<RecordsClient>(*this->hub, this->timers, metrics,
-                                                    settings.memoryMegabytes * bytesPerMegabyte
-                                                            / cacheMemoryDivisor,
-                                                    this->hooks.newerView);
+                                                    recordsLimits(settings), this->hooks.newerView);
     this->quota =
             std::make_unique<FleetQuota>(*this->hub, this->timers, this->hooks.newerConfiguration);
     this->relays = std::make_unique<RelayClient>(
--- a/modules/lacewingmux_peer/links/InMemoryPeerHub.cpp
+++ b/modules/lacewingmux_peer/links/InMemoryPeerHub.cpp
@@ -1,6 +1,7 @@
 #include "lacewingmux_peer/links/InMemoryPeerHub.h"
 
 #include "lacewingmux_peer/links/InMemoryPeerNetwork.h"
+#include "lacewingmux_peer/links/PeerHubSettings.h"
 
 namespace lacewingmux {
 
@@ -31,7 +32,7 @@
 
 bool InMemoryPeerHub::send(const VmIncarnation &peer, const PeerFrame &frame)
 {
-    if (!this->isConnected(peer))
+    if (!this->isConnected(peer) || frame.payload.size() > defaultFrameLimitBytes)
         return false;
     this->network.sendFrame(this->incarnation, peer, frame);
     return true;
--- a/modules/lacewingmux_peer/links/PeerHub.h
+++ b/modules/lacewingmux_peer/links/PeerHub.h
@@ -35,7 +35,8 @@
     /** Sets whom to keep links to; links to others close once idle. */
     virtual void setPeers(const std::vector<VmDescriptor> &peers) = 0;
 
-    /** Sends a frame; returns false, with nothing sent, when no link to that incarnation is up. */
+    /** Sends a frame; returns false, with nothing sent, when no link to that incarnation is up, or
+        when the frame is too long for one. */
     virtual bool send(const VmIncarnation &peer, const PeerFrame &frame) = 0;
 
     /** Tells whether a link to that incarnation is up. */
--- a/modules/lacewingmux_peer/links/PeerHubSettings.h
+++ b/modules/lacewingmux_peer/links/PeerHubSettings.h
@@ -14,6 +14,9 @@
 
 namespace lacewingmux {
 
+/** Size of the largest frame, with its envelope, that peers exchange. */
+inline constexpr qsizetype defaultFrameLimitBytes = qsizetype{16} * 1024 * 1024;
+
 /** How a TcpPeerHub listens, proves itself and bounds its links. */
 struct PeerHubSettings
 {
@@ -25,7 +28,7 @@
     QByteArray sharedSecret;                       ///< may be empty when TLS is set
     std::optional<QSslConfiguration> tls; ///< certificate, key and authority; both ends verify
 
-    qsizetype frameLimitBytes = qsizetype{16} * 1024 * 1024;
+    qsizetype frameLimitBytes = defaultFrameLimitBytes;
     qsizetype sendBufferLimitBytes =
             qsizetype{64} * 1024 * 1024; ///< a link that would pass it is closed
     int handshakeLimit = 256;            ///< connections that may be in their handshake at once
--- a/modules/lacewingmux_peer/messages/FrameKind.h
+++ b/modules/lacewingmux_peer/messages/FrameKind.h
@@ -88,6 +88,8 @@
     ConfigurationDocumentReply = 152,
     CrashNotice = 153,
     CrashSuspicionCleared = 154, // a CrashNotice whose crash is empty
+    HistoryPartRequest = 155,
+    HistoryPart = 156,
 
     // lacewingmux_relay, traffic channel
     RelaySubscribe = 160, // without payload
--- a/modules/lacewingmux_records/client/RecordsClient.cpp
+++ b/modules/lacewingmux_records/client/RecordsClient.cpp
@@ -18,6 +18,9 @@
 // Enough for several disk syncs and round trips between zones. If opening takes longer, a retry by
 // the caller is better.
 constexpr milliseconds openingTimeout{900};
+// A longer history is fetched in parts. Larger frames take more CPU time, as their memory is
+// returned and cleared for each one.
+constexpr qsizetype maximumWholeHistoryBytes = qsizetype{1024} * 1024;
 // Twice the duration of a disk sync and a round trip between zones.
 constexpr milliseconds historyHedgeDelay{25};
 // Time after which a broken connection is established again.
@@ -37,17 +40,22 @@
 } // namespace
 
 RecordsClient::RecordsClient(PeerHub &peerHub, TimerService &timerService,
-                             MetricsRecorder &metricsRecorder, qsizetype cacheBytes,
+                             MetricsRecorder &metricsRecorder,
+                             const RecordsClientLimits &clientLimits,
                              std::function<void(const QByteArray &)> newerViewHook)
     : hub(peerHub)
     , timers(timerService)
     , metrics(metricsRecorder)
     , newerView(std::move(newerViewHook))
-    , cache(cacheBytes)
+    , limits(clientLimits)
+    , cache(clientLimits.cacheBytes)
 {
     this->hub.setHandler(FrameKind::OpenTurnReply, [this](const auto &peer, const auto &frame) {
         this->handleOpenReply(peer, frame);
     });
+    this->hub.setHandler(FrameKind::HistoryPart, [this](const auto &peer, const auto &frame) {
+        this->handlePart(peer, frame);
+    });
     this->hub.setHandler(FrameKind::WriteRecordsAck, [this](const auto &peer, const auto &frame) {
         this->handleAck(peer, frame);
     });
@@ -75,6 +83,8 @@
     for (auto &[correlation, opening] : this->pendingOpenings) {
         opening.quorum =
                 TurnQuorum(opening.turn, this->viewOf(opening.group), opening.history.has_value());
+        if (opening.transfer && opening.transfer->isComplete())
+            opening.quorum.addHistory(opening.transfer->bytes());
         this->sendOpening(correlation, opening);
         correlations.push_back(correlation);
     }
@@ -139,9 +149,8 @@
                                             {},
                                             history})
                     .first->second;
-    opening.timeout = this->timers.after(openingTimeout, [this, correlation] {
-        this->finishOpening(correlation, TurnOutcome::Unavailable);
-    });
+    opening.timeout = this->timers.after(
+            openingTimeout, [this, correlation] { this->handleOpeningTimeout(correlation); });
     if (!historyKnown)
         opening.historyHedgeTimer = this->timers.after(historyHedgeDelay, [this, correlation] {
             this->pendingOpenings.at(correlation).historyLate = true;
@@ -273,6 +282,7 @@
                 this->recordOf(opening.turn, RecordKind::Reservation, opening.turn.maximumTokens);
     if (!opening.history)
         message.previousTurn = opening.turn.previousTurn;
+    message.maximumHistoryBytes = maximumWholeHistoryBytes;
     return message;
 }
 
@@ -297,6 +307,9 @@
     if (opening == this->pendingOpenings.end() || !message || frame.epoch != this->view.number)
         return;
     opening->second.quorum.addReply(peer, *message);
+    if (message->historyInParts && !opening->second.transfer)
+        opening->second.transfer.emplace();
+    this->continueTransfer(frame.correlation);
     this->continueOpening(frame.correlation);
 }
 
@@ -307,7 +320,8 @@
         return;
     PendingOpening &opening = found->second;
     while (const VmIncarnation *nextSource =
-                   opening.quorum.nextHistorySource(opening.historyLate)) {
+                   opening.transfer ? nullptr
+                                    : opening.quorum.nextHistorySource(opening.historyLate)) {
         const VmIncarnation source = *nextSource;
         opening.quorum.recordHistoryRequest(source);
         opening.historyLate = false;
@@ -336,6 +350,21 @@
     return true;
 }
 
+void RecordsClient::handleOpeningTimeout(std::uint64_t correlation)
+{
+    PendingOpening &opening = this->pendingOpenings.at(correlation);
+    const TimerService::SteadyTime now = this->timers.now();
+    // A long history takes longer, or waits for others.
+    const bool isProgressing = opening.transfer && !opening.transfer->isComplete()
+                               && now - this->lastPartAt < openingTimeout
+                               && now < opening.turn.deadline;
+    if (isProgressing)
+        opening.timeout = this->timers.after(
+                openingTimeout, [this, correlation] { this->handleOpeningTimeout(correlation); });
+    else
+        this->finishOpening(correlation, TurnOutcome::Unavailable);
+}
+
 void RecordsClient::finishOpening(std::uint64_t correlation, TurnOutcome outcome)
 {
     auto entry = this->pendingOpenings.extract(correlation);
@@ -343,6 +372,7 @@
         return;
     PendingOpening &opening = entry.mapped();
     opening.timeout.cancel();
+    opening.partTimer.cancel();
     TurnAdmission admission;
     admission.outcome = outcome;
     if (outcome == TurnOutcome::Unavailable)
@@ -360,6 +390,8 @@
     }
     if (outcome != TurnOutcome::Ready)
         this->logNotOpened(opening, outcome);
+    if (opening.transfer)
+        this->continueWaitingTransfers();
     opening.callback(admission);
 }
 
@@ -422,10 +454,15 @@
         return;
     }
     std::vector<std::uint64_t> affected;
+    std::vector<std::uint64_t> brokenTransfers;
     for (auto &[correlation, opening] : this->pendingOpenings) {
         opening.quorum.addFailure(peer);
         affected.push_back(correlation);
+        if (opening.transfer && opening.transfer->source() == peer)
+            brokenTransfers.push_back(correlation);
     }
+    for (const std::uint64_t correlation : brokenTransfers)
+        this->changeTransferSource(correlation);
     for (const std::uint64_t correlation : affected)
         this->continueOpening(correlation);
 }
--- a/modules/lacewingmux_records/client/RecordsClient.h
+++ b/modules/lacewingmux_records/client/RecordsClient.h
@@ -4,12 +4,15 @@
 #include "lacewingmux_gateway/forwarding/TurnStore.h"
 #include "lacewingmux_peer/links/PeerHub.h"
 #include "lacewingmux_records/client/HistoryCache.h"
+#include "lacewingmux_records/client/HistoryTransfer.h"
+#include "lacewingmux_records/client/RecordsClientLimits.h"
 #include "lacewingmux_records/client/TurnQuorum.h"
 #include "lacewingmux_records/members/RecordsView.h"
 #include "lacewingmux_records/messages/Record.h"
 
 #include <QByteArray>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -33,7 +36,8 @@
 public:
     /** The hook receives the document of a view that is newer than the current one. */
     RecordsClient(PeerHub &peerHub, TimerService &timerService, MetricsRecorder &metricsRecorder,
-                  qsizetype cacheBytes, std::function<void(const QByteArray &)> newerViewHook);
+                  const RecordsClientLimits &clientLimits,
+                  std::function<void(const QByteArray &)> newerViewHook);
     ~RecordsClient() override;
 
     /** Adopts a view, unless it is older than the current one. */
@@ -68,6 +72,8 @@
         bool historyLate = false; ///< the member that was asked for the history is late
         TimerSubscription historyHedgeTimer;
         std::optional<CachedHistory> history; ///< empty while it has to be requested
+        std::optional<HistoryTransfer> transfer = std::nullopt; ///< of a long history, in parts
+        TimerSubscription partTimer{}; ///< until when the requested part has to arrive
     };
 
     struct PendingWrite
@@ -121,6 +127,19 @@
         its outcome is known. */
     void continueOpening(std::uint64_t correlation);
     void finishOpening(std::uint64_t correlation, TurnOutcome outcome);
+    void handleOpeningTimeout(std::uint64_t correlation);
+    /** Requests the next part of a long history, unless one is on its way or other transfers come
+        first. */
+    void continueTransfer(std::uint64_t correlation);
+    void requestPart(std::uint64_t correlation, PendingOpening &opening);
+    void handlePart(const VmIncarnation &peer, const PeerFrame &frame);
+    /** Goes on with another member after the current one has failed to send a part. */
+    void changeTransferSource(std::uint64_t correlation);
+    void continueWaitingTransfers();
+    [[nodiscard]] std::ptrdiff_t activeTransfers() const;
+    /** Returns a member that has the history of the opening and can be asked for its next part. */
+    [[nodiscard]] std::optional<VmIncarnation>
+    nextTransferSource(const PendingOpening &opening) const;
     void logNotOpened(const PendingOpening &opening, TurnOutcome outcome) const;
     void sendWrite(std::uint64_t correlation, PendingWrite &write);
     /** Sends the record to all members of the group that store it; returns those that are
@@ -140,7 +159,9 @@
     std::function<void(const QByteArray &)> newerView;
     RecordsView view;                ///< of all groups
     std::vector<RecordsView> groups; ///< the views of the single groups
+    RecordsClientLimits limits;
     HistoryCache cache;
+    TimerService::SteadyTime lastPartAt; ///< when the last part of any long history arrived
     std::uint64_t nextCorrelation = 1;
     std::map<std::uint64_t, PendingOpening> pendingOpenings;
     std::map<std::uint64_t, PendingWrite> pendingWrites;
--- a/modules/lacewingmux_records/client/RecordsClientWrites.cpp
+++ b/modules/lacewingmux_records/client/RecordsClientWrites.cpp
@@ -20,6 +20,15 @@
 void RecordsClient::store(const TurnRequest &turn, const QByteArray &input,
                           const QByteArray &output, std::int64_t tokens, StoredCallback callback)
 {
+    if (input.size() + output.size() > maximumTurnBytes) {
+        this->settle(turn, tokens);
+        LogEvent(LogSeverity::Warning, "turnNotKept")
+                .field("request", QString::fromLatin1(turn.request))
+                .field("reason", "it is too long")
+                .field("bytes", static_cast<qint64>(input.size() + output.size()));
+        callback(false);
+        return;
+    }
     const std::uint64_t correlation = this->nextCorrelation++;
     PendingWrite write;
     const int programGroup = this->view.groupOf(turn.program);
--- a/modules/lacewingmux_records/client/TurnQuorum.cpp
+++ b/modules/lacewingmux_records/client/TurnQuorum.cpp
@@ -95,6 +95,12 @@
     return found == this->holders.end() ? nullptr : &*found;
 }
 
+void TurnQuorum::addHistory(const QByteArray &bytes)
+{
+    this->chainHistory = bytes;
+    this->hasHistory = true;
+}
+
 void TurnQuorum::recordHistoryRequest(const VmIncarnation &member)
 {
     this->askedForHistory.insert(member);
--- a/modules/lacewingmux_records/client/TurnQuorum.h
+++ b/modules/lacewingmux_records/client/TurnQuorum.h
@@ -53,6 +53,15 @@
         or while another member may still send it and is not late. */
     [[nodiscard]] const VmIncarnation *nextHistorySource(bool historyLate) const;
 
+    /** Returns the members that have the history, and did not send it with their reply. */
+    [[nodiscard]] const std::set<VmIncarnation> &historyHolders() const noexcept
+    {
+        return this->holders;
+    }
+
+    /** Adds the history, which a member has sent in parts. */
+    void addHistory(const QByteArray &bytes);
+
     /** Records that the member is asked to send the history. */
     void recordHistoryRequest(const VmIncarnation &member);
 
--- a/modules/lacewingmux_records/messages/RecordMessages.h
+++ b/modules/lacewingmux_records/messages/RecordMessages.h
@@ -27,6 +27,25 @@
     QByteArray team;
     QByteArray previousTurn; ///< empty when no chain is requested
     bool wantsHistory = false;
+    qsizetype maximumHistoryBytes = 0; ///< a longer history is requested in parts; 0 if it is not
+};
+
+/** A position in a history. */
+struct HistoryPosition
+{
+    std::uint64_t turn = 0;   ///< number of a turn of the chain, from 0 for the oldest one
+    std::uint64_t offset = 0; ///< in bytes, within the input and output of that turn
+
+    friend bool operator==(const HistoryPosition &, const HistoryPosition &) = default;
+};
+
+/** Requests a part of the history of a chain that is too long for one message. */
+struct HistoryPartRequestMessage
+{
+    QByteArray team;
+    QByteArray previousTurn; ///< the last turn of the chain
+    HistoryPosition from;
+    qsizetype maximumBytes = 0;
 };
 
 /** Tokens that one turn of a program may use, or has used if it is settled. */
@@ -44,6 +63,17 @@
     std::vector<ReservationState> reservations; ///< without the requested one
     ChainStatus chain = ChainStatus::NotAsked;
     QByteArray history;
+    bool historyInParts = false; ///< the history is longer than requested
+};
+
+/** Reply to a HistoryPartRequestMessage. */
+struct HistoryPartMessage
+{
+    ChainStatus chain = ChainStatus::NotAsked; ///< Found if the part could be read
+    HistoryPosition from;                      ///< as requested
+    QByteArray bytes;
+    HistoryPosition next;
+    bool atEnd = false;
 };
 
 /** Requests the names of the records that a records VM has appended after a position of its log. */
--- a/modules/lacewingmux_records/messages/RecordsCodec.cpp
+++ b/modules/lacewingmux_records/messages/RecordsCodec.cpp
@@ -1,5 +1,6 @@
 #include "lacewingmux_records/messages/RecordsCodec.h"
 
+#include "lacewingmux_peer/links/PeerHubSettings.h"
 #include "lacewingmux_peer/messages/FlatBufferPayload.h"
 #include "lacewingmux_records/messages/records_generated.h"
 
@@ -67,6 +68,28 @@
     return record;
 }
 
+fb::HistoryPosition positionOnWire(const HistoryPosition &position)
+{
+    return {position.turn, position.offset};
+}
+
+HistoryPosition positionFromWire(const fb::HistoryPosition &position)
+{
+    return {position.turn(), position.offset()};
+}
+
+std::uint64_t sizeOnWire(qsizetype bytes)
+{
+    return static_cast<std::uint64_t>(std::max<qsizetype>(bytes, 0));
+}
+
+/** Returns a size that a message states, which is no larger than a frame. */
+qsizetype sizeFromWire(std::uint64_t bytes)
+{
+    return static_cast<qsizetype>(
+            std::min(bytes, static_cast<std::uint64_t>(defaultFrameLimitBytes)));
+}
+
 Offset<fb::RecordKey> createRecordName(FlatBufferBuilder &builder, const RecordName &name)
 {
     const auto key = createBytes(builder, name.key);
@@ -133,7 +156,8 @@
     const auto team = createOptionalBytes(builder, message.team);
     const auto previous = createOptionalBytes(builder, message.previousTurn);
     return finishedPayload(builder, fb::CreateOpenTurn(builder, reservation, team, previous,
-                                                       message.wantsHistory));
+                                                       message.wantsHistory,
+                                                       sizeOnWire(message.maximumHistoryBytes)));
 }
 
 std::optional<OpenTurnMessage> RecordsCodec::decodeOpen(const QByteArray &bytes)
@@ -147,6 +171,7 @@
     message.team = bytesOf(table->team());
     message.previousTurn = bytesOf(table->previous_turn());
     message.wantsHistory = table->wants_history();
+    message.maximumHistoryBytes = sizeFromWire(table->maximum_history_bytes());
     return message;
 }
 
@@ -161,7 +186,8 @@
     const auto history = createOptionalBytes(builder, message.history);
     return finishedPayload(
             builder, fb::CreateOpenTurnReply(builder, message.hasAllReservations, reservations,
-                                             static_cast<std::uint8_t>(message.chain), history));
+                                             static_cast<std::uint8_t>(message.chain), history,
+                                             message.historyInParts));
 }
 
 std::optional<OpenTurnReplyMessage> RecordsCodec::decodeOpenReply(const QByteArray &bytes)
@@ -178,9 +204,52 @@
     }
     message.chain = static_cast<ChainStatus>(table->chain());
     message.history = bytesOf(table->history());
+    message.historyInParts = table->history_in_parts();
     return message;
 }
 
+QByteArray RecordsCodec::encodeHistoryPartRequest(const HistoryPartRequestMessage &message)
+{
+    FlatBufferBuilder builder;
+    const auto team = createOptionalBytes(builder, message.team);
+    const auto previous = createBytes(builder, message.previousTurn);
+    const fb::HistoryPosition from = positionOnWire(message.from);
+    return finishedPayload(builder, fb::CreateHistoryPartRequest(builder, team, previous, &from,
+                                                                 sizeOnWire(message.maximumBytes)));
+}
+
+std::optional<HistoryPartRequestMessage>
+RecordsCodec::decodeHistoryPartRequest(const QByteArray &bytes)
+{
+    const auto *table = verifiedTable<fb::HistoryPartRequest>(bytes);
+    if (table == nullptr)
+        return std::nullopt;
+    return HistoryPartRequestMessage{bytesOf(table->team()), bytesOf(table->previous_turn()),
+                                     positionFromWire(*table->from()),
+                                     sizeFromWire(table->maximum_bytes())};
+}
+
+QByteArray RecordsCodec::encodeHistoryPart(const HistoryPartMessage &message)
+{
+    FlatBufferBuilder builder(message.bytes.size() + 512);
+    const auto text = createOptionalBytes(builder, message.bytes);
+    const fb::HistoryPosition from = positionOnWire(message.from);
+    const fb::HistoryPosition next = positionOnWire(message.next);
+    return finishedPayload(builder,
+                           fb::CreateHistoryPart(builder, static_cast<std::uint8_t>(message.chain),
+                                                 &from, text, &next, message.atEnd));
+}
+
+std::optional<HistoryPartMessage> RecordsCodec::decodeHistoryPart(const QByteArray &bytes)
+{
+    const auto *table = verifiedTable<fb::HistoryPart>(bytes);
+    if (table == nullptr)
+        return std::nullopt;
+    return HistoryPartMessage{static_cast<ChainStatus>(table->chain()),
+                              positionFromWire(*table->from()), bytesOf(table->bytes()),
+                              positionFromWire(*table->next()), table->at_end()};
+}
+
 QByteArray RecordsCodec::encodeNotice(const QByteArray &viewDocument)
 {
     FlatBufferBuilder builder;
--- a/modules/lacewingmux_records/messages/RecordsCodec.h
+++ b/modules/lacewingmux_records/messages/RecordsCodec.h
@@ -27,6 +27,13 @@
     [[nodiscard]] static QByteArray encodeOpenReply(const OpenTurnReplyMessage &message);
     [[nodiscard]] static std::optional<OpenTurnReplyMessage>
     decodeOpenReply(const QByteArray &bytes);
+    [[nodiscard]] static QByteArray
+    encodeHistoryPartRequest(const HistoryPartRequestMessage &message);
+    [[nodiscard]] static std::optional<HistoryPartRequestMessage>
+    decodeHistoryPartRequest(const QByteArray &bytes);
+    [[nodiscard]] static QByteArray encodeHistoryPart(const HistoryPartMessage &message);
+    [[nodiscard]] static std::optional<HistoryPartMessage>
+    decodeHistoryPart(const QByteArray &bytes);
     [[nodiscard]] static QByteArray encodeNotice(const QByteArray &viewDocument);
     [[nodiscard]] static std::optional<QByteArray> decodeNotice(const QByteArray &bytes);
     [[nodiscard]] static QByteArray encodePull(const PullKeysMessage &message);
--- a/modules/lacewingmux_records/messages/records_generated.h
+++ b/modules/lacewingmux_records/messages/records_generated.h
@@ -28,6 +28,14 @@
 struct OpenTurnReply;
 struct OpenTurnReplyBuilder;
 
+struct HistoryPosition;
+
+struct HistoryPartRequest;
+struct HistoryPartRequestBuilder;
+
+struct HistoryPart;
+struct HistoryPartBuilder;
+
 struct WriteRecords;
 struct WriteRecordsBuilder;
 
@@ -64,6 +72,29 @@
 struct ConfigurationDocument;
 struct ConfigurationDocumentBuilder;
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) HistoryPosition FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t turn_;
+  uint64_t offset_;
+
+ public:
+  HistoryPosition()
+      : turn_(0),
+        offset_(0) {
+  }
+  HistoryPosition(uint64_t _turn, uint64_t _offset)
+      : turn_(flatbuffers::EndianScalar(_turn)),
+        offset_(flatbuffers::EndianScalar(_offset)) {
+  }
+  uint64_t turn() const {
+    return flatbuffers::EndianScalar(turn_);
+  }
+  uint64_t offset() const {
+    return flatbuffers::EndianScalar(offset_);
+  }
+};
+FLATBUFFERS_STRUCT_END(HistoryPosition, 16);
+
 struct Record FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RecordBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -228,7 +259,8 @@
     VT_RESERVATION = 4,
     VT_TEAM = 6,
     VT_PREVIOUS_TURN = 8,
-    VT_WANTS_HISTORY = 10
+    VT_WANTS_HISTORY = 10,
+    VT_MAXIMUM_HISTORY_BYTES = 12
   };
   const lacewingmux::fb::Record *reservation() const {
     return GetPointer<const lacewingmux::fb::Record *>(VT_RESERVATION);
@@ -242,6 +274,9 @@
   bool wants_history() const {
     return GetField<uint8_t>(VT_WANTS_HISTORY, 0) != 0;
   }
+  uint64_t maximum_history_bytes() const {
+    return GetField<uint64_t>(VT_MAXIMUM_HISTORY_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_RESERVATION) &&
@@ -251,6 +286,7 @@
            VerifyOffset(verifier, VT_PREVIOUS_TURN) &&
            verifier.VerifyVector(previous_turn()) &&
            VerifyField<uint8_t>(verifier, VT_WANTS_HISTORY, 1) &&
+           VerifyField<uint64_t>(verifier, VT_MAXIMUM_HISTORY_BYTES, 8) &&
            verifier.EndTable();
   }
 };
@@ -271,6 +307,9 @@
   void add_wants_history(bool wants_history) {
     fbb_.AddElement<uint8_t>(OpenTurn::VT_WANTS_HISTORY, static_cast<uint8_t>(wants_history), 0);
   }
+  void add_maximum_history_bytes(uint64_t maximum_history_bytes) {
+    fbb_.AddElement<uint64_t>(OpenTurn::VT_MAXIMUM_HISTORY_BYTES, maximum_history_bytes, 0);
+  }
   explicit OpenTurnBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -287,8 +326,10 @@
     flatbuffers::Offset<lacewingmux::fb::Record> reservation = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> team = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> previous_turn = 0,
-    bool wants_history = false) {
+    bool wants_history = false,
+    uint64_t maximum_history_bytes = 0) {
   OpenTurnBuilder builder_(_fbb);
+  builder_.add_maximum_history_bytes(maximum_history_bytes);
   builder_.add_previous_turn(previous_turn);
   builder_.add_team(team);
   builder_.add_reservation(reservation);
@@ -301,7 +342,8 @@
     flatbuffers::Offset<lacewingmux::fb::Record> reservation = 0,
     const std::vector<uint8_t> *team = nullptr,
     const std::vector<uint8_t> *previous_turn = nullptr,
-    bool wants_history = false) {
+    bool wants_history = false,
+    uint64_t maximum_history_bytes = 0) {
   auto team__ = team ? _fbb.CreateVector<uint8_t>(*team) : 0;
   auto previous_turn__ = previous_turn ? _fbb.CreateVector<uint8_t>(*previous_turn) : 0;
   return lacewingmux::fb::CreateOpenTurn(
@@ -309,7 +351,8 @@
       reservation,
       team__,
       previous_turn__,
-      wants_history);
+      wants_history,
+      maximum_history_bytes);
 }
 
 struct Reservation FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -394,7 +437,8 @@
     VT_SYNCED = 4,
     VT_RESERVATIONS = 6,
     VT_CHAIN = 8,
-    VT_HISTORY = 10
+    VT_HISTORY = 10,
+    VT_HISTORY_IN_PARTS = 12
   };
   bool synced() const {
     return GetField<uint8_t>(VT_SYNCED, 0) != 0;
@@ -408,6 +452,9 @@
   const flatbuffers::Vector<uint8_t> *history() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_HISTORY);
   }
+  bool history_in_parts() const {
+    return GetField<uint8_t>(VT_HISTORY_IN_PARTS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_SYNCED, 1) &&
@@ -417,6 +464,7 @@
            VerifyField<uint8_t>(verifier, VT_CHAIN, 1) &&
            VerifyOffset(verifier, VT_HISTORY) &&
            verifier.VerifyVector(history()) &&
+           VerifyField<uint8_t>(verifier, VT_HISTORY_IN_PARTS, 1) &&
            verifier.EndTable();
   }
 };
@@ -437,6 +485,9 @@
   void add_history(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> history) {
     fbb_.AddOffset(OpenTurnReply::VT_HISTORY, history);
   }
+  void add_history_in_parts(bool history_in_parts) {
+    fbb_.AddElement<uint8_t>(OpenTurnReply::VT_HISTORY_IN_PARTS, static_cast<uint8_t>(history_in_parts), 0);
+  }
   explicit OpenTurnReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -453,10 +504,12 @@
     bool synced = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lacewingmux::fb::Reservation>>> reservations = 0,
     uint8_t chain = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> history = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> history = 0,
+    bool history_in_parts = false) {
   OpenTurnReplyBuilder builder_(_fbb);
   builder_.add_history(history);
   builder_.add_reservations(reservations);
+  builder_.add_history_in_parts(history_in_parts);
   builder_.add_chain(chain);
   builder_.add_synced(synced);
   return builder_.Finish();
@@ -467,7 +520,8 @@
     bool synced = false,
     const std::vector<flatbuffers::Offset<lacewingmux::fb::Reservation>> *reservations = nullptr,
     uint8_t chain = 0,
-    const std::vector<uint8_t> *history = nullptr) {
+    const std::vector<uint8_t> *history = nullptr,
+    bool history_in_parts = false) {
   auto reservations__ = reservations ? _fbb.CreateVector<flatbuffers::Offset<lacewingmux::fb::Reservation>>(*reservations) : 0;
   auto history__ = history ? _fbb.CreateVector<uint8_t>(*history) : 0;
   return lacewingmux::fb::CreateOpenTurnReply(
@@ -475,7 +529,200 @@
       synced,
       reservations__,
       chain,
-      history__);
+      history__,
+      history_in_parts);
+}
+
+struct HistoryPartRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HistoryPartRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TEAM = 4,
+    VT_PREVIOUS_TURN = 6,
+    VT_FROM = 8,
+    VT_MAXIMUM_BYTES = 10
+  };
+  const flatbuffers::Vector<uint8_t> *team() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_TEAM);
+  }
+  const flatbuffers::Vector<uint8_t> *previous_turn() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PREVIOUS_TURN);
+  }
+  const lacewingmux::fb::HistoryPosition *from() const {
+    return GetStruct<const lacewingmux::fb::HistoryPosition *>(VT_FROM);
+  }
+  uint64_t maximum_bytes() const {
+    return GetField<uint64_t>(VT_MAXIMUM_BYTES, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TEAM) &&
+           verifier.VerifyVector(team()) &&
+           VerifyOffsetRequired(verifier, VT_PREVIOUS_TURN) &&
+           verifier.VerifyVector(previous_turn()) &&
+           VerifyFieldRequired<lacewingmux::fb::HistoryPosition>(verifier, VT_FROM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MAXIMUM_BYTES, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct HistoryPartRequestBuilder {
+  typedef HistoryPartRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_team(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> team) {
+    fbb_.AddOffset(HistoryPartRequest::VT_TEAM, team);
+  }
+  void add_previous_turn(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> previous_turn) {
+    fbb_.AddOffset(HistoryPartRequest::VT_PREVIOUS_TURN, previous_turn);
+  }
+  void add_from(const lacewingmux::fb::HistoryPosition *from) {
+    fbb_.AddStruct(HistoryPartRequest::VT_FROM, from);
+  }
+  void add_maximum_bytes(uint64_t maximum_bytes) {
+    fbb_.AddElement<uint64_t>(HistoryPartRequest::VT_MAXIMUM_BYTES, maximum_bytes, 0);
+  }
+  explicit HistoryPartRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HistoryPartRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HistoryPartRequest>(end);
+    fbb_.Required(o, HistoryPartRequest::VT_PREVIOUS_TURN);
+    fbb_.Required(o, HistoryPartRequest::VT_FROM);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HistoryPartRequest> CreateHistoryPartRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> team = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> previous_turn = 0,
+    const lacewingmux::fb::HistoryPosition *from = nullptr,
+    uint64_t maximum_bytes = 0) {
+  HistoryPartRequestBuilder builder_(_fbb);
+  builder_.add_maximum_bytes(maximum_bytes);
+  builder_.add_from(from);
+  builder_.add_previous_turn(previous_turn);
+  builder_.add_team(team);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<HistoryPartRequest> CreateHistoryPartRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint8_t> *team = nullptr,
+    const std::vector<uint8_t> *previous_turn = nullptr,
+    const lacewingmux::fb::HistoryPosition *from = nullptr,
+    uint64_t maximum_bytes = 0) {
+  auto team__ = team ? _fbb.CreateVector<uint8_t>(*team) : 0;
+  auto previous_turn__ = previous_turn ? _fbb.CreateVector<uint8_t>(*previous_turn) : 0;
+  return lacewingmux::fb::CreateHistoryPartRequest(
+      _fbb,
+      team__,
+      previous_turn__,
+      from,
+      maximum_bytes);
+}
+
+struct HistoryPart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HistoryPartBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CHAIN = 4,
+    VT_FROM = 6,
+    VT_BYTES = 8,
+    VT_NEXT = 10,
+    VT_AT_END = 12
+  };
+  uint8_t chain() const {
+    return GetField<uint8_t>(VT_CHAIN, 0);
+  }
+  const lacewingmux::fb::HistoryPosition *from() const {
+    return GetStruct<const lacewingmux::fb::HistoryPosition *>(VT_FROM);
+  }
+  const flatbuffers::Vector<uint8_t> *bytes() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
+  }
+  const lacewingmux::fb::HistoryPosition *next() const {
+    return GetStruct<const lacewingmux::fb::HistoryPosition *>(VT_NEXT);
+  }
+  bool at_end() const {
+    return GetField<uint8_t>(VT_AT_END, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_CHAIN, 1) &&
+           VerifyFieldRequired<lacewingmux::fb::HistoryPosition>(verifier, VT_FROM, 8) &&
+           VerifyOffset(verifier, VT_BYTES) &&
+           verifier.VerifyVector(bytes()) &&
+           VerifyFieldRequired<lacewingmux::fb::HistoryPosition>(verifier, VT_NEXT, 8) &&
+           VerifyField<uint8_t>(verifier, VT_AT_END, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct HistoryPartBuilder {
+  typedef HistoryPart Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_chain(uint8_t chain) {
+    fbb_.AddElement<uint8_t>(HistoryPart::VT_CHAIN, chain, 0);
+  }
+  void add_from(const lacewingmux::fb::HistoryPosition *from) {
+    fbb_.AddStruct(HistoryPart::VT_FROM, from);
+  }
+  void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
+    fbb_.AddOffset(HistoryPart::VT_BYTES, bytes);
+  }
+  void add_next(const lacewingmux::fb::HistoryPosition *next) {
+    fbb_.AddStruct(HistoryPart::VT_NEXT, next);
+  }
+  void add_at_end(bool at_end) {
+    fbb_.AddElement<uint8_t>(HistoryPart::VT_AT_END, static_cast<uint8_t>(at_end), 0);
+  }
+  explicit HistoryPartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HistoryPart> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HistoryPart>(end);
+    fbb_.Required(o, HistoryPart::VT_FROM);
+    fbb_.Required(o, HistoryPart::VT_NEXT);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HistoryPart> CreateHistoryPart(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t chain = 0,
+    const lacewingmux::fb::HistoryPosition *from = nullptr,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0,
+    const lacewingmux::fb::HistoryPosition *next = nullptr,
+    bool at_end = false) {
+  HistoryPartBuilder builder_(_fbb);
+  builder_.add_next(next);
+  builder_.add_bytes(bytes);
+  builder_.add_from(from);
+  builder_.add_at_end(at_end);
+  builder_.add_chain(chain);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<HistoryPart> CreateHistoryPartDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t chain = 0,
+    const lacewingmux::fb::HistoryPosition *from = nullptr,
+    const std::vector<uint8_t> *bytes = nullptr,
+    const lacewingmux::fb::HistoryPosition *next = nullptr,
+    bool at_end = false) {
+  auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
+  return lacewingmux::fb::CreateHistoryPart(
+      _fbb,
+      chain,
+      from,
+      bytes__,
+      next,
+      at_end);
 }
 
 struct WriteRecords FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -2,6 +2,7 @@
 
 #include "lacewingmux_core/logging/StructuredLog.h"
 #include "lacewingmux_core/metrics/MetricsRecorder.h"
+#include "lacewingmux_peer/links/PeerHubSettings.h"
 #include "lacewingmux_records/log/DurableLog.h"
 #include "lacewingmux_records/members/RecordsGroups.h"
 #include "lacewingmux_records/messages/RecordsCodec.h"
@@ -23,6 +24,8 @@
 // Far below the frame size limit, as the last record of a reply may exceed this. Buffers of two
 // megabytes took more CPU time, as their memory was returned and cleared for each reply.
 constexpr qsizetype maximumFetchBytes = qsizetype{512} * 1024;
+// Of a VM that can't fetch a history in parts; the rest of the frame is far larger than needed.
+constexpr qsizetype maximumWholeHistoryBytes = defaultFrameLimitBytes - qsizetype{1024} * 1024;
 // Time from a request to the record on disk that a usual disk stays far below.
 constexpr milliseconds slowWrite{200};
 constexpr milliseconds slowWriteLogInterval{1000};
@@ -47,6 +50,7 @@
     , timers(timerService)
     , metrics(metricsRecorder)
     , hooks(std::move(serverHooks))
+    , histories(this->index, durableLog)
     , sync(
               peerHub, this->index, timerService,
               [this](const Record &record, std::function<void()> durable) {
@@ -73,6 +77,7 @@
         });
     };
     handle(FrameKind::OpenTurn, &RecordsServer::handleOpen);
+    handle(FrameKind::HistoryPartRequest, &RecordsServer::handleHistoryPartRequest);
     handle(FrameKind::WriteRecords, &RecordsServer::handleWrite);
     handle(FrameKind::PullKeys, &RecordsServer::handlePull);
     handle(FrameKind::FetchRecords, &RecordsServer::handleFetch);
@@ -178,16 +183,27 @@
     reply.chain = lookup.status;
     if (lookup.status != ChainStatus::Found || !message.wantsHistory)
         return;
-    for (const std::uint64_t sequence : lookup.sequences) {
-        const std::optional<Record> record = this->log.read(sequence);
-        if (!record) {
-            reply.chain = ChainStatus::Incomplete;
-            reply.history.clear();
-            return;
-        }
-        reply.history += record->input;
-        reply.history += record->output;
-    }
+    const bool canFetchParts = message.maximumHistoryBytes > 0;
+    const qsizetype limit = canFetchParts ? message.maximumHistoryBytes : maximumWholeHistoryBytes;
+    HistoryPartMessage part = this->histories.read({message.team, message.previousTurn, {}, limit},
+                                                   this->expiredBefore());
+    reply.chain = part.chain;
+    if (part.atEnd)
+        reply.history = std::move(part.bytes);
+    else if (part.chain == ChainStatus::Found && canFetchParts)
+        reply.historyInParts = true;
+    else
+        reply.chain = ChainStatus::Incomplete; // a VM of an earlier version can't get the rest
+}
+
+void RecordsServer::handleHistoryPartRequest(const VmIncarnation &peer, const PeerFrame &frame)
+{
+    const auto message = RecordsCodec::decodeHistoryPartRequest(frame.payload);
+    if (!message)
+        return;
+    const HistoryPartMessage part = this->histories.read(*message, this->expiredBefore());
+    this->hub.send(peer, {FrameKind::HistoryPart, this->view.number, frame.correlation,
+                          RecordsCodec::encodeHistoryPart(part)});
 }
 
 void RecordsServer::handleWrite(const VmIncarnation &peer, const PeerFrame &frame)
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -8,6 +8,7 @@
 #include "lacewingmux_records/members/SilenceAgreement.h"
 #include "lacewingmux_records/messages/RecordMessages.h"
 #include "lacewingmux_records/quota/QuotaGrants.h"
+#include "lacewingmux_records/server/HistoryReader.h"
 #include "lacewingmux_records/server/RecordsServerHooks.h"
 #include "lacewingmux_records/server/RecordsSync.h"
 
@@ -46,6 +47,7 @@
 private:
     void forwardToEntryVms(const VmIncarnation &peer, const PeerFrame &frame);
     void handleOpen(const VmIncarnation &peer, const PeerFrame &frame);
+    void handleHistoryPartRequest(const VmIncarnation &peer, const PeerFrame &frame);
     void handleWrite(const VmIncarnation &peer, const PeerFrame &frame);
     void handlePull(const VmIncarnation &peer, const PeerFrame &frame);
     void handleFetch(const VmIncarnation &peer, const PeerFrame &frame);
@@ -101,6 +103,7 @@
     MetricsRecorder &metrics;
     RecordsServerHooks hooks;
     RecordIndex index;
+    HistoryReader histories;
     RecordsSync sync;
     RecordsView wholeView;
     RecordsView view; ///< of the own group
--- a/standins/replica/ScriptedReplica.cpp
+++ b/standins/replica/ScriptedReplica.cpp
@@ -18,6 +18,9 @@
 
 namespace {
 
+// A replica gets a conversation in whole, which is longer than what a caller sends.
+constexpr std::uint64_t longestConversationBytes = std::uint64_t{64} * 1024 * 1024;
+
 constexpr int listenBacklog = 50;
 
 } // namespace
@@ -129,7 +132,9 @@
     const int number = ++connections;
     ++this->accepted;
     QObject::connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
-    auto decoder = std::make_shared<RequestDecoder>(HttpLimits());
+    HttpLimits limits;
+    limits.bodyBytes = longestConversationBytes;
+    auto decoder = std::make_shared<RequestDecoder>(limits);
     QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket, number, decoder] {
         decoder->append(socket->readAll());
         while (decoder->state() == DecodeState::Complete) {
--- a/tests/records/SilentQuorumTest.cpp
+++ b/tests/records/SilentQuorumTest.cpp
@@ -72,7 +72,7 @@
     ManualTimerService timers;
     SilentPeersHub hub;
     IgnoringMetricsRecorder metrics;
-    RecordsClient client(hub, timers, metrics, 1024, [](const QByteArray &) {});
+    RecordsClient client(hub, timers, metrics, {1024, 1024}, [](const QByteArray &) {});
     const RecordsView view = viewOfThree();
     client.setView(view);
     cr_assert(client.hasResponsiveQuorum(500ms));
--- a/tests/records/simulation/RecordsFleet.cpp
+++ b/tests/records/simulation/RecordsFleet.cpp
@@ -8,7 +8,8 @@
 
 using std::chrono::milliseconds;
 
-constexpr qsizetype cacheBytes = 2000; // small, so that histories are often fetched
+// A small cache, so that histories are often fetched.
+constexpr RecordsClientLimits recordsLimits{2000, RecordsFleet::maximumHistoryBytes};
 
 } // namespace
 
@@ -144,7 +145,7 @@
         vm.quota->setView(*view);
     };
     EntryVm &vm = this->entryVms.back();
-    vm.client = std::make_unique<RecordsClient>(*vm.hub, this->timers, this->metrics, cacheBytes,
+    vm.client = std::make_unique<RecordsClient>(*vm.hub, this->timers, this->metrics, recordsLimits,
                                                 adopt);
     vm.quota = std::make_unique<FleetQuota>(*vm.hub, this->timers, [](const auto &) {});
     vm.watch = vm.store->watchPrefix(recordsViewKey, 0,
--- a/tests/records/simulation/RecordsFleet.h
+++ b/tests/records/simulation/RecordsFleet.h
@@ -49,6 +49,9 @@
         std::unique_ptr<FleetQuota> quota;
     };
 
+    /** Bytes of the longest history that an entry VM fetches. */
+    static constexpr qsizetype maximumHistoryBytes = qsizetype{24} * 1024 * 1024;
+
     /** Starts the VMs, named r1, r2 … and e1, e2 …, and waits until they are connected. */
     RecordsFleet(int recordsVmCount, int entryVmCount);
     ~RecordsFleet();
--- a/tests/records/simulation/RecordsVmOnDisk.h
+++ b/tests/records/simulation/RecordsVmOnDisk.h
@@ -49,10 +49,12 @@
     /** Writes the records at once, so that none expires in between. */
     void write(const std::vector<Record> &records)
     {
-        const int before = this->acknowledgements;
-        this->sender->send(this->hub->self(),
-                           {FrameKind::WriteRecords, 1, 1, RecordsCodec::encodeRecords(records)});
-        this->loop.waitUntil([this, before] { return this->acknowledgements > before; },
+        const int expected = this->acknowledgements + static_cast<int>(records.size());
+        // All of them may be longer than a frame.
+        for (const Record &record : records)
+            this->sender->send(this->hub->self(), {FrameKind::WriteRecords, 1, 1,
+                                                   RecordsCodec::encodeRecords({record})});
+        this->loop.waitUntil([this, expected] { return this->acknowledgements >= expected; },
                              "the records on disk");
     }
 
