Crashing requests: another suspect's crashes are no common cause

Cause: a crash was taken back if two other replicas failed within 1.5 s, whatever ran on those. Each try of the one request took back the crashes of the other (crashDecided with hasCommonCause true at each crash). In the same way a replica of any service that goes down and up took them back, and VMs that learnt of no crash of an already quarantined request saw its replica as an idle one that failed.

Change: a failure during which a suspected request ran is explained by that request, for crashes at one moment only by one that was on two replicas or more. Failures are no sign of a common cause while replicas also fail at times at which the request crashed none. Crashes of quarantined requests are reported to other VMs too. A call is not sent to a second replica once its request is quarantined.

Ruled out: other thresholds or windows, which open the case of sound requests beside killed replicas (counts_no_crash_at_a_time_when_another_replica_failed, unchanged); leaving out common causes, for the same reason.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -256,7 +256,7 @@
 void ForwardedCall::continueElsewhere(const char *reason)
 {
     // Without the id of an event that was sent, another replica would send that event again.
-    if (this->mayRetry() && this->delivered.canBeContinued())
+    if (this->mayRetry() && this->delivered.canBeContinued() && !this->isQuarantined())
         this->placeCall();
     else
         this->fail(ErrorKind::BackendFailed, reason);
--- a/modules/lacewingmux_gateway/replicas/CrashCorrelator.cpp
+++ b/modules/lacewingmux_gateway/replicas/CrashCorrelator.cpp
@@ -20,6 +20,9 @@
 constexpr std::chrono::milliseconds settlingTime{1000};
 // A replica that is found unreachable again within this time has not failed again.
 constexpr std::chrono::seconds failureRetention{30};
+// Bound the memory for failures of replicas that return again and again, and for crashes.
+constexpr std::size_t maximumEndedFailures = 256;
+constexpr std::size_t maximumCrashTimes = 16;
 // Other failures beside a crash at which it is taken back, if each of the replicas ran a request.
 constexpr std::ptrdiff_t commonFailures = 2;
 // Bounds the time to find a known crash when many replicas fail at once. Further crashes count as
@@ -108,9 +111,7 @@
 
 void CrashCorrelator::recordUnreachable(const QByteArray &instance, SteadyTime now)
 {
-    std::erase_if(this->failures, [now](const auto &failure) {
-        return now - failure.second.at > failureRetention;
-    });
+    this->dropOldFailures(now);
     this->failures.try_emplace(instance, Failure{now, {}});
     this->addCrashes(instance, now);
 }
@@ -134,6 +135,8 @@
                 std::chrono::floor<std::chrono::milliseconds>(now - request.sentAt),
                 std::chrono::floor<std::chrono::milliseconds>(now - request.brokenAt),
                 request.turnDigest};
+        // Other VMs need to know of the crashes of a quarantined request too, as these may coincide
+        // with those of another one.
         if (!this->add(coincidence, now))
             continue;
         LogEvent(LogSeverity::Warning, "replicaCrashed")
@@ -153,13 +156,18 @@
 
 void CrashCorrelator::recordReturned(const QByteArray &instance)
 {
-    this->failures.erase(instance);
+    auto ended = this->failures.extract(instance);
+    if (ended.empty())
+        return;
+    this->endedFailures.push_back(std::move(ended.mapped()));
+    if (this->endedFailures.size() > maximumEndedFailures)
+        this->endedFailures.pop_front();
 }
 
 bool CrashCorrelator::add(const CrashCoincidence &coincidence, SteadyTime now)
 {
-    this->addFailure(coincidence, now - coincidence.sinceCrash);
-    bool isNew = this->addFor(coincidence.contentDigest, coincidence, now);
+    bool isNew = this->addFailure(coincidence, now - coincidence.sinceCrash);
+    isNew = this->addFor(coincidence.contentDigest, coincidence, now) || isNew;
     if (!coincidence.turnDigest.isEmpty())
         isNew = this->addFor(coincidence.turnDigest, coincidence, now) || isNew;
     return isNew;
@@ -179,6 +187,10 @@
     const UndecidedCrash crash{digest,    coincidence,
                                crashedAt, now - coincidence.sinceSent,
                                false,     verdict == QuarantineVerdict::Suspect};
+    std::deque<SteadyTime> &times = this->countedCrashes[digest].times;
+    times.push_back(crashedAt);
+    if (times.size() > maximumCrashTimes)
+        times.pop_front();
     const bool isCounted = this->count(crash, now);
     if (this->undecided.size() >= maximumUndecided)
         return isCounted;
@@ -192,9 +204,8 @@
 bool CrashCorrelator::count(const UndecidedCrash &crash, SteadyTime now)
 {
     this->dropOldCounts(now);
-    const auto known = this->countedCrashes.find(crash.digest);
-    const bool overlaps = known != this->countedCrashes.end()
-                          && crash.sentAt + noticeDelayTolerance < known->second.last;
+    const bool overlaps =
+            crash.sentAt + noticeDelayTolerance < this->countedCrashes[crash.digest].last;
     if (overlaps || !this->record(crash, now))
         return false;
     ++this->countedCrashes[crash.digest].separate;
@@ -223,7 +234,7 @@
     });
 }
 
-void CrashCorrelator::addFailure(const CrashCoincidence &coincidence, SteadyTime crashedAt)
+bool CrashCorrelator::addFailure(const CrashCoincidence &coincidence, SteadyTime crashedAt)
 {
     const QByteArray crash = coincidence.crash.toUtf8();
     Failure &failure =
@@ -232,24 +243,71 @@
     // The replica was started again meanwhile.
     if (crashedAt - failure.at > crashWindow)
         failure = {crashedAt, {}};
-    failure.digests.insert(coincidence.contentDigest);
-    if (!coincidence.turnDigest.isEmpty())
-        failure.digests.insert(coincidence.turnDigest);
+    const bool isNew = failure.digests.insert(coincidence.contentDigest).second;
+    if (coincidence.turnDigest.isEmpty())
+        return isNew;
+    return failure.digests.insert(coincidence.turnDigest).second || isNew;
 }
 
-bool CrashCorrelator::hasCommonCause(const UndecidedCrash &crash) const
+bool CrashCorrelator::hasCommonCause(const UndecidedCrash &crash, SteadyTime now) const
 {
     std::ptrdiff_t others = 0;
     bool hasIdle = false;
     for (const auto &[instance, failure] : this->failures) {
         if (std::chrono::abs(failure.at - crash.crashedAt) > crashWindow
-            || failure.digests.contains(crash.digest))
+            || failure.digests.contains(crash.digest) || this->isExplained(failure, crash, now))
             continue;
         ++others;
         hasIdle = hasIdle || failure.digests.empty();
     }
-    // Another request that crashes replicas may have caused a single failure.
-    return hasIdle || others >= (crash.isCounted ? commonFailures : 1);
+    const bool isSign = hasIdle || others >= (crash.isCounted ? commonFailures : 1);
+    return isSign && !this->hasUnrelatedFailures(crash, now);
+}
+
+bool CrashCorrelator::isExplained(const Failure &failure, const UndecidedCrash &crash,
+                                  SteadyTime now) const
+{
+    // Of crashes at one moment, a request that was on a single replica is no better explanation
+    // than a common cause.
+    const std::ptrdiff_t enough = crash.isCounted ? 1 : 2;
+    return std::any_of(failure.digests.begin(), failure.digests.end(), [&](const auto &digest) {
+        return this->quarantine.verdict(digest, now) != QuarantineVerdict::Clear
+               && this->failuresWith(digest) >= enough;
+    });
+}
+
+std::ptrdiff_t CrashCorrelator::failuresWith(const QByteArray &digest) const
+{
+    return std::count_if(
+            this->failures.begin(), this->failures.end(),
+            [&digest](const auto &entry) { return entry.second.digests.contains(digest); });
+}
+
+bool CrashCorrelator::hasUnrelatedFailures(const UndecidedCrash &crash, SteadyTime now) const
+{
+    const auto known = this->countedCrashes.find(crash.digest);
+    if (known == this->countedCrashes.end())
+        return false;
+    const auto isUnrelated = [&](const Failure &failure) {
+        const bool isDuringCrash = std::any_of(
+                known->second.times.begin(), known->second.times.end(), [&](const auto &time) {
+                    return std::chrono::abs(failure.at - time) <= crashWindow;
+                });
+        return !isDuringCrash && now - failure.at <= failureRetention
+               && !this->isExplained(failure, crash, now);
+    };
+    return std::any_of(this->endedFailures.begin(), this->endedFailures.end(), isUnrelated)
+           || std::any_of(this->failures.begin(), this->failures.end(),
+                          [&](const auto &entry) { return isUnrelated(entry.second); });
+}
+
+void CrashCorrelator::dropOldFailures(SteadyTime now)
+{
+    const auto isOld = [now](const Failure &failure) {
+        return now - failure.at > failureRetention;
+    };
+    std::erase_if(this->failures, [&isOld](const auto &entry) { return isOld(entry.second); });
+    std::erase_if(this->endedFailures, isOld);
 }
 
 void CrashCorrelator::decideCrashes(SteadyTime now)
@@ -261,7 +319,7 @@
             continue;
         }
         const QByteArray &digest = crash.digest;
-        const bool hasCommonCause = this->hasCommonCause(crash);
+        const bool hasCommonCause = this->hasCommonCause(crash, now);
         if (hasCommonCause && crash.isCounted)
             this->retract(crash);
         else if (!hasCommonCause && !crash.isCounted)
--- a/modules/lacewingmux_gateway/replicas/CrashCorrelator.h
+++ b/modules/lacewingmux_gateway/replicas/CrashCorrelator.h
@@ -6,7 +6,9 @@
 #include <QByteArray>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -24,7 +26,9 @@
     the run began after the crash counted before. Of runs that overlap, as those of a request that
     was sent to several VMs at once, the other crashes count a moment later, unless a replica
     without the request failed at about that time: such failures have a common cause. A crash that
-    was counted is taken back if several such replicas failed, or an idle one.
+    was counted is taken back if several such replicas failed, or an idle one. No sign of a common
+    cause are failures that another suspected request explains, as several requests may crash
+    replicas at the same time, nor any failures while replicas also fail at other times.
 
     Another request that ran during one of these crashes is not quarantined, because it is retried
     on a healthy replica; one that a replica has answered and survived is no longer suspected, at
@@ -132,6 +136,7 @@
         SteadyTime last;
         int separate = 0;           ///< those whose runs began after the crash counted before
         std::set<QByteArray> turns; ///< that the runs continued; an empty one if one continued none
+        std::deque<SteadyTime> times; ///< of the latest crashes, also of those that do not count
     };
 
     /** Adds a crash for each request that the replica broke off shortly before. */
@@ -149,14 +154,24 @@
     bool record(const UndecidedCrash &crash, SteadyTime now);
     /** Takes back a crash that counted at once. */
     void retract(const UndecidedCrash &crash);
-    void addFailure(const CrashCoincidence &coincidence, SteadyTime crashedAt);
+    /** Records that the replica failed during a run of the request; returns whether that is new. */
+    bool addFailure(const CrashCoincidence &coincidence, SteadyTime crashedAt);
     /** Returns whether the answer to a run that was sent at the time shows that the request did
         not cause the crashes; without a time, that run may have begun before any of them. */
     [[nodiscard]] bool isRefutedBy(const QByteArray &digest, std::optional<SteadyTime> sentAt,
                                    SteadyTime now) const;
     void release(const QByteArray &digest, SteadyTime now);
-    /** Returns whether other replicas failed at about the time, without a run of the request. */
-    [[nodiscard]] bool hasCommonCause(const UndecidedCrash &crash) const;
+    /** Returns whether other replicas failed at about the time, without a run of the request, and
+        for no reason of their own. */
+    [[nodiscard]] bool hasCommonCause(const UndecidedCrash &crash, SteadyTime now) const;
+    /** Returns whether another suspected request may have caused the failure. */
+    [[nodiscard]] bool isExplained(const Failure &failure, const UndecidedCrash &crash,
+                                   SteadyTime now) const;
+    /** Returns whether replicas also fail when the request crashes none, so that their failures say
+        nothing about its crashes. */
+    [[nodiscard]] bool hasUnrelatedFailures(const UndecidedCrash &crash, SteadyTime now) const;
+    [[nodiscard]] std::ptrdiff_t failuresWith(const QByteArray &digest) const;
+    void dropOldFailures(SteadyTime now);
     void removeExpired(SteadyTime now);
 
     CrashHook crashFound;
@@ -166,6 +181,7 @@
     std::unordered_map<QByteArray, std::vector<BrokenRequest>> brokenRequests; ///< by instance
     std::unordered_map<QByteArray, CountedCrashes> countedCrashes;             ///< by digest
     std::map<QByteArray, Failure> failures; ///< recent ones, by instance
+    std::deque<Failure> endedFailures;      ///< recent ones of replicas that have returned
     std::vector<UndecidedCrash> undecided;
 };
 
--- a/tests/gateway/CrashCorrelatorTest.cpp
+++ b/tests/gateway/CrashCorrelatorTest.cpp
@@ -250,6 +250,72 @@
     cr_assert(!test.crashes.isQuarantined("bad", later));
 }
 
+// Guards against several requests that crash replicas taking back each other's crashes, when each
+// of them crashes two replicas a try and their tries coincide.
+Test(crash_correlator, quarantines_several_requests_that_crash_two_replicas_in_each_try)
+{
+    for (const int requests : {2, 3, 5}) {
+        CorrelatorFixture test;
+        for (int round = 0; round < 2; ++round) {
+            const auto at = start + std::chrono::seconds(2) * round;
+            for (int number = 0; number < 2 * requests; ++number) {
+                const QByteArray digest = "bad-" + QByteArray::number(number % requests);
+                const auto sentAt = at + milliseconds(40 * (number / requests) + number);
+                test.crash("i-" + QByteArray::number(100 * round + number), digest, sentAt,
+                           sentAt + milliseconds(30));
+            }
+            test.crashes.decideCrashes(at + milliseconds(1500));
+        }
+        const auto end = start + std::chrono::seconds(4);
+        for (int number = 0; number < requests; ++number)
+            cr_assert(test.crashes.isQuarantined("bad-" + QByteArray::number(number), end),
+                      "%d of %d", number, requests);
+    }
+}
+
+// The same when each try reaches one replica, and all tries coincide.
+Test(crash_correlator, quarantines_several_requests_that_crash_one_replica_in_each_try)
+{
+    CorrelatorFixture test;
+    for (int round = 0; round < 3; ++round) {
+        const auto at = start + std::chrono::seconds(2) * round;
+        for (int number = 0; number < 4; ++number)
+            test.crash("i-" + QByteArray::number(100 * round + number),
+                       "bad-" + QByteArray::number(number), at, at + milliseconds(30));
+        test.crashes.decideCrashes(at + milliseconds(1500));
+    }
+    for (const char *digest : {"bad-0", "bad-1", "bad-2", "bad-3"})
+        cr_assert(test.crashes.isQuarantined(digest, start + std::chrono::seconds(6)));
+}
+
+// Guards against a request that crashes replicas being sent on and on beside a replica that goes
+// down and up for another reason.
+Test(crash_correlator, quarantines_a_request_beside_a_replica_that_fails_again_and_again)
+{
+    CorrelatorFixture test;
+    int crashes = 0;
+    for (int tenth = 0; tenth < 300 && !test.crashes.isQuarantined("bad", start); ++tenth) {
+        const auto now = start + milliseconds(100) * tenth;
+        if (tenth % 14 == 0)
+            test.crashes.recordUnreachable("flapping-" + QByteArray::number(tenth), now);
+        if (tenth % 40 == 3 && !test.crashes.isQuarantined("bad", now))
+            test.crash("i-" + QByteArray::number(++crashes), "bad", now, now + milliseconds(30));
+        test.crashes.decideCrashes(now);
+    }
+    cr_assert_leq(crashes, 5);
+    cr_assert(test.crashes.isQuarantined("bad", start + std::chrono::seconds(30)));
+}
+
+// Guards against other VMs taking the crash of a quarantined request for an idle replica's.
+Test(crash_correlator, reports_the_crashes_of_a_quarantined_request)
+{
+    CorrelatorFixture test;
+    for (const char *instance : {"i-1", "i-2", "i-3", "i-4"})
+        test.crash(instance, "bad");
+    cr_assert(test.crashes.isQuarantined("bad", start));
+    cr_assert_eq(test.reported.size(), 4);
+}
+
 // Guards against equal inputs of other conversations being refused for the crashes of one.
 Test(crash_correlator, quarantines_a_turn_but_not_its_content_in_other_conversations)
 {
