Records: forward crash notices to entry VMs without traffic

Cause: RecordsServer::forwardToEntryVms passes a notice on to those entry VMs only that have asked it for admission tokens, so an entry VM without traffic or of a team without a cap learns of no crash.

Change: it is passed on to each connected VM that is no member of the view. A records VM that is not in the view yet gets it too; the frame's correlation field marks what was forwarded already, so that it does not go round.

--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -26,6 +26,9 @@
 constexpr qsizetype maximumFetchBytes = qsizetype{512} * 1024;
 // Of a VM that can't fetch a history in parts; the rest of the frame is far larger than needed.
 constexpr qsizetype maximumWholeHistoryBytes = defaultFrameLimitBytes - qsizetype{1024} * 1024;
+// Marks a notice that a records VM has forwarded. A records VM that is not in the view yet gets it
+// too, as it can't be told from an entry VM, and must not forward it again.
+constexpr std::uint64_t forwardedNotice = 1;
 // Time from a request to the record on disk that a usual disk stays far below.
 constexpr milliseconds slowWrite{200};
 constexpr milliseconds slowWriteLogInterval{1000};
@@ -89,8 +92,10 @@
     for (const FrameKind kind : {FrameKind::CrashNotice, FrameKind::CrashSuspicionCleared})
         handle(kind, &RecordsServer::forwardToEntryVms);
     this->hub.addLinkHandler([this](const VmIncarnation &peer, bool up) {
-        if (!up)
-            this->entryVms.erase(peer);
+        if (up)
+            this->connectedVms.insert(peer);
+        else
+            this->connectedVms.erase(peer);
     });
     this->maintenanceTimer =
             this->timers.every(maintenanceInterval, [this] { this->runMaintenance(); });
@@ -102,9 +107,13 @@
 
 void RecordsServer::forwardToEntryVms(const VmIncarnation &peer, const PeerFrame &frame)
 {
-    for (const VmIncarnation &entryVm : this->entryVms) {
-        if (entryVm != peer)
-            this->hub.send(entryVm, frame);
+    if (frame.correlation == forwardedNotice)
+        return;
+    PeerFrame forwarded = frame;
+    forwarded.correlation = forwardedNotice;
+    for (const VmIncarnation &vm : this->connectedVms) {
+        if (vm != peer && this->wholeView.member(vm) == nullptr)
+            this->hub.send(vm, forwarded);
     }
 }
 
@@ -275,7 +284,6 @@
     const auto message = RecordsCodec::decodeGrant(frame.payload);
     if (!message)
         return;
-    this->entryVms.insert(peer);
     this->configuration.requestIfNewer(peer, message->configurationVersion);
     GrantTokensReplyMessage reply;
     for (const TeamDemandMessage &demand : message->demands)
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -45,6 +45,8 @@
     void setConfiguration(const ConfigurationDocumentMessage &newest);
 
 private:
+    /** Forwards a notice of an entry VM to all others that are connected, whether or not they have
+        had any traffic. */
     void forwardToEntryVms(const VmIncarnation &peer, const PeerFrame &frame);
     void handleOpen(const VmIncarnation &peer, const PeerFrame &frame);
     void handleHistoryPartRequest(const VmIncarnation &peer, const PeerFrame &frame);
@@ -109,7 +111,7 @@
     RecordsView view; ///< of the own group
     QuotaGrants quotas;
     ConfigurationRelay configuration;
-    std::set<VmIncarnation> entryVms;
+    std::set<VmIncarnation> connectedVms; ///< entry VMs and other records VMs
     SilenceAgreement silence;
     /** The last position in the own log when a member was first found silent. */
     std::map<VmIncarnation, std::uint64_t> positionAtSilence;
