Crashing requests: a crash may cut an answer that can't be used

Cause: ForwardedCall::handleFailure looked for a crash after ExchangeFailure::Closed only. The begun answer fails as Malformed before the connection's end is seen.

Change: the replica is also checked after answers that can't be used. An open connection to it shows that it lives, so that spoilt answers cost no new connections where there are others.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -144,6 +144,9 @@
     void handleFailure(ExchangeFailure reason);
     /** Finds out whether the replica, which closed its connection, crashed. */
     void suspectCrash(const std::shared_ptr<const TunnelUse> &tunnel);
+    /** The same for an answer that can't be used. It takes no new connection if another one to the
+        replica is open, as such answers may be frequent. */
+    void suspectCrashUnlessReachable(const std::shared_ptr<const TunnelUse> &tunnel);
     void recordBrokenConnection();
     /** Records that the request does not crash replicas, if the one that answered is still there
         shortly afterwards. */
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -55,6 +55,15 @@
     return fieldValue(head.fields, "Content-Type").startsWith("text/event-stream");
 }
 
+/** Tells whether a replica has sent bytes that are no answer to the request. A crash may have cut
+    them. */
+bool isUnusableAnswer(ExchangeFailure failure)
+{
+    return failure == ExchangeFailure::Malformed || failure == ExchangeFailure::Unattributed
+           || failure == ExchangeFailure::OtherResponse
+           || failure == ExchangeFailure::OutOfSequence;
+}
+
 bool isSuccess(const HttpResponseHead &head)
 {
     return head.status >= okStatus && head.status < firstErrorStatus;
@@ -250,6 +259,8 @@
         ++this->uncountedRuns;
     if (reason == ExchangeFailure::Closed)
         this->suspectCrash(tunnel);
+    else if (isUnusableAnswer(reason))
+        this->suspectCrashUnlessReachable(tunnel);
     this->continueElsewhere(describe(reason));
 }
 
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallCrash.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallCrash.cpp
@@ -14,6 +14,12 @@
     this->context.fleet.checkForCrash(this->attempt.replica, tunnel);
 }
 
+void ForwardedCall::suspectCrashUnlessReachable(const std::shared_ptr<const TunnelUse> &tunnel)
+{
+    this->recordBrokenConnection();
+    this->context.fleet.checkSurvival(this->attempt.replica, tunnel, [] {});
+}
+
 void ForwardedCall::recordBrokenConnection()
 {
     this->context.fleet.crashCorrelator().recordBrokenConnection(
--- a/tests/gateway/CrashingRequestTest.cpp
+++ b/tests/gateway/CrashingRequestTest.cpp
@@ -293,3 +293,42 @@
         cr_assert(reachesReplicaAfter(fixture, turn));
     cr_assert(!reachesReplicaAfter(fixture, "bad-4"));
 }
+
+namespace {
+
+/** Returns a handler that begins an answer to "poison" without the replica's stamp and breaks the
+    connection. */
+ScriptedReplica::Handler beginWithoutStampOnPoison(Effect effect)
+{
+    return [effect](const HttpRequest &request, const Exchange &exchange) {
+        if (request.body != "poison") {
+            exchange.write(GatewayFixture::answer(request, "sound."));
+            return;
+        }
+        exchange.writeNow("HTTP/1.1 200 OK\r\nLacewingmux-Request-Id: "
+                          + fieldValue(request.fields, "Lacewingmux-Request-Id") + "\r\n\r\nbegun");
+        breakConnection(exchange, effect);
+    };
+}
+
+} // namespace
+
+// Guards against a request whose crashes cut answers that can't be used, as they have no stamp,
+// being sent on and on.
+Test(crashing_request, reaches_no_replica_after_it_has_crashed_three_in_answers_without_a_stamp)
+{
+    GatewayFixture fixture(replicaCount, beginWithoutStampOnPoison(Effect::Crash));
+    for (int crash = 0; crash < 3; ++crash)
+        sendOnce(fixture, "poison");
+    cr_assert_eq(fixture.requestCount(), 3);
+    sendOnce(fixture, "poison");
+    cr_assert_eq(fixture.requestCount(), 3, "the request reached a fourth replica");
+}
+
+Test(crashing_request, is_not_seen_in_one_whose_answers_have_no_stamp)
+{
+    GatewayFixture fixture(replicaCount, beginWithoutStampOnPoison(Effect::Cut));
+    for (int sent = 0; sent < 6; ++sent)
+        sendOnce(fixture, "poison");
+    cr_assert_eq(fixture.requestCount(), 6, "the replicas went on listening");
+}
