Replica answers: a status outside 100 to 599 is no answer

With a length, chunks or no body 000, 001 and 099 were taken for interim answers and skipped, and the caller waited until its timeout.

Cause: Beast's parser takes any three digits, and ResponseDecoder::updateState takes each status below 200 for an interim one.

Change: a status outside 100 to 599 makes the response malformed (RFC 9110, section 15: such a status is invalid). The caller gets 502 at once, or another replica's answer where the route may repeat the call.

The answers of the store need no change, by reading: HttpCall takes the status 000 for no answer, whose outcome is unknown, and StoreClient takes none outside 400 to 499 and 503 for a rejection.

--- a/modules/lacewingmux_gateway/http/ResponseDecoder.cpp
+++ b/modules/lacewingmux_gateway/http/ResponseDecoder.cpp
@@ -15,7 +15,9 @@
 namespace {
 
 constexpr std::uint32_t headLimitBytes = 64 * 1024; // far above the heads that backend servers send
+constexpr int firstStatus = 100;
 constexpr int firstFinalStatus = 200;
+constexpr int lastStatus = 599;          // RFC 9110, section 15
 constexpr int maximumInformational = 16; // in one response; one is usual
 // Bytes around the body: a head and a trailer at their limits, and the headers of chunks, which
 // take 5 bytes or more for each.
@@ -48,6 +50,8 @@
     {
         if (holdsStatusLine(reason))
             error = http::error::bad_reason;
+        if (status < firstStatus || status > lastStatus)
+            error = http::error::bad_status;
         this->head.status = status;
         this->head.reason = toBytes(reason);
     }
