Replica answers: an answer ends only once its request was taken in whole

The caller got 200 and the part as a whole answer.

Cause: ReplicaConnection::handleDisconnected asked ResetDetector once, when the replica's side ended. Qt closes its socket then and drops the rest of the request, so nothing later could tell the two ends apart, and a replica that reads on never got the rest.

Change: if the request has not been written and acknowledged in whole by then, the rest is written to the duplicate of the descriptor (UploadCompletion).

Ruled out: a fixed wait for a reset, as the time until the reset is the replica's; taking such answers for broken at once, as a replica that reads on after its answer is sound.

--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -4,6 +4,7 @@
 #include "lacewingmux_gateway/http/StatusLine.h"
 #include "lacewingmux_gateway/replicas/ReplicaRequest.h"
 #include "lacewingmux_gateway/replicas/SharedReading.h"
+#include "lacewingmux_gateway/replicas/UploadCompletion.h"
 #include "lacewingmux_tunnel/sockets/PeerMonitor.h"
 
 #include <QTcpSocket>
@@ -88,6 +89,7 @@
     QObject::disconnect(this->socket, nullptr, nullptr, nullptr);
     this->connector.reset();
     this->monitor.reset();
+    this->upload.reset();
     this->socket->abort();
 }
 
@@ -145,6 +147,7 @@
         this->failLater(ExchangeFailure::NotConnected);
         return;
     }
+    this->sentRequest = std::make_unique<ReplicaRequest>(request);
     this->socket->write(request.text);
     for (const QByteArray &part : request.following)
         this->socket->write(part);
@@ -153,27 +156,78 @@
 
 void ReplicaConnection::handleDisconnected()
 {
-    if (this->broken)
+    if (this->broken || this->upload)
         return;
-    const std::weak_ptr guard = this->lifetime;
+    // The system reports the end of a dead connection by the last error of the network, if any.
+    const ExchangeFailure failure = this->socket->error() == QAbstractSocket::RemoteHostClosedError
+                                            ? ExchangeFailure::Closed
+                                            : this->lossFailure();
+    bool isResponseWhole = false;
     if (this->busy) {
+        const std::weak_ptr guard = this->lifetime;
         this->readAvailable(); // bytes received before the close are still valid
         if (guard.expired() || !this->busy)
             return;
         const bool openEnded = this->headDelivered && this->decoder->head().bodyEndsAtClose;
-        if (openEnded && !this->resetDetector.wasReset()) {
-            this->decoder->appendEnd();
-            this->deliverDecoded();
-            if (guard.expired() || !this->busy)
-                return;
-        }
+        isResponseWhole = openEnded && !this->resetDetector.wasReset();
+        if (isResponseWhole && this->completeUpload())
+            return;
+    }
+    this->endExchange(isResponseWhole, failure);
+}
+
+bool ReplicaConnection::completeUpload()
+{
+    const qsizetype unsentBytes = this->sentRequest ? this->socket->bytesToWrite() : 0;
+    const int descriptor = this->resetDetector.watchedDescriptor();
+    if (unsentBytes == 0 && !UploadCompletion::hasUnacknowledged(descriptor))
+        return false;
+    this->monitor.reset();
+    this->upload = std::make_unique<UploadCompletion>(
+            descriptor, this->lastPartsOfRequest(unsentBytes), this->timers,
+            [this](bool wasReset) { this->handleUploadEnded(wasReset); });
+    return true;
+}
+
+std::vector<QByteArray> ReplicaConnection::lastPartsOfRequest(qsizetype bytes) const
+{
+    std::vector<QByteArray> parts;
+    if (bytes == 0)
+        return parts;
+    parts.push_back(this->sentRequest->text);
+    parts.insert(parts.end(), this->sentRequest->following.begin(),
+                 this->sentRequest->following.end());
+    qsizetype written = -bytes;
+    for (const QByteArray &part : parts)
+        written += part.size();
+    while (written > 0) {
+        const qsizetype skipped = std::min(written, parts.front().size());
+        parts.front().remove(0, skipped);
+        written -= skipped;
+        if (parts.front().isEmpty())
+            parts.erase(parts.begin());
+    }
+    return parts;
+}
+
+void ReplicaConnection::handleUploadEnded(bool wasReset)
+{
+    const std::unique_ptr<UploadCompletion> ended = std::move(this->upload);
+    this->endExchange(!wasReset, ExchangeFailure::Closed);
+}
+
+void ReplicaConnection::endExchange(bool isResponseWhole, ExchangeFailure failure)
+{
+    if (isResponseWhole) {
+        const std::weak_ptr guard = this->lifetime;
+        this->decoder->appendEnd();
+        this->deliverDecoded();
+        if (guard.expired() || !this->busy)
+            return;
     }
     this->broken = true;
-    // The system reports the end of a dead connection by the last error of the network, if any.
     if (this->busy)
-        this->fail(this->socket->error() == QAbstractSocket::RemoteHostClosedError
-                           ? ExchangeFailure::Closed
-                           : this->lossFailure());
+        this->fail(failure);
 }
 
 void ReplicaConnection::handlePeerLost()
@@ -301,6 +355,8 @@
     }
     if (head.bodyEndsAtClose)
         this->resetDetector.watch(*this->socket);
+    if (this->socket->bytesToWrite() == 0)
+        this->sentRequest.reset();
     if (!this->isUnrelatedResponse)
         active->head(head);
     return !guard.expired() && this->busy;
--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.h
@@ -22,6 +22,7 @@
 class PeerMonitor;
 class ResponseDecoder;
 class SharedReading;
+class UploadCompletion;
 struct ReplicaRequest;
 
 /**
@@ -114,6 +115,15 @@
     void writeNow(const ReplicaRequest &request);
     void handleConnectResult(ConnectResult result);
     void handleDisconnected();
+    /** Sends the rest of the request, if it was not sent in whole when the replica ended its side
+       of the connection. Returns whether the end of the response is decided by that later. */
+    [[nodiscard]] bool completeUpload();
+    void handleUploadEnded(bool wasReset);
+    /** Ends the exchange on a connection that the replica has closed, with a whole response if that
+        ends with the connection. */
+    void endExchange(bool isResponseWhole, ExchangeFailure failure);
+    /** Returns the last bytes of the request. */
+    [[nodiscard]] std::vector<QByteArray> lastPartsOfRequest(qsizetype bytes) const;
     void handlePeerLost();
     /** Returns how an exchange fails when its connection is no longer acknowledged. */
     [[nodiscard]] ExchangeFailure lossFailure() const;
@@ -145,6 +155,8 @@
     std::shared_ptr<const Hooks> hooks;
     std::unique_ptr<ResponseDecoder> decoder;
     std::unique_ptr<ReplicaRequest> unsentRequest; ///< the request, while still connecting
+    std::unique_ptr<ReplicaRequest> sentRequest;   ///< until the system has taken it
+    std::unique_ptr<UploadCompletion> upload;      ///< after the replica has ended its side
     QByteArray trailing;
     bool connected = false;
     bool busy = false;
--- a/modules/lacewingmux_tunnel/sockets/ResetDetector.h
+++ b/modules/lacewingmux_tunnel/sockets/ResetDetector.h
@@ -19,6 +19,12 @@
     /** Returns whether the connection was reset; true if that is not known. */
     [[nodiscard]] bool wasReset() const;
 
+    /** Returns the duplicate of the descriptor; -1 if there is none. */
+    [[nodiscard]] int watchedDescriptor() const noexcept
+    {
+        return this->descriptor;
+    }
+
 private:
     int descriptor = -1;
 };
