Crashing requests: try a request once whose crashes came at one moment

Cause: a quarantine has no other end than its time once no run of the content is under way.

Change: while all crashes of a quarantined request came at one moment, 5 s later a single run of it may be tried. The permission is a token of a bucket that all VMs share, as for the limits of replicas, with one token in 20 s, so a request that is sent to all entry VMs at once reaches one replica. If that crashes, the crashes are separate and there is no further trial. Until then Retry-After is 1 s instead of 30 s.

Ruled out: a trial at each VM, which crashes up to seven replicas in one volley; an earlier end of the quarantine, for the same reason.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.cpp
@@ -24,7 +24,6 @@
 
 // The configuration is read from the platform's store within a few calls.
 constexpr milliseconds noConfigurationRetry{300};
-constexpr milliseconds quarantineRetry{30000};
 constexpr milliseconds longHistoryRetry{300}; // a call holds its history for about as long
 // Shorter histories are not counted: there are many, and most are cached anyway.
 constexpr qsizetype longHistoryBytes = qsizetype{1024} * 1024;
@@ -70,6 +69,7 @@
     }
     this->abortExchange(ReplicaAttempt::cancelled);
     this->releaseResponseMemory();
+    this->releaseHistoryMemory();
 }
 
 void ForwardedCall::begin()
@@ -80,8 +80,13 @@
                      noConfigurationRetry);
         return;
     }
-    if (!this->findRoute() || !this->authenticate() || !this->admitUnlessQuarantined()
-        || !this->admitIfStoredWhole())
+    if (this->findRoute() && this->authenticate() && this->admitUnlessQuarantined())
+        this->admit();
+}
+
+void ForwardedCall::admit()
+{
+    if (!this->admitIfStoredWhole())
         return;
     this->deadline = CallDeadline(this->arrived, this->description.timeLeft, this->route.timeout);
     this->deadlineTimer = this->context.timers.after(this->deadline.remaining(this->now()),
@@ -127,17 +132,6 @@
     return true;
 }
 
-bool ForwardedCall::admitUnlessQuarantined()
-{
-    if (!this->isQuarantined())
-        return true;
-    // BackendUnavailable states that this call did not run (earlier requests with the same content
-    // did), and permits a retry after the given time.
-    this->refuse(ErrorKind::BackendUnavailable, "the request crashes the replicas that run it",
-                 quarantineRetry);
-    return false;
-}
-
 void ForwardedCall::takeQuota()
 {
     if (this->team.name.isEmpty() || this->team.requestsPerSecond <= 0) {
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCall.h
@@ -75,9 +75,12 @@
     };
 
     // Admission
+    /** Goes on with the admission of a call that is not quarantined, or that may be tried. */
+    void admit();
     [[nodiscard]] bool findRoute();
     [[nodiscard]] bool authenticate();
-    /** Refuses the call if its content is quarantined; returns whether the call continues. */
+    /** Refuses the call if its content is quarantined, unless it may be tried, which is decided
+        later; returns whether the call continues at once. */
     [[nodiscard]] bool admitUnlessQuarantined();
     /** Refuses the first turn of a program that cannot finish in time; returns whether the call
         continues. */
@@ -223,8 +226,12 @@
     /** Returns a digest of the content and of the turn that the call continues; empty if it
         continues none. */
     [[nodiscard]] QByteArray turnDigest();
-    /** Tells whether the request is refused because replicas crashed while they ran it. */
-    [[nodiscard]] bool isQuarantined();
+    /** Returns the digest by which the request is refused because replicas crashed while they ran
+        it, if it is. */
+    [[nodiscard]] std::optional<QByteArray> quarantinedDigest();
+    /** Lets the call run if it is the only one of all VMs that may try a quarantined request. */
+    void takeTrialQuota(const QByteArray &quarantined);
+    void refuseQuarantined(const QByteArray &quarantined);
     [[nodiscard]] bool isTurn() const;
     /** Returns whether the call is probably the first turn of a program. */
     [[nodiscard]] bool startsProgram() const;
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -267,7 +267,7 @@
 void ForwardedCall::continueElsewhere(const char *reason)
 {
     // Without the id of an event that was sent, another replica would send that event again.
-    if (this->mayRetry() && this->delivered.canBeContinued() && !this->isQuarantined())
+    if (this->mayRetry() && this->delivered.canBeContinued() && !this->quarantinedDigest())
         this->placeCall();
     else
         this->fail(ErrorKind::BackendFailed, reason);
--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallCrash.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallCrash.cpp
@@ -1,5 +1,6 @@
 #include "lacewingmux_gateway/forwarding/ForwardedCall.h"
 
+#include "lacewingmux_gateway/forwarding/TeamQuota.h"
 #include "lacewingmux_gateway/replicas/ReplicaFleet.h"
 
 #include <QCryptographicHash>
@@ -8,6 +9,14 @@
 
 namespace lacewingmux {
 
+namespace {
+
+constexpr std::chrono::milliseconds quarantineRetry{30000};
+// A trial, or the answer to an earlier run, may end the quarantine soon.
+constexpr std::chrono::milliseconds uncertainQuarantineRetry{1000};
+
+} // namespace
+
 void ForwardedCall::suspectCrash(const std::shared_ptr<const TunnelUse> &tunnel)
 {
     this->recordBrokenConnection();
@@ -47,12 +56,49 @@
                         });
 }
 
-bool ForwardedCall::isQuarantined()
+std::optional<QByteArray> ForwardedCall::quarantinedDigest()
 {
     const CrashCorrelator &correlator = this->context.fleet.crashCorrelator();
     // Usually there are no suspects, and the request need not be hashed.
-    return correlator.hasSuspects()
-           && correlator.isQuarantined(this->contentDigest(), this->now(), this->turnDigest());
+    if (!correlator.hasSuspects())
+        return std::nullopt;
+    return correlator.quarantinedDigest(this->contentDigest(), this->now(), this->turnDigest());
+}
+
+bool ForwardedCall::admitUnlessQuarantined()
+{
+    const std::optional<QByteArray> refused = this->quarantinedDigest();
+    if (!refused)
+        return true;
+    if (this->context.fleet.crashCorrelator().mayBeTried(*refused, this->now()))
+        this->takeTrialQuota(*refused);
+    else
+        this->refuseQuarantined(*refused);
+    return false;
+}
+
+void ForwardedCall::takeTrialQuota(const QByteArray &quarantined)
+{
+    this->context.quota.take(
+            crashTrialQuotaRequest(quarantined),
+            [weakSelf = this->weak_from_this(), quarantined](const QuotaDecision &decision) {
+                const auto self = weakSelf.lock();
+                if (!self || self->phase != Phase::Admitting)
+                    return;
+                if (decision.admitted)
+                    self->admit();
+                else
+                    self->refuseQuarantined(quarantined);
+            });
+}
+
+void ForwardedCall::refuseQuarantined(const QByteArray &quarantined)
+{
+    const bool isUncertain = this->context.fleet.crashCorrelator().isUncertain(quarantined);
+    // BackendUnavailable states that this call did not run (earlier requests with the same content
+    // did), and permits a retry after the given time.
+    this->refuse(ErrorKind::BackendUnavailable, "the request crashes the replicas that run it",
+                 isUncertain ? uncertainQuarantineRetry : quarantineRetry);
 }
 
 const QByteArray &ForwardedCall::contentDigest()
--- a/modules/lacewingmux_gateway/forwarding/QuotaRequest.cpp
+++ b/modules/lacewingmux_gateway/forwarding/QuotaRequest.cpp
@@ -36,6 +36,9 @@
 constexpr std::chrono::duration<double> holderOverlap{0.6};
 constexpr double coldReservedRequests = 1.0; // for requests that a link has delayed
 
+// A trial that found no replica may be repeated; one that crashes its replica is the last one.
+constexpr double crashTrialsPerSecond = 0.05;
+
 /** Returns the largest rate of tokens that keeps the bound of a cold replica in any second, in
    which the tokens of the lifetime before are used too, and two records VMs may grant for a while.
  */
@@ -73,6 +76,17 @@
     return request;
 }
 
+QuotaRequest crashTrialQuotaRequest(const QByteArray &contentDigest)
+{
+    QuotaRequest request;
+    request.team.name = "crash trial\n" + contentDigest.toHex();
+    request.team.requestsPerSecond = crashTrialsPerSecond;
+    request.team.burst = 1.0;
+    request.mayWait = false;
+    request.refusedWithoutRecords = true;
+    return request;
+}
+
 QuotaRequest coldReplicaQuotaRequest(const ReplicaInstance &replica, double coldRequestsPerSecond,
                                      std::optional<double> namedLimit)
 {
--- a/modules/lacewingmux_gateway/forwarding/QuotaRequest.h
+++ b/modules/lacewingmux_gateway/forwarding/QuotaRequest.h
@@ -41,4 +41,8 @@
                                                    double coldRequestsPerSecond,
                                                    std::optional<double> namedLimit);
 
+/** Returns a request for the permission to run a request once that is refused because replicas
+    crashed while they ran it. All VMs together get few such permissions. */
+[[nodiscard]] QuotaRequest crashTrialQuotaRequest(const QByteArray &contentDigest);
+
 } // namespace lacewingmux
--- a/modules/lacewingmux_gateway/replicas/CrashCorrelator.cpp
+++ b/modules/lacewingmux_gateway/replicas/CrashCorrelator.cpp
@@ -31,6 +31,8 @@
 // No run takes longer, so that an older crash was before each run that may be reported.
 constexpr std::chrono::minutes longestRun{10};
 constexpr int crashesToQuarantine = 3;
+// Until then, runs of the same moment are usually answered, and replicas are back.
+constexpr std::chrono::seconds trialDelay{5};
 
 QuarantineSettings quarantineSettings()
 {
@@ -182,6 +184,8 @@
                 return crash.digest == digest && crash.coincidence.crash == coincidence.crash;
             });
     const QuarantineVerdict verdict = this->quarantine.verdict(digest, now);
+    if (verdict == QuarantineVerdict::Quarantined)
+        this->recordFurtherCrash(digest, now - coincidence.sinceSent, crashedAt);
     if (isKnown || verdict == QuarantineVerdict::Quarantined)
         return false;
     const UndecidedCrash crash{digest,    coincidence,
@@ -224,6 +228,15 @@
     return true;
 }
 
+void CrashCorrelator::recordFurtherCrash(const QByteArray &digest, SteadyTime sentAt,
+                                         SteadyTime crashedAt)
+{
+    CountedCrashes &counted = this->countedCrashes[digest];
+    if (sentAt > counted.last)
+        ++counted.separate;
+    counted.last = std::max(counted.last, crashedAt);
+}
+
 void CrashCorrelator::dropOldCounts(SteadyTime now)
 {
     if (this->countedCrashes.size() <= expiryThreshold)
@@ -350,12 +363,33 @@
 
 bool CrashCorrelator::isQuarantined(const QByteArray &contentDigest, SteadyTime now,
                                     const QByteArray &turnDigest) const
+{
+    return this->quarantinedDigest(contentDigest, now, turnDigest).has_value();
+}
+
+std::optional<QByteArray> CrashCorrelator::quarantinedDigest(const QByteArray &contentDigest,
+                                                             SteadyTime now,
+                                                             const QByteArray &turnDigest) const
 {
     const auto isRefused = [this, now](const QByteArray &digest) {
         return this->quarantine.verdict(digest, now) == QuarantineVerdict::Quarantined;
     };
-    return (!turnDigest.isEmpty() && isRefused(turnDigest))
-           || (isRefused(contentDigest) && !this->isOnlyInOneTurn(contentDigest));
+    if (!turnDigest.isEmpty() && isRefused(turnDigest))
+        return turnDigest;
+    if (isRefused(contentDigest) && !this->isOnlyInOneTurn(contentDigest))
+        return contentDigest;
+    return std::nullopt;
+}
+
+bool CrashCorrelator::isUncertain(const QByteArray &digest) const
+{
+    const auto counted = this->countedCrashes.find(digest);
+    return counted != this->countedCrashes.end() && counted->second.separate <= 1;
+}
+
+bool CrashCorrelator::mayBeTried(const QByteArray &digest, SteadyTime now) const
+{
+    return this->isUncertain(digest) && now - this->countedCrashes.at(digest).last >= trialDelay;
 }
 
 bool CrashCorrelator::isOnlyInOneTurn(const QByteArray &contentDigest) const
--- a/modules/lacewingmux_gateway/replicas/CrashCorrelator.h
+++ b/modules/lacewingmux_gateway/replicas/CrashCorrelator.h
@@ -111,6 +111,19 @@
     [[nodiscard]] bool isQuarantined(const QByteArray &contentDigest, SteadyTime now,
                                      const QByteArray &turnDigest = {}) const;
 
+    /** Returns the digest, of the content or of the turn, by which the request is quarantined. */
+    [[nodiscard]] std::optional<QByteArray>
+    quarantinedDigest(const QByteArray &contentDigest, SteadyTime now,
+                      const QByteArray &turnDigest = {}) const;
+
+    /** Tells whether all crashes of a quarantined request may have had one common cause, as they
+        came at one moment. A single run tells it from a request that crashes replicas. */
+    [[nodiscard]] bool isUncertain(const QByteArray &digest) const;
+
+    /** Tells whether the replicas that crashed at that moment have had time to return, so that such
+        a run may be tried. */
+    [[nodiscard]] bool mayBeTried(const QByteArray &digest, SteadyTime now) const;
+
 private:
     /** A replica that became unreachable, and the requests that ran on it. */
     struct Failure
@@ -145,6 +158,8 @@
     bool add(const CrashCoincidence &coincidence, SteadyTime now);
     /** The same for the content or the turn of the request, as which the digest is given. */
     bool addFor(const QByteArray &digest, const CrashCoincidence &coincidence, SteadyTime now);
+    /** Records the crash of a run that began before the request was quarantined, or as a trial. */
+    void recordFurtherCrash(const QByteArray &digest, SteadyTime sentAt, SteadyTime crashedAt);
     void dropOldCounts(SteadyTime now);
     /** Tells whether all counted crashes of a content came from requests that continue one turn. */
     [[nodiscard]] bool isOnlyInOneTurn(const QByteArray &contentDigest) const;
--- a/tests/gateway/CrashingRequestTest.cpp
+++ b/tests/gateway/CrashingRequestTest.cpp
@@ -332,3 +332,54 @@
         sendOnce(fixture, "poison");
     cr_assert_eq(fixture.requestCount(), 6, "the replicas went on listening");
 }
+
+namespace {
+
+// Until a request may be tried that was quarantined at the end of settledAfter.
+constexpr milliseconds trialAfter{3200};
+
+/** Starts the replicas again, under other ids. */
+void restartReplicas(GatewayFixture &fixture, const ScriptedReplica::Handler &handler)
+{
+    for (ReplicaInstance &instance : fixture.instances) {
+        fixture.replicas.push_back(std::make_unique<ScriptedReplica>(handler));
+        instance.id += "-again";
+        instance.port = fixture.replicas.back()->port();
+    }
+    fixture.gateway->setReplicas(fixture.instances);
+}
+
+} // namespace
+
+// Guards against a popular request being refused for an hour after all replicas failed at once, as
+// no run of it is left whose answer could end its quarantine.
+Test(crashing_request, is_tried_once_after_all_replicas_have_failed_together)
+{
+    GatewayFixture fixture(3, crashLaterOnPoison);
+    sendAtOnce(fixture, "poison", 3, 0);
+    cr_assert_eq(fixture.requestCount(), 3);
+    restartReplicas(fixture, [](const HttpRequest &request, const Exchange &exchange) {
+        exchange.write(GatewayFixture::answer(request, "sound."));
+    });
+    const QByteArray refusal = sendOnce(fixture, "poison");
+    cr_assert(refusal.startsWith("HTTP/1.1 503") && refusal.contains("Retry-After: 1\r\n"), "%s",
+              refusal.constData());
+    fixture.loop.runFor(trialAfter);
+    for (int sent = 0; sent < 3; ++sent)
+        cr_assert(sendOnce(fixture, "poison").endsWith("sound."));
+}
+
+// Guards against a request that crashes replicas being tried by each VM, or again and again.
+Test(crashing_request, reaches_no_replica_after_a_trial_has_crashed_one)
+{
+    GatewayFixture fixture(3, crashLaterOnPoison);
+    sendAtOnce(fixture, "poison", 3, 0);
+    restartReplicas(fixture, crashLaterOnPoison);
+    fixture.loop.runFor(trialAfter);
+    for (int sent = 0; sent < 5; ++sent)
+        sendOnce(fixture, "poison");
+    cr_assert_eq(fixture.requestCount(), 4);
+    fixture.loop.runFor(2 * trialAfter);
+    sendOnce(fixture, "poison");
+    cr_assert_eq(fixture.requestCount(), 4);
+}
--- a/tests/records/LongHistoryTest.cpp
+++ b/tests/records/LongHistoryTest.cpp
@@ -108,6 +108,7 @@
     RecordsFleet fleet(3, 2);
     const std::vector<QByteArray> programs{"p", "q", "r", "s"};
     std::vector<QByteArray> histories;
+    histories.reserve(programs.size());
     for (const QByteArray &program : programs)
         histories.push_back(storeTurns(fleet, program, 3));
     fleet.network.setDeliveryDelay(milliseconds(15)); // 0.3 s for each
