Crashing requests: check for a crash after malformed answers only

late_refusal/without_an_id_is_not_taken_for_not_run failed: the check after an answer that can't be attributed took a third connection. Such an answer came whole from a replica that lives, so the check looks at malformed ones alone, which a crash may have cut. Counts of old crashes are now dropped before the time of a new one is recorded, not between the two.

--- a/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
+++ b/modules/lacewingmux_gateway/forwarding/ForwardedCallAnswer.cpp
@@ -55,15 +55,6 @@
     return fieldValue(head.fields, "Content-Type").startsWith("text/event-stream");
 }
 
-/** Tells whether a replica has sent bytes that are no answer to the request. A crash may have cut
-    them. */
-bool isUnusableAnswer(ExchangeFailure failure)
-{
-    return failure == ExchangeFailure::Malformed || failure == ExchangeFailure::Unattributed
-           || failure == ExchangeFailure::OtherResponse
-           || failure == ExchangeFailure::OutOfSequence;
-}
-
 bool isSuccess(const HttpResponseHead &head)
 {
     return head.status >= okStatus && head.status < firstErrorStatus;
@@ -259,7 +250,7 @@
         ++this->uncountedRuns;
     if (reason == ExchangeFailure::Closed)
         this->suspectCrash(tunnel);
-    else if (isUnusableAnswer(reason))
+    else if (reason == ExchangeFailure::Malformed)
         this->suspectCrashUnlessReachable(tunnel);
     this->continueElsewhere(describe(reason));
 }
--- a/modules/lacewingmux_gateway/replicas/CrashCorrelator.cpp
+++ b/modules/lacewingmux_gateway/replicas/CrashCorrelator.cpp
@@ -191,6 +191,7 @@
     const UndecidedCrash crash{digest,    coincidence,
                                crashedAt, now - coincidence.sinceSent,
                                false,     verdict == QuarantineVerdict::Suspect};
+    this->dropOldCounts(now);
     std::deque<SteadyTime> &times = this->countedCrashes[digest].times;
     times.push_back(crashedAt);
     if (times.size() > maximumCrashTimes)
@@ -207,7 +208,6 @@
 
 bool CrashCorrelator::count(const UndecidedCrash &crash, SteadyTime now)
 {
-    this->dropOldCounts(now);
     const bool overlaps =
             crash.sentAt + noticeDelayTolerance < this->countedCrashes[crash.digest].last;
     if (overlaps || !this->record(crash, now))
