Replica connections: a write that fails at once no longer uses a destroyed connection

Cause: ReplicaConnection::handleConnectResult went on to read members after writeNow(), whose flush() reports a failed write at once; the call then destroys the connection.

Change: the function returns if the write has ended the connection's lifetime.

--- a/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
+++ b/modules/lacewingmux_gateway/replicas/ReplicaConnection.cpp
@@ -133,8 +133,11 @@
                      [this] { this->handleDisconnected(); });
     this->monitor = std::make_unique<PeerMonitor>(*this->socket, this->timers, networkTimeout,
                                                   [this] { this->handlePeerLost(); });
+    const std::weak_ptr guard = this->lifetime;
     if (const auto request = std::exchange(this->unsentRequest, nullptr))
         this->writeNow(*request);
+    if (guard.expired()) // the write failed, and the exchange with it
+        return;
     // Nothing signals bytes that had filled the buffer before.
     if (!this->broken && this->socket->bytesAvailable() >= readBufferBytes)
         this->readByTurns();
