--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -27,7 +27,7 @@
 // Of a VM that can't fetch a history in parts; the rest of the frame is far larger than needed.
 constexpr qsizetype maximumWholeHistoryBytes = defaultFrameLimitBytes - qsizetype{1024} * 1024;
 // Marks a notice that a records VM has forwarded. A records VM that is not in the view yet gets it
-// too, as it can't be told from an entry VM, and must not forward it again.
+// too, as it looks like an entry VM until then, and must not forward it again.
 constexpr std::uint64_t forwardedNotice = 1;
 // Time from a request to the record on disk that a usual disk stays far below.
 constexpr milliseconds slowWrite{200};
