--- a/review/harness-4/EarlyDone.cpp
+++ b/review/harness-4/EarlyDone.cpp
@@ -30,7 +30,7 @@
 constexpr milliseconds turnBound{3500};
 constexpr std::chrono::seconds retirementTime{9}; // durationS
 constexpr milliseconds catchUpTime{5000};         // catchUpS, 4.9 s
-constexpr milliseconds startTime{200}; // the new machine has joined and copies the turns
+constexpr milliseconds startTime{200};            // the new machine has joined and copies the turns
 constexpr milliseconds restartDelay{600};
 constexpr milliseconds recoveryTime{12000}; // recoverS
 constexpr int turnCount = 150;
--- a/review/harness-4/Fleet.cpp
+++ b/review/harness-4/Fleet.cpp
@@ -76,7 +76,9 @@
     : daemons(std::move(daemonFolder))
     , standins(std::move(standinFolder))
     , store(timers)
-{ }
+{
+    this->directory.setAutoRemove(!qEnvironmentVariableIsSet("KEEP_LOGS"));
+}
 
 Fleet::~Fleet() = default;
 
--- a/review/harness-4/Fleet.h
+++ b/review/harness-4/Fleet.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "StoreServer.h"
+
 #include "deployment/ManagedProcess.h"
 #include "lacewingmux_core/time/QtTimerService.h"
-#include "platform-store/PlatformStoreStandin.h"
 
 #include <QHostAddress>
 #include <QJsonObject>
@@ -81,7 +82,7 @@
     QString standins;
     QTemporaryDir directory;
     QtTimerService timers;
-    mutable standin::PlatformStoreStandin store;
+    mutable StoreServer store;
     std::uint16_t storePort = 0;
     std::vector<std::unique_ptr<standin::ManagedProcess>> recordsVms;
     std::vector<std::unique_ptr<standin::ManagedProcess>> entryVms;
--- a/review/harness-4/LostTurn.cpp
+++ b/review/harness-4/LostTurn.cpp
@@ -83,8 +83,11 @@
         const qint64 end = this->record.elapsed() + time.count();
         while (this->record.elapsed() < end) {
             for (const QByteArray &turn : turns) {
-                const int status = this->play(this->probes % Fleet::entryVmCount,
-                                              "probe-" + QByteArray::number(++this->probes), turn);
+                // An entry VM answers from its memory what it has played itself, so the next one
+                // is asked.
+                const int entryVm = ++this->probes % Fleet::entryVmCount;
+                const QByteArray id = "probe-" + QByteArray::number(this->probes);
+                const int status = this->play(entryVm, id, turn);
                 unknown += status == notFoundStatus || status == goneStatus ? 1 : 0;
             }
             pause(probeInterval);
