--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Plays the case of claim.txt; TROUBLE=0 plays it without the disruption. Needs the build of the
+# deploy file and review/build-3.sh. Exits with 1 if the rule was broken, 0 if it held, 2 if the
+# case could not run.
+set -uo pipefail
+cd "$(dirname "$0")/../.." || exit 2
+player=build-review-3/review_spent_budget
+[ -x "$player" ] && [ -x target/bin/lacewingmuxd ] || exit 2
+timeout -k 5 110 "$player" target/bin build-review-3/bin review/15/record.txt
+code=$?
+[ "$code" -le 1 ] && exit "$code"
+exit 2
