--- a/review/harness-4/Exchange.h
+++ b/review/harness-4/Exchange.h
@@ -7,13 +7,14 @@
 #include <QTcpSocket>
 
 #include <cstdint>
+#include <memory>
 #include <utility>
 #include <vector>
 
 namespace lacewingmux::review {
 
-/** One request of a caller on a connection of its own. It ends with the whole answer, or with the
-    connection. */
+/** The requests of a caller on a connection of its own, one after the other. Each one ends with the
+    whole answer, or with the connection. */
 class Exchange
 {
 public:
@@ -23,6 +24,9 @@
     Exchange(const QHostAddress &address, std::uint16_t port, const QByteArray &target,
              const Fields &fields, const QByteArray &requestBody);
 
+    /** Sends a further request on the connection, after the answer to the one before. */
+    void sendNext(const QByteArray &target, const Fields &fields, const QByteArray &requestBody);
+
     [[nodiscard]] bool hasEnded() const noexcept
     {
         return this->ended;
@@ -46,12 +50,14 @@
     }
 
 private:
+    [[nodiscard]] static QByteArray requestText(const QByteArray &target, const Fields &fields,
+                                                const QByteArray &requestBody);
     void read();
     void takeAnswer();
     void handleClose();
 
     QTcpSocket socket;
-    ResponseDecoder decoder{false};
+    std::unique_ptr<ResponseDecoder> decoder = std::make_unique<ResponseDecoder>(false);
     int answerStatus = 0;
     QByteArray answerBody;
     bool ended = false;
--- a/review/harness-4/Fleet.cpp
+++ b/review/harness-4/Fleet.cpp
@@ -20,6 +20,8 @@
 constexpr int zoneCount = 3;
 constexpr int replicasPerService = 2;
 constexpr std::uint16_t readinessPort = 20001;
+constexpr int frontMegabytes = 110; // as at cabinas-mux
+constexpr int recordsMegabytes = 140;
 constexpr std::chrono::seconds startBound{30};
 
 QString endpoint(const QHostAddress &address, std::uint16_t port)
@@ -64,6 +66,7 @@
             {QStringLiteral("version"), 1},
             {QStringLiteral("limits"), limits},
             {QStringLiteral("routes"), QJsonArray{route("turn", "stream", "model", true),
+                                                  route("stream", "stream", "model", false),
                                                   route("once", "unsafe", "desk", false)}},
             {QStringLiteral("services"),
              QJsonArray{model, QJsonObject{{QStringLiteral("name"), QStringLiteral("desk")}}}}};
@@ -254,7 +257,9 @@
             {QStringLiteral("bootstrap"), isFirstStart},
             {QStringLiteral("inFaultBudget"), role == Role::Records},
             {QStringLiteral("limits"),
-             QJsonObject{{QStringLiteral("maxFds"), 4100}, {QStringLiteral("memoryMb"), 140}}},
+             QJsonObject{{QStringLiteral("maxFds"), 4100},
+                         {QStringLiteral("memoryMb"),
+                          role == Role::Front ? frontMegabytes : recordsMegabytes}}},
             {QStringLiteral("faultTolerance"),
              QJsonObject{{QStringLiteral("machines"), 1}, {QStringLiteral("zones"), 1}}},
             {QStringLiteral("bounds"),
