--- a/review/harness-4/RefusedBudget.cpp
+++ b/review/harness-4/RefusedBudget.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
@@ -192,7 +193,9 @@
     });
     std::cout << "served: " << countServed(programs) << " of " << programCount
               << ", told 402 until the end: " << exhausted << '\n';
-    return exhausted > 0 && 5 * countServed(programs) >= 4 * programCount ? brokenExit : heldExit;
+    return exhausted > 0 && 5 * countServed(programs) >= std::ptrdiff_t{4} * programCount
+                   ? brokenExit
+                   : heldExit;
 }
 
 } // namespace
