--- a/review/harness-4/Fleet.cpp
+++ b/review/harness-4/Fleet.cpp
@@ -115,6 +115,16 @@
 void Fleet::killRecordsVm(int number)
 {
     this->recordsVms[static_cast<std::size_t>(number)]->kill();
+    this->killedSince[number].start();
+}
+
+bool Fleet::killAgainWhenDue(int number)
+{
+    if (!this->killedSince[number].hasExpired(killTime.count()))
+        return false;
+    this->startRecordsVm(number, false);
+    this->killRecordsVm(number);
+    return true;
 }
 
 void Fleet::startRecordsVm(int number, bool hasLostDisk)
--- a/review/harness-4/Fleet.h
+++ b/review/harness-4/Fleet.h
@@ -5,6 +5,7 @@
 #include "deployment/ManagedProcess.h"
 #include "lacewingmux_core/time/QtTimerService.h"
 
+#include <QElapsedTimer>
 #include <QHostAddress>
 #include <QJsonObject>
 #include <QString>
@@ -13,6 +14,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -26,6 +28,8 @@
     static constexpr int recordsVmCount = 3;
     static constexpr int entryVmCount = 2;
     static constexpr std::uint16_t ingressPort = 20000;
+    /** How long a records VM stays down after a kill; cabinas-mux has 2.9 s at most. */
+    static constexpr std::chrono::milliseconds killTime{2500};
 
     /** Takes the folders of the deploy file's build and of the stand-ins. */
     Fleet(QString daemonFolder, QString standinFolder);
@@ -39,6 +43,10 @@
     /** Ends a records VM as a machine that loses its power, without a planned stop. */
     void killRecordsVm(int number);
 
+    /** Starts a records VM that has been down for killTime, and kills it again as it starts;
+       returns whether it was due. To be called repeatedly. */
+    bool killAgainWhenDue(int number);
+
     /** Starts it again; with an empty disk if it has lost its own. */
     void startRecordsVm(int number, bool hasLostDisk);
 
@@ -85,6 +93,7 @@
     mutable StoreServer store;
     std::uint16_t storePort = 0;
     std::vector<std::unique_ptr<standin::ManagedProcess>> recordsVms;
+    std::map<int, QElapsedTimer> killedSince; ///< by the number of the records VM
     std::vector<std::unique_ptr<standin::ManagedProcess>> entryVms;
     std::vector<std::unique_ptr<standin::ManagedProcess>> replicas;
 };
