Keep a silent records VM's place until its records are copied elsewhere

One records VM was down while turns were kept, then another one lost its disk while the third one was killed again and again for 11 s.

Cause: the place of a silent member was freed after 7.5 s even if its records were not copied. The group then consisted of the member that had missed the turns and of an empty one, and both were taken at their word.

Evidence: with logs kept on, records-0 writes recordsPlaceLost with recordsMayBeMissing 7736 ms after the last word of records-2, then view 6 without it, then view 7 with the empty VM synced 4 ms later; the first 404 follows. Before view 6 all turns were answered 503.

Change: no place is freed by time. The deciding member must have copied all that the silent one may hold, from joining members too, and the view says when nothing depends on a lost disk any more (predecessorCopied), so that a second VM may be lost while a joining one still copies, and a restart of all processes forgets nothing. recordsVmAwaited and lacewingmux_records_awaited_seconds name the VM that a group waits for. Old builds skip and drop the new field; false only makes a group wait.

--- a/modules/lacewingmux_node/records/RecordsNode.cpp
+++ b/modules/lacewingmux_node/records/RecordsNode.cpp
@@ -87,6 +87,10 @@
         this->queue.post(
                 [this, member, viewNumber] { this->membership->freePlace(member, viewNumber); });
     };
+    hooks.records.predecessorsCopied = [this](std::uint64_t viewNumber) {
+        this->queue.post(
+                [this, viewNumber] { this->membership->notePredecessorsCopied(viewNumber); });
+    };
     hooks.records.newerView = [this](const QByteArray &document) {
         this->queue.post([this, document] { this->membership->adoptViewDocument(document); });
     };
--- a/modules/lacewingmux_records/members/RecordsMember.h
+++ b/modules/lacewingmux_records/members/RecordsMember.h
@@ -20,6 +20,9 @@
     MemberState state = MemberState::Joining;
     int syncSources = 0; ///< while joining: number of synced members to copy completely
     int group = 0;       ///< the group of members that keep the same records
+    /** While joining: whether all members that are not joining have every record of the disk whose
+        place this one takes. Also true if it takes the place of no disk. */
+    bool predecessorCopied = false;
 
     friend bool operator==(const RecordsMember &, const RecordsMember &) = default;
 };
--- a/modules/lacewingmux_records/members/RecordsMembership.cpp
+++ b/modules/lacewingmux_records/members/RecordsMembership.cpp
@@ -151,6 +151,19 @@
             nullptr, RetryPolicy::Once);
 }
 
+void RecordsMembership::notePredecessorsCopied(std::uint64_t decidedNumber)
+{
+    const RecordsMember *own = this->current.member(this->self.incarnation);
+    if (own == nullptr)
+        return;
+    this->update(
+            "predecessorsCopied",
+            [group = own->group, decidedNumber](const RecordsView &view) {
+                return withPredecessorsCopied(view, group, decidedNumber);
+            },
+            nullptr, RetryPolicy::Once);
+}
+
 void RecordsMembership::requestStandby(const VmIncarnation &silent)
 {
     if (!RecordsGroups::withStandbyMoved(this->current, silent))
@@ -236,6 +249,7 @@
                                        : RecordsGroups::groupForJoiner(view, vm.incarnation);
     // Includes the disk that this one replaces, which is one of the disks that may be lost.
     member.syncSources = RecordsGroups::syncSources(view.ofGroup(member.group));
+    member.predecessorCopied = replaced == nullptr;
     std::erase_if(next.members, [&vm](const auto &entry) {
         return entry.vm.incarnation.vm == vm.incarnation.vm;
     });
@@ -272,18 +286,60 @@
     const RecordsMember *lost = view.member(silent);
     if (view.number != decidedNumber || lost == nullptr || lost->state == MemberState::Joining)
         return std::nullopt;
-    const bool hasSuccessor =
-            std::any_of(view.members.begin(), view.members.end(), [lost](const auto &member) {
-                return member.group == lost->group && member.state == MemberState::Joining;
-            });
-    if (!hasSuccessor)
-        return std::nullopt;
     RecordsView next = view;
+    const auto isSuccessor = [group = lost->group](const auto &member) {
+        return member.group == group && member.state == MemberState::Joining;
+    };
+    const auto successor = std::find_if(next.members.begin(), next.members.end(), isSuccessor);
+    if (successor == next.members.end())
+        return std::nullopt;
+    // A member that has not adopted the new view yet may still acknowledge records together with
+    // the silent one.
+    const auto withoutPredecessor =
+            std::find_if(successor, next.members.end(), [&isSuccessor](const auto &member) {
+                return isSuccessor(member) && member.predecessorCopied;
+            });
+    if (withoutPredecessor != next.members.end())
+        withoutPredecessor->predecessorCopied = false;
     std::erase_if(next.members,
                   [&silent](const auto &entry) { return entry.vm.incarnation == silent; });
     return next;
 }
 
+std::optional<RecordsView> RecordsMembership::withPredecessorsCopied(const RecordsView &view,
+                                                                     int group,
+                                                                     std::uint64_t decidedNumber)
+{
+    if (view.number != decidedNumber || view.ofGroup(group).lostDisks() == 0)
+        return std::nullopt;
+    RecordsView next = view;
+    for (RecordsMember &member : next.members) {
+        if (member.group == group && member.state == MemberState::Joining)
+            member.predecessorCopied = true;
+    }
+    return next;
+}
+
+std::optional<RecordsView> RecordsMembership::withoutLostVm(const RecordsView &view,
+                                                            const QString &vm)
+{
+    const RecordsMember *lost = view.memberOnVm(vm);
+    if (lost == nullptr)
+        return std::nullopt;
+    const int others =
+            view.ofGroup(lost->group).syncedCount() - (lost->state == MemberState::Synced ? 1 : 0);
+    if (others == 0)
+        throw LacewingmuxError(
+                ErrorKind::ConfigurationConflict,
+                QStringLiteral("no other records VM of the group of %1 is synced").arg(vm));
+    std::optional<RecordsView> next = withPlaceFreed(view, lost->vm.incarnation, view.number);
+    if (!next)
+        throw LacewingmuxError(ErrorKind::ConfigurationConflict,
+                               QStringLiteral("no records VM has joined to replace %1").arg(vm));
+    ++next->number;
+    return next;
+}
+
 void RecordsMembership::update(const char *reason, const Change &change,
                                const std::function<void()> &done, RetryPolicy retryPolicy)
 {
--- a/modules/lacewingmux_records/members/RecordsMembership.h
+++ b/modules/lacewingmux_records/members/RecordsMembership.h
@@ -89,6 +89,23 @@
         partitioned. */
     void freePlace(const VmIncarnation &silent, std::uint64_t decidedNumber);
 
+    /** Returns the view in which nothing depends on the lost disks of the group any more; nothing
+       if it has none, or if this is no longer the view, by its number, on which that was decided.
+     */
+    [[nodiscard]] static std::optional<RecordsView>
+    withPredecessorsCopied(const RecordsView &view, int group, std::uint64_t decidedNumber);
+
+    /** Notes that all members of the own group that are not joining have every record of its lost
+        disks, as decided on the view with the number. Not retried if the store is unreachable. */
+    void notePredecessorsCopied(std::uint64_t decidedNumber);
+
+    /** Returns the next view, without a VM that the operator declares lost for good, and whose
+       place a joining member takes; nothing if the view has no such VM. Records that only this VM
+       has are lost then. Throws ConfigurationConflict if the group has no other synced member, or
+       no joining one. */
+    [[nodiscard]] static std::optional<RecordsView> withoutLostVm(const RecordsView &view,
+                                                                  const QString &vm);
+
     /** Returns the view whose groups do not change any more; nothing if they are fixed already. */
     [[nodiscard]] static std::optional<RecordsView> withSealedGroups(const RecordsView &view);
 
--- a/modules/lacewingmux_records/members/RecordsView.cpp
+++ b/modules/lacewingmux_records/members/RecordsView.cpp
@@ -64,6 +64,8 @@
     member.state = stateOf(entry.value(QLatin1String("state")).toString());
     member.syncSources = *syncSources;
     member.group = *group;
+    // Unknown, so false, in a document that a VM of an earlier version has written.
+    member.predecessorCopied = entry.value(QLatin1String("predecessorCopied")).toBool();
     return member;
 }
 
@@ -106,7 +108,8 @@
             {QStringLiteral("port"), member.vm.trafficPort},
             {QStringLiteral("state"), stateName(member.state)},
             {QStringLiteral("syncSources"), member.syncSources},
-            {QStringLiteral("group"), member.group}};
+            {QStringLiteral("group"), member.group},
+            {QStringLiteral("predecessorCopied"), member.predecessorCopied}};
 }
 
 } // namespace
@@ -192,6 +195,15 @@
                           [this](const auto &entry) { return this->countsAsCopy(entry); }));
 }
 
+int RecordsView::lostDisks() const
+{
+    return static_cast<int>(
+            std::count_if(this->members.begin(), this->members.end(), [this](const auto &entry) {
+                return entry.state == MemberState::Joining && !this->isStandby(entry)
+                       && !entry.predecessorCopied;
+            }));
+}
+
 int RecordsView::syncedCount() const
 {
     return static_cast<int>(
--- a/modules/lacewingmux_records/members/RecordsView.h
+++ b/modules/lacewingmux_records/members/RecordsView.h
@@ -68,6 +68,10 @@
     /** Returns the number of members whose copies count. */
     [[nodiscard]] int storingCount() const;
 
+    /** Returns the number of lost disks whose records may not have been copied to all other members
+        yet. Each is the predecessor of a joining member. */
+    [[nodiscard]] int lostDisks() const;
+
     /** Returns the number of synced members. */
     [[nodiscard]] int syncedCount() const;
 
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -99,8 +99,10 @@
     });
     this->maintenanceTimer =
             this->timers.every(maintenanceInterval, [this] { this->runMaintenance(); });
-    this->silenceTimer =
-            this->timers.every(silenceCheckInterval, [this] { this->reportLostPlaces(); });
+    this->silenceTimer = this->timers.every(silenceCheckInterval, [this] {
+        this->reportLostPlaces();
+        this->reportCopiedPredecessors();
+    });
     this->quotaTimer = this->timers.every(QuotaGrants::accrualInterval,
                                           [this] { this->quotas.update(this->timers.now()); });
 }
@@ -131,6 +133,8 @@
     this->view = groupView;
     this->copiedReported = false;
     this->syncedReported = false;
+    this->viewAdoptedAt = this->timers.now();
+    this->positionWhenCopied = std::nullopt;
     std::erase_if(this->copiedTo,
                   [this](const auto &entry) { return this->view.member(entry.first) == nullptr; });
     this->sync.setView(groupView);
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -85,9 +85,22 @@
     void reportLostPlaces();
     [[nodiscard]] bool isPlaceLost(const VmIncarnation &peer, TimerService::SteadyTime now) const;
     void reportLostPlace(const VmIncarnation &peer, TimerService::SteadyTime now);
-    /** Returns whether this VM, and as many others as a joining member copies from, have all
-        records that members had when this one fell silent. */
+    /** Returns whether this VM, and as many others as it takes, have all records that the members
+       had when this one fell silent, so that none depends on its disk. */
     [[nodiscard]] bool isCopiedBeside(const VmIncarnation &silent) const;
+    /** Returns from how many other members that are not joining records have to be copied so that
+        none is missed, if this one is silent. */
+    [[nodiscard]] int sourcesBeside(const VmIncarnation &silent) const;
+    /** Returns how many members that are not joining, without the given one, have copied the own
+       log up to the position. */
+    [[nodiscard]] std::ptrdiff_t membersWithCopiesUpTo(std::uint64_t position,
+                                                       const VmIncarnation &exception) const;
+    /** Logs and measures for how long the group has been waiting for a silent member, whose disk
+       may hold the only copy of a record. */
+    void reportAwaitedMember();
+    [[nodiscard]] const RecordsMember *awaitedMember() const;
+    /** Reports once that all members that are not joining have the records of the lost disks. */
+    void reportCopiedPredecessors();
     /** Reports for how long this VM has been joining, and what it waits for. */
     void reportJoining();
     [[nodiscard]] bool isUpToDateStandby(TimerService::SteadyTime now) const;
@@ -116,6 +129,12 @@
     /** The last position in the own log when a member was first found silent. */
     std::map<VmIncarnation, std::uint64_t> positionAtSilence;
     TimerService::SteadyTime placeReportedAt; ///< when a lost place was last reported
+    VmIncarnation awaited;                    ///< the silent member that the group waits for
+    TimerService::SteadyTime awaitedLogged;
+    TimerService::SteadyTime viewAdoptedAt;
+    /** The last position in the own log when this VM had copied all records of earlier views. */
+    std::optional<std::uint64_t> positionWhenCopied;
+    TimerService::SteadyTime predecessorsReportedAt;
     /** The position in the own log up to which each member has copied it. */
     std::map<VmIncarnation, std::uint64_t> copiedTo;
     /** Sequence number of the last record stored while copies on this VM counted. The other members
--- a/modules/lacewingmux_records/server/RecordsServerHooks.h
+++ b/modules/lacewingmux_records/server/RecordsServerHooks.h
@@ -24,6 +24,9 @@
     /** The members agree, under the view with the number, that a silent member has lost its place
         to a joining one. */
     std::function<void(const VmIncarnation &, std::uint64_t viewNumber)> placeLost;
+    /** All members that are not joining have the records of the lost disks, whose places are those
+       of joining members, as found under the view with the number. */
+    std::function<void(std::uint64_t viewNumber)> predecessorsCopied;
     std::function<void(const QByteArray &document)> newerView;
     std::function<void(const ConfigurationDocumentMessage &)> newerConfiguration;
 };
--- a/modules/lacewingmux_records/server/RecordsServerMaintenance.cpp
+++ b/modules/lacewingmux_records/server/RecordsServerMaintenance.cpp
@@ -6,6 +6,7 @@
 #include "lacewingmux_records/members/RecordsGroups.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewingmux {
 
@@ -26,6 +27,10 @@
 constexpr milliseconds silenceThreshold{1000};
 // A change of the view takes a few round trips to the store.
 constexpr milliseconds placeReportInterval{1000};
+// Most joining members have copied everything by then, and need no further change of the view.
+constexpr milliseconds predecessorReportDelay{1000};
+constexpr std::chrono::seconds awaitedLogInterval{10};
+constexpr const char *awaitedMetric = "lacewingmux_records_awaited_seconds";
 // A standby is up to date if its copies of the others' logs are at most this old: about three
 // intervals between pull requests.
 constexpr milliseconds upToDateWindow{800};
@@ -43,6 +48,7 @@
     this->quotas.raiseFloors(this->timers.now());
     this->reportSilentMembers();
     this->reportJoining();
+    this->reportAwaitedMember();
     this->metrics.set("lacewingmux_records_kept", {}, static_cast<double>(this->index.size()));
 }
 
@@ -125,20 +131,17 @@
 {
     const auto duration = now - this->silence.lastRequestAt(peer);
     return peer != this->hub.self() && duration >= standbyTakeoverDelay
-           && this->silence.isPlaceLost(peer, now)
-           && (this->isCopiedBeside(peer) || duration >= replacementDelay);
+           && this->silence.isPlaceLost(peer, now) && this->isCopiedBeside(peer);
 }
 
 void RecordsServer::reportLostPlace(const VmIncarnation &peer, TimerService::SteadyTime now)
 {
     this->placeReportedAt = now;
     const auto duration = now - this->silence.lastRequestAt(peer);
-    const bool isCopied = this->isCopiedBeside(peer);
-    LogEvent(isCopied ? LogSeverity::Info : LogSeverity::Warning, "recordsPlaceLost")
+    LogEvent(LogSeverity::Info, "recordsPlaceLost")
             .field("vm", peer.vm)
             .field("silentMilliseconds",
-                   static_cast<qint64>(std::chrono::duration_cast<milliseconds>(duration).count()))
-            .field("recordsMayBeMissing", !isCopied);
+                   static_cast<qint64>(std::chrono::duration_cast<milliseconds>(duration).count()));
     this->hooks.placeLost(peer, this->view.number);
 }
 
@@ -147,15 +150,101 @@
     const auto position = this->positionAtSilence.find(silent);
     if (position == this->positionAtSilence.end())
         return false;
-    const auto copies = std::count_if(
+    const int needed = this->sourcesBeside(silent);
+    return this->membersWithCopiesUpTo(position->second, silent) >= needed
+           && this->sync.sourcesCopiedSince(this->silence.lastRequestAt(silent)) >= needed;
+}
+
+int RecordsServer::sourcesBeside(const VmIncarnation &silent) const
+{
+    // A record was acknowledged by more members than disks may be lost. Of the members whose copies
+    // count, at most that many may remain unread: this silent one, joining members that have not
+    // been copied, or the lost disks that these stand for, and further members.
+    const auto since = this->silence.lastRequestAt(silent);
+    int sources = 0;
+    int unreadJoining = 0;
+    for (const RecordsMember &member : this->view.members) {
+        if (member.state != MemberState::Joining)
+            ++sources;
+        else if (this->view.countsAsCopy(member)
+                 && !this->sync.isCopiedSince(member.vm.incarnation, since))
+            ++unreadJoining;
+    }
+    const int unread = std::max(unreadJoining, this->view.lostDisks());
+    return std::max(0, sources + unread - this->view.toleratedDisks - 1);
+}
+
+std::ptrdiff_t RecordsServer::membersWithCopiesUpTo(std::uint64_t position,
+                                                    const VmIncarnation &exception) const
+{
+    return std::count_if(
             this->view.members.begin(), this->view.members.end(), [&](const auto &member) {
                 const auto copied = this->copiedTo.find(member.vm.incarnation);
-                return member.state != MemberState::Joining && member.vm.incarnation != silent
-                       && copied != this->copiedTo.end() && copied->second >= position->second;
+                return member.state != MemberState::Joining && member.vm.incarnation != exception
+                       && copied != this->copiedTo.end() && copied->second >= position;
             });
-    const int needed = RecordsGroups::syncSources(this->view) - 1;
-    return copies >= needed
-           && this->sync.sourcesCopiedSince(this->silence.lastRequestAt(silent)) >= needed;
+}
+
+void RecordsServer::reportCopiedPredecessors()
+{
+    const TimerService::SteadyTime now = this->timers.now();
+    const RecordsMember *self = this->view.member(this->hub.self());
+    if (self == nullptr || self->state != MemberState::Synced || this->view.lostDisks() == 0
+        || now - this->viewAdoptedAt < predecessorReportDelay
+        || now - this->predecessorsReportedAt < placeReportInterval)
+        return;
+    if (!this->positionWhenCopied) {
+        if (!this->sync.hasCopiedEarlierViews())
+            return;
+        this->positionWhenCopied = this->index.lastSequence();
+    }
+    const auto others =
+            std::count_if(this->view.members.begin(), this->view.members.end(),
+                          [](const auto &member) { return member.state != MemberState::Joining; })
+            - 1;
+    if (this->membersWithCopiesUpTo(*this->positionWhenCopied, {}) < others)
+        return;
+    this->predecessorsReportedAt = now;
+    this->hooks.predecessorsCopied(this->view.number);
+}
+
+const RecordsMember *RecordsServer::awaitedMember() const
+{
+    const TimerService::SteadyTime now = this->timers.now();
+    const auto awaitedEntry = std::find_if(
+            this->view.members.begin(), this->view.members.end(), [this, now](const auto &member) {
+                const VmIncarnation &peer = member.vm.incarnation;
+                return peer != this->hub.self()
+                       && now - this->silence.lastRequestAt(peer) >= standbyTakeoverDelay
+                       && this->silence.isPlaceLost(peer, now) && !this->isCopiedBeside(peer);
+            });
+    return awaitedEntry == this->view.members.end() ? nullptr : &*awaitedEntry;
+}
+
+void RecordsServer::reportAwaitedMember()
+{
+    const TimerService::SteadyTime now = this->timers.now();
+    const RecordsMember *member = this->awaitedMember();
+    const VmIncarnation previous = std::exchange(
+            this->awaited, member == nullptr ? VmIncarnation() : member->vm.incarnation);
+    if (!previous.vm.isEmpty() && previous != this->awaited)
+        this->metrics.set(awaitedMetric, {{QStringLiteral("vm"), previous.vm}}, 0);
+    if (member == nullptr)
+        return;
+    const auto duration = now - this->silence.lastRequestAt(this->awaited);
+    this->metrics.set(awaitedMetric, {{QStringLiteral("vm"), this->awaited.vm}},
+                      std::chrono::duration<double>(duration).count());
+    if (previous == this->awaited && now - this->awaitedLogged < awaitedLogInterval)
+        return;
+    this->awaitedLogged = now;
+    LogEvent(LogSeverity::Warning, "recordsVmAwaited")
+            .field("vm", this->awaited.vm)
+            .field("silentMilliseconds",
+                   static_cast<qint64>(std::chrono::duration_cast<milliseconds>(duration).count()))
+            .field("lostDisks", this->view.lostDisks())
+            .field("sourcesCopied",
+                   this->sync.sourcesCopiedSince(this->silence.lastRequestAt(this->awaited)))
+            .field("sourcesNeeded", this->sourcesBeside(this->awaited));
 }
 
 void RecordsServer::reportJoining()
--- a/modules/lacewingmux_records/server/RecordsSync.cpp
+++ b/modules/lacewingmux_records/server/RecordsSync.cpp
@@ -67,6 +67,8 @@
             continue;
         Source &source = retained.emplace(peer, std::move(this->sources[peer])).first->second;
         source.unanswered.clear(); // requests under the earlier view may remain unanswered
+        source.hasAdoptedView = false;
+        source.isCopiedUnderView = false;
     }
     this->sources = std::move(retained);
 }
@@ -88,10 +90,27 @@
             this->sources.begin(), this->sources.end(), [this, sentAfter](const auto &entry) {
                 const RecordsMember *member = this->view.member(entry.first);
                 return member != nullptr && member->state != MemberState::Joining
-                       && entry.second.completeAt && *entry.second.completeAt >= sentAfter;
+                       && this->isCopiedSince(entry.first, sentAfter);
             }));
 }
 
+bool RecordsSync::isCopiedSince(const VmIncarnation &member,
+                                TimerService::SteadyTime sentAfter) const
+{
+    const auto source = this->sources.find(member);
+    return source != this->sources.end() && source->second.completeAt
+           && *source->second.completeAt >= sentAfter;
+}
+
+bool RecordsSync::hasCopiedEarlierViews() const
+{
+    return std::all_of(this->sources.begin(), this->sources.end(), [this](const auto &entry) {
+        const RecordsMember *member = this->view.member(entry.first);
+        return member == nullptr || member->state == MemberState::Joining
+               || entry.second.isCopiedUnderView;
+    });
+}
+
 bool RecordsSync::isAwaited(const RecordName &name) const
 {
     return std::any_of(this->sources.begin(), this->sources.end(),
@@ -211,6 +230,7 @@
     }
     source->second.cursor = message->next;
     source->second.atEnd = message->atEnd;
+    source->second.hasAdoptedView = frame.epoch >= this->view.number;
     noteCompletion(source->second);
     if (!message->atEnd)
         this->requestNames(peer, source->second);
@@ -283,8 +303,10 @@
 
 void RecordsSync::noteCompletion(Source &source)
 {
-    if (source.atEnd && source.missing.empty())
-        source.completeAt = source.answeredAt;
+    if (!source.atEnd || !source.missing.empty())
+        return;
+    source.completeAt = source.answeredAt;
+    source.isCopiedUnderView = source.isCopiedUnderView || source.hasAdoptedView;
 }
 
 std::vector<RecordName> RecordsSync::unavailableOf(const FetchRequest &request,
--- a/modules/lacewingmux_records/server/RecordsSync.h
+++ b/modules/lacewingmux_records/server/RecordsSync.h
@@ -59,6 +59,15 @@
         they had named in answers to requests sent at or after the given time. */
     [[nodiscard]] int sourcesCopiedSince(TimerService::SteadyTime sentAfter) const;
 
+    /** Returns whether this VM, at some time, had all records that the member had named in answers
+       to requests sent at or after the given time. */
+    [[nodiscard]] bool isCopiedSince(const VmIncarnation &member,
+                                     TimerService::SteadyTime sentAfter) const;
+
+    /** Returns whether this VM, at some time, had all records that each other member that is not
+        joining has acknowledged under earlier views than the present one. */
+    [[nodiscard]] bool hasCopiedEarlierViews() const;
+
     /** Returns whether a member has named the record, and it has to be on this disk before the
         member's log counts as copied. */
     [[nodiscard]] bool isAwaited(const RecordName &name) const;
@@ -92,7 +101,11 @@
         bool atEnd = false;       ///< the last answer reached the end of the peer's log
         std::deque<NamesRequest> unanswered; ///< oldest first; several if the peer answers late
         TimerService::SteadyTime answeredAt; ///< send time of the last answered request
-        std::set<RecordName> missing;        ///< named by the peer, but not on this disk
+        /** The member had adopted the present view, and no older one, when it last answered. */
+        bool hasAdoptedView = false;
+        /** All records that it named since it had adopted the present view were on this disk. */
+        bool isCopiedUnderView = false;
+        std::set<RecordName> missing;   ///< named by the peer, but not on this disk
         std::set<RecordName> justNamed; ///< missing records that were first named in this interval
         std::set<RecordName> requested; ///< requested from this peer, not received yet
         std::size_t recordsPerFetch = maximumFetchedRecords; ///< as many as fit in a reply
--- a/modules/lacewingmux_report/metrics/MetricsCatalogue.cpp
+++ b/modules/lacewingmux_report/metrics/MetricsCatalogue.cpp
@@ -61,6 +61,10 @@
                           "Programs that ended, by team and reason."},
         MetricDescription{"lacewingmux_queue_seconds", MetricType::Histogram,
                           "Time that calls waited for a replica, by route."},
+        MetricDescription{
+                "lacewingmux_records_awaited_seconds", MetricType::Gauge,
+                "Time for which a records VM has been silent without losing its place, as its "
+                "disk may have the only copy of a record, by VM; 0 once it has ended."},
         MetricDescription{"lacewingmux_records_joining_seconds", MetricType::Gauge,
                           "Time since this records VM began to copy its group's records without "
                           "having become synced; 0 while it is synced or a standby."},
--- a/tests/records/simulation/RecordsFleet.cpp
+++ b/tests/records/simulation/RecordsFleet.cpp
@@ -1,5 +1,8 @@
 #include "simulation/RecordsFleet.h"
 
+#include "lacewingmux_core/errors/LacewingmuxError.h"
+#include "lacewingmux_keyvalue/update/RecordUpdate.h"
+
 #include <utility>
 
 namespace lacewingmux {
@@ -67,6 +70,9 @@
     hooks.placeLost = [&vm](const VmIncarnation &member, std::uint64_t viewNumber) {
         vm.membership->freePlace(member, viewNumber);
     };
+    hooks.predecessorsCopied = [&vm](std::uint64_t viewNumber) {
+        vm.membership->notePredecessorsCopied(viewNumber);
+    };
     hooks.newerView = [&vm](const QByteArray &document) {
         vm.membership->adoptViewDocument(document);
     };
@@ -105,6 +111,22 @@
     this->recordsVms.at(name).membership->beginLeaving();
 }
 
+void RecordsFleet::declareLost(const QString &name)
+{
+    InMemoryPlatformStore store(this->storeServer, QStringLiteral("operator"));
+    std::optional<std::optional<LacewingmuxError>> result;
+    updateRecord(
+            store, recordsViewKey,
+            [&name](const QByteArray &document) -> std::optional<QByteArray> {
+                const auto view = RecordsView::fromDocument(document);
+                const auto next = RecordsMembership::withoutLostVm(view.value(), name);
+                return next ? std::optional(next->toDocument()) : std::nullopt;
+            },
+            [&result](const auto &error) { result = error; });
+    while (!result)
+        this->run(milliseconds(1));
+}
+
 void RecordsFleet::run(milliseconds duration)
 {
     constexpr milliseconds step{1};
--- a/tests/records/simulation/RecordsFleet.h
+++ b/tests/records/simulation/RecordsFleet.h
@@ -72,6 +72,9 @@
     /** Tells a records VM to leave permanently. */
     void retire(const QString &name);
 
+    /** Declares a records VM lost for good, as an operator does. */
+    void declareLost(const QString &name);
+
     void run(std::chrono::milliseconds duration);
 
     [[nodiscard]] bool isRunning(const QString &name) const;
