Let operators declare a records VM lost for good

A group waits for a silent records VM whose disk may have the only copy of a record. If that VM is gone for good, more disks are lost than are tolerated, and only a person can know that. "lacewingmuxctl records lost VM" takes the VM out of the view; it is refused unless another VM of the group is synced and one has joined to replace it.

--- a/modules/lacewingmux_operator/commands/CommandOptions.cpp
+++ b/modules/lacewingmux_operator/commands/CommandOptions.cpp
@@ -23,6 +23,7 @@
   key issue --team TEAM               make a key; its text is shown this once
   key withdraw KEYID                  end a key
   key list                            all keys, without their secrets
+  records lost VM                     stop waiting for a records VM that is lost for good
   status                              views, replicas, shares and revisions in force
   program show ID, program end ID     one program
   report burn                         service-level burn of every team and route
--- a/modules/lacewingmux_operator/commands/OperatorCommand.cpp
+++ b/modules/lacewingmux_operator/commands/OperatorCommand.cpp
@@ -5,6 +5,7 @@
 #include "lacewingmux_operator/commands/ConfigCommands.h"
 #include "lacewingmux_operator/commands/DaemonCommands.h"
 #include "lacewingmux_operator/commands/KeyCommands.h"
+#include "lacewingmux_operator/commands/RecordsCommands.h"
 
 #include <QJsonDocument>
 
@@ -23,13 +24,14 @@
     ExitCode (*run)(CommandContext &context);
 };
 
-constexpr std::array<SubCommand, 11> subCommands{{{"config get", 0, ConfigCommands::get},
+constexpr std::array<SubCommand, 12> subCommands{{{"config get", 0, ConfigCommands::get},
                                                   {"config check", 1, ConfigCommands::check},
                                                   {"config apply", 1, ConfigCommands::apply},
                                                   {"config edit", 0, ConfigCommands::edit},
                                                   {"key issue", 0, KeyCommands::issue},
                                                   {"key withdraw", 1, KeyCommands::withdraw},
                                                   {"key list", 0, KeyCommands::list},
+                                                  {"records lost", 1, RecordsCommands::declareLost},
                                                   {"status", 0, DaemonCommands::status},
                                                   {"program show", 1, DaemonCommands::showProgram},
                                                   {"program end", 1, DaemonCommands::endProgram},
--- a/tests/operator/OperatorProcessTest.cpp
+++ b/tests/operator/OperatorProcessTest.cpp
@@ -1,6 +1,7 @@
 #include "lacewingmux_config/records/ConfigurationRegister.h"
 #include "lacewingmux_core/time/QtTimerService.h"
 #include "lacewingmux_operator/commands/ExitCode.h"
+#include "lacewingmux_records/members/RecordsView.h"
 #include "store/EventLoop.h"
 #include "store/StoreStandin.h"
 
@@ -110,6 +111,14 @@
     }
 };
 
+RecordsMember recordsMember(const char *name, MemberState state)
+{
+    RecordsMember member;
+    member.vm.incarnation = {QString::fromLatin1(name), QStringLiteral("zone"), 1};
+    member.state = state;
+    return member;
+}
+
 QByteArray withRate(int rate)
 {
     QByteArray changed = document;
@@ -205,6 +214,43 @@
     cr_assert(fixture.run("key withdraw 0123456789abcdef").code == ExitCode::Invalid);
 }
 
+// Guards against a group that waits without end for a records VM that is lost for good, and against
+// a declaration that leaves a group without a member that has its records.
+Test(OperatorProcess, declaresARecordsVmLostIfAnotherOneReplacesIt)
+{
+    Fixture fixture;
+    cr_assert(fixture.run("records lost r1").code == ExitCode::Invalid);
+    RecordsView view;
+    view.number = 7;
+    view.targetSize = 3;
+    view.members = {recordsMember("r1", MemberState::Synced),
+                    recordsMember("r2", MemberState::Synced)};
+    const auto storeView = [&fixture](const RecordsView &stored) {
+        fixture.store.table().write({{KeyValueWrite::Kind::Put, KeyRange::single(recordsViewKey),
+                                      stored.toDocument()}});
+    };
+    const auto storedView = [&fixture] {
+        return *RecordsView::fromDocument(fixture.store.table().find(recordsViewKey)->value);
+    };
+    storeView(view);
+    const Run early = fixture.run("records lost r1");
+    cr_assert(early.code == ExitCode::Conflict);
+    cr_assert(early.messages.contains(QLatin1String("no records VM has joined to replace r1")));
+    view.members.push_back(recordsMember("r3", MemberState::Joining));
+    storeView(view);
+    cr_assert(fixture.run("records lost r9").code == ExitCode::Invalid);
+    cr_assert(fixture.run("records lost").code == ExitCode::WrongCommandLine);
+    cr_assert_eq(storedView().number, 7U);
+    fixture.store.setFaults({{QStringLiteral("loseWriteReplies"), 1}});
+    const Run declared = fixture.run("records lost r1");
+    cr_assert(declared.code == ExitCode::Success, "%s", qPrintable(declared.messages));
+    cr_assert_eq(storedView().number, 8U);
+    cr_assert_null(storedView().memberOnVm(QStringLiteral("r1")));
+    const Run last = fixture.run("records lost r2");
+    cr_assert(last.code == ExitCode::Conflict);
+    cr_assert(last.messages.contains(QLatin1String("no other records VM")));
+}
+
 Test(OperatorProcess, waitsUntilARevisionIsInForceOrNamesTheZonesThatLackIt)
 {
     Fixture fixture;
