Take no word of a records VM that is retired while it copies

Cause: a joining member that is retired becomes a leaving one, and all members that are not joining counted as having all records. It also left as soon as its empty log was copied, after which one member's word was enough, and that one had been down.

Change: RecordsMember::hasAllRecords decides whose word counts, everywhere. A VM that has not copied everything leaves once its predecessor's records are with all members that have the others.

Test: retirement/of_a_vm_that_still_copies_calls_no_turn_unknown fails without the change ("check 0").

--- a/modules/lacewingmux_records/client/RecordsClient.cpp
+++ b/modules/lacewingmux_records/client/RecordsClient.cpp
@@ -240,7 +240,7 @@
     for (const RecordsMember &member : group.members) {
         if (!isReachable(member.vm.incarnation))
             continue;
-        membersWithReservations += member.state != MemberState::Joining ? 1 : 0;
+        membersWithReservations += member.hasAllRecords() ? 1 : 0;
         membersStoringCopies += group.countsAsCopy(member) ? 1 : 0;
     }
     return group.isReservationQuorum(membersWithReservations, membersStoringCopies);
@@ -290,7 +290,7 @@
 {
     const RecordsMember *preferred = nullptr;
     for (const RecordsMember &member : group.members) {
-        if (member.state == MemberState::Joining || !this->hub.isConnected(member.vm.incarnation))
+        if (!member.hasAllRecords() || !this->hub.isConnected(member.vm.incarnation))
             continue;
         const bool sameZone = member.vm.incarnation.zone == this->hub.self().zone;
         if (preferred == nullptr || sameZone)
--- a/modules/lacewingmux_records/client/TurnQuorum.cpp
+++ b/modules/lacewingmux_records/client/TurnQuorum.cpp
@@ -18,7 +18,9 @@
         return;
     this->answered.insert(member);
     this->failed.erase(member);
-    if (reply.hasAllReservations)
+    // A VM of an earlier version claims to have all records while it leaves.
+    const bool hasAllRecords = reply.hasAllReservations && known->hasAllRecords();
+    if (hasAllRecords)
         this->membersWithReservations.insert(member);
     if (this->view.countsAsCopy(*known))
         this->storingMembers.insert(member);
@@ -37,7 +39,7 @@
     } else if (reply.chain == ChainStatus::Found) {
         this->holders.insert(member);
     } else if ((reply.chain == ChainStatus::Absent || reply.chain == ChainStatus::Expired)
-               && reply.hasAllReservations) {
+               && hasAllRecords) {
         this->absent.insert(member);
     }
 }
--- a/modules/lacewingmux_records/members/RecordsMember.h
+++ b/modules/lacewingmux_records/members/RecordsMember.h
@@ -18,12 +18,22 @@
 {
     VmDescriptor vm;
     MemberState state = MemberState::Joining;
-    int syncSources = 0; ///< while joining: number of synced members to copy completely
-    int group = 0;       ///< the group of members that keep the same records
-    /** While joining: whether all members that are not joining have every record of the disk whose
-        place this one takes. Also true if it takes the place of no disk. */
+    /** Number of synced members to copy completely before this one has all records; 0 if it is
+       synced, or was when it began to leave. */
+    int syncSources = 0;
+    int group = 0; ///< the group of members that keep the same records
+    /** While this member does not have all records: whether all that do have every record of the
+       disk whose place it takes. Also true if it takes the place of no disk. */
     bool predecessorCopied = false;
 
+    /** Returns whether the member has every acknowledged record, and can state that one does not
+        exist. One that began to leave while it was joining has not copied all of them. */
+    [[nodiscard]] bool hasAllRecords() const noexcept
+    {
+        return this->state == MemberState::Synced
+               || (this->state == MemberState::Leaving && this->syncSources == 0);
+    }
+
     friend bool operator==(const RecordsMember &, const RecordsMember &) = default;
 };
 
--- a/modules/lacewingmux_records/members/RecordsMembership.cpp
+++ b/modules/lacewingmux_records/members/RecordsMembership.cpp
@@ -314,7 +314,7 @@
         return std::nullopt;
     RecordsView next = view;
     for (RecordsMember &member : next.members) {
-        if (member.group == group && member.state == MemberState::Joining)
+        if (member.group == group && !member.hasAllRecords())
             member.predecessorCopied = true;
     }
     return next;
--- a/modules/lacewingmux_records/members/RecordsView.cpp
+++ b/modules/lacewingmux_records/members/RecordsView.cpp
@@ -199,7 +199,7 @@
 {
     return static_cast<int>(
             std::count_if(this->members.begin(), this->members.end(), [this](const auto &entry) {
-                return entry.state == MemberState::Joining && !this->isStandby(entry)
+                return !entry.hasAllRecords() && !this->isStandby(entry)
                        && !entry.predecessorCopied;
             }));
 }
@@ -218,11 +218,10 @@
 
 int RecordsView::reservationQuorum() const
 {
-    // A joining member doesn't count until it has copied a quorum's reservations. Otherwise its
-    // joining could block the members that remain after the loss of another.
-    const auto knowing =
-            std::count_if(this->members.begin(), this->members.end(),
-                          [](const auto &entry) { return entry.state != MemberState::Joining; });
+    // A member doesn't count until it has copied a quorum's reservations. Otherwise its joining
+    // could block the members that remain after the loss of another.
+    const auto knowing = std::count_if(this->members.begin(), this->members.end(),
+                                       [](const auto &entry) { return entry.hasAllRecords(); });
     return static_cast<int>(knowing) / 2 + 1;
 }
 
--- a/modules/lacewingmux_records/members/RecordsView.h
+++ b/modules/lacewingmux_records/members/RecordsView.h
@@ -69,7 +69,7 @@
     [[nodiscard]] int storingCount() const;
 
     /** Returns the number of lost disks whose records may not have been copied to all other members
-        yet. Each is the predecessor of a joining member. */
+        yet. Each is the predecessor of a member that does not have all records. */
     [[nodiscard]] int lostDisks() const;
 
     /** Returns the number of synced members. */
--- a/modules/lacewingmux_records/members/SilenceAgreement.cpp
+++ b/modules/lacewingmux_records/members/SilenceAgreement.cpp
@@ -54,7 +54,7 @@
     const RecordsMember *own = this->view.member(this->self);
     const RecordsMember *lost = this->view.member(silent);
     if (own == nullptr || own->state != MemberState::Synced || lost == nullptr
-        || lost->state == MemberState::Joining)
+        || !lost->hasAllRecords())
         return false;
     bool hasJoiner = false;
     int storing = 0;
@@ -66,11 +66,11 @@
         if (reporter != this->self && !this->reportsSilence(reporter, silent, now))
             continue;
         storing += this->view.countsAsCopy(member) ? 1 : 0;
-        withReservations += member.state != MemberState::Joining ? 1 : 0;
+        withReservations += member.hasAllRecords() ? 1 : 0;
     }
     const auto allWithReservations =
             std::count_if(this->view.members.begin(), this->view.members.end(),
-                          [](const auto &member) { return member.state != MemberState::Joining; });
+                          [](const auto &member) { return member.hasAllRecords(); });
     return hasJoiner && storing >= this->view.storingCount() - this->view.toleratedDisks
            && 2 * withReservations >= allWithReservations;
 }
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -156,7 +156,7 @@
         return;
     const RecordsMember *self = this->view.member(this->hub.self());
     OpenTurnReplyMessage reply;
-    reply.hasAllReservations = self != nullptr && self->state != MemberState::Joining;
+    reply.hasAllReservations = self != nullptr && self->hasAllRecords();
     std::uint64_t sequence = 0;
     if (message->reservation) {
         sequence = this->appendReceived(*message->reservation);
@@ -396,9 +396,8 @@
 {
     // Members that have left since then were copied by the synced ones, and those that lost their
     // disks can't be copied any more: a higher number would keep this VM from ever counting.
-    const auto sources =
-            std::count_if(this->view.members.begin(), this->view.members.end(),
-                          [](const auto &member) { return member.state != MemberState::Joining; });
+    const auto sources = std::count_if(this->view.members.begin(), this->view.members.end(),
+                                       [](const auto &member) { return member.hasAllRecords(); });
     return std::max(1, std::min(joiner.syncSources, static_cast<int>(sources)));
 }
 
@@ -419,7 +418,9 @@
         this->syncedReported = true;
         this->hooks.synced();
     }
-    if (self->state != MemberState::Leaving || this->copiedReported)
+    // Without its predecessor's records, the others might take one that only few have for unknown.
+    const bool isNeeded = !self->hasAllRecords() && !self->predecessorCopied;
+    if (self->state != MemberState::Leaving || isNeeded || this->copiedReported)
         return;
     const bool copied = std::all_of(
             this->view.members.begin(), this->view.members.end(), [this](const auto &member) {
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -88,8 +88,8 @@
     /** Returns whether this VM, and as many others as it takes, have all records that the members
        had when this one fell silent, so that none depends on its disk. */
     [[nodiscard]] bool isCopiedBeside(const VmIncarnation &silent) const;
-    /** Returns from how many other members that are not joining records have to be copied so that
-        none is missed, if this one is silent. */
+    /** Returns from how many other members that have all records these have to be copied so that
+       none is missed, if this one is silent. */
     [[nodiscard]] int sourcesBeside(const VmIncarnation &silent) const;
     /** Returns how many members that are not joining, without the given one, have copied the own
        log up to the position. */
@@ -99,7 +99,7 @@
        may hold the only copy of a record. */
     void reportAwaitedMember();
     [[nodiscard]] const RecordsMember *awaitedMember() const;
-    /** Reports once that all members that are not joining have the records of the lost disks. */
+    /** Reports that all members that have all others' records have those of the lost disks too. */
     void reportCopiedPredecessors();
     /** Reports for how long this VM has been joining, and what it waits for. */
     void reportJoining();
--- a/modules/lacewingmux_records/server/RecordsServerMaintenance.cpp
+++ b/modules/lacewingmux_records/server/RecordsServerMaintenance.cpp
@@ -162,27 +162,27 @@
     // been copied, or the lost disks that these stand for, and further members.
     const auto since = this->silence.lastRequestAt(silent);
     int sources = 0;
-    int unreadJoining = 0;
+    int unreadIncomplete = 0;
     for (const RecordsMember &member : this->view.members) {
-        if (member.state != MemberState::Joining)
+        if (member.hasAllRecords())
             ++sources;
-        else if (this->view.countsAsCopy(member)
+        else if (!this->view.isStandby(member)
                  && !this->sync.isCopiedSince(member.vm.incarnation, since))
-            ++unreadJoining;
+            ++unreadIncomplete;
     }
-    const int unread = std::max(unreadJoining, this->view.lostDisks());
+    const int unread = std::max(unreadIncomplete, this->view.lostDisks());
     return std::max(0, sources + unread - this->view.toleratedDisks - 1);
 }
 
 std::ptrdiff_t RecordsServer::membersWithCopiesUpTo(std::uint64_t position,
                                                     const VmIncarnation &exception) const
 {
-    return std::count_if(
-            this->view.members.begin(), this->view.members.end(), [&](const auto &member) {
-                const auto copied = this->copiedTo.find(member.vm.incarnation);
-                return member.state != MemberState::Joining && member.vm.incarnation != exception
-                       && copied != this->copiedTo.end() && copied->second >= position;
-            });
+    return std::count_if(this->view.members.begin(), this->view.members.end(),
+                         [&](const auto &member) {
+                             const auto copied = this->copiedTo.find(member.vm.incarnation);
+                             return member.hasAllRecords() && member.vm.incarnation != exception
+                                    && copied != this->copiedTo.end() && copied->second >= position;
+                         });
 }
 
 void RecordsServer::reportCopiedPredecessors()
@@ -198,10 +198,9 @@
             return;
         this->positionWhenCopied = this->index.lastSequence();
     }
-    const auto others =
-            std::count_if(this->view.members.begin(), this->view.members.end(),
-                          [](const auto &member) { return member.state != MemberState::Joining; })
-            - 1;
+    const auto others = std::count_if(this->view.members.begin(), this->view.members.end(),
+                                      [](const auto &member) { return member.hasAllRecords(); })
+                        - 1;
     if (this->membersWithCopiesUpTo(*this->positionWhenCopied, {}) < others)
         return;
     this->predecessorsReportedAt = now;
--- a/modules/lacewingmux_records/server/RecordsSync.cpp
+++ b/modules/lacewingmux_records/server/RecordsSync.cpp
@@ -78,9 +78,8 @@
     return static_cast<int>(std::count_if(
             this->sources.begin(), this->sources.end(), [this, sentAfter](const auto &entry) {
                 const RecordsMember *member = this->view.member(entry.first);
-                return member != nullptr && member->state != MemberState::Joining
-                       && entry.second.atEnd && entry.second.missing.empty()
-                       && entry.second.answeredAt >= sentAfter;
+                return member != nullptr && member->hasAllRecords() && entry.second.atEnd
+                       && entry.second.missing.empty() && entry.second.answeredAt >= sentAfter;
             }));
 }
 
@@ -89,7 +88,7 @@
     return static_cast<int>(std::count_if(
             this->sources.begin(), this->sources.end(), [this, sentAfter](const auto &entry) {
                 const RecordsMember *member = this->view.member(entry.first);
-                return member != nullptr && member->state != MemberState::Joining
+                return member != nullptr && member->hasAllRecords()
                        && this->isCopiedSince(entry.first, sentAfter);
             }));
 }
@@ -106,8 +105,7 @@
 {
     return std::all_of(this->sources.begin(), this->sources.end(), [this](const auto &entry) {
         const RecordsMember *member = this->view.member(entry.first);
-        return member == nullptr || member->state == MemberState::Joining
-               || entry.second.isCopiedUnderView;
+        return member == nullptr || this->view.isStandby(*member) || entry.second.isCopiedUnderView;
     });
 }
 
--- a/modules/lacewingmux_records/server/RecordsSync.h
+++ b/modules/lacewingmux_records/server/RecordsSync.h
@@ -64,8 +64,8 @@
     [[nodiscard]] bool isCopiedSince(const VmIncarnation &member,
                                      TimerService::SteadyTime sentAfter) const;
 
-    /** Returns whether this VM, at some time, had all records that each other member that is not
-        joining has acknowledged under earlier views than the present one. */
+    /** Returns whether this VM, at some time, had all records that each other member but standbys
+       has acknowledged under earlier views than the present one. */
     [[nodiscard]] bool hasCopiedEarlierViews() const;
 
     /** Returns whether a member has named the record, and it has to be on this disk before the
--- /dev/null
+++ b/tests/records/RetirementTest.cpp
@@ -0,0 +1,33 @@
+#include "simulation/FleetTurns.h"
+
+#include <criterion/criterion.h>
+
+using namespace lacewingmux;
+using std::chrono::milliseconds;
+
+// Guards against turns that are called unknown on the word of a VM that is retired while it still
+// copies: it has lost its disk, another member was down when the turns were kept, and the third
+// one, which has them, answers last.
+Test(retirement, of_a_vm_that_still_copies_calls_no_turn_unknown)
+{
+    RecordsFleet fleet(3, 2);
+    FleetTurns turns(fleet);
+    fleet.stopRecordsVm(QStringLiteral("r1"), 0);
+    cr_assert(turns.store("kept", ""));
+    fleet.stopRecordsVm(QStringLiteral("r2"), 0);
+    fleet.wipe(QStringLiteral("r2"));
+    // The members that lack the turn can't copy it yet.
+    fleet.network.cutGroups({"r1", "r2"}, {"r3"});
+    fleet.startRecordsVm(QStringLiteral("r1"));
+    fleet.startRecordsVm(QStringLiteral("r2"));
+    fleet.run(milliseconds(250));
+    fleet.retire(QStringLiteral("r2"));
+    for (int check = 0; check < 8; ++check)
+        cr_assert(turns.outcomeOf(1, "t1", "kept") != TurnOutcome::UnknownTurn, "check %d: %s",
+                  check, turns.viewText().c_str());
+    fleet.network.healAll();
+    fleet.run(milliseconds(4000));
+    cr_assert(turns.outcomeOf(1, "t2", "kept") == TurnOutcome::Ready, "%s",
+              turns.viewText().c_str());
+    cr_assert(fleet.recordsVms.at(QStringLiteral("r2")).hasLeft, "%s", turns.viewText().c_str());
+}
