Retire a records VM only if the others bear a lost disk

Cause: a retirement was done once the other synced members had the VM's records, however few these members were.

Change: the VM leaves only if more synced members remain than disks may be lost. Until then its retirement stays at "running".

Test: retirement/is_not_done_while_the_others_would_bear_no_lost_disk fails without the change, as the second VM has left.

--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -429,7 +429,8 @@
                        || (position != this->copiedTo.end()
                            && position->second >= this->lastCountedSequence);
             });
-    if (copied && this->view.syncedCount() > 0) {
+    // One more lost disk has to be borne without this one.
+    if (copied && this->view.syncedCount() > this->view.toleratedDisks) {
         this->copiedReported = true;
         this->hooks.copied();
     }
--- a/tests/records/RetirementTest.cpp
+++ b/tests/records/RetirementTest.cpp
@@ -31,3 +31,33 @@
               turns.viewText().c_str());
     cr_assert(fleet.recordsVms.at(QStringLiteral("r2")).hasLeft, "%s", turns.viewText().c_str());
 }
+
+// Guards against a group that bears no lost disk any more after a retirement, and against one that
+// never serves again when the last disk is then lost.
+Test(retirement, is_not_done_while_the_others_would_bear_no_lost_disk)
+{
+    RecordsFleet fleet(3, 2);
+    FleetTurns turns(fleet);
+    cr_assert(turns.store("kept", ""));
+    fleet.retire(QStringLiteral("r1"));
+    fleet.run(milliseconds(2000));
+    cr_assert(fleet.recordsVms.at(QStringLiteral("r1")).hasLeft);
+    fleet.stopRecordsVm(QStringLiteral("r1"), 0);
+    fleet.retire(QStringLiteral("r2"));
+    fleet.run(milliseconds(10000));
+    cr_assert_not(fleet.recordsVms.at(QStringLiteral("r2")).hasLeft, "%s",
+                  turns.viewText().c_str());
+    fleet.stopRecordsVm(QStringLiteral("r3"), 0);
+    fleet.wipe(QStringLiteral("r3"));
+    fleet.startRecordsVm(QStringLiteral("r3"));
+    fleet.run(milliseconds(4000));
+    cr_assert(turns.outcomeOf(1, "t1", "kept") == TurnOutcome::Ready, "%s",
+              turns.viewText().c_str());
+    fleet.startRecordsVm(QStringLiteral("r4"));
+    fleet.run(milliseconds(4000));
+    cr_assert(fleet.recordsVms.at(QStringLiteral("r2")).hasLeft, "%s", turns.viewText().c_str());
+    fleet.stopRecordsVm(QStringLiteral("r2"), 0);
+    cr_assert(turns.outcomeOf(1, "t2", "kept") == TurnOutcome::Ready, "%s",
+              turns.viewText().c_str());
+    cr_assert(turns.store("t3", ""), "%s", turns.viewText().c_str());
+}
