Keep turns on a leaving records VM too if the others are too few

Cause: nothing was written to a leaving member, and durableCopies() counted the others only, so one copy confirmed a turn.

Change: if the members whose copies count are no more than the disks that may be lost, leaving members get the records as well, and a turn is kept only once enough of both have it (RecordsView::isDurable).

Test: retirement/keeps_turns_on_the_disk_of_the_vm_that_leaves_if_the_others_are_too_few fails without the change.

--- a/modules/lacewingmux_records/client/RecordsClient.h
+++ b/modules/lacewingmux_records/client/RecordsClient.h
@@ -82,7 +82,7 @@
         Record record;
         std::chrono::milliseconds retention{0};
         std::set<VmIncarnation> unacknowledged; ///< members whose acknowledgement is awaited
-        std::set<VmIncarnation> copies;         ///< members whose acknowledged copy counts
+        std::set<VmIncarnation> copies;         ///< members that have acknowledged it
         StoredCallback callback;
         TimerSubscription timeout;
     };
--- a/modules/lacewingmux_records/client/RecordsClientWrites.cpp
+++ b/modules/lacewingmux_records/client/RecordsClientWrites.cpp
@@ -66,9 +66,10 @@
                                                   std::uint64_t correlation)
 {
     const QByteArray payload = RecordsCodec::encodeRecords({record});
+    const RecordsView &groupView = this->viewOf(group);
     std::set<VmIncarnation> reached;
-    for (const RecordsMember &member : this->viewOf(group).members) {
-        if (member.state != MemberState::Leaving
+    for (const RecordsMember &member : groupView.members) {
+        if ((member.state != MemberState::Leaving || groupView.needsLeavingCopies())
             && this->hub.send(member.vm.incarnation,
                               {FrameKind::WriteRecords, this->view.number, correlation, payload}))
             reached.insert(member.vm.incarnation);
@@ -83,13 +84,12 @@
     if (found == this->pendingWrites.end())
         return;
     const RecordsView &group = this->viewOf(found->second.group);
-    const RecordsMember *member = group.member(peer);
-    if (member == nullptr || frame.epoch != this->view.number
-        || found->second.unacknowledged.erase(peer) == 0 || !group.countsAsCopy(*member))
+    if (group.member(peer) == nullptr || frame.epoch != this->view.number
+        || found->second.unacknowledged.erase(peer) == 0)
         return;
     // A member acknowledges once more after its link broke: its disk still holds one copy.
     found->second.copies.insert(peer);
-    if (static_cast<int>(found->second.copies.size()) >= group.durableCopies())
+    if (group.isDurable(found->second.copies))
         this->finishWrite(frame.correlation, true);
 }
 
--- a/modules/lacewingmux_records/members/RecordsView.cpp
+++ b/modules/lacewingmux_records/members/RecordsView.cpp
@@ -216,6 +216,30 @@
     return std::min(this->toleratedDisks + 1, this->storingCount());
 }
 
+bool RecordsView::needsLeavingCopies() const
+{
+    return this->storingCount() <= this->toleratedDisks
+           && std::any_of(this->members.begin(), this->members.end(),
+                          [](const auto &entry) { return entry.state == MemberState::Leaving; });
+}
+
+bool RecordsView::isDurable(const std::set<VmIncarnation> &holders) const
+{
+    int counted = 0;
+    int leaving = 0;
+    int allLeaving = 0;
+    for (const RecordsMember &member : this->members) {
+        const bool isHolder = holders.contains(member.vm.incarnation);
+        counted += isHolder && this->countsAsCopy(member) ? 1 : 0;
+        leaving += isHolder && member.state == MemberState::Leaving ? 1 : 0;
+        allLeaving += member.state == MemberState::Leaving ? 1 : 0;
+    }
+    // Leaving members don't replace one whose copies count: they go without waiting for each other.
+    const int needed = std::min(this->toleratedDisks + 1, this->storingCount() + allLeaving);
+    return counted >= this->durableCopies()
+           && (!this->needsLeavingCopies() || counted + leaving >= needed);
+}
+
 int RecordsView::reservationQuorum() const
 {
     // A member doesn't count until it has copied a quorum's reservations. Otherwise its joining
--- a/modules/lacewingmux_records/members/RecordsView.h
+++ b/modules/lacewingmux_records/members/RecordsView.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace lacewingmux {
@@ -75,9 +76,18 @@
     /** Returns the number of synced members. */
     [[nodiscard]] int syncedCount() const;
 
-    /** Returns the number of copies that make a record durable. */
+    /** Returns the number of copies on members whose copies count that make a record durable. */
     [[nodiscard]] int durableCopies() const;
 
+    /** Returns whether records are written to leaving members too, as the others are too few to
+       bear the loss of the tolerated disks. */
+    [[nodiscard]] bool needsLeavingCopies() const;
+
+    /** Returns whether a record is durable that is on the disks of these members: it is on
+        durableCopies() of those whose copies count, and also on leaving ones if these are too few.
+     */
+    [[nodiscard]] bool isDurable(const std::set<VmIncarnation> &holders) const;
+
     /** Returns how many of the members with all reservations must know a new one to accept it, so
         that of any two reservations at least one sees the other. Leaving members are included, as
         one may have the only copy of a reservation besides a lost disk. The reservation must also
--- a/tests/records/RetirementTest.cpp
+++ b/tests/records/RetirementTest.cpp
@@ -61,3 +61,31 @@
               turns.viewText().c_str());
     cr_assert(turns.store("t3", ""), "%s", turns.viewText().c_str());
 }
+
+// Guards against turns that are kept on one disk while a VM with another one is being emptied, and
+// are lost with that disk.
+Test(retirement, keeps_turns_on_the_disk_of_the_vm_that_leaves_if_the_others_are_too_few)
+{
+    RecordsFleet fleet(3, 2);
+    FleetTurns turns(fleet);
+    fleet.retire(QStringLiteral("r1"));
+    fleet.run(milliseconds(2000));
+    cr_assert(fleet.recordsVms.at(QStringLiteral("r1")).hasLeft);
+    fleet.stopRecordsVm(QStringLiteral("r1"), 0);
+    fleet.retire(QStringLiteral("r2"));
+    fleet.run(milliseconds(300));
+    // The disk is lost before the VM that leaves could copy the turn from it.
+    fleet.network.cut(QStringLiteral("r2"), QStringLiteral("r3"));
+    cr_assert(turns.store("kept", ""));
+    fleet.stopRecordsVm(QStringLiteral("r3"), 0);
+    fleet.wipe(QStringLiteral("r3"));
+    fleet.network.healAll();
+    fleet.run(milliseconds(2000));
+    fleet.startRecordsVm(QStringLiteral("r3"));
+    for (int check = 0; check < 4; ++check)
+        cr_assert(turns.outcomeOf(1, "t1", "kept") != TurnOutcome::UnknownTurn, "%s",
+                  turns.viewText().c_str());
+    fleet.run(milliseconds(4000));
+    cr_assert(turns.outcomeOf(1, "t2", "kept") == TurnOutcome::Ready, "%s",
+              turns.viewText().c_str());
+}
