Let a group go on without a silent member that has no successor

Cause: the new VM took the place that the first retirement had left. The lost VM stayed in the view as a synced member without a successor: a leaving VM waited until it had copied the log, and each turn needed a copy on its disk.

It joins again when it is back. Retirements count only members that respond.

--- a/modules/lacewingmux_node/records/RecordsNode.cpp
+++ b/modules/lacewingmux_node/records/RecordsNode.cpp
@@ -87,9 +87,17 @@
         this->queue.post(
                 [this, member, viewNumber] { this->membership->freePlace(member, viewNumber); });
     };
-    hooks.records.predecessorsCopied = [this](std::uint64_t viewNumber) {
-        this->queue.post(
-                [this, viewNumber] { this->membership->notePredecessorsCopied(viewNumber); });
+    hooks.records.silentMemberDispensable = [this](const VmIncarnation &member,
+                                                   std::uint64_t viewNumber) {
+        this->queue.post([this, member, viewNumber] {
+            this->membership->letSilentMemberLeave(member, viewNumber);
+        });
+    };
+    hooks.records.predecessorsCopied = [this](const std::set<VmIncarnation> &silentLeaving,
+                                              std::uint64_t viewNumber) {
+        this->queue.post([this, silentLeaving, viewNumber] {
+            this->membership->notePredecessorsCopied(silentLeaving, viewNumber);
+        });
     };
     hooks.records.newerView = [this](const QByteArray &document) {
         this->queue.post([this, document] { this->membership->adoptViewDocument(document); });
@@ -254,8 +262,11 @@
 
 void RecordsNode::finishRetirement()
 {
-    if (!this->retiring)
+    // The others made this VM a leaving member while it was silent: it joins again.
+    if (!this->retiring) {
+        this->membership->leave({});
         return;
+    }
     this->membership->leave([this] {
         LogEvent(LogSeverity::Info, "retirementDone").field("vm", this->settings.vm);
         this->writeRetirementStatus(this->platform.retirementDone);
--- a/modules/lacewingmux_records/members/RecordsMembership.cpp
+++ b/modules/lacewingmux_records/members/RecordsMembership.cpp
@@ -86,10 +86,11 @@
             [this](const RecordsView &view) -> std::optional<RecordsView> {
                 RecordsView next = view;
                 RecordsMember *member = memberIn(next, this->self.incarnation);
-                if (member == nullptr || member->state != MemberState::Joining
+                if (member == nullptr || member->hasAllRecords()
                     || view.ofGroup(member->group).isStandby(*member))
                     return std::nullopt;
-                member->state = MemberState::Synced;
+                if (member->state == MemberState::Joining)
+                    member->state = MemberState::Synced;
                 member->syncSources = 0;
                 return next;
             },
@@ -155,15 +156,27 @@
             nullptr, RetryPolicy::Once);
 }
 
-void RecordsMembership::notePredecessorsCopied(std::uint64_t decidedNumber)
+void RecordsMembership::notePredecessorsCopied(const std::set<VmIncarnation> &silentLeaving,
+                                               std::uint64_t decidedNumber)
 {
     const RecordsMember *own = this->current.member(this->self.incarnation);
     if (own == nullptr)
         return;
     this->update(
             "predecessorsCopied",
-            [group = own->group, decidedNumber](const RecordsView &view) {
-                return withPredecessorsCopied(view, group, decidedNumber);
+            [group = own->group, silentLeaving, decidedNumber](const RecordsView &view) {
+                return withPredecessorsCopied(view, group, silentLeaving, decidedNumber);
+            },
+            nullptr, RetryPolicy::Once);
+}
+
+void RecordsMembership::letSilentMemberLeave(const VmIncarnation &silent,
+                                             std::uint64_t decidedNumber)
+{
+    this->update(
+            "silentMemberLeaving",
+            [silent, decidedNumber](const RecordsView &view) {
+                return withSilentMemberLeaving(view, silent, decidedNumber);
             },
             nullptr, RetryPolicy::Once);
 }
@@ -310,13 +323,20 @@
     return next;
 }
 
-std::optional<RecordsView> RecordsMembership::withPredecessorsCopied(const RecordsView &view,
-                                                                     int group,
-                                                                     std::uint64_t decidedNumber)
+std::optional<RecordsView>
+RecordsMembership::withPredecessorsCopied(const RecordsView &view, int group,
+                                          const std::set<VmIncarnation> &silentLeaving,
+                                          std::uint64_t decidedNumber)
 {
-    if (view.number != decidedNumber || view.ofGroup(group).lostDisks() == 0)
+    if (view.number != decidedNumber)
         return std::nullopt;
     RecordsView next = view;
+    const auto removed = std::erase_if(next.members, [&silentLeaving](const auto &member) {
+        return member.state == MemberState::Leaving
+               && silentLeaving.contains(member.vm.incarnation);
+    });
+    if (removed == 0 && view.ofGroup(group).lostDisks() == 0)
+        return std::nullopt;
     for (RecordsMember &member : next.members) {
         if (member.group == group && !member.hasAllRecords())
             member.predecessorCopied = true;
@@ -324,6 +344,18 @@
     return next;
 }
 
+std::optional<RecordsView> RecordsMembership::withSilentMemberLeaving(const RecordsView &view,
+                                                                      const VmIncarnation &silent,
+                                                                      std::uint64_t decidedNumber)
+{
+    RecordsView next = view;
+    RecordsMember *member = memberIn(next, silent);
+    if (view.number != decidedNumber || member == nullptr || member->state == MemberState::Leaving)
+        return std::nullopt;
+    member->state = MemberState::Leaving;
+    return next;
+}
+
 std::optional<RecordsView> RecordsMembership::withoutLostVm(const RecordsView &view,
                                                             const QString &vm)
 {
--- a/modules/lacewingmux_records/members/RecordsMembership.h
+++ b/modules/lacewingmux_records/members/RecordsMembership.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -39,12 +40,18 @@
     /** Adopts a newer view that was received from a peer instead of the store. */
     void adoptViewDocument(const QByteArray &document);
 
-    /** Declares that this VM has every acknowledged record. */
+    /** Declares that this VM has every acknowledged record, also if it is leaving. */
     void declareSynced();
 
     /** Starts to leave: copies on this VM no longer count. */
     void beginLeaving();
 
+    /** Returns whether this VM leaves because it was told to. */
+    [[nodiscard]] bool isLeaving() const noexcept
+    {
+        return this->leaving;
+    }
+
     /** Removes this VM from the view; calls back once the change is in the store. */
     void leave(const std::function<void()> &left);
 
@@ -89,15 +96,30 @@
         partitioned. */
     void freePlace(const VmIncarnation &silent, std::uint64_t decidedNumber);
 
-    /** Returns the view in which nothing depends on the lost disks of the group any more; nothing
-       if it has none, or if this is no longer the view, by its number, on which that was decided.
-     */
+    /** Returns the view in which nothing depends on the lost disks of the group any more, and which
+        does not have its silent leaving members; nothing if there are neither, or if this is no
+        longer the view, by its number, on which that was decided. */
+    [[nodiscard]] static std::optional<RecordsView>
+    withPredecessorsCopied(const RecordsView &view, int group,
+                           const std::set<VmIncarnation> &silentLeaving,
+                           std::uint64_t decidedNumber);
+
+    /** Notes that all members of the own group that have all records have those of its lost disks
+        and silent leaving members too, as decided on the view with the number. Not retried if the
+        store is unreachable. */
+    void notePredecessorsCopied(const std::set<VmIncarnation> &silentLeaving,
+                                std::uint64_t decidedNumber);
+
+    /** Returns the view in which a silent member is a leaving one; nothing if it is one already, or
+       if this is no longer the view, by its number, on which that was decided. */
     [[nodiscard]] static std::optional<RecordsView>
-    withPredecessorsCopied(const RecordsView &view, int group, std::uint64_t decidedNumber);
+    withSilentMemberLeaving(const RecordsView &view, const VmIncarnation &silent,
+                            std::uint64_t decidedNumber);
 
-    /** Notes that all members of the own group that are not joining have every record of its lost
-        disks, as decided on the view with the number. Not retried if the store is unreachable. */
-    void notePredecessorsCopied(std::uint64_t decidedNumber);
+    /** Makes a silent member a leaving one, as decided on the view with the number. It is removed
+        once the others have copied each other under the new view, and joins again when it returns.
+        Not retried if the store is unreachable. */
+    void letSilentMemberLeave(const VmIncarnation &silent, std::uint64_t decidedNumber);
 
     /** Returns the next view, without a VM that the operator declares lost for good, and whose
        place a joining member takes; nothing if the view has no such VM. Records that only this VM
--- a/modules/lacewingmux_records/members/SilenceAgreement.cpp
+++ b/modules/lacewingmux_records/members/SilenceAgreement.cpp
@@ -49,20 +49,16 @@
     return known == this->peers.end() ? SteadyTime() : known->second.lastRequestAt;
 }
 
-bool SilenceAgreement::isPlaceLost(const VmIncarnation &silent, SteadyTime now) const
+bool SilenceAgreement::isSilenceAgreed(const VmIncarnation &silent, SteadyTime now) const
 {
     const RecordsMember *own = this->view.member(this->self);
     const RecordsMember *lost = this->view.member(silent);
-    if (own == nullptr || own->state != MemberState::Synced || lost == nullptr
-        || !lost->hasAllRecords())
+    if (own == nullptr || own->state != MemberState::Synced || lost == nullptr)
         return false;
-    bool hasJoiner = false;
     int storing = 0;
     std::ptrdiff_t withReservations = 0;
     for (const RecordsMember &member : this->view.members) {
         const VmIncarnation &reporter = member.vm.incarnation;
-        if (member.state == MemberState::Joining)
-            hasJoiner = hasJoiner || this->hasReported(reporter, now);
         if (reporter != this->self && !this->reportsSilence(reporter, silent, now))
             continue;
         storing += this->view.countsAsCopy(member) ? 1 : 0;
@@ -71,10 +67,22 @@
     const auto allWithReservations =
             std::count_if(this->view.members.begin(), this->view.members.end(),
                           [](const auto &member) { return member.hasAllRecords(); });
-    return hasJoiner && storing >= this->view.storingCount() - this->view.toleratedDisks
+    return storing >= this->view.storingCount() - this->view.toleratedDisks
            && 2 * withReservations >= allWithReservations;
 }
 
+bool SilenceAgreement::isPlaceLost(const VmIncarnation &silent, SteadyTime now) const
+{
+    const bool hasJoiner = std::any_of(this->view.members.begin(), this->view.members.end(),
+                                       [this, now](const auto &member) {
+                                           return member.state == MemberState::Joining
+                                                  && this->hasReported(member.vm.incarnation, now);
+                                       });
+    const RecordsMember *lost = this->view.member(silent);
+    return hasJoiner && lost != nullptr && lost->hasAllRecords()
+           && this->isSilenceAgreed(silent, now);
+}
+
 bool SilenceAgreement::hasReported(const VmIncarnation &reporter, SteadyTime now) const
 {
     const auto known = this->peers.find(reporter);
--- a/modules/lacewingmux_records/members/SilenceAgreement.h
+++ b/modules/lacewingmux_records/members/SilenceAgreement.h
@@ -37,10 +37,13 @@
     /** Returns when the member's last request arrived, or when it was added to the view. */
     [[nodiscard]] SteadyTime lastRequestAt(const VmIncarnation &member) const;
 
-    /** Returns whether this VM, which must be synced, may give the place of a silent member to a
-        joining one: a joining member is there, and all but toleratedDisks of the members whose
-        copies count, and half of the members with all reservations, have recently reported the
-        silence. */
+    /** Returns whether this VM, which must be synced, may decide that a member is silent: all but
+        toleratedDisks of the members whose copies count, and half of the members with all
+        reservations, have recently reported it. */
+    [[nodiscard]] bool isSilenceAgreed(const VmIncarnation &silent, SteadyTime now) const;
+
+    /** Returns whether this VM may give the place of a silent member to a joining one, which must
+        have sent a request recently. */
     [[nodiscard]] bool isPlaceLost(const VmIncarnation &silent, SteadyTime now) const;
 
 private:
--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -413,7 +413,7 @@
     const RecordsMember *self = this->view.member(this->hub.self());
     if (self == nullptr)
         return;
-    if (self->state == MemberState::Joining && !this->view.isStandby(*self) && !this->syncedReported
+    if (!self->hasAllRecords() && !this->view.isStandby(*self) && !this->syncedReported
         && this->sync.completedSources() >= this->joiningSources(*self)) {
         this->syncedReported = true;
         this->hooks.synced();
@@ -430,7 +430,7 @@
                            && position->second >= this->lastCountedSequence);
             });
     // One more lost disk has to be borne without this one.
-    if (copied && this->view.syncedCount() > this->view.toleratedDisks) {
+    if (copied && this->respondingSyncedMembers() > this->view.toleratedDisks) {
         this->copiedReported = true;
         this->hooks.copied();
     }
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -91,7 +91,7 @@
     /** Returns from how many other members that have all records these have to be copied so that
        none is missed, if this one is silent. */
     [[nodiscard]] int sourcesBeside(const VmIncarnation &silent) const;
-    /** Returns how many members that are not joining, without the given one, have copied the own
+    /** Returns how many members with all records, without the given one, have copied the own
        log up to the position. */
     [[nodiscard]] std::ptrdiff_t membersWithCopiesUpTo(std::uint64_t position,
                                                        const VmIncarnation &exception) const;
@@ -99,8 +99,26 @@
        may hold the only copy of a record. */
     void reportAwaitedMember();
     [[nodiscard]] const RecordsMember *awaitedMember() const;
-    /** Reports that all members that have all others' records have those of the lost disks too. */
+    /** Reports that all members that have all others' records have those of the lost disks too, and
+        those of silent leaving members. */
     void reportCopiedPredecessors();
+    /** Returns whether all members with all records but the exceptions have copied the own log up
+       to the position. */
+    [[nodiscard]] bool haveAllCopiesUpTo(std::uint64_t position,
+                                         const std::set<VmIncarnation> &exceptions) const;
+    /** Returns the leaving members that are silent, unless the others need their records or disks.
+     */
+    [[nodiscard]] std::set<VmIncarnation> silentLeavingMembers() const;
+    /** Returns the number of members with all records, this one included, that are not silent. */
+    [[nodiscard]] int respondingDisks() const;
+    /** Returns the number of synced members that are not silent. */
+    [[nodiscard]] int respondingSyncedMembers() const;
+    [[nodiscard]] bool isResponding(const VmIncarnation &member) const;
+    /** Returns whether another member copies, and may take the place of the silent one. */
+    [[nodiscard]] bool hasSuccessorOf(const VmIncarnation &silent) const;
+    /** Reports a member that has been silent for long if the group does not need its records. A
+        group would otherwise wait for it when a further member leaves or is lost. */
+    void reportDispensableMember();
     /** Reports for how long this VM has been joining, and what it waits for. */
     void reportJoining();
     [[nodiscard]] bool isUpToDateStandby(TimerService::SteadyTime now) const;
--- a/modules/lacewingmux_records/server/RecordsServerHooks.h
+++ b/modules/lacewingmux_records/server/RecordsServerHooks.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 
 namespace lacewingmux {
 
@@ -24,9 +25,13 @@
     /** The members agree, under the view with the number, that a silent member has lost its place
         to a joining one. */
     std::function<void(const VmIncarnation &, std::uint64_t viewNumber)> placeLost;
-    /** All members that are not joining have the records of the lost disks, whose places are those
-       of joining members, as found under the view with the number. */
-    std::function<void(std::uint64_t viewNumber)> predecessorsCopied;
+    /** A member has been silent for long, and the group neither needs its records nor has a
+        member to take its place, as found under the view with the number. */
+    std::function<void(const VmIncarnation &, std::uint64_t viewNumber)> silentMemberDispensable;
+    /** All members with all records have those of the lost disks, in whose places other members
+        still copy, and those of silent leaving members, as found under the view with the number. */
+    std::function<void(const std::set<VmIncarnation> &silentLeaving, std::uint64_t viewNumber)>
+            predecessorsCopied;
     std::function<void(const QByteArray &document)> newerView;
     std::function<void(const ConfigurationDocumentMessage &)> newerConfiguration;
 };
--- a/modules/lacewingmux_records/server/RecordsServerMaintenance.cpp
+++ b/modules/lacewingmux_records/server/RecordsServerMaintenance.cpp
@@ -47,6 +47,7 @@
     this->log.dropExpired(this->expiredBefore(), this->index.firstSequence());
     this->quotas.raiseFloors(this->timers.now());
     this->reportSilentMembers();
+    this->reportDispensableMember();
     this->reportJoining();
     this->reportAwaitedMember();
     this->metrics.set("lacewingmux_records_kept", {}, static_cast<double>(this->index.size()));
@@ -189,22 +190,107 @@
 {
     const TimerService::SteadyTime now = this->timers.now();
     const RecordsMember *self = this->view.member(this->hub.self());
-    if (self == nullptr || self->state != MemberState::Synced || this->view.lostDisks() == 0
+    if (self == nullptr || self->state != MemberState::Synced
         || now - this->viewAdoptedAt < predecessorReportDelay
         || now - this->predecessorsReportedAt < placeReportInterval)
         return;
+    const std::set<VmIncarnation> silentLeaving = this->silentLeavingMembers();
+    if (this->view.lostDisks() == 0 && silentLeaving.empty())
+        return;
     if (!this->positionWhenCopied) {
-        if (!this->sync.hasCopiedEarlierViews())
+        if (!this->sync.hasCopiedEarlierViews(silentLeaving))
             return;
         this->positionWhenCopied = this->index.lastSequence();
     }
-    const auto others = std::count_if(this->view.members.begin(), this->view.members.end(),
-                                      [](const auto &member) { return member.hasAllRecords(); })
-                        - 1;
-    if (this->membersWithCopiesUpTo(*this->positionWhenCopied, {}) < others)
+    if (!this->haveAllCopiesUpTo(*this->positionWhenCopied, silentLeaving))
         return;
     this->predecessorsReportedAt = now;
-    this->hooks.predecessorsCopied(this->view.number);
+    this->hooks.predecessorsCopied(silentLeaving, this->view.number);
+}
+
+bool RecordsServer::haveAllCopiesUpTo(std::uint64_t position,
+                                      const std::set<VmIncarnation> &exceptions) const
+{
+    return std::all_of(this->view.members.begin(), this->view.members.end(),
+                       [&](const auto &member) {
+                           const VmIncarnation &peer = member.vm.incarnation;
+                           const auto copied = this->copiedTo.find(peer);
+                           return !member.hasAllRecords() || peer == this->hub.self()
+                                  || exceptions.contains(peer)
+                                  || (copied != this->copiedTo.end() && copied->second >= position);
+                       });
+}
+
+std::set<VmIncarnation> RecordsServer::silentLeavingMembers() const
+{
+    std::set<VmIncarnation> silentLeaving;
+    for (const RecordsMember &member : this->view.members) {
+        const VmIncarnation &peer = member.vm.incarnation;
+        if (member.state == MemberState::Leaving
+            && this->timers.now() - this->silence.lastRequestAt(peer) > standbyTakeoverDelay)
+            silentLeaving.insert(peer);
+    }
+    // A record can't have been both on a lost disk and on the member that copies in its place.
+    const auto lostDisks = std::count_if(
+            this->view.members.begin(), this->view.members.end(), [&](const auto &member) {
+                return !member.hasAllRecords() && !this->view.isStandby(member)
+                       && !member.predecessorCopied
+                       && !silentLeaving.contains(member.vm.incarnation);
+            });
+    const auto unread = lostDisks + static_cast<std::ptrdiff_t>(silentLeaving.size());
+    const bool areDispensable = unread <= this->view.toleratedDisks
+                                && this->respondingDisks() > this->view.toleratedDisks;
+    return areDispensable ? silentLeaving : std::set<VmIncarnation>();
+}
+
+int RecordsServer::respondingDisks() const
+{
+    return static_cast<int>(std::count_if(
+            this->view.members.begin(), this->view.members.end(), [this](const auto &member) {
+                return member.hasAllRecords() && this->isResponding(member.vm.incarnation);
+            }));
+}
+
+int RecordsServer::respondingSyncedMembers() const
+{
+    return static_cast<int>(std::count_if(this->view.members.begin(), this->view.members.end(),
+                                          [this](const auto &member) {
+                                              return member.state == MemberState::Synced
+                                                     && this->isResponding(member.vm.incarnation);
+                                          }));
+}
+
+bool RecordsServer::isResponding(const VmIncarnation &member) const
+{
+    return member == this->hub.self()
+           || this->timers.now() - this->silence.lastRequestAt(member) < silenceThreshold;
+}
+
+bool RecordsServer::hasSuccessorOf(const VmIncarnation &silent) const
+{
+    return std::any_of(this->view.members.begin(), this->view.members.end(),
+                       [&silent](const auto &member) {
+                           return !member.hasAllRecords() && member.vm.incarnation != silent;
+                       });
+}
+
+void RecordsServer::reportDispensableMember()
+{
+    const TimerService::SteadyTime now = this->timers.now();
+    if (this->respondingDisks() <= this->view.toleratedDisks)
+        return;
+    const auto dispensable = std::find_if(
+            this->view.members.begin(), this->view.members.end(), [this, now](const auto &member) {
+                const VmIncarnation &peer = member.vm.incarnation;
+                return peer != this->hub.self() && member.state != MemberState::Leaving
+                       && !this->view.isStandby(member) && !this->hasSuccessorOf(peer)
+                       && now - this->silence.lastRequestAt(peer) >= replacementDelay
+                       && this->silence.isSilenceAgreed(peer, now) && this->isCopiedBeside(peer);
+            });
+    if (dispensable == this->view.members.end())
+        return;
+    LogEvent(LogSeverity::Info, "recordsVmDispensable").field("vm", dispensable->vm.incarnation.vm);
+    this->hooks.silentMemberDispensable(dispensable->vm.incarnation, this->view.number);
 }
 
 const RecordsMember *RecordsServer::awaitedMember() const
--- a/modules/lacewingmux_records/server/RecordsSync.cpp
+++ b/modules/lacewingmux_records/server/RecordsSync.cpp
@@ -101,11 +101,12 @@
            && *source->second.completeAt >= sentAfter;
 }
 
-bool RecordsSync::hasCopiedEarlierViews() const
+bool RecordsSync::hasCopiedEarlierViews(const std::set<VmIncarnation> &exceptions) const
 {
-    return std::all_of(this->sources.begin(), this->sources.end(), [this](const auto &entry) {
+    return std::all_of(this->sources.begin(), this->sources.end(), [&](const auto &entry) {
         const RecordsMember *member = this->view.member(entry.first);
-        return member == nullptr || this->view.isStandby(*member) || entry.second.isCopiedUnderView;
+        return member == nullptr || this->view.isStandby(*member)
+               || exceptions.contains(entry.first) || entry.second.isCopiedUnderView;
     });
 }
 
--- a/modules/lacewingmux_records/server/RecordsSync.h
+++ b/modules/lacewingmux_records/server/RecordsSync.h
@@ -65,8 +65,8 @@
                                      TimerService::SteadyTime sentAfter) const;
 
     /** Returns whether this VM, at some time, had all records that each other member but standbys
-       has acknowledged under earlier views than the present one. */
-    [[nodiscard]] bool hasCopiedEarlierViews() const;
+        and the exceptions has acknowledged under earlier views than the present one. */
+    [[nodiscard]] bool hasCopiedEarlierViews(const std::set<VmIncarnation> &exceptions) const;
 
     /** Returns whether a member has named the record, and it has to be on this disk before the
         member's log counts as copied. */
--- a/tests/records/LossScheduleTest.cpp
+++ b/tests/records/LossScheduleTest.cpp
@@ -52,3 +52,14 @@
 {
     runSeeds(300001, 5);
 }
+
+// Guards against the same while records VMs are emptied for good as well.
+Test(loss_schedule, keeps_turns_and_budgets_beside_retirements_1)
+{
+    runSeeds(400001, 3, true);
+}
+
+Test(loss_schedule, keeps_turns_and_budgets_beside_retirements_2)
+{
+    runSeeds(500001, 4, true);
+}
--- a/tests/records/RetirementTest.cpp
+++ b/tests/records/RetirementTest.cpp
@@ -89,3 +89,64 @@
     cr_assert(turns.outcomeOf(1, "t2", "kept") == TurnOutcome::Ready, "%s",
               turns.viewText().c_str());
 }
+
+// Guards against a group that never serves again: a new VM has taken the place that a retirement
+// had left, so the one that it was to replace stays in the view, and a further retirement waits for
+// it.
+Test(retirement, beside_a_member_that_is_gone_does_not_end_the_service)
+{
+    RecordsFleet fleet(3, 2);
+    FleetTurns turns(fleet);
+    cr_assert(turns.store("kept", ""));
+    fleet.retire(QStringLiteral("r1"));
+    fleet.run(milliseconds(2000));
+    fleet.stopRecordsVm(QStringLiteral("r1"), 0);
+    fleet.stopRecordsVm(QStringLiteral("r2"), 0);
+    fleet.run(milliseconds(2000));
+    fleet.startRecordsVm(QStringLiteral("r4"));
+    fleet.run(milliseconds(16000));
+    fleet.retire(QStringLiteral("r3"));
+    fleet.run(milliseconds(8000));
+    cr_assert(turns.outcomeOf(1, "t1", "kept") == TurnOutcome::Ready, "%s",
+              turns.viewText().c_str());
+    cr_assert(turns.store("t2", ""), "%s", turns.viewText().c_str());
+}
+
+// Guards against the same by a second replacement, whose new VM stands by without end.
+Test(retirement, before_two_replacements_does_not_end_the_service)
+{
+    RecordsFleet fleet(3, 2);
+    FleetTurns turns(fleet);
+    cr_assert(turns.store("kept", ""));
+    fleet.retire(QStringLiteral("r1"));
+    fleet.run(milliseconds(2000));
+    fleet.stopRecordsVm(QStringLiteral("r1"), 0);
+    fleet.stopRecordsVm(QStringLiteral("r2"), 0);
+    fleet.run(milliseconds(2000));
+    fleet.startRecordsVm(QStringLiteral("r4"));
+    fleet.run(milliseconds(16000));
+    fleet.stopRecordsVm(QStringLiteral("r3"), 0);
+    fleet.run(milliseconds(2000));
+    fleet.startRecordsVm(QStringLiteral("r5"));
+    fleet.run(milliseconds(12000));
+    cr_assert(turns.outcomeOf(1, "t1", "kept") == TurnOutcome::Ready, "%s",
+              turns.viewText().c_str());
+    cr_assert(turns.store("t2", ""), "%s", turns.viewText().c_str());
+}
+
+// A member that the others have let go while it was silent joins again with its disk.
+Test(retirement, of_a_silent_member_ends_with_its_return)
+{
+    RecordsFleet fleet(3, 2);
+    FleetTurns turns(fleet);
+    cr_assert(turns.store("kept", ""));
+    fleet.network.cutGroups({"r3"}, {"r1", "r2", "e1", "e2"});
+    fleet.run(milliseconds(16000));
+    cr_assert(fleet.storedView().memberOnVm(QStringLiteral("r3"))->state == MemberState::Joining,
+              "%s", turns.viewText().c_str());
+    cr_assert(turns.outcomeOf(1, "t1", "kept") == TurnOutcome::Ready, "%s",
+              turns.viewText().c_str());
+    fleet.network.healAll();
+    fleet.run(milliseconds(4000));
+    cr_assert_eq(fleet.storedView().syncedCount(), 3, "%s", turns.viewText().c_str());
+}
--- a/tests/records/simulation/LossSchedule.cpp
+++ b/tests/records/simulation/LossSchedule.cpp
@@ -80,6 +80,7 @@
 
 void LossSchedule::bringSomeBack()
 {
+    this->removeRetired();
     for (const QString &name : this->presentVms()) {
         if (this->vms.at(name).state != VmState::Running && this->randomBelow(2) == 0)
             this->bringBack(name);
--- a/tests/records/simulation/RecordsFleet.cpp
+++ b/tests/records/simulation/RecordsFleet.cpp
@@ -56,7 +56,9 @@
             [this, &vm](const RecordsView &view) { this->adoptView(vm, view); });
     RecordsServerHooks hooks;
     hooks.synced = [&vm] { vm.membership->declareSynced(); };
-    hooks.copied = [&vm] { vm.membership->leave([&vm] { vm.hasLeft = true; }); };
+    hooks.copied = [&vm] {
+        vm.membership->leave([&vm] { vm.hasLeft = vm.membership->isLeaving(); });
+    };
     hooks.memberSilent = [&vm](const VmIncarnation &member) {
         if (RecordsMembership::withoutSilentMember(vm.membership->view(), member))
             vm.membership->removeSilentMember(member);
@@ -70,8 +72,12 @@
     hooks.placeLost = [&vm](const VmIncarnation &member, std::uint64_t viewNumber) {
         vm.membership->freePlace(member, viewNumber);
     };
-    hooks.predecessorsCopied = [&vm](std::uint64_t viewNumber) {
-        vm.membership->notePredecessorsCopied(viewNumber);
+    hooks.silentMemberDispensable = [&vm](const VmIncarnation &member, std::uint64_t viewNumber) {
+        vm.membership->letSilentMemberLeave(member, viewNumber);
+    };
+    hooks.predecessorsCopied = [&vm](const std::set<VmIncarnation> &silentLeaving,
+                                     std::uint64_t viewNumber) {
+        vm.membership->notePredecessorsCopied(silentLeaving, viewNumber);
     };
     hooks.newerView = [&vm](const QByteArray &document) {
         vm.membership->adoptViewDocument(document);
