--- a/modules/lacewingmux_records/server/RecordsServer.cpp
+++ b/modules/lacewingmux_records/server/RecordsServer.cpp
@@ -430,7 +430,9 @@
                            && position->second >= this->lastCountedSequence);
             });
     // One more lost disk has to be borne without this one.
-    if (copied && this->respondingSyncedMembers() > this->view.toleratedDisks) {
+    const int synced = this->respondingMembers(
+            [](const auto &member) { return member.state == MemberState::Synced; });
+    if (copied && synced > this->view.toleratedDisks) {
         this->copiedReported = true;
         this->hooks.copied();
     }
--- a/modules/lacewingmux_records/server/RecordsServer.h
+++ b/modules/lacewingmux_records/server/RecordsServer.h
@@ -16,6 +16,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -45,6 +46,8 @@
     void setConfiguration(const ConfigurationDocumentMessage &newest);
 
 private:
+    using MemberTest = std::function<bool(const RecordsMember &)>;
+
     /** Forwards a notice of an entry VM to all others that are connected, whether or not they have
         had any traffic. */
     void forwardToEntryVms(const VmIncarnation &peer, const PeerFrame &frame);
@@ -109,10 +112,8 @@
     /** Returns the leaving members that are silent, unless the others need their records or disks.
      */
     [[nodiscard]] std::set<VmIncarnation> silentLeavingMembers() const;
-    /** Returns the number of members with all records, this one included, that are not silent. */
-    [[nodiscard]] int respondingDisks() const;
-    /** Returns the number of synced members that are not silent. */
-    [[nodiscard]] int respondingSyncedMembers() const;
+    /** Returns the number of members that are not silent, this one included, and pass the test. */
+    [[nodiscard]] int respondingMembers(const MemberTest &test) const;
     [[nodiscard]] bool isResponding(const VmIncarnation &member) const;
     /** Returns whether another member copies, and may take the place of the silent one. */
     [[nodiscard]] bool hasSuccessorOf(const VmIncarnation &silent) const;
