--- a/modules/lacewingmux_records/members/RecordsMembership.h
+++ b/modules/lacewingmux_records/members/RecordsMembership.h
@@ -46,7 +46,7 @@
     /** Starts to leave: copies on this VM no longer count. */
     void beginLeaving();
 
-    /** Returns whether this VM leaves because it was told to. */
+    /** Returns whether this VM is being retired. */
     [[nodiscard]] bool isLeaving() const noexcept
     {
         return this->leaving;
--- a/tests/records/RetirementTest.cpp
+++ b/tests/records/RetirementTest.cpp
@@ -112,7 +112,7 @@
     cr_assert(turns.store("t2", ""), "%s", turns.viewText().c_str());
 }
 
-// Guards against the same by a second replacement, whose new VM stands by without end.
+// Guards against the same by a second replacement, whose new VM remains a standby.
 Test(retirement, before_two_replacements_does_not_end_the_service)
 {
     RecordsFleet fleet(3, 2);
