--- a/tests/records/simulation/LossSchedule.cpp
+++ b/tests/records/simulation/LossSchedule.cpp
@@ -25,7 +25,6 @@
     : random(seedNumber)
     , fleet(recordsVmCount, 2)
     , nextVm(recordsVmCount + 1)
-    , size(recordsVmCount)
 {
     for (int number = 1; number <= recordsVmCount; ++number)
         this->vms[QStringLiteral("r%1").arg(number)] = {};
--- a/tests/records/simulation/LossSchedule.h
+++ b/tests/records/simulation/LossSchedule.h
@@ -78,7 +78,6 @@
     RecordsFleet fleet;
     std::map<QString, Vm> vms;
     int nextVm;
-    int size; ///< of the group at its start
     bool hasRetirements = false;
     std::vector<QByteArray> keptTurns;
     std::vector<QByteArray> spentPrograms;
